Workspace, shared types and the seams between the crates

Cause: nothing exists yet, and the parts have to be built side by side. Change: five crates with one-way dependencies; world objects, verdicts, request profiles, time, configuration content, store and order types, the engines' and the platform's dialects, a thin dispatcher and a seeded virtual network. Pools of engines, each owned by one node, are the unit of dispatch and of authority.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The havengate binary.
+fn main() {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,16 @@
+//! The decisions of havengate, without I/O, clock or threads.
+//!
+//! Every module is a state machine: the caller hands in an event and the time, and gets back what to do. The same code
+//! therefore runs in the node, in property tests and in a simulation in virtual time.
+
+pub mod authority;
+pub mod configuration;
+pub mod dispatch;
+pub mod membership;
+pub mod policy;
+pub mod request;
+pub mod simulation;
+pub mod store;
+pub mod time;
+pub mod verdict;
+pub mod world;
--- /dev/null
+++ b/crates/core/src/policy/mod.rs
@@ -0,0 +1,44 @@
+//! Policies: how requests are placed on engines, and how engines get their roles.
+//!
+//! Both kinds stand behind a trait and are created by name from configuration, so that operators can swap them and
+//! compare them under the same live traffic.
+
+mod placement;
+mod role;
+
+pub use placement::{EngineView, PlacementPolicy, Stage, placement_policy};
+pub use role::{PoolDemand, RoleCounts, RolePolicy, role_policy};
+
+use displaydoc::Display;
+
+/// Why a policy can't be created from its name and parameters.
+#[derive(Clone, Debug, Display, PartialEq, thiserror::Error)]
+pub enum PolicyError {
+    /// unknown policy `{name}`; known policies: {known}
+    UnknownName {
+        /// The name that was asked for.
+        name: String,
+        /// The names that exist, with commas.
+        known: String,
+    },
+    /// policy `{policy}` has no parameter `{parameter}`; known parameters: {known}
+    UnknownParameter {
+        /// The policy.
+        policy: String,
+        /// The parameter that was given.
+        parameter: String,
+        /// The parameters that exist, with commas.
+        known: String,
+    },
+    /// parameter `{parameter}` of policy `{policy}` is {value}; allowed: {allowed}
+    ParameterOutOfRange {
+        /// The policy.
+        policy: String,
+        /// The parameter that was given.
+        parameter: String,
+        /// The value that was given.
+        value: f64,
+        /// The allowed range, in words.
+        allowed: String,
+    },
+}
--- /dev/null
+++ b/crates/core/src/policy/role.rs
@@ -0,0 +1,71 @@
+//! Role policies: how many engines of a pool take which role.
+
+use std::time::Duration;
+
+use super::PolicyError;
+use crate::configuration::PolicyChoice;
+use crate::time::Timestamp;
+use crate::world::EnginePerformance;
+
+/// Engines of a pool by role.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RoleCounts {
+    /// Engines that read prompts only.
+    pub prefill: u16,
+    /// Engines that generate only.
+    pub decode: u16,
+    /// Engines that do both.
+    pub mixed: u16,
+}
+
+/// The demand on a pool and what it has to meet it with.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolDemand {
+    /// Engines by their present role; engines that are changing count under their new role.
+    pub roles: RoleCounts,
+    /// The fewest engines that must serve prompt work.
+    pub prefill_floor: u16,
+    /// The fewest engines that must serve generation.
+    pub decode_floor: u16,
+    /// Prompt tokens that arrived a second, averaged over the last seconds.
+    pub prefill_tokens_per_second: f64,
+    /// Output tokens asked for a second, averaged over the last seconds.
+    pub decode_tokens_per_second: f64,
+    /// Prompt tokens that wait to be read.
+    pub waiting_prefill_tokens: u64,
+    /// Output tokens still to be generated, running and waiting.
+    pub waiting_decode_tokens: u64,
+    /// What one engine can do.
+    pub performance: EnginePerformance,
+    /// How long an engine is out of service when its role changes.
+    pub role_change: Duration,
+}
+
+/// Gives the engines of a pool their roles.
+pub trait RolePolicy: Send {
+    /// The roles wanted now; equal to `demand.roles` when nothing should change.
+    ///
+    /// The sum over roles equals the sum in `demand.roles`. The caller keeps the floors and bounds how many engines
+    /// change at once.
+    fn desired(&mut self, demand: &PoolDemand, now: Timestamp) -> RoleCounts;
+}
+
+/// Creates the role policy that `choice` names.
+///
+/// # Errors
+/// When the name or a parameter is unknown or out of range.
+pub fn role_policy(choice: &PolicyChoice) -> Result<Box<dyn RolePolicy>, PolicyError> {
+    match choice.name.as_str() {
+        "static" => Ok(Box::new(Static)),
+        name => Err(PolicyError::UnknownName { name: name.to_owned(), known: "static".to_owned() }),
+    }
+}
+
+/// Keeps the roles as they are.
+struct Static;
+
+impl RolePolicy for Static {
+    fn desired(&mut self, demand: &PoolDemand, _: Timestamp) -> RoleCounts {
+        demand.roles
+    }
+}
--- /dev/null
+++ b/crates/core/src/simulation.rs
@@ -0,0 +1,175 @@
+//! A seeded network in virtual time for tests and rehearsals: delay, loss, doubling, reordering, cuts, pauses, kills.
+//!
+//! It decides when each message arrives, if at all. The same seed and the same calls give the same arrivals.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use crate::time::Timestamp;
+
+/// How the network treats messages.
+#[derive(Clone, Copy, Debug)]
+pub struct NetworkFaults {
+    /// The share of messages that are lost, from 0 to 1.
+    pub loss: f64,
+    /// The share of messages that arrive twice, from 0 to 1.
+    pub doubling: f64,
+    /// The shortest time on the way.
+    pub delay_minimum: Duration,
+    /// The longest time on the way; the spread between both reorders messages.
+    pub delay_maximum: Duration,
+}
+
+impl Default for NetworkFaults {
+    fn default() -> Self {
+        NetworkFaults {
+            loss: 0.0,
+            doubling: 0.0,
+            delay_minimum: Duration::from_micros(200),
+            delay_maximum: Duration::from_micros(800),
+        }
+    }
+}
+
+/// A message that arrives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Delivery<Process, Message> {
+    /// When it arrives.
+    pub at: Timestamp,
+    /// Who sent it.
+    pub from: Process,
+    /// Who gets it.
+    pub to: Process,
+    /// What was sent.
+    pub message: Message,
+}
+
+/// A network between processes that are identified by `Process`.
+pub struct VirtualNetwork<Process, Message> {
+    faults: NetworkFaults,
+    random: Rng,
+    sequence: u64,
+    on_the_way: BTreeMap<(Timestamp, u64), Delivery<Process, Message>>,
+    cut: BTreeSet<(Process, Process)>,
+    extra_latency: BTreeMap<(Process, Process), Duration>,
+    dead: BTreeSet<Process>,
+    paused: BTreeSet<Process>,
+    held: Vec<Delivery<Process, Message>>,
+}
+
+impl<Process: Copy + Ord, Message: Clone> VirtualNetwork<Process, Message> {
+    /// A network that treats messages as `faults` say, with random choices from `seed`.
+    pub fn new(seed: u64, faults: NetworkFaults) -> Self {
+        VirtualNetwork {
+            faults,
+            random: Rng::with_seed(seed),
+            sequence: 0,
+            on_the_way: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            extra_latency: BTreeMap::new(),
+            dead: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            held: Vec::new(),
+        }
+    }
+
+    /// Changes how messages are treated from now on.
+    pub fn set_faults(&mut self, faults: NetworkFaults) {
+        self.faults = faults;
+    }
+
+    /// Adds latency between two processes, in both directions.
+    pub fn set_latency(&mut self, one: Process, other: Process, latency: Duration) {
+        self.extra_latency.insert((one, other), latency);
+        self.extra_latency.insert((other, one), latency);
+    }
+
+    /// Cuts the way from `from` to `to`; the other direction stays open.
+    pub fn cut(&mut self, from: Process, to: Process) {
+        self.cut.insert((from, to));
+    }
+
+    /// Opens all ways that were cut.
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    /// Kills a process: nothing reaches it until [`VirtualNetwork::restart`].
+    pub fn kill(&mut self, process: Process) {
+        self.dead.insert(process);
+        self.held.retain(|delivery| delivery.to != process);
+        self.on_the_way.retain(|_, delivery| delivery.to != process);
+    }
+
+    /// Lets a killed process receive again.
+    pub fn restart(&mut self, process: Process) {
+        self.dead.remove(&process);
+    }
+
+    /// Pauses a process: what arrives is held back until [`VirtualNetwork::resume`].
+    pub fn pause(&mut self, process: Process) {
+        self.paused.insert(process);
+    }
+
+    /// Resumes a process; what was held back arrives at `now`, in its order.
+    pub fn resume(&mut self, process: Process, now: Timestamp) {
+        self.paused.remove(&process);
+        let (due, held) = std::mem::take(&mut self.held).into_iter().partition(|held| held.to == process);
+        self.held = held;
+        for delivery in due {
+            self.enqueue(Delivery { at: now, ..delivery });
+        }
+    }
+
+    /// Whether the process is neither dead nor paused.
+    pub fn is_running(&self, process: Process) -> bool {
+        !self.dead.contains(&process) && !self.paused.contains(&process)
+    }
+
+    /// Sends a message at `now`.
+    pub fn send(&mut self, from: Process, to: Process, message: Message, now: Timestamp) {
+        if self.cut.contains(&(from, to)) || self.random.f64() < self.faults.loss {
+            return;
+        }
+        let copies = if self.random.f64() < self.faults.doubling { 2 } else { 1 };
+        for _ in 0..copies {
+            let at = now + self.delay(from, to);
+            self.enqueue(Delivery { at, from, to, message: message.clone() });
+        }
+    }
+
+    /// When the next message arrives.
+    pub fn next_arrival(&self) -> Option<Timestamp> {
+        self.on_the_way.keys().next().map(|(at, _)| *at)
+    }
+
+    /// The next message that arrives no later than `until`, to a running process.
+    pub fn deliver(&mut self, until: Timestamp) -> Option<Delivery<Process, Message>> {
+        while self.next_arrival().is_some_and(|at| at <= until) {
+            let (_, delivery) = self.on_the_way.pop_first()?;
+            if self.dead.contains(&delivery.to) || self.cut.contains(&(delivery.from, delivery.to)) {
+                continue;
+            }
+            if self.paused.contains(&delivery.to) {
+                self.held.push(delivery);
+                continue;
+            }
+            return Some(delivery);
+        }
+        None
+    }
+
+    fn delay(&mut self, from: Process, to: Process) -> Duration {
+        let shortest = self.faults.delay_minimum.as_micros() as u64;
+        let longest = self.faults.delay_maximum.as_micros() as u64;
+        let own = Duration::from_micros(self.random.u64(shortest..=longest.max(shortest)));
+        own + self.extra_latency.get(&(from, to)).copied().unwrap_or_default()
+    }
+
+    fn enqueue(&mut self, delivery: Delivery<Process, Message>) {
+        self.sequence += 1;
+        self.on_the_way.insert((delivery.at, self.sequence), delivery);
+    }
+}
--- /dev/null
+++ b/crates/core/src/world/engine.rs
@@ -0,0 +1,135 @@
+//! Engines, the roles that they take and the models that they serve.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use speedy::{Readable, Writable};
+
+use super::address::Address;
+use super::names::{AdapterName, EngineName, ModelName, ZoneName};
+
+/// Which part of a request's work an engine takes.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineRole {
+    /// Reads prompts and exports their KV cache.
+    Prefill,
+    /// Imports KV cache and generates tokens.
+    Decode,
+    /// Does both for each of its requests.
+    #[default]
+    Mixed,
+}
+
+impl EngineRole {
+    /// Whether an engine of this role takes prompt work.
+    pub fn serves_prefill(self) -> bool {
+        matches!(self, EngineRole::Prefill | EngineRole::Mixed)
+    }
+
+    /// Whether an engine of this role generates tokens.
+    pub fn serves_decode(self) -> bool {
+        matches!(self, EngineRole::Decode | EngineRole::Mixed)
+    }
+}
+
+impl fmt::Display for EngineRole {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            EngineRole::Prefill => "prefill",
+            EngineRole::Decode => "decode",
+            EngineRole::Mixed => "mixed",
+        })
+    }
+}
+
+/// A version of a model's weights.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ModelVersion(pub u32);
+
+/// A model that the deployment serves.
+#[derive(Clone, Debug, PartialEq, Readable, Writable, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// The model's name in requests.
+    pub name: ModelName,
+    /// The weights that its engines should have loaded.
+    #[serde(default)]
+    pub version: ModelVersion,
+    /// The fewest engines that must keep serving prompt work while roles change.
+    #[serde(default = "one")]
+    pub prefill_floor: u16,
+    /// The fewest engines that must keep generating tokens while roles change.
+    #[serde(default = "one")]
+    pub decode_floor: u16,
+    /// What one engine of this model can do; predictions start from it.
+    #[serde(default)]
+    pub performance: EnginePerformance,
+}
+
+/// What one engine can do, as measured by the users; predictions of waiting times start from it.
+#[derive(Clone, Copy, Debug, PartialEq, Readable, Writable, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EnginePerformance {
+    /// Prompt tokens read a second by an engine that does nothing else.
+    pub prefill_tokens_per_second: f64,
+    /// Time of one generation step with a single running request.
+    #[serde(with = "humantime_serde")]
+    pub step_time: Duration,
+    /// What each further running request adds to the step's time.
+    #[serde(with = "humantime_serde")]
+    pub step_time_per_request: Duration,
+    /// The most requests that run at once.
+    pub batch_maximum: u32,
+    /// Tokens of KV cache, running requests and cached prefixes together.
+    pub kv_capacity_tokens: u32,
+    /// Tokens of KV cache moved a second from one engine to another.
+    pub kv_transfer_tokens_per_second: f64,
+    /// How long an engine is out of service when its role changes.
+    #[serde(with = "humantime_serde")]
+    pub role_change: Duration,
+}
+
+impl Default for EnginePerformance {
+    fn default() -> Self {
+        EnginePerformance {
+            prefill_tokens_per_second: 8_000.0,
+            step_time: Duration::from_millis(20),
+            step_time_per_request: Duration::from_micros(500),
+            batch_maximum: 32,
+            kv_capacity_tokens: 200_000,
+            kv_transfer_tokens_per_second: 200_000.0,
+            role_change: Duration::from_secs(4),
+        }
+    }
+}
+
+fn one() -> u16 {
+    1
+}
+
+/// An engine of the fixed fleet, with the state that configuration wants it to have.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Engine {
+    /// The engine's name, unique in the deployment.
+    pub name: EngineName,
+    /// Where the engine's API listens.
+    pub address: Address,
+    /// The zone that the engine stands in.
+    pub zone: ZoneName,
+    /// The model that the engine serves.
+    pub model: ModelName,
+    /// The adapter on top of the model, if any.
+    #[serde(default)]
+    pub adapter: Option<AdapterName>,
+    /// The role that configuration gives the engine; a role policy other than `static` may change it.
+    #[serde(default)]
+    pub role: EngineRole,
+}
--- /dev/null
+++ b/crates/core/src/world/mod.rs
@@ -0,0 +1,15 @@
+//! Objects that mirror the world: regions, zones, machines, links, engines, models, tenants, contracts.
+
+mod address;
+mod contract;
+mod engine;
+mod names;
+mod pool;
+mod zone;
+
+pub use address::Address;
+pub use contract::{Contract, Tenant, TenantLimits};
+pub use engine::{Engine, EnginePerformance, EngineRole, Model, ModelVersion};
+pub use names::{AdapterName, ContractName, EngineName, ModelName, PolicyName, RegionName, TenantName, ZoneName};
+pub use pool::{Pool, PoolId, PoolLayout, group_into_pools};
+pub use zone::{Link, Machine, Zone};
--- /dev/null
+++ b/crates/node/src/engines/mod.rs
@@ -0,0 +1,3 @@
+//! The adapter to engines.
+
+pub mod dialect;
--- /dev/null
+++ b/crates/node/src/platform/mod.rs
@@ -0,0 +1,3 @@
+//! The adapter to the platform.
+
+pub mod dialect;
--- /dev/null
+++ b/crates/rehearsal/src/main.rs
@@ -0,0 +1,2 @@
+//! The havengate-rehearsal binary.
+fn main() {}
