--- a/crates/core/src/authority/order.rs
+++ b/crates/core/src/authority/order.rs
@@ -44,8 +44,11 @@
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
 pub struct Order {
-    /// The order's identity; its term must be the engine's fence.
+    /// The order's identity; its term must be no lower than the engine's fence.
     pub id: OrderId,
+    /// The life of the engine process that the order is meant for. A restarted engine has lost its fence, so only this
+    /// keeps a late order of an earlier holder from changing it.
+    pub engine_incarnation: u64,
     /// The order that this one replaces, as the engine last reported it; none when the engine had none.
     pub replaces: Option<OrderId>,
     /// What to do.
@@ -79,6 +82,8 @@
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderRefusal {
+    /// the order is meant for another life of the engine process
+    OtherIncarnation,
     /// the term is lower than the engine's fence
     StaleTerm,
     /// the engine holds another order than the one to be replaced
