--- /dev/null
+++ b/crates/wire/src/forward.rs
@@ -0,0 +1,71 @@
+//! Requests on their way from the gateway to the dispatching node, and answers on their way back.
+
+use havengate_core::request::{AnswerPiece, RequestId, RequestProfile};
+use havengate_core::verdict::Verdict;
+use havengate_core::world::PoolId;
+use speedy::{Readable, Writable};
+
+/// From the gateway to the dispatching node.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+#[allow(clippy::large_enum_variant, reason = "nearly every message is the large variant")]
+pub enum ForwardRequest {
+    /// Dispatch this request.
+    Submit {
+        /// The pool that the gateway chose.
+        pool: PoolId,
+        /// What the request asks for.
+        profile: RequestProfile,
+        /// The prompt's text.
+        prompt: String,
+        /// Tokens of the answer that the caller already has, after an earlier attempt was cut.
+        resume_from: u32,
+    },
+    /// Withdraw this request, whether it has arrived or not.
+    Revoke {
+        /// The request.
+        request: RequestId,
+    },
+}
+
+/// From the dispatching node to the gateway.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub enum ForwardReply {
+    /// A piece of the answer.
+    Piece(AnswerPiece),
+    /// The request has ended; no more pieces follow.
+    Ended {
+        /// The request.
+        request: RequestId,
+        /// How it ended.
+        verdict: Verdict,
+        /// The pool's load, for the gateway's next choice.
+        load: PoolLoad,
+    },
+    /// The answer to a revocation.
+    Revoked {
+        /// The request.
+        request: RequestId,
+        /// What the revocation found.
+        outcome: RevocationOutcome,
+    },
+}
+
+/// What a revocation found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum RevocationOutcome {
+    /// The request has not started and never will here, even if it arrives later.
+    BeforeStart,
+    /// The request had started; it is being cancelled.
+    AfterStart,
+}
+
+/// How busy a pool is, as its dispatcher sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct PoolLoad {
+    /// Prompt tokens placed or waiting, and not yet read.
+    pub waiting_prefill_tokens: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Engines that take new work.
+    pub serving_engines: u16,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Messages between havengate nodes: frames, version handshake and the speedy codec.
+
+mod codec;
+mod forward;
+mod frame;
+mod handshake;
+
+pub use codec::{WireError, decode, encode};
+pub use forward::{ForwardReply, ForwardRequest, PoolLoad, RevocationOutcome};
+pub use frame::{FRAME_MAXIMUM_BYTES, read_frame, write_frame};
+pub use handshake::{Hello, PROTOCOL_VERSION, Purpose, read_hello, write_hello};
