--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -3,153 +3,21 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use super::config::DispatchConfig;
+use super::event::{
+    AttemptOutcome, DispatchAction, EngineAvailability, EngineEvent, EngineSlot, Placement, Revocation,
+};
 use crate::policy::{EngineView, PlacementPolicy, Stage};
-use crate::request::{BlockHash, RequestId, RequestProfile};
+use crate::request::{RequestId, RequestProfile};
 use crate::time::Timestamp;
-use crate::verdict::{MayHaveRun, NotRun, NotRunReason, Verdict};
-use crate::world::{EngineName, EnginePerformance, EngineRole};
-
-/// Limits of a dispatcher.
-#[derive(Clone, Debug)]
-pub struct DispatchConfig {
-    /// The most requests that wait; more are refused, since a longer queue only turns into missed deadlines.
-    pub queue_maximum: usize,
-}
-
-impl Default for DispatchConfig {
-    fn default() -> Self {
-        DispatchConfig { queue_maximum: 1_000 }
-    }
-}
-
-/// Whether an engine takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EngineAvailability {
-    /// It takes new work.
-    Serving,
-    /// It finishes what it has and takes nothing new, before a role change, a load or its leaving.
-    Draining,
-    /// It can't serve: it is changing its role, loading, or lost.
-    Unavailable,
-}
-
-/// An engine of the pool, as control hands it to the dispatcher.
-#[derive(Clone, Debug)]
-pub struct EngineSlot {
-    /// The engine.
-    pub name: EngineName,
-    /// Its role.
-    pub role: EngineRole,
-    /// Whether it takes new work.
-    pub availability: EngineAvailability,
-    /// One-way latency from the dispatcher.
-    pub link_latency: Duration,
-    /// What the engine can do.
-    pub performance: EnginePerformance,
-}
-
-/// The engines that a request runs on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Placement {
-    /// The engine that reads the prompt, when it is another than `decode`; the KV cache then moves by handle.
-    pub prefill: Option<EngineName>,
-    /// The engine that generates the answer.
-    pub decode: EngineName,
-}
-
-/// How one attempt at a request ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum AttemptOutcome {
-    /// The whole answer came.
-    Completed,
-    /// The engine refused the request, or it was never sent.
-    NotRun,
-    /// The request was sent and its answer is cut or lost.
-    MayHaveRun(MayHaveRun),
-}
-
-/// What an engine did.
-#[derive(Clone, Debug, PartialEq)]
-pub enum EngineEvent {
-    /// The prompt has been read and the first token was generated.
-    FirstToken {
-        /// The request.
-        request: RequestId,
-    },
-    /// Tokens were generated.
-    Progress {
-        /// The request.
-        request: RequestId,
-        /// Tokens since the last event of the request.
-        tokens: u32,
-    },
-    /// The attempt has ended.
-    Ended {
-        /// The request.
-        request: RequestId,
-        /// How it ended.
-        outcome: AttemptOutcome,
-    },
-    /// The engine reports that it has cached these prefixes.
-    CacheStored {
-        /// The engine.
-        engine: EngineName,
-        /// Prefixes, by the hash of their last block.
-        blocks: Vec<BlockHash>,
-    },
-    /// The engine reports that it has dropped these prefixes.
-    CacheRemoved {
-        /// The engine.
-        engine: EngineName,
-        /// Prefixes, by the hash of their last block.
-        blocks: Vec<BlockHash>,
-    },
-    /// Cache events of the engine were lost: what is believed to be cached there is no longer known.
-    CacheGap {
-        /// The engine.
-        engine: EngineName,
-    },
-}
-
-/// What the caller of the dispatcher must do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum DispatchAction {
-    /// Run the request on the engines of the placement.
-    Start {
-        /// The request.
-        request: RequestId,
-        /// Where it runs.
-        placement: Placement,
-    },
-    /// Tell the gateway how the request ended; the dispatcher has forgotten it.
-    End {
-        /// The request.
-        request: RequestId,
-        /// Its final verdict.
-        verdict: Verdict,
-    },
-    /// Cancel the request at its engine; an [`EngineEvent::Ended`] still has to follow.
-    Cancel {
-        /// The request.
-        request: RequestId,
-        /// The engine that runs it.
-        engine: EngineName,
-    },
-}
-
-/// The answer to a revocation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Revocation {
-    /// The request has not started and never will, even if it arrives later.
-    BeforeStart,
-    /// The request had started; it is being cancelled and may have run.
-    AfterStart,
-}
+use crate::verdict::{NotRun, NotRunReason, Verdict};
+use crate::world::{Contract, ContractName, EngineName, EngineRole};
 
 /// Places the requests of one pool.
 pub struct Dispatcher {
     config: DispatchConfig,
     placement: Box<dyn PlacementPolicy>,
+    contracts: BTreeMap<ContractName, Contract>,
     engines: BTreeMap<EngineName, EngineSlot>,
     waiting: VecDeque<Waiting>,
     running: BTreeMap<RequestId, Running>,
@@ -172,6 +40,7 @@
         Dispatcher {
             config,
             placement,
+            contracts: BTreeMap::new(),
             engines: BTreeMap::new(),
             waiting: VecDeque::new(),
             running: BTreeMap::new(),
@@ -184,6 +53,11 @@
         self.engines = engines.into_iter().map(|engine| (engine.name.clone(), engine)).collect();
     }
 
+    /// Replaces the classes of service. A request of an unknown contract is treated by [`DispatchConfig`]'s default.
+    pub fn set_contracts(&mut self, contracts: Vec<Contract>) {
+        self.contracts = contracts.into_iter().map(|contract| (contract.name.clone(), contract)).collect();
+    }
+
     /// Takes a request into the queue.
     ///
     /// # Errors
@@ -238,7 +112,7 @@
             let Some(waiting) = self.waiting.pop_front() else { break };
             let request = waiting.profile.id;
             self.running.insert(request, Running { profile: waiting.profile, placement: placement.clone() });
-            actions.push(DispatchAction::Start { request, placement });
+            actions.push(DispatchAction::Start { request, placement, attempt: 1, resume_from: 0 });
         }
         actions
     }
