--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod engines;
 pub mod platform;
+pub mod settings;
