--- /dev/null
+++ b/crates/core/src/membership/view.rs
@@ -0,0 +1,75 @@
+//! All members that a node knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::member::Member;
+use super::record::{MemberRecord, MemberState};
+use crate::world::{Address, ZoneName};
+
+/// All members that a node knows, of all zones, and the zones that its own zone can't reach.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    records: BTreeMap<Address, MemberRecord>,
+    unreachable: BTreeSet<ZoneName>,
+}
+
+impl View {
+    /// A view of the given records; of two records of one address, the merge counts.
+    pub fn new(records: impl IntoIterator<Item = MemberRecord>) -> Self {
+        let mut view = View::default();
+        for record in records {
+            view.merge(&record);
+        }
+        view
+    }
+
+    /// All records, dead members included, in the order of their addresses.
+    pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.records.values()
+    }
+
+    /// The records of one zone, dead members included.
+    pub fn zone_records<'a>(&'a self, zone: &'a ZoneName) -> impl Iterator<Item = &'a MemberRecord> {
+        self.records().filter(move |record| record.zone == *zone)
+    }
+
+    /// The latest life known at an address.
+    pub fn record(&self, address: Address) -> Option<&MemberRecord> {
+        self.records.get(&address)
+    }
+
+    /// The state of one life; `None` when it is unknown or another life is known at its address.
+    pub fn state(&self, member: Member) -> Option<MemberState> {
+        let record = self.record(member.address)?;
+        (record.member == member).then(|| record.state())
+    }
+
+    /// The zones that can't be reached from this node's zone. Their members are not declared dead for that.
+    pub fn unreachable_zones(&self) -> &BTreeSet<ZoneName> {
+        &self.unreachable
+    }
+
+    /// Whether the zone can be reached, as far as is known.
+    pub fn is_reachable(&self, zone: &ZoneName) -> bool {
+        !self.unreachable.contains(zone)
+    }
+
+    /// Members that may own pools of the given zones: neither dead nor leaving, and in a zone that can be reached.
+    pub fn owner_candidates<'a>(&'a self, zones: &'a [ZoneName]) -> impl Iterator<Item = Member> + 'a {
+        self.records()
+            .filter(|record| record.state().may_own())
+            .filter(|record| zones.contains(&record.zone) && self.is_reachable(&record.zone))
+            .map(|record| record.member)
+    }
+
+    /// Merges a record; returns whether the view has changed.
+    pub fn merge(&mut self, record: &MemberRecord) -> bool {
+        match self.records.get_mut(&record.member.address) {
+            Some(known) => known.merge(record),
+            None => {
+                self.records.insert(record.member.address, record.clone());
+                true
+            }
+        }
+    }
+}
