Pool runtime, peer connections and forwarding

Cause: the dispatcher is a state machine that nothing drives, and gateways can't reach the node that dispatches. Change: a thread for each pool polls the dispatcher; attempts run on threads of their own; requests travel over connections that carry one at a time; a revocation counts only when the same process life answers it. Conclusion: ready to be joined to callers and control.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,9 @@
 //! A havengate node: sockets, threads and the adapters to callers, engines, platform and peers.
 
+pub mod clock;
 pub mod engines;
 pub mod logging;
+pub mod peers;
 pub mod platform;
 pub mod settings;
+pub mod traffic;
