Gateway: dispatch here or at a peer, settle what was lost

Cause: nothing joins a caller's request to the node that dispatches for its model. Change: the gateway walks the ranked owners of the model's pools, forwards at most once at a time, and retries only what is certain not to have run; a lost connection is settled by a revocation. Conclusion: thin but whole; retry budget and choice of pools by load come next.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! A havengate node: sockets, threads and the adapters to callers, engines, platform and peers.
 
 pub mod clock;
+pub mod control;
 pub mod engines;
 pub mod logging;
 pub mod peers;
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -2,7 +2,11 @@
 
 mod answer;
 mod attempt;
+mod gateway;
 mod pool_runtime;
+mod registry;
 
 pub use answer::AnswerEvent;
+pub use gateway::{CallerPresence, Gateway};
 pub use pool_runtime::{EngineTarget, PoolRuntime, SubmittedRequest};
+pub use registry::PoolRegistry;
