Pool runtime resumes attempts and reports prompts that were read

Cause: the dispatcher now names the token to resume from, and its revocation may be unknown. Change: attempts pass both on; an unknown revocation counts as may have started. Conclusion: node and dispatcher agree again.

--- a/crates/node/src/peers/forward_server.rs
+++ b/crates/node/src/peers/forward_server.rs
@@ -44,7 +44,7 @@
             ForwardRequest::Revoke { request } => {
                 let outcome = match service.revoke(request) {
                     Revocation::BeforeStart => RevocationOutcome::BeforeStart,
-                    Revocation::AfterStart => RevocationOutcome::AfterStart,
+                    Revocation::AfterStart | Revocation::Unknown => RevocationOutcome::MayHaveStarted,
                 };
                 write_frame(&mut stream, &ForwardReply::Revoked { request, outcome })?;
             }
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -22,8 +22,11 @@
     pub decode: Address,
 }
 
-/// Takes in the pieces of an answer.
+/// Takes in the progress of an attempt.
 pub trait PieceSink {
+    /// The prompt has been read by another engine than the one that generates.
+    fn prompt_read(&mut self, request: RequestId);
+
     /// Passes on a piece; `false` when nobody wants the answer any more.
     fn piece(&mut self, piece: AnswerPiece) -> bool;
 }
@@ -35,6 +38,7 @@
             Ok(handle) => plan.body.import = Some(handle),
             Err(error) => return settle(engines, prefill, plan.request, &error),
         }
+        sink.prompt_read(plan.request);
     }
     match engines.generate(plan.decode, &plan.body) {
         Ok(mut stream) => relay(stream.as_mut(), &plan, sink),
--- a/crates/node/src/traffic/gateway.rs
+++ b/crates/node/src/traffic/gateway.rs
@@ -110,7 +110,7 @@
             if let Some((not_run, may_have_run)) = self.reason_to_stop(passage) {
                 return match self.local.revoke(request) {
                     Revocation::BeforeStart => Verdict::NotRun(NotRun::new(not_run)),
-                    Revocation::AfterStart => Verdict::MayHaveRun(may_have_run),
+                    Revocation::AfterStart | Revocation::Unknown => Verdict::MayHaveRun(may_have_run),
                 };
             }
         }
--- a/crates/node/src/traffic/pool_runtime.rs
+++ b/crates/node/src/traffic/pool_runtime.rs
@@ -165,14 +165,22 @@
 
     fn carry_out(self: &Arc<Self>, state: &mut PoolState, action: DispatchAction) {
         match action {
-            DispatchAction::Start { request, placement } => self.start_attempt(state, request, &placement),
+            DispatchAction::Start { request, placement, resume_from, .. } => {
+                self.start_attempt(state, request, &placement, resume_from);
+            }
             DispatchAction::End { request, verdict } => end_request(state, request, verdict),
             DispatchAction::Cancel { request, engine } => self.cancel(state, request, &engine),
         }
     }
 
-    fn start_attempt(self: &Arc<Self>, state: &mut PoolState, request: RequestId, placement: &Placement) {
-        let Some(plan) = plan_attempt(state, request, placement) else {
+    fn start_attempt(
+        self: &Arc<Self>,
+        state: &mut PoolState,
+        request: RequestId,
+        placement: &Placement,
+        resume_from: u32,
+    ) {
+        let Some(plan) = plan_attempt(state, request, placement, resume_from) else {
             let outcome = AttemptOutcome::NotRun;
             state.dispatcher.step(EngineEvent::Ended { request, outcome }, self.clock.now());
             self.wake();
@@ -209,6 +217,12 @@
 }
 
 impl PieceSink for DispatcherSink<'_> {
+    fn prompt_read(&mut self, request: RequestId) {
+        let now = self.runtime.clock.now();
+        self.runtime.lock().dispatcher.step(EngineEvent::PromptRead { request }, now);
+        self.runtime.wake();
+    }
+
     fn piece(&mut self, piece: AnswerPiece) -> bool {
         let mut state = self.runtime.lock();
         let now = self.runtime.clock.now();
@@ -224,7 +238,7 @@
     }
 }
 
-fn plan_attempt(state: &PoolState, request: RequestId, placement: &Placement) -> Option<AttemptPlan> {
+fn plan_attempt(state: &PoolState, request: RequestId, placement: &Placement, resume_from: u32) -> Option<AttemptPlan> {
     let active = state.requests.get(&request)?;
     let prefill = match &placement.prefill {
         Some(engine) => Some(*state.addresses.get(engine)?),
@@ -236,7 +250,7 @@
         prompt: active.prompt.clone(),
         max_tokens: active.max_output_tokens,
         priority: active.priority,
-        resume_from: active.resume_from,
+        resume_from: active.resume_from + resume_from,
         import: None,
     };
     Some(AttemptPlan { request, body, prefill, decode: *state.addresses.get(&placement.decode)? })
--- a/crates/node/src/traffic/registry.rs
+++ b/crates/node/src/traffic/registry.rs
@@ -66,9 +66,9 @@
 
     /// Every pool is told, since the request may not have arrived yet and each must refuse it when it does.
     fn revoke(&self, request: RequestId) -> Revocation {
-        let revocations = self.all().into_iter().map(|(_, pool)| pool.revoke(request));
-        let started = revocations.filter(|revocation| *revocation == Revocation::AfterStart).count() > 0;
-        if started { Revocation::AfterStart } else { Revocation::BeforeStart }
+        let revocations: Vec<Revocation> = self.all().into_iter().map(|(_, pool)| pool.revoke(request)).collect();
+        let not_started = revocations.iter().all(|revocation| *revocation == Revocation::BeforeStart);
+        if not_started { Revocation::BeforeStart } else { Revocation::AfterStart }
     }
 
     fn load(&self, _pool: &PoolId) -> PoolLoad {
