Streaming HTTP server on hyper for callers, operators and stand-ins

Cause: callers' and operators' APIs and the stand-ins need responses that leave chunk by chunk, a stop that writes the last byte, and hang-ups that are seen at once. Change: http_server: HttpServer::bind, a Handler that runs on a thread of its own for each request, whole and streamed responses, limits that refuse at once, drain. Conclusion: a chunk reaches the client before the next is produced, an aborted stream stays unterminated, a drain writes every last byte (crates/node/tests/http_server.rs).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod control;
 pub mod engines;
+pub mod http_server;
 pub mod logging;
 pub mod peers;
 pub mod platform;
