--- a/crates/node/src/peers/forward_client.rs
+++ b/crates/node/src/peers/forward_client.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::TcpStream;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -15,6 +15,8 @@
     write_hello,
 };
 
+use super::link::LinkGate;
+
 /// How long a connection to a peer may take; in one region it takes milliseconds.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
 
@@ -47,6 +49,7 @@
 /// Opens connections to dispatching nodes and keeps idle ones.
 pub struct ForwardClient {
     me: Member,
+    gate: Arc<dyn LinkGate>,
     idle: Mutex<BTreeMap<Address, Vec<ForwardConnection>>>,
 }
 
@@ -55,12 +58,13 @@
     /// The process at the other end, as it introduced itself.
     pub peer: Member,
     stream: TcpStream,
+    gate: Arc<dyn LinkGate>,
 }
 
 impl ForwardClient {
     /// A client that introduces itself as `me`.
-    pub fn new(me: Member) -> Self {
-        ForwardClient { me, idle: Mutex::new(BTreeMap::new()) }
+    pub fn new(me: Member, gate: Arc<dyn LinkGate>) -> Self {
+        ForwardClient { me, gate, idle: Mutex::new(BTreeMap::new()) }
     }
 
     /// Sends a request to the node at `address`.
@@ -127,12 +131,15 @@
     }
 
     fn connect(&self, address: Address) -> Result<ForwardConnection, WireError> {
+        if !self.gate.is_open(address) {
+            return Err(WireError::Io(io::ErrorKind::HostUnreachable.into()));
+        }
         let mut stream = TcpStream::connect_timeout(&address.0, CONNECT_WITHIN)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(CONNECT_WITHIN))?;
         write_hello(&mut stream, Hello::new(self.me, Purpose::Forward))?;
         let hello = read_hello(&mut stream)?;
-        Ok(ForwardConnection { peer: hello.member, stream })
+        Ok(ForwardConnection { peer: hello.member, stream, gate: Arc::clone(&self.gate) })
     }
 }
 
@@ -154,6 +161,9 @@
 
     /// Waits for the first byte of a frame, so that a time limit never cuts a frame in two.
     fn has_data(&self, wait: Duration) -> io::Result<bool> {
+        if !self.gate.is_open(self.peer.address) {
+            return Err(io::ErrorKind::HostUnreachable.into());
+        }
         self.stream.set_read_timeout(Some(wait.max(Duration::from_millis(1))))?;
         let peeked = self.stream.peek(&mut [0]);
         self.stream.set_read_timeout(Some(CONNECT_WITHIN))?;
--- a/crates/node/src/traffic/gateway.rs
+++ b/crates/node/src/traffic/gateway.rs
@@ -46,9 +46,9 @@
 }
 
 impl Gateway {
-    /// A gateway of the process `me`.
-    pub fn new(me: Member, snapshot: SharedSnapshot, local: Arc<PoolRegistry>, clock: Clock) -> Self {
-        Gateway { snapshot, local, remote: ForwardClient::new(me), clock }
+    /// A gateway that dispatches by `local` on this node and by `remote` on others.
+    pub fn new(snapshot: SharedSnapshot, local: Arc<PoolRegistry>, remote: ForwardClient, clock: Clock) -> Self {
+        Gateway { snapshot, local, remote, clock }
     }
 
     /// Serves a request to its end; blocks until then.
