Describe deployments in TOML, and add those of the two cooperatives

Cause: nothing could be rehearsed without a description of machines, engines, platform and configuration. Engine performance and contracts are plausible values, not measured ones. Conclusion: the live rehearsal can start from either file.

--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins, load, faults and experiments that rehearse a havengate deployment on one machine.
+
+pub mod deployment;
