--- a/crates/node/src/http_server/config.rs
+++ b/crates/node/src/http_server/config.rs
@@ -21,7 +21,7 @@
     pub body_maximum: usize,
     /// Bytes in all bodies that are being read or not yet dropped by their handlers. It bounds the server's memory.
     pub bodies_total_maximum: usize,
-    /// Bytes in one request's head; at least 8,192.
+    /// Bytes in one request's head; at least 1,024.
     pub head_maximum: usize,
     /// Header lines in one request.
     pub headers_maximum: usize,
@@ -60,8 +60,8 @@
     }
 }
 
-/// hyper refuses to read heads into a smaller buffer.
-const HEAD_MINIMUM: usize = 8_192;
+/// Ordinary clients need no less.
+const HEAD_MINIMUM: usize = 1_024;
 
 impl HttpServerConfig {
     /// Checks that the limits can be served.
--- a/crates/node/src/http_server/connection.rs
+++ b/crates/node/src/http_server/connection.rs
@@ -30,6 +30,8 @@
 /// How long a closed connection's input is still read and thrown away: closing a socket with unread input would
 /// destroy the end of the response on its way to the client.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// hyper takes no smaller buffer.
+const BUFFER_MINIMUM: usize = 8_192;
 /// The most bytes that are thrown away.
 const LINGER_BYTES: usize = 16 << 20;
 
@@ -93,7 +95,7 @@
     builder.header_read_timeout(None);
     builder.max_headers(shared.config.headers_maximum);
     builder.max_header_size(shared.config.head_maximum);
-    builder.max_buf_size(shared.config.head_maximum);
+    builder.max_buf_size(shared.config.head_maximum.max(BUFFER_MINIMUM));
     builder
 }
 
