Engine model in virtual time for simulations and stand-ins

Cause: rehearsals need engines that batch, cache, hand over KV, obey fences and crash, the same in a simulation as on a socket.

--- /dev/null
+++ b/crates/rehearsal/src/engine/mod.rs
@@ -0,0 +1,6 @@
+//! The stand-in engine: one model of an engine, in virtual time and on a real socket.
+
+mod answer;
+pub mod model;
+
+pub use answer::{answer_length, expected_text};
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,3 +1,3 @@
 //! Stand-ins, load, faults and experiments that rehearse a havengate deployment on one machine.
 
-pub mod deployment;
+pub mod engine;
