Claim idempotency keys at a majority of versioned holders

Cause: a request that must not be repeated needs an owner that survives node deaths without the store on its path. Change: claim client, claim holder, slot map with its planner, takeover of lost claims, delivery of outcomes.

--- /dev/null
+++ b/crates/core/src/claims/attempt.rs
@@ -0,0 +1,175 @@
+//! A claimer's attempt to get a key at a majority of its holders.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::config::ClaimConfig;
+use super::message::{ClaimAnswer, ClaimReply, ClaimRequest, HeldClaim, RecordedOutcome};
+use super::slot_map::{HolderSet, Slot};
+use crate::membership::Incarnation;
+use crate::request::{IdempotencyKey, RequestId};
+use crate::time::Timestamp;
+use crate::verdict::{MayHaveRun, NotRun, NotRunReason, Verdict};
+use crate::world::Address;
+
+/// When to ask again while another request with the key is in progress.
+const IN_PROGRESS_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// When to ask again after a claim failed for want of a majority.
+const UNCLAIMABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How an attempt to claim a key ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ClaimOutcome {
+    /// The key is the request's: it may be dispatched until its deadline, and its outcome must then be recorded.
+    Won,
+    /// The request must not be dispatched, now or later. The key may be free, so the caller may ask again.
+    Refused(NotRun),
+    /// The request must not be dispatched: an earlier one with the key has run or may have run. The caller gets the
+    /// earlier outcome.
+    Repeated(RecordedOutcome),
+}
+
+/// An attempt to claim a key for one request. It ends once, and never wins after it has ended otherwise.
+#[derive(Clone, Debug)]
+pub(super) struct ClaimAttempt {
+    key: IdempotencyKey,
+    request: RequestId,
+    deadline: Timestamp,
+    gives_up: Timestamp,
+    next_send: Timestamp,
+    resend_interval: Duration,
+    holders: HolderSet,
+    answers: BTreeMap<Address, ClaimAnswer>,
+}
+
+impl ClaimAttempt {
+    pub fn new(
+        key: IdempotencyKey,
+        request: RequestId,
+        deadline: Timestamp,
+        slot: &Slot,
+        config: &ClaimConfig,
+        now: Timestamp,
+    ) -> Self {
+        ClaimAttempt {
+            key,
+            request,
+            deadline,
+            gives_up: deadline.min(now + config.attempt_timeout),
+            next_send: now,
+            resend_interval: config.resend_interval,
+            holders: slot.current.clone(),
+            answers: BTreeMap::new(),
+        }
+    }
+
+    pub fn key(&self) -> &IdempotencyKey {
+        &self.key
+    }
+
+    /// Goes on with newer holders. Grants of older ones no longer count: they belong to another version.
+    pub fn adopt(&mut self, slot: &Slot, now: Timestamp) {
+        if slot.current.version > self.holders.version {
+            self.holders = slot.current.clone();
+            self.answers.clear();
+            self.next_send = now;
+        }
+    }
+
+    /// The claims to send now: to all holders that have neither granted the key nor told who has it.
+    pub fn messages(&mut self, now: Timestamp) -> Vec<(Address, ClaimRequest)> {
+        if now < self.next_send {
+            return Vec::new();
+        }
+        self.next_send = now + self.resend_interval;
+        let is_settled = |address: &Address| {
+            matches!(self.answers.get(address), Some(ClaimAnswer::Granted(_) | ClaimAnswer::Held(_)))
+        };
+        let request = ClaimRequest {
+            key: self.key.clone(),
+            request: self.request,
+            version: self.holders.version,
+            time_left: self.deadline.since(now),
+        };
+        let open = self.holders.addresses().filter(|address| !is_settled(address));
+        open.map(|address| (address, request.clone())).collect()
+    }
+
+    /// When [`ClaimAttempt::messages`] or [`ClaimAttempt::expire`] has something to do.
+    pub fn next_poll(&self) -> Timestamp {
+        self.next_send.min(self.gives_up)
+    }
+
+    /// Takes in a holder's answer.
+    pub fn step(&mut self, from: Address, reply: ClaimReply, now: Timestamp) -> Option<ClaimOutcome> {
+        if now >= self.gives_up {
+            return self.expire(now);
+        }
+        if reply.version != self.holders.version || self.holders.position(from).is_none() {
+            return None;
+        }
+        self.answers.insert(from, reply.answer);
+        self.drop_grants_of_lost_lives();
+        self.decide()
+    }
+
+    /// Ends the attempt when its time is over.
+    pub fn expire(&self, now: Timestamp) -> Option<ClaimOutcome> {
+        let refusal = NotRun::retry_after(NotRunReason::KeyUnclaimable, UNCLAIMABLE_RETRY_AFTER);
+        (now >= self.gives_up).then_some(ClaimOutcome::Refused(refusal))
+    }
+
+    fn decide(&self) -> Option<ClaimOutcome> {
+        let ended = self.held().find_map(|held| match held {
+            HeldClaim::Ended(outcome) => Some(outcome.clone()),
+            _ => None,
+        });
+        if let Some(outcome) = ended {
+            return Some(ClaimOutcome::Repeated(outcome));
+        }
+        if self.holders.has_majority(|holder| self.granted(holder.member.address).is_some()) {
+            return Some(ClaimOutcome::Won);
+        }
+        let cannot_win = self.holders.holders.len() - self.held().count() < self.holders.majority();
+        cannot_win.then(|| self.lost())
+    }
+
+    fn lost(&self) -> ClaimOutcome {
+        if self.held().all(|held| *held == HeldClaim::Overdue) {
+            let verdict = Verdict::MayHaveRun(MayHaveRun::KeyUsed);
+            return ClaimOutcome::Repeated(RecordedOutcome { verdict, answer: None });
+        }
+        ClaimOutcome::Refused(NotRun::retry_after(NotRunReason::KeyInProgress, IN_PROGRESS_RETRY_AFTER))
+    }
+
+    fn held(&self) -> impl Iterator<Item = &HeldClaim> {
+        self.answers.values().filter_map(|answer| match answer {
+            ClaimAnswer::Held(held) => Some(held),
+            _ => None,
+        })
+    }
+
+    fn granted(&self, address: Address) -> Option<&[Incarnation]> {
+        match self.answers.get(&address) {
+            Some(ClaimAnswer::Granted(lives)) => Some(lives),
+            _ => None,
+        }
+    }
+
+    /// Grants of two holders count together only if neither knows a later life of the other: a grant of a lost life
+    /// is forgotten by its holder, which may have handed the key to another request since.
+    fn drop_grants_of_lost_lives(&mut self) {
+        let grants: Vec<(usize, Address, &[Incarnation])> = (self.holders.addresses().enumerate())
+            .filter_map(|(position, address)| Some((position, address, self.granted(address)?)))
+            .collect();
+        let newest = |position: usize| grants.iter().filter_map(|(_, _, lives)| lives.get(position)).max().copied();
+        let is_lost = |(position, _, lives): &&(usize, Address, &[Incarnation])| {
+            lives.len() != self.holders.holders.len() || lives.get(*position).copied() < newest(*position)
+        };
+        let lost: Vec<Address> = grants.iter().filter(is_lost).map(|(_, address, _)| *address).collect();
+        for address in lost {
+            self.answers.remove(&address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/claims/mod.rs
@@ -0,0 +1,29 @@
+//! Claims of idempotency keys: a request that must not be repeated runs at most once.
+//!
+//! Before such a request is dispatched, its gateway claims the key at a majority of the key's holders. A
+//! [`ClaimClient`] makes the claims of one gateway; a [`ClaimHolder`] holds the claims that fall to one node by the
+//! [`SlotMap`]. `docs/adr/0006-at-most-once.md` tells why two requests can't both win a key.
+
+mod attempt;
+mod client;
+mod config;
+mod delivery;
+mod holder;
+mod message;
+mod record;
+mod slot_map;
+mod slot_plan;
+mod slot_state;
+mod takeover;
+mod usage;
+
+pub use attempt::ClaimOutcome;
+pub use client::{ClaimClient, ClaimDecision, ClaimWork};
+pub use config::{ClaimConfig, ClaimConfigError};
+pub use holder::{ClaimHolder, SlotStatus};
+pub use message::{
+    ClaimAnswer, ClaimEnvelope, ClaimMessage, ClaimRefusal, ClaimReply, ClaimRequest, HeldClaim, OutcomeAck,
+    OutcomeReport, RecordedAnswer, RecordedOutcome, TakeOverReply, TakeOverRequest, TransferredClaim,
+};
+pub use slot_map::{HOLDERS, HolderSet, MapVersion, SLOTS, Slot, SlotHolder, SlotIndex, SlotMap};
+pub use slot_plan::{CandidateHolder, SlotObservation};
--- /dev/null
+++ b/crates/core/src/claims/slot_map.rs
@@ -0,0 +1,119 @@
+//! The slot map: which nodes hold the claims of which keys.
+//!
+//! The map is one object in the platform's store. It is changed by compare-and-set only and spreads like configuration,
+//! so two nodes never make different maps of one version. It is not needed while keys are claimed: nodes go on with
+//! the map that they have, and the versions of a slot keep two maps from both reaching a majority.
+
+use serde::{Deserialize, Serialize};
+use speedy::{Readable, Writable};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::membership::Member;
+use crate::request::IdempotencyKey;
+use crate::world::{Address, ZoneName};
+
+/// Slots in a map. It never changes, since a key's slot depends on it.
+pub const SLOTS: u16 = 256;
+
+/// Holders that a slot has where there are enough nodes.
+pub const HOLDERS: usize = 3;
+
+/// Counts the changes of the slot map.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct MapVersion(pub u64);
+
+/// Identifies a slot, from 0 to [`SLOTS`] less one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SlotIndex(pub u16);
+
+impl SlotIndex {
+    /// The slot of a key.
+    pub fn of(key: &IdempotencyKey) -> SlotIndex {
+        let mut bytes = Vec::with_capacity(key.tenant.as_str().len() + key.key.len() + 1);
+        bytes.extend_from_slice(key.tenant.as_str().as_bytes());
+        bytes.push(0);
+        bytes.extend_from_slice(key.key.as_bytes());
+        let slot = xxh3_64(&bytes) % u64::from(SLOTS);
+        SlotIndex(u16::try_from(slot).unwrap_or_default())
+    }
+}
+
+/// A node that holds the claims of a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
+pub struct SlotHolder {
+    /// The node, in the life in which it was put into the map. A later life holds nothing until its takeover.
+    pub member: Member,
+    /// The node's zone.
+    pub zone: ZoneName,
+    /// The map version since which the address has held the slot without a break.
+    pub since: MapVersion,
+}
+
+/// The holders of a slot in one version.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
+pub struct HolderSet {
+    /// The map version in which the slot got these holders.
+    pub version: MapVersion,
+    /// The holders, one to [`HOLDERS`].
+    pub holders: Vec<SlotHolder>,
+}
+
+impl HolderSet {
+    /// How many holders are more than half.
+    pub fn majority(&self) -> usize {
+        self.holders.len() / 2 + 1
+    }
+
+    /// The place of `address` among the holders.
+    pub fn position(&self, address: Address) -> Option<usize> {
+        self.holders.iter().position(|holder| holder.member.address == address)
+    }
+
+    /// Whether a majority of the holders satisfies `predicate`.
+    pub fn has_majority(&self, predicate: impl Fn(&SlotHolder) -> bool) -> bool {
+        self.holders.iter().filter(|holder| predicate(holder)).count() >= self.majority()
+    }
+
+    /// The addresses of the holders.
+    pub fn addresses(&self) -> impl Iterator<Item = Address> + '_ {
+        self.holders.iter().map(|holder| holder.member.address)
+    }
+}
+
+/// The holders of a slot now, and those that may still believe that they are.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
+pub struct Slot {
+    /// The holders of the newest version.
+    pub current: HolderSet,
+    /// Earlier sets, oldest first. A new holder must fence a majority of each before it votes, since a set that is not
+    /// known to have been fenced may still grant claims.
+    pub history: Vec<HolderSet>,
+    /// Machines of earlier sets that no longer exist, by the platform's list. They can't grant any more.
+    pub gone: Vec<Address>,
+}
+
+/// Which nodes hold the claims of which slot.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
+pub struct SlotMap {
+    /// The version of the map.
+    pub version: MapVersion,
+    /// The slots, by index.
+    pub slots: Vec<Slot>,
+}
+
+impl SlotMap {
+    /// The slot of a key; `None` when the map is empty.
+    pub fn slot_of(&self, key: &IdempotencyKey) -> Option<(SlotIndex, &Slot)> {
+        let index = SlotIndex::of(key);
+        self.slots.get(usize::from(index.0)).map(|slot| (index, slot))
+    }
+
+    /// The slots with their indices.
+    pub fn iter(&self) -> impl Iterator<Item = (SlotIndex, &Slot)> {
+        (0..).map(SlotIndex).zip(&self.slots)
+    }
+}
--- /dev/null
+++ b/crates/core/src/claims/slot_plan.rs
@@ -0,0 +1,124 @@
+//! Makes the first slot map and its successors. The result is proposed to the store by compare-and-set.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::slot_map::{HOLDERS, HolderSet, MapVersion, SLOTS, Slot, SlotHolder, SlotIndex, SlotMap};
+use crate::membership::Member;
+use crate::world::{Address, ZoneName};
+
+/// Earlier holder sets that a slot may carry; with as many it is not changed until it has settled. A slot gets one more
+/// only when a holder dies before the deaths before it have been made good, so the bound is never met by real deaths;
+/// it keeps a proposer that changes the map again and again from growing it without end.
+const HISTORY_MAXIMUM: usize = 32;
+
+/// A node that may hold slots.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CandidateHolder {
+    /// The node in its present life.
+    pub member: Member,
+    /// The node's zone.
+    pub zone: ZoneName,
+}
+
+/// What the proposer of a new map knows. Wrong or old knowledge costs availability, never safety, with one exception:
+/// a machine may be called gone only when the platform no longer lists it.
+#[derive(Clone, Debug, Default)]
+pub struct SlotObservation {
+    /// Nodes that are alive and not leaving.
+    pub live: Vec<CandidateHolder>,
+    /// Addresses that have been dead for a while.
+    pub dead: BTreeSet<Address>,
+    /// Addresses whose machine no longer exists.
+    pub gone: BTreeSet<Address>,
+    /// Slots of whose present holders a majority has said that it votes in the present version.
+    pub settled: BTreeSet<SlotIndex>,
+    /// Holders that have been alive for a while without a vote in a slot, because too few others have its claims.
+    pub stalled: BTreeMap<SlotIndex, BTreeSet<Address>>,
+}
+
+impl SlotMap {
+    /// The first map of a deployment. Its holders vote at once, since there was no claim before it.
+    pub fn found(nodes: &[CandidateHolder]) -> SlotMap {
+        let version = MapVersion(1);
+        let slots = (0..SLOTS).map(|index| {
+            let mut holders = Vec::new();
+            add_holders(SlotIndex(index), version, nodes, &mut holders);
+            Slot { current: HolderSet { version, holders }, history: Vec::new(), gone: Vec::new() }
+        });
+        SlotMap { version, slots: slots.collect() }
+    }
+
+    /// The next map, or `None` when nothing is to be changed.
+    pub fn replan(&self, observation: &SlotObservation) -> Option<SlotMap> {
+        let version = MapVersion(self.version.0 + 1);
+        let slots: Vec<Slot> =
+            self.iter().map(|(index, slot)| replan_slot(index, slot, version, observation)).collect();
+        (slots != self.slots).then_some(SlotMap { version, slots })
+    }
+}
+
+fn replan_slot(index: SlotIndex, slot: &Slot, version: MapVersion, observation: &SlotObservation) -> Slot {
+    let gone = gone_machines(slot, observation);
+    let history = if observation.settled.contains(&index) { &[][..] } else { &slot.history[..] };
+    let holders = next_holders(index, slot, version, observation);
+    if holders == slot.current.holders || history.len() >= HISTORY_MAXIMUM {
+        return Slot { gone, ..slot.clone() };
+    }
+    let history = history.iter().chain([&slot.current]).cloned().collect();
+    Slot { current: HolderSet { version, holders }, history, gone }
+}
+
+fn gone_machines(slot: &Slot, observation: &SlotObservation) -> Vec<Address> {
+    let sets = slot.history.iter().chain([&slot.current]);
+    let mut gone: Vec<Address> = sets.flat_map(HolderSet::addresses).collect();
+    gone.retain(|address| observation.gone.contains(address) || slot.gone.contains(address));
+    gone.sort();
+    gone.dedup();
+    gone
+}
+
+fn next_holders(index: SlotIndex, slot: &Slot, version: MapVersion, observation: &SlotObservation) -> Vec<SlotHolder> {
+    let none = BTreeSet::new();
+    let stalled = observation.stalled.get(&index).unwrap_or(&none);
+    let stays = |holder: &&SlotHolder| {
+        let address = holder.member.address;
+        ![&observation.dead, &observation.gone, stalled].iter().any(|lost| lost.contains(&address))
+    };
+    let mut holders: Vec<SlotHolder> = slot.current.holders.iter().filter(stays).cloned().collect();
+    add_holders(index, version, &observation.live, &mut holders);
+    keep_dead_without_successor(&slot.current.holders, &mut holders);
+    holders
+}
+
+/// A slot never has fewer holders than before: a majority of fewer would be easier to reach.
+fn keep_dead_without_successor(old: &[SlotHolder], holders: &mut Vec<SlotHolder>) {
+    for holder in old {
+        let is_kept = holders.iter().any(|kept| kept.member.address == holder.member.address);
+        if holders.len() < old.len() && !is_kept {
+            holders.push(holder.clone());
+        }
+    }
+}
+
+fn add_holders(index: SlotIndex, version: MapVersion, nodes: &[CandidateHolder], holders: &mut Vec<SlotHolder>) {
+    let mut ranked: Vec<&CandidateHolder> = nodes.iter().collect();
+    ranked.sort_by_key(|node| (std::cmp::Reverse(score(index, node.member.address)), node.member.address));
+    for needs_new_zone in [true, false] {
+        for node in &ranked {
+            let is_free = |holder: &SlotHolder| {
+                let shares_zone = needs_new_zone && holder.zone == node.zone;
+                !shares_zone && holder.member.address != node.member.address
+            };
+            if holders.len() < HOLDERS && holders.iter().all(is_free) {
+                holders.push(SlotHolder { member: node.member, zone: node.zone.clone(), since: version });
+            }
+        }
+    }
+}
+
+/// Rendezvous hashing: a node's rank for a slot does not depend on the other nodes.
+fn score(index: SlotIndex, address: Address) -> u64 {
+    xxh3_64_with_seed(address.to_string().as_bytes(), u64::from(index.0))
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! therefore runs in the node, in property tests and in a simulation in virtual time.
 
 pub mod authority;
+pub mod claims;
 pub mod configuration;
 pub mod dispatch;
 pub mod membership;
--- /dev/null
+++ b/crates/core/tests/claims_simulation.rs
@@ -0,0 +1,407 @@
+//! Keys are won at most once, over kills, restarts without memory, pauses, partitions, lost and doubled messages and
+//! changes of the slot map by proposers that are wrong about who is dead.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fastrand::Rng;
+use havengate_core::claims::{
+    CandidateHolder, ClaimClient, ClaimConfig, ClaimEnvelope, ClaimHolder, ClaimMessage, ClaimOutcome, RecordedOutcome,
+    SlotIndex, SlotMap, SlotObservation, SlotStatus,
+};
+use havengate_core::membership::{Incarnation, Member};
+use havengate_core::request::{IdempotencyKey, RequestId};
+use havengate_core::simulation::{NetworkFaults, VirtualNetwork};
+use havengate_core::time::Timestamp;
+use havengate_core::verdict::{MayHaveRun, NotRun, NotRunReason, Verdict};
+use havengate_core::world::{Address, ZoneName};
+
+const NODES: u8 = 7;
+const ZONES: u8 = 4;
+const TICK: Duration = Duration::from_millis(20);
+const RETENTION: Duration = Duration::from_secs(4);
+const REQUEST_TIME: Duration = Duration::from_secs(2);
+
+fn config() -> ClaimConfig {
+    ClaimConfig {
+        retention: RETENTION,
+        request_time_maximum: REQUEST_TIME,
+        attempt_timeout: Duration::from_millis(400),
+        released_retention: Duration::from_secs(1),
+        takeover_interval: Duration::from_millis(200),
+        page_records: 2,
+        sweep_interval: Duration::from_secs(1),
+        ..ClaimConfig::default()
+    }
+}
+
+fn address(index: u8) -> Address {
+    Address(SocketAddr::from(([127, 0, 0, index + 1], 7000)))
+}
+
+fn all_addresses() -> impl Iterator<Item = Address> {
+    (0..NODES).map(address)
+}
+
+struct Node {
+    holder: ClaimHolder,
+    client: ClaimClient,
+    running: BTreeMap<RequestId, Running>,
+}
+
+/// A request whose key is being claimed or has been won.
+#[derive(Clone, Copy)]
+struct Running {
+    key: usize,
+    deadline: Timestamp,
+    is_won: bool,
+}
+
+/// The time in which a request that had won a key forbids any other to win it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Win {
+    request: RequestId,
+    from: Timestamp,
+    until: Timestamp,
+}
+
+struct World {
+    random: Rng,
+    network: VirtualNetwork<Address, ClaimMessage>,
+    nodes: BTreeMap<Address, Node>,
+    lives: BTreeMap<Address, Incarnation>,
+    gone: BTreeSet<Address>,
+    paused: BTreeSet<Address>,
+    cut_off: BTreeSet<Address>,
+    map: SlotMap,
+    keys: Vec<IdempotencyKey>,
+    wins: Vec<Vec<Win>>,
+    next_request: u128,
+    now: Timestamp,
+}
+
+impl World {
+    fn new(seed: u64, faults: NetworkFaults) -> Self {
+        let keys: Vec<IdempotencyKey> =
+            (0..4).map(|key| IdempotencyKey { tenant: "tenant".into(), key: format!("ticket-{key}") }).collect();
+        let mut world = World {
+            random: Rng::with_seed(seed),
+            network: VirtualNetwork::new(seed, faults),
+            nodes: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            cut_off: BTreeSet::new(),
+            map: SlotMap::default(),
+            wins: vec![Vec::new(); keys.len()],
+            keys,
+            next_request: 0,
+            now: Timestamp::ZERO,
+        };
+        all_addresses().for_each(|address| world.start(address));
+        let founders = world.candidates();
+        world.map = world.only_used_slots(SlotMap::found(&founders));
+        world
+    }
+
+    fn used_slots(&self) -> BTreeSet<SlotIndex> {
+        self.keys.iter().map(SlotIndex::of).collect()
+    }
+
+    /// Empties the slots that no key of the test falls into, which saves most of the time.
+    fn only_used_slots(&self, mut map: SlotMap) -> SlotMap {
+        let used = self.used_slots();
+        for (index, slot) in (0..).map(SlotIndex).zip(&mut map.slots) {
+            if !used.contains(&index) {
+                slot.current.holders.clear();
+            }
+        }
+        map
+    }
+
+    fn candidates(&self) -> Vec<CandidateHolder> {
+        let candidate = |index: u8| CandidateHolder {
+            member: Member { address: address(index), incarnation: self.lives[&address(index)] },
+            zone: ZoneName::new(format!("zone-{}", index % ZONES)),
+        };
+        (0..NODES).filter(|index| self.nodes.contains_key(&address(*index))).map(candidate).collect()
+    }
+
+    fn start(&mut self, address: Address) {
+        let incarnation = self.lives.entry(address).or_default();
+        incarnation.0 += 1;
+        let member = Member { address, incarnation: *incarnation };
+        let holder = ClaimHolder::new(member, config(), self.now);
+        let node = Node { holder, client: ClaimClient::new(config()), running: BTreeMap::new() };
+        self.nodes.insert(address, node);
+        self.network.restart(address);
+    }
+
+    fn kill(&mut self, address: Address) {
+        self.nodes.remove(&address);
+        self.paused.remove(&address);
+        self.network.kill(address);
+        self.network.resume(address, self.now);
+    }
+
+    fn random_node(&mut self) -> Address {
+        address(self.random.u8(0..NODES))
+    }
+
+    fn votes(&self, address: Address, index: SlotIndex) -> bool {
+        let version = self.map.slots[usize::from(index.0)].current.version;
+        let is_vote = |status: &SlotStatus| status.slot == index && status.version == version && status.votes;
+        self.nodes.get(&address).is_some_and(|node| node.holder.status().iter().any(is_vote))
+    }
+
+    fn observation(&self, dead: BTreeSet<Address>) -> SlotObservation {
+        let live = self.candidates().into_iter().filter(|node| !dead.contains(&node.member.address)).collect();
+        let mut observation = SlotObservation { live, dead, gone: self.gone.clone(), ..SlotObservation::default() };
+        for (index, slot) in self.map.iter() {
+            if slot.current.has_majority(|holder| self.votes(holder.member.address, index)) {
+                observation.settled.insert(index);
+            } else {
+                let silent = slot.current.addresses().filter(|address| self.nodes.contains_key(address));
+                observation.stalled.insert(index, silent.filter(|address| !self.votes(*address, index)).collect());
+            }
+        }
+        observation
+    }
+
+    fn replan(&mut self, dead: BTreeSet<Address>, rename_stalled: bool) {
+        let mut observation = self.observation(dead);
+        if !rename_stalled {
+            observation.stalled.clear();
+        }
+        if let Some(next) = self.map.replan(&observation) {
+            self.map = self.only_used_slots(next);
+        }
+    }
+
+    fn inject_fault(&mut self) {
+        let target = self.random_node();
+        let is_up = self.nodes.contains_key(&target);
+        match self.random.u8(0..8) {
+            0 => self.kill(target),
+            1 | 2 => self.restart_at_once(target),
+            3 if is_up => {
+                self.paused.insert(target);
+                self.network.pause(target);
+            }
+            4 => self.partition(),
+            5 => self.heal(),
+            6 => self.replan_wrongly(target),
+            7 if !is_up && self.gone.len() < 2 => {
+                self.gone.insert(target);
+            }
+            _ => {}
+        }
+    }
+
+    /// Proposes a map while `alive` and all nodes that are down are taken for dead.
+    fn replan_wrongly(&mut self, alive: Address) {
+        let dead = self.not_running().into_iter().chain([alive]).collect();
+        let rename_stalled = self.random.bool();
+        self.replan(dead, rename_stalled);
+    }
+
+    fn restart_at_once(&mut self, target: Address) {
+        if !self.gone.contains(&target) {
+            self.kill(target);
+            self.start(target);
+        }
+    }
+
+    fn not_running(&self) -> BTreeSet<Address> {
+        all_addresses().filter(|address| !self.nodes.contains_key(address)).collect()
+    }
+
+    fn partition(&mut self) {
+        let side: BTreeSet<Address> = all_addresses().filter(|_| self.random.bool()).collect();
+        for one in &side {
+            for other in all_addresses().filter(|other| !side.contains(other)) {
+                self.network.cut(*one, other);
+                self.network.cut(other, *one);
+            }
+        }
+        self.cut_off = side;
+    }
+
+    fn heal(&mut self) {
+        self.network.heal();
+        self.cut_off.clear();
+        for paused in std::mem::take(&mut self.paused) {
+            self.network.resume(paused, self.now);
+        }
+        for address in self.not_running().difference(&self.gone.clone()) {
+            self.start(*address);
+        }
+    }
+
+    fn unpaused(&self) -> Vec<Address> {
+        self.nodes.keys().copied().filter(|address| !self.paused.contains(address)).collect()
+    }
+
+    /// The map reaches nodes late, and not those that are cut off from the store.
+    fn spread_map(&mut self) {
+        for address in self.unpaused() {
+            if !self.cut_off.contains(&address) && self.random.u8(0..10) == 0 {
+                let node = self.nodes.get_mut(&address).expect("a running node");
+                node.holder.adopt(&self.map);
+                node.client.adopt(&self.map, self.now);
+            }
+        }
+    }
+
+    fn claim_something(&mut self) {
+        let gateway = self.random_node();
+        let key = self.random.usize(0..self.keys.len());
+        let deadline = self.now + Duration::from_millis(self.random.u64(100..=2_000));
+        let Some(node) = self.nodes.get_mut(&gateway).filter(|_| !self.paused.contains(&gateway)) else { return };
+        self.next_request += 1;
+        let request = RequestId(self.next_request);
+        if node.client.claim(self.keys[key].clone(), request, deadline, self.now).is_ok() {
+            node.running.insert(request, Running { key, deadline, is_won: false });
+        }
+    }
+
+    fn end_something(&mut self, gateway: Address) {
+        let node = self.nodes.get_mut(&gateway).expect("a running node");
+        for (request, running) in node.running.clone() {
+            let ends = running.deadline <= self.now || self.random.u8(0..20) == 0;
+            if !running.is_won || !ends {
+                continue;
+            }
+            node.running.remove(&request);
+            let did_not_run = self.random.u8(0..3) == 0;
+            let verdict = match did_not_run {
+                true => Verdict::NotRun(NotRun::new(NotRunReason::NoEngine)),
+                false => Verdict::MayHaveRun(MayHaveRun::AnswerCut),
+            };
+            node.client.record(request, RecordedOutcome { verdict, answer: None }, self.now);
+            let win = self.wins[running.key].iter_mut().find(|win| win.request == request).expect("a win");
+            win.until = win.until.min(if did_not_run { self.now } else { self.now + RETENTION });
+        }
+    }
+
+    fn poll(&mut self, address: Address) {
+        let node = self.nodes.get_mut(&address).expect("a running node");
+        let work = node.client.poll(self.now);
+        let messages = work.messages.into_iter().chain(node.holder.poll(self.now));
+        for ClaimEnvelope { to, message } in messages {
+            self.network.send(address, to, message, self.now);
+        }
+        for decision in work.decisions {
+            let running = node.running.get_mut(&decision.request).expect("a claimed request");
+            running.is_won = decision.outcome == ClaimOutcome::Won;
+            if running.is_won {
+                let until = running.deadline + RETENTION;
+                self.wins[running.key].push(Win { request: decision.request, from: self.now, until });
+            } else {
+                node.running.remove(&decision.request);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let until = self.now + TICK;
+        while let Some(delivery) = self.network.deliver(until) {
+            self.now = self.now.max(delivery.at);
+            let Some(node) = self.nodes.get_mut(&delivery.to) else { continue };
+            node.client.step(delivery.from, delivery.message.clone(), self.now);
+            if let Some(reply) = node.holder.step(delivery.from, delivery.message, self.now) {
+                self.network.send(delivery.to, delivery.from, reply, self.now);
+            }
+            self.poll(delivery.to);
+        }
+        self.now = until;
+        self.spread_map();
+        for address in self.unpaused() {
+            self.end_something(address);
+            self.poll(address);
+        }
+    }
+
+    fn run(&mut self, ticks: u128, fault_rate: f64) {
+        for _ in 0..ticks {
+            if self.random.f64() < fault_rate {
+                self.inject_fault();
+            }
+            if self.random.u8(0..3) == 0 {
+                self.claim_something();
+            }
+            self.tick();
+        }
+    }
+
+    /// The first two wins of one key that exclude each other.
+    fn doubled_win(&self) -> Option<(Win, Win)> {
+        let overlap = |one: &Win, other: &Win| one.from < other.until && other.from < one.until;
+        self.wins.iter().find_map(|wins| {
+            let pairs =
+                wins.iter().enumerate().flat_map(|(index, one)| wins[..index].iter().map(move |two| (*two, *one)));
+            pairs.into_iter().find(|(one, other)| overlap(one, other))
+        })
+    }
+}
+
+fn rough_network() -> NetworkFaults {
+    NetworkFaults {
+        loss: 0.05,
+        doubling: 0.05,
+        delay_minimum: Duration::from_micros(500),
+        delay_maximum: Duration::from_millis(30),
+    }
+}
+
+#[test]
+fn a_key_is_won_at_most_once_over_faults() {
+    let mut wins = 0;
+    for seed in 0..300 {
+        let mut world = World::new(seed, rough_network());
+        world.run(1_500, 0.02);
+        assert_eq!(world.doubled_win(), None, "seed {seed}");
+        wins += world.wins.iter().map(Vec::len).sum::<usize>();
+    }
+    assert!(wins > 300 * 5, "too few wins to prove anything: {wins}");
+}
+
+#[test]
+fn a_key_is_won_at_most_once_when_holders_restart_in_a_row() {
+    for seed in 0..150 {
+        let mut world = World::new(seed, rough_network());
+        for _ in 0..40 {
+            let target = world.random_node();
+            world.restart_at_once(target);
+            world.run(20, 0.0);
+        }
+        assert_eq!(world.doubled_win(), None, "seed {seed}");
+    }
+}
+
+#[test]
+fn every_slot_votes_again_after_all_faults_have_ended() {
+    for seed in 0..40 {
+        let mut world = World::new(seed, rough_network());
+        world.run(600, 0.04);
+        world.heal();
+        world.network.set_faults(NetworkFaults::default());
+        world.run(100, 0.0);
+        world.replan(world.not_running(), true);
+        world.run(config().quarantine().as_millis() / TICK.as_millis() + 200, 0.0);
+        let settled = world.observation(world.not_running()).settled;
+        assert!(settled.is_superset(&world.used_slots()), "seed {seed}: only {settled:?} settled");
+    }
+}
+
+#[test]
+fn two_of_three_holders_are_enough() {
+    let mut world = World::new(1, NetworkFaults::default());
+    world.run(200, 0.0);
+    let (_, slot) = world.map.slot_of(&world.keys[0]).expect("a slot");
+    world.kill(slot.current.holders[0].member.address);
+    let killed_at = world.now;
+    world.run(1_000, 0.0);
+    assert!(world.wins[0].iter().any(|win| win.from > killed_at), "the key was never won with two holders");
+}
