Failure detector between nodes: probes, leases, leaving, zones

Cause: nodes need to know which of them live, leave or have died, and whether they may still take work. Change: a SWIM-style state machine; ring and random probes, relays with one in another zone, suspicion that the suspect refutes, leases counted from the sending of what was acknowledged, delegates across zones, digests to find what gossip missed.

--- /dev/null
+++ b/crates/core/src/membership/receive.rs
@@ -0,0 +1,184 @@
+//! Handling of messages.
+
+use super::detector::Membership;
+use super::member::Member;
+use super::message::{Digest, MembershipMessage, MessageBody, Sequence, ZoneDigest};
+use super::probe::Relay;
+use super::record::{Liveness, MemberRecord};
+use super::standing::{Standing, SuspensionReason};
+use crate::time::Timestamp;
+use crate::world::Address;
+
+/// What the sender of a message is to this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sender {
+    /// A life that may be a member.
+    Current,
+    /// A life that a later one has replaced, or that has been declared dead.
+    Past,
+}
+
+impl Membership {
+    pub(super) fn receive(&mut self, from: Address, message: MembershipMessage, now: Timestamp) {
+        let sender = Member { address: from, incarnation: message.incarnation };
+        let standing = self.note_sender(sender, message.joining, now);
+        let is_witness = standing == Sender::Current && !message.joining && !self.is_doubted_in(&message.records);
+        if standing == Sender::Current {
+            for record in &message.records {
+                self.learn(record, now);
+            }
+        } else {
+            self.learn_own_fate(&message.records, now);
+        }
+        self.settle(now);
+        if self.standing.must_rejoin() {
+            return;
+        }
+        match message.body {
+            MessageBody::Ping { sequence } => self.answer(sender, standing, sequence, message.digest, now),
+            MessageBody::Join { sequence } => self.acknowledge(sender, standing, sequence),
+            MessageBody::Ack { sequence } => {
+                self.acknowledged(sender, sequence, is_witness, now);
+                self.compare_digest(sender, standing, message.digest, now);
+            }
+            MessageBody::PingRequest { sequence, probe, target } => {
+                self.send_ack(from, sequence);
+                self.relay(Relay { requester: from, probe, target }, now);
+            }
+            MessageBody::RelayedAck { probe, incarnation } => self.questions.close_probe(probe, incarnation),
+            MessageBody::SyncRequest { zones } => self.send_differing(from, &zones),
+            MessageBody::Gossip => {}
+        }
+    }
+
+    /// Takes in which life is running at the sender's address: a process itself is the best witness of that.
+    fn note_sender(&mut self, sender: Member, joining: bool, now: Timestamp) -> Sender {
+        let Some(known) = self.view.record(sender.address) else { return Sender::Current };
+        if sender.incarnation < known.member.incarnation {
+            return Sender::Past;
+        }
+        if sender.incarnation == known.member.incarnation {
+            return if known.liveness == Liveness::Dead { Sender::Past } else { Sender::Current };
+        }
+        if !joining {
+            let record = MemberRecord::alive(sender, known.zone.clone());
+            self.learn(&record, now);
+        } else if known.zone == self.zone && known.liveness != Liveness::Dead {
+            let record = MemberRecord { liveness: Liveness::Dead, ..known.clone() };
+            self.learn(&record, now);
+        }
+        Sender::Current
+    }
+
+    /// Whether the sender holds this life suspect or dead. It then hasn't refuted all suspicions, so an acknowledgement
+    /// from the sender doesn't show that no one is about to declare this node dead, even when it is on its way.
+    fn is_doubted_in(&self, records: &[MemberRecord]) -> bool {
+        records.iter().any(|record| record.member == self.me && record.liveness != Liveness::Alive)
+    }
+
+    /// Records of a past life are stale, but what they say of this node's own life matters all the same.
+    fn learn_own_fate(&mut self, records: &[MemberRecord], now: Timestamp) {
+        let own_address = self.me.address;
+        for record in records.iter().filter(|record| record.member.address == own_address) {
+            self.learn(record, now);
+        }
+    }
+
+    fn answer(&mut self, sender: Member, standing: Sender, sequence: Sequence, digest: Digest, now: Timestamp) {
+        self.acknowledge(sender, standing, sequence);
+        self.compare_digest(sender, standing, digest, now);
+    }
+
+    /// A past life is told what is known of its address, so that it rejoins.
+    fn acknowledge(&mut self, sender: Member, standing: Sender, sequence: Sequence) {
+        if self.standing != Standing::Trusted {
+            self.callers.insert(sender.address);
+        }
+        let known = self.view.record(sender.address).filter(|_| standing == Sender::Past).cloned();
+        match known {
+            Some(known) => self.send(sender.address, MessageBody::Ack { sequence }, vec![known]),
+            None => self.send_ack(sender.address, sequence),
+        }
+    }
+
+    fn acknowledged(&mut self, sender: Member, sequence: Sequence, is_witness: bool, now: Timestamp) {
+        let Some(sent_at) = self.questions.close(sequence) else { return };
+        self.questions.close_probe(sequence, sender.incarnation);
+        if let Some(relay) = self.questions.close_relay(sequence, sender.incarnation) {
+            self.send_relayed_ack(relay);
+        }
+        let zone = self.view.record(sender.address).map(|record| record.zone.clone());
+        if let Some(zone) = zone {
+            self.reach.heard(&zone, now);
+        }
+        self.had_contact = true;
+        match self.standing {
+            Standing::Trusted if is_witness => self.lease.renew(sent_at),
+            Standing::Suspended { reason: SuspensionReason::Joining } => {
+                self.joined_through(sender.address, sent_at, now)
+            }
+            _ => {}
+        }
+    }
+
+    fn joined_through(&mut self, peer: Address, sent_at: Timestamp, now: Timestamp) {
+        self.lease.restart(now);
+        self.lease.renew(sent_at);
+        self.begin_membership(now);
+        self.request_sync(peer, now);
+    }
+
+    fn relay(&mut self, relay: Relay, now: Timestamp) {
+        let sequence = self.questions.open_relay(relay, now);
+        self.send_probe(relay.target.address, MessageBody::Ping { sequence });
+    }
+
+    /// Asks for records when the digests differ and gossip had time to settle it.
+    fn compare_digest(&mut self, sender: Member, standing: Sender, digest: Digest, now: Timestamp) {
+        let zone = self.view.record(sender.address).map(|record| record.zone.clone());
+        if standing == Sender::Past || self.standing != Standing::Trusted {
+            return;
+        }
+        let Some(zone) = zone else { return self.request_sync(sender.address, now) };
+        if digest == self.roster.digest {
+            self.mismatches.remove(&zone);
+            return;
+        }
+        let since = *self.mismatches.entry(zone.clone()).or_insert(now);
+        if now.since(since) >= self.config.sync_patience {
+            self.mismatches.remove(&zone);
+            self.request_sync(sender.address, now);
+        }
+    }
+
+    fn request_sync(&mut self, peer: Address, now: Timestamp) {
+        if self.last_sync.is_some_and(|last| now.since(last) < self.config.sync_interval) {
+            return;
+        }
+        self.last_sync = Some(now);
+        self.counters.syncs_requested += 1;
+        let zones = self.roster.zone_digests.clone();
+        self.send(peer, MessageBody::SyncRequest { zones }, Vec::new());
+    }
+
+    fn send_differing(&mut self, to: Address, theirs: &[ZoneDigest]) {
+        let differing: Vec<MemberRecord> = self
+            .view
+            .records()
+            .filter(|record| {
+                let their = theirs.iter().find(|their| their.zone == record.zone).map(|their| their.digest);
+                their.is_none() || their != self.roster.zone_digest(&record.zone)
+            })
+            .filter(|record| self.may_be_told_to_others(record))
+            .cloned()
+            .collect();
+        for records in differing.chunks(self.config.records_per_message) {
+            self.send(to, MessageBody::Gossip, records.to_vec());
+        }
+    }
+
+    /// A joining node is no member yet, so it speaks of others only.
+    fn may_be_told_to_others(&self, record: &MemberRecord) -> bool {
+        self.standing == Standing::Trusted || record.member.address != self.me.address
+    }
+}
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -66,22 +66,22 @@
     pub liveness: Liveness,
     /// Whether it has said, or the platform has hinted, that it is about to stop. Never taken back in one life.
     pub leaving: bool,
-    /// The zones that the member, as a delegate of its zone, can't reach.
+    /// What the member says of other zones; none unless it is a delegate of its zone.
+    pub zone_report: Option<ZoneReport>,
+}
+
+/// What a delegate says of other zones.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct ZoneReport {
+    /// The zones that it can't reach, in the order of their names.
     #[speedy(length_type = u8)]
-    pub unreachable_zones: Vec<ZoneName>,
+    pub unreachable: Vec<ZoneName>,
 }
 
 impl MemberRecord {
     /// A member that has just joined.
     pub fn alive(member: Member, zone: ZoneName) -> Self {
-        MemberRecord {
-            member,
-            zone,
-            revision: 0,
-            liveness: Liveness::Alive,
-            leaving: false,
-            unreachable_zones: Vec::new(),
-        }
+        MemberRecord { member, zone, revision: 0, liveness: Liveness::Alive, leaving: false, zone_report: None }
     }
 
     /// The state as others should treat it: dead outranks leaving, leaving outranks suspect and alive.
@@ -118,7 +118,7 @@
         if other.revision > self.revision {
             self.revision = other.revision;
             self.liveness = other.liveness;
-            self.unreachable_zones.clone_from(&other.unreachable_zones);
+            self.zone_report.clone_from(&other.zone_report);
         } else if other.revision == self.revision {
             self.liveness = self.liveness.max(other.liveness);
         }
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -72,4 +72,18 @@
             }
         }
     }
+
+    /// Puts a record in the place of whatever is known of its address.
+    pub(super) fn replace(&mut self, record: MemberRecord) {
+        self.records.insert(record.member.address, record);
+    }
+
+    /// Forgets an address.
+    pub(super) fn remove(&mut self, address: Address) {
+        self.records.remove(&address);
+    }
+
+    pub(super) fn set_unreachable_zones(&mut self, zones: BTreeSet<ZoneName>) {
+        self.unreachable = zones;
+    }
 }
