--- /dev/null
+++ b/crates/core/src/policy/cost.rs
@@ -0,0 +1,90 @@
+//! The placement policy `cost`: the engine with the lowest predicted cost, a weighted sum of named times.
+
+use super::PolicyError;
+use super::parameters::{Parameter, check};
+use super::placement::{EngineView, PlacementPolicy, Stage};
+use crate::configuration::PolicyChoice;
+use crate::request::RequestProfile;
+use crate::time::Timestamp;
+use crate::world::EngineRole;
+
+const FIRST_TOKEN: Parameter = Parameter::new("first_token", 1.0, 0.0, 100.0);
+const READ: Parameter = Parameter::new("read", 1.0, 0.0, 100.0);
+const GENERATION: Parameter = Parameter::new("generation", 0.2, 0.0, 100.0);
+const INTERFERENCE: Parameter = Parameter::new("interference", 0.2, 0.0, 100.0);
+const BROKEN_INTERVAL: Parameter = Parameter::new("broken_interval", 4.0, 0.0, 100.0);
+const MEMORY: Parameter = Parameter::new("memory", 0.05, 0.0, 100.0);
+const LINK: Parameter = Parameter::new("link", 1.0, 0.0, 100.0);
+const PARAMETERS: [Parameter; 7] = [FIRST_TOKEN, READ, GENERATION, INTERFERENCE, BROKEN_INTERVAL, MEMORY, LINK];
+
+/// The weights; each multiplies a predicted time in seconds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Cost {
+    /// Time until the first token: link, prompts that wait there, this prompt, one step.
+    first_token: f64,
+    /// Time to read what is not cached of the prompt: work that a better cached engine would save.
+    read: f64,
+    /// Time that the batch adds to this request's generation.
+    generation: f64,
+    /// Time by which reading the prompt delays the engine's streams, summed over the streams.
+    interference: f64,
+    /// Time by which that delay exceeds what the streams' contracts still bear.
+    broken_interval: f64,
+    /// The share of KV memory in use, counted as seconds.
+    memory: f64,
+    /// Time on the link, besides its part in the time to the first token.
+    link: f64,
+}
+
+impl Cost {
+    pub(super) fn from_choice(choice: &PolicyChoice) -> Result<Self, PolicyError> {
+        check(choice, &PARAMETERS)?;
+        Ok(Cost {
+            first_token: FIRST_TOKEN.of(choice),
+            read: READ.of(choice),
+            generation: GENERATION.of(choice),
+            interference: INTERFERENCE.of(choice),
+            broken_interval: BROKEN_INTERVAL.of(choice),
+            memory: MEMORY.of(choice),
+            link: LINK.of(choice),
+        })
+    }
+
+    fn cost(&self, request: &RequestProfile, stage: Stage, engine: &EngineView) -> f64 {
+        let reads = stage != Stage::Decode;
+        let read_time = if reads { engine.read_time(request).as_secs_f64() } else { 0.0 };
+        let interferes = reads && engine.role == EngineRole::Mixed && engine.decoding > 0;
+        let delayed = if interferes { read_time * f64::from(engine.decoding) } else { 0.0 };
+        let excess = if interferes { read_time - engine.interference_slack.as_secs_f64() } else { 0.0 };
+        let memory = f64::from(engine.reserved_kv_tokens) / f64::from(engine.performance.kv_capacity_tokens.max(1));
+        self.first_token * engine.time_to_first_token(request, stage).as_secs_f64()
+            + self.read * read_time
+            + self.generation * generation_delay(request, stage, engine)
+            + self.interference * delayed
+            + self.broken_interval * excess.max(0.0)
+            + self.memory * memory
+            + self.link * engine.link_latency.as_secs_f64()
+    }
+}
+
+/// How much longer generation takes than on an empty engine, in seconds.
+fn generation_delay(request: &RequestProfile, stage: Stage, engine: &EngineView) -> f64 {
+    if stage == Stage::Prefill {
+        return 0.0;
+    }
+    let per_token = engine.step_time().saturating_sub(engine.performance.step_time);
+    per_token.as_secs_f64() * f64::from(request.max_output_tokens)
+}
+
+impl PlacementPolicy for Cost {
+    fn choose(
+        &mut self,
+        request: &RequestProfile,
+        stage: Stage,
+        candidates: &[EngineView],
+        _: Timestamp,
+    ) -> Option<usize> {
+        let costs: Vec<f64> = candidates.iter().map(|engine| self.cost(request, stage, engine)).collect();
+        (0..costs.len()).min_by(|&left, &right| costs[left].total_cmp(&costs[right]))
+    }
+}
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -3,11 +3,17 @@
 //! Both kinds stand behind a trait and are created by name from configuration, so that operators can swap them and
 //! compare them under the same live traffic.
 
+mod cost;
+mod parameters;
 mod placement;
+mod placement_by_name;
 mod role;
+mod trial;
 
-pub use placement::{EngineView, PlacementPolicy, Stage, placement_policy};
+pub use placement::{EngineView, PlacementPolicy, Stage};
+pub use placement_by_name::placement_policy;
 pub use role::{PoolDemand, RoleCounts, RolePolicy, role_policy};
+pub use trial::{ArmOutcomes, RequestOutcome, TrialSplitter};
 
 use displaydoc::Display;
 
--- a/crates/core/src/policy/placement.rs
+++ b/crates/core/src/policy/placement.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use super::PolicyError;
-use crate::configuration::PolicyChoice;
+use super::trial::{ArmOutcomes, RequestOutcome};
 use crate::request::RequestProfile;
 use crate::time::Timestamp;
 use crate::world::{EngineName, EnginePerformance, EngineRole};
@@ -26,10 +25,16 @@
     pub name: EngineName,
     /// Its role now.
     pub role: EngineRole,
-    /// Requests that the dispatcher has placed on it and that have not ended.
+    /// Requests that the dispatcher has placed on it and that have not ended, and those that others run there.
     pub running: u32,
+    /// Requests among `running` that generate tokens: reading a prompt delays each of them.
+    pub decoding: u32,
     /// Prompt tokens placed on it and not yet read, less what is predicted to be cached.
     pub waiting_prefill_tokens: u32,
+    /// Predicted time until it starts to read a prompt that is placed on it now.
+    pub prefill_wait: Duration,
+    /// How long it may read prompts before the first of its streams breaks its contract's token interval.
+    pub interference_slack: Duration,
     /// KV tokens that its requests will hold at their longest.
     pub reserved_kv_tokens: u32,
     /// Tokens at the start of this request's prompt that are believed to be cached there.
@@ -40,11 +45,33 @@
     pub performance: EnginePerformance,
 }
 
+impl EngineView {
+    /// Predicted time to read what is not cached of a prompt.
+    pub fn read_time(&self, request: &RequestProfile) -> Duration {
+        let tokens = request.prompt_tokens.saturating_sub(self.cached_prefix_tokens);
+        self.performance.read_time(tokens)
+    }
+
+    /// Predicted time of one generation step once one more request runs here.
+    pub fn step_time(&self) -> Duration {
+        self.performance.step_time_of(self.decoding + 1)
+    }
+
+    /// Predicted time to the first token when the request is placed here now.
+    pub fn time_to_first_token(&self, request: &RequestProfile, stage: Stage) -> Duration {
+        let prefill = match stage {
+            Stage::Prefill | Stage::Whole => self.prefill_wait + self.read_time(request),
+            Stage::Decode => self.performance.transfer_time(request.prompt_tokens),
+        };
+        2 * self.link_latency + prefill + self.step_time()
+    }
+}
+
 /// Chooses an engine for a piece of work.
 pub trait PlacementPolicy: Send {
     /// The index in `candidates` of the engine that takes the work; `None` leaves it in the queue.
     ///
-    /// All candidates serve the stage and have room for the request.
+    /// All candidates serve the stage and have room for the request. They are in the order of their names.
     fn choose(
         &mut self,
         request: &RequestProfile,
@@ -52,23 +79,12 @@
         candidates: &[EngineView],
         now: Timestamp,
     ) -> Option<usize>;
-}
-
-/// Creates the placement policy that `choice` names. `seed` makes its random choices repeatable.
-///
-/// # Errors
-/// When the name or a parameter is unknown or out of range.
-pub fn placement_policy(choice: &PolicyChoice, _seed: u64) -> Result<Box<dyn PlacementPolicy>, PolicyError> {
-    match choice.name.as_str() {
-        "least_loaded" => Ok(Box::new(LeastLoaded)),
-        name => Err(PolicyError::UnknownName { name: name.to_owned(), known: "least_loaded".to_owned() }),
-    }
-}
 
-struct LeastLoaded;
+    /// Learns how a request ended; called once for each request, also for one that was refused.
+    fn record(&mut self, _request: &RequestProfile, _outcome: RequestOutcome) {}
 
-impl PlacementPolicy for LeastLoaded {
-    fn choose(&mut self, _: &RequestProfile, _: Stage, candidates: &[EngineView], _: Timestamp) -> Option<usize> {
-        (0..candidates.len()).min_by_key(|&index| candidates[index].running)
+    /// Outcomes so far, by arm of a trial; empty for a policy that isn't a trial.
+    fn arm_outcomes(&self) -> Vec<ArmOutcomes> {
+        Vec::new()
     }
 }
--- a/crates/core/src/world/engine.rs
+++ b/crates/core/src/world/engine.rs
@@ -110,6 +110,39 @@
     }
 }
 
+impl EnginePerformance {
+    /// Time to read `tokens` of a prompt on an engine that does nothing else.
+    pub fn read_time(&self, tokens: u32) -> Duration {
+        seconds(f64::from(tokens) / self.prefill_tokens_per_second)
+    }
+
+    /// Time to move the KV cache of `tokens` from one engine to another.
+    pub fn transfer_time(&self, tokens: u32) -> Duration {
+        seconds(f64::from(tokens) / self.kv_transfer_tokens_per_second)
+    }
+
+    /// Time of one generation step with `requests` running requests.
+    pub fn step_time_of(&self, requests: u32) -> Duration {
+        self.step_time + self.step_time_per_request * requests.saturating_sub(1)
+    }
+
+    /// Tokens generated a second with a full batch.
+    pub fn decode_tokens_per_second(&self) -> f64 {
+        f64::from(self.batch_maximum) / self.step_time_of(self.batch_maximum).as_secs_f64().max(f64::MIN_POSITIVE)
+    }
+}
+
+/// The longest predicted time: what can't be predicted, for example at a rate of zero, counts as this.
+const LONGEST_PREDICTION: f64 = 86_400.0;
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(if seconds.is_finite() {
+        seconds.clamp(0.0, LONGEST_PREDICTION)
+    } else {
+        LONGEST_PREDICTION
+    })
+}
+
 fn one() -> u16 {
     1
 }
--- /dev/null
+++ b/crates/node/src/control/snapshot.rs
@@ -0,0 +1,59 @@
+//! What control publishes for traffic: an immutable snapshot, swapped whole and read without a lock.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use havengate_core::configuration::{Configuration, ConfigurationVersion};
+use havengate_core::membership::Member;
+use havengate_core::verdict::NotRunReason;
+use havengate_core::world::{ModelName, Pool, PoolId};
+
+/// A pool and the nodes that dispatch for it.
+#[derive(Clone, Debug)]
+pub struct PoolRoute {
+    /// The pool.
+    pub pool: Pool,
+    /// The nodes that may dispatch for it, the intended one first.
+    pub owners: Vec<Member>,
+}
+
+/// The state of control at one moment.
+#[derive(Clone, Debug)]
+pub struct ControlSnapshot {
+    /// This process.
+    pub me: Member,
+    /// Why this node takes no new work, if it takes none.
+    pub refuses: Option<NotRunReason>,
+    /// The version in force.
+    pub version: ConfigurationVersion,
+    /// The configuration in force.
+    pub configuration: Arc<Configuration>,
+    /// All pools, in the order of their identifiers.
+    pub routes: Vec<PoolRoute>,
+}
+
+impl ControlSnapshot {
+    /// The snapshot of a process that has no configuration yet: it takes no work.
+    pub fn starting(me: Member) -> Self {
+        ControlSnapshot {
+            me,
+            refuses: Some(NotRunReason::NodeSuspended),
+            version: ConfigurationVersion::default(),
+            configuration: Arc::default(),
+            routes: Vec::new(),
+        }
+    }
+
+    /// The route of a pool.
+    pub fn route(&self, pool: &PoolId) -> Option<&PoolRoute> {
+        self.routes.iter().find(|route| &route.pool.id == pool)
+    }
+
+    /// The routes of the pools that serve a model.
+    pub fn routes_of<'a>(&'a self, model: &'a ModelName) -> impl Iterator<Item = &'a PoolRoute> {
+        self.routes.iter().filter(move |route| &route.pool.id.model == model)
+    }
+}
+
+/// Where the snapshot is swapped and read.
+pub type SharedSnapshot = Arc<ArcSwap<ControlSnapshot>>;
--- /dev/null
+++ b/crates/node/src/logging/mod.rs
@@ -0,0 +1,33 @@
+//! The log: one line of `key=value` pairs for each event, on standard error.
+//!
+//! # How to log
+//!
+//! The message is the event's name in snake case, and everything else is a pair of the `log` crate's `kv` feature:
+//!
+//! ```
+//! # let (engine, waited) = ("lekh-model-03", "12ms");
+//! log::info!(engine, waited; "request_started");
+//! ```
+//!
+//! which gives
+//!
+//! ```text
+//! time=2026-12-02T08:00:00.000Z level=info event=request_started module=havengate_node engine=lekh-model-03 waited=12ms
+//! ```
+//!
+//! - `name = value` takes strings, numbers and booleans; `name:% = value` writes anything by its `Display`.
+//! - A value with spaces, quotes, `=`, a backslash or control characters, and the empty value, is written in double
+//!   quotes with `\"`, `\\`, `\n`, `\r`, `\t` and `\uXXXX`, so that an event is always one line.
+//! - `time`, `level`, `event`, `module` and `request` are written by this module: no pair may be called so.
+//! - A thread that works on a request holds a [`RequestScope`]; each line that it logs meanwhile carries `request=`.
+//! - Durations are written with their unit, by `humantime`. Prompts, answers and bearer keys are never logged.
+//!
+//! A line that can't be written is dropped: the log may not stop the traffic.
+
+mod line;
+mod output;
+mod scope;
+
+pub use line::Line;
+pub use output::{dispatch, log_panics, start};
+pub use scope::RequestScope;
--- /dev/null
+++ b/crates/node/src/operators/mod.rs
@@ -0,0 +1,11 @@
+//! The operators' API: status, metrics, health, plans and policies over HTTP.
+
+mod handler;
+mod messages;
+
+pub use handler::OperatorHandler;
+pub use messages::{
+    ConfigurationStatus, ConfirmAnswer, ConfirmRequest, DrainAnswer, EngineOutage, EngineStatus, GoodputPrediction,
+    HealthAnswer, IntentDocument, MemberStatus, NodeStatus, OperatorError, OperatorErrorCode, PlanAnswer, PlanId,
+    PlanList, PlanState, PoliciesAnswer, PolicyDescription, PolicyParameter, PoolStatus, StatusAnswer,
+};
--- /dev/null
+++ b/crates/node/src/traffic/attempt.rs
@@ -0,0 +1,102 @@
+//! One attempt at a request: prompt work, transfer of the KV cache and the answer's stream, on one thread.
+
+use std::sync::Arc;
+
+use havengate_core::dispatch::AttemptOutcome;
+use havengate_core::request::{AnswerPiece, RequestId};
+use havengate_core::verdict::MayHaveRun;
+use havengate_core::world::Address;
+
+use crate::engines::dialect::{GenerateLine, GenerateRequest, KvHandle};
+use crate::engines::{EngineApi, EngineCallError, GenerateStream};
+
+/// What an attempt needs to know.
+pub struct AttemptPlan {
+    /// The request.
+    pub request: RequestId,
+    /// The body for the engines.
+    pub body: GenerateRequest,
+    /// The engine that reads the prompt, when it is not the one that generates.
+    pub prefill: Option<Address>,
+    /// The engine that generates.
+    pub decode: Address,
+}
+
+/// Takes in the progress of an attempt.
+pub trait PieceSink {
+    /// The prompt has been read by another engine than the one that generates.
+    fn prompt_read(&mut self, request: RequestId);
+
+    /// Passes on a piece; `false` when nobody wants the answer any more.
+    fn piece(&mut self, piece: AnswerPiece) -> bool;
+}
+
+/// Runs an attempt to its end.
+pub fn run_attempt(engines: &Arc<dyn EngineApi>, mut plan: AttemptPlan, sink: &mut dyn PieceSink) -> AttemptOutcome {
+    if let Some(prefill) = plan.prefill {
+        match engines.prefill(prefill, &plan.body) {
+            Ok(handle) => plan.body.import = Some(handle),
+            Err(error) => return settle(engines, prefill, plan.request, &error),
+        }
+        sink.prompt_read(plan.request);
+    }
+    match engines.generate(plan.decode, &plan.body) {
+        Ok(mut stream) => relay(stream.as_mut(), &plan, sink),
+        Err(error) => settle_after_import(engines, &plan, &error),
+    }
+}
+
+/// After a prompt has been read elsewhere the request has run in part: only a repeatable one may run again.
+fn settle_after_import(engines: &Arc<dyn EngineApi>, plan: &AttemptPlan, error: &EngineCallError) -> AttemptOutcome {
+    let outcome = settle(engines, plan.decode, plan.request, error);
+    let imported: Option<&KvHandle> = plan.body.import.as_ref();
+    match (outcome, imported) {
+        (AttemptOutcome::NotRun, Some(_)) => AttemptOutcome::MayHaveRun(MayHaveRun::EngineFailed),
+        (outcome, _) => outcome,
+    }
+}
+
+/// Finds out whether a failed call ran: an engine that has cancelled the request before its start will never start it.
+fn settle(
+    engines: &Arc<dyn EngineApi>,
+    engine: Address,
+    request: RequestId,
+    error: &EngineCallError,
+) -> AttemptOutcome {
+    if matches!(error, EngineCallError::NotRun(_)) {
+        return AttemptOutcome::NotRun;
+    }
+    match engines.cancel(engine, request) {
+        Some(answer) if !answer.started => AttemptOutcome::NotRun,
+        _ => AttemptOutcome::MayHaveRun(MayHaveRun::EngineFailed),
+    }
+}
+
+fn relay(stream: &mut dyn GenerateStream, plan: &AttemptPlan, sink: &mut dyn PieceSink) -> AttemptOutcome {
+    loop {
+        let Ok(line) = stream.next_line() else {
+            return AttemptOutcome::MayHaveRun(MayHaveRun::AnswerCut);
+        };
+        let piece = piece_of(line, plan.request);
+        let Some(piece) = piece else { continue };
+        let finished = piece.finish.is_some();
+        if !sink.piece(piece) {
+            return AttemptOutcome::MayHaveRun(MayHaveRun::CallerGone);
+        }
+        if finished {
+            return AttemptOutcome::Completed;
+        }
+    }
+}
+
+/// The piece in a line; `None` when the line answers another request.
+fn piece_of(line: GenerateLine, request: RequestId) -> Option<AnswerPiece> {
+    let own = line.request == request.to_string();
+    own.then_some(AnswerPiece {
+        request,
+        first_token: line.first_token,
+        tokens: line.tokens,
+        text: line.text,
+        finish: line.finish,
+    })
+}
--- /dev/null
+++ b/crates/node/src/traffic/registry.rs
@@ -0,0 +1,77 @@
+//! The pools for which this node has a dispatcher.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use havengate_core::dispatch::Revocation;
+use havengate_core::request::RequestId;
+use havengate_core::verdict::{NotRun, NotRunReason};
+use havengate_core::world::PoolId;
+use havengate_wire::PoolLoad;
+
+use super::pool_runtime::{PoolRuntime, SubmittedRequest};
+use crate::control::SharedSnapshot;
+use crate::peers::ForwardService;
+
+/// The dispatchers of this node, by pool. Control adds and updates them; traffic finds them.
+pub struct PoolRegistry {
+    snapshot: SharedSnapshot,
+    pools: Mutex<BTreeMap<PoolId, Arc<PoolRuntime>>>,
+}
+
+impl PoolRegistry {
+    /// A registry without pools.
+    pub fn new(snapshot: SharedSnapshot) -> Self {
+        PoolRegistry { snapshot, pools: Mutex::new(BTreeMap::new()) }
+    }
+
+    /// The dispatcher of a pool.
+    pub fn get(&self, pool: &PoolId) -> Option<Arc<PoolRuntime>> {
+        self.lock().get(pool).cloned()
+    }
+
+    /// All dispatchers.
+    pub fn all(&self) -> Vec<(PoolId, Arc<PoolRuntime>)> {
+        self.lock().iter().map(|(id, pool)| (id.clone(), Arc::clone(pool))).collect()
+    }
+
+    /// Adds the dispatcher of a pool.
+    pub fn insert(&self, pool: PoolId, runtime: Arc<PoolRuntime>) {
+        self.lock().insert(pool, runtime);
+    }
+
+    /// Forgets the dispatcher of a pool that is gone from configuration; its open requests go on until they end.
+    pub fn remove(&self, pool: &PoolId) {
+        self.lock().remove(pool);
+    }
+
+    /// Requests that wait or run here.
+    pub fn open_requests(&self) -> usize {
+        self.all().iter().map(|(_, pool)| pool.open_requests()).sum()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<PoolId, Arc<PoolRuntime>>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl ForwardService for PoolRegistry {
+    fn submit(&self, pool: &PoolId, request: SubmittedRequest) -> Result<(), NotRun> {
+        if let Some(reason) = self.snapshot.load().refuses {
+            return Err(NotRun::new(reason));
+        }
+        let runtime = self.get(pool).ok_or(NotRun::new(NotRunReason::NoEngine))?;
+        runtime.submit(request)
+    }
+
+    /// Every pool is told, since the request may not have arrived yet and each must refuse it when it does.
+    fn revoke(&self, request: RequestId) -> Revocation {
+        let revocations: Vec<Revocation> = self.all().into_iter().map(|(_, pool)| pool.revoke(request)).collect();
+        let not_started = revocations.iter().all(|revocation| *revocation == Revocation::BeforeStart);
+        if not_started { Revocation::BeforeStart } else { Revocation::AfterStart }
+    }
+
+    fn load(&self, _pool: &PoolId) -> PoolLoad {
+        PoolLoad::default()
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,3 +1,4 @@
 //! Stand-ins, load, faults and experiments that rehearse a havengate deployment on one machine.
 
+pub mod deployment;
 pub mod engine;
--- a/crates/wire/src/forward.rs
+++ b/crates/wire/src/forward.rs
@@ -55,8 +55,8 @@
 pub enum RevocationOutcome {
     /// The request has not started and never will here, even if it arrives later.
     BeforeStart,
-    /// The request had started; it is being cancelled.
-    AfterStart,
+    /// The request may have started; if it runs, it is being cancelled.
+    MayHaveStarted,
 }
 
 /// How busy a pool is, as its dispatcher sees it.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -29,13 +29,24 @@
 /// # Errors
 /// When the connection ends or fails, or the frame is too large or no message of this type.
 pub fn read_frame<M: for<'a> Readable<'a, LittleEndian>>(stream: &mut impl Read) -> Result<M, WireError> {
+    read_counted_frame(stream).map(|(message, _)| message)
+}
+
+/// Reads one message and tells how many bytes its frame had.
+///
+/// # Errors
+/// As [`read_frame`].
+pub fn read_counted_frame<M: for<'a> Readable<'a, LittleEndian>>(
+    stream: &mut impl Read,
+) -> Result<(M, usize), WireError> {
     let mut length = [0; size_of::<u32>()];
     stream.read_exact(&mut length)?;
     let length = u32::from_le_bytes(length) as usize;
     check_length(length)?;
     let mut payload = vec![0; length];
     stream.read_exact(&mut payload)?;
-    decode(&payload)
+    let message = decode(&payload)?;
+    Ok((message, size_of::<u32>() + payload.len()))
 }
 
 fn check_length(bytes: usize) -> Result<(), WireError> {
