Gateway behind the callers' seam

Cause: the callers' API has its own seam for answers and hang-ups. Conclusion: callers, gateway and dispatchers are joined; control is missing.

--- a/crates/node/src/control/snapshot.rs
+++ b/crates/node/src/control/snapshot.rs
@@ -8,6 +8,8 @@
 use havengate_core::verdict::NotRunReason;
 use havengate_core::world::{ModelName, Pool, PoolId};
 
+use crate::callers::{CallerDirectory, Readiness};
+
 /// A pool and the nodes that dispatch for it.
 #[derive(Clone, Debug)]
 pub struct PoolRoute {
@@ -22,12 +24,14 @@
 pub struct ControlSnapshot {
     /// This process.
     pub me: Member,
-    /// Why this node takes no new work, if it takes none.
-    pub refuses: Option<NotRunReason>,
+    /// Whether this node takes new work.
+    pub readiness: Readiness,
     /// The version in force.
     pub version: ConfigurationVersion,
     /// The configuration in force.
     pub configuration: Arc<Configuration>,
+    /// What the callers' API looks up in the configuration.
+    pub directory: Arc<CallerDirectory>,
     /// All pools, in the order of their identifiers.
     pub routes: Vec<PoolRoute>,
 }
@@ -37,13 +41,23 @@
     pub fn starting(me: Member) -> Self {
         ControlSnapshot {
             me,
-            refuses: Some(NotRunReason::NodeSuspended),
+            readiness: Readiness::Starting,
             version: ConfigurationVersion::default(),
             configuration: Arc::default(),
+            directory: Arc::default(),
             routes: Vec::new(),
         }
     }
 
+    /// Why this node takes no new work; `None` when it takes work.
+    pub fn refuses(&self) -> Option<NotRunReason> {
+        match self.readiness {
+            Readiness::Ready => None,
+            Readiness::Starting | Readiness::Suspended => Some(NotRunReason::NodeSuspended),
+            Readiness::Leaving => Some(NotRunReason::NodeLeaving),
+        }
+    }
+
     /// The route of a pool.
     pub fn route(&self, pool: &PoolId) -> Option<&PoolRoute> {
         self.routes.iter().find(|route| &route.pool.id == pool)
--- a/crates/node/src/traffic/gateway.rs
+++ b/crates/node/src/traffic/gateway.rs
@@ -3,31 +3,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam::channel::{RecvTimeoutError, Sender, unbounded};
+use crossbeam::channel::{RecvTimeoutError, unbounded};
 use havengate_core::dispatch::Revocation;
 use havengate_core::membership::Member;
 use havengate_core::request::{RequestId, RequestProfile};
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{MayHaveRun, NotRun, NotRunReason, Verdict};
-use havengate_core::world::PoolId;
+use havengate_core::world::{ModelName, PoolId};
 use havengate_wire::{ForwardReply, ForwardRequest};
 
 use super::answer::AnswerEvent;
 use super::pool_runtime::SubmittedRequest;
 use super::registry::PoolRegistry;
+use crate::callers::{AnswerSink, CallerDirectory, CallerRequest, Readiness, RequestHandler};
 use crate::clock::Clock;
-use crate::control::{ControlSnapshot, PoolRoute, SharedSnapshot};
+use crate::control::{ControlSnapshot, SharedSnapshot};
+use crate::http_server::HangUp;
 use crate::peers::{ForwardClient, ForwardConnection, ForwardError, ForwardService, RevocationResult};
 
 /// How often a waiting request looks whether its caller has hung up or its deadline has passed.
 const CHECK_EVERY: Duration = Duration::from_millis(50);
 
-/// Tells whether the caller is still there.
-pub trait CallerPresence: Send {
-    /// Whether the caller has hung up.
-    fn is_gone(&self) -> bool;
-}
-
 /// Serves callers' requests.
 pub struct Gateway {
     snapshot: SharedSnapshot,
@@ -41,8 +37,8 @@
     profile: RequestProfile,
     prompt: String,
     deadline: Timestamp,
-    answer: &'a Sender<AnswerEvent>,
-    caller: &'a dyn CallerPresence,
+    answer: &'a mut dyn AnswerSink,
+    hang_up: &'a HangUp,
 }
 
 impl Gateway {
@@ -51,32 +47,18 @@
         Gateway { snapshot, local, remote, clock }
     }
 
-    /// Serves a request to its end; blocks until then.
-    pub fn serve(
-        &self,
-        profile: RequestProfile,
-        prompt: String,
-        answer: &Sender<AnswerEvent>,
-        caller: &dyn CallerPresence,
-    ) {
-        let deadline = self.clock.now() + profile.time_left;
-        let passage = Passage { profile, prompt, deadline, answer, caller };
-        let verdict = self.pass(&passage);
-        // The receiver is gone only when the caller has hung up.
-        let _ = answer.send(AnswerEvent::End(verdict));
-    }
-
-    fn pass(&self, passage: &Passage<'_>) -> Verdict {
+    fn pass(&self, passage: &mut Passage<'_>) -> Verdict {
         let snapshot = self.snapshot.load_full();
-        if let Some(reason) = snapshot.refuses {
+        if let Some(reason) = snapshot.refuses() {
             return Verdict::NotRun(NotRun::new(reason));
         }
         let mut last = NotRun::new(NotRunReason::NoEngine);
-        for (route, owner) in candidates(&snapshot, passage) {
+        let model = passage.profile.model.clone();
+        for (pool, owner) in candidates(&snapshot, &model) {
             let verdict = if owner == snapshot.me {
-                self.dispatch_here(&route.pool.id, passage)
+                self.dispatch_here(pool, passage)
             } else {
-                self.dispatch_there(owner, &route.pool.id, passage)
+                self.dispatch_there(owner, pool, passage)
             };
             match verdict {
                 Verdict::NotRun(refusal) if refusal.reason.worth_another_try() => last = refusal,
@@ -86,7 +68,7 @@
         Verdict::NotRun(last)
     }
 
-    fn dispatch_here(&self, pool: &PoolId, passage: &Passage<'_>) -> Verdict {
+    fn dispatch_here(&self, pool: &PoolId, passage: &mut Passage<'_>) -> Verdict {
         let request = passage.profile.id;
         let (answer, events) = unbounded();
         let submitted = SubmittedRequest {
@@ -101,7 +83,8 @@
         loop {
             match events.recv_timeout(CHECK_EVERY) {
                 Ok(AnswerEvent::Piece(piece)) => {
-                    let _ = passage.answer.send(AnswerEvent::Piece(piece));
+                    // A caller that has hung up is noticed below.
+                    let _ = passage.answer.piece(piece);
                 }
                 Ok(AnswerEvent::End(verdict)) => return verdict,
                 Err(RecvTimeoutError::Timeout) => {}
@@ -116,7 +99,7 @@
         }
     }
 
-    fn dispatch_there(&self, owner: Member, pool: &PoolId, passage: &Passage<'_>) -> Verdict {
+    fn dispatch_there(&self, owner: Member, pool: &PoolId, passage: &mut Passage<'_>) -> Verdict {
         let submit = ForwardRequest::Submit {
             pool: pool.clone(),
             profile: self.profile_now(passage),
@@ -130,13 +113,14 @@
         }
     }
 
-    fn relay(&self, mut connection: ForwardConnection, passage: &Passage<'_>) -> Verdict {
+    fn relay(&self, mut connection: ForwardConnection, passage: &mut Passage<'_>) -> Verdict {
         let request = passage.profile.id;
         let peer = connection.peer;
         loop {
             match connection.receive(CHECK_EVERY) {
                 Ok(ForwardReply::Piece(piece)) => {
-                    let _ = passage.answer.send(AnswerEvent::Piece(piece));
+                    // A caller that has hung up is noticed below.
+                    let _ = passage.answer.piece(piece);
                 }
                 Ok(ForwardReply::Ended { request: ended, verdict, .. }) if ended == request => {
                     self.remote.give_back(connection);
@@ -164,7 +148,7 @@
     }
 
     fn reason_to_stop(&self, passage: &Passage<'_>) -> Option<(NotRunReason, MayHaveRun)> {
-        if passage.caller.is_gone() {
+        if passage.hang_up.is_set() {
             return Some((NotRunReason::CallerGone, MayHaveRun::CallerGone));
         }
         if self.clock.now() >= passage.deadline {
@@ -179,10 +163,23 @@
     }
 }
 
-fn candidates<'a>(
-    snapshot: &'a ControlSnapshot,
-    passage: &'a Passage<'_>,
-) -> impl Iterator<Item = (&'a PoolRoute, Member)> {
-    let routes = snapshot.routes_of(&passage.profile.model);
-    routes.flat_map(|route| route.owners.iter().map(move |owner| (route, *owner)))
+impl RequestHandler for Gateway {
+    fn submit(&self, request: CallerRequest, answer: &mut dyn AnswerSink, hang_up: &HangUp) -> Verdict {
+        let deadline = self.clock.now() + request.profile.time_left;
+        let mut passage = Passage { profile: request.profile, prompt: request.prompt, deadline, answer, hang_up };
+        self.pass(&mut passage)
+    }
+
+    fn directory(&self) -> Arc<CallerDirectory> {
+        Arc::clone(&self.snapshot.load().directory)
+    }
+
+    fn readiness(&self) -> Readiness {
+        self.snapshot.load().readiness
+    }
+}
+
+fn candidates<'a>(snapshot: &'a ControlSnapshot, model: &'a ModelName) -> impl Iterator<Item = (&'a PoolId, Member)> {
+    let routes = snapshot.routes_of(model);
+    routes.flat_map(|route| route.owners.iter().map(|owner| (&route.pool.id, *owner)))
 }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -7,6 +7,6 @@
 mod registry;
 
 pub use answer::AnswerEvent;
-pub use gateway::{CallerPresence, Gateway};
+pub use gateway::Gateway;
 pub use pool_runtime::{EngineTarget, PoolRuntime, SubmittedRequest};
 pub use registry::PoolRegistry;
--- a/crates/node/src/traffic/registry.rs
+++ b/crates/node/src/traffic/registry.rs
@@ -57,7 +57,7 @@
 
 impl ForwardService for PoolRegistry {
     fn submit(&self, pool: &PoolId, request: SubmittedRequest) -> Result<(), NotRun> {
-        if let Some(reason) = self.snapshot.load().refuses {
+        if let Some(reason) = self.snapshot.load().refuses() {
             return Err(NotRun::new(reason));
         }
         let runtime = self.get(pool).ok_or(NotRun::new(NotRunReason::NoEngine))?;
