--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 pub mod membership;
 pub mod policy;
+pub mod prompt;
 pub mod request;
 pub mod simulation;
 pub mod store;
--- a/crates/node/src/http_server/connection.rs
+++ b/crates/node/src/http_server/connection.rs
@@ -69,7 +69,7 @@
 
 /// Gives a connection that can't be served a refusal, and closes it.
 pub(super) async fn refuse(mut stream: TcpStream, shared: &ServerShared, refusal: ServerRefusal) {
-    log::warn!("event=connection_refused server={} reason={}", shared.config.name, refusal.code());
+    log::warn!(server = shared.config.name, reason = refusal.code(); "connection_refused");
     let response = shared.handler.refuse(refusal);
     let raw = raw_response(&response);
     if matches!(tokio::time::timeout(LINGER_TIMEOUT, stream.write_all(&raw)).await, Ok(Ok(()))) {
@@ -146,7 +146,7 @@
     let answer = match handled(request, &shared, hang_up).await {
         Ok(answer) => answer,
         Err(refusal) => {
-            log::warn!("event=request_refused server={} reason={}", shared.config.name, refusal.code());
+            log::warn!(server = shared.config.name, reason = refusal.code(); "request_refused");
             Answer::Whole(shared.handler.refuse(refusal))
         }
     };
--- a/crates/node/src/http_server/server.rs
+++ b/crates/node/src/http_server/server.rs
@@ -232,7 +232,7 @@
         Err(error) => Err(error),
     };
     if let Err(error) = ended {
-        log::error!("event=accept_failed server={} error={:?}", shared.config.name, error.to_string());
+        log::error!(server = shared.config.name, error:% = error; "accept_failed");
         let _ = shared.failure.set(error.to_string());
     }
 }
