Dispatcher: fair queue, admission, retries, ejection, split placement

Cause: short work stood behind long work, late work was kept, and failing engines kept getting requests. Change: start-time fair queueing between tenants and short-work-first with a cap within one; early refusal and shedding from a predicted time to the first token; retries under a budget, with resume for repeatable work only; ejection with probing; closed requests that never start again; prefix beliefs; reports that only correct the own count; prompts read on prefill engines and decoded elsewhere.

--- /dev/null
+++ b/crates/core/src/dispatch/admission.rs
@@ -0,0 +1,116 @@
+//! Admission: predicts the time to the first token, and says what has to give way when demand exceeds the pool.
+
+use std::time::Duration;
+
+use super::config::DispatchConfig;
+use super::engine_state::EngineState;
+use super::fair_queue::FairQueue;
+use super::fleet::Fleet;
+use super::job::Job;
+use crate::policy::Stage;
+use crate::request::RequestId;
+use crate::time::Timestamp;
+use crate::verdict::{NotRun, NotRunReason};
+
+/// The soonest time at which a refused caller is told to come back.
+const RETRY_AFTER_MINIMUM: Duration = Duration::from_millis(100);
+/// When a caller is told to come back if nothing can be predicted.
+const RETRY_AFTER_UNKNOWN: Duration = Duration::from_secs(1);
+
+/// The longest wait that is predicted.
+const LONGEST_PREDICTION: Duration = Duration::from_secs(3_600);
+
+/// Whether a request is let into the queue.
+#[derive(Debug, PartialEq)]
+pub(super) enum Admission {
+    /// It is predicted to meet its deadline.
+    Admitted,
+    /// It will be, once this request of lower priority is given up, and perhaps others after it.
+    AfterShedding(RequestId),
+    /// It is refused.
+    Refused(NotRun),
+}
+
+/// What a prediction is made from.
+pub(super) struct Forecast<'a> {
+    pub(super) fleet: &'a Fleet,
+    pub(super) queue: &'a FairQueue,
+    pub(super) config: &'a DispatchConfig,
+    /// Requests that end a second; 0 when not known.
+    pub(super) completions_per_second: f64,
+    pub(super) now: Timestamp,
+}
+
+impl Forecast<'_> {
+    /// Decides on a request that arrives now.
+    pub(super) fn admit(&self, job: &Job) -> Admission {
+        if self.fleet.is_empty() {
+            return refused(NotRunReason::NoEngine, RETRY_AFTER_UNKNOWN);
+        }
+        if !self.fleet.could_hold(job) {
+            return Admission::Refused(NotRun::new(NotRunReason::InvalidRequest));
+        }
+        let queue_is_full = self.queue.len() >= self.config.queue_maximum;
+        let lateness = self.lateness(job, 0);
+        if !queue_is_full && lateness.is_none() {
+            return Admission::Admitted;
+        }
+        match self.first_to_shed_for(job) {
+            Some(request) => Admission::AfterShedding(request),
+            None if queue_is_full => refused(NotRunReason::QueueFull, self.time_to_empty()),
+            None => refused(NotRunReason::DeadlineUnreachable, lateness.unwrap_or_default()),
+        }
+    }
+
+    /// When a request that is given up now should come back.
+    pub(super) fn time_to_empty(&self) -> Duration {
+        self.reading_time(self.queue.read_time()).max(RETRY_AFTER_MINIMUM)
+    }
+
+    /// The request of lower priority to give up first; `None` if giving up all of them would not help.
+    fn first_to_shed_for(&self, job: &Job) -> Option<RequestId> {
+        if self.lateness(job, job.profile.priority).is_some() {
+            return None;
+        }
+        self.queue.first_to_shed(job.profile.priority)
+    }
+
+    /// By how much the job is predicted to miss its deadline if only requests of at least `priority` go before it.
+    fn lateness(&self, job: &Job, priority: u8) -> Option<Duration> {
+        let predicted = self.time_to_first_token(job, priority);
+        let reserve = job.first_token_within().mul_f64(self.config.deadline_reserve);
+        let allowed = job.due().since(self.now).saturating_sub(reserve);
+        (predicted > allowed).then(|| predicted.saturating_sub(allowed))
+    }
+
+    /// Predicted time to the first token if the job is put into the queue now.
+    fn time_to_first_token(&self, job: &Job, priority: u8) -> Duration {
+        let ahead = self.queue.ahead_of(job, priority);
+        let engine_wait = self.fleet.capacity(Stage::Prefill).map(|engine| engine.wait(self.now)).min();
+        let reading = engine_wait.unwrap_or_default() + self.reading_time(ahead.read_time);
+        reading.max(self.wait_for_place(ahead.requests)) + job.read_time
+    }
+
+    /// Time to read prompts that take an engine of the pool `read_time`, with all engines that read.
+    fn reading_time(&self, read_time: Duration) -> Duration {
+        let share_of_full_rate = |engine: &EngineState| {
+            engine.read_rate(self.config.piece_tokens) / engine.slot.performance.prefill_tokens_per_second
+        };
+        let engines: f64 = self.fleet.capacity(Stage::Prefill).map(share_of_full_rate).sum();
+        if engines > 0.0 { read_time.div_f64(engines) } else { read_time }
+    }
+
+    /// Time until one of the batches has a place, with `requests` before.
+    fn wait_for_place(&self, requests: f64) -> Duration {
+        let free: u32 = self.fleet.capacity(Stage::Decode).map(|engine| engine.free_places(self.now)).sum();
+        let missing = requests + 1.0 - f64::from(free);
+        if missing <= 0.0 || self.completions_per_second <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64((missing / self.completions_per_second).min(LONGEST_PREDICTION.as_secs_f64()))
+    }
+}
+
+fn refused(reason: NotRunReason, retry_after: Duration) -> Admission {
+    Admission::Refused(NotRun::retry_after(reason, retry_after.clamp(RETRY_AFTER_MINIMUM, LONGEST_PREDICTION)))
+}
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -41,6 +41,13 @@
     pub decode: EngineName,
 }
 
+impl Placement {
+    /// The engines of the placement, the one that reads the prompt first.
+    pub fn engines(&self) -> impl Iterator<Item = &EngineName> {
+        self.prefill.iter().chain([&self.decode])
+    }
+}
+
 /// How one attempt at a request ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -78,11 +85,11 @@
         /// The request.
         request: RequestId,
     },
-    /// Tokens were generated.
+    /// Tokens of the answer were passed on to the caller. Only these count as delivered: `FirstToken` carries none.
     Progress {
         /// The request.
         request: RequestId,
-        /// Tokens since the last event of the request.
+        /// Tokens since the last `Progress` of the request.
         tokens: u32,
     },
     /// The attempt has ended.
@@ -141,11 +148,11 @@
         /// Its final verdict.
         verdict: Verdict,
     },
-    /// Cancel the request at its engine; an [`EngineEvent::Ended`] still has to follow.
+    /// Cancel the request at an engine; one [`EngineEvent::Ended`] for the request still has to follow.
     Cancel {
         /// The request.
         request: RequestId,
-        /// The engine that runs it.
+        /// The engine that has the request, or a part of it.
         engine: EngineName,
     },
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -3,14 +3,28 @@
 //! A [`Dispatcher`] is a state machine for one pool. The caller hands in requests and what engines answer, and carries
 //! out the actions that [`Dispatcher::poll`] returns.
 
+mod admission;
+mod attempts;
+mod closed_requests;
 mod config;
+mod counters;
 mod dispatcher;
+mod engine_state;
 mod event;
+mod fair_queue;
+mod fleet;
+mod health;
+mod job;
+mod load_correction;
+mod prefill_backlog;
+mod prefix_index;
 mod retry_budget;
 
-pub use config::DispatchConfig;
+pub use config::{DispatchConfig, DispatchConfigError};
+pub use counters::DispatchCounters;
 pub use dispatcher::Dispatcher;
 pub use event::{
     AttemptOutcome, DispatchAction, EngineAvailability, EngineEvent, EngineSlot, Placement, ReportedLoad, Revocation,
 };
+pub use health::HealthConfig;
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -4,12 +4,14 @@
 //! compare them under the same live traffic.
 
 mod cost;
+mod demand;
 mod parameters;
 mod placement;
 mod placement_by_name;
 mod role;
 mod trial;
 
+pub use demand::{DecayingRate, DemandTracker, PoolBacklog, PoolLimits};
 pub use placement::{EngineView, PlacementPolicy, Stage};
 pub use placement_by_name::placement_policy;
 pub use role::{PoolDemand, RoleCounts, RolePolicy, role_policy};
--- a/crates/core/src/policy/role.rs
+++ b/crates/core/src/policy/role.rs
@@ -35,6 +35,8 @@
     pub waiting_prefill_tokens: u64,
     /// Output tokens still to be generated, running and waiting.
     pub waiting_decode_tokens: u64,
+    /// The shortest mean time between two tokens that contracts of the present traffic allow.
+    pub token_interval: Duration,
     /// What one engine can do.
     pub performance: EnginePerformance,
     /// How long an engine is out of service when its role changes.
