core: configuration replicas, plans and confirmation by CAS

Cause: versions of the configuration could be described but not spread, and nothing turned an intent into a plan. Change: a replica per node (store watched by two members a region, push and digests between peers, delegates that gather acknowledgements, a coordinator that brings a version into force by compare-and-set), intents, plans with waves and predicted goodput, and confirmation bound to the base version.

--- /dev/null
+++ b/crates/core/src/configuration/acknowledgements.rs
@@ -0,0 +1,88 @@
+//! Who holds which version: gathered by a delegate for its zone and by the coordinator for all zones, so that no node
+//! gets a message from each of hundreds of others.
+//!
+//! A statement about a member or a set of members stays true forever, since versions never go down at a life of a node.
+//! Old, doubled and reordered statements are therefore merged by taking the maximum.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::content::ConfigurationVersion;
+use super::message::{Holding, ZoneHolding};
+use super::view::LiveView;
+use crate::membership::Member;
+use crate::world::ZoneName;
+
+/// Members named in a statement about a zone; more would only make it longer.
+const BEHIND_MAXIMUM: usize = 8;
+
+/// What a delegate and a coordinator have been told.
+#[derive(Default)]
+pub(super) struct Acknowledgements {
+    members: BTreeMap<Member, Holding>,
+    zones: BTreeMap<ZoneName, ZoneHolding>,
+}
+
+impl Acknowledgements {
+    /// Notes what a member holds.
+    pub fn note(&mut self, member: Member, holding: Holding) {
+        let known = self.members.entry(member).or_default();
+        *known = known.maximum(holding);
+    }
+
+    /// Notes what a zone holds.
+    pub fn note_zone(&mut self, statement: ZoneHolding) {
+        let Some(known) = self.zones.get_mut(&statement.zone) else {
+            self.zones.insert(statement.zone.clone(), statement);
+            return;
+        };
+        let same_members = known.members == statement.members;
+        let minimum = if same_members { known.minimum.maximum(statement.minimum) } else { statement.minimum };
+        *known = ZoneHolding { minimum, ..statement };
+    }
+
+    /// Forgets members that are no longer live.
+    pub fn retain(&mut self, view: &LiveView) {
+        let live: BTreeSet<Member> = view.members().iter().map(|live| live.member).collect();
+        self.members.retain(|member, _| live.contains(member));
+    }
+
+    /// The statement about a zone, from what its members have told; nothing when it has no live members.
+    pub fn zone_statement(&self, view: &LiveView, zone: &ZoneName) -> Option<ZoneHolding> {
+        let members = view.digest(zone)?;
+        let holdings = || view.in_zone(zone).map(|member| (member, self.holding_of(member)));
+        let minimum = holdings().map(|(_, holding)| holding).reduce(Holding::minimum).unwrap_or_default();
+        let most = holdings().map(|(_, holding)| holding).reduce(Holding::maximum).unwrap_or_default();
+        let behind = holdings().filter(|(_, holding)| *holding != most).map(|(member, _)| member);
+        let behind = behind.take(BEHIND_MAXIMUM).collect();
+        Some(ZoneHolding { zone: zone.clone(), members, minimum, behind })
+    }
+
+    /// What a member has told that it holds.
+    pub fn holding_of(&self, member: Member) -> Holding {
+        self.members.get(&member).copied().unwrap_or_default()
+    }
+
+    /// What all live members of a zone are known to hold. A statement about another set of members says nothing about
+    /// these; nothing is known of a zone without live members.
+    pub fn zone_minimum(&self, view: &LiveView, zone: &ZoneName) -> Holding {
+        let members = view.digest(zone);
+        let statement = self.zones.get(zone).filter(|statement| Some(statement.members) == members);
+        statement.map(|statement| statement.minimum).unwrap_or_default()
+    }
+
+    /// What every live member of every zone in `required` holds.
+    pub fn minimum(&self, view: &LiveView, required: &BTreeSet<ZoneName>) -> Holding {
+        required.iter().map(|zone| self.zone_minimum(view, zone)).reduce(Holding::minimum).unwrap_or_default()
+    }
+
+    /// Members that a zone's delegate has named as behind.
+    pub fn behind(&self, zone: &ZoneName) -> &[Member] {
+        self.zones.get(zone).map_or(&[], |statement| &statement.behind)
+    }
+
+    /// Whether a zone's live members all have `version` in force.
+    pub fn zone_has(&self, view: &LiveView, zone: &ZoneName, version: Option<ConfigurationVersion>) -> bool {
+        let known = self.zone_minimum(view, zone);
+        known.in_force >= version
+    }
+}
--- /dev/null
+++ b/crates/core/src/configuration/change.rs
@@ -0,0 +1,144 @@
+//! Typed changes between two configurations: what travels between nodes instead of whole configurations.
+
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+use speedy::{Context, Readable, Reader, Writable, Writer};
+
+use super::content::{Configuration, PolicyChoice, TrialArm};
+use super::item::{Item, replace_item, replacements};
+use crate::world::{Contract, Engine, Link, Model, PoolLayout, Tenant, Zone};
+
+/// The value of one item before and after a change; an absent side means that the item is added or removed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Replacement<T> {
+    /// The value that the change replaces.
+    #[serde(default = "Option::default", skip_serializing_if = "Option::is_none")]
+    pub from: Option<T>,
+    /// The value after the change.
+    #[serde(default = "Option::default", skip_serializing_if = "Option::is_none")]
+    pub to: Option<T>,
+}
+
+impl<'a, C: Context, T: Readable<'a, C>> Readable<'a, C> for Replacement<T> {
+    fn read_from<R: Reader<'a, C>>(reader: &mut R) -> Result<Self, C::Error> {
+        Ok(Replacement { from: Option::read_from(reader)?, to: Option::read_from(reader)? })
+    }
+}
+
+impl<C: Context, T: Writable<C>> Writable<C> for Replacement<T> {
+    fn write_to<W: ?Sized + Writer<C>>(&self, writer: &mut W) -> Result<(), C::Error> {
+        self.from.write_to(writer)?;
+        self.to.write_to(writer)
+    }
+}
+
+/// One change of a configuration.
+#[derive(Clone, Debug, PartialEq, Readable, Writable, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// A zone.
+    Zone(Replacement<Zone>),
+    /// The latency between two zones.
+    Link(Replacement<Link>),
+    /// A model: its version, its floors or what its engines can do.
+    Model(Replacement<Model>),
+    /// An engine: its role, its adapter or its place.
+    Engine(Replacement<Engine>),
+    /// A class of service.
+    Contract(Replacement<Contract>),
+    /// A tenant or its limits.
+    Tenant(Replacement<Tenant>),
+    /// How engines are grouped into pools.
+    Pools(Replacement<PoolLayout>),
+    /// The policy that gives engines their roles.
+    RolePolicy(Replacement<PolicyChoice>),
+    /// A role policy that only reports.
+    ShadowRolePolicy(Replacement<PolicyChoice>),
+    /// An arm of the placement trial.
+    Arm(Replacement<TrialArm>),
+}
+
+/// Why a change can't be applied: it was made for another configuration. Nothing has been changed.
+#[derive(Clone, Debug, Display, PartialEq, Eq, thiserror::Error)]
+pub enum ChangeError {
+    /// {kind} `{name}` is not as the change expects it
+    OtherValue {
+        /// What kind of item.
+        kind: &'static str,
+        /// The item's name.
+        name: String,
+    },
+    /// a change of a {kind} has neither an old nor a new value, or two that name different items
+    Malformed {
+        /// What kind of item.
+        kind: &'static str,
+    },
+}
+
+impl Configuration {
+    /// Applies `changes` in their order; items keep their places and new ones go to the end.
+    ///
+    /// # Errors
+    /// When an item is not as a change expects it; the configuration is then as before.
+    pub fn apply(&mut self, changes: &[Change]) -> Result<(), ChangeError> {
+        let mut changed = self.clone();
+        for change in changes {
+            changed.apply_one(change)?;
+        }
+        *self = changed;
+        Ok(())
+    }
+
+    /// The changes that turn this configuration into `desired`, up to the order of items.
+    pub fn changes_to(&self, desired: &Configuration) -> Vec<Change> {
+        let mut changes = Vec::new();
+        changes.extend(replacements(&self.zones, &desired.zones).map(Change::Zone));
+        changes.extend(replacements(&self.links, &desired.links).map(Change::Link));
+        changes.extend(replacements(&self.models, &desired.models).map(Change::Model));
+        changes.extend(replacements(&self.engines, &desired.engines).map(Change::Engine));
+        changes.extend(replacements(&self.contracts, &desired.contracts).map(Change::Contract));
+        changes.extend(replacements(&self.tenants, &desired.tenants).map(Change::Tenant));
+        if self.pools != desired.pools {
+            changes.push(Change::Pools(Replacement { from: Some(self.pools), to: Some(desired.pools) }));
+        }
+        if self.role_policy != desired.role_policy {
+            let (from, to) = (self.role_policy.clone(), desired.role_policy.clone());
+            changes.push(Change::RolePolicy(Replacement { from, to }));
+        }
+        let shadows = replacements(&self.shadow_role_policies, &desired.shadow_role_policies);
+        changes.extend(shadows.map(Change::ShadowRolePolicy));
+        changes.extend(replacements(&self.arms, &desired.arms).map(Change::Arm));
+        changes
+    }
+
+    fn apply_one(&mut self, change: &Change) -> Result<(), ChangeError> {
+        match change {
+            Change::Zone(replacement) => replace_item(&mut self.zones, replacement),
+            Change::Link(replacement) => replace_item(&mut self.links, replacement),
+            Change::Model(replacement) => replace_item(&mut self.models, replacement),
+            Change::Engine(replacement) => replace_item(&mut self.engines, replacement),
+            Change::Contract(replacement) => replace_item(&mut self.contracts, replacement),
+            Change::Tenant(replacement) => replace_item(&mut self.tenants, replacement),
+            Change::Pools(replacement) => self.replace_pools(replacement),
+            Change::RolePolicy(replacement) => self.replace_role_policy(replacement),
+            Change::ShadowRolePolicy(replacement) => replace_item(&mut self.shadow_role_policies, replacement),
+            Change::Arm(replacement) => replace_item(&mut self.arms, replacement),
+        }
+    }
+
+    fn replace_pools(&mut self, replacement: &Replacement<PoolLayout>) -> Result<(), ChangeError> {
+        if replacement.from != Some(self.pools) {
+            return Err(ChangeError::OtherValue { kind: "pools", name: "pools".to_owned() });
+        }
+        self.pools = replacement.to.ok_or(ChangeError::Malformed { kind: "pools" })?;
+        Ok(())
+    }
+
+    fn replace_role_policy(&mut self, replacement: &Replacement<PolicyChoice>) -> Result<(), ChangeError> {
+        if replacement.from != self.role_policy {
+            return Err(ChangeError::OtherValue { kind: PolicyChoice::KIND, name: "role_policy".to_owned() });
+        }
+        self.role_policy.clone_from(&replacement.to);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/configuration/config.rs
@@ -0,0 +1,106 @@
+//! Settings of a replica.
+
+use std::time::Duration;
+
+use displaydoc::Display;
+
+/// Settings of a [`ConfigurationReplica`](super::ConfigurationReplica); the defaults meet 4 s at 330 nodes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReplicaConfig {
+    /// Live members of each region that watch the store. Few, since the store serves few readers; two, so that a dead
+    /// one leaves no gap.
+    pub watchers_per_region: usize,
+    /// How often a watcher reads the store's record.
+    pub watch_interval: Duration,
+    /// How long a reply of the store is waited for before the next request is made.
+    pub store_timeout: Duration,
+    /// Peers of the own zone to which something new is pushed at once.
+    pub local_fan_out: usize,
+    /// Peers of other zones to which something new is pushed at once.
+    pub remote_fan_out: usize,
+    /// How often a digest goes to one random peer; it bounds how long a lost push goes unnoticed.
+    pub digest_interval: Duration,
+    /// Every how many digests one goes to another zone.
+    pub remote_digest_every: u32,
+    /// How often acknowledgements and missing changes are sent again while a version is not accepted.
+    pub retry_interval: Duration,
+    /// Members to which a delegate or coordinator resends at each retry; bounds the burst after a split.
+    pub retry_maximum: usize,
+    /// How long a node that starts, wakes or rejoins waits before it checks that it has missed nothing. It must exceed
+    /// the time in which membership makes the node known to everyone, so that no version is accepted without it.
+    pub settle_time: Duration,
+    /// A longer gap between two calls means that this node was paused and may have been declared dead. It must be
+    /// shorter than the time in which membership declares a silent node dead.
+    pub pause_maximum: Duration,
+    /// Versions in force whose changes are kept for peers that lag; a peer that lags more gets a snapshot.
+    pub log_maximum: usize,
+    /// Changes in the store's record, in number of items, above which the coordinator writes a snapshot instead.
+    pub compact_above: usize,
+}
+
+impl Default for ReplicaConfig {
+    fn default() -> Self {
+        ReplicaConfig {
+            watchers_per_region: 2,
+            watch_interval: Duration::from_secs(1),
+            store_timeout: Duration::from_secs(5),
+            local_fan_out: 4,
+            remote_fan_out: 1,
+            digest_interval: Duration::from_secs(1),
+            remote_digest_every: 4,
+            retry_interval: Duration::from_millis(250),
+            retry_maximum: 16,
+            settle_time: Duration::from_secs(2),
+            pause_maximum: Duration::from_secs(2),
+            log_maximum: 64,
+            compact_above: 128,
+        }
+    }
+}
+
+/// a replica's setting `{key}` is {value}; allowed: {allowed}
+#[derive(Clone, Debug, Display, PartialEq, Eq, thiserror::Error)]
+pub struct ReplicaConfigError {
+    /// The setting.
+    pub key: &'static str,
+    /// Its value.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: &'static str,
+}
+
+impl ReplicaConfig {
+    /// Checks the settings.
+    ///
+    /// # Errors
+    /// When a setting would leave the replica without progress.
+    pub fn validate(&self) -> Result<(), ReplicaConfigError> {
+        let counts = [
+            ("watchers_per_region", self.watchers_per_region),
+            ("local_fan_out", self.local_fan_out),
+            ("remote_fan_out", self.remote_fan_out),
+            ("remote_digest_every", self.remote_digest_every as usize),
+            ("retry_maximum", self.retry_maximum),
+            ("log_maximum", self.log_maximum),
+            ("compact_above", self.compact_above),
+        ];
+        for (key, value) in counts {
+            if value == 0 {
+                return Err(ReplicaConfigError { key, value: value.to_string(), allowed: "at least 1" });
+            }
+        }
+        let durations = [
+            ("watch_interval", self.watch_interval),
+            ("store_timeout", self.store_timeout),
+            ("digest_interval", self.digest_interval),
+            ("retry_interval", self.retry_interval),
+            ("pause_maximum", self.pause_maximum),
+        ];
+        for (key, value) in durations {
+            if value.is_zero() {
+                return Err(ReplicaConfigError { key, value: "0s".to_owned(), allowed: "more than 0s" });
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/core/src/configuration/content.rs
+++ b/crates/core/src/configuration/content.rs
@@ -1,6 +1,7 @@
 //! What a configuration holds.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 use speedy::{Readable, Writable};
@@ -23,6 +24,12 @@
     }
 }
 
+impl fmt::Display for ConfigurationVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
 /// A policy by name, with the parameters that it takes.
 #[derive(Clone, Debug, PartialEq, Readable, Writable, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/core/src/configuration/coordination.rs
@@ -0,0 +1,158 @@
+//! The parts of a replica that only a zone's delegate and the coordinator play: gathering acknowledgements, bringing a
+//! staged version into force, and declaring it accepted.
+
+use std::collections::BTreeSet;
+
+use super::content::ConfigurationVersion;
+use super::message::{ConfigurationMessage, Holding};
+use super::replica::ConfigurationReplica;
+use crate::membership::Member;
+use crate::time::Timestamp;
+use crate::world::ZoneName;
+
+impl ConfigurationReplica {
+    /// Whether this node is the coordinator and may act as such: a node that is not ready may not know all live nodes.
+    pub(super) fn coordinates(&self) -> bool {
+        self.is_ready() && self.view.coordinator() == Some(self.me)
+    }
+
+    /// Tells the zone's delegate what this node holds.
+    pub(super) fn acknowledge(&mut self, now: Timestamp) {
+        let holding = self.versions.holding();
+        self.acknowledgements.note(self.me, holding);
+        let Some(delegate) = self.view.delegate(&self.zone) else { return };
+        if delegate == self.me {
+            self.report_zone(now);
+        } else {
+            self.send(delegate, ConfigurationMessage::Holding(holding));
+        }
+    }
+
+    /// As the zone's delegate, tells the coordinator what the zone holds, when that is news.
+    pub(super) fn report_zone(&mut self, now: Timestamp) {
+        if self.view.delegate(&self.zone) != Some(self.me) {
+            return;
+        }
+        let Some(statement) = self.acknowledgements.zone_statement(&self.view, &self.zone) else { return };
+        let known = self.acknowledgements.zone_minimum(&self.view, &self.zone);
+        if known.maximum(statement.minimum) == known {
+            return;
+        }
+        self.acknowledgements.note_zone(statement);
+        self.send_zone_statement(now);
+    }
+
+    /// As the coordinator, brings into force what every required node holds, and declares accepted what every required
+    /// node has in force.
+    pub(super) fn coordinate(&mut self, now: Timestamp) {
+        if !self.coordinates() {
+            return;
+        }
+        let minimum = self.required_minimum();
+        self.versions.raise_accepted(minimum.in_force);
+        if self.activation_target().is_some() {
+            self.start_store_cycle(now);
+        }
+    }
+
+    /// The version to bring into force, when every required node holds one that is not in force yet.
+    pub(super) fn activation_target(&self) -> Option<ConfigurationVersion> {
+        if !self.coordinates() {
+            return None;
+        }
+        let held = self.required_minimum().held;
+        held.filter(|_| held > self.versions.watermarks().in_force)
+    }
+
+    /// Whether this node holds a version that it does not know to be accepted.
+    pub(super) fn is_unsettled(&self) -> bool {
+        self.versions.held() > self.versions.accepted()
+    }
+
+    /// Repeats what may have been lost, as long as a version that this node holds is not accepted.
+    pub(super) fn retry(&mut self, now: Timestamp) {
+        if self.needs_proof(now) {
+            self.start_store_cycle(now);
+        }
+        if !self.is_unsettled() {
+            return;
+        }
+        self.acknowledge(now);
+        if self.view.delegate(&self.zone) == Some(self.me) {
+            self.send_zone_statement(now);
+            self.update_members_behind();
+        }
+        if self.coordinates() {
+            self.update_zones_behind();
+            self.coordinate(now);
+        }
+    }
+
+    /// The zones without which no version comes into force: those with live members, and the unreachable ones that the
+    /// latest version still contains. Operators give up a lost zone by a change that removes it.
+    pub(super) fn required_zones(&self) -> BTreeSet<ZoneName> {
+        let mut required: BTreeSet<ZoneName> = self.view.live_zones().cloned().collect();
+        required.extend(self.missing_zones());
+        required
+    }
+
+    /// The required zones that can't be reached.
+    pub(super) fn missing_zones(&self) -> Vec<ZoneName> {
+        if self.view.unreachable_zones().is_empty() {
+            return Vec::new();
+        }
+        let latest = self.versions.latest();
+        let contains = |zone: &ZoneName| {
+            latest.as_ref().is_none_or(|latest| latest.configuration.zones.iter().any(|known| &known.name == zone))
+        };
+        self.view.unreachable_zones().iter().filter(|zone| contains(zone)).cloned().collect()
+    }
+
+    fn required_minimum(&self) -> Holding {
+        self.acknowledgements.minimum(&self.view, &self.required_zones())
+    }
+
+    fn send_zone_statement(&mut self, now: Timestamp) {
+        let Some(statement) = self.acknowledgements.zone_statement(&self.view, &self.zone) else { return };
+        let Some(coordinator) = self.view.coordinator() else { return };
+        if coordinator == self.me {
+            self.acknowledgements.note_zone(statement);
+            self.coordinate(now);
+        } else {
+            self.send(coordinator, ConfigurationMessage::ZoneHolding(statement));
+        }
+    }
+
+    fn update_members_behind(&mut self) {
+        let own = self.versions.holding();
+        let of_zone: Vec<Member> = self.view.in_zone(&self.zone).filter(|member| *member != self.me).collect();
+        let is_behind = |member: &Member| {
+            let holding = self.acknowledgements.holding_of(*member);
+            holding.held < own.held || holding.in_force < own.in_force
+        };
+        let behind: Vec<Member> = of_zone.into_iter().filter(is_behind).take(self.config.retry_maximum).collect();
+        for member in behind {
+            self.send_latest(member);
+        }
+    }
+
+    fn update_zones_behind(&mut self) {
+        let version = self.versions.held();
+        let zones: Vec<ZoneName> = self.view.live_zones().cloned().collect();
+        for zone in zones {
+            let complete = self.acknowledgements.zone_has(&self.view, &zone, version);
+            let delegate = self.view.delegate(&zone).filter(|delegate| *delegate != self.me);
+            if let (false, Some(delegate)) = (complete, delegate) {
+                self.send_latest(delegate);
+            }
+        }
+    }
+
+    /// Sends the last change only; a peer that lacks more notices by the watermarks and asks.
+    fn send_latest(&mut self, to: Member) {
+        let before_last = self.versions.held().map(|held| ConfigurationVersion(held.0.saturating_sub(1)));
+        let changes = self.versions.changes_after(before_last).unwrap_or_default();
+        let watermarks = self.versions.watermarks();
+        self.send(to, ConfigurationMessage::Update { watermarks, changes });
+    }
+}
--- /dev/null
+++ b/crates/core/src/configuration/item.rs
@@ -0,0 +1,88 @@
+//! Items of a configuration's lists: found by their key, compared and replaced.
+
+use std::collections::BTreeMap;
+
+use super::change::{ChangeError, Replacement};
+use super::content::{PolicyChoice, TrialArm};
+use crate::world::{Contract, Engine, Link, Model, Tenant, Zone};
+
+/// Something that stands in a list of the configuration at most once for each key.
+pub(super) trait Item: Clone + PartialEq {
+    /// What kind of item this is, in messages to operators.
+    const KIND: &'static str;
+
+    /// The item's key, unique in its list.
+    fn key(&self) -> String;
+}
+
+macro_rules! named_item {
+    ($($type:ty => $kind:literal),+ $(,)?) => {
+        $(impl Item for $type {
+            const KIND: &'static str = $kind;
+
+            fn key(&self) -> String {
+                self.name.to_string()
+            }
+        })+
+    };
+}
+
+named_item!(
+    Zone => "zone",
+    Model => "model",
+    Engine => "engine",
+    Contract => "contract",
+    Tenant => "tenant",
+    PolicyChoice => "role policy",
+    TrialArm => "arm",
+);
+
+impl Item for Link {
+    const KIND: &'static str = "link";
+
+    fn key(&self) -> String {
+        let (low, high) = if self.from <= self.to { (&self.from, &self.to) } else { (&self.to, &self.from) };
+        format!("{low} - {high}")
+    }
+}
+
+/// What turns the list `old` into `new`, up to the order of items; in the order of keys.
+pub(super) fn replacements<T: Item>(old: &[T], new: &[T]) -> impl Iterator<Item = Replacement<T>> {
+    let mut both: BTreeMap<String, Replacement<T>> = BTreeMap::new();
+    for item in old {
+        both.insert(item.key(), Replacement { from: Some(item.clone()), to: None });
+    }
+    for item in new {
+        let entry = both.entry(item.key()).or_insert(Replacement { from: None, to: None });
+        entry.to = Some(item.clone());
+    }
+    both.into_values().filter(|replacement| replacement.from != replacement.to)
+}
+
+/// Applies one replacement to a list.
+///
+/// # Errors
+/// When the list does not hold the old value, or already holds an item that is to be added.
+pub(super) fn replace_item<T: Item>(items: &mut Vec<T>, replacement: &Replacement<T>) -> Result<(), ChangeError> {
+    let key = replacement_key(replacement).ok_or(ChangeError::Malformed { kind: T::KIND })?;
+    let position = items.iter().position(|item| item.key() == key);
+    if position.map(|position| &items[position]) != replacement.from.as_ref() {
+        return Err(ChangeError::OtherValue { kind: T::KIND, name: key });
+    }
+    match (position, &replacement.to) {
+        (Some(position), Some(to)) => items[position] = to.clone(),
+        (Some(position), None) => drop(items.remove(position)),
+        (None, Some(to)) => items.push(to.clone()),
+        (None, None) => {}
+    }
+    Ok(())
+}
+
+fn replacement_key<T: Item>(replacement: &Replacement<T>) -> Option<String> {
+    let from = replacement.from.as_ref().map(T::key);
+    let to = replacement.to.as_ref().map(T::key);
+    match (from, to) {
+        (Some(from), Some(to)) if from != to => None,
+        (from, to) => from.or(to),
+    }
+}
--- /dev/null
+++ b/crates/core/src/configuration/replica.rs
@@ -0,0 +1,250 @@
+//! One node's replica of the configuration.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use super::acknowledgements::Acknowledgements;
+use super::config::{ReplicaConfig, ReplicaConfigError};
+use super::content::ConfigurationVersion;
+use super::message::{ConfigurationMessage, Watermarks};
+use super::record::ConfigurationRecord;
+use super::store_conversation::{StoreConversation, StoreToken};
+use super::synchronization::Synchronization;
+use super::versions::{Progress, VersionedConfiguration, Versions};
+use super::view::LiveView;
+use crate::membership::Member;
+use crate::store::{StoreReply, StoreRequest};
+use crate::time::Timestamp;
+use crate::world::ZoneName;
+
+/// What a replica is told.
+#[derive(Clone, Debug)]
+pub enum ConfigurationInput {
+    /// The live view has changed.
+    View(LiveView),
+    /// A message has come from a peer.
+    Message {
+        /// The peer's present life.
+        from: Member,
+        /// What it says.
+        message: ConfigurationMessage,
+    },
+    /// The store has answered a [`ConfigurationAction::Store`]; also given when it can't be reached.
+    Store {
+        /// The request that is answered.
+        token: StoreToken,
+        /// The answer.
+        reply: StoreReply,
+    },
+    /// The node has read or written the store's record itself, for example to confirm a plan.
+    Recorded(ConfigurationRecord),
+    /// Engines or peers are known to have seen this version: a node that starts must not serve with a lower one.
+    Floor(ConfigurationVersion),
+    /// The node can't tell whether its peers still count on it.
+    Suspended,
+    /// The node has a new life after a suspension.
+    Rejoined(Member),
+}
+
+/// What a replica wants done.
+#[derive(Clone, Debug)]
+pub enum ConfigurationAction {
+    /// Send a message to a peer.
+    Send {
+        /// The peer.
+        to: Member,
+        /// What to send.
+        message: ConfigurationMessage,
+    },
+    /// Ask the store; the reply comes back as [`ConfigurationInput::Store`] with the same token.
+    Store {
+        /// Pairs the reply with the request.
+        token: StoreToken,
+        /// The request.
+        request: StoreRequest,
+    },
+    /// A higher version is in force at this node from now on.
+    Adopt(VersionedConfiguration),
+    /// A version is known to be in force at every live node.
+    Accepted(ConfigurationVersion),
+}
+
+/// Holds the versions of one node, learns new ones and helps to spread them.
+///
+/// A pure state machine: [`step`](Self::step) takes in an event, [`tick`](Self::tick) the time, and
+/// [`take_ready`](Self::take_ready) hands out what to do.
+pub struct ConfigurationReplica {
+    pub(super) config: ReplicaConfig,
+    pub(super) me: Member,
+    pub(super) zone: ZoneName,
+    pub(super) random: Rng,
+    pub(super) view: LiveView,
+    pub(super) versions: Versions,
+    pub(super) acknowledgements: Acknowledgements,
+    pub(super) synchronization: Synchronization,
+    pub(super) store: StoreConversation,
+    pub(super) actions: Vec<ConfigurationAction>,
+    pub(super) digests_sent: u32,
+    floor: ConfigurationVersion,
+    in_force: Option<VersionedConfiguration>,
+    last_call: Option<Timestamp>,
+    next_digest: Timestamp,
+    next_retry: Timestamp,
+}
+
+impl ConfigurationReplica {
+    /// A replica that holds nothing yet. `seed` makes its random choices repeatable.
+    ///
+    /// # Errors
+    /// When a setting is out of range.
+    pub fn new(config: ReplicaConfig, me: Member, zone: ZoneName, seed: u64) -> Result<Self, ReplicaConfigError> {
+        config.validate()?;
+        Ok(ConfigurationReplica {
+            config,
+            me,
+            zone,
+            random: Rng::with_seed(seed),
+            view: LiveView::default(),
+            versions: Versions::default(),
+            acknowledgements: Acknowledgements::default(),
+            synchronization: Synchronization::default(),
+            store: StoreConversation::default(),
+            actions: Vec::new(),
+            digests_sent: 0,
+            floor: ConfigurationVersion::default(),
+            in_force: None,
+            last_call: None,
+            next_digest: Timestamp::ZERO,
+            next_retry: Timestamp::ZERO,
+        })
+    }
+
+    /// The configuration to serve by. It is absent until the node has once been ready, and never goes down.
+    pub fn in_force(&self) -> Option<&VersionedConfiguration> {
+        self.in_force.as_ref()
+    }
+
+    /// The configuration with all staged changes: what the next plan is made against.
+    pub fn latest(&self) -> Option<VersionedConfiguration> {
+        self.versions.latest()
+    }
+
+    /// Whether no version higher than [`in_force`](Self::in_force) has been accepted without this node: only then may
+    /// the node take work.
+    pub fn is_ready(&self) -> bool {
+        self.synchronization.is_ready()
+    }
+
+    /// How far the node is.
+    pub fn watermarks(&self) -> Watermarks {
+        self.versions.watermarks()
+    }
+
+    /// Takes in an event.
+    pub fn step(&mut self, input: ConfigurationInput, now: Timestamp) {
+        self.notice_pause(now);
+        let before = self.versions.progress();
+        let sender = self.take_in(input, now);
+        self.follow_up(before, sender, now);
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.notice_pause(now);
+        let before = self.versions.progress();
+        if now >= self.next_digest {
+            self.next_digest = now + self.digest_interval();
+            self.choose_watchers();
+            self.send_digest(now);
+        }
+        if now >= self.next_retry {
+            self.next_retry = now + self.config.retry_interval;
+            self.retry(now);
+        }
+        self.watch_store(now);
+        self.follow_up(before, None, now);
+    }
+
+    /// When [`tick`](Self::tick) has something to do again.
+    pub fn next_tick(&self) -> Timestamp {
+        let timers = [Some(self.next_digest), Some(self.next_retry), self.next_store_tick()];
+        timers.into_iter().flatten().min().unwrap_or(self.next_digest)
+    }
+
+    /// What is to be done, in this order.
+    pub fn take_ready(&mut self) -> Vec<ConfigurationAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    fn take_in(&mut self, input: ConfigurationInput, now: Timestamp) -> Option<Member> {
+        match input {
+            ConfigurationInput::View(view) => self.change_view(view, now),
+            ConfigurationInput::Message { from, message } => {
+                self.receive(from, message, now);
+                return Some(from);
+            }
+            ConfigurationInput::Store { token, reply } => self.store_replied(token, reply, now),
+            ConfigurationInput::Recorded(record) => self.observe(&record),
+            ConfigurationInput::Floor(floor) => self.floor = self.floor.max(floor),
+            ConfigurationInput::Suspended => self.synchronization.restart(&self.config, now),
+            ConfigurationInput::Rejoined(me) => self.rejoin(me, now),
+        }
+        None
+    }
+
+    fn change_view(&mut self, view: LiveView, now: Timestamp) {
+        if self.synchronization.is_new() {
+            self.synchronization.restart(&self.config, now);
+            self.start_watching(now);
+        }
+        self.view = view;
+        self.acknowledgements.retain(&self.view);
+        self.choose_watchers();
+        if self.is_unsettled() {
+            self.acknowledge(now);
+        }
+    }
+
+    fn rejoin(&mut self, me: Member, now: Timestamp) {
+        self.me = me;
+        self.synchronization.restart(&self.config, now);
+    }
+
+    fn notice_pause(&mut self, now: Timestamp) {
+        let last_call = self.last_call.replace(now);
+        let paused = last_call.is_some_and(|last_call| now.since(last_call) > self.config.pause_maximum);
+        if paused && !self.synchronization.is_new() {
+            self.synchronization.restart(&self.config, now);
+        }
+    }
+
+    /// Does what follows from a change of the versions held since `before`.
+    fn follow_up(&mut self, before: Progress, told_by: Option<Member>, now: Timestamp) {
+        if self.versions.holding() != before.holding {
+            self.versions.trim(self.config.log_maximum);
+            self.acknowledge(now);
+        }
+        self.adopt();
+        if self.versions.watermarks() != before.watermarks {
+            self.push_news(before.watermarks, told_by);
+        }
+    }
+
+    /// Puts the content in force, once the node is or has been ready.
+    fn adopt(&mut self) {
+        self.synchronization.update(self.versions.version(), self.floor);
+        let may_adopt = self.synchronization.is_ready() || self.in_force.is_some();
+        let Some(content) = self.versions.content() else { return };
+        let higher = self.in_force.as_ref().is_none_or(|in_force| content.version > in_force.version);
+        if may_adopt && higher {
+            let adopted = content.clone();
+            self.in_force = Some(adopted.clone());
+            self.actions.push(ConfigurationAction::Adopt(adopted));
+        }
+    }
+
+    fn digest_interval(&self) -> Duration {
+        if self.is_ready() { self.config.digest_interval } else { self.config.retry_interval }
+    }
+}
--- /dev/null
+++ b/crates/core/src/configuration/spread.rs
@@ -0,0 +1,132 @@
+//! How news travels between peers: pushed at once to a few random ones, and repaired by digests.
+
+use super::message::{ConfigurationMessage, ProbeId, Watermarks};
+use super::record::VersionChange;
+use super::replica::{ConfigurationAction, ConfigurationReplica};
+use crate::membership::Member;
+use crate::time::Timestamp;
+
+impl ConfigurationReplica {
+    /// Takes in a message from a peer.
+    pub(super) fn receive(&mut self, from: Member, message: ConfigurationMessage, now: Timestamp) {
+        match message {
+            ConfigurationMessage::Digest { watermarks, probe } => self.compare(from, watermarks, probe),
+            ConfigurationMessage::Answer { watermarks, probe, ready } => {
+                if ready {
+                    self.synchronization.answered(probe, watermarks.in_force);
+                }
+                self.note_watermarks(watermarks);
+            }
+            ConfigurationMessage::Update { watermarks, changes } => {
+                self.versions.add_changes(changes);
+                self.note_watermarks(watermarks);
+                self.ask_if_behind(from, watermarks);
+            }
+            ConfigurationMessage::Snapshot { watermarks, version, configuration, changes } => {
+                self.versions.load(version, *configuration);
+                self.versions.add_changes(changes);
+                self.note_watermarks(watermarks);
+            }
+            ConfigurationMessage::Holding(holding) => {
+                self.acknowledgements.note(from, holding);
+                self.report_zone(now);
+            }
+            ConfigurationMessage::ZoneHolding(statement) => {
+                self.acknowledgements.note_zone(statement);
+                self.coordinate(now);
+            }
+        }
+    }
+
+    /// Sends a digest to one random peer. While the node is not ready it asks for an answer, and asks its superior too,
+    /// so that after a start of all nodes readiness comes down from the coordinator in two steps.
+    pub(super) fn send_digest(&mut self, now: Timestamp) {
+        self.digests_sent = self.digests_sent.wrapping_add(1);
+        let remote = self.digests_sent.is_multiple_of(self.config.remote_digest_every);
+        let random = self.random_peers(remote, 1).pop().or_else(|| self.random_peers(!remote, 1).pop());
+        let superior = self.superior().filter(|superior| !self.is_ready() && Some(*superior) != random);
+        let watermarks = self.versions.watermarks();
+        for to in random.into_iter().chain(superior) {
+            let probe = if self.is_ready() { None } else { Some(self.synchronization.next_probe(now)) };
+            self.send(to, ConfigurationMessage::Digest { watermarks, probe });
+        }
+    }
+
+    /// Pushes what has been learnt since `before` to a few random peers, but not to the one that told it.
+    pub(super) fn push_news(&mut self, before: Watermarks, told_by: Option<Member>) {
+        if let Some(accepted) = self.versions.accepted()
+            && self.versions.accepted() > before.accepted
+        {
+            self.actions.push(ConfigurationAction::Accepted(accepted));
+        }
+        let Some(changes) = self.versions.changes_after(before.held) else { return };
+        let mut peers = self.random_peers(false, self.config.local_fan_out);
+        peers.extend(self.random_peers(true, self.config.remote_fan_out));
+        for peer in peers.into_iter().filter(|peer| Some(*peer) != told_by) {
+            self.send_update(peer, changes.clone());
+        }
+    }
+
+    /// Sends a peer what it lacks when it holds `held`: changes, or a snapshot when they don't suffice.
+    pub(super) fn send_missing(&mut self, to: Member, held: Option<super::ConfigurationVersion>) {
+        if let Some(changes) = self.versions.changes_after(held) {
+            self.send_update(to, changes);
+            return;
+        }
+        let Some(content) = self.versions.content() else { return };
+        let message = ConfigurationMessage::Snapshot {
+            watermarks: self.versions.watermarks(),
+            version: content.version,
+            configuration: Box::new((*content.configuration).clone()),
+            changes: self.versions.staged().cloned().collect(),
+        };
+        self.send(to, message);
+    }
+
+    /// Queues a message to a peer.
+    pub(super) fn send(&mut self, to: Member, message: ConfigurationMessage) {
+        self.actions.push(ConfigurationAction::Send { to, message });
+    }
+
+    fn send_update(&mut self, to: Member, changes: Vec<VersionChange>) {
+        let watermarks = self.versions.watermarks();
+        self.send(to, ConfigurationMessage::Update { watermarks, changes });
+    }
+
+    fn compare(&mut self, from: Member, watermarks: Watermarks, probe: Option<ProbeId>) {
+        if watermarks.is_behind(&self.versions.watermarks()) {
+            self.send_missing(from, watermarks.held);
+        }
+        self.ask_if_behind(from, watermarks);
+        if let Some(probe) = probe {
+            let answer =
+                ConfigurationMessage::Answer { watermarks: self.versions.watermarks(), probe, ready: self.is_ready() };
+            self.send(from, answer);
+        }
+    }
+
+    fn ask_if_behind(&mut self, from: Member, watermarks: Watermarks) {
+        if self.versions.watermarks().is_behind(&watermarks) {
+            let watermarks = self.versions.watermarks();
+            self.send(from, ConfigurationMessage::Digest { watermarks, probe: None });
+        }
+    }
+
+    fn note_watermarks(&mut self, watermarks: Watermarks) {
+        self.versions.raise_recorded(watermarks.in_force);
+        self.versions.raise_accepted(watermarks.accepted);
+    }
+
+    /// The zone's delegate, or for the delegate the coordinator.
+    fn superior(&self) -> Option<Member> {
+        let superiors = [self.view.delegate(&self.zone), self.view.coordinator()];
+        superiors.into_iter().flatten().find(|superior| *superior != self.me)
+    }
+
+    /// Random live peers, of the own zone or of the others.
+    fn random_peers(&mut self, remote: bool, amount: usize) -> Vec<Member> {
+        let of_interest = |live: &&super::LiveMember| (live.zone != self.zone) == remote && live.member != self.me;
+        let peers = self.view.members().iter().filter(of_interest).map(|live| live.member);
+        self.random.choose_multiple(peers, amount)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod configuration;
 pub mod dispatch;
 pub mod membership;
+pub mod plan;
 pub mod policy;
 pub mod prompt;
 pub mod request;
