Role policies: reactive, hysteresis, predictive, and any of them in shadow

Cause: the mix of prompt and output tokens swings within minutes, and each role change costs seconds of an engine. Change: a model of what a pool serves with given roles (prompts slow the streams of mixed engines); three policies over it with checked parameters; shadow runs that count the changes they would have made; demand measured from arrivals.

--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -8,13 +8,19 @@
 mod parameters;
 mod placement;
 mod placement_by_name;
+mod predictive;
 mod role;
+mod role_by_name;
+mod role_capacity;
+mod shadow;
 mod trial;
 
 pub use demand::{DecayingRate, DemandTracker, PoolBacklog, PoolLimits};
 pub use placement::{EngineView, PlacementPolicy, Stage};
 pub use placement_by_name::placement_policy;
-pub use role::{PoolDemand, RoleCounts, RolePolicy, role_policy};
+pub use role::{PoolDemand, RoleCounts, RolePolicy};
+pub use role_by_name::role_policy;
+pub use shadow::{ShadowReport, ShadowRolePolicy};
 pub use trial::{ArmOutcomes, RequestOutcome, TrialSplitter};
 
 use displaydoc::Display;
--- a/crates/core/src/policy/role.rs
+++ b/crates/core/src/policy/role.rs
@@ -2,10 +2,8 @@
 
 use std::time::Duration;
 
-use super::PolicyError;
-use crate::configuration::PolicyChoice;
 use crate::time::Timestamp;
-use crate::world::EnginePerformance;
+use crate::world::{EnginePerformance, EngineRole};
 
 /// Engines of a pool by role.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -18,6 +16,33 @@
     pub mixed: u16,
 }
 
+impl RoleCounts {
+    /// Counts roles.
+    pub fn of(roles: impl IntoIterator<Item = EngineRole>) -> Self {
+        let mut counts = RoleCounts::default();
+        for role in roles {
+            match role {
+                EngineRole::Prefill => counts.prefill += 1,
+                EngineRole::Decode => counts.decode += 1,
+                EngineRole::Mixed => counts.mixed += 1,
+            }
+        }
+        counts
+    }
+
+    /// All engines.
+    pub fn total(self) -> u16 {
+        self.prefill + self.decode + self.mixed
+    }
+
+    /// The fewest engines that have to change their role to get from `self` to `other`.
+    pub fn changes_to(self, other: RoleCounts) -> u16 {
+        other.prefill.saturating_sub(self.prefill)
+            + other.decode.saturating_sub(self.decode)
+            + other.mixed.saturating_sub(self.mixed)
+    }
+}
+
 /// The demand on a pool and what it has to meet it with.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolDemand {
@@ -51,23 +76,3 @@
     /// change at once.
     fn desired(&mut self, demand: &PoolDemand, now: Timestamp) -> RoleCounts;
 }
-
-/// Creates the role policy that `choice` names.
-///
-/// # Errors
-/// When the name or a parameter is unknown or out of range.
-pub fn role_policy(choice: &PolicyChoice) -> Result<Box<dyn RolePolicy>, PolicyError> {
-    match choice.name.as_str() {
-        "static" => Ok(Box::new(Static)),
-        name => Err(PolicyError::UnknownName { name: name.to_owned(), known: "static".to_owned() }),
-    }
-}
-
-/// Keeps the roles as they are.
-struct Static;
-
-impl RolePolicy for Static {
-    fn desired(&mut self, demand: &PoolDemand, _: Timestamp) -> RoleCounts {
-        demand.roles
-    }
-}
--- /dev/null
+++ b/crates/core/src/policy/role_by_name.rs
@@ -0,0 +1,135 @@
+//! The role policies that configuration can name.
+
+use std::time::Duration;
+
+use super::PolicyError;
+use super::parameters::{Parameter, check};
+use super::predictive::Predictive;
+use super::role::{PoolDemand, RoleCounts, RolePolicy};
+use super::role_capacity::{PoolModel, TokenRates, best_roles};
+use crate::configuration::PolicyChoice;
+use crate::time::Timestamp;
+
+const KNOWN: &str = "hysteresis, predictive, reactive, static";
+pub(super) const DRAIN: Parameter = Parameter::new("drain_seconds", 10.0, 1.0, 600.0);
+pub(super) const ENOUGH: Parameter = Parameter::new("enough_headroom", 1.3, 1.0, 16.0);
+const GAIN: Parameter = Parameter::new("gain", 0.1, 0.0, 10.0);
+const HOLD: Parameter = Parameter::new("hold_seconds", 5.0, 0.0, 600.0);
+pub(super) const DWELL: Parameter = Parameter::new("dwell_seconds", 60.0, 0.0, 3_600.0);
+const PAYBACK: Parameter = Parameter::new("payback_seconds", 30.0, 1.0, 3_600.0);
+pub(super) const CHANGE_COST: Parameter = Parameter::new("change_cost", 1.0, 0.0, 100.0);
+
+/// Creates the role policy that `choice` names.
+///
+/// # Errors
+/// When the name or a parameter is unknown or out of range.
+pub fn role_policy(choice: &PolicyChoice) -> Result<Box<dyn RolePolicy>, PolicyError> {
+    match choice.name.as_str() {
+        "hysteresis" => Ok(Box::new(Hysteresis::from_choice(choice)?)),
+        "predictive" => Ok(Box::new(Predictive::from_choice(choice)?)),
+        "reactive" => Ok(Box::new(Reactive::from_choice(choice)?)),
+        "static" => check(choice, &[]).map(|()| Box::new(Static) as Box<dyn RolePolicy>),
+        name => Err(PolicyError::UnknownName { name: name.to_owned(), known: KNOWN.to_owned() }),
+    }
+}
+
+/// The duration that a parameter in seconds gives.
+pub(super) fn duration_of(parameter: Parameter, choice: &PolicyChoice) -> Duration {
+    Duration::from_secs_f64(parameter.of(choice))
+}
+
+/// Keeps the roles as they are.
+struct Static;
+
+impl RolePolicy for Static {
+    fn desired(&mut self, demand: &PoolDemand, _: Timestamp) -> RoleCounts {
+        demand.roles
+    }
+}
+
+/// Takes the roles with the most headroom for the demand of the moment, whatever the change costs.
+struct Reactive {
+    drain: Duration,
+    enough_headroom: f64,
+}
+
+impl Reactive {
+    fn from_choice(choice: &PolicyChoice) -> Result<Self, PolicyError> {
+        check(choice, &[DRAIN, ENOUGH])?;
+        Ok(Reactive { drain: duration_of(DRAIN, choice), enough_headroom: ENOUGH.of(choice) })
+    }
+}
+
+impl RolePolicy for Reactive {
+    fn desired(&mut self, demand: &PoolDemand, _: Timestamp) -> RoleCounts {
+        best_roles(demand, TokenRates::of(demand, self.drain), self.enough_headroom)
+    }
+}
+
+/// Changes roles only when the present ones have fallen short for a while, the change pays for itself, and the last
+/// change is long enough ago.
+struct Hysteresis {
+    drain: Duration,
+    enough_headroom: f64,
+    /// The least relative gain in headroom.
+    gain: f64,
+    /// How long the gain has to last before the change.
+    hold: Duration,
+    /// The least time between two changes.
+    dwell: Duration,
+    /// The time within which the gain has to make up for the engines' time out of service.
+    payback: Duration,
+    /// What a second out of service of an engine costs, as a multiple of what it serves in a second.
+    change_cost: f64,
+    short_since: Option<Timestamp>,
+    changed_at: Option<Timestamp>,
+}
+
+impl Hysteresis {
+    fn from_choice(choice: &PolicyChoice) -> Result<Self, PolicyError> {
+        check(choice, &[DRAIN, ENOUGH, GAIN, HOLD, DWELL, PAYBACK, CHANGE_COST])?;
+        Ok(Hysteresis {
+            drain: duration_of(DRAIN, choice),
+            enough_headroom: ENOUGH.of(choice),
+            gain: GAIN.of(choice),
+            hold: duration_of(HOLD, choice),
+            dwell: duration_of(DWELL, choice),
+            payback: duration_of(PAYBACK, choice),
+            change_cost: CHANGE_COST.of(choice),
+            short_since: None,
+            changed_at: None,
+        })
+    }
+
+    /// Roles that are worth the change, if there are any.
+    fn worthwhile(&self, demand: &PoolDemand) -> Option<RoleCounts> {
+        let rates = TokenRates::of(demand, self.drain);
+        let target = best_roles(demand, rates, self.enough_headroom);
+        let model = PoolModel::of(demand);
+        let present = model.headroom(demand.roles, rates).min(self.enough_headroom);
+        let wanted = model.headroom(target, rates).min(self.enough_headroom);
+        let gains = wanted > present * (1.0 + self.gain);
+        let share_changed = f64::from(demand.roles.changes_to(target)) / f64::from(demand.roles.total().max(1));
+        let benefit = (wanted - present) * self.payback.as_secs_f64();
+        let cost = self.change_cost * share_changed * demand.role_change.as_secs_f64();
+        (gains && benefit > cost).then_some(target)
+    }
+}
+
+impl RolePolicy for Hysteresis {
+    fn desired(&mut self, demand: &PoolDemand, now: Timestamp) -> RoleCounts {
+        let Some(target) = self.worthwhile(demand) else {
+            self.short_since = None;
+            return demand.roles;
+        };
+        let short_since = *self.short_since.get_or_insert(now);
+        let held = now.since(short_since) >= self.hold;
+        let dwelt = self.changed_at.is_none_or(|changed_at| now.since(changed_at) >= self.dwell);
+        if !(held && dwelt) {
+            return demand.roles;
+        }
+        self.short_since = None;
+        self.changed_at = Some(now);
+        target
+    }
+}
