Stand-in engines on a real socket, with faults to switch on

Cause: nodes need engines to call in rehearsals and tests. Change: EngineServer runs the engine model in real time behind the engines' dialect on the streaming HTTP server. An engine can be killed, restarted, paused and made to refuse, delay, cut, double or foreign-address lines. Engines claim KV caches from each other by handle, once. Conclusion: the first line of a stream is read while the engine still generates; a cut answer has no finish (crates/rehearsal/tests/engine_server.rs).

--- a/crates/rehearsal/src/engine/mod.rs
+++ b/crates/rehearsal/src/engine/mod.rs
@@ -2,5 +2,6 @@
 
 mod answer;
 pub mod model;
+pub mod server;
 
 pub use answer::{answer_length, expected_text};
--- a/crates/rehearsal/src/engine/model/batch.rs
+++ b/crates/rehearsal/src/engine/model/batch.rs
@@ -4,6 +4,7 @@
 
 use havengate_core::request::FinishReason;
 use havengate_core::time::Timestamp;
+use havengate_core::world::EnginePerformance;
 
 use super::config::EngineModelConfig;
 use super::history::RunIndex;
@@ -148,7 +149,7 @@
         return None;
     }
     let repeats = generating().map(|sequence| sequence.steps_to_piece(config.piece_tokens)).min().unwrap_or(1);
-    let duration = reading_time(config, reads) + generation_time(config, count);
+    let duration = step_duration(&config.performance, reads, count);
     let mut step = Step { began: now, duration, repeats: if reads > 0 { 1 } else { repeats } };
     if let Some(ready) = next_import(batch) {
         step.end_soon(ready);
@@ -177,13 +178,7 @@
     chunk_tokens - budget
 }
 
-fn reading_time(config: &EngineModelConfig, tokens: u32) -> Duration {
-    Duration::from_secs_f64(f64::from(tokens) / config.performance.prefill_tokens_per_second)
-}
-
-fn generation_time(config: &EngineModelConfig, requests: u32) -> Duration {
-    match requests.checked_sub(1) {
-        None => Duration::ZERO,
-        Some(further) => config.performance.step_time + config.performance.step_time_per_request * further,
-    }
+fn step_duration(performance: &EnginePerformance, reads: u32, generating: u32) -> Duration {
+    let generation = if generating == 0 { Duration::ZERO } else { performance.step_time_of(generating) };
+    performance.read_time(reads) + generation
 }
--- a/crates/rehearsal/src/engine/model/state/mod.rs
+++ b/crates/rehearsal/src/engine/model/state/mod.rs
@@ -163,15 +163,21 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Tells whether the engine would take a request.
+    ///
+    /// # Errors
+    /// As [`EngineModel::submit`].
+    pub fn check(&mut self, work: &GenerateWork, now: Timestamp) -> Result<(), EngineRefusalCode> {
+        self.work_until(now);
+        self.refusal(work).map_or(Ok(()), Err)
+    }
+
     /// Hands a request to the engine.
     ///
     /// # Errors
     /// When the engine refuses it: it has not run and, as far as this copy goes, will not.
     pub fn submit(&mut self, mut work: GenerateWork, now: Timestamp) -> Result<(), EngineRefusalCode> {
-        self.work_until(now);
-        if let Some(refusal) = self.refusal(&work) {
-            return Err(refusal);
-        }
+        self.check(&work, now)?;
         work.blocks.truncate((work.prompt_tokens / BLOCK_TOKENS) as usize);
         self.arrivals += 1;
         self.waiting.insert((Reverse(work.priority), self.arrivals), work);
@@ -200,10 +206,9 @@
     /// Hands over an exported KV cache, once. Its memory is freed when the transfer is done.
     pub fn claim_export(&mut self, id: ExportId, now: Timestamp) -> Option<ExportedKv> {
         self.work_until(now);
-        let transfer = |tokens| transfer_time(&self.config, tokens);
         let export = self.exports.iter_mut().find(|export| export.kv.id == id && !export.claimed)?;
         export.claimed = true;
-        export.until = now + transfer(export.kv.tokens);
+        export.until = now + self.config.performance.transfer_time(export.kv.tokens);
         Some(export.kv)
     }
 
@@ -281,7 +286,7 @@
 
     fn refusal(&self, work: &GenerateWork) -> Option<EngineRefusalCode> {
         let report = self.arbiter.report();
-        let is_known = |known: &GenerateWork| known.request == work.request && known.kind == work.kind;
+        let is_known = |known: &GenerateWork| known.request == work.request;
         let rules = [
             (!self.is_up, EngineRefusalCode::Down),
             (self.revoked.contains(work.request), EngineRefusalCode::Revoked),
@@ -392,7 +397,3 @@
 fn unread_prompt(work: &GenerateWork) -> u32 {
     work.context_tokens().saturating_sub(work.import.map_or(0, |import| import.tokens))
 }
-
-fn transfer_time(config: &EngineModelConfig, tokens: u32) -> Duration {
-    Duration::from_secs_f64(f64::from(tokens) / config.performance.kv_transfer_tokens_per_second)
-}
--- a/crates/rehearsal/src/engine/model/state/stepping.rs
+++ b/crates/rehearsal/src/engine/model/state/stepping.rs
@@ -7,7 +7,7 @@
 use super::super::history::{RunEnd, RunRecord};
 use super::super::memory::Holding;
 use super::super::work::{ExportId, ExportedKv, GenerateWork, OutputEvent, WorkKind};
-use super::{EngineModel, Export, transfer_time};
+use super::{EngineModel, Export};
 
 impl EngineModel {
     pub(super) fn next_internal_event(&self) -> Option<Timestamp> {
@@ -78,7 +78,7 @@
         let Some(holding) = self.memory.hold(&work.blocks[..cached], work.longest_tokens()) else { return false };
         let work = first.remove();
         let phase = match work.import {
-            Some(import) => Phase::Importing { ready: now + transfer_time(&self.config, import.tokens) },
+            Some(import) => Phase::Importing { ready: now + self.config.performance.transfer_time(import.tokens) },
             None => Phase::Reading { left: work.context_tokens() - cached as u32 * BLOCK_TOKENS, in_step: 0 },
         };
         let run = self.history.start(RunRecord {
--- a/crates/rehearsal/src/engine/model/work.rs
+++ b/crates/rehearsal/src/engine/model/work.rs
@@ -153,6 +153,20 @@
     Cut,
 }
 
+impl OutputEvent {
+    /// Whether nothing more comes of the request.
+    pub fn is_last(&self) -> bool {
+        match self {
+            OutputEvent::Started | OutputEvent::Tokens { finish: None, .. } => false,
+            OutputEvent::Tokens { finish: Some(_), .. }
+            | OutputEvent::Refused(_)
+            | OutputEvent::PrefillDone(_)
+            | OutputEvent::Cancelled
+            | OutputEvent::Cut => true,
+        }
+    }
+}
+
 /// The answer to a cancellation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CancelOutcome {
--- /dev/null
+++ b/crates/rehearsal/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! The stand-in platform.
