Command line: run, check, status, intents, plans, policies, drain

Cause: operators and scripts had nothing to talk to a node with. Conclusion: usable as soon as a node answers the operators' API.

--- /dev/null
+++ b/crates/cli/src/commands/check.rs
@@ -0,0 +1,71 @@
+//! `havengate check`.
+
+use std::path::Path;
+
+use havengate_node::settings::{Settings, SettingsLayer, parse_toml};
+use havengate_rehearsal::deployment::Deployment;
+
+use super::files::read_text;
+use crate::error::CommandError;
+use crate::exit_status::ExitStatus;
+use crate::options::{CheckOptions, FileKind};
+use crate::output::Output;
+use crate::report::CheckReport;
+
+/// Keys that only one kind of file has at its top.
+const TELLTALE_KEYS: [(&str, FileKind); 8] = [
+    ("callers_address", FileKind::Settings),
+    ("operators_address", FileKind::Settings),
+    ("peers_address", FileKind::Settings),
+    ("platform_address", FileKind::Settings),
+    ("machine", FileKind::Deployment),
+    ("configuration", FileKind::Deployment),
+    ("client_latency", FileKind::Deployment),
+    ("remove", FileKind::Intent),
+];
+
+/// Checks a file and reports what it describes.
+///
+/// # Errors
+/// Everything that is wrong with the file.
+pub fn run(options: &CheckOptions, output: &Output) -> Result<ExitStatus, CommandError> {
+    let text = read_text(&options.file)?;
+    let kind = match options.kind {
+        Some(kind) => kind,
+        None => kind_of(&options.file, &text)?,
+    };
+    let report = match kind {
+        FileKind::Settings => check_settings(&options.file, &text)?,
+        FileKind::Deployment => check_deployment(&options.file, &text)?,
+        FileKind::Intent => check_intent(&options.file, &text)?,
+    };
+    output.print(&report)?;
+    Ok(ExitStatus::Done)
+}
+
+fn kind_of(path: &Path, text: &str) -> Result<FileKind, CommandError> {
+    let table: toml::Table = parse_toml(path, text)?;
+    let telltale = TELLTALE_KEYS.iter().find(|(key, _)| table.contains_key(*key));
+    telltale.map(|(_, kind)| *kind).ok_or_else(|| CommandError::UnknownKind { path: path.to_owned() })
+}
+
+fn check_settings(path: &Path, text: &str) -> Result<CheckReport, CommandError> {
+    let layer: SettingsLayer = parse_toml(path, text)?;
+    let settings = Settings::from_layer(layer)?;
+    settings.validate()?;
+    Ok(CheckReport::new(path, "settings", format!("a node in zone {}", settings.zone)))
+}
+
+fn check_deployment(path: &Path, text: &str) -> Result<CheckReport, CommandError> {
+    let deployment: Deployment = parse_toml(path, text)?;
+    deployment.validate()?;
+    let (zones, engines) = (deployment.configuration.zones.len(), deployment.configuration.engines.len());
+    let machines = deployment.machines.len();
+    let summary = format!("{}: {zones} zones, {machines} machines, {engines} engines", deployment.name);
+    Ok(CheckReport::new(path, "deployment", summary))
+}
+
+fn check_intent(path: &Path, text: &str) -> Result<CheckReport, CommandError> {
+    let _: toml::Table = parse_toml(path, text)?;
+    Ok(CheckReport::new(path, "intent", "the node checks the names in it when it is stated".to_owned()))
+}
--- /dev/null
+++ b/crates/cli/src/report/status.rs
@@ -0,0 +1,84 @@
+//! The text of `havengate status` and `havengate drain`.
+
+use std::time::Duration;
+
+use havengate_node::operators::{
+    ConfigurationStatus, DrainAnswer, EngineStatus, MemberStatus, NodeStatus, PoolStatus, StatusAnswer,
+};
+
+use super::table::{or_dash, table};
+use crate::output::Report;
+
+impl Report for StatusAnswer {
+    fn text(&self) -> String {
+        let pools: Vec<String> = self.pools.iter().map(pool_text).collect();
+        let parts = [
+            node_text(&self.node),
+            configuration_text(&self.configuration),
+            members_text(&self.members),
+            pools.join("\n\n"),
+        ];
+        parts.join("\n\n")
+    }
+}
+
+impl Report for DrainAnswer {
+    fn text(&self) -> String {
+        format!("draining: the node takes no new work and exits once its {} open streams have ended", self.open_streams)
+    }
+}
+
+fn node_text(node: &NodeStatus) -> String {
+    let seen = or_dash(node.store_last_seen.map(rounded).map(humantime::format_duration));
+    [
+        format!("node {} in {}, {}", node.address, node.zone, node.readiness),
+        format!("version {}, up {}", node.version, humantime::format_duration(rounded(node.uptime))),
+        format!("{} open streams, store last seen {seen} ago", node.open_streams),
+    ]
+    .join("\n")
+}
+
+fn configuration_text(configuration: &ConfigurationStatus) -> String {
+    let in_force = format!("configuration {} in force here", configuration.version.0);
+    let Some(pending) = configuration.pending else { return in_force };
+    let missing: Vec<String> = configuration.waiting_for.iter().map(ToString::to_string).collect();
+    format!("{in_force}, {} pending, waiting for: {}", pending.0, missing.join(", "))
+}
+
+fn members_text(members: &[MemberStatus]) -> String {
+    let row = |member: &MemberStatus| {
+        vec![
+            member.address.to_string(),
+            member.zone.to_string(),
+            member.state.clone(),
+            or_dash(member.configuration.map(|version| version.0)),
+        ]
+    };
+    table(&["MEMBER", "ZONE", "STATE", "CONFIGURATION"], &members.iter().map(row).collect::<Vec<_>>())
+}
+
+fn pool_text(pool: &PoolStatus) -> String {
+    let owner = or_dash(pool.owner);
+    let (term, waiting) = (or_dash(pool.term.map(|term| term.0)), or_dash(pool.waiting));
+    let head = format!("pool {}, owner {owner}, term {term}, {waiting} waiting", pool.pool);
+    let rows: Vec<Vec<String>> = pool.engines.iter().map(engine_row).collect();
+    let engines = table(&["ENGINE", "ZONE", "ROLE", "AVAILABILITY", "IN FLIGHT", "FENCE", "ORDER"], &rows);
+    format!("{head}\n{engines}")
+}
+
+fn engine_row(engine: &EngineStatus) -> Vec<String> {
+    vec![
+        engine.name.to_string(),
+        engine.zone.to_string(),
+        engine.role.to_string(),
+        or_dash(engine.availability.as_deref()),
+        or_dash(engine.in_flight),
+        or_dash(engine.fence.map(|term| term.0)),
+        or_dash(engine.order.map(|order| format!("{}.{}", order.term.0, order.sequence))),
+    ]
+}
+
+/// Milliseconds are enough for people.
+fn rounded(duration: Duration) -> Duration {
+    Duration::from_millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+}
