Callers' API: OpenAI-style completions, refusals with verdicts, metrics

Cause: callers need answers whole or streamed, and refusals that tell whether the request may have run. Change: callers::CallerApi on the HTTP server; pieces that are foreign, repeated or out of order are dropped and counted at the last hop; a cut stream ends with an error event and an unterminated body. metrics::Metrics. A closing connection lingers only where input was left unread. Conclusion: 30 tests over sockets, 14 of them bad input after which the API serves on.

--- a/crates/node/src/http_server/connection.rs
+++ b/crates/node/src/http_server/connection.rs
@@ -51,22 +51,33 @@
     let mut drained = false;
     let ended = loop {
         tokio::select! {
-            _ = poll_fn(|context| connection.poll_without_shutdown(context)) => break None,
-            overdue = &mut overdue => break Some(overdue),
+            result = poll_fn(|context| connection.poll_without_shutdown(context)) => break Ending::Closed(result),
+            overdue = &mut overdue => break Ending::Overdue(overdue),
             () = &mut draining, if !drained => {
                 Pin::new(&mut connection).graceful_shutdown();
                 drained = true;
             }
         }
     };
-    let stream = connection.into_parts().io.into_inner().into_inner();
+    let parts = connection.into_parts();
+    let stream = parts.io.into_inner().into_inner();
+    let all_read = parts.read_buf.is_empty() && !monitor.input_left();
     match ended {
-        None => linger(stream).await,
-        Some(Overdue::Head) => refuse(stream, &shared, ServerRefusal::HeadTimeout).await,
-        Some(Overdue::Idle | Overdue::Write) => {}
+        Ending::Closed(Ok(())) if all_read => {}
+        Ending::Closed(_) => linger(stream).await,
+        Ending::Overdue(Overdue::Head) => refuse(stream, &shared, ServerRefusal::HeadTimeout).await,
+        Ending::Overdue(Overdue::Idle | Overdue::Write) => {}
     }
 }
 
+/// Why a connection is at its end.
+enum Ending {
+    /// The client closed it, a limit of hyper's was broken, or its last response has been written.
+    Closed(hyper::Result<()>),
+    /// A limit of time was broken.
+    Overdue(Overdue),
+}
+
 /// Gives a connection that can't be served a refusal, and closes it.
 pub(super) async fn refuse(mut stream: TcpStream, shared: &ServerShared, refusal: ServerRefusal) {
     log::warn!(server = shared.config.name, reason = refusal.code(); "connection_refused");
@@ -142,11 +153,12 @@
     monitor: Monitor,
 ) -> Result<hyper::Response<ResponseBody>, Infallible> {
     let (trigger, hang_up) = hang_up();
-    let exchange = Exchange::start(monitor, trigger);
+    let exchange = Exchange::start(monitor.clone(), trigger);
     let answer = match handled(request, &shared, hang_up).await {
         Ok(answer) => answer,
         Err(refusal) => {
             log::warn!(server = shared.config.name, reason = refusal.code(); "request_refused");
+            monitor.leave_input();
             Answer::Whole(shared.handler.refuse(refusal))
         }
     };
--- a/crates/node/src/http_server/monitor.rs
+++ b/crates/node/src/http_server/monitor.rs
@@ -42,6 +42,7 @@
     phase: Phase,
     since: Instant,
     stalled_since: Option<Instant>,
+    input_left: bool,
     flushes: u64,
     flush_waiter: Option<Waker>,
 }
@@ -52,6 +53,7 @@
             phase: Phase::Idle,
             since: Instant::now(),
             stalled_since: None,
+            input_left: false,
             flushes: 0,
             flush_waiter: None,
         })))
@@ -80,6 +82,16 @@
         }
     }
 
+    /// Says that a request was refused before all of it was read.
+    pub(super) fn leave_input(&self) {
+        self.lock().input_left = true;
+    }
+
+    /// Whether a request was refused before all of it was read.
+    pub(super) fn input_left(&self) -> bool {
+        self.lock().input_left
+    }
+
     /// How many times all bytes handed to the socket have been written.
     pub(super) fn flushes(&self) -> u64 {
         self.lock().flushes
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engines;
 pub mod http_server;
 pub mod logging;
+pub mod metrics;
 pub mod operators;
 pub mod peers;
 pub mod platform;
--- /dev/null
+++ b/crates/node/src/metrics/labels.rs
@@ -0,0 +1,112 @@
+//! The labels of metrics. Their values come from configuration or from fixed lists, never from callers' input, so the
+//! number of series is bounded.
+
+use prometheus_client::encoding::EncodeLabelSet;
+
+/// How a caller's request ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// The tenant; empty when the bearer key belongs to none.
+    pub tenant: String,
+    /// The contract; empty when the request was refused before it was known.
+    pub contract: String,
+    /// The model; empty when it is unknown.
+    pub model: String,
+    /// `completed`, `not_run` or `may_have_run`.
+    pub verdict: &'static str,
+    /// The code of the reason; empty for a completed request.
+    pub reason: &'static str,
+}
+
+/// Something that is told apart by contract.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ContractLabel {
+    /// The contract.
+    pub contract: String,
+}
+
+/// Tokens by model and direction.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TokenLabels {
+    /// The model.
+    pub model: String,
+    /// `prompt` or `output`.
+    pub kind: &'static str,
+}
+
+/// Requests of one arm of a trial, by whether they met their contract.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ArmLabels {
+    /// The arm's name.
+    pub arm: String,
+    /// The contract.
+    pub contract: String,
+    /// Whether the first token and the mean interval came in time.
+    pub met: bool,
+}
+
+/// Something that is told apart by its cause.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CauseLabel {
+    /// The stable code of the cause.
+    pub cause: &'static str,
+}
+
+/// Something that is told apart by its outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// The stable code of the outcome.
+    pub outcome: &'static str,
+}
+
+/// Role changes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RoleChangeLabels {
+    /// The pool.
+    pub pool: String,
+    /// The role before.
+    pub from: &'static str,
+    /// The role after.
+    pub to: &'static str,
+}
+
+/// Something that is told apart by pool.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PoolLabel {
+    /// The pool.
+    pub pool: String,
+}
+
+/// Messages between nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MessageLabels {
+    /// `in` or `out`.
+    pub direction: &'static str,
+    /// The kind of the message.
+    pub kind: &'static str,
+}
+
+/// Members of the view.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MemberStateLabel {
+    /// `alive`, `suspect`, `leaving` or `dead`.
+    pub state: &'static str,
+}
+
+/// Calls to the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreLabels {
+    /// `read`, `write` or `watch`.
+    pub operation: &'static str,
+    /// `ok`, `conflict`, `throttled` or `unknown`.
+    pub outcome: &'static str,
+}
+
+/// Requests that an HTTP server refused by itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// `callers` or `operators`.
+    pub api: &'static str,
+    /// The stable code of the refusal.
+    pub reason: &'static str,
+}
--- /dev/null
+++ b/crates/node/tests/callers_support/mod.rs
@@ -0,0 +1,128 @@
+//! The callers' API over a socket, with a request handler that does what the test says.
+
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use havengate_core::configuration::Configuration;
+use havengate_core::request::{AnswerPiece, FinishReason, RequestId};
+use havengate_core::verdict::Verdict;
+use havengate_node::callers::{
+    AnswerSink, CallerApi, CallerDirectory, CallerLimits, CallerRequest, Readiness, RequestHandler,
+};
+use havengate_node::http_server::{HangUp, HttpServer, HttpServerConfig, HttpServerHandle};
+use havengate_node::metrics::Metrics;
+
+use crate::http_server_support::{PATIENCE, RawClient};
+
+/// What the handler does with a request.
+pub type Behaviour = dyn Fn(&CallerRequest, &mut dyn AnswerSink, &HangUp) -> Verdict + Send + Sync;
+
+/// The header lines of an ordinary request.
+pub const KEY: &str = "authorization: Bearer press-key\r\n";
+
+const CONFIGURATION: &str = r#"
+[[model]]
+name = "lekh-model"
+performance = { kv_capacity_tokens = 50000 }
+
+[[contract]]
+name = "verdict"
+first_token_within = "2s"
+token_interval = "100ms"
+repeatable = true
+priority = 7
+
+[[contract]]
+name = "ticket"
+first_token_within = "1s"
+token_interval = "100ms"
+repeatable = false
+
+[[tenant]]
+name = "press"
+api_key = "press-key"
+contract = "verdict"
+"#;
+
+struct FakeHandler {
+    directory: Arc<CallerDirectory>,
+    readiness: Readiness,
+    behaviour: Box<Behaviour>,
+}
+
+impl RequestHandler for FakeHandler {
+    fn submit(&self, request: CallerRequest, answer: &mut dyn AnswerSink, hang_up: &HangUp) -> Verdict {
+        (self.behaviour)(&request, answer, hang_up)
+    }
+
+    fn directory(&self) -> Arc<CallerDirectory> {
+        Arc::clone(&self.directory)
+    }
+
+    fn readiness(&self) -> Readiness {
+        self.readiness
+    }
+}
+
+/// A callers' API that listens.
+pub struct Callers {
+    pub server: HttpServerHandle,
+    pub metrics: Arc<Metrics>,
+}
+
+impl Callers {
+    /// An API in front of a handler with `behaviour`.
+    pub fn new(
+        behaviour: impl Fn(&CallerRequest, &mut dyn AnswerSink, &HangUp) -> Verdict + Send + Sync + 'static,
+    ) -> Self {
+        Callers::with(Readiness::Ready, HttpServerConfig::default(), behaviour)
+    }
+
+    pub fn with(
+        readiness: Readiness,
+        config: HttpServerConfig,
+        behaviour: impl Fn(&CallerRequest, &mut dyn AnswerSink, &HangUp) -> Verdict + Send + Sync + 'static,
+    ) -> Self {
+        let configuration: Configuration = toml::from_str(CONFIGURATION).expect("valid");
+        let directory = Arc::new(CallerDirectory::new(&configuration));
+        let handler = Arc::new(FakeHandler { directory, readiness, behaviour: Box::new(behaviour) });
+        let metrics = Arc::new(Metrics::new());
+        let api = Arc::new(CallerApi::new(handler, CallerLimits::default(), Arc::clone(&metrics)));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Callers { server: HttpServer::bind(any, config, api).expect("binds"), metrics }
+    }
+
+    /// Waits for `line` among the metrics: a request is counted once its answer has been written.
+    pub fn assert_metric(&self, line: &str) {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let metrics = self.metrics.encode().expect("text");
+            if metrics.contains(line) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "{line}\n{metrics}");
+            std::thread::yield_now();
+        }
+    }
+
+    pub fn client(&self) -> RawClient {
+        RawClient::connect(self.server.local_address())
+    }
+}
+
+/// A piece of one token for each word of `text`.
+pub fn piece(request: RequestId, first_token: u32, text: &str, finish: Option<FinishReason>) -> AnswerPiece {
+    let tokens = text.split_whitespace().count() as u32;
+    AnswerPiece { request, first_token, tokens, text: text.to_owned(), finish }
+}
+
+/// Answers "proof approved", in two pieces.
+pub fn approve(request: &CallerRequest, answer: &mut dyn AnswerSink, _: &HangUp) -> Verdict {
+    let id = request.profile.id;
+    let _ = answer.piece(piece(id, 0, "proof", None));
+    let _ = answer.piece(piece(id, 1, " approved", Some(FinishReason::Stop)));
+    Verdict::Completed
+}
