--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -164,3 +164,34 @@
     let error = Settings::load(Path::new("does/not/exist.toml")).expect_err("there is no such file");
     assert!(error.to_string().starts_with("does/not/exist.toml can't be read"), "{error}");
 }
+
+/// The rows of docs/SETTINGS.md for a table of settings: keys with their defaults.
+fn documented(table: &str) -> Vec<(String, String)> {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
+    let page = std::fs::read_to_string(page).expect("the page on settings");
+    let prefix = format!("| `{table}.");
+    let row = |line: &str| {
+        let (key, rest) = line.strip_prefix(&prefix)?.split_once('`')?;
+        Some((key.to_owned(), rest.split('|').nth(1)?.trim().to_owned()))
+    };
+    page.lines().filter_map(row).collect()
+}
+
+#[test]
+fn the_page_on_settings_has_every_key_with_its_default() {
+    let defaults = Settings::from_layer(parse_toml(Path::new("node.toml"), REQUIRED).expect("a valid file"));
+    let defaults = defaults.expect("all required keys are there");
+    let limits = toml::Table::try_from(&defaults.limits).expect("a table");
+    let deadlines = toml::Table::try_from(&defaults.deadlines).expect("a table");
+    for (name, table) in [("limits", limits), ("deadlines", deadlines)] {
+        let written = |(key, value): (&String, &toml::Value)| {
+            let value = value.as_str().map_or_else(|| value.to_string(), |text| text.replace(".0 ", " "));
+            (key.clone(), value)
+        };
+        let mut expected: Vec<(String, String)> = table.iter().map(written).collect();
+        let mut found = documented(name);
+        expected.sort();
+        found.sort();
+        assert_eq!(found, expected, "{name}");
+    }
+}
