Check deployments and intents by the core's own rules

Cause: the deployment had checks of its own for what Configuration::validate now decides, and intents went unchecked until the node saw them. Change: one set of rules; havengate check and havengate intent name unknown keys of an intent with the line; examples/intent.toml.

--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use havengate_core::plan::Intent;
 use havengate_node::settings::{Settings, SettingsLayer, parse_toml};
 use havengate_rehearsal::deployment::Deployment;
 
@@ -13,7 +14,7 @@
 use crate::report::CheckReport;
 
 /// Keys that only one kind of file has at its top.
-const TELLTALE_KEYS: [(&str, FileKind); 8] = [
+const TELLTALE_KEYS: [(&str, FileKind); 17] = [
     ("callers_address", FileKind::Settings),
     ("operators_address", FileKind::Settings),
     ("peers_address", FileKind::Settings),
@@ -21,7 +22,16 @@
     ("machine", FileKind::Deployment),
     ("configuration", FileKind::Deployment),
     ("client_latency", FileKind::Deployment),
+    ("roles", FileKind::Intent),
+    ("engine", FileKind::Intent),
+    ("model", FileKind::Intent),
+    ("role_policy", FileKind::Intent),
+    ("shadow_role_policies", FileKind::Intent),
+    ("arm", FileKind::Intent),
+    ("contract", FileKind::Intent),
+    ("tenant", FileKind::Intent),
     ("remove", FileKind::Intent),
+    ("zone", FileKind::Settings),
 ];
 
 /// Checks a file and reports what it describes.
@@ -66,6 +76,6 @@
 }
 
 fn check_intent(path: &Path, text: &str) -> Result<CheckReport, CommandError> {
-    let _: toml::Table = parse_toml(path, text)?;
+    let _: Intent = parse_toml(path, text)?;
     Ok(CheckReport::new(path, "intent", "the node checks the names in it when it is stated".to_owned()))
 }
--- a/crates/cli/src/commands/configuration.rs
+++ b/crates/cli/src/commands/configuration.rs
@@ -1,5 +1,6 @@
 //! `havengate intent`, `plan` and `confirm`: changes of the configuration.
 
+use havengate_core::plan::Intent;
 use havengate_node::operators::{ConfirmAnswer, ConfirmRequest, IntentDocument, PlanAnswer, PlanId, PlanList};
 use havengate_node::settings::parse_toml;
 
@@ -11,12 +12,13 @@
 use crate::output::Output;
 use crate::report::Confirmation;
 
-/// States an intent and prints the plan.
+/// States an intent and prints the plan. Unknown keys are found here, where the line can still be named.
 ///
 /// # Errors
 /// When the file can't be used, or the node refuses the intent or does not answer.
 pub fn propose(options: &IntentOptions, output: &Output) -> Result<ExitStatus, CommandError> {
     let text = read_text(&options.file)?;
+    let _: Intent = parse_toml(&options.file, &text)?;
     let intent: IntentDocument = parse_toml(&options.file, &text)?;
     let plan: PlanAnswer = Client::for_calls(&options.api).post("/intents", &intent)?;
     output.print(&plan)?;
--- a/crates/cli/tests/cli/files.rs
+++ b/crates/cli/tests/cli/files.rs
@@ -40,7 +40,12 @@
 
 #[test]
 fn the_examples_are_valid() {
-    for (name, kind) in [("node.toml", "settings"), ("himal-chhapai.toml", "deployment"), ("trag.toml", "deployment")] {
+    for (name, kind) in [
+        ("node.toml", "settings"),
+        ("intent.toml", "intent"),
+        ("himal-chhapai.toml", "deployment"),
+        ("trag.toml", "deployment"),
+    ] {
         let checked = run(&["check", "--format", "json", example(name).to_str().expect("a path")]);
         assert_eq!(checked.code, 0, "{name}: {checked:?}");
         let report: serde_json::Value = serde_json::from_str(&checked.output).expect("JSON");
@@ -62,6 +67,7 @@
             trag.replace("client_latency = \"3ms\"", "client_latency = \"3h\""),
             "`client_latency` is 3h; allowed",
         ),
+        ("intent", "[[roles]]\nmodle = \"x\"\n".to_owned(), "line 2, column 1: unknown field `modle`"),
         ("toml", "zone = [".to_owned(), "line 1"),
         ("kind", "colour = \"red\"".to_owned(), "--kind"),
     ];
--- a/crates/rehearsal/src/deployment/error.rs
+++ b/crates/rehearsal/src/deployment/error.rs
@@ -2,15 +2,26 @@
 
 use std::fmt;
 
+use displaydoc::Display;
+use havengate_core::configuration::ConfigurationError;
 use havengate_node::settings::{InvalidValue, TomlFileError};
 
+/// One thing that is wrong with a deployment.
+#[derive(Clone, Debug, Display, PartialEq, thiserror::Error)]
+pub enum DeploymentProblem {
+    /// {0}
+    Value(#[from] InvalidValue),
+    /// configuration: {0}
+    Configuration(#[from] ConfigurationError),
+}
+
 /// Why a deployment can't be used.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum DeploymentError {
     /// The file can't be read or isn't what a deployment looks like.
     File(#[from] TomlFileError),
     /// Values that are out of range or contradict each other.
-    Invalid(Vec<InvalidValue>),
+    Invalid(Vec<DeploymentProblem>),
 }
 
 impl fmt::Display for DeploymentError {
--- a/crates/rehearsal/src/deployment/mod.rs
+++ b/crates/rehearsal/src/deployment/mod.rs
@@ -8,5 +8,5 @@
 mod validation;
 
 pub use description::{Deployment, DeploymentMachine};
-pub use error::DeploymentError;
+pub use error::{DeploymentError, DeploymentProblem};
 pub use stand_ins::{EngineStandInOptions, PlatformStandInOptions};
