Operators' API: status, metrics, plans and policies over HTTP

Cause: operators and the command line need a node's view, its metrics and the way from intent to confirmed plan.

--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -1,8 +1,10 @@
 //! The operators' API: status, metrics, health, plans and policies over HTTP.
 
+mod api;
 mod handler;
 mod messages;
 
+pub use api::OperatorApi;
 pub use handler::OperatorHandler;
 pub use messages::{
     ConfigurationStatus, ConfirmAnswer, ConfirmRequest, DrainAnswer, EngineOutage, EngineStatus, GoodputPrediction,
