--- a/crates/rehearsal/src/engine/model/state/mod.rs
+++ b/crates/rehearsal/src/engine/model/state/mod.rs
@@ -1,5 +1,6 @@
 //! The engine model itself.
 
+mod refusal;
 mod stepping;
 
 use std::cmp::Reverse;
@@ -9,7 +10,6 @@
 use havengate_core::authority::{EngineArbiter, EngineReport, Order, OrderAction, OrderReply, Term};
 use havengate_core::request::{BLOCK_TOKENS, RequestId};
 use havengate_core::time::Timestamp;
-use havengate_core::world::EngineRole;
 use havengate_node::engines::dialect::{CacheEvents, LoadReport};
 
 use super::batch::{Phase, Sequence, Step};
@@ -18,9 +18,7 @@
 use super::memory::{Holding, KvMemory};
 use super::observation::{CacheFeed, LoadSamples};
 use super::recent::RecentRequests;
-use super::work::{
-    CancelOutcome, EngineOutput, EngineRefusalCode, ExportId, ExportedKv, GenerateWork, OutputEvent, WorkKind,
-};
+use super::work::{CancelOutcome, EngineOutput, EngineRefusalCode, ExportId, ExportedKv, GenerateWork, OutputEvent};
 
 /// What an engine does right now, exactly.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -284,31 +282,6 @@
         }
     }
 
-    fn refusal(&self, work: &GenerateWork) -> Option<EngineRefusalCode> {
-        let report = self.arbiter.report();
-        let is_known = |known: &GenerateWork| known.request == work.request;
-        let rules = [
-            (!self.is_up, EngineRefusalCode::Down),
-            (self.revoked.contains(work.request), EngineRefusalCode::Revoked),
-            (report.leaving, EngineRefusalCode::Leaving),
-            (report.changing, EngineRefusalCode::Changing),
-            (report.model != work.model, EngineRefusalCode::UnknownModel),
-            (!serves(report.role, work), EngineRefusalCode::WrongRole),
-            (!self.can_ever_run(work), EngineRefusalCode::Invalid),
-            (self.waiting.len() >= self.config.waiting_maximum, EngineRefusalCode::Full),
-            (self.waiting.values().any(is_known), EngineRefusalCode::Duplicate),
-            (self.batch.iter().any(|sequence| is_known(&sequence.work)), EngineRefusalCode::Duplicate),
-        ];
-        rules.into_iter().find(|(applies, _)| *applies).map(|(_, refusal)| refusal)
-    }
-
-    fn can_ever_run(&self, work: &GenerateWork) -> bool {
-        work.prompt_tokens > 0
-            && (1..=work.max_tokens).contains(&work.answer_tokens)
-            && work.resume_from <= work.answer_tokens
-            && work.longest_tokens() <= self.config.performance.kv_capacity_tokens
-    }
-
     fn waiting_key(&self, request: RequestId) -> Option<WaitingKey> {
         self.waiting.iter().find(|(_, work)| work.request == request).map(|(key, _)| *key)
     }
@@ -386,14 +359,6 @@
     }
 }
 
-fn serves(role: EngineRole, work: &GenerateWork) -> bool {
-    match work.kind {
-        WorkKind::Prefill => role.serves_prefill(),
-        WorkKind::Generate if work.import.is_some() => role.serves_decode(),
-        WorkKind::Generate => role == EngineRole::Mixed,
-    }
-}
-
 fn unread_prompt(work: &GenerateWork) -> u32 {
     work.context_tokens().saturating_sub(work.import.map_or(0, |import| import.tokens))
 }
--- a/crates/rehearsal/src/engine/server/generation.rs
+++ b/crates/rehearsal/src/engine/server/generation.rs
@@ -10,7 +10,7 @@
 use super::super::answer::{answer_length, expected_text};
 use super::super::model::{EngineRefusalCode, ExportedKv, GenerateWork, ImportedKv, OutputEvent, WorkKind};
 use super::handler::{EngineHandler, bad_request, ok, parse_request_id, refuse};
-use super::process::Submission;
+use super::process::EngineSubmission;
 
 impl EngineHandler {
     /// Runs a request and answers it.
@@ -36,13 +36,13 @@
         request: RequestId,
         body: &GenerateRequest,
         kind: WorkKind,
-    ) -> Result<Submission, EngineRefusalCode> {
+    ) -> Result<EngineSubmission, EngineRefusalCode> {
         if self.process.refuses_by_fault() {
             return Err(EngineRefusalCode::Full);
         }
         let mut work = work_of(request, body, kind);
         if let Some(handle) = &body.import {
-            self.process.with_model(|model, now| model.check(&work, now))?;
+            self.process.model.with_model(|model, now| model.check(&work, now))?;
             let kv = self.kv_client.claim(handle).ok_or(EngineRefusalCode::KvLost)?;
             work.import = Some(ImportedKv { tokens: kv.tokens });
         }
@@ -75,7 +75,7 @@
 struct Run<'handler> {
     handler: &'handler EngineHandler,
     request: RequestId,
-    submission: Submission,
+    submission: EngineSubmission,
     hang_up: HangUp,
 }
 
@@ -143,18 +143,18 @@
     /// The next output; `None` when the engine has died or the client has hung up.
     fn next_output(&self) -> Option<OutputEvent> {
         let output = select! {
-            recv(self.submission.outputs) -> output => output.ok(),
+            recv(self.submission.events) -> output => output.ok(),
             recv(self.hang_up.over()) -> _ => {
                 self.give_up();
                 None
             }
         };
-        self.handler.process.clock.wait_while_paused();
+        self.handler.process.model.wait_while_paused();
         output
     }
 
     fn give_up(&self) {
-        self.handler.process.hang_up(self.request, self.submission.ticket);
+        self.handler.process.hang_up(&self.submission);
     }
 }
 
--- a/crates/rehearsal/src/engine/server/handle.rs
+++ b/crates/rehearsal/src/engine/server/handle.rs
@@ -14,7 +14,7 @@
 use super::handler::EngineHandler;
 use super::kv_client::KvClient;
 use super::process::EngineProcess;
-use crate::http::StandInServer;
+use crate::stand_in::StandInServer;
 
 /// Requests that are answered beside those that run and wait: control calls, and requests about to be refused.
 const FURTHER_REQUESTS: usize = 64;
@@ -40,14 +40,14 @@
         let server_config = server_config(&config);
         let seed = config.seed;
         let model = EngineModel::new(config, Timestamp::ZERO)?;
-        let process = EngineProcess::start(model, seed)?;
+        let process = Arc::new(EngineProcess::start(model, seed)?);
         let handler = Arc::new(EngineHandler {
             process: Arc::clone(&process),
             address: OnceLock::new(),
             kv_client: KvClient::new(),
         });
-        let server =
-            StandInServer::start(address, server_config, Arc::clone(&handler) as _).inspect_err(|_| process.end())?;
+        let server = StandInServer::start(address, server_config, Arc::clone(&handler) as _)
+            .inspect_err(|_| process.model.end())?;
         handler.address.get_or_init(|| server.address());
         Ok(EngineHandle { process, server })
     }
@@ -78,7 +78,7 @@
 
     /// Kills the engine's process: it loses all but its history, its connections break, nothing listens.
     pub fn kill(&self) {
-        self.process.crash();
+        self.process.model.crash(EngineModel::crash);
         self.server.close();
     }
 
@@ -88,23 +88,23 @@
     /// When its address can't be listened at.
     pub fn restart(&self) -> io::Result<()> {
         self.kill();
-        self.process.with_model(EngineModel::restart);
+        self.process.model.with_model(EngineModel::restart);
         self.server.reopen()
     }
 
     /// Pauses the process: connections stay open and nothing is answered.
     pub fn pause(&self) {
-        self.process.pause();
+        self.process.model.pause();
     }
 
     /// Lets a paused process go on where it was.
     pub fn resume(&self) {
-        self.process.resume();
+        self.process.model.resume();
     }
 
     /// Announces that the engine is about to stop, or takes that back.
     pub fn set_leaving(&self, leaving: bool) {
-        self.process.with_model(|model, now| model.set_leaving(leaving, now));
+        self.process.model.with_model(|model, now| model.set_leaving(leaving, now));
     }
 
     /// Changes the faults from now on.
@@ -114,23 +114,23 @@
 
     /// What has run here, over all lives.
     pub fn history(&self) -> EngineHistory {
-        self.process.with_model(|model, _| model.history().clone())
+        self.process.model.with_model(|model, _| model.history().clone())
     }
 
     /// What the engine does right now.
     pub fn usage(&self) -> EngineUsage {
-        self.process.with_model(|model, _| model.usage())
+        self.process.model.with_model(|model, _| model.usage())
     }
 
     /// What the engine says of its orders and its role; `None` while it is dead.
     pub fn report(&self) -> Option<EngineReport> {
-        self.process.with_model(|model, _| model.report().cloned())
+        self.process.model.with_model(|model, _| model.report().cloned())
     }
 }
 
 impl Drop for EngineHandle {
     fn drop(&mut self) {
         self.kill();
-        self.process.end();
+        self.process.model.end();
     }
 }
--- a/crates/rehearsal/src/engine/server/handler.rs
+++ b/crates/rehearsal/src/engine/server/handler.rs
@@ -26,14 +26,14 @@
 
 impl Handler for EngineHandler {
     fn handle(&self, request: Request, response: ResponseSender) {
-        self.process.clock.wait_while_paused();
+        self.process.model.wait_while_paused();
         thread::sleep(self.process.faults().answer_delay);
         match (&request.method, request.path()) {
             (&Method::POST, "/v1/generate") => self.run(&request.body, WorkKind::Generate, response),
             (&Method::POST, "/v1/prefill") => self.run(&request.body, WorkKind::Prefill, response),
             _ => {
                 let answer = self.control(&request);
-                self.process.clock.wait_while_paused();
+                self.process.model.wait_while_paused();
                 response.send(answer);
             }
         }
@@ -49,7 +49,7 @@
             (&Method::POST, "/v1/orders") => with_body(body, |body| self.order(body)),
             (&Method::POST, "/v1/kv/claim") => with_body(body, |body| self.claim(body)),
             (&Method::GET, "/v1/state") => self.state(),
-            (&Method::GET, "/v1/load") => ok(&self.process.with_model(|model, now| model.load(now))),
+            (&Method::GET, "/v1/load") => ok(&self.process.model.with_model(|model, now| model.load(now))),
             (&Method::GET, "/v1/cache-events") => self.cache_events(request.query("after")),
             _ => Response::text(StatusCode::NOT_FOUND, "no such call"),
         }
@@ -57,27 +57,27 @@
 
     fn cancel(&self, body: CancelRequest) -> Response {
         let Some(request) = parse_request_id(&body.request) else { return bad_request("not a request id") };
-        let outcome = self.process.with_model(|model, now| model.cancel(request, now));
+        let outcome = self.process.model.with_model(|model, now| model.cancel(request, now));
         ok(&CancelAnswer { started: outcome == CancelOutcome::Started })
     }
 
     fn raise_fence(&self, body: FenceRequest) -> Response {
-        order_response(self.process.with_model(|model, now| model.raise_fence(body.term, now)))
+        order_response(self.process.model.with_model(|model, now| model.raise_fence(body.term, now)))
     }
 
     fn order(&self, order: Order) -> Response {
-        order_response(self.process.with_model(|model, now| model.order(&order, now)))
+        order_response(self.process.model.with_model(|model, now| model.order(&order, now)))
     }
 
     fn claim(&self, handle: KvHandle) -> Response {
-        match self.process.with_model(|model, now| model.claim_export(ExportId(handle.id), now)) {
+        match self.process.model.with_model(|model, now| model.claim_export(ExportId(handle.id), now)) {
             Some(kv) => ok(&KvHandle { tokens: kv.tokens, ..handle }),
             None => Response::text(StatusCode::NOT_FOUND, "no such KV cache"),
         }
     }
 
     fn state(&self) -> Response {
-        match self.process.with_model(|model, _| model.report().cloned()) {
+        match self.process.model.with_model(|model, _| model.report().cloned()) {
             Some(report) => ok(&report),
             None => Response::text(StatusCode::SERVICE_UNAVAILABLE, "the engine is down"),
         }
@@ -85,7 +85,7 @@
 
     fn cache_events(&self, after: Option<&str>) -> Response {
         match after.unwrap_or("0").parse() {
-            Ok(after) => ok(&self.process.with_model(|model, now| model.cache_events(after, now))),
+            Ok(after) => ok(&self.process.model.with_model(|model, now| model.cache_events(after, now))),
             Err(_) => bad_request("`after` is not a number"),
         }
     }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -2,5 +2,5 @@
 
 pub mod deployment;
 pub mod engine;
-pub mod http;
 pub mod platform;
+pub mod stand_in;
--- a/crates/rehearsal/tests/engine_server.rs
+++ b/crates/rehearsal/tests/engine_server.rs
@@ -1,9 +1,9 @@
 //! The stand-in engine on a real socket, called through the node's adapter.
 
 mod engine_support;
+mod stand_in_support;
 
 use std::net::SocketAddr;
-use std::thread;
 use std::time::Duration;
 
 use engine_support::{MODEL, config};
@@ -15,6 +15,7 @@
 use havengate_rehearsal::engine::model::{EngineModelConfig, RunEnd};
 use havengate_rehearsal::engine::server::{EngineFaults, EngineHandle, EngineServer};
 use havengate_rehearsal::engine::{answer_length, expected_text};
+use stand_in_support::wait_until;
 
 const LOOPBACK: &str = "127.0.0.1:0";
 /// Long enough for an answer to be far from its end when its first line is read.
@@ -67,17 +68,6 @@
     lines.iter().map(|line| line.text.as_str()).collect()
 }
 
-/// Waits until `condition` holds; fails the test when it never does.
-fn wait_until(what: &str, condition: impl Fn() -> bool) {
-    for _ in 0..2_000 {
-        if condition() {
-            return;
-        }
-        thread::sleep(Duration::from_millis(5));
-    }
-    panic!("never came: {what}");
-}
-
 #[test]
 fn answer_is_whole_and_its_own() {
     let engine = start(EngineRole::Mixed);
