core: fault and history tests of configuration; ready_until

Cause: the guarantees of configuration were not proven, and a process that wakes from a pause could serve by an old version in the moment before its control thread notices.

--- a/crates/core/src/configuration/replica.rs
+++ b/crates/core/src/configuration/replica.rs
@@ -131,11 +131,18 @@
     }
 
     /// Whether no version higher than [`in_force`](Self::in_force) has been accepted without this node: only then may
-    /// the node take work.
+    /// the node take work. True as of the last call; see [`ready_until`](Self::ready_until) for other threads.
     pub fn is_ready(&self) -> bool {
         self.synchronization.is_ready()
     }
 
+    /// Until when the node may take work without a further call, as a lease: a process that was paused must not serve
+    /// by an old version in the moment between waking and noticing. Nothing when the node is not ready.
+    pub fn ready_until(&self) -> Option<Timestamp> {
+        let last_call = self.last_call.filter(|_| self.is_ready())?;
+        Some(last_call + self.config.pause_maximum)
+    }
+
     /// How far the node is.
     pub fn watermarks(&self) -> Watermarks {
         self.versions.watermarks()
--- a/crates/core/tests/support/configuration_world.rs
+++ b/crates/core/tests/support/configuration_world.rs
@@ -16,8 +16,8 @@
 
 use fastrand::Rng;
 use havengate_core::configuration::{
-    ConfigurationAction, ConfigurationInput, ConfigurationMessage, ConfigurationReplica, ConfigurationVersion,
-    LiveMember, LiveView, ReplicaConfig, StoreToken,
+    ConfigurationAction, ConfigurationInput, ConfigurationMessage, ConfigurationRecord, ConfigurationReplica,
+    ConfigurationVersion, LiveMember, LiveView, ReplicaConfig, StoreToken, configuration_key,
 };
 use havengate_core::membership::{Incarnation, Member};
 use havengate_core::plan::{Confirmation, ConfirmationOutcome, Plan, StagePlan, StoreEditConfig, StoreEditEnd};
@@ -53,6 +53,7 @@
 enum Client {
     Replica(Member),
     Operator(usize),
+    Reader(usize),
 }
 
 #[derive(Clone, Debug)]
@@ -84,6 +85,8 @@
 /// A confirmation by an operator.
 pub struct Operator {
     confirmation: Confirmation,
+    /// The plan.
+    pub plan: Plan,
     via: usize,
     /// When it was begun.
     pub called: Timestamp,
@@ -92,6 +95,14 @@
     told: bool,
 }
 
+/// A read of the store's record by an operator.
+pub struct RecordRead {
+    /// When it was begun.
+    pub called: Timestamp,
+    /// When it was answered, and with which latest version.
+    pub ended: Option<(Timestamp, ConfigurationVersion)>,
+}
+
 /// Messages and bytes that nodes have sent.
 #[derive(Clone, Copy, Default)]
 pub struct Traffic {
@@ -117,6 +128,8 @@
     pub accepted: BTreeMap<ConfigurationVersion, Timestamp>,
     /// Confirmations.
     pub operators: Vec<Operator>,
+    /// Reads by operators.
+    pub reads: Vec<RecordRead>,
     config: ReplicaConfig,
     random: Rng,
     nodes: Vec<Node>,
@@ -135,6 +148,17 @@
 impl World {
     /// `zones` zones with `nodes_per_zone` nodes each; the nodes are not started yet.
     pub fn new(seed: u64, zones: usize, nodes_per_zone: usize, faults: NetworkFaults) -> World {
+        World::with_config(seed, zones, nodes_per_zone, faults, ReplicaConfig::default())
+    }
+
+    /// The same with other settings of the replicas.
+    pub fn with_config(
+        seed: u64,
+        zones: usize,
+        nodes_per_zone: usize,
+        faults: NetworkFaults,
+        config: ReplicaConfig,
+    ) -> World {
         let mut world = World {
             now: Timestamp::from_millis(1_000),
             store: StoreModel::new(seed),
@@ -143,7 +167,8 @@
             adopted: BTreeMap::new(),
             accepted: BTreeMap::new(),
             operators: Vec::new(),
-            config: ReplicaConfig::default(),
+            reads: Vec::new(),
+            config,
             random: Rng::with_seed(seed),
             nodes: Vec::new(),
             network: VirtualNetwork::new(seed, faults),
@@ -273,12 +298,26 @@
     /// Begins to confirm `plan`; node `via` learns of its success.
     pub fn confirm(&mut self, plan: &Plan, via: usize) -> usize {
         let confirmation = Confirmation::new(StoreEditConfig::default(), StagePlan::new(plan.clone()), self.now);
-        self.operators.push(Operator { confirmation, via, called: self.now, ended: None, told: false });
+        self.operators.push(Operator {
+            confirmation,
+            plan: plan.clone(),
+            via,
+            called: self.now,
+            ended: None,
+            told: false,
+        });
         let operator = self.operators.len() - 1;
         self.drive_operator(operator);
         operator
     }
 
+    /// Begins to read the store's record.
+    pub fn read_record(&mut self) {
+        self.reads.push(RecordRead { called: self.now, ended: None });
+        let client = Client::Reader(self.reads.len() - 1);
+        self.ask_store(client, StoreToken::default(), StoreRequest::Read { key: configuration_key() });
+    }
+
     /// A node's replica, unless it is stopped.
     pub fn replica(&self, index: usize) -> Option<&ConfigurationReplica> {
         self.nodes[index].replica.as_ref()
@@ -292,8 +331,8 @@
     /// Whether a node runs, counts itself as live and is ready to serve.
     pub fn serves(&self, index: usize) -> bool {
         let node = &self.nodes[index];
-        let ready = node.replica.as_ref().is_some_and(ConfigurationReplica::is_ready);
-        ready && !node.paused && !node.suspended
+        let ready_until = node.replica.as_ref().and_then(ConfigurationReplica::ready_until);
+        ready_until.is_some_and(|until| self.now <= until) && !node.paused && !node.suspended
     }
 
     /// Whether all nodes serve.
@@ -375,6 +414,12 @@
                 self.operators[operator].confirmation.step(token, reply, now);
                 self.drive_operator(operator);
             }
+            Event::StoreAnswers { client: Client::Reader(read), reply, .. } => {
+                if let StoreReply::Object(Some(object)) = reply {
+                    let record: ConfigurationRecord = serde_json::from_str(&object.value).expect("a readable record");
+                    self.reads[read].ended = Some((self.now, record.latest()));
+                }
+            }
             Event::ViewArrives { node, sequence, view } => {
                 if sequence > self.nodes[node].view_sequence && !self.nodes[node].paused {
                     self.nodes[node].view_sequence = sequence;
@@ -389,7 +434,9 @@
             Event::Suspend { node, isolation } => {
                 if self.nodes[node].isolated == Some(isolation) {
                     self.nodes[node].suspended = true;
-                    self.step(node, ConfigurationInput::Suspended);
+                    if !self.nodes[node].paused {
+                        self.step(node, ConfigurationInput::Suspended);
+                    }
                 }
             }
             Event::Detect { node, silence } => {
