Gateway machine: ranked targets, revocation, retries, exact answers

Change: a state machine for one request, an assembler for its answer and a picker of pools; the load on the wire is the core's type.

--- a/crates/core/src/claims/slot_plan.rs
+++ b/crates/core/src/claims/slot_plan.rs
@@ -2,10 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use super::slot_map::{HOLDERS, HolderSet, MapVersion, SLOTS, Slot, SlotHolder, SlotIndex, SlotMap};
-use crate::membership::Member;
+use crate::membership::{Member, rank_by_address};
 use crate::world::{Address, ZoneName};
 
 /// Earlier holder sets that a slot may carry; with as many it is not changed until it has settled. A slot gets one more
@@ -103,8 +101,7 @@
 }
 
 fn add_holders(index: SlotIndex, version: MapVersion, nodes: &[CandidateHolder], holders: &mut Vec<SlotHolder>) {
-    let mut ranked: Vec<&CandidateHolder> = nodes.iter().collect();
-    ranked.sort_by_key(|node| (std::cmp::Reverse(score(index, node.member.address)), node.member.address));
+    let ranked = rank_by_address(&index.0.to_be_bytes(), nodes, |node| node.member.address);
     for needs_new_zone in [true, false] {
         for node in &ranked {
             let is_free = |holder: &SlotHolder| {
@@ -117,8 +114,3 @@
         }
     }
 }
-
-/// Rendezvous hashing: a node's rank for a slot does not depend on the other nodes.
-fn score(index: SlotIndex, address: Address) -> u64 {
-    xxh3_64_with_seed(address.to_string().as_bytes(), u64::from(index.0))
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod claims;
 pub mod configuration;
 pub mod dispatch;
+pub mod gateway;
 pub mod membership;
 pub mod plan;
 pub mod policy;
--- a/crates/wire/src/forward.rs
+++ b/crates/wire/src/forward.rs
@@ -1,5 +1,6 @@
 //! Requests on their way from the gateway to the dispatching node, and answers on their way back.
 
+pub use havengate_core::gateway::PoolLoad;
 use havengate_core::request::{AnswerPiece, RequestId, RequestProfile};
 use havengate_core::verdict::Verdict;
 use havengate_core::world::PoolId;
@@ -58,14 +59,3 @@
     /// The request may have started; if it runs, it is being cancelled.
     MayHaveStarted,
 }
-
-/// How busy a pool is, as its dispatcher sees it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
-pub struct PoolLoad {
-    /// Prompt tokens placed or waiting, and not yet read.
-    pub waiting_prefill_tokens: u32,
-    /// Requests that run.
-    pub running: u32,
-    /// Engines that take new work.
-    pub serving_engines: u16,
-}
