--- a/crates/node/src/logging/line.rs
+++ b/crates/node/src/logging/line.rs
@@ -22,14 +22,32 @@
             write!(formatter, "time={} ", humantime::format_rfc3339_millis(time))?;
         }
         let level = self.record.level().as_str().to_lowercase();
-        write!(formatter, "level={level} event={}", Quoted(&self.record.args().to_string()))?;
+        let message = self.record.args().to_string();
+        let event = self.pair(EVENT).unwrap_or_else(|| message.clone());
+        write!(formatter, "level={level} event={}", Quoted(&event))?;
         if let Some(module) = self.record.module_path() {
             write!(formatter, " module={module}")?;
         }
-        if let Some(request) = self.request {
-            write!(formatter, " request={request}")?;
+        if let Some(request) = self.pair(REQUEST).or(self.request.map(|request| request.to_string())) {
+            write!(formatter, " request={}", Quoted(&request))?;
         }
-        self.record.key_values().visit(&mut PairWriter { formatter }).map_err(|_| fmt::Error)
+        self.record.key_values().visit(&mut PairWriter { formatter }).map_err(|_| fmt::Error)?;
+        if !message.is_empty() && message != event {
+            write!(formatter, " message={}", Quoted(&message))?;
+        }
+        Ok(())
+    }
+}
+
+/// The pair that names the event; without it, the message does.
+const EVENT: &str = "event";
+
+/// The pair that names the request; without it, the thread's scope does.
+const REQUEST: &str = "request";
+
+impl Line<'_> {
+    fn pair(&self, key: &str) -> Option<String> {
+        self.record.key_values().get(Key::from_str(key)).map(|value| value.to_string())
     }
 }
 
@@ -39,6 +57,9 @@
 
 impl<'kvs> VisitSource<'kvs> for PairWriter<'_, '_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        if matches!(key.as_str(), EVENT | REQUEST) {
+            return Ok(());
+        }
         self.formatter.write_char(' ')?;
         for character in key.as_str().chars() {
             self.formatter.write_char(if is_key_character(character) { character } else { '_' })?;
--- a/crates/node/src/logging/mod.rs
+++ b/crates/node/src/logging/mod.rs
@@ -2,11 +2,11 @@
 //!
 //! # How to log
 //!
-//! The message is the event's name in snake case, and everything else is a pair of the `log` crate's `kv` feature:
+//! The pair `event` names the event in snake case; everything else is a pair of the `log` crate's `kv` feature, too:
 //!
 //! ```
 //! # let (engine, waited) = ("lekh-model-03", "12ms");
-//! log::info!(engine, waited; "request_started");
+//! log::info!(event = "request_started", engine, waited; "");
 //! ```
 //!
 //! which gives
@@ -18,8 +18,10 @@
 //! - `name = value` takes strings, numbers and booleans; `name:% = value` writes anything by its `Display`.
 //! - A value with spaces, quotes, `=`, a backslash or control characters, and the empty value, is written in double
 //!   quotes with `\"`, `\\`, `\n`, `\r`, `\t` and `\uXXXX`, so that an event is always one line.
-//! - `time`, `level`, `event`, `module` and `request` are written by this module: no pair may be called so.
+//! - `time`, `level` and `module` are written by this module: no pair may be called so. `message` is the text
+//!   after the semicolon, if any; without the pair `event`, as in libraries, the text is the event.
 //! - A thread that works on a request holds a [`RequestScope`]; each line that it logs meanwhile carries `request=`.
+//!   Elsewhere, lines that belong to a request have the pair `request`.
 //! - Durations are written with their unit, by `humantime`. Prompts, answers and bearer keys are never logged.
 //!
 //! A line that can't be written is dropped: the log may not stop the traffic.
--- a/crates/node/src/logging/output.rs
+++ b/crates/node/src/logging/output.rs
@@ -55,6 +55,6 @@
         let place = panic.location().map(ToString::to_string).unwrap_or_default();
         let thread = std::thread::current();
         let name = thread.name().unwrap_or("unnamed");
-        log::error!(thread = name, place = place, message = message; "panic");
+        log::error!(event = "panic", thread = name, place = place; "{message}");
     }));
 }
--- a/crates/node/tests/logging.rs
+++ b/crates/node/tests/logging.rs
@@ -108,6 +108,13 @@
     assert_eq!(line, expected);
 }
 
+#[test]
+fn the_event_and_the_request_may_be_pairs() {
+    let pairs = [("engine", "a"), ("event", "engine_lost"), ("request", "7")];
+    assert_eq!(line_of("", &pairs), "level=info event=engine_lost request=7 engine=a");
+    assert_eq!(line_of("was it?", &pairs[..2]), "level=info event=engine_lost engine=a message=\"was it?\"");
+}
+
 #[test]
 fn values_are_quoted_where_needed_and_only_there() {
     let pairs = [
