Prove the failure detector under faults; settle stale suspicions

Change: a digest that differs is checked again with the same peer before records are requested; a node that hears a refuted suspicion sends the refutation back.

--- a/crates/core/src/membership/detector.rs
+++ b/crates/core/src/membership/detector.rs
@@ -28,6 +28,14 @@
     pub(super) postponed: bool,
 }
 
+/// A peer whose digest differed. It is asked once more, after gossip has had time to settle the difference.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Recheck {
+    pub(super) peer: Address,
+    pub(super) due: Timestamp,
+    pub(super) asked: bool,
+}
+
 /// The failure detector of one node.
 ///
 /// The caller hands in messages ([`Membership::step`]) and the passing of time ([`Membership::tick`], at the latest at
@@ -58,7 +66,7 @@
     pub(super) region_gossip: GossipQueue,
     pub(super) suspicions: BTreeMap<Address, Suspicion>,
     pub(super) tombstones: BTreeMap<Address, Timestamp>,
-    pub(super) mismatches: BTreeMap<ZoneName, Timestamp>,
+    pub(super) recheck: Option<Recheck>,
     pub(super) last_sync: Option<Timestamp>,
     pub(super) reach: ZoneReach,
     pub(super) timers: Timers,
@@ -100,7 +108,7 @@
             region_gossip: GossipQueue::default(),
             suspicions: BTreeMap::new(),
             tombstones: BTreeMap::new(),
-            mismatches: BTreeMap::new(),
+            recheck: None,
             last_sync: None,
             reach: ZoneReach::default(),
             timers: Timers::starting_at(now),
@@ -218,7 +226,7 @@
         self.questions.clear();
         self.zone_gossip.clear();
         self.region_gossip.clear();
-        self.mismatches.clear();
+        self.recheck = None;
         self.last_sync = None;
         self.reach.clear();
         self.timers = Timers::starting_at(now);
--- a/crates/core/src/membership/receive.rs
+++ b/crates/core/src/membership/receive.rs
@@ -1,6 +1,6 @@
 //! Handling of messages.
 
-use super::detector::Membership;
+use super::detector::{Membership, Recheck};
 use super::member::Member;
 use super::message::{Digest, MembershipMessage, MessageBody, Sequence, ZoneDigest};
 use super::probe::Relay;
@@ -34,6 +34,7 @@
         if self.standing.must_rejoin() {
             return;
         }
+        self.correct_suspicions(from, &message.records);
         match message.body {
             MessageBody::Ping { sequence } => self.answer(sender, standing, sequence, message.digest, now),
             MessageBody::Join { sequence } => self.acknowledge(sender, standing, sequence),
@@ -76,6 +77,22 @@
         records.iter().any(|record| record.member == self.me && record.liveness != Liveness::Alive)
     }
 
+    /// Sends the refutation to a node that still spreads a suspicion that has been refuted.
+    fn correct_suspicions(&mut self, from: Address, records: &[MemberRecord]) {
+        let is_refuted = |known: &MemberRecord, suspicion: &MemberRecord| {
+            known.member == suspicion.member && known.revision > suspicion.revision
+        };
+        let refutations: Vec<MemberRecord> = records
+            .iter()
+            .filter(|record| record.liveness == Liveness::Suspect)
+            .filter_map(|record| self.view.record(record.member.address).filter(|known| is_refuted(known, record)))
+            .cloned()
+            .collect();
+        if !refutations.is_empty() {
+            self.send(from, MessageBody::Gossip, refutations);
+        }
+    }
+
     /// Records of a past life are stale, but what they say of this node's own life matters all the same.
     fn learn_own_fate(&mut self, records: &[MemberRecord], now: Timestamp) {
         let own_address = self.me.address;
@@ -135,22 +152,33 @@
 
     /// Asks for records when the digests differ and gossip had time to settle it.
     fn compare_digest(&mut self, sender: Member, standing: Sender, digest: Digest, now: Timestamp) {
-        let zone = self.view.record(sender.address).map(|record| record.zone.clone());
+        let is_known = self.view.record(sender.address).is_some();
         if standing == Sender::Past || self.standing != Standing::Trusted {
             return;
         }
-        let Some(zone) = zone else { return self.request_sync(sender.address, now) };
+        if !is_known {
+            return self.request_sync(sender.address, now);
+        }
+        let rechecked = self.recheck.filter(|recheck| recheck.peer == sender.address);
         if digest == self.roster.digest {
-            self.mismatches.remove(&zone);
+            self.recheck = self.recheck.filter(|_| rechecked.is_none());
             return;
         }
-        let since = *self.mismatches.entry(zone.clone()).or_insert(now);
-        if now.since(since) >= self.config.sync_patience {
-            self.mismatches.remove(&zone);
-            self.request_sync(sender.address, now);
+        match rechecked {
+            Some(recheck) if recheck.asked => {
+                self.recheck = None;
+                self.request_sync(sender.address, now);
+            }
+            Some(_) => {}
+            None => self.begin_recheck(sender.address, now),
         }
     }
 
+    fn begin_recheck(&mut self, peer: Address, now: Timestamp) {
+        let due = now + self.config.sync_patience;
+        self.recheck.get_or_insert(Recheck { peer, due, asked: false });
+    }
+
     fn request_sync(&mut self, peer: Address, now: Timestamp) {
         if self.last_sync.is_some_and(|last| now.since(last) < self.config.sync_interval) {
             return;
--- a/crates/core/src/membership/timers.rs
+++ b/crates/core/src/membership/timers.rs
@@ -5,7 +5,7 @@
 use fastrand::Rng;
 
 use super::config::MembershipConfig;
-use super::detector::Membership;
+use super::detector::{Membership, Recheck};
 use super::member::Member;
 use super::message::{MessageBody, Sequence};
 use super::probe::{Probe, ProbeStage};
@@ -68,6 +68,7 @@
             self.probe_zone_mates(now);
             self.probe_other_zones(now);
             self.reconnect(now);
+            self.recheck_digest(now);
             self.gossip(now);
         } else {
             self.join(now);
@@ -88,6 +89,7 @@
             Some(self.timers.zone_probe),
             gossips.then_some(self.timers.gossip),
             self.questions.next_deadline(),
+            self.recheck.map(|recheck| recheck.due),
             self.suspicions.values().map(|suspicion| suspicion.deadline).min(),
         ];
         candidates.into_iter().flatten().min().unwrap_or(self.timers.probe)
@@ -279,6 +281,18 @@
         }
     }
 
+    /// Asks the peer whose digest differed for its digest of now; without an answer the difference is forgotten.
+    fn recheck_digest(&mut self, now: Timestamp) {
+        let Some(recheck) = self.recheck.filter(|recheck| recheck.due <= now) else { return };
+        if recheck.asked {
+            self.recheck = None;
+            return;
+        }
+        let due = now + self.config.ping_timeout;
+        self.recheck = Some(Recheck { due, asked: true, ..recheck });
+        self.ping(recheck.peer, now);
+    }
+
     fn gossip(&mut self, now: Timestamp) {
         if now < self.timers.gossip {
             return;
--- a/crates/core/tests/support/membership_cluster.rs
+++ b/crates/core/tests/support/membership_cluster.rs
@@ -129,7 +129,10 @@
         self.network.kill(index);
     }
 
+    /// Starts a process anew; one that was paused ends first.
     pub fn restart(&mut self, index: NodeIndex) {
+        self.network.kill(index);
+        self.network.resume(index, self.now);
         self.network.restart(index);
         self.nodes[index] = self.new_node(index);
         self.schedule.insert((self.now, index));
