Authority tests name the token interval of a demand

Cause: the demand gained a field while the authority was built. Change: the tests' demand names it. Conclusion: they compile again.

--- a/crates/core/tests/authority_support/node.rs
+++ b/crates/core/tests/authority_support/node.rs
@@ -194,6 +194,7 @@
         decode_floor: 0,
         prefill_tokens_per_second: 0.0,
         decode_tokens_per_second: 0.0,
+        token_interval: Duration::ZERO,
         waiting_prefill_tokens: 0,
         waiting_decode_tokens: 0,
         performance: EnginePerformance::default(),
