Control of a node: membership, configuration and pools joined

Cause: failure detector, replica and authority are state machines of their own that nothing joins. Change: NodeControl passes the view to the replica and to the pools, adopts configurations, ranks owners, and hands out one list of actions; a node that has been suspended begins a new life in all of them at once. A dispatcher gives its waiting requests up when its node loses the pool.

--- /dev/null
+++ b/crates/core/src/control/node_control.rs
@@ -0,0 +1,304 @@
+//! The control of one node.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::config::{ControlConfig, ControlConfigError};
+use super::message::{ControlAction, ControlInput, ControlMessage, StoreCaller};
+use super::pools::PoolStanding;
+use crate::authority::AuthorityInput;
+use crate::configuration::{
+    Configuration, ConfigurationAction, ConfigurationInput, ConfigurationReplica, ConfigurationVersion, LiveMember,
+    LiveView,
+};
+use crate::membership::{Incarnation, Member, Membership, MembershipEvent, Standing, View};
+use crate::time::Timestamp;
+use crate::world::{Address, PoolId, ZoneName};
+
+/// Who a node is, and whom it asks first.
+#[derive(Clone, Debug)]
+pub struct NodeIdentity {
+    /// The node in its first life.
+    pub member: Member,
+    /// The zone of its machine.
+    pub zone: ZoneName,
+    /// Nodes through which it joins.
+    pub seeds: Vec<Address>,
+}
+
+/// What a node's control publishes.
+#[derive(Clone, Debug)]
+pub struct ControlStatus {
+    /// This node in its present life.
+    pub me: Member,
+    /// Whether it may take new work.
+    pub standing: Standing,
+    /// Until when it may take new work if control says nothing more.
+    pub trusted_until: Option<Timestamp>,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// The version in force, if any.
+    pub version: Option<ConfigurationVersion>,
+    /// Whether the version in force is known not to be outdated.
+    pub configuration_ready: bool,
+}
+
+/// Joins the parts of a node's control.
+pub struct NodeControl {
+    config: ControlConfig,
+    zone: ZoneName,
+    membership: Membership,
+    replica: ConfigurationReplica,
+    in_force: Arc<Configuration>,
+    version: Option<ConfigurationVersion>,
+    pools: BTreeMap<PoolId, PoolStanding>,
+    leaving: bool,
+    next_pool_tick: Timestamp,
+    revision: u64,
+    actions: Vec<ControlAction>,
+}
+
+impl NodeControl {
+    /// The control of a process that starts at `now`. `seed` makes its random choices repeatable.
+    ///
+    /// # Errors
+    /// When a setting is out of range.
+    pub fn new(
+        config: ControlConfig,
+        identity: NodeIdentity,
+        now: Timestamp,
+        seed: u64,
+    ) -> Result<Self, ControlConfigError> {
+        config.validate()?;
+        let NodeIdentity { member, zone, seeds } = identity;
+        let membership = Membership::new(config.membership.clone(), member, zone.clone(), seeds, now, seed)?;
+        let replica = ConfigurationReplica::new(config.configuration.clone(), member, zone.clone(), seed)?;
+        let mut control = NodeControl {
+            config,
+            zone,
+            membership,
+            replica,
+            in_force: Arc::default(),
+            version: None,
+            pools: BTreeMap::new(),
+            leaving: false,
+            next_pool_tick: now,
+            revision: 0,
+            actions: Vec::new(),
+        };
+        control.share_view(now);
+        control.follow_up(now);
+        Ok(control)
+    }
+
+    /// Takes in what has happened.
+    pub fn step(&mut self, input: ControlInput, now: Timestamp) {
+        match input {
+            ControlInput::Datagram { from, message } => self.membership.step(from, message, now),
+            ControlInput::Peer { from, message } => self.peer_message(from, message, now),
+            ControlInput::StoreReply { caller, reply } => match caller {
+                StoreCaller::Configuration(token) => {
+                    self.replica.step(ConfigurationInput::Store { token, reply }, now);
+                }
+                StoreCaller::Pool(pool) => self.step_pool(&pool, AuthorityInput::StoreReply(reply), now),
+            },
+            ControlInput::FenceReply { pool, engine, reply } => {
+                self.step_pool(&pool, AuthorityInput::FenceReply { engine, reply }, now);
+            }
+            ControlInput::EngineReply { pool, engine, reply } => {
+                self.step_pool(&pool, AuthorityInput::EngineReply { engine, reply }, now);
+            }
+            ControlInput::Observation { pool, observation } => {
+                if let Some(control) = self.pools.get_mut(&pool).and_then(|standing| standing.control.as_mut()) {
+                    control.observe(observation);
+                }
+            }
+            ControlInput::MachinesLeaving(addresses) => self.membership.hint_leaving(&addresses, now),
+            ControlInput::Recorded(record) => self.replica.step(ConfigurationInput::Recorded(record), now),
+            ControlInput::Leave => {
+                self.leaving = true;
+                self.membership.leave(now);
+            }
+        }
+        self.follow_up(now);
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.membership.tick(now);
+        self.replica.tick(now);
+        if now >= self.next_pool_tick {
+            self.next_pool_tick = now + self.config.pool_tick_interval;
+            for standing in self.pools.values_mut() {
+                if let Some(control) = &mut standing.control {
+                    control.tick(now);
+                }
+            }
+        }
+        self.follow_up(now);
+    }
+
+    /// When [`NodeControl::tick`] has to be called at the latest.
+    pub fn next_tick(&self) -> Timestamp {
+        let parts = [self.membership.next_tick(), Some(self.replica.next_tick()), Some(self.next_pool_tick)];
+        parts.into_iter().flatten().min().unwrap_or(self.next_pool_tick)
+    }
+
+    /// What to do now, in order.
+    pub fn take_ready(&mut self) -> Vec<ControlAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Begins a new life after this node has been suspended; its pools are followers again.
+    pub fn rejoin(&mut self, incarnation: Incarnation, now: Timestamp) -> Member {
+        let me = self.membership.rejoin(incarnation, now);
+        self.replica.step(ConfigurationInput::Rejoined(me), now);
+        for standing in self.pools.values_mut() {
+            standing.restart();
+        }
+        self.configure_pools(now);
+        self.share_view(now);
+        self.follow_up(now);
+        me
+    }
+
+    /// What this node publishes.
+    pub fn status(&self) -> ControlStatus {
+        ControlStatus {
+            me: self.membership.me(),
+            standing: self.membership.standing(),
+            trusted_until: self.membership.trusted_until(),
+            leaving: self.leaving,
+            version: self.version,
+            configuration_ready: self.replica.is_ready(),
+        }
+    }
+
+    /// Rises whenever the view, the configuration or the owners of pools have changed.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.in_force
+    }
+
+    /// The configuration's replica.
+    pub fn replica(&self) -> &ConfigurationReplica {
+        &self.replica
+    }
+
+    /// The failure detector.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// All members that this node knows.
+    pub fn view(&self) -> &View {
+        self.membership.view()
+    }
+
+    /// The zone of this node's machine.
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
+    /// All pools.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolStanding> {
+        self.pools.values()
+    }
+
+    fn peer_message(&mut self, from: Member, message: ControlMessage, now: Timestamp) {
+        match message {
+            ControlMessage::Configuration(message) => {
+                self.replica.step(ConfigurationInput::Message { from, message }, now);
+            }
+            ControlMessage::Authority { pool, message } => {
+                self.step_pool(&pool, AuthorityInput::PeerMessage { from, message }, now);
+            }
+        }
+    }
+
+    fn step_pool(&mut self, pool: &PoolId, input: AuthorityInput, now: Timestamp) {
+        if let Some(control) = self.pools.get_mut(pool).and_then(|standing| standing.control.as_mut()) {
+            control.step(input, now);
+        }
+    }
+
+    /// Passes on what one part has found out to the others, and collects what is to be done.
+    fn follow_up(&mut self, now: Timestamp) {
+        self.follow_membership(now);
+        self.follow_replica(now);
+        for standing in self.pools.values_mut() {
+            self.actions.extend(standing.take_actions());
+        }
+    }
+
+    fn follow_membership(&mut self, now: Timestamp) {
+        let ready = self.membership.take_ready();
+        let messages = ready.messages.into_iter();
+        self.actions.extend(messages.map(|sent| ControlAction::SendDatagram { to: sent.to, message: sent.message }));
+        if ready.events.is_empty() {
+            return;
+        }
+        let suspended = ready
+            .events
+            .iter()
+            .any(|event| matches!(event, MembershipEvent::StandingChanged { standing: Standing::Suspended { .. } }));
+        if suspended {
+            self.replica.step(ConfigurationInput::Suspended, now);
+        }
+        self.share_view(now);
+    }
+
+    fn share_view(&mut self, now: Timestamp) {
+        self.revision += 1;
+        let view = live_view(self.membership.view());
+        self.replica.step(ConfigurationInput::View(view), now);
+        for standing in self.pools.values_mut() {
+            standing.update_owners(self.membership.view(), now);
+        }
+    }
+
+    fn follow_replica(&mut self, now: Timestamp) {
+        for action in self.replica.take_ready() {
+            match action {
+                ConfigurationAction::Send { to, message } => {
+                    let message = ControlMessage::Configuration(message);
+                    self.actions.push(ControlAction::SendPeer { to, message });
+                }
+                ConfigurationAction::Store { token, request } => {
+                    self.actions.push(ControlAction::Store { caller: StoreCaller::Configuration(token), request });
+                }
+                ConfigurationAction::Adopt(adopted) => {
+                    self.version = Some(adopted.version);
+                    self.in_force = adopted.configuration;
+                    self.configure_pools(now);
+                }
+                ConfigurationAction::Accepted(_) => {}
+            }
+        }
+    }
+
+    fn configure_pools(&mut self, now: Timestamp) {
+        self.revision += 1;
+        let configuration = Arc::clone(&self.in_force);
+        let mut former = std::mem::take(&mut self.pools);
+        for pool in configuration.pools() {
+            let mut standing = match former.remove(&pool.id) {
+                Some(standing) => standing.regrouped(pool),
+                None => PoolStanding::new(pool),
+            };
+            standing.configure(&configuration, &self.config.pool, self.membership.me(), &self.zone, now);
+            standing.update_owners(self.membership.view(), now);
+            self.pools.insert(standing.pool.id.clone(), standing);
+        }
+    }
+}
+
+fn live_view(view: &View) -> LiveView {
+    let live = view.records().filter(|record| record.state() != crate::membership::MemberState::Dead);
+    let members = live.map(|record| LiveMember { member: record.member, zone: record.zone.clone() });
+    LiveView::new(members.collect(), view.unreachable_zones().clone())
+}
--- /dev/null
+++ b/crates/core/src/control/pools.rs
@@ -0,0 +1,190 @@
+//! The pools that a node may own, and their control.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::message::{ControlAction, ControlMessage, StoreCaller};
+use crate::authority::{
+    AuthorityAction, AuthorityInput, EngineSpecification, EngineTarget, NamedPolicy, PoolControl, PoolControlConfig,
+    RoleFloors,
+};
+use crate::configuration::{Configuration, PolicyChoice};
+use crate::dispatch::{EngineAvailability, EngineSlot};
+use crate::membership::{Member, View, rank_pool_owners};
+use crate::policy::{PoolLimits, RoleCounts, role_policy};
+use crate::time::Timestamp;
+use crate::world::{Address, EngineName, EnginePerformance, EngineRole, Model, Pool, PoolId, ZoneName};
+
+/// A pool, who may own it, and its control on this node.
+pub struct PoolStanding {
+    /// The pool.
+    pub pool: Pool,
+    /// The nodes that may own it, the owner first.
+    pub owners: Vec<Member>,
+    /// Its control; only on nodes of the pool's zones.
+    pub control: Option<PoolControl>,
+    addresses: BTreeMap<EngineName, Address>,
+}
+
+impl PoolStanding {
+    pub(super) fn new(pool: Pool) -> Self {
+        PoolStanding { pool, owners: Vec::new(), control: None, addresses: BTreeMap::new() }
+    }
+
+    /// Whether `member` is the owner, as far as is known here.
+    pub fn is_owned_by(&self, member: Member) -> bool {
+        self.owners.first() == Some(&member)
+    }
+
+    /// The engines for the dispatcher of `me`. A node that is not the owner may use none.
+    pub fn slots(&self, configuration: &Configuration, me: Member, zone: &ZoneName, now: Timestamp) -> Vec<EngineSlot> {
+        let owner = self.is_owned_by(me);
+        let roles = self.reported_roles(now);
+        let engines = configuration.engines.iter().filter(|engine| self.pool.engines.contains(&engine.name));
+        engines
+            .map(|engine| EngineSlot {
+                name: engine.name.clone(),
+                role: roles.get(&engine.name).copied().unwrap_or(engine.role),
+                availability: self.availability(&engine.name, owner, now),
+                link_latency: link_latency(configuration, zone, &engine.zone),
+                performance: performance_of(configuration, &self.pool.id),
+            })
+            .collect()
+    }
+
+    /// What a role policy is told of the pool's limits.
+    pub fn limits(&self, configuration: &Configuration) -> PoolLimits {
+        let floors = self.floors(model_of(configuration, &self.pool.id));
+        PoolLimits {
+            roles: RoleCounts::default(),
+            prefill_floor: floors.prefill,
+            decode_floor: floors.decode,
+            performance: performance_of(configuration, &self.pool.id),
+        }
+    }
+
+    /// Where an engine of the pool listens.
+    pub fn address(&self, engine: &EngineName) -> Option<Address> {
+        self.addresses.get(engine).copied()
+    }
+
+    /// The same standing with the pool's engines as a new configuration has them.
+    pub(super) fn regrouped(self, pool: Pool) -> Self {
+        PoolStanding { pool, ..self }
+    }
+
+    pub(super) fn update_owners(&mut self, view: &View, now: Timestamp) {
+        self.owners = rank_pool_owners(&self.pool, view);
+        if let Some(control) = &mut self.control {
+            control.step(AuthorityInput::OwnerRanking(self.owners.clone()), now);
+        }
+    }
+
+    /// Takes the configuration in, and makes the pool's control on a node of its zones.
+    pub(super) fn configure(
+        &mut self,
+        configuration: &Configuration,
+        config: &PoolControlConfig,
+        me: Member,
+        zone: &ZoneName,
+        now: Timestamp,
+    ) {
+        let engines = configuration.engines.iter().filter(|engine| self.pool.engines.contains(&engine.name));
+        self.addresses = engines.clone().map(|engine| (engine.name.clone(), engine.address)).collect();
+        if !self.pool.zones.contains(zone) {
+            self.control = None;
+            return;
+        }
+        let model = model_of(configuration, &self.pool.id);
+        let version = model.map(|model| model.version).unwrap_or_default();
+        let specifications = engines.map(|engine| EngineSpecification {
+            engine: engine.name.clone(),
+            target: EngineTarget {
+                role: engine.role,
+                model: engine.model.clone(),
+                version,
+                adapter: engine.adapter.clone(),
+            },
+        });
+        let floors = self.floors(model);
+        let new_control = || PoolControl::new(config.clone(), self.pool.id.clone(), me, now);
+        let control = self.control.get_or_insert_with(new_control);
+        control.set_engines(specifications.collect(), floors, now);
+        control.set_policy(configuration.role_policy.as_ref().and_then(named_policy));
+        control.set_shadows(configuration.shadow_role_policies.iter().filter_map(named_policy).collect());
+    }
+
+    /// Forgets the control of an ended life of this node.
+    pub(super) fn restart(&mut self) {
+        self.control = None;
+    }
+
+    /// What the pool's control wants done.
+    pub(super) fn take_actions(&mut self) -> Vec<ControlAction> {
+        let Some(control) = &mut self.control else { return Vec::new() };
+        let actions = control.take_ready();
+        actions.into_iter().filter_map(|action| self.address_action(action)).collect()
+    }
+
+    fn address_action(&self, action: AuthorityAction) -> Option<ControlAction> {
+        let pool = self.pool.id.clone();
+        Some(match action {
+            AuthorityAction::Store(request) => ControlAction::Store { caller: StoreCaller::Pool(pool), request },
+            AuthorityAction::RaiseFence { engine, term } => {
+                let address = self.address(&engine)?;
+                ControlAction::RaiseFence { pool, engine, address, term }
+            }
+            AuthorityAction::SendOrder { engine, order, send_before } => {
+                let address = self.address(&engine)?;
+                ControlAction::SendOrder { pool, engine, address, order, send_before }
+            }
+            AuthorityAction::QueryEngine { engine } => {
+                let address = self.address(&engine)?;
+                ControlAction::QueryEngine { pool, engine, address }
+            }
+            AuthorityAction::SendPeer { to, message } => {
+                ControlAction::SendPeer { to, message: ControlMessage::Authority { pool, message } }
+            }
+        })
+    }
+
+    fn availability(&self, engine: &EngineName, owner: bool, now: Timestamp) -> EngineAvailability {
+        match &self.control {
+            Some(control) if owner => control.availability(engine, now),
+            _ => EngineAvailability::Unavailable,
+        }
+    }
+
+    fn reported_roles(&self, now: Timestamp) -> BTreeMap<EngineName, EngineRole> {
+        let states = self.control.as_ref().map(|control| control.engine_states(now)).unwrap_or_default();
+        states.into_iter().filter_map(|status| Some((status.engine, status.role?))).collect()
+    }
+
+    /// The model's floors hold over all its pools; each pool keeps its share, rounded up, but never all its engines.
+    fn floors(&self, model: Option<&Model>) -> RoleFloors {
+        let Some(model) = model else { return RoleFloors::default() };
+        let most = u16::try_from(self.pool.engines.len().saturating_sub(1)).unwrap_or(u16::MAX);
+        RoleFloors { prefill: model.prefill_floor.min(most), decode: model.decode_floor.min(most) }
+    }
+}
+
+/// The one-way latency between two zones by configuration; none inside a zone or where no link is given.
+pub fn link_latency(configuration: &Configuration, from: &ZoneName, to: &ZoneName) -> Duration {
+    let between =
+        |link: &&crate::world::Link| (&link.from == from && &link.to == to) || (&link.from == to && &link.to == from);
+    configuration.links.iter().find(between).map_or(Duration::ZERO, |link| link.latency)
+}
+
+fn model_of<'a>(configuration: &'a Configuration, pool: &PoolId) -> Option<&'a Model> {
+    configuration.models.iter().find(|model| model.name == pool.model)
+}
+
+fn performance_of(configuration: &Configuration, pool: &PoolId) -> EnginePerformance {
+    model_of(configuration, pool).map(|model| model.performance).unwrap_or_default()
+}
+
+/// The policy under its name; a configuration in force names only policies that exist, since it was validated.
+fn named_policy(choice: &PolicyChoice) -> Option<NamedPolicy> {
+    let policy = role_policy(choice).ok()?;
+    Some(NamedPolicy { name: choice.name.clone(), policy })
+}
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -332,6 +332,15 @@
         }
     }
 
+    /// Gives up all waiting requests, for another dispatcher to take: this one has lost its pool.
+    pub fn give_up_waiting(&mut self, reason: NotRunReason, now: Timestamp) {
+        let waiting: Vec<RequestId> = self.queue.jobs().map(|job| job.profile.id).collect();
+        for request in waiting {
+            let Some(job) = self.queue.remove(request) else { continue };
+            self.give_up(&job, NotRun::new(reason), now);
+        }
+    }
+
     fn give_up(&mut self, job: &Job, refusal: NotRun, now: Timestamp) {
         let verdict = job.verdict_when_given_up(refusal);
         self.end(job, verdict, now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod authority;
 pub mod claims;
 pub mod configuration;
+pub mod control;
 pub mod dispatch;
 pub mod gateway;
 pub mod membership;
