A node: control thread, operators' service, planned stop

Cause: nothing starts a node. A process that was paused places nothing once its trust has run out. Conclusion: havengate node serves.

--- a/crates/cli/src/commands/node.rs
+++ b/crates/cli/src/commands/node.rs
@@ -1,7 +1,9 @@
 //! `havengate node`.
 
 use havengate_node::logging;
+use havengate_node::node::{Node, StopOutcome};
 use havengate_node::settings::Settings;
+use havengate_node::signals::run_until_stopped;
 
 use crate::error::CommandError;
 use crate::exit_status::ExitStatus;
@@ -17,6 +19,12 @@
     start_node(settings)
 }
 
-fn start_node(_settings: Settings) -> Result<ExitStatus, CommandError> {
-    Err(CommandError::Node("this build holds no node yet".to_owned()))
+fn start_node(settings: Settings) -> Result<ExitStatus, CommandError> {
+    let node = Node::start(settings).map_err(|error| CommandError::Node(error.to_string()))?;
+    match run_until_stopped(node).map_err(|error| CommandError::Node(error.to_string()))? {
+        StopOutcome::Drained => Ok(ExitStatus::Done),
+        StopOutcome::Forced { open_requests } => {
+            Err(CommandError::Node(format!("the stop was forced with {open_requests} requests open")))
+        }
+    }
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,5 +1,14 @@
 //! Control: one thread owns the state of membership, configuration and authority, and publishes snapshots of it.
 
+mod outbox;
+mod publisher;
 mod snapshot;
+mod thread;
+mod workers;
 
+pub use outbox::{Outbox, OutboxParts};
+pub use publisher::Publisher;
 pub use snapshot::{ControlSnapshot, PoolRoute, SharedSnapshot};
+pub use thread::{
+    ControlEvent, ControlThread, ControlThreadParts, CurrentMember, EVENTS_MAXIMUM, inspect, new_incarnation,
+};
--- a/crates/node/src/control/snapshot.rs
+++ b/crates/node/src/control/snapshot.rs
@@ -5,6 +5,7 @@
 use arc_swap::ArcSwap;
 use havengate_core::configuration::{Configuration, ConfigurationVersion};
 use havengate_core::membership::Member;
+use havengate_core::time::Timestamp;
 use havengate_core::verdict::NotRunReason;
 use havengate_core::world::{ModelName, Pool, PoolId};
 
@@ -26,6 +27,8 @@
     pub me: Member,
     /// Whether this node takes new work.
     pub readiness: Readiness,
+    /// Until when it may take new work without hearing from control again.
+    pub trusted_until: Option<Timestamp>,
     /// The version in force.
     pub version: ConfigurationVersion,
     /// The configuration in force.
@@ -42,6 +45,7 @@
         ControlSnapshot {
             me,
             readiness: Readiness::Starting,
+            trusted_until: None,
             version: ConfigurationVersion::default(),
             configuration: Arc::default(),
             directory: Arc::default(),
@@ -49,9 +53,14 @@
         }
     }
 
-    /// Why this node takes no new work; `None` when it takes work.
-    pub fn refuses(&self) -> Option<NotRunReason> {
+    /// Why this node takes no new work at `now`; `None` when it takes work.
+    ///
+    /// A process that was paused finds its trust run out here, even before its control thread has noticed the pause.
+    pub fn refuses(&self, now: Timestamp) -> Option<NotRunReason> {
         match self.readiness {
+            Readiness::Ready if self.trusted_until.is_some_and(|until| now >= until) => {
+                Some(NotRunReason::NodeSuspended)
+            }
             Readiness::Ready => None,
             Readiness::Starting | Readiness::Suspended => Some(NotRunReason::NodeSuspended),
             Readiness::Leaving => Some(NotRunReason::NodeLeaving),
--- a/crates/node/src/peers/control_link.rs
+++ b/crates/node/src/peers/control_link.rs
@@ -9,12 +9,12 @@
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
-use havengate_core::membership::Member;
 use havengate_core::world::Address;
 use havengate_wire::{Hello, Purpose, WireError, read_counted_frame, read_hello, write_frame, write_hello};
 use speedy::{LittleEndian, Readable, Writable};
 
 use super::link::{LinkCounters, LinkGate};
+use crate::control::CurrentMember;
 
 /// Messages that wait for one peer. A peer that takes nothing in must not take this node's memory.
 const QUEUE_MAXIMUM: usize = 256;
@@ -27,7 +27,7 @@
 
 /// Sends control messages to peers.
 pub struct ControlLink<Message> {
-    me: Member,
+    me: CurrentMember,
     gate: Arc<dyn LinkGate>,
     counters: Arc<LinkCounters>,
     queues: Mutex<BTreeMap<Address, Sender<Message>>>,
@@ -35,7 +35,7 @@
 
 impl<Message: Writable<LittleEndian> + Send + 'static> ControlLink<Message> {
     /// A link that introduces itself as `me`.
-    pub fn new(me: Member, gate: Arc<dyn LinkGate>, counters: Arc<LinkCounters>) -> Self {
+    pub fn new(me: CurrentMember, gate: Arc<dyn LinkGate>, counters: Arc<LinkCounters>) -> Self {
         ControlLink { me, gate, counters, queues: Mutex::new(BTreeMap::new()) }
     }
 
@@ -59,17 +59,17 @@
 
     fn open(&self, to: Address) -> Sender<Message> {
         let (queue, messages) = bounded(QUEUE_MAXIMUM);
-        let sender = PeerSender { me: self.me, to, counters: Arc::clone(&self.counters), stream: None };
+        let sender = PeerSender { me: Arc::clone(&self.me), to, counters: Arc::clone(&self.counters), stream: None };
         let spawned = thread::Builder::new().name("control-out".to_owned()).spawn(move || sender.run(&messages));
         if let Err(error) = spawned {
-            log::error!(event = "control_thread_failed", peer:% = to, error:% = error; "");
+            log::error!(peer:% = to, error:% = error; "control_thread_failed");
         }
         queue
     }
 }
 
 struct PeerSender {
-    me: Member,
+    me: CurrentMember,
     to: Address,
     counters: Arc<LinkCounters>,
     stream: Option<TcpStream>,
@@ -107,7 +107,7 @@
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(SEND_WITHIN))?;
         stream.set_write_timeout(Some(SEND_WITHIN))?;
-        write_hello(&mut stream, Hello::new(self.me, Purpose::Control))?;
+        write_hello(&mut stream, Hello::new(**self.me.load(), Purpose::Control))?;
         read_hello(&mut stream)?;
         Ok(stream)
     }
@@ -126,7 +126,7 @@
             }
             Err(WireError::Io(_)) => return,
             Err(error) => {
-                log::warn!(event = "control_message_malformed", error:% = error; "");
+                log::warn!(error:% = error; "control_message_malformed");
                 return;
             }
         }
--- a/crates/node/src/peers/datagrams.rs
+++ b/crates/node/src/peers/datagrams.rs
@@ -86,7 +86,7 @@
             self.counters.received(bytes);
             match decode(&buffer[..bytes]) {
                 Ok(message) => receive(Address(from), message),
-                Err(error) => log::warn!(event = "datagram_malformed", from:% = from, error:% = error; ""),
+                Err(error) => log::warn!(from:% = from, error:% = error; "datagram_malformed"),
             }
         }
     }
--- a/crates/node/src/peers/forward_client.rs
+++ b/crates/node/src/peers/forward_client.rs
@@ -16,6 +16,7 @@
 };
 
 use super::link::LinkGate;
+use crate::control::CurrentMember;
 
 /// How long a connection to a peer may take; in one region it takes milliseconds.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
@@ -48,7 +49,7 @@
 
 /// Opens connections to dispatching nodes and keeps idle ones.
 pub struct ForwardClient {
-    me: Member,
+    me: CurrentMember,
     gate: Arc<dyn LinkGate>,
     idle: Mutex<BTreeMap<Address, Vec<ForwardConnection>>>,
 }
@@ -63,7 +64,7 @@
 
 impl ForwardClient {
     /// A client that introduces itself as `me`.
-    pub fn new(me: Member, gate: Arc<dyn LinkGate>) -> Self {
+    pub fn new(me: CurrentMember, gate: Arc<dyn LinkGate>) -> Self {
         ForwardClient { me, gate, idle: Mutex::new(BTreeMap::new()) }
     }
 
@@ -137,7 +138,7 @@
         let mut stream = TcpStream::connect_timeout(&address.0, CONNECT_WITHIN)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(CONNECT_WITHIN))?;
-        write_hello(&mut stream, Hello::new(self.me, Purpose::Forward))?;
+        write_hello(&mut stream, Hello::new(**self.me.load(), Purpose::Forward))?;
         let hello = read_hello(&mut stream)?;
         Ok(ForwardConnection { peer: hello.member, stream, gate: Arc::clone(&self.gate) })
     }
--- a/crates/node/src/peers/listener.rs
+++ b/crates/node/src/peers/listener.rs
@@ -81,11 +81,11 @@
                 let service = Arc::clone(service);
                 let spawned = thread::Builder::new().name("peer".to_owned()).spawn(move || serve(stream, &*service));
                 if let Err(error) = spawned {
-                    log::error!(event = "peer_thread_failed", error:% = error; "");
+                    log::error!(error:% = error; "peer_thread_failed");
                 }
             }
             Err(error) => {
-                log::error!(event = "peer_accept_failed", error:% = error; "");
+                log::error!(error:% = error; "peer_accept_failed");
                 thread::sleep(PAUSE_AFTER_ERROR);
             }
         }
@@ -98,7 +98,7 @@
             Purpose::Control => service.serve_control(hello.member, stream),
             Purpose::Forward => service.serve_forward(hello.member, stream),
         },
-        Err(error) => log::warn!(event = "peer_refused", error:% = error; ""),
+        Err(error) => log::warn!(error:% = error; "peer_refused"),
     }
 }
 
--- a/crates/node/src/traffic/gateway.rs
+++ b/crates/node/src/traffic/gateway.rs
@@ -49,7 +49,7 @@
 
     fn pass(&self, passage: &mut Passage<'_>) -> Verdict {
         let snapshot = self.snapshot.load_full();
-        if let Some(reason) = snapshot.refuses() {
+        if let Some(reason) = snapshot.refuses(self.clock.now()) {
             return Verdict::NotRun(NotRun::new(reason));
         }
         let mut last = NotRun::new(NotRunReason::NoEngine);
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -2,11 +2,14 @@
 
 mod answer;
 mod attempt;
+mod engine_watch;
 mod gateway;
+mod pool_factory;
 mod pool_runtime;
 mod registry;
 
 pub use answer::AnswerEvent;
 pub use gateway::Gateway;
-pub use pool_runtime::{EngineTarget, PoolRuntime, SubmittedRequest};
+pub use pool_factory::PoolFactory;
+pub use pool_runtime::{EngineTarget, PoolRuntime, ReportedWork, SubmittedRequest};
 pub use registry::PoolRegistry;
--- a/crates/node/src/traffic/pool_runtime.rs
+++ b/crates/node/src/traffic/pool_runtime.rs
@@ -7,15 +7,16 @@
 
 use crossbeam::channel::{Receiver, Sender, bounded};
 use havengate_core::dispatch::{
-    AttemptOutcome, DispatchAction, Dispatcher, EngineEvent, EngineSlot, Placement, Revocation,
+    AttemptOutcome, DispatchAction, Dispatcher, EngineEvent, EngineSlot, Placement, ReportedLoad, Revocation,
 };
 use havengate_core::request::{AnswerPiece, RequestId, RequestProfile};
 use havengate_core::time::Timestamp;
-use havengate_core::verdict::{NotRun, Verdict};
+use havengate_core::verdict::{NotRun, NotRunReason, Verdict};
 use havengate_core::world::{Address, EngineName};
 
 use super::answer::AnswerEvent;
 use super::attempt::{AttemptPlan, PieceSink, run_attempt};
+use super::engine_watch::watch_engine;
 use crate::clock::Clock;
 use crate::engines::EngineApi;
 use crate::engines::dialect::GenerateRequest;
@@ -59,6 +60,18 @@
     dispatcher: Dispatcher,
     requests: BTreeMap<RequestId, ActiveRequest>,
     addresses: BTreeMap<EngineName, Address>,
+    may_place_until: Option<Timestamp>,
+    owner: bool,
+    reports: BTreeMap<EngineName, ReportedWork>,
+}
+
+/// The work on an engine as the engine last reported it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReportedWork {
+    /// Requests that run or wait there, whoever sent them.
+    pub requests: u32,
+    /// When that was true.
+    pub at: Timestamp,
 }
 
 struct ActiveRequest {
@@ -74,7 +87,14 @@
     /// Starts the pool's thread; it ends when the runtime is dropped.
     pub fn start(dispatcher: Dispatcher, engines: Arc<dyn EngineApi>, clock: Clock) -> Arc<Self> {
         let (wake, woken) = bounded(1);
-        let state = PoolState { dispatcher, requests: BTreeMap::new(), addresses: BTreeMap::new() };
+        let state = PoolState {
+            dispatcher,
+            requests: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            may_place_until: None,
+            owner: false,
+            reports: BTreeMap::new(),
+        };
         let runtime = Arc::new(PoolRuntime { state: Mutex::new(state), wake, engines, clock });
         let weak = Arc::downgrade(&runtime);
         thread::spawn(move || {
@@ -121,20 +141,68 @@
         revocation
     }
 
-    /// Replaces the engines of the pool.
-    pub fn set_engines(&self, engines: Vec<EngineTarget>) {
+    /// Replaces the engines of the pool. After `may_place_until` nothing is placed any more until the next call: a
+    /// process that wakes from a pause must not act on what it knew before.
+    pub fn set_engines(self: &Arc<Self>, engines: Vec<EngineTarget>, may_place_until: Option<Timestamp>) {
         let mut state = self.lock();
-        state.addresses.extend(engines.iter().map(|engine| (engine.slot.name.clone(), engine.address)));
+        let addresses = engines.iter().map(|engine| (engine.slot.name.clone(), engine.address)).collect();
+        let former = std::mem::replace(&mut state.addresses, addresses);
+        let new = state.addresses.keys().filter(|engine| !former.contains_key(*engine));
+        for engine in new {
+            watch_engine(Arc::downgrade(self), engine.clone());
+        }
         state.dispatcher.set_engines(engines.into_iter().map(|engine| engine.slot).collect());
+        state.may_place_until = may_place_until;
+        state.owner = true;
         drop(state);
         self.wake();
     }
 
+    /// Gives all waiting requests back to their gateways: this node no longer owns the pool. What runs goes on.
+    pub fn release(&self) {
+        let mut state = self.lock();
+        state.owner = false;
+        state.dispatcher.give_up_waiting(NotRunReason::NoEngine, self.clock.now());
+        drop(state);
+        self.wake();
+    }
+
+    /// Whether this node owns the pool.
+    pub fn is_owner(&self) -> bool {
+        self.lock().owner
+    }
+
+    /// Where an engine of the pool listens.
+    pub fn address(&self, engine: &EngineName) -> Option<Address> {
+        self.lock().addresses.get(engine).copied()
+    }
+
+    /// The adapter to engines.
+    pub fn engines(&self) -> &dyn EngineApi {
+        &*self.engines
+    }
+
+    /// Takes in what an engine reports of its load.
+    pub fn record_load(&self, engine: &EngineName, load: ReportedLoad) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.reports.insert(engine.clone(), ReportedWork { requests: load.requests, at: now - load.age });
+        state.dispatcher.step(EngineEvent::Load { engine: engine.clone(), load }, now);
+    }
+
+    /// What an engine last reported of its work.
+    pub fn reported_work(&self, engine: &EngineName) -> ReportedWork {
+        self.lock().reports.get(engine).copied().unwrap_or_default()
+    }
+
+    /// Takes in what an engine did.
+    pub fn engine_event(&self, event: EngineEvent) {
+        self.lock().dispatcher.step(event, self.clock.now());
+    }
+
     /// Reads or changes the dispatcher, for control.
     pub fn with_dispatcher<Result>(&self, action: impl FnOnce(&mut Dispatcher, Timestamp) -> Result) -> Result {
-        let result = action(&mut self.lock().dispatcher, self.clock.now());
-        self.wake();
-        result
+        action(&mut self.lock().dispatcher, self.clock.now())
     }
 
     /// Requests that wait or run.
@@ -155,6 +223,9 @@
     fn poll(self: &Arc<Self>) -> Duration {
         let mut state = self.lock();
         let now = self.clock.now();
+        if state.may_place_until.is_some_and(|until| now >= until) {
+            state.dispatcher.give_up_waiting(NotRunReason::NodeSuspended, now);
+        }
         let actions = state.dispatcher.poll(now);
         for action in actions {
             self.carry_out(&mut state, action);
--- a/crates/node/src/traffic/registry.rs
+++ b/crates/node/src/traffic/registry.rs
@@ -10,6 +10,7 @@
 use havengate_wire::PoolLoad;
 
 use super::pool_runtime::{PoolRuntime, SubmittedRequest};
+use crate::clock::Clock;
 use crate::control::SharedSnapshot;
 use crate::peers::ForwardService;
 
@@ -17,12 +18,13 @@
 pub struct PoolRegistry {
     snapshot: SharedSnapshot,
     pools: Mutex<BTreeMap<PoolId, Arc<PoolRuntime>>>,
+    clock: Clock,
 }
 
 impl PoolRegistry {
     /// A registry without pools.
-    pub fn new(snapshot: SharedSnapshot) -> Self {
-        PoolRegistry { snapshot, pools: Mutex::new(BTreeMap::new()) }
+    pub fn new(snapshot: SharedSnapshot, clock: Clock) -> Self {
+        PoolRegistry { snapshot, pools: Mutex::new(BTreeMap::new()), clock }
     }
 
     /// The dispatcher of a pool.
@@ -57,9 +59,14 @@
 
 impl ForwardService for PoolRegistry {
     fn submit(&self, pool: &PoolId, request: SubmittedRequest) -> Result<(), NotRun> {
-        if let Some(reason) = self.snapshot.load().refuses() {
+        let snapshot = self.snapshot.load();
+        if let Some(reason) = snapshot.refuses(self.clock.now()) {
             return Err(NotRun::new(reason));
         }
+        let owner = snapshot.route(pool).and_then(|route| route.owners.first());
+        if owner != Some(&snapshot.me) {
+            return Err(NotRun::new(NotRunReason::NoEngine));
+        }
         let runtime = self.get(pool).ok_or(NotRun::new(NotRunReason::NoEngine))?;
         runtime.submit(request)
     }
