havengate-rehearsal live: a whole deployment on loopback

Cause: a deployment could not be run. Change: stand-in platform and engines and all nodes in one process; the configuration is put in force as an operator would, by intent, plan and confirmation.

--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod deployment;
 pub mod engine;
+pub mod live;
 pub mod platform;
 pub mod stand_in;
