Test that a mistaken intent is not sent

Cause: dropping the check of an intent's keys left all tests green. Change: the test covers unknown keys besides broken TOML; links to the operators' API.

--- a/crates/cli/tests/cli/operators_api.rs
+++ b/crates/cli/tests/cli/operators_api.rs
@@ -176,12 +176,14 @@
 }
 
 #[test]
-fn an_intent_that_is_no_toml_is_not_sent() {
+fn an_intent_with_a_mistake_is_not_sent_and_the_line_is_named() {
     let node = FakeNode::answering(200, &plan());
-    let file = TemporaryFile::new("no-intent.toml", "[[roles]\n");
-    let failed = run_at(&node, &["intent", file.path()]);
-    assert_eq!(failed.code, 2, "{failed:?}");
-    assert!(failed.errors.contains("line 1"), "{failed:?}");
+    for (text, expected) in [("[[roles]\n", "line 1"), ("\n[[roles]]\nmodle = \"x\"\n", "line 3, column 1")] {
+        let file = TemporaryFile::new("no-intent.toml", text);
+        let failed = run_at(&node, &["intent", file.path()]);
+        assert_eq!(failed.code, 2, "{failed:?}");
+        assert!(failed.errors.contains(expected), "{failed:?}");
+    }
     assert_eq!(node.received(), []);
 }
 
