Tenants' limits by leases from a home node to gateways

Cause: a tenant's limit holds for the sum over all gateways, and a message for each request is too dear. Change: a limiter at each gateway, an allocator at the tenant's home, leases by demand and fair share; one more test for the gateway: a dispatcher that denies what it has answered is not believed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod dispatch;
 pub mod gateway;
+pub mod limits;
 pub mod membership;
 pub mod plan;
 pub mod policy;
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -202,6 +202,14 @@
     assert_eq!(sent.ended(Verdict::Completed), vec![GatewayAction::Finish(cut)]);
 }
 
+#[test]
+fn a_dispatcher_that_denies_having_run_what_it_answered_is_not_believed() {
+    let mut sent = Sent::new(false, None, 9.0);
+    sent.after(GatewayEvent::Piece { attempt: AttemptNumber(1), piece: piece(0, 3, None) });
+    let cut = Verdict::MayHaveRun(MayHaveRun::AnswerCut);
+    assert_eq!(sent.ended(queue_full()), vec![GatewayAction::Finish(cut)]);
+}
+
 /// A piece as a faulty way may bring it: of any length, from any place, of any request, or the last one.
 fn arbitrary_piece(source: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<AnswerPiece> {
     let first = source.int_in_range(0..=TOKENS)?;
--- /dev/null
+++ b/crates/core/tests/limits_rules.rs
@@ -0,0 +1,213 @@
+//! Single rules of tenants' limits, between one gateway and the home, without a network between them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use havengate_core::limits::{LeaseRequest, LimitAllocator, LimitConfig, Permit, Reach, Share, TenantLimiter};
+use havengate_core::membership::{Incarnation, Member};
+use havengate_core::time::Timestamp;
+use havengate_core::verdict::{NotRun, NotRunReason};
+use havengate_core::world::{Address, Tenant, TenantLimits, TenantName};
+
+const LIMITS: TenantLimits = TenantLimits { concurrent_requests: 10, work_tokens_per_second: 1_000 };
+
+fn config() -> LimitConfig {
+    LimitConfig::default()
+}
+
+fn member(index: u8) -> Member {
+    let address = Address(SocketAddr::from(([127, 0, 0, index], 7000)));
+    Member { address, incarnation: Incarnation(1) }
+}
+
+fn tenant(limits: Option<TenantLimits>) -> Tenant {
+    Tenant { name: "tenant".into(), api_key: "key".to_owned(), contract: "contract".into(), limits }
+}
+
+fn name() -> TenantName {
+    TenantName::new("tenant")
+}
+
+/// A gateway and the home of the tenant, which has waited for leases of earlier homes.
+struct Pair {
+    limiter: TenantLimiter,
+    home: LimitAllocator,
+    now: Timestamp,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let mut pair = Pair {
+            limiter: TenantLimiter::new(member(1), config()),
+            home: LimitAllocator::new(config()),
+            now: Timestamp::from_millis(1_000),
+        };
+        pair.limiter.set_tenants(&[tenant(Some(LIMITS))]);
+        pair.home.set_homes(&[tenant(Some(LIMITS))], pair.now);
+        pair.pass(config().takeover_wait());
+        pair
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now = self.now + time;
+    }
+
+    fn admit(&mut self, work: u32) -> Result<Permit, NotRun> {
+        self.limiter.try_admit(&name(), work, self.now)
+    }
+
+    /// Lets the gateway and the home talk, at once.
+    fn renew(&mut self) {
+        for request in self.limiter.poll(self.now) {
+            if let Some(grant) = self.home.step(&request, self.now) {
+                self.limiter.step(&grant, self.now);
+            }
+        }
+    }
+
+    /// Admits a request after the gateway has got a share for it.
+    fn admit_with_share(&mut self, work: u32) -> Permit {
+        for _ in 0..100 {
+            if let Ok(permit) = self.admit(work) {
+                return permit;
+            }
+            self.renew();
+            self.pass(config().request_interval);
+        }
+        panic!("no share after 100 requests for one");
+    }
+}
+
+/// A request by another gateway that has used its share to the full.
+fn other_gateway(sequence: u64, holds: u32, wanted: u32) -> LeaseRequest {
+    let share = |concurrent_requests: u32| Share { concurrent_requests, tokens_per_second: 0 };
+    LeaseRequest {
+        tenant: name(),
+        gateway: member(2),
+        sequence,
+        holds: share(holds),
+        wanted: share(wanted),
+        wanted_tokens: 0,
+    }
+}
+
+#[test]
+fn a_tenant_without_limits_is_always_admitted() {
+    let mut limiter = TenantLimiter::new(member(1), config());
+    limiter.set_tenants(&[tenant(None)]);
+    assert!((0..100).all(|_| limiter.try_admit(&name(), u32::MAX, Timestamp::ZERO).is_ok()));
+    assert_eq!(limiter.poll(Timestamp::ZERO), vec![]);
+}
+
+#[test]
+fn a_refusal_names_the_limit_and_when_to_come_back_and_a_share_is_on_its_way() {
+    let mut pair = Pair::new();
+    let refusal = pair.admit(100).expect_err("no share yet");
+    assert_eq!(refusal.reason, NotRunReason::TenantLimit);
+    assert!(refusal.retry_after.is_some_and(|wait| wait >= config().request_interval));
+    assert!(pair.limiter.awaits_lease(&name(), pair.now));
+    let permit = pair.admit_with_share(100);
+    pair.limiter.release(permit, 100, pair.now);
+}
+
+#[test]
+fn work_that_was_not_used_is_free_again() {
+    let mut pair = Pair::new();
+    let permit = pair.admit_with_share(900);
+    let before = pair.admit(800);
+    assert!(before.is_err());
+    pair.limiter.release(permit, 0, pair.now);
+    assert!(pair.admit(800).is_ok());
+}
+
+#[test]
+fn a_lapsed_share_admits_nothing_and_what_runs_is_still_counted() {
+    let mut pair = Pair::new();
+    let _running = pair.admit_with_share(10);
+    pair.pass(config().lease);
+    assert!(pair.admit(1).is_err());
+    assert_eq!(pair.limiter.running(&name()), 1);
+    let counted = pair.home.counted(&name(), pair.now + config().request_time_maximum / 2);
+    assert!(counted.concurrent_requests >= 1);
+    assert_eq!(counted.tokens_per_second, 0);
+}
+
+#[test]
+fn the_home_counts_a_lease_for_longer_than_the_gateway_uses_it() {
+    let mut pair = Pair::new();
+    pair.admit(10).expect_err("no share yet");
+    let request = pair.limiter.poll(pair.now).remove(0);
+    let sent_at = pair.now;
+    pair.pass(Duration::from_millis(150));
+    let grant = pair.home.step(&request, pair.now).expect("a grant");
+    pair.pass(Duration::from_millis(150));
+    pair.limiter.step(&grant, pair.now);
+    pair.now = sent_at + config().lease - Duration::from_millis(1);
+    assert!(pair.admit(1).is_ok());
+    pair.now = sent_at + config().lease;
+    assert!(pair.admit(1).is_err());
+    assert!(pair.home.counted(&name(), pair.now + Duration::from_millis(300)).tokens_per_second > 0);
+}
+
+#[test]
+fn a_grant_for_an_earlier_request_is_dropped() {
+    let mut pair = Pair::new();
+    pair.admit(10).expect_err("no share yet");
+    let first = pair.limiter.poll(pair.now).remove(0);
+    let late = pair.home.step(&first, pair.now).expect("a grant");
+    pair.pass(config().request_interval);
+    pair.admit(10).expect_err("no share yet");
+    assert_eq!(pair.limiter.poll(pair.now).len(), 1);
+    pair.limiter.step(&late, pair.now);
+    assert!(pair.admit(1).is_err(), "the home no longer counts the first grant");
+}
+
+#[test]
+fn what_another_gateway_holds_is_not_leased_before_it_says_that_it_holds_less() {
+    let mut pair = Pair::new();
+    assert_eq!(
+        pair.home.step(&other_gateway(1, 0, 10), pair.now).map(|grant| grant.share.concurrent_requests),
+        Some(10)
+    );
+    let _refused = pair.admit(10);
+    pair.renew();
+    assert!(pair.admit(10).is_err());
+    let shrunk = pair.home.step(&other_gateway(2, 10, 10), pair.now).expect("a grant");
+    assert!(shrunk.share.concurrent_requests < 10);
+    assert_eq!(pair.home.counted(&name(), pair.now).concurrent_requests, 10);
+    pair.home.step(&other_gateway(3, 4, 10), pair.now).expect("a grant");
+    let _permit = pair.admit_with_share(10);
+    assert!(pair.home.counted(&name(), pair.now).concurrent_requests <= LIMITS.concurrent_requests);
+}
+
+#[test]
+fn a_new_home_leases_only_what_is_held_until_it_has_waited() {
+    let mut home = LimitAllocator::new(config());
+    let start = Timestamp::from_millis(1_000);
+    home.set_homes(&[tenant(Some(LIMITS))], start);
+    let early = home.step(&other_gateway(1, 3, 10), start).expect("a grant");
+    assert_eq!(early.share.concurrent_requests, 3);
+    let late = home.step(&other_gateway(2, 3, 10), start + config().takeover_wait()).expect("a grant");
+    assert_eq!(late.share.concurrent_requests, 10);
+}
+
+#[test]
+fn a_home_that_sees_half_the_nodes_leases_half_the_limit() {
+    let mut pair = Pair::new();
+    pair.home.set_reach(Reach { visible_nodes: 2, existing_nodes: 4 });
+    let grant = pair.home.step(&other_gateway(1, 0, 10), pair.now).expect("a grant");
+    assert_eq!(grant.share.concurrent_requests, 5);
+}
+
+#[test]
+fn a_gateway_that_is_idle_forgets_the_tenant_and_gives_its_share_back() {
+    let mut pair = Pair::new();
+    let permit = pair.admit_with_share(10);
+    pair.limiter.release(permit, 10, pair.now);
+    for _ in 0..200 {
+        pair.pass(config().request_interval);
+        pair.renew();
+    }
+    assert_eq!(pair.home.counted(&name(), pair.now), Share::default());
+    assert_eq!(pair.limiter.next_poll(pair.now), None);
+}
