Gateway drives the request machine over hops

Cause: the gateway walked targets by itself, without retry budget, load or resumption. Change: GatewayRequest decides, PoolPicker ranks by the load that comes back with replies, hops to this node and to others look alike; while a pool changes hands, a request is offered to each new owner within 5 s. Conclusion: one set of decisions for local and remote dispatch.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -12,6 +12,7 @@
 use super::fleet::Fleet;
 use super::job::{Job, Terms};
 use super::retry_budget::RetryBudget;
+use crate::gateway::PoolLoad;
 use crate::policy::{
     ArmOutcomes, DecayingRate, DemandTracker, PlacementPolicy, PoolBacklog, PoolDemand, PoolLimits, RequestOutcome,
 };
@@ -193,6 +194,18 @@
         self.queue.len()
     }
 
+    /// How busy the pool is, for gateways.
+    pub fn load(&self) -> PoolLoad {
+        let unread = self.running.values().filter(|running| !running.prompt_read).map(|running| &running.job);
+        let waiting_prefill: u64 =
+            self.queue.jobs().chain(unread).map(|job| u64::from(job.profile.prompt_tokens)).sum();
+        PoolLoad {
+            waiting_prefill_tokens: u32::try_from(waiting_prefill).unwrap_or(u32::MAX),
+            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+            serving_engines: self.fleet.serving_engines(),
+        }
+    }
+
     /// What the dispatcher has done so far.
     pub fn counters(&self) -> &DispatchCounters {
         &self.counters
--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -57,6 +57,12 @@
         self.engines.is_empty()
     }
 
+    /// Engines that take new work.
+    pub(super) fn serving_engines(&self) -> u16 {
+        let serving = self.engines.values().filter(|engine| engine.slot.availability == EngineAvailability::Serving);
+        u16::try_from(serving.count()).unwrap_or(u16::MAX)
+    }
+
     /// Whether an engine that generates is left for a request that these have failed.
     pub(super) fn has_engine_besides(&self, failed_at: &[EngineName]) -> bool {
         self.capacity(Stage::Decode).any(|engine| !failed_at.contains(&engine.slot.name))
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,7 +29,7 @@
 use crate::platform::{HttpPlatformApi, PlatformApi, PlatformTimeouts};
 use crate::service::NodeService;
 use crate::settings::{Limits, Settings};
-use crate::traffic::{Gateway, PoolFactory, PoolRegistry};
+use crate::traffic::{Gateway, GatewayParts, Hops, PoolFactory, PoolRegistry};
 
 /// How long a leaving node goes on answering callers with a refusal, so that all others have heard of its leaving and
 /// callers are told when to come back, before its sockets close.
@@ -142,7 +142,13 @@
 
         let metrics = Arc::new(Metrics::new());
         let remote = ForwardClient::new(member, gate);
-        let gateway = Gateway::new(Arc::clone(&snapshot), Arc::clone(&registry), remote, clock);
+        let gateway = Gateway::new(GatewayParts {
+            snapshot: Arc::clone(&snapshot),
+            hops: Hops::new(Arc::clone(&registry), remote),
+            zone: settings.zone.clone(),
+            seed: me.incarnation.0,
+            clock,
+        });
         let caller_api = CallerApi::new(Arc::new(gateway), caller_limits(&settings), Arc::clone(&metrics));
         let callers = HttpServer::bind(settings.callers_address.0, callers_server(&settings), Arc::new(caller_api))?;
         let (drain, drain_asked) = bounded(1);
--- a/crates/node/src/peers/forward_client.rs
+++ b/crates/node/src/peers/forward_client.rs
@@ -38,15 +38,6 @@
     Silent,
 }
 
-/// What is known after a revocation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RevocationResult {
-    /// The request has not run and will not.
-    NotRun,
-    /// The request may have run.
-    MayHaveRun,
-}
-
 /// Opens connections to dispatching nodes and keeps idle ones.
 pub struct ForwardClient {
     me: CurrentMember,
@@ -72,7 +63,7 @@
     ///
     /// # Errors
     /// [`ForwardError::NotSent`] when it is certain that the node did not get the request. Any other error must be
-    /// settled by [`ForwardClient::revoke`] with the member to which the request was sent, returned beside it.
+    /// settled by [`ForwardClient::revoke`]; the process to which the request was sent is returned beside it.
     pub fn submit(
         &self,
         address: Address,
@@ -96,27 +87,18 @@
         }
     }
 
-    /// Withdraws a request from the process `peer` to which it was sent.
-    ///
-    /// Only the very process that was sent the request can say that it never started it: a process restarted at the
-    /// same address knows nothing of its predecessor's work, so its word counts for nothing.
-    pub fn revoke(&self, peer: Member, request: RequestId) -> RevocationResult {
-        match self.ask_to_revoke(peer, request) {
-            Ok(Some(RevocationOutcome::BeforeStart)) => RevocationResult::NotRun,
-            _ => RevocationResult::MayHaveRun,
-        }
-    }
-
-    fn ask_to_revoke(&self, peer: Member, request: RequestId) -> Result<Option<RevocationOutcome>, WireError> {
-        let mut connection = self.connect(peer.address)?;
-        if connection.peer != peer {
-            return Ok(None);
-        }
-        connection.send(&ForwardRequest::Revoke { request })?;
-        connection.stream.set_read_timeout(Some(REVOKE_WITHIN))?;
-        match read_frame(&mut connection.stream)? {
-            ForwardReply::Revoked { request: answered, outcome } if answered == request => Ok(Some(outcome)),
-            _ => Ok(None),
+    /// Asks the process at `address` to withdraw a request. The answer comes with the process that gave it, since only
+    /// the very process that was sent the request can say that it never started it: one restarted at the same address
+    /// knows nothing of its predecessor's work. `None` when no answer came.
+    pub fn revoke(&self, address: Address, request: RequestId) -> Option<(Member, RevocationOutcome)> {
+        let mut connection = self.connect(address).ok()?;
+        connection.send(&ForwardRequest::Revoke { request }).ok()?;
+        connection.stream.set_read_timeout(Some(REVOKE_WITHIN)).ok()?;
+        match read_frame(&mut connection.stream).ok()? {
+            ForwardReply::Revoked { request: answered, outcome } if answered == request => {
+                Some((connection.peer, outcome))
+            }
+            _ => None,
         }
     }
 
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -10,7 +10,7 @@
 
 pub use control_link::{ControlLink, receive_control};
 pub use datagrams::DatagramLink;
-pub use forward_client::{ForwardClient, ForwardConnection, ForwardError, RevocationResult};
+pub use forward_client::{ForwardClient, ForwardConnection, ForwardError};
 pub use forward_server::{ForwardService, serve_forward};
 pub use link::{LinkCounters, LinkCounts, LinkGate, OpenGate};
 pub use listener::{ConnectionService, PeerListener};
--- a/crates/node/src/traffic/gateway.rs
+++ b/crates/node/src/traffic/gateway.rs
@@ -1,173 +1,251 @@
-//! The gateway: takes a caller's request, has it dispatched here or by a peer, and passes the answer on.
+//! The gateway: takes a caller's request through the dispatchers of its model to the final verdict.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
 use std::time::Duration;
 
-use crossbeam::channel::{RecvTimeoutError, unbounded};
-use havengate_core::dispatch::Revocation;
-use havengate_core::membership::Member;
-use havengate_core::request::{RequestId, RequestProfile};
+use havengate_core::control::link_latency;
+use havengate_core::dispatch::{RetryBudget, RetryBudgetConfig};
+use havengate_core::gateway::{
+    GatewayAction, GatewayConfig, GatewayEvent, GatewayRequest, PoolLoad, PoolOption, PoolPicker, Target,
+};
+use havengate_core::request::RequestProfile;
 use havengate_core::time::Timestamp;
-use havengate_core::verdict::{MayHaveRun, NotRun, NotRunReason, Verdict};
-use havengate_core::world::{ModelName, PoolId};
-use havengate_wire::{ForwardReply, ForwardRequest};
+use havengate_core::verdict::{NotRun, NotRunReason, Verdict};
+use havengate_core::world::{PoolId, ZoneName};
 
-use super::answer::AnswerEvent;
-use super::pool_runtime::SubmittedRequest;
-use super::registry::PoolRegistry;
+use super::hop::{Hop, HopEvent, HopRequest, Hops};
 use crate::callers::{AnswerSink, CallerDirectory, CallerRequest, Readiness, RequestHandler};
 use crate::clock::Clock;
-use crate::control::{ControlSnapshot, SharedSnapshot};
+use crate::control::{ControlSnapshot, PoolRoute, SharedSnapshot};
 use crate::http_server::HangUp;
-use crate::peers::{ForwardClient, ForwardConnection, ForwardError, ForwardService, RevocationResult};
 
 /// How often a waiting request looks whether its caller has hung up or its deadline has passed.
-const CHECK_EVERY: Duration = Duration::from_millis(50);
+const CHECK_EVERY: Duration = Duration::from_millis(20);
+
+/// How long a request that no dispatcher took waits for the pool to change hands. It covers the time in which a dead
+/// owner is noticed; longer waits would only keep the caller from an answer.
+const HAND_OVER_PATIENCE: Duration = Duration::from_secs(5);
+
+/// When a caller is told to come back if no dispatcher took the request.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What a gateway works with.
+pub struct GatewayParts {
+    /// Control's state.
+    pub snapshot: SharedSnapshot,
+    /// The ways to dispatchers.
+    pub hops: Hops,
+    /// The zone of this node.
+    pub zone: ZoneName,
+    /// Makes random choices repeatable.
+    pub seed: u64,
+    /// The node's clock.
+    pub clock: Clock,
+}
 
 /// Serves callers' requests.
 pub struct Gateway {
     snapshot: SharedSnapshot,
-    local: Arc<PoolRegistry>,
-    remote: ForwardClient,
+    hops: Hops,
+    zone: ZoneName,
     clock: Clock,
+    config: GatewayConfig,
+    picker: Mutex<PoolPicker>,
+    budget: Mutex<RetryBudget>,
 }
 
 /// A request on its way through the gateway.
 struct Passage<'a> {
-    profile: RequestProfile,
-    prompt: String,
+    request: CallerRequest,
     deadline: Timestamp,
     answer: &'a mut dyn AnswerSink,
     hang_up: &'a HangUp,
 }
 
+/// The hop that is open, and where it leads.
+struct OpenHop {
+    hop: Hop,
+    pool: PoolId,
+}
+
 impl Gateway {
-    /// A gateway that dispatches by `local` on this node and by `remote` on others.
-    pub fn new(snapshot: SharedSnapshot, local: Arc<PoolRegistry>, remote: ForwardClient, clock: Clock) -> Self {
-        Gateway { snapshot, local, remote, clock }
+    /// A gateway.
+    pub fn new(parts: GatewayParts) -> Self {
+        let config = GatewayConfig::default();
+        Gateway {
+            snapshot: parts.snapshot,
+            hops: parts.hops,
+            zone: parts.zone,
+            clock: parts.clock,
+            picker: Mutex::new(PoolPicker::new(config.clone(), parts.seed)),
+            config,
+            budget: Mutex::new(RetryBudget::new(RetryBudgetConfig::default())),
+        }
     }
 
+    /// Takes the request to its verdict. While its pool changes hands, it is offered to each new owner.
     fn pass(&self, passage: &mut Passage<'_>) -> Verdict {
-        let snapshot = self.snapshot.load_full();
-        if let Some(reason) = snapshot.refuses(self.clock.now()) {
-            return Verdict::NotRun(NotRun::new(reason));
-        }
-        let mut last = NotRun::new(NotRunReason::NoEngine);
-        let model = passage.profile.model.clone();
-        for (pool, owner) in candidates(&snapshot, &model) {
-            let verdict = if owner == snapshot.me {
-                self.dispatch_here(pool, passage)
-            } else {
-                self.dispatch_there(owner, pool, passage)
-            };
-            match verdict {
-                Verdict::NotRun(refusal) if refusal.reason.worth_another_try() => last = refusal,
-                verdict => return verdict,
+        let patience = (self.clock.now() + HAND_OVER_PATIENCE).min(passage.deadline);
+        loop {
+            let snapshot = self.snapshot.load_full();
+            if let Some(reason) = snapshot.refuses(self.clock.now()) {
+                return Verdict::NotRun(NotRun::retry_after(reason, RETRY_AFTER));
+            }
+            let targets = self.rank(&snapshot, &passage.request.profile);
+            let verdict = self.try_targets(&snapshot, targets, passage);
+            let Verdict::NotRun(refusal) = &verdict else { return verdict };
+            let may_change_hands = changes_hands(refusal.reason);
+            if !may_change_hands || !self.await_new_owners(&snapshot, passage, patience) {
+                return verdict;
             }
         }
-        Verdict::NotRun(last)
     }
 
-    fn dispatch_here(&self, pool: &PoolId, passage: &mut Passage<'_>) -> Verdict {
-        let request = passage.profile.id;
-        let (answer, events) = unbounded();
-        let submitted = SubmittedRequest {
-            profile: self.profile_now(passage),
-            prompt: passage.prompt.clone(),
-            resume_from: 0,
-            answer,
-        };
-        if let Err(refusal) = self.local.submit(pool, submitted) {
-            return Verdict::NotRun(refusal);
+    fn rank(&self, snapshot: &ControlSnapshot, profile: &RequestProfile) -> Vec<Target> {
+        let routes = snapshot.routes_of(&profile.model);
+        let options: Vec<PoolOption> = routes.map(|route| self.option(snapshot, route)).collect();
+        let mut picker = self.picker.lock().unwrap_or_else(PoisonError::into_inner);
+        picker.rank(profile, &options, self.clock.now())
+    }
+
+    fn option(&self, snapshot: &ControlSnapshot, route: &PoolRoute) -> PoolOption {
+        let configuration = &snapshot.configuration;
+        let latency = |zone: &ZoneName| link_latency(configuration, &self.zone, zone);
+        let model = configuration.models.iter().find(|model| model.name == route.pool.id.model);
+        PoolOption {
+            pool: route.pool.id.clone(),
+            latency: route.pool.zones.iter().map(latency).min().unwrap_or_default(),
+            engines: u16::try_from(route.pool.engines.len()).unwrap_or(u16::MAX),
+            performance: model.map(|model| model.performance).unwrap_or_default(),
+            dispatchers: route.owners.clone(),
         }
+    }
+
+    fn try_targets(&self, snapshot: &ControlSnapshot, targets: Vec<Target>, passage: &mut Passage<'_>) -> Verdict {
+        let contract = &passage.request.profile.contract;
+        let repeatable = snapshot.directory.contract(contract).is_some_and(|contract| contract.repeatable);
+        let profile = self.profile_now(passage);
+        let now = self.clock.now();
+        let mut machine = GatewayRequest::new(self.config.clone(), &profile, repeatable, targets, now);
+        let mut open = None;
         loop {
-            match events.recv_timeout(CHECK_EVERY) {
-                Ok(AnswerEvent::Piece(piece)) => {
-                    // A caller that has hung up is noticed below.
-                    let _ = passage.answer.piece(piece);
+            for action in self.poll(&mut machine) {
+                if let Some(verdict) = self.carry_out(action, &mut machine, &mut open, snapshot, passage) {
+                    return verdict;
                 }
-                Ok(AnswerEvent::End(verdict)) => return verdict,
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return Verdict::MayHaveRun(MayHaveRun::DispatcherLost),
-            }
-            if let Some((not_run, may_have_run)) = self.reason_to_stop(passage) {
-                return match self.local.revoke(request) {
-                    Revocation::BeforeStart => Verdict::NotRun(NotRun::new(not_run)),
-                    Revocation::AfterStart | Revocation::Unknown => Verdict::MayHaveRun(may_have_run),
-                };
             }
+            self.wait_for_event(&mut machine, &mut open, passage);
         }
     }
 
-    fn dispatch_there(&self, owner: Member, pool: &PoolId, passage: &mut Passage<'_>) -> Verdict {
-        let submit = ForwardRequest::Submit {
-            pool: pool.clone(),
-            profile: self.profile_now(passage),
-            prompt: passage.prompt.clone(),
-            resume_from: 0,
-        };
-        match self.remote.submit(owner.address, &submit) {
-            Ok(connection) => self.relay(connection, passage),
-            Err((ForwardError::NotSent(_), _)) => Verdict::NotRun(NotRun::new(NotRunReason::DispatcherUnreachable)),
-            Err((_, peer)) => self.settle(peer, passage.profile.id),
-        }
+    fn poll(&self, machine: &mut GatewayRequest) -> Vec<GatewayAction> {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        machine.poll(&mut budget, self.clock.now())
     }
 
-    fn relay(&self, mut connection: ForwardConnection, passage: &mut Passage<'_>) -> Verdict {
-        let request = passage.profile.id;
-        let peer = connection.peer;
-        loop {
-            match connection.receive(CHECK_EVERY) {
-                Ok(ForwardReply::Piece(piece)) => {
-                    // A caller that has hung up is noticed below.
-                    let _ = passage.answer.piece(piece);
-                }
-                Ok(ForwardReply::Ended { request: ended, verdict, .. }) if ended == request => {
-                    self.remote.give_back(connection);
-                    return verdict;
+    /// Carries out an action; the verdict when the request has ended.
+    fn carry_out(
+        &self,
+        action: GatewayAction,
+        machine: &mut GatewayRequest,
+        open: &mut Option<OpenHop>,
+        snapshot: &ControlSnapshot,
+        passage: &mut Passage<'_>,
+    ) -> Option<Verdict> {
+        match action {
+            GatewayAction::Forward { attempt, target, resume_from, time_left } => {
+                *open = None;
+                let profile = RequestProfile { time_left, ..passage.request.profile.clone() };
+                let request = HopRequest { profile, prompt: passage.request.prompt.clone(), resume_from };
+                match self.hops.open(attempt, &target, snapshot.me, request) {
+                    Ok(hop) => *open = Some(OpenHop { hop, pool: target.pool }),
+                    Err(event) => machine.step(event, self.clock.now()),
                 }
-                Ok(_) | Err(ForwardError::Silent) => {}
-                Err(_) => return self.settle(Some(peer), request),
+                None
             }
-            if let Some((not_run, may_have_run)) = self.reason_to_stop(passage) {
-                return match self.remote.revoke(peer, request) {
-                    RevocationResult::NotRun => Verdict::NotRun(NotRun::new(not_run)),
-                    RevocationResult::MayHaveRun => Verdict::MayHaveRun(may_have_run),
-                };
+            GatewayAction::Revoke { attempt, peer } => {
+                let request = passage.request.profile.id;
+                let event = self.hops.revoke(attempt, peer, snapshot.me, request);
+                *open = None;
+                machine.step(event, self.clock.now());
+                None
+            }
+            GatewayAction::Deliver(piece) => {
+                if passage.answer.piece(piece).is_err() {
+                    machine.step(GatewayEvent::CallerGone, self.clock.now());
+                }
+                None
             }
+            GatewayAction::Finish(verdict) => Some(verdict),
         }
     }
 
-    /// Finds out what became of a request whose connection was lost.
-    fn settle(&self, peer: Option<Member>, request: RequestId) -> Verdict {
-        let result = peer.map_or(RevocationResult::MayHaveRun, |peer| self.remote.revoke(peer, request));
-        match result {
-            RevocationResult::NotRun => Verdict::NotRun(NotRun::new(NotRunReason::DispatcherUnreachable)),
-            RevocationResult::MayHaveRun => Verdict::MayHaveRun(MayHaveRun::DispatcherLost),
+    fn wait_for_event(&self, machine: &mut GatewayRequest, open: &mut Option<OpenHop>, passage: &Passage<'_>) {
+        if passage.hang_up.is_set() {
+            return machine.step(GatewayEvent::CallerGone, self.clock.now());
+        }
+        let Some(mut current) = open.take() else { return };
+        match current.hop.receive(CHECK_EVERY) {
+            HopEvent::Silent => *open = Some(current),
+            HopEvent::Event(event, load) => {
+                self.observe(&current.pool, load);
+                let ended = matches!(event, GatewayEvent::Ended { .. } | GatewayEvent::Lost { .. });
+                let reusable = matches!(event, GatewayEvent::Ended { .. });
+                machine.step(event, self.clock.now());
+                if !ended {
+                    *open = Some(current);
+                } else if reusable {
+                    self.hops.close(current.hop);
+                }
+            }
         }
     }
 
-    fn reason_to_stop(&self, passage: &Passage<'_>) -> Option<(NotRunReason, MayHaveRun)> {
-        if passage.hang_up.is_set() {
-            return Some((NotRunReason::CallerGone, MayHaveRun::CallerGone));
+    fn observe(&self, pool: &PoolId, load: Option<PoolLoad>) {
+        if let Some(load) = load {
+            let mut picker = self.picker.lock().unwrap_or_else(PoisonError::into_inner);
+            picker.observe(pool, load, self.clock.now());
         }
-        if self.clock.now() >= passage.deadline {
-            return Some((NotRunReason::DeadlinePassed, MayHaveRun::DeadlinePassed));
+    }
+
+    /// Waits until a pool of the model has other owners than in `snapshot`; `false` when none has in time.
+    fn await_new_owners(&self, snapshot: &ControlSnapshot, passage: &Passage<'_>, until: Timestamp) -> bool {
+        let model = &passage.request.profile.model;
+        let owners = |snapshot: &ControlSnapshot| -> Vec<_> {
+            snapshot.routes_of(model).map(|route| route.owners.first().copied()).collect()
+        };
+        let tried = owners(snapshot);
+        while self.clock.now() < until && !passage.hang_up.is_set() {
+            if owners(&self.snapshot.load()) != tried {
+                return true;
+            }
+            thread::sleep(CHECK_EVERY);
         }
-        None
+        false
     }
 
     fn profile_now(&self, passage: &Passage<'_>) -> RequestProfile {
         let time_left = passage.deadline.since(self.clock.now());
-        RequestProfile { time_left, ..passage.profile.clone() }
+        RequestProfile { time_left, ..passage.request.profile.clone() }
     }
 }
 
+/// Whether a refusal may come from a pool that is changing hands.
+fn changes_hands(reason: NotRunReason) -> bool {
+    matches!(
+        reason,
+        NotRunReason::DispatcherUnreachable
+            | NotRunReason::NodeLeaving
+            | NotRunReason::NodeSuspended
+            | NotRunReason::NoEngine
+    )
+}
+
 impl RequestHandler for Gateway {
     fn submit(&self, request: CallerRequest, answer: &mut dyn AnswerSink, hang_up: &HangUp) -> Verdict {
         let deadline = self.clock.now() + request.profile.time_left;
-        let mut passage = Passage { profile: request.profile, prompt: request.prompt, deadline, answer, hang_up };
-        self.pass(&mut passage)
+        self.pass(&mut Passage { request, deadline, answer, hang_up })
     }
 
     fn directory(&self) -> Arc<CallerDirectory> {
@@ -178,8 +256,3 @@
         self.snapshot.load().readiness
     }
 }
-
-fn candidates<'a>(snapshot: &'a ControlSnapshot, model: &'a ModelName) -> impl Iterator<Item = (&'a PoolId, Member)> {
-    let routes = snapshot.routes_of(model);
-    routes.flat_map(|route| route.owners.iter().map(|owner| (&route.pool.id, *owner)))
-}
--- /dev/null
+++ b/crates/node/src/traffic/hop.rs
@@ -0,0 +1,160 @@
+//! One hop of a request: to a dispatcher on this node, or over a connection to a dispatching node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, RecvTimeoutError, unbounded};
+use havengate_core::dispatch::Revocation;
+use havengate_core::gateway::{AttemptNumber, GatewayEvent, PoolLoad, Target};
+use havengate_core::membership::Member;
+use havengate_core::request::{RequestId, RequestProfile};
+use havengate_core::verdict::Verdict;
+use havengate_wire::{ForwardReply, ForwardRequest, RevocationOutcome};
+
+use super::answer::AnswerEvent;
+use super::pool_runtime::SubmittedRequest;
+use super::registry::PoolRegistry;
+use crate::peers::{ForwardClient, ForwardConnection, ForwardError, ForwardService};
+
+/// What is sent over a hop.
+pub struct HopRequest {
+    /// What the request asks for, with the time that is left now.
+    pub profile: RequestProfile,
+    /// The prompt's text.
+    pub prompt: String,
+    /// Tokens of the answer that the caller already has.
+    pub resume_from: u32,
+}
+
+/// Opens hops and revokes what was sent over them.
+pub struct Hops {
+    local: Arc<PoolRegistry>,
+    remote: ForwardClient,
+}
+
+/// An open hop.
+pub struct Hop {
+    attempt: AttemptNumber,
+    way: Way,
+}
+
+enum Way {
+    Local { events: Receiver<AnswerEvent>, me: Member },
+    Remote { connection: ForwardConnection, request: RequestId },
+}
+
+/// What came over a hop.
+pub enum HopEvent {
+    /// An event for the request's machine, and the pool's load where the dispatcher has told it.
+    Event(GatewayEvent, Option<PoolLoad>),
+    /// Nothing came within the time.
+    Silent,
+}
+
+impl Hops {
+    /// Hops to the pools of this node and to other nodes.
+    pub fn new(local: Arc<PoolRegistry>, remote: ForwardClient) -> Self {
+        Hops { local, remote }
+    }
+
+    /// Sends a request to `target`, which is this node when it is `me`.
+    ///
+    /// # Errors
+    /// The event that tells what became of the attempt.
+    pub fn open(
+        &self,
+        attempt: AttemptNumber,
+        target: &Target,
+        me: Member,
+        request: HopRequest,
+    ) -> Result<Hop, GatewayEvent> {
+        if target.dispatcher == me {
+            self.open_local(attempt, target, me, request)
+        } else {
+            self.open_remote(attempt, target, request)
+        }
+    }
+
+    /// Withdraws a request from the process `peer` that it was sent to.
+    pub fn revoke(&self, attempt: AttemptNumber, peer: Member, me: Member, request: RequestId) -> GatewayEvent {
+        if peer == me {
+            return GatewayEvent::Revoked { attempt, from: me, revocation: self.local.revoke(request) };
+        }
+        match self.remote.revoke(peer.address, request) {
+            Some((from, RevocationOutcome::BeforeStart)) => {
+                GatewayEvent::Revoked { attempt, from, revocation: Revocation::BeforeStart }
+            }
+            Some((from, RevocationOutcome::MayHaveStarted)) => {
+                GatewayEvent::Revoked { attempt, from, revocation: Revocation::AfterStart }
+            }
+            None => GatewayEvent::RevocationLost { attempt },
+        }
+    }
+
+    /// Gives the connection of a hop back whose request has ended.
+    pub fn close(&self, hop: Hop) {
+        if let Way::Remote { connection, .. } = hop.way {
+            self.remote.give_back(connection);
+        }
+    }
+
+    fn open_local(
+        &self,
+        attempt: AttemptNumber,
+        target: &Target,
+        me: Member,
+        request: HopRequest,
+    ) -> Result<Hop, GatewayEvent> {
+        // Unbounded, since an answer's length is bounded by the request: a slow caller must not hold up the engine.
+        let (answer, events) = unbounded();
+        let HopRequest { profile, prompt, resume_from } = request;
+        let submitted = SubmittedRequest { profile, prompt, resume_from, answer };
+        match self.local.submit(&target.pool, submitted) {
+            Ok(()) => Ok(Hop { attempt, way: Way::Local { events, me } }),
+            Err(refusal) => Err(GatewayEvent::Ended { attempt, verdict: Verdict::NotRun(refusal) }),
+        }
+    }
+
+    fn open_remote(&self, attempt: AttemptNumber, target: &Target, request: HopRequest) -> Result<Hop, GatewayEvent> {
+        let HopRequest { profile, prompt, resume_from } = request;
+        let id = profile.id;
+        let submit = ForwardRequest::Submit { pool: target.pool.clone(), profile, prompt, resume_from };
+        match self.remote.submit(target.dispatcher.address, &submit) {
+            Ok(connection) => Ok(Hop { attempt, way: Way::Remote { connection, request: id } }),
+            Err((_, Some(peer))) => Err(GatewayEvent::Lost { attempt, peer }),
+            Err((_, None)) => Err(GatewayEvent::NotSent { attempt }),
+        }
+    }
+}
+
+impl Hop {
+    /// Waits for what comes next, at most for `wait`.
+    pub fn receive(&mut self, wait: Duration) -> HopEvent {
+        let attempt = self.attempt;
+        match &mut self.way {
+            Way::Local { events, me } => match events.recv_timeout(wait) {
+                Ok(AnswerEvent::Piece(piece)) => HopEvent::Event(GatewayEvent::Piece { attempt, piece }, None),
+                Ok(AnswerEvent::End(verdict)) => HopEvent::Event(GatewayEvent::Ended { attempt, verdict }, None),
+                Err(RecvTimeoutError::Timeout) => HopEvent::Silent,
+                Err(RecvTimeoutError::Disconnected) => HopEvent::Event(GatewayEvent::Lost { attempt, peer: *me }, None),
+            },
+            Way::Remote { connection, request } => receive_remote(attempt, connection, *request, wait),
+        }
+    }
+}
+
+fn receive_remote(
+    attempt: AttemptNumber,
+    connection: &mut ForwardConnection,
+    request: RequestId,
+    wait: Duration,
+) -> HopEvent {
+    match connection.receive(wait) {
+        Ok(ForwardReply::Piece(piece)) => HopEvent::Event(GatewayEvent::Piece { attempt, piece }, None),
+        Ok(ForwardReply::Ended { request: ended, verdict, load }) if ended == request => {
+            HopEvent::Event(GatewayEvent::Ended { attempt, verdict }, Some(load))
+        }
+        Ok(ForwardReply::Ended { .. } | ForwardReply::Revoked { .. }) | Err(ForwardError::Silent) => HopEvent::Silent,
+        Err(_) => HopEvent::Event(GatewayEvent::Lost { attempt, peer: connection.peer }, None),
+    }
+}
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -4,12 +4,14 @@
 mod attempt;
 mod engine_watch;
 mod gateway;
+mod hop;
 mod pool_factory;
 mod pool_runtime;
 mod registry;
 
 pub use answer::AnswerEvent;
-pub use gateway::Gateway;
+pub use gateway::{Gateway, GatewayParts};
+pub use hop::{Hop, HopEvent, HopRequest, Hops};
 pub use pool_factory::PoolFactory;
 pub use pool_runtime::{EngineTarget, PoolRuntime, ReportedWork, SubmittedRequest};
 pub use registry::PoolRegistry;
--- a/crates/node/src/traffic/pool_runtime.rs
+++ b/crates/node/src/traffic/pool_runtime.rs
@@ -9,6 +9,7 @@
 use havengate_core::dispatch::{
     AttemptOutcome, DispatchAction, Dispatcher, EngineEvent, EngineSlot, Placement, ReportedLoad, Revocation,
 };
+use havengate_core::gateway::PoolLoad;
 use havengate_core::request::{AnswerPiece, RequestId, RequestProfile};
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{NotRun, NotRunReason, Verdict};
@@ -205,6 +206,11 @@
         action(&mut self.lock().dispatcher, self.clock.now())
     }
 
+    /// How busy the pool is.
+    pub fn load(&self) -> PoolLoad {
+        self.lock().dispatcher.load()
+    }
+
     /// Requests that wait or run.
     pub fn open_requests(&self) -> usize {
         self.lock().requests.len()
--- a/crates/node/src/traffic/registry.rs
+++ b/crates/node/src/traffic/registry.rs
@@ -78,7 +78,7 @@
         if not_started { Revocation::BeforeStart } else { Revocation::AfterStart }
     }
 
-    fn load(&self, _pool: &PoolId) -> PoolLoad {
-        PoolLoad::default()
+    fn load(&self, pool: &PoolId) -> PoolLoad {
+        self.get(pool).map(|runtime| runtime.load()).unwrap_or_default()
     }
 }
