--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod deployment;
 pub mod engine;
+pub mod experiment;
 pub mod live;
 pub mod platform;
 pub mod stand_in;
