core: a replica does nothing before membership trusts its node

Cause: an isolated node sees nobody else, took itself for the coordinator, proved by the store alone that it had the latest version, and accepted versions that others did not have. Found by a scenario once the membership model gave isolated and starting nodes the view that they really have. Change: a replica starts suspended; Trusted starts its check, Suspended and Rejoined end it. NodeControl passes the standing on. Members of unreachable zones are left out of the live view, so that such a zone shows as missing. The model of membership ignores listings of former lives.

--- a/crates/core/src/configuration/replica.rs
+++ b/crates/core/src/configuration/replica.rs
@@ -41,9 +41,11 @@
     Recorded(ConfigurationRecord),
     /// Engines or peers are known to have seen this version: a node that starts must not serve with a lower one.
     Floor(ConfigurationVersion),
+    /// Membership counts this node as live, as it must before the node does anything: a replica starts suspended.
+    Trusted,
     /// The node can't tell whether its peers still count on it.
     Suspended,
-    /// The node has a new life after a suspension.
+    /// The node has a new life after a suspension, and is not trusted yet.
     Rejoined(Member),
 }
 
@@ -194,17 +196,14 @@
             ConfigurationInput::Store { token, reply } => self.store_replied(token, reply, now),
             ConfigurationInput::Recorded(record) => self.observe(&record),
             ConfigurationInput::Floor(floor) => self.floor = self.floor.max(floor),
-            ConfigurationInput::Suspended => self.synchronization.restart(&self.config, now),
-            ConfigurationInput::Rejoined(me) => self.rejoin(me, now),
+            ConfigurationInput::Trusted => self.trust(now),
+            ConfigurationInput::Suspended => self.synchronization.suspend(),
+            ConfigurationInput::Rejoined(me) => self.rejoin(me),
         }
         None
     }
 
     fn change_view(&mut self, view: LiveView, now: Timestamp) {
-        if self.synchronization.is_new() {
-            self.synchronization.restart(&self.config, now);
-            self.start_watching(now);
-        }
         self.view = view;
         self.acknowledgements.retain(&self.view);
         self.choose_watchers();
@@ -213,15 +212,22 @@
         }
     }
 
-    fn rejoin(&mut self, me: Member, now: Timestamp) {
+    fn trust(&mut self, now: Timestamp) {
+        if !self.synchronization.is_trusted() {
+            self.synchronization.trust(&self.config, now);
+            self.start_watching(now);
+        }
+    }
+
+    fn rejoin(&mut self, me: Member) {
         self.me = me;
-        self.synchronization.restart(&self.config, now);
+        self.synchronization.suspend();
     }
 
     fn notice_pause(&mut self, now: Timestamp) {
         let last_call = self.last_call.replace(now);
         let paused = last_call.is_some_and(|last_call| now.since(last_call) > self.config.pause_maximum);
-        if paused && !self.synchronization.is_new() {
+        if paused && self.synchronization.is_trusted() {
             self.synchronization.restart(&self.config, now);
         }
     }
--- a/crates/core/src/configuration/store_conversation.rs
+++ b/crates/core/src/configuration/store_conversation.rs
@@ -66,7 +66,7 @@
         if self.store.outstanding.as_ref().is_some_and(|outstanding| now.since(outstanding.since) >= timeout) {
             self.store.outstanding = None;
         }
-        if self.store.watcher && now >= self.store.next_watch {
+        if self.is_watching() && now >= self.store.next_watch {
             self.start_store_cycle(now);
         }
     }
@@ -75,7 +75,7 @@
     pub(super) fn next_store_tick(&self) -> Option<Timestamp> {
         match &self.store.outstanding {
             Some(outstanding) => Some(outstanding.since + self.config.store_timeout),
-            None => self.store.watcher.then_some(self.store.next_watch),
+            None => self.is_watching().then_some(self.store.next_watch),
         }
     }
 
@@ -213,6 +213,10 @@
         self.coordinates() && reaches && size > self.config.compact_above
     }
 
+    fn is_watching(&self) -> bool {
+        self.store.watcher && self.synchronization.is_trusted()
+    }
+
     /// Makes this node a watcher when it is one of the lowest-ranked live ones of its region.
     pub(super) fn choose_watchers(&mut self) {
         let region = self.region_of(&self.zone);
--- a/crates/core/src/configuration/synchronization.rs
+++ b/crates/core/src/configuration/synchronization.rs
@@ -13,6 +13,7 @@
 /// The state of the check.
 #[derive(Default)]
 pub(super) struct Synchronization {
+    trusted: bool,
     ready: bool,
     settled_at: Option<Timestamp>,
     last_probe: ProbeId,
@@ -21,6 +22,18 @@
 }
 
 impl Synchronization {
+    /// Ends the node's part until it is trusted again. A node that is cut off sees nobody else, would take itself for the
+    /// coordinator, and could prove by the store alone that it has the latest version: it must not accept any.
+    pub fn suspend(&mut self) {
+        *self = Synchronization { last_probe: self.last_probe, ..Synchronization::default() };
+    }
+
+    /// Starts the check of a node that membership counts as live.
+    pub fn trust(&mut self, config: &ReplicaConfig, now: Timestamp) {
+        self.trusted = true;
+        self.restart(config, now);
+    }
+
     /// Starts the check again.
     pub fn restart(&mut self, config: &ReplicaConfig, now: Timestamp) {
         self.ready = false;
@@ -29,9 +42,9 @@
         self.target = None;
     }
 
-    /// Whether the check has never been started.
-    pub fn is_new(&self) -> bool {
-        self.settled_at.is_none()
+    /// Whether membership counts this node as live.
+    pub fn is_trusted(&self) -> bool {
+        self.trusted
     }
 
     /// Whether the check has succeeded.
@@ -41,7 +54,7 @@
 
     /// Whether everyone counts on this node again, so that answers from now on decide the check.
     pub fn is_settled(&self, now: Timestamp) -> bool {
-        self.settled_at.is_some_and(|settled_at| now >= settled_at)
+        self.trusted && self.settled_at.is_some_and(|settled_at| now >= settled_at)
     }
 
     /// The identity of a probe that is sent now.
@@ -68,7 +81,7 @@
     /// Ends the check when `in_force` has reached the target and `floor`.
     pub fn update(&mut self, in_force: Option<ConfigurationVersion>, floor: ConfigurationVersion) {
         let Some(target) = self.target else { return };
-        if in_force >= target && in_force >= Some(floor) {
+        if self.trusted && in_force >= target && in_force >= Some(floor) {
             self.ready = true;
         }
     }
--- a/crates/core/src/configuration/view.rs
+++ b/crates/core/src/configuration/view.rs
@@ -33,11 +33,12 @@
 pub struct MembersDigest(pub u64);
 
 impl LiveView {
-    /// A view with `members` live and `unreachable_zones` cut off. A zone with live members counts as reachable.
-    pub fn new(mut members: Vec<LiveMember>, mut unreachable_zones: BTreeSet<ZoneName>) -> Self {
+    /// A view with `members` live and `unreachable_zones` cut off. Members of a zone that is cut off are left out:
+    /// whether they still live is not known.
+    pub fn new(mut members: Vec<LiveMember>, unreachable_zones: BTreeSet<ZoneName>) -> Self {
         members.sort();
         members.dedup();
-        unreachable_zones.retain(|zone| members.iter().all(|live| &live.zone != zone));
+        members.retain(|live| !unreachable_zones.contains(&live.zone));
         let zones: BTreeSet<&ZoneName> = members.iter().map(|live| &live.zone).collect();
         let zones = zones.into_iter().map(|zone| (zone.clone(), digest_of(&members, zone))).collect();
         LiveView { members, unreachable_zones, zones }
--- a/crates/core/src/control/node_control.rs
+++ b/crates/core/src/control/node_control.rs
@@ -252,10 +252,17 @@
         self.share_view(now);
     }
 
+    fn share_standing(&mut self, now: Timestamp) {
+        if self.membership.standing() == Standing::Trusted {
+            self.replica.step(ConfigurationInput::Trusted, now);
+        }
+    }
+
     fn share_view(&mut self, now: Timestamp) {
         self.revision += 1;
         let view = live_view(self.membership.view());
         self.replica.step(ConfigurationInput::View(view), now);
+        self.share_standing(now);
         for standing in self.pools.values_mut() {
             standing.update_owners(self.membership.view(), now);
         }
--- a/crates/core/tests/support/configuration_world.rs
+++ b/crates/core/tests/support/configuration_world.rs
@@ -80,6 +80,7 @@
     view_sequence: u64,
     next_tick: Option<Timestamp>,
     highest: Option<ConfigurationVersion>,
+    highest_held: Option<ConfigurationVersion>,
 }
 
 /// A confirmation by an operator.
@@ -205,10 +206,11 @@
         let node = &mut self.nodes[index];
         node.replica = Some(replica);
         node.member = member;
-        node.suspended = false;
+        node.suspended = true;
         node.highest = None;
+        node.highest_held = None;
         self.schedule(LISTED_AFTER, Event::List { node: index, life: member });
-        self.set_tick(index);
+        self.see_nobody_else(index);
     }
 
     /// Starts all nodes.
@@ -245,6 +247,9 @@
         self.nodes[index].paused = false;
         self.network.resume(index, self.now);
         self.set_tick(index);
+        if self.nodes[index].suspended {
+            self.step(index, ConfigurationInput::Suspended);
+        }
         self.return_to_views(index);
     }
 
@@ -443,6 +448,9 @@
                 if self.nodes[node].silence == silence && self.is_silent(node) {
                     self.nodes[node].listed = false;
                     self.publish_views();
+                    if self.nodes[node].isolated.is_some() && !self.nodes[node].paused {
+                        self.see_nobody_else(node);
+                    }
                 }
             }
             Event::List { node, life } => self.list(node, life),
@@ -451,15 +459,16 @@
 
     fn list(&mut self, index: usize, life: Member) {
         let node = &mut self.nodes[index];
-        if node.replica.is_none() || node.paused || node.isolated.is_some() {
+        if node.replica.is_none() || node.paused || node.isolated.is_some() || life < node.member {
             return;
         }
         node.listed = true;
+        node.suspended = false;
         if node.member != life {
             node.member = life;
-            node.suspended = false;
             self.step(index, ConfigurationInput::Rejoined(life));
         }
+        self.step(index, ConfigurationInput::Trusted);
         self.publish_views();
     }
 
@@ -484,6 +493,13 @@
         }
     }
 
+    /// What membership tells a node that has just started, or that has long been isolated.
+    fn see_nobody_else(&mut self, index: usize) {
+        let Node { member, zone, .. } = &self.nodes[index];
+        let alone = LiveMember { member: *member, zone: zone.clone() };
+        self.step(index, ConfigurationInput::View(LiveView::new(vec![alone], BTreeSet::new())));
+    }
+
     fn view_of(&self, index: usize) -> LiveView {
         let own = &self.nodes[index].zone;
         let cut = |zone: &ZoneName| self.unreachable.contains(zone);
@@ -598,8 +614,11 @@
         let node = &mut self.nodes[index];
         let Some(replica) = &node.replica else { return };
         let version = replica.in_force().map(|in_force| in_force.version);
+        let held = replica.watermarks().held;
         assert!(version >= node.highest, "node {index} went down from {:?} to {version:?}", node.highest);
+        assert!(held >= node.highest_held, "node {index} forgot what it held: {:?} to {held:?}", node.highest_held);
         node.highest = version;
+        node.highest_held = held;
         assert!(version <= Some(recorded), "node {index} has {version:?} in force, the store only {recorded}");
         let state = format!("node {index} serves by {version:?} although {accepted:?} is accepted at {:?}", self.now);
         assert!(!serves || version >= accepted, "{state}");
@@ -656,6 +675,7 @@
             view_sequence: 0,
             next_tick: None,
             highest: None,
+            highest_held: None,
         }
     }
 }
