Test cut bodies, wholly cached prompts and abandoned watches

Cause: three changes of the stand-ins' code on trial broke no test: a cut answer ended as a whole body, the last token of a cached prompt was not read, and the watch of a reader that hung up stayed open. Change: a test for each.

--- a/crates/rehearsal/tests/engine_model.rs
+++ b/crates/rehearsal/tests/engine_model.rs
@@ -56,6 +56,17 @@
     assert_eq!(first.since(later), Duration::from_secs_f64(f64::from(unread) / 8_000.0));
 }
 
+#[test]
+fn last_block_of_a_wholly_cached_prompt_is_read_for_the_first_token() {
+    let mut engine = engine(config());
+    engine.submit(work(1, 7, 10 * BLOCK_TOKENS, 2), Timestamp::ZERO).expect("accepted");
+    run_to_end(&mut engine);
+    let later = Timestamp::from_millis(60_000);
+    engine.submit(work(2, 7, 10 * BLOCK_TOKENS, 2), later).expect("accepted");
+    let first = first_token_at(&run_to_end(&mut engine), 2).expect("answered");
+    assert_eq!(first.since(later), Duration::from_secs_f64(f64::from(BLOCK_TOKENS) / 8_000.0));
+}
+
 #[test]
 fn running_requests_push_out_cached_prefixes_oldest_first() {
     let mut small = config();
--- a/crates/rehearsal/tests/engine_server.rs
+++ b/crates/rehearsal/tests/engine_server.rs
@@ -102,6 +102,15 @@
     assert!(matches!(error, StreamError::Cut(_)), "{error:?}");
 }
 
+#[test]
+fn body_of_a_cut_answer_is_unterminated() {
+    let engine = start(EngineRole::Mixed);
+    engine.set_faults(EngineFaults { cut: 0.2, ..EngineFaults::default() });
+    let url = format!("http://{}/v1/generate", engine.address());
+    let mut response = ureq::post(url).send_json(request(1, LONG_ANSWER)).expect("accepted");
+    response.body_mut().read_to_string().expect_err("an answer that ends early must not read as a whole body");
+}
+
 #[test]
 fn refusal_means_not_run() {
     let engine = start(EngineRole::Mixed);
--- a/crates/rehearsal/tests/platform_server.rs
+++ b/crates/rehearsal/tests/platform_server.rs
@@ -92,6 +92,17 @@
     assert!(api.watch(&key(), Revision(0), LONG_WAIT).is_some(), "there is room again");
 }
 
+#[test]
+fn watch_of_a_reader_that_hangs_up_is_closed() {
+    let platform = start(PlatformModelConfig::default());
+    let url = format!("http://{}/objects/terms?after=0&wait_ms=600000", platform.address());
+    let impatient = ureq::get(url).config().timeout_global(Some(Duration::from_secs(2))).build();
+    let gave_up = thread::spawn(move || impatient.call().is_err());
+    wait_until("the watch is open", || platform.open_watches() == 1);
+    assert!(gave_up.join().expect("no panic"));
+    wait_until("the watch is closed", || platform.open_watches() == 0);
+}
+
 #[test]
 fn platform_that_is_down_or_silent_gives_unknown() {
     let platform = start(PlatformModelConfig::default());
