Don't take a restarted engine's word that a request never started

Cause: after a call that failed midway, a node cancels the request at the engine and calls it "not run" when the engine has not started it. An engine that ran the request, died and came back knows nothing of it: the node then called a request "not run" that had run, and ran it again. Change: the engine's answer to a cancellation tells how long its process has been alive (0 when it does not tell), and counts only if that is longer than the time since the request was sent.

--- a/crates/node/src/engines/dialect.rs
+++ b/crates/node/src/engines/dialect.rs
@@ -75,7 +75,9 @@
 /// A refusal by an engine: the request has not run there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineRefusal {
-    /// A stable code: `leaving`, `changing`, `wrong_role`, `unknown_model`, `full`, `revoked`, `invalid`.
+    /// A stable code: `leaving`, `changing`, `wrong_role`, `unknown_model`, `full`, `revoked`, `invalid`, `kv_lost` when
+    /// the KV cache to be imported is gone, `duplicate` when another copy of the request waits or runs there: that copy may
+    /// run, this one has not.
     pub code: String,
 }
 
@@ -89,8 +91,12 @@
 /// The answer to a cancellation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CancelAnswer {
-    /// Whether the request had started before it was cancelled.
+    /// Whether the request had started before it was cancelled, in this life of the engine's process.
     pub started: bool,
+    /// How long the engine's process has been alive, in milliseconds, rounded down. An engine that has restarted knows
+    /// nothing of what its earlier life started; so `started` counts only for requests that were sent later than this.
+    #[serde(default)]
+    pub alive_ms: u64,
 }
 
 /// Raises an engine's fence.
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -1,13 +1,14 @@
 //! One attempt at a request: prompt work, transfer of the KV cache and the answer's stream, on one thread.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use havengate_core::dispatch::AttemptOutcome;
 use havengate_core::request::{AnswerPiece, RequestId};
 use havengate_core::verdict::MayHaveRun;
 use havengate_core::world::Address;
 
-use crate::engines::dialect::{GenerateLine, GenerateRequest, KvHandle};
+use crate::engines::dialect::{CancelAnswer, GenerateLine, GenerateRequest, KvHandle};
 use crate::engines::{EngineApi, EngineCallError, GenerateStream};
 
 /// What an attempt needs to know.
@@ -34,21 +35,28 @@
 /// Runs an attempt to its end.
 pub fn run_attempt(engines: &Arc<dyn EngineApi>, mut plan: AttemptPlan, sink: &mut dyn PieceSink) -> AttemptOutcome {
     if let Some(prefill) = plan.prefill {
+        let sent = Instant::now();
         match engines.prefill(prefill, &plan.body) {
             Ok(handle) => plan.body.import = Some(handle),
-            Err(error) => return settle(engines, prefill, plan.request, &error),
+            Err(error) => return settle(engines, prefill, &plan, sent, &error),
         }
         sink.prompt_read(plan.request);
     }
+    let sent = Instant::now();
     match engines.generate(plan.decode, &plan.body) {
         Ok(mut stream) => relay(stream.as_mut(), &plan, sink),
-        Err(error) => settle_after_import(engines, &plan, &error),
+        Err(error) => settle_after_import(engines, &plan, sent, &error),
     }
 }
 
 /// After a prompt has been read elsewhere the request has run in part: only a repeatable one may run again.
-fn settle_after_import(engines: &Arc<dyn EngineApi>, plan: &AttemptPlan, error: &EngineCallError) -> AttemptOutcome {
-    let outcome = settle(engines, plan.decode, plan.request, error);
+fn settle_after_import(
+    engines: &Arc<dyn EngineApi>,
+    plan: &AttemptPlan,
+    sent: Instant,
+    error: &EngineCallError,
+) -> AttemptOutcome {
+    let outcome = settle(engines, plan.decode, plan, sent, error);
     let imported: Option<&KvHandle> = plan.body.import.as_ref();
     match (outcome, imported) {
         (AttemptOutcome::NotRun, Some(_)) => AttemptOutcome::MayHaveRun(MayHaveRun::EngineFailed),
@@ -56,22 +64,30 @@
     }
 }
 
-/// Finds out whether a failed call ran: an engine that has cancelled the request before its start will never start it.
+/// Finds out whether a call that failed after `sent` ran: an engine that has cancelled the request before its start will
+/// never start it. That counts only if the engine's process has been the same since before the request was sent: an
+/// earlier life may have started the request, and the present one would not know.
 fn settle(
     engines: &Arc<dyn EngineApi>,
     engine: Address,
-    request: RequestId,
+    plan: &AttemptPlan,
+    sent: Instant,
     error: &EngineCallError,
 ) -> AttemptOutcome {
     if matches!(error, EngineCallError::NotRun(_)) {
         return AttemptOutcome::NotRun;
     }
-    match engines.cancel(engine, request) {
-        Some(answer) if !answer.started => AttemptOutcome::NotRun,
+    match engines.cancel(engine, plan.request) {
+        Some(answer) if !answer.started && was_alive_since(sent, &answer) => AttemptOutcome::NotRun,
         _ => AttemptOutcome::MayHaveRun(MayHaveRun::EngineFailed),
     }
 }
 
+/// Whether the engine that gave `answer` just now was alive at `sent`. The time that the answer took counts against it.
+fn was_alive_since(sent: Instant, answer: &CancelAnswer) -> bool {
+    Duration::from_millis(answer.alive_ms) >= sent.elapsed()
+}
+
 fn relay(stream: &mut dyn GenerateStream, plan: &AttemptPlan, sink: &mut dyn PieceSink) -> AttemptOutcome {
     loop {
         let Ok(line) = stream.next_line() else {
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod registry;
 
 pub use answer::AnswerEvent;
+pub use attempt::{AttemptPlan, PieceSink, run_attempt};
 pub use gateway::{Gateway, GatewayParts};
 pub use hop::{Hop, HopEvent, HopRequest, Hops};
 pub use pool_factory::PoolFactory;
--- a/crates/rehearsal/src/engine/model/state/mod.rs
+++ b/crates/rehearsal/src/engine/model/state/mod.rs
@@ -57,6 +57,7 @@
     config: EngineModelConfig,
     arbiter: EngineArbiter,
     is_up: bool,
+    life_began: Timestamp,
     change_done: Option<Timestamp>,
     memory: KvMemory,
     waiting: BTreeMap<WaitingKey, GenerateWork>,
@@ -84,6 +85,7 @@
         let mut engine = EngineModel {
             arbiter: EngineArbiter::new(first_report(&config, incarnation)),
             is_up: true,
+            life_began: now,
             change_done: None,
             memory: KvMemory::new(config.performance.kv_capacity_tokens),
             waiting: BTreeMap::new(),
@@ -119,6 +121,11 @@
         self.is_up.then(|| self.arbiter.report())
     }
 
+    /// How long the engine's process has been alive; zero while it is down.
+    pub fn alive_for(&self, now: Timestamp) -> Duration {
+        if self.is_up { now.since(self.life_began) } else { Duration::ZERO }
+    }
+
     /// What the engine does right now. A real dispatcher sees [`EngineModel::load`] instead.
     pub fn usage(&self) -> EngineUsage {
         let unread = |sequence: &Sequence| match sequence.phase {
@@ -265,6 +272,7 @@
         self.loads = LoadSamples::new(self.config.load_lag);
         self.cache_feed = CacheFeed::new(&self.config, incarnation);
         self.is_up = true;
+        self.life_began = now;
         self.sample_load(now);
     }
 
--- a/crates/rehearsal/src/engine/server/handler.rs
+++ b/crates/rehearsal/src/engine/server/handler.rs
@@ -57,8 +57,10 @@
 
     fn cancel(&self, body: CancelRequest) -> Response {
         let Some(request) = parse_request_id(&body.request) else { return bad_request("not a request id") };
-        let outcome = self.process.model.with_model(|model, now| model.cancel(request, now));
-        ok(&CancelAnswer { started: outcome == CancelOutcome::Started })
+        let (outcome, alive) =
+            self.process.model.with_model(|model, now| (model.cancel(request, now), model.alive_for(now)));
+        let alive_ms = u64::try_from(alive.as_millis()).unwrap_or(u64::MAX);
+        ok(&CancelAnswer { started: outcome == CancelOutcome::Started, alive_ms })
     }
 
     fn raise_fence(&self, body: FenceRequest) -> Response {
