Plans in readable lines without secrets; limits as the server has them

Cause: a plan showed each change as JSON, tenants' bearer keys included. Limits spoke of a thread for each connection, which the HTTP server does not have, and two deadlines had no effect. Change: one line for each change, every altered field with both values, keys never; problems of an intent in plain text. limits.caller_connections, operator_requests and bodies_total_maximum in place of the workers; deadlines.peer_* gone. havengate intent takes a whole configuration too, and checks it; status counts engines that another node owns.

--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -2,11 +2,11 @@
 
 use std::path::Path;
 
-use havengate_core::plan::Intent;
 use havengate_node::settings::{Settings, SettingsLayer, parse_toml};
 use havengate_rehearsal::deployment::Deployment;
 
 use super::files::read_text;
+use super::intent_file::parse_intent;
 use crate::error::CommandError;
 use crate::exit_status::ExitStatus;
 use crate::options::{CheckOptions, FileKind};
@@ -20,8 +20,8 @@
     ("peers_address", FileKind::Settings),
     ("platform_address", FileKind::Settings),
     ("machine", FileKind::Deployment),
-    ("configuration", FileKind::Deployment),
     ("client_latency", FileKind::Deployment),
+    ("configuration", FileKind::Intent),
     ("roles", FileKind::Intent),
     ("engine", FileKind::Intent),
     ("model", FileKind::Intent),
@@ -76,6 +76,6 @@
 }
 
 fn check_intent(path: &Path, text: &str) -> Result<CheckReport, CommandError> {
-    let _: Intent = parse_toml(path, text)?;
+    parse_intent(path, text)?;
     Ok(CheckReport::new(path, "intent", "the node checks the names in it when it is stated".to_owned()))
 }
--- a/crates/cli/src/commands/configuration.rs
+++ b/crates/cli/src/commands/configuration.rs
@@ -1,10 +1,9 @@
 //! `havengate intent`, `plan` and `confirm`: changes of the configuration.
 
-use havengate_core::plan::Intent;
-use havengate_node::operators::{ConfirmAnswer, ConfirmRequest, IntentDocument, PlanAnswer, PlanId, PlanList};
-use havengate_node::settings::parse_toml;
+use havengate_node::operators::{ConfirmAnswer, ConfirmRequest, PlanAnswer, PlanId, PlanList};
 
 use super::files::read_text;
+use super::intent_file::parse_intent;
 use crate::client::Client;
 use crate::error::CommandError;
 use crate::exit_status::ExitStatus;
@@ -18,8 +17,7 @@
 /// When the file can't be used, or the node refuses the intent or does not answer.
 pub fn propose(options: &IntentOptions, output: &Output) -> Result<ExitStatus, CommandError> {
     let text = read_text(&options.file)?;
-    let _: Intent = parse_toml(&options.file, &text)?;
-    let intent: IntentDocument = parse_toml(&options.file, &text)?;
+    let intent = parse_intent(&options.file, &text)?;
     let plan: PlanAnswer = Client::for_calls(&options.api).post("/intents", &intent)?;
     output.print(&plan)?;
     Ok(ExitStatus::Done)
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod configuration;
 mod files;
+mod intent_file;
 mod node;
 mod status;
 
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,8 +1,10 @@
 //! Why a command failed.
 
+use std::fmt;
 use std::path::PathBuf;
 
 use displaydoc::Display;
+use havengate_core::configuration::ConfigurationError;
 use havengate_node::operators::{OperatorError, OperatorErrorCode};
 use havengate_node::settings::{SettingsError, TomlFileError};
 use havengate_rehearsal::deployment::DeploymentError;
@@ -21,6 +23,8 @@
     Deployment(#[from] DeploymentError),
     /// {0}
     File(#[from] TomlFileError),
+    /// {0}
+    Configuration(ConfigurationProblems),
     /// {path} does not look like settings, a deployment, an intent or an experiment; say which by --kind
     UnknownKind {
         /// The file.
@@ -32,14 +36,28 @@
     Output(#[from] std::io::Error),
 }
 
+/// Everything that is wrong with a configuration.
+#[derive(Debug)]
+pub struct ConfigurationProblems(pub Vec<ConfigurationError>);
+
+impl fmt::Display for ConfigurationProblems {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.0.iter().map(ToString::to_string).collect();
+        formatter.write_str(&lines.join("\n"))
+    }
+}
+
 impl CommandError {
     /// The exit code that tells scripts what happened.
     pub fn exit_status(&self) -> ExitStatus {
         match self {
             CommandError::Client(ClientError::Refused(error)) => status_of_refusal(error),
             CommandError::Client(_) => ExitStatus::NoAnswer,
-            CommandError::Settings(_) | CommandError::Deployment(_) | CommandError::File(_) => ExitStatus::BadInput,
-            CommandError::UnknownKind { .. } => ExitStatus::BadInput,
+            CommandError::Settings(_)
+            | CommandError::Deployment(_)
+            | CommandError::File(_)
+            | CommandError::Configuration(_)
+            | CommandError::UnknownKind { .. } => ExitStatus::BadInput,
             CommandError::Node(_) | CommandError::Output(_) => ExitStatus::Refused,
         }
     }
@@ -51,8 +69,11 @@
             CommandError::Client(ClientError::Unreachable { .. }) => "unreachable".to_owned(),
             CommandError::Client(ClientError::NoAnswer { .. }) => "no_answer".to_owned(),
             CommandError::Client(ClientError::UnknownAnswer { .. }) => "unknown_answer".to_owned(),
-            CommandError::Settings(_) | CommandError::Deployment(_) | CommandError::File(_) => "bad_file".to_owned(),
-            CommandError::UnknownKind { .. } => "bad_file".to_owned(),
+            CommandError::Settings(_)
+            | CommandError::Deployment(_)
+            | CommandError::File(_)
+            | CommandError::Configuration(_)
+            | CommandError::UnknownKind { .. } => "bad_file".to_owned(),
             CommandError::Node(_) => "node_failed".to_owned(),
             CommandError::Output(_) => "output_failed".to_owned(),
         }
--- a/crates/cli/src/report/status.rs
+++ b/crates/cli/src/report/status.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use havengate_core::world::EngineRole;
 use havengate_node::operators::{
     ConfigurationStatus, DrainAnswer, EngineStatus, MemberStatus, NodeStatus, PoolStatus, StatusAnswer,
 };
@@ -29,11 +30,12 @@
 }
 
 fn node_text(node: &NodeStatus) -> String {
-    let seen = or_dash(node.store_last_seen.map(rounded).map(humantime::format_duration));
+    let seen = node.store_last_seen.map(rounded).map(humantime::format_duration);
+    let store = seen.map_or("store not heard of here".to_owned(), |seen| format!("store last answered {seen} ago"));
     [
         format!("node {} in {}, {}", node.address, node.zone, node.readiness),
         format!("version {}, up {}", node.version, humantime::format_duration(rounded(node.uptime))),
-        format!("{} open streams, store last seen {seen} ago", node.open_streams),
+        format!("{} open streams, {store}", node.open_streams),
     ]
     .join("\n")
 }
@@ -61,11 +63,27 @@
     let owner = or_dash(pool.owner);
     let (term, waiting) = (or_dash(pool.term.map(|term| term.0)), or_dash(pool.waiting));
     let head = format!("pool {}, owner {owner}, term {term}, {waiting} waiting", pool.pool);
+    if pool.engines.iter().all(is_owned_elsewhere) {
+        return format!("{head}\n{}; the owner knows more", roles_text(&pool.engines));
+    }
     let rows: Vec<Vec<String>> = pool.engines.iter().map(engine_row).collect();
     let engines = table(&["ENGINE", "ZONE", "ROLE", "AVAILABILITY", "IN FLIGHT", "FENCE", "ORDER"], &rows);
     format!("{head}\n{engines}")
 }
 
+/// Whether this node knows nothing of the engine but what the configuration says.
+fn is_owned_elsewhere(engine: &EngineStatus) -> bool {
+    engine.availability.is_none() && engine.in_flight.is_none()
+}
+
+/// Engines counted by their roles.
+fn roles_text(engines: &[EngineStatus]) -> String {
+    let count = |role: EngineRole| engines.iter().filter(|engine| engine.role == role).count();
+    let roles = [EngineRole::Prefill, EngineRole::Decode, EngineRole::Mixed].into_iter();
+    let counts = roles.map(|role| (role, count(role))).filter(|(_, count)| *count > 0);
+    counts.map(|(role, count)| format!("{count} {role}")).collect::<Vec<_>>().join(", ")
+}
+
 fn engine_row(engine: &EngineStatus) -> Vec<String> {
     vec![
         engine.name.to_string(),
--- a/crates/cli/tests/cli/files.rs
+++ b/crates/cli/tests/cli/files.rs
@@ -58,7 +58,7 @@
     let node = std::fs::read_to_string(example("node.toml")).expect("the example");
     let trag = std::fs::read_to_string(example("trag.toml")).expect("the example");
     let cases = [
-        ("limit", node.replace("streams_maximum = 480", "streams_maximum = 512"), "`limits.streams_maximum` is 512"),
+        ("limit", node.replace("streams_maximum = 480", "streams_maximum = 1024"), "`limits.streams_maximum` is 1024"),
         ("unit", node.replace("\"4MiB\"", "\"4 furlongs\""), "body_maximum = \"4 furlongs\""),
         ("key", node.replace("request_default", "request_defualt"), "expected one of `request_default`"),
         ("missing", node.replace("zone =", "# zone ="), "`zone` is missing"),
@@ -68,6 +68,12 @@
             "`client_latency` is 3h; allowed",
         ),
         ("intent", "[[roles]]\nmodle = \"x\"\n".to_owned(), "line 2, column 1: unknown field `modle`"),
+        ("whole", "[configuration]\nengine = 3\n".to_owned(), "line 2"),
+        (
+            "reference",
+            "[[configuration.engine]]\nname=\"a\"\naddress=\"127.0.0.1:1\"\nzone=\"z\"\nmodel=\"m\"\n".to_owned(),
+            "engine a.zone is `z`; allowed: nothing yet",
+        ),
         ("toml", "zone = [".to_owned(), "line 1"),
         ("kind", "colour = \"red\"".to_owned(), "--kind"),
     ];
--- a/crates/cli/tests/cli/operators_api.rs
+++ b/crates/cli/tests/cli/operators_api.rs
@@ -115,6 +115,7 @@
     let expected = [
         "node 127.0.0.1:21301 in patan, the node takes requests",
         "up 1m 1s",
+        "12 open streams, store not heard of here",
         "configuration 6 in force here, 7 pending, waiting for: 127.0.0.1:21302",
         "127.0.0.1:21302  thamel  suspect  6",
         "pool lekh-model/kathmandu-valley/0, owner 127.0.0.1:21301, term -, 4 waiting",
@@ -124,6 +125,18 @@
     assert_eq!(node.received()[0].line, "GET /status");
 }
 
+#[test]
+fn engines_of_a_pool_that_another_node_owns_are_counted() {
+    let mut seen_from_elsewhere = status();
+    let pool = &mut seen_from_elsewhere.pools[0];
+    (pool.engines[0].availability, pool.engines[0].in_flight, pool.waiting) = (None, None, None);
+    let mut second = pool.engines[0].clone();
+    second.role = EngineRole::Mixed;
+    pool.engines.push(second);
+    let node = FakeNode::answering(200, &seen_from_elsewhere);
+    assert_prints(&node, &["status"], &["term -, - waiting\n1 prefill, 1 mixed; the owner knows more"]);
+}
+
 #[test]
 fn json_output_is_the_answer_itself() {
     let node = FakeNode::answering(200, &status());
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -299,8 +299,9 @@
     HttpServerConfig {
         name: "callers",
         requests_maximum: limits.streams_maximum as usize,
-        connections_maximum: limits.caller_workers as usize,
+        connections_maximum: limits.caller_connections as usize,
         body_maximum: usize::try_from(limits.body_maximum.as_u64()).unwrap_or(usize::MAX),
+        bodies_total_maximum: usize::try_from(limits.bodies_total_maximum.as_u64()).unwrap_or(usize::MAX),
         head_maximum: usize::try_from(limits.header_maximum.as_u64()).unwrap_or(usize::MAX),
         head_timeout: settings.deadlines.caller_read,
         body_timeout: settings.deadlines.caller_read,
@@ -311,12 +312,12 @@
 }
 
 fn operators_server(settings: &Settings) -> HttpServerConfig {
-    let workers = settings.limits.operator_workers as usize;
+    let requests = settings.limits.operator_requests as usize;
     HttpServerConfig {
         name: "operators",
         io_threads: 1,
-        requests_maximum: workers,
-        connections_maximum: workers * 4,
+        requests_maximum: requests,
+        connections_maximum: requests * 4,
         ..HttpServerConfig::default()
     }
 }
--- a/crates/node/src/operations/mod.rs
+++ b/crates/node/src/operations/mod.rs
@@ -1,8 +1,10 @@
 //! What operators do, carried out: plans, confirmations and status, behind the operators' API.
 
+mod change_text;
 mod planning;
 mod service;
 mod status;
 mod store_edits;
 
+pub use change_text::describe_change;
 pub use service::{DrainSignal, OperatorService, OperatorServiceParts};
--- a/crates/node/src/operations/planning.rs
+++ b/crates/node/src/operations/planning.rs
@@ -2,24 +2,18 @@
 
 use std::collections::BTreeMap;
 
-use havengate_core::configuration::{Configuration, ConfigurationVersion, VersionedConfiguration};
+use havengate_core::configuration::{ConfigurationVersion, VersionedConfiguration};
 use havengate_core::plan::{
     Intent, ModelDemand, OutageReason, Plan, PlanError, PlannerConfig, PredictedEffect, plan_configuration, plan_intent,
 };
 use havengate_core::world::ModelName;
-use serde::Deserialize;
 
+use super::change_text::describe_change;
 use crate::operators::{
     EngineOutage, GoodputPrediction, IntentDocument, OperatorError, OperatorErrorCode, PlanAnswer, PlanId, PlanState,
+    WholeConfiguration,
 };
 
-/// A whole configuration as an intent, for example the first one.
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct WholeConfiguration {
-    configuration: Configuration,
-}
-
 /// Makes a plan from what an operator sent: a whole configuration under the key `configuration`, or an intent.
 ///
 /// # Errors
@@ -58,17 +52,12 @@
         id: PlanId(plan.id.to_string()),
         state,
         base: plan.base,
-        changes: plan.changes.iter().map(describe).collect(),
+        changes: plan.changes.iter().map(describe_change).collect(),
         outages: plan.waves.iter().flat_map(|wave| &wave.engines).map(outage).collect(),
         prediction: prediction(&plan.effects),
     }
 }
 
-/// A change is shown as the JSON that is stored and spread, so that nothing of it is left out.
-fn describe(change: &havengate_core::configuration::Change) -> String {
-    serde_json::to_string(change).unwrap_or_else(|error| format!("can't be shown: {error}"))
-}
-
 fn outage(outage: &havengate_core::plan::EngineOutage) -> EngineOutage {
     let causes: Vec<String> = outage.reasons.iter().map(cause).collect();
     EngineOutage { engine: outage.engine.clone(), cause: causes.join(", "), duration: outage.duration }
@@ -110,5 +99,9 @@
 }
 
 fn invalid(error: &PlanError) -> OperatorError {
-    OperatorError::new(OperatorErrorCode::InvalidRequest, error.to_string())
+    let message = match error {
+        PlanError::Invalid(problems) => problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "),
+        other => other.to_string(),
+    };
+    OperatorError::new(OperatorErrorCode::InvalidRequest, message)
 }
--- a/crates/node/src/operators/messages.rs
+++ b/crates/node/src/operators/messages.rs
@@ -5,7 +5,7 @@
 
 use displaydoc::Display;
 use havengate_core::authority::{OrderId, Term};
-use havengate_core::configuration::{ConfigurationVersion, PolicyChoice, TrialArm};
+use havengate_core::configuration::{Configuration, ConfigurationVersion, PolicyChoice, TrialArm};
 use havengate_core::membership::Incarnation;
 use havengate_core::world::{Address, EngineName, EngineRole, ModelName, PolicyName, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -122,11 +122,19 @@
 
 /// The body of `POST /intents`, as TOML or JSON: what the operator wants to be true.
 ///
-/// Each part that is given replaces that part of the configuration; the rest stays.
+/// Either a [`havengate_core::plan::Intent`], which changes only what it names, or a [`WholeConfiguration`].
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct IntentDocument(pub serde_json::Value);
 
+/// An intent that replaces the whole configuration, for example to set the first one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WholeConfiguration {
+    /// What the configuration should be.
+    pub configuration: Configuration,
+}
+
 /// Identifies a plan.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -10,4 +10,5 @@
     ConfigurationStatus, ConfirmAnswer, ConfirmRequest, DrainAnswer, EngineOutage, EngineStatus, GoodputPrediction,
     HealthAnswer, IntentDocument, MemberStatus, NodeStatus, OperatorError, OperatorErrorCode, PlanAnswer, PlanId,
     PlanList, PlanState, PoliciesAnswer, PolicyDescription, PolicyParameter, PoolStatus, StatusAnswer,
+    WholeConfiguration,
 };
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -11,22 +11,27 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
-    /// Threads that serve callers, one for each open connection. Default: 512.
+    /// Connections of callers open at once, idle ones included. Default: 1,024.
     ///
-    /// A thread costs memory, and connections beyond the limit wait unseen in the operating system's queue.
-    pub caller_workers: u32,
-    /// Threads that serve operators, one for each open connection. Default: 8.
+    /// Further ones are refused at once. It keeps the process below its limit of open files.
+    pub caller_connections: u32,
+    /// Requests of callers open at once, each on a thread of its own. Default: 480.
     ///
-    /// They are apart from the callers' threads, so that operators get through when callers fill theirs.
-    pub operator_workers: u32,
-    /// Requests of callers open at once. Default: 480.
-    ///
-    /// It must be below `caller_workers`, so that a thread is left to refuse the next request with a reason.
+    /// Further ones are refused at once. It must be below `caller_connections`, so that the next request can still be
+    /// refused with a reason.
     pub streams_maximum: u32,
+    /// Requests of operators handled at once, each on a thread of its own. Default: 8.
+    ///
+    /// They are apart from the callers' threads, so that operators get through when callers fill theirs.
+    pub operator_requests: u32,
     /// The largest body of a request. Default: 4 MiB, a manuscript of some 700,000 words.
     ///
     /// A body is held in memory as a whole until its request has been sent to an engine.
     pub body_maximum: ByteSize,
+    /// All bodies of callers' requests in memory together. Default: 128 MiB.
+    ///
+    /// Without it, many callers with large bodies could fill the memory though each keeps to `body_maximum`.
+    pub bodies_total_maximum: ByteSize,
     /// The largest head of a request: its line and all headers. Default: 16 KiB.
     ///
     /// Without it, a caller could fill the memory before the body's limit applies.
@@ -44,10 +49,11 @@
 impl Default for Limits {
     fn default() -> Self {
         Limits {
-            caller_workers: 512,
-            operator_workers: 8,
+            caller_connections: 1_024,
             streams_maximum: 480,
+            operator_requests: 8,
             body_maximum: ByteSize::mib(4),
+            bodies_total_maximum: ByteSize::mib(128),
             header_maximum: ByteSize::kib(16),
             output_tokens_maximum: 16_384,
             queue_maximum: 1_000,
@@ -57,13 +63,16 @@
 
 impl Limits {
     pub(super) fn check(&self, check: &mut ValueCheck) {
-        check.in_range("limits.caller_workers", self.caller_workers, 2..=16_384, |count| count);
-        check.in_range("limits.operator_workers", self.operator_workers, 2..=256, |count| count);
-        let streams_allowed = format!("1 or more, below limits.caller_workers ({})", self.caller_workers);
-        let streams_fit = (1..self.caller_workers).contains(&self.streams_maximum);
+        check.in_range("limits.caller_connections", self.caller_connections, 2..=65_536, |count| count);
+        let streams_allowed = format!("1 or more, below limits.caller_connections ({})", self.caller_connections);
+        let streams_fit = (1..self.caller_connections).contains(&self.streams_maximum);
         check.require(streams_fit, "limits.streams_maximum", self.streams_maximum, streams_allowed);
+        check.in_range("limits.operator_requests", self.operator_requests, 2..=256, |count| count);
         let bodies = ByteSize::kib(1)..=ByteSize::mib(64);
         check.in_range("limits.body_maximum", self.body_maximum, bodies, |size| size);
+        let total_allowed = format!("at least limits.body_maximum ({})", self.body_maximum);
+        let total_fits = self.bodies_total_maximum >= self.body_maximum;
+        check.require(total_fits, "limits.bodies_total_maximum", self.bodies_total_maximum, total_allowed);
         let headers = ByteSize::kib(1)..=ByteSize::mib(1);
         check.in_range("limits.header_maximum", self.header_maximum, headers, |size| size);
         check.in_range("limits.output_tokens_maximum", self.output_tokens_maximum, 1..=1_000_000, |count| count);
@@ -88,7 +97,7 @@
     pub request_maximum: Duration,
     /// The time in which a caller must have sent its whole request. Default: 10 s.
     ///
-    /// Without it, callers that send a byte now and then would hold all worker threads.
+    /// Without it, callers that send a byte now and then would hold all connections.
     #[serde(with = "humantime_serde")]
     pub caller_read: Duration,
     /// The longest that one write to a caller may block. Default: 10 s.
@@ -98,7 +107,7 @@
     pub caller_write: Duration,
     /// How long a caller's connection may lie idle between two requests. Default: 30 s.
     ///
-    /// An idle connection holds a worker thread.
+    /// An idle connection counts for `limits.caller_connections`.
     #[serde(with = "humantime_serde")]
     pub caller_idle: Duration,
     /// The time to connect to an engine. Default: 500 ms.
@@ -109,12 +118,6 @@
     /// After it the answer counts as cut. It must cover the longest prompt at the head of a full batch.
     #[serde(with = "humantime_serde")]
     pub engine_silence: Duration,
-    /// The time to connect to a peer. Default: 500 ms.
-    #[serde(with = "humantime_serde")]
-    pub peer_connect: Duration,
-    /// The time for a peer's reply to a message that it can answer at once, for example a revocation. Default: 1 s.
-    #[serde(with = "humantime_serde")]
-    pub peer_reply: Duration,
     /// The time for one call to the platform, a watch's own wait not included. Default: 2 s.
     ///
     /// A write without an answer by then may have taken effect and is settled by reading back.
@@ -138,8 +141,6 @@
             caller_idle: Duration::from_secs(30),
             engine_connect: Duration::from_millis(500),
             engine_silence: Duration::from_secs(20),
-            peer_connect: Duration::from_millis(500),
-            peer_reply: Duration::from_secs(1),
             platform: Duration::from_secs(2),
             drain: Duration::from_secs(360),
         }
@@ -156,8 +157,6 @@
             ("deadlines.caller_idle", self.caller_idle),
             ("deadlines.engine_connect", self.engine_connect),
             ("deadlines.engine_silence", self.engine_silence),
-            ("deadlines.peer_connect", self.peer_connect),
-            ("deadlines.peer_reply", self.peer_reply),
             ("deadlines.platform", self.platform),
             ("deadlines.drain", self.drain),
         ];
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -58,10 +58,10 @@
 
 #[test]
 fn durations_and_sizes_are_written_with_units() {
-    let settings = parse_with("[limits]\nbody_maximum = \"64MiB\"\n[deadlines]\npeer_reply = \"250ms\"")
+    let settings = parse_with("[limits]\nbody_maximum = \"64MiB\"\n[deadlines]\nengine_connect = \"250ms\"")
         .expect("units are understood");
     assert_eq!(settings.limits.body_maximum.as_u64(), 64 * 1_024 * 1_024);
-    assert_eq!(settings.deadlines.peer_reply, Duration::from_millis(250));
+    assert_eq!(settings.deadlines.engine_connect, Duration::from_millis(250));
 }
 
 #[test]
@@ -106,13 +106,19 @@
 
 #[test]
 fn values_out_of_range_are_named_with_what_is_allowed() {
-    let streams = only_problem("[limits]\ncaller_workers = 10\nstreams_maximum = 10");
+    let streams = only_problem("[limits]\ncaller_connections = 10\nstreams_maximum = 10");
     assert_eq!((streams.key.as_str(), streams.value.as_str()), ("limits.streams_maximum", "10"));
-    assert!(streams.allowed.contains("below limits.caller_workers (10)"), "{streams}");
+    assert!(streams.allowed.contains("below limits.caller_connections (10)"), "{streams}");
 
     let body = only_problem("[limits]\nbody_maximum = \"1GiB\"");
     assert_eq!(body.to_string(), "`limits.body_maximum` is 1.0 GiB; allowed: 1.0 KiB to 64.0 MiB");
 
+    let total = only_problem("[limits]\nbody_maximum = \"2MiB\"\nbodies_total_maximum = \"1MiB\"");
+    assert_eq!(
+        total.to_string(),
+        "`limits.bodies_total_maximum` is 1.0 MiB; allowed: at least limits.body_maximum (2.0 MiB)"
+    );
+
     let silence = only_problem("[deadlines]\nengine_silence = \"2h\"");
     assert_eq!(silence.to_string(), "`deadlines.engine_silence` is 2h; allowed: 1ms to 1h");
 }
@@ -140,10 +146,10 @@
 
 #[test]
 fn every_problem_is_named_in_one_run() {
-    let text = "[limits]\nqueue_maximum = 0\noperator_workers = 0";
+    let text = "[limits]\nqueue_maximum = 0\noperator_requests = 0";
     let Err(SettingsError::Invalid(problems)) = parse_with(text) else { panic!("two limits are zero") };
     let keys: Vec<&str> = problems.iter().map(|problem| problem.key.as_str()).collect();
-    assert_eq!(keys, ["limits.operator_workers", "limits.queue_maximum"]);
+    assert_eq!(keys, ["limits.operator_requests", "limits.queue_maximum"]);
 }
 
 #[test]
