--- a/crates/core/src/limits/allocator.rs
+++ b/crates/core/src/limits/allocator.rs
@@ -75,12 +75,8 @@
         for tenant in tenants {
             let Some(limits) = tenant.limits else { continue };
             present.insert(tenant.name.clone());
-            let leases = self.homes.entry(tenant.name.clone()).or_insert_with(|| TenantLeases {
-                limits,
-                home_since: now,
-                lessees: BTreeMap::new(),
-                unleased: TokenBucket::new(self.config.burst, now),
-            });
+            let leases = self.homes.entry(tenant.name.clone());
+            let leases = leases.or_insert_with(|| TenantLeases::new(limits, &self.config, now));
             leases.limits = limits;
         }
         self.homes.retain(|tenant, _| present.contains(tenant));
@@ -106,7 +102,8 @@
         let may_grow = now.since(leases.home_since) >= self.config.takeover_wait();
         let share = if may_grow { leases.next_share(request, limit, now) } else { request.holds };
         leases.count(request, share, now + self.config.counted_lease());
-        let tokens = if may_grow { leases.advance(request.wanted_tokens, limit, now) } else { 0 };
+        let wanted_tokens = if may_grow { request.wanted_tokens } else { 0 };
+        let tokens = leases.advance(wanted_tokens, limit, now);
         Some(LeaseGrant {
             tenant: request.tenant.clone(),
             sequence: request.sequence,
@@ -124,6 +121,13 @@
 }
 
 impl TenantLeases {
+    fn new(limits: TenantLimits, config: &LimitConfig, now: Timestamp) -> Self {
+        let leases_from = now + config.takeover_wait();
+        let mut unleased = TokenBucket::new(config.burst, leases_from);
+        unleased.set_rate(f64::from(limits.work_tokens_per_second), leases_from);
+        TenantLeases { limits, home_since: now, lessees: BTreeMap::new(), unleased }
+    }
+
     fn forget_lapsed(&mut self, config: &LimitConfig, now: Timestamp) {
         self.lessees.retain(|_, lessee| {
             let may_still_run = lessee.counted.concurrent_requests > 0;
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -202,6 +202,18 @@
     assert_eq!(sent.ended(Verdict::Completed), vec![GatewayAction::Finish(cut)]);
 }
 
+#[test]
+fn a_node_that_was_told_to_withdraw_the_request_is_not_sent_it_again() {
+    let targets = [(1, 1), (2, 1), (3, 2)];
+    let target = |(shard, node): (u16, u8)| Target { pool: pool(shard), dispatcher: member(node, 1) };
+    let targets = targets.map(target).to_vec();
+    let request = GatewayRequest::new(GatewayConfig::default(), &profile(), false, targets, Timestamp::ZERO);
+    let mut sent = Sent { request, budget: RetryBudget::new(RetryBudgetConfig { ratio: 0.0, burst: 9.0 }) };
+    sent.poll(0);
+    let next = sent.lost_then(member(1, 1), Revocation::BeforeStart);
+    assert!(matches!(&next[..], [GatewayAction::Forward { target, .. }] if target.dispatcher == member(2, 1)));
+}
+
 #[test]
 fn a_dispatcher_that_denies_having_run_what_it_answered_is_not_believed() {
     let mut sent = Sent::new(false, None, 9.0);
--- a/crates/core/tests/limits_rules.rs
+++ b/crates/core/tests/limits_rules.rs
@@ -110,6 +110,15 @@
     pair.limiter.release(permit, 100, pair.now);
 }
 
+#[test]
+fn a_first_request_at_a_gateway_is_admitted_by_the_first_grant() {
+    let mut pair = Pair::new();
+    pair.pass(config().burst);
+    pair.admit(1_500).expect_err("no share yet");
+    pair.renew();
+    assert!(pair.admit(1_500).is_ok());
+}
+
 #[test]
 fn work_that_was_not_used_is_free_again() {
     let mut pair = Pair::new();
@@ -159,6 +168,7 @@
     pair.admit(10).expect_err("no share yet");
     assert_eq!(pair.limiter.poll(pair.now).len(), 1);
     pair.limiter.step(&late, pair.now);
+    pair.pass(config().lease / 2);
     assert!(pair.admit(1).is_err(), "the home no longer counts the first grant");
 }
 
@@ -175,6 +185,7 @@
     let shrunk = pair.home.step(&other_gateway(2, 10, 10), pair.now).expect("a grant");
     assert!(shrunk.share.concurrent_requests < 10);
     assert_eq!(pair.home.counted(&name(), pair.now).concurrent_requests, 10);
+    assert_eq!(pair.home.step(&other_gateway(1, 0, 10), pair.now), None, "an old request was answered");
     pair.home.step(&other_gateway(3, 4, 10), pair.now).expect("a grant");
     let _permit = pair.admit_with_share(10);
     assert!(pair.home.counted(&name(), pair.now).concurrent_requests <= LIMITS.concurrent_requests);
