Dispatcher protects running streams, short prompts and high priority

Change: a prompt is read on a mixed engine only when its streams can bear it; a request that is too large for the room there is reserves an engine; some readers stay free of long prompts while short ones come; priority rules while demand exceeds the pool; placement is tried again on events and every 20 ms, not after each token.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -4,7 +4,7 @@
 
 use super::config::DispatchConfig;
 use super::engine_state::EngineState;
-use super::fair_queue::FairQueue;
+use super::fair_queue::{FairQueue, Precedence};
 use super::fleet::Fleet;
 use super::job::Job;
 use crate::policy::Stage;
@@ -38,6 +38,7 @@
     pub(super) config: &'a DispatchConfig,
     /// Requests that end a second; 0 when not known.
     pub(super) completions_per_second: f64,
+    pub(super) precedence: Precedence,
     pub(super) now: Timestamp,
 }
 
@@ -51,7 +52,11 @@
             return Admission::Refused(NotRun::new(NotRunReason::InvalidRequest));
         }
         let queue_is_full = self.queue.len() >= self.config.queue_maximum;
-        let lateness = self.lateness(job, 0);
+        let priority_that_competes = match self.precedence {
+            Precedence::Shares => 0,
+            Precedence::Priority => job.profile.priority,
+        };
+        let lateness = self.lateness(job, priority_that_competes);
         if !queue_is_full && lateness.is_none() {
             return Admission::Admitted;
         }
--- a/crates/core/src/dispatch/config.rs
+++ b/crates/core/src/dispatch/config.rs
@@ -18,6 +18,10 @@
     /// Unread prompt tokens at an engine up to which it gets another prompt. More would queue there, out of reach of
     /// the fair queue; fewer would leave the engine idle for the time of a link.
     pub prefill_backlog_tokens: u32,
+    /// The share of the tokens still allowed that a stream is counted on to generate, from 0 to 1. Reading a prompt holds
+    /// up the streams of a mixed engine; each token to come makes up for some of it. An answer that ends sooner than
+    /// counted on breaks its contract's token interval, while counting on less leaves prompts waiting.
+    pub output_counted_on: f64,
     /// How much later than its arrival a request's turn within its tenant comes, as a multiple of its predicted work.
     /// So short work overtakes long work, but only for so long: see [`DispatchConfig::patience`].
     pub stretch: f64,
@@ -49,6 +53,7 @@
             queue_maximum: 1_000,
             piece_tokens: 2_000,
             prefill_backlog_tokens: 4_000,
+            output_counted_on: 0.125,
             stretch: 8.0,
             patience: 0.5,
             deadline_reserve: 0.1,
@@ -72,6 +77,7 @@
         let checks = [
             ("queue_maximum", self.queue_maximum > 0),
             ("piece_tokens", self.piece_tokens > 0),
+            ("output_counted_on", (0.0..=1.0).contains(&self.output_counted_on)),
             ("stretch", self.stretch.is_finite() && self.stretch >= 0.0),
             ("patience", (0.0..=1.0).contains(&self.patience)),
             ("deadline_reserve", (0.0..1.0).contains(&self.deadline_reserve)),
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -8,21 +8,21 @@
 use super::config::DispatchConfig;
 use super::counters::DispatchCounters;
 use super::event::{DispatchAction, EngineEvent, EngineSlot, Placement, Revocation};
-use super::fair_queue::FairQueue;
-use super::fleet::Fleet;
+use super::fair_queue::{FairQueue, Precedence};
+use super::fleet::{Fleet, PlacementLimits};
 use super::job::{Job, Terms};
 use super::retry_budget::RetryBudget;
 use crate::gateway::PoolLoad;
-use crate::policy::{
-    ArmOutcomes, DecayingRate, DemandTracker, PlacementPolicy, PoolBacklog, PoolDemand, PoolLimits, RequestOutcome,
-};
+use crate::policy::{ArmOutcomes, DecayingRate, DemandTracker, PlacementPolicy, PoolBacklog, PoolDemand, PoolLimits};
 use crate::request::{RequestId, RequestProfile};
 use crate::time::Timestamp;
-use crate::verdict::{MayHaveRun, NotRun, NotRunReason, Verdict};
+use crate::verdict::{NotRun, NotRunReason};
 use crate::world::{Contract, ContractName, EngineName};
 
-/// Requests of each flow that are tried when the one before them finds no room.
-const TRIED_PER_FLOW: usize = 4;
+/// How long priority rules after the pool had to give up a request.
+const OVERLOAD_MEMORY: Duration = Duration::from_secs(5);
+/// The rate of short prompts is averaged over about this time.
+const SHORT_WORK_WINDOW: Duration = Duration::from_secs(20);
 /// The rate of completions is averaged over about this time.
 const COMPLETION_WINDOW: Duration = Duration::from_secs(5);
 
@@ -38,14 +38,21 @@
     pub(super) fleet: Fleet,
     pub(super) queue: FairQueue,
     pub(super) running: BTreeMap<RequestId, Running>,
-    running_by_deadline: BTreeSet<(Timestamp, RequestId)>,
-    closed: ClosedRequests,
+    pub(super) running_by_deadline: BTreeSet<(Timestamp, RequestId)>,
+    pub(super) limits: PlacementLimits,
+    /// Prompt tokens of short requests, as they arrive.
+    pub(super) short_reading: DecayingRate,
+    pub(super) closed: ClosedRequests,
     pub(super) retry_budget: RetryBudget,
     pub(super) demand: DemandTracker,
     pub(super) completions: DecayingRate,
     pub(super) counters: DispatchCounters,
     pub(super) actions: Vec<DispatchAction>,
     polled_at: Timestamp,
+    /// When waiting requests are tried again; `None` while nothing has changed and none waits.
+    pub(super) try_again_at: Option<Timestamp>,
+    /// When a request was last refused, shed or given up for lack of capacity.
+    pub(super) given_up_at: Option<Timestamp>,
 }
 
 /// A request that has been placed.
@@ -78,6 +85,8 @@
             queue: FairQueue::new(config.stretch, config.patience),
             running: BTreeMap::new(),
             running_by_deadline: BTreeSet::new(),
+            limits: PlacementLimits::default(),
+            short_reading: DecayingRate::new(SHORT_WORK_WINDOW),
             closed: ClosedRequests::new(config.closed_requests_maximum, config.closed_requests_retention),
             retry_budget: RetryBudget::new(config.retry_budget),
             demand: DemandTracker::default(),
@@ -85,6 +94,8 @@
             counters: DispatchCounters::default(),
             actions: Vec::new(),
             polled_at: Timestamp::ZERO,
+            try_again_at: None,
+            given_up_at: None,
             config,
         }
     }
@@ -92,6 +103,7 @@
     /// Replaces the engines of the pool. Requests that run on an engine that is gone go on until they end.
     pub fn set_engines(&mut self, engines: Vec<EngineSlot>) {
         self.fleet.set_slots(engines, &self.config);
+        self.try_again_at = Some(Timestamp::ZERO);
     }
 
     /// Replaces the classes of service, for requests that arrive from now on. A request of an unknown contract is
@@ -103,6 +115,7 @@
     /// Replaces the policy that places requests from now on.
     pub fn set_placement(&mut self, placement: Box<dyn PlacementPolicy>) {
         self.placement = placement;
+        self.try_again_at = Some(Timestamp::ZERO);
     }
 
     /// Takes a request into the queue. A repeat of a request that waits, runs or has run is accepted and ignored.
@@ -123,6 +136,7 @@
             Ok(()) => {
                 let expires = self.expires(&job);
                 self.queue.push(job, expires);
+                self.try_again_at = Some(now);
                 Ok(())
             }
             Err(refusal) => {
@@ -134,6 +148,9 @@
 
     /// Takes in what an engine did.
     pub fn step(&mut self, event: EngineEvent, now: Timestamp) {
+        if !matches!(event, EngineEvent::Progress { .. }) {
+            self.try_again_at = Some(now);
+        }
         match event {
             EngineEvent::PromptRead { request } => self.prompt_read(request, now),
             EngineEvent::FirstToken { request } => self.first_token(request, now),
@@ -234,13 +251,15 @@
         self.closed.forget_old(now);
         self.give_up_expired(now);
         self.cancel_overdue(now);
-        self.place_waiting(now);
+        if self.try_again_at.is_some_and(|at| at <= now) {
+            self.place_waiting(now);
+        }
         std::mem::take(&mut self.actions)
     }
 
     /// When [`Dispatcher::poll`] has to be called again even if nothing happens; always after the last poll.
     pub fn next_poll(&self) -> Option<Timestamp> {
-        let room = if self.queue.is_empty() { None } else { self.fleet.next_room_after(self.polled_at) };
+        let room = self.try_again_at.filter(|at| *at > self.polled_at);
         let overdue = self.running_by_deadline.first().map(|(deadline, _)| *deadline);
         [room, overdue, self.queue.next_expiry()].into_iter().flatten().min()
     }
@@ -251,24 +270,6 @@
         job.due() - reserve - job.read_time
     }
 
-    /// Ends a request for good.
-    pub(super) fn end(&mut self, job: &Job, verdict: Verdict, now: Timestamp) {
-        let closed = match &verdict {
-            Verdict::NotRun(refusal) => Closed::NeverStarted(refusal.clone()),
-            Verdict::Completed | Verdict::MayHaveRun(_) => Closed::Ended,
-        };
-        let outcome = match &verdict {
-            Verdict::Completed if job.met_contract(now) => RequestOutcome::Met,
-            Verdict::Completed => RequestOutcome::Missed,
-            Verdict::NotRun(_) => RequestOutcome::NotRun,
-            Verdict::MayHaveRun(_) => RequestOutcome::MayHaveRun,
-        };
-        self.closed.insert(job.profile.id, closed, now);
-        self.placement.record(&job.profile, outcome);
-        self.counters.record_end(outcome);
-        self.actions.push(DispatchAction::End { request: job.profile.id, verdict });
-    }
-
     pub(super) fn stop_running(&mut self, request: RequestId, now: Timestamp) -> Option<Running> {
         let running = self.running.remove(&request)?;
         self.running_by_deadline.remove(&(running.job.terms.deadline, request));
@@ -280,7 +281,7 @@
         self.running.contains_key(&request) || self.queue.contains(request)
     }
 
-    fn has_room_for_one_more(&self) -> bool {
+    pub(super) fn has_room_for_one_more(&self) -> bool {
         self.closed.has_room_for(self.running.len() + self.queue.len())
     }
 
@@ -289,6 +290,9 @@
         let terms = Terms::new(&profile, contract, now);
         let read = self.fleet.shortest_reading(&profile);
         self.demand.record_arrival(&profile, read.tokens, contract, now);
+        if read.tokens <= self.config.piece_tokens {
+            self.short_reading.add(f64::from(read.tokens), now);
+        }
         let generation = self.fleet.generation_time(&profile).mul_f64(self.demand.output_share());
         Job::new(profile, terms, read.time, read.time + generation, now)
     }
@@ -307,130 +311,20 @@
         }
     }
 
-    fn forecast(&self, now: Timestamp) -> Forecast<'_> {
+    pub(super) fn forecast(&self, now: Timestamp) -> Forecast<'_> {
         Forecast {
             fleet: &self.fleet,
             queue: &self.queue,
             config: &self.config,
             completions_per_second: self.completions.per_second(now),
+            precedence: self.precedence(now),
             now,
         }
     }
 
-    fn refuse(&mut self, job: &Job, refusal: NotRun, now: Timestamp) {
-        self.counters.refused += 1;
-        self.placement.record(&job.profile, RequestOutcome::NotRun);
-        if self.has_room_for_one_more() {
-            self.closed.insert(job.profile.id, Closed::NeverStarted(refusal), now);
-        }
-    }
-
-    fn shed(&mut self, request: RequestId, now: Timestamp) {
-        let retry_after = self.forecast(now).time_to_empty();
-        let Some(job) = self.queue.remove(request) else { return };
-        self.counters.shed += 1;
-        self.give_up(&job, NotRun::retry_after(NotRunReason::DeadlineUnreachable, retry_after), now);
-    }
-
-    fn give_up_expired(&mut self, now: Timestamp) {
-        while let Some(job) = self.queue.pop_expired(now) {
-            self.counters.expired += 1;
-            let refusal = if job.terms.deadline <= now {
-                NotRun::new(NotRunReason::DeadlinePassed)
-            } else {
-                let retry_after = self.forecast(now).time_to_empty();
-                NotRun::retry_after(NotRunReason::DeadlineUnreachable, retry_after)
-            };
-            self.give_up(&job, refusal, now);
-        }
-    }
-
-    /// Gives up all waiting requests, for another dispatcher to take: this one has lost its pool.
-    pub fn give_up_waiting(&mut self, reason: NotRunReason, now: Timestamp) {
-        let waiting: Vec<RequestId> = self.queue.jobs().map(|job| job.profile.id).collect();
-        for request in waiting {
-            let Some(job) = self.queue.remove(request) else { continue };
-            self.give_up(&job, NotRun::new(reason), now);
-        }
-    }
-
-    fn give_up(&mut self, job: &Job, refusal: NotRun, now: Timestamp) {
-        let verdict = job.verdict_when_given_up(refusal);
-        self.end(job, verdict, now);
-    }
-
-    fn revoke_waiting(&mut self, job: &Job, now: Timestamp) -> Revocation {
-        if job.may_have_run.is_some() {
-            self.end(job, Verdict::MayHaveRun(MayHaveRun::CallerGone), now);
-            return Revocation::AfterStart;
-        }
-        let refusal = NotRun::new(NotRunReason::Revoked);
-        self.closed.insert(job.profile.id, Closed::NeverStarted(refusal), now);
-        self.placement.record(&job.profile, RequestOutcome::NotRun);
-        self.counters.record_end(RequestOutcome::NotRun);
-        Revocation::BeforeStart
-    }
-
-    fn cancel_overdue(&mut self, now: Timestamp) {
-        let overdue = self.running_by_deadline.iter().take_while(|(deadline, _)| *deadline <= now);
-        let overdue: Vec<RequestId> = overdue.map(|(_, request)| *request).collect();
-        for request in overdue {
-            self.cancel(request, CancelReason::DeadlinePassed);
-        }
-    }
-
-    fn cancel(&mut self, request: RequestId, reason: CancelReason) {
-        let Some(running) = self.running.get_mut(&request).filter(|running| running.cancelled.is_none()) else {
-            return;
-        };
-        running.cancelled = Some(reason);
-        self.running_by_deadline.remove(&(running.job.terms.deadline, request));
-        let still_has_it = |engine: &&EngineName| !running.generating || **engine == running.placement.decode;
-        for engine in running.placement.engines().filter(still_has_it) {
-            self.actions.push(DispatchAction::Cancel { request, engine: engine.clone() });
-        }
-    }
-
-    fn place_waiting(&mut self, now: Timestamp) {
-        let mut without_room = BTreeSet::new();
-        while let Some((request, placement)) = self.next_placement(&mut without_room, now) {
-            self.start(request, placement, now);
-        }
-    }
-
-    /// The next request in the order of the queue that an engine has room for. A start only takes room away, so one
-    /// that finds none isn't tried again.
-    fn next_placement(
-        &mut self,
-        without_room: &mut BTreeSet<RequestId>,
-        now: Timestamp,
-    ) -> Option<(RequestId, Placement)> {
-        for request in self.queue.order(TRIED_PER_FLOW) {
-            if without_room.contains(&request) {
-                continue;
-            }
-            let job = self.queue.get(request)?;
-            if let Some(placement) = self.fleet.choose(job, &self.config, self.placement.as_mut(), now) {
-                return Some((request, placement));
-            }
-            without_room.insert(request);
-        }
-        None
-    }
-
-    fn start(&mut self, request: RequestId, placement: Placement, now: Timestamp) {
-        let Some(mut job) = self.queue.start(request) else { return };
-        job.attempts += 1;
-        if job.attempts == 1 {
-            self.retry_budget.record_first_attempt();
-        }
-        self.counters.started += 1;
-        self.fleet.start(&job, &placement, now);
-        self.running_by_deadline.insert((job.terms.deadline, request));
-        let (attempt, resume_from) = (job.attempts, job.delivered);
-        let running =
-            Running { job, placement: placement.clone(), prompt_read: false, generating: false, cancelled: None };
-        self.running.insert(request, running);
-        self.actions.push(DispatchAction::Start { request, placement, attempt, resume_from });
+    /// Shares while the pool meets its demand; priority for a while after it had to give up requests.
+    pub(super) fn precedence(&self, now: Timestamp) -> Precedence {
+        let is_overloaded = |given_up_at: Timestamp| now.since(given_up_at) < OVERLOAD_MEMORY;
+        if self.given_up_at.is_some_and(is_overloaded) { Precedence::Priority } else { Precedence::Shares }
     }
 }
--- a/crates/core/src/dispatch/engine_state.rs
+++ b/crates/core/src/dispatch/engine_state.rs
@@ -17,8 +17,6 @@
 
 /// The clock of an engine's report may be off by this much besides the link.
 const REPORT_UNCERTAINTY: Duration = Duration::from_millis(50);
-/// The share of the tokens still allowed that a stream is expected to generate.
-const EXPECTED_SHARE_OF_OUTPUT: u32 = 2;
 
 /// The part of a request that runs on one engine.
 #[derive(Clone, Debug)]
@@ -34,12 +32,14 @@
 }
 
 impl Task {
-    /// How long the stream may stand still before it breaks its contract's token interval.
-    fn slack(&self, step_time: Duration, now: Timestamp) -> Option<Duration> {
-        let since = self.generating_since?;
-        let to_come = self.max_output_tokens.saturating_sub(self.generated) / EXPECTED_SHARE_OF_OUTPUT;
+    /// How long the stream may still stand still before it breaks its contract's token interval; `None` when that has
+    /// happened, so that there is nothing left to protect.
+    fn slack(&self, step_time: Duration, output_counted_on: f64, now: Timestamp) -> Option<Duration> {
+        let tokens_left = self.max_output_tokens.saturating_sub(self.generated);
+        let to_come = (f64::from(tokens_left) * output_counted_on) as u32;
         let allowed = self.token_interval.saturating_mul((self.generated + to_come).max(1));
-        Some(allowed.saturating_sub(now.since(since)).saturating_sub(step_time * to_come))
+        let taken = self.generating_since.map_or(Duration::ZERO, |since| now.since(since));
+        allowed.checked_sub(taken + step_time * to_come)
     }
 }
 
@@ -55,6 +55,7 @@
     correction: LoadCorrection,
     report_lifetime: Duration,
     backlog_maximum: u32,
+    output_counted_on: f64,
 }
 
 impl EngineState {
@@ -69,6 +70,7 @@
             correction: LoadCorrection::default(),
             report_lifetime: config.load_report_lifetime,
             backlog_maximum: config.prefill_backlog_tokens,
+            output_counted_on: config.output_counted_on,
         }
     }
 
@@ -100,6 +102,18 @@
             && self.has_batch_room(job, stage, now)
             && self.has_memory_room(job, stage, now)
             && (stage == Stage::Decode || self.wait(now) <= self.wait_maximum())
+            && (stage == Stage::Decode || self.read_time(job) <= self.interference_slack(now))
+    }
+
+    /// Whether it would be given a request that needs nearly nothing: what it refuses then is refused for its size.
+    pub(super) fn takes_small_work(&self, stage: Stage, now: Timestamp) -> bool {
+        let has_time = stage == Stage::Decode || self.wait(now) <= self.wait_maximum();
+        self.is_capacity(stage) && self.free_places(now) > 0 && has_time
+    }
+
+    /// Whether it reads a prompt of more than `tokens`, so that a short one placed there would wait behind it.
+    pub(super) fn reads_longer_than(&self, tokens: u32) -> bool {
+        self.backlog.has_longer_than(tokens)
     }
 
     /// Requests that could still be added to the batch.
@@ -230,10 +244,21 @@
         self.slot.performance.read_time(self.backlog_maximum)
     }
 
+    /// How long another prompt may take to read before it breaks the token interval of a stream that runs here, or
+    /// will run once its prompt has been read. Prompts that wait already hold up the streams before them.
     fn interference_slack(&self, now: Timestamp) -> Duration {
-        let step_time = self.slot.performance.step_time_of(self.decoding());
-        let slacks = self.tasks.values().filter_map(|task| task.slack(step_time, now));
-        slacks.min().unwrap_or(Duration::MAX)
+        let step_time = self.slot.performance.step_time_of(self.decoding() + 1);
+        let slack_left = |(request, task): (&RequestId, &Task)| {
+            let held_up = self.backlog.read_after(*request).unwrap_or_else(|| self.wait(now));
+            Some(task.slack(step_time, self.output_counted_on, now)?.saturating_sub(held_up))
+        };
+        let streams = self.tasks.iter().filter(|(_, task)| task.stage != Stage::Prefill);
+        streams.filter_map(slack_left).min().unwrap_or(Duration::MAX)
+    }
+
+    fn read_time(&self, job: &Job) -> Duration {
+        let cached = self.prefixes.cached_tokens(&job.profile.blocks);
+        self.slot.performance.read_time(job.profile.prompt_tokens.saturating_sub(cached))
     }
 
     fn requests(&self) -> u32 {
--- a/crates/core/src/dispatch/fair_queue.rs
+++ b/crates/core/src/dispatch/fair_queue.rs
@@ -6,6 +6,8 @@
 //! length / weight. While two flows both have waiting requests, what they were handed, each divided by its weight,
 //! differs by at most the longest request of the one divided by its weight plus the same of the other.
 //!
+//! While demand exceeds the pool, flows of a higher priority go first, and the bound holds among flows of one priority.
+//!
 //! Within a flow a request's turn is its arrival plus a multiple of its length, capped by a share of its time to the
 //! first token. So a request waits behind those of its flow that arrive before its turn only: long work can't starve.
 
@@ -43,6 +45,15 @@
     jobs: BTreeMap<Turn, Job>,
 }
 
+/// What comes first in the order between flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Precedence {
+    /// The start tags only: all flows get their weighted share.
+    Shares,
+    /// The priority, and start tags among flows of one priority: for the time that demand exceeds the pool.
+    Priority,
+}
+
 /// What is predicted to be handed out before a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Ahead {
@@ -114,10 +125,13 @@
 
     /// The waiting requests in the order in which they should be started, at most `per_flow` of each flow. When one
     /// can't be placed, the next may be.
-    pub(super) fn order(&self, per_flow: usize) -> Vec<RequestId> {
-        let mut flows: Vec<&Flow> = self.flows.values().filter(|flow| !flow.jobs.is_empty()).collect();
-        flows.sort_by(|left, right| left.start_tag.total_cmp(&right.start_tag));
-        flows.iter().flat_map(|flow| flow.jobs.keys().take(per_flow).map(|turn| turn.request)).collect()
+    pub(super) fn order(&self, per_flow: usize, precedence: Precedence) -> Vec<RequestId> {
+        let mut flows: Vec<(&FlowKey, &Flow)> = self.flows.iter().filter(|(_, flow)| !flow.jobs.is_empty()).collect();
+        flows.sort_by(|left, right| left.1.start_tag.total_cmp(&right.1.start_tag));
+        if precedence == Precedence::Priority {
+            flows.sort_by_key(|(key, _)| std::cmp::Reverse(key.priority));
+        }
+        flows.iter().flat_map(|(_, flow)| flow.jobs.keys().take(per_flow).map(|turn| turn.request)).collect()
     }
 
     pub(super) fn get(&self, request: RequestId) -> Option<&Job> {
--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -112,11 +112,14 @@
         job: &Job,
         config: &DispatchConfig,
         policy: &mut dyn PlacementPolicy,
+        limits: &PlacementLimits,
         now: Timestamp,
     ) -> Option<Placement> {
         let due = job.due() - job.first_token_within().mul_f64(config.deadline_reserve);
-        let search = Search { fleet: self, job, due, now };
-        if search.is_long(config.piece_tokens) {
+        let piece_tokens = config.piece_tokens;
+        let is_long = self.shortest_reading(&job.profile).tokens > piece_tokens;
+        let search = Search { fleet: self, job, is_long, limits, piece_tokens, due, now };
+        if is_long {
             return search.split(policy).or_else(|| search.whole(policy));
         }
         if search.split_is_faster() {
@@ -125,6 +128,17 @@
         search.whole(policy).or_else(|| search.split(policy))
     }
 
+    /// The engine to reserve for a job that is too large for what room there is, so that smaller ones don't take every
+    /// bit of room before there is enough of it. The engine with the fewest requests is empty soonest.
+    pub(super) fn engine_to_reserve(&self, job: &Job, now: Timestamp) -> Option<EngineName> {
+        let stage = if self.capacity(Stage::Whole).next().is_some() { Stage::Whole } else { Stage::Decode };
+        let refused_for_size =
+            |engine: &&EngineState| engine.takes_small_work(stage, now) && !job.failed_at.contains(&engine.slot.name);
+        let could_hold = |engine: &&EngineState| job.kv_tokens() <= engine.slot.performance.kv_capacity_tokens;
+        let engines = self.engines.values().filter(refused_for_size).filter(could_hold);
+        engines.min_by_key(|engine| engine.in_flight()).map(|engine| engine.slot.name.clone())
+    }
+
     /// Notes that a request starts.
     pub(super) fn start(&mut self, job: &Job, placement: &Placement, now: Timestamp) {
         let generation = if placement.prefill.is_some() { Stage::Decode } else { Stage::Whole };
@@ -163,23 +177,36 @@
     }
 }
 
+/// An engine that is kept free of other work until a request that needs much room has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Reservation {
+    pub(super) request: RequestId,
+    pub(super) engine: EngineName,
+}
+
+/// What a placement has to leave room for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct PlacementLimits {
+    /// The engine that is kept for one request.
+    pub(super) reservation: Option<Reservation>,
+    /// Engines that must stay free of long prompts, so that short ones needn't wait behind them.
+    pub(super) readers_for_short: usize,
+}
+
 /// The search for a placement of one job.
 struct Search<'a> {
     fleet: &'a Fleet,
     job: &'a Job,
+    /// Whether reading the prompt takes more than one piece, wherever it is read.
+    is_long: bool,
+    limits: &'a PlacementLimits,
+    piece_tokens: u32,
     /// When the first token has to come, less the reserve.
     due: Timestamp,
     now: Timestamp,
 }
 
 impl Search<'_> {
-    /// Whether reading the prompt would hold up the streams of an engine for more than one piece.
-    fn is_long(&self, piece_tokens: u32) -> bool {
-        let cached = |engine: &EngineState| engine.prefixes.cached_tokens(&self.job.profile.blocks);
-        let most_cached = self.fleet.engines.values().map(cached).max().unwrap_or(0);
-        self.job.profile.prompt_tokens.saturating_sub(most_cached) > piece_tokens
-    }
-
     fn whole(&self, policy: &mut dyn PlacementPolicy) -> Option<Placement> {
         let candidates = self.candidates(Stage::Whole);
         let chosen = policy.choose(&self.job.profile, Stage::Whole, &candidates, self.now)?;
@@ -227,9 +254,28 @@
         self.fleet.engines.values().map(transfer).max().unwrap_or_default()
     }
 
+    /// Whether enough engines stay free of long prompts when one more engine gets one. A pool with a single reader has
+    /// no choice.
+    fn leaves_readers_for_short(&self) -> bool {
+        let readers = self.fleet.capacity(Stage::Prefill).count();
+        let reads_long = |engine: &&EngineState| engine.reads_longer_than(self.piece_tokens);
+        let reading_long = self.fleet.capacity(Stage::Prefill).filter(reads_long).count();
+        reading_long == 0 || reading_long + 1 + self.limits.readers_for_short <= readers
+    }
+
+    fn is_reserved_for_another(&self, engine: &EngineName) -> bool {
+        self.limits
+            .reservation
+            .as_ref()
+            .is_some_and(|reservation| reservation.engine == *engine && reservation.request != self.job.profile.id)
+    }
+
     /// The engines that have room for this stage and are predicted to meet the deadline.
     fn candidates(&self, stage: Stage) -> Vec<EngineView> {
         let has_room = self.fleet.engines.values().filter(|engine| engine.takes(self.job, stage, self.now));
+        let has_room = has_room.filter(|engine| !self.is_reserved_for_another(&engine.slot.name));
+        let leaves_readers = stage == Stage::Decode || !self.is_long || self.leaves_readers_for_short();
+        let has_room = has_room.filter(|engine| leaves_readers || engine.reads_longer_than(self.piece_tokens));
         let mut views: Vec<EngineView> = has_room.map(|engine| engine.view(self.job, self.now)).collect();
         let transfer_time = if stage == Stage::Prefill { self.transfer_time() } else { Duration::ZERO };
         views.retain(|view| self.now + view.time_to_first_token(&self.job.profile, stage) + transfer_time <= self.due);
--- a/crates/core/src/dispatch/prefill_backlog.rs
+++ b/crates/core/src/dispatch/prefill_backlog.rs
@@ -53,6 +53,11 @@
         self.unread.is_empty()
     }
 
+    /// Whether a prompt of more than `tokens` is unread.
+    pub(super) fn has_longer_than(&self, tokens: u32) -> bool {
+        self.unread.iter().any(|unread| unread.tokens > tokens)
+    }
+
     pub(super) fn push(&mut self, request: RequestId, tokens: u32, read_time: Duration, now: Timestamp) {
         if self.unread.is_empty() {
             self.busy_until = now;
@@ -98,6 +103,12 @@
         predicted.max(overdue)
     }
 
+    /// Time to read the prompts that come after that of `request`; `None` if its own is not unread.
+    pub(super) fn read_after(&self, request: RequestId) -> Option<Duration> {
+        let position = self.unread.iter().position(|unread| unread.request == request)?;
+        Some(self.unread.iter().skip(position + 1).map(|unread| unread.read_time).sum::<Duration>().mul_f64(self.pace))
+    }
+
     /// When the predicted wait falls to `wait`, if it is higher now.
     pub(super) fn falls_to(&self, wait: Duration) -> Timestamp {
         self.busy_until - wait
