Mend a test that the new limit on all bodies had made red

A body limit of 1 GiB now breaks two rules, and the test expects one: the new limit on all bodies together as well. Change: the test uses 100 MiB, which breaks only the rule that it is about; the texts are compared as strictly as before.

--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -110,8 +110,8 @@
     assert_eq!((streams.key.as_str(), streams.value.as_str()), ("limits.streams_maximum", "10"));
     assert!(streams.allowed.contains("below limits.caller_connections (10)"), "{streams}");
 
-    let body = only_problem("[limits]\nbody_maximum = \"1GiB\"");
-    assert_eq!(body.to_string(), "`limits.body_maximum` is 1.0 GiB; allowed: 1.0 KiB to 64.0 MiB");
+    let body = only_problem("[limits]\nbody_maximum = \"100MiB\"");
+    assert_eq!(body.to_string(), "`limits.body_maximum` is 100.0 MiB; allowed: 1.0 KiB to 64.0 MiB");
 
     let total = only_problem("[limits]\nbody_maximum = \"2MiB\"\nbodies_total_maximum = \"1MiB\"");
     assert_eq!(
