Pool standings give the control its policies directly

Cause: the control of a pool takes policies and shadows as the policy module makes them. Change: pools.rs builds them by role_policy and ShadowRolePolicy. Conclusion: one type for a policy in shadow instead of two.

--- a/crates/core/src/control/pools.rs
+++ b/crates/core/src/control/pools.rs
@@ -5,13 +5,12 @@
 
 use super::message::{ControlAction, ControlMessage, StoreCaller};
 use crate::authority::{
-    AuthorityAction, AuthorityInput, EngineSpecification, EngineTarget, NamedPolicy, PoolControl, PoolControlConfig,
-    RoleFloors,
+    AuthorityAction, AuthorityInput, EngineSpecification, EngineTarget, PoolControl, PoolControlConfig, RoleFloors,
 };
-use crate::configuration::{Configuration, PolicyChoice};
+use crate::configuration::Configuration;
 use crate::dispatch::{EngineAvailability, EngineSlot};
 use crate::membership::{Member, View, rank_pool_owners};
-use crate::policy::{PoolLimits, RoleCounts, role_policy};
+use crate::policy::{PoolLimits, RoleCounts, ShadowRolePolicy, role_policy};
 use crate::time::Timestamp;
 use crate::world::{Address, EngineName, EnginePerformance, EngineRole, Model, Pool, PoolId, ZoneName};
 
@@ -110,8 +109,10 @@
         let new_control = || PoolControl::new(config.clone(), self.pool.id.clone(), me, now);
         let control = self.control.get_or_insert_with(new_control);
         control.set_engines(specifications.collect(), floors, now);
-        control.set_policy(configuration.role_policy.as_ref().and_then(named_policy));
-        control.set_shadows(configuration.shadow_role_policies.iter().filter_map(named_policy).collect());
+        // A configuration in force names only policies that exist, since it was validated.
+        control.set_policy(configuration.role_policy.as_ref().and_then(|choice| role_policy(choice).ok()));
+        let shadow = |choice| ShadowRolePolicy::new(choice).ok();
+        control.set_shadows(configuration.shadow_role_policies.iter().filter_map(shadow).collect());
     }
 
     /// Forgets the control of an ended life of this node.
@@ -182,9 +183,3 @@
 fn performance_of(configuration: &Configuration, pool: &PoolId) -> EnginePerformance {
     model_of(configuration, pool).map(|model| model.performance).unwrap_or_default()
 }
-
-/// The policy under its name; a configuration in force names only policies that exist, since it was validated.
-fn named_policy(choice: &PolicyChoice) -> Option<NamedPolicy> {
-    let policy = role_policy(choice).ok()?;
-    Some(NamedPolicy { name: choice.name.clone(), policy })
-}
--- a/crates/core/tests/authority_support/node.rs
+++ b/crates/core/tests/authority_support/node.rs
@@ -197,7 +197,6 @@
         token_interval: Duration::ZERO,
         waiting_prefill_tokens: 0,
         waiting_decode_tokens: 0,
-        token_interval: Duration::ZERO,
         performance: EnginePerformance::default(),
         role_change: ORDER_TIME,
     }
