--- a/crates/rehearsal/src/engine/model/state/stepping.rs
+++ b/crates/rehearsal/src/engine/model/state/stepping.rs
@@ -97,13 +97,14 @@
     }
 
     fn end_step(&mut self, step: Step, now: Timestamp) {
-        for mut sequence in std::mem::take(&mut self.batch) {
-            self.end_step_of(&mut sequence, step, now);
-            if sequence.is_finished() {
-                self.finish(sequence, now);
-            } else {
-                self.batch.push(sequence);
-            }
+        let mut batch = std::mem::take(&mut self.batch);
+        for sequence in &mut batch {
+            self.end_step_of(sequence, step, now);
+        }
+        self.batch = batch;
+        while let Some(finished) = self.batch.iter().position(Sequence::is_finished) {
+            let sequence = self.batch.remove(finished);
+            self.finish(sequence, now);
         }
     }
 
