--- a/crates/core/src/configuration/record.rs
+++ b/crates/core/src/configuration/record.rs
@@ -23,8 +23,6 @@
 /// How many confirmed plans a record remembers, so that a repeated confirmation finds its own success.
 pub const CONFIRMED_MAXIMUM: usize = 128;
 
-const SNAPSHOT_SLOTS: u8 = 2;
-
 /// Identifies a plan: the hash of its base version and its changes, so that equal plans are one plan.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
@@ -72,10 +70,9 @@
 pub struct ConfigurationRecord {
     /// The highest version that may be in force at nodes; no node puts a version in force before it is recorded here.
     pub in_force: ConfigurationVersion,
-    /// The version that a snapshot is kept of; version 0 needs none.
+    /// The version that the snapshot object holds at least; version 0 needs none. The object may already hold a later
+    /// one, which `log` continues as well, when its writer has not yet come to write this record.
     pub snapshot: ConfigurationVersion,
-    /// Which of the snapshot objects holds it. A writer only ever overwrites another one.
-    pub snapshot_slot: u8,
     /// The versions after the snapshot, without gaps; those after `in_force` are staged.
     pub log: Vec<VersionChange>,
     /// The plans of the last versions, in their order.
@@ -134,12 +131,11 @@
         ConfigurationRecord { in_force: version.min(self.latest()).max(self.in_force), ..self.clone() }
     }
 
-    /// The record without the changes that a snapshot of `version`, just written to the spare slot, makes needless.
+    /// The record without the changes that a snapshot of `version`, just written, makes needless.
     pub fn compact(&self, version: ConfigurationVersion) -> ConfigurationRecord {
         let mut compacted = self.clone();
         compacted.log.retain(|change| change.version > version);
         compacted.snapshot = version;
-        compacted.snapshot_slot = self.spare_slot();
         compacted
     }
 
@@ -152,20 +148,6 @@
     pub fn remembers_successor_of(&self, base: ConfigurationVersion) -> bool {
         self.confirmed.first().is_some_and(|oldest| oldest.version <= base.next())
     }
-
-    /// The object that holds the snapshot.
-    pub fn snapshot_key(&self) -> ObjectKey {
-        snapshot_key(self.snapshot_slot)
-    }
-
-    /// The object that the next snapshot goes to.
-    pub fn spare_snapshot_key(&self) -> ObjectKey {
-        snapshot_key(self.spare_slot())
-    }
-
-    fn spare_slot(&self) -> u8 {
-        (self.snapshot_slot + 1) % SNAPSHOT_SLOTS
-    }
 }
 
 /// The record's object in the store.
@@ -173,6 +155,7 @@
     ObjectKey(CONFIGURATION_KEY.to_owned())
 }
 
-fn snapshot_key(slot: u8) -> ObjectKey {
-    ObjectKey(format!("{CONFIGURATION_KEY}-snapshot-{slot}"))
+/// The snapshot's object in the store.
+pub(super) fn snapshot_key() -> ObjectKey {
+    ObjectKey(format!("{CONFIGURATION_KEY}-snapshot"))
 }
--- a/crates/core/src/configuration/store_conversation.rs
+++ b/crates/core/src/configuration/store_conversation.rs
@@ -4,7 +4,7 @@
 //! lost reply ends the cycle, and the next one settles it by reading back.
 
 use super::content::Configuration;
-use super::record::{ConfigurationRecord, ConfigurationSnapshot, configuration_key};
+use super::record::{ConfigurationRecord, ConfigurationSnapshot, configuration_key, snapshot_key};
 use super::replica::{ConfigurationAction, ConfigurationReplica};
 use crate::store::{OperationId, Revision, StoreReply, StoreRequest, StoredObject};
 use crate::time::Timestamp;
@@ -37,7 +37,7 @@
     LoadSnapshot(ConfigurationRecord),
     /// Writes the record; also unchanged, to prove that it is the latest.
     WriteRecord(ConfigurationRecord),
-    ReadSpareSnapshot(KnownRecord),
+    ReadOldSnapshot(KnownRecord),
     WriteSnapshot(KnownRecord),
 }
 
@@ -99,7 +99,7 @@
             (Purpose::LoadSnapshot(record), StoreReply::Object(Some(object))) => self.snapshot_read(&record, &object),
             (Purpose::WriteRecord(record), StoreReply::Written(_)) => self.record_written(&record, now),
             (Purpose::WriteRecord(_), StoreReply::Conflict(object)) => self.write_conflicted(object),
-            (Purpose::ReadSpareSnapshot(known), StoreReply::Object(object)) => self.write_snapshot(known, object, now),
+            (Purpose::ReadOldSnapshot(known), StoreReply::Object(object)) => self.write_snapshot(known, object, now),
             (Purpose::WriteSnapshot(known), StoreReply::Written(_)) => self.write_compacted(known, now),
             _ => {}
         }
@@ -114,8 +114,7 @@
             return;
         }
         if self.lacks_snapshot(&known.record) {
-            let key = known.record.snapshot_key();
-            self.ask(StoreRequest::Read { key }, Purpose::LoadSnapshot(known.record), now);
+            self.read_snapshot(known.record, now);
             return;
         }
         if let Some(version) = self.activation_target().filter(|version| *version > known.record.in_force) {
@@ -123,8 +122,7 @@
             return;
         }
         if self.should_compact(&known.record) {
-            let key = known.record.spare_snapshot_key();
-            self.ask(StoreRequest::Read { key }, Purpose::ReadSpareSnapshot(known), now);
+            self.ask(StoreRequest::Read { key: snapshot_key() }, Purpose::ReadOldSnapshot(known), now);
         }
     }
 
@@ -135,8 +133,7 @@
             self.synchronization.reach(Some(record.in_force));
         }
         if self.lacks_snapshot(record) {
-            let key = record.snapshot_key();
-            self.ask(StoreRequest::Read { key }, Purpose::LoadSnapshot(record.clone()), now);
+            self.read_snapshot(record.clone(), now);
         }
     }
 
@@ -146,6 +143,10 @@
         }
     }
 
+    fn read_snapshot(&mut self, record: ConfigurationRecord, now: Timestamp) {
+        self.ask(StoreRequest::Read { key: snapshot_key() }, Purpose::LoadSnapshot(record), now);
+    }
+
     /// A snapshot may be newer than the record that led to it; it is used when the record's log continues it.
     fn snapshot_read(&mut self, record: &ConfigurationRecord, object: &StoredObject) {
         let Ok(snapshot) = serde_json::from_str::<ConfigurationSnapshot>(&object.value) else { return };
@@ -155,14 +156,14 @@
         }
     }
 
-    fn write_snapshot(&mut self, known: KnownRecord, spare: Option<StoredObject>, now: Timestamp) {
+    fn write_snapshot(&mut self, known: KnownRecord, old: Option<StoredObject>, now: Timestamp) {
         let Some(content) = self.versions.content() else { return };
         let snapshot =
             ConfigurationSnapshot { version: content.version, configuration: (*content.configuration).clone() };
         let Ok(value) = serde_json::to_string(&snapshot) else { return };
         let request = StoreRequest::CompareAndSet {
-            key: known.record.spare_snapshot_key(),
-            expected: spare.map(|spare| spare.revision).unwrap_or_default(),
+            key: snapshot_key(),
+            expected: old.map(|old| old.revision).unwrap_or_default(),
             operation: self.new_operation(),
             value,
         };
