--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -26,7 +26,11 @@
         self.limits.readers_for_short = self.readers_for_short(now);
         let mut without_room = BTreeSet::new();
         while let Some((request, placement)) = self.next_placement(&mut without_room, now) {
+            let gives_up_reservation = self.limits.reservation.as_ref().is_some_and(|held| held.request == request);
             self.start(request, placement, now);
+            if gives_up_reservation {
+                without_room.clear();
+            }
         }
         self.try_again_at = self.next_try(now);
     }
@@ -41,8 +45,8 @@
         Some(room.map_or(streams_gain_slack, |room| room.min(streams_gain_slack)))
     }
 
-    /// The next request in the order of the queue that an engine has room for. A start only takes room away, so one
-    /// that finds none isn't tried again.
+    /// The next request in the order of the queue that an engine has room for. A start only takes room away, unless it
+    /// ends a reservation, so one that finds none isn't tried again.
     fn next_placement(
         &mut self,
         without_room: &mut BTreeSet<RequestId>,
--- a/crates/core/src/policy/placement_by_name.rs
+++ b/crates/core/src/policy/placement_by_name.rs
@@ -13,6 +13,8 @@
 use crate::world::EngineName;
 
 const KNOWN: &str = "cost, least_loaded, power_of_two, prefix_affinity, round_robin";
+/// An engine with fewer requests is never too busy to be taken for its cache.
+const LOAD_LIMIT_MINIMUM: u32 = 4;
 const LOAD_BOUND: Parameter = Parameter::new("load_bound", 0.25, 0.0, 10.0);
 
 /// Creates the placement policy that `choice` names. `seed` makes its random choices repeatable.
@@ -97,18 +99,18 @@
         Ok(PrefixAffinity { load_bound: LOAD_BOUND.of(choice) })
     }
 
-    /// The most requests that an engine may have to be taken for its cache: the mean and a share more, at least one.
-    fn most_running(&self, candidates: &[EngineView]) -> u32 {
+    /// The requests from which on an engine isn't taken for its cache: the mean and a share more.
+    fn load_limit(&self, candidates: &[EngineView]) -> u32 {
         let total: u32 = candidates.iter().map(|engine| engine.running).sum();
         let mean = f64::from(total + 1) / candidates.len().max(1) as f64;
-        (mean * (1.0 + self.load_bound)).ceil() as u32
+        ((mean * (1.0 + self.load_bound)).ceil() as u32).max(LOAD_LIMIT_MINIMUM)
     }
 }
 
 impl PlacementPolicy for PrefixAffinity {
     fn choose(&mut self, request: &RequestProfile, _: Stage, candidates: &[EngineView], _: Timestamp) -> Option<usize> {
-        let most_running = self.most_running(candidates);
-        let within_bound = |&index: &usize| candidates[index].running < most_running;
+        let load_limit = self.load_limit(candidates);
+        let within_bound = |&index: &usize| candidates[index].running < load_limit;
         let preference =
             |&index: &usize| (candidates[index].cached_prefix_tokens, rendezvous(request, &candidates[index]));
         let preferred = (0..candidates.len()).filter(within_bound).max_by_key(preference);
--- a/crates/core/tests/dispatch_support/engine.rs
+++ b/crates/core/tests/dispatch_support/engine.rs
@@ -27,6 +27,12 @@
     Token { task: Task, last: bool },
 }
 
+#[derive(Debug, Default)]
+struct Plan {
+    reads: Option<(RequestId, u32)>,
+    generates: Vec<RequestId>,
+}
+
 #[derive(Debug)]
 pub struct SimulatedEngine {
     pub performance: EnginePerformance,
@@ -35,6 +41,8 @@
     /// Counts crashes, so that a step that began before one is void.
     pub life: u32,
     pub stepping: bool,
+    /// What the step in progress does; what comes in the middle of it waits for the next.
+    plan: Plan,
     unread: VecDeque<Task>,
     generating: BTreeMap<RequestId, Task>,
     /// KV caches that were read for other engines and have not moved yet.
@@ -51,6 +59,7 @@
             down: false,
             life: 0,
             stepping: false,
+            plan: Plan::default(),
             unread: VecDeque::new(),
             generating: BTreeMap::new(),
             exported: BTreeMap::new(),
@@ -103,28 +112,33 @@
         lost
     }
 
-    /// How long the next step takes, if there is anything to do.
-    pub fn step_duration(&self) -> Option<Duration> {
-        if self.unread.is_empty() && self.generating.is_empty() {
-            return None;
-        }
-        let piece = self.unread.front().map_or(0, |task| task.unread.min(PIECE_TOKENS));
-        let generation = match self.generating.len() {
+    /// Plans the next step; returns how long it takes, if there is anything to do.
+    pub fn plan_step(&mut self) -> Option<Duration> {
+        let reads = self.unread.front().map(|task| (task.request, task.unread.min(PIECE_TOKENS)));
+        self.plan = Plan { reads, generates: self.generating.keys().copied().collect() };
+        let generation = match self.plan.generates.len() {
+            0 if reads.is_none() => return None,
             0 => Duration::ZERO,
             requests => self.performance.step_time_of(requests as u32),
         };
+        let piece = reads.map_or(0, |(_, tokens)| tokens);
         Some((generation + self.performance.read_time(piece)).mul_f64(self.slowdown))
     }
 
     pub fn finish_step(&mut self) -> Vec<StepResult> {
         let mut results = Vec::new();
-        for task in self.generating.values_mut() {
-            task.tokens_left -= 1;
-            results.push(StepResult::Token { task: *task, last: task.tokens_left == 0 });
+        let plan = std::mem::take(&mut self.plan);
+        for request in plan.generates {
+            if let Some(task) = self.generating.get_mut(&request) {
+                task.tokens_left -= 1;
+                results.push(StepResult::Token { task: *task, last: task.tokens_left == 0 });
+            }
         }
         self.generating.retain(|_, task| task.tokens_left > 0);
-        if let Some(first) = self.unread.front_mut() {
-            first.unread -= first.unread.min(PIECE_TOKENS);
+        if let Some(first) = self.unread.front_mut()
+            && let Some((_, piece)) = plan.reads.filter(|(request, _)| *request == first.request)
+        {
+            first.unread -= piece;
             if first.unread == 0 {
                 results.extend(self.prompt_done());
             }
--- a/crates/core/tests/dispatch_support/mod.rs
+++ b/crates/core/tests/dispatch_support/mod.rs
@@ -1,6 +1,6 @@
 //! A pool of simulated engines in virtual time around a real dispatcher, with a history of what ran where.
 
-#![allow(dead_code, reason = "each test file uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 
 mod engine;
 mod history;
--- a/crates/core/tests/dispatch_support/pool.rs
+++ b/crates/core/tests/dispatch_support/pool.rs
@@ -37,6 +37,7 @@
     pub engines: BTreeMap<EngineName, SimulatedEngine>,
     events: BTreeMap<(Timestamp, u64), Event>,
     sequence: u64,
+    pub starts_by_engine: BTreeMap<EngineName, usize>,
     /// The attempt that runs now, so that what is left of an earlier one is void.
     attempts: BTreeMap<RequestId, (u32, Placement)>,
 }
@@ -52,6 +53,7 @@
             slots,
             events: BTreeMap::new(),
             sequence: 0,
+            starts_by_engine: BTreeMap::new(),
             attempts: BTreeMap::new(),
         }
     }
@@ -108,6 +110,7 @@
             match action {
                 DispatchAction::Start { request, placement, attempt, resume_from } => {
                     self.check_start(&placement);
+                    *self.starts_by_engine.entry(placement.decode.clone()).or_default() += 1;
                     self.history.started(request, attempt, resume_from);
                     self.attempts.insert(request, (attempt, placement.clone()));
                     let start = Event::Start { request, placement, attempt, resume_from };
@@ -211,7 +214,7 @@
         if engine.stepping {
             return;
         }
-        if let Some(duration) = engine.step_duration() {
+        if let Some(duration) = engine.plan_step() {
             engine.stepping = true;
             let step = Event::Step { engine: name.clone(), life: engine.life };
             self.schedule(self.now + duration, step);
