--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -4,6 +4,7 @@
 
 use havengate_node::settings::{Settings, SettingsLayer, parse_toml};
 use havengate_rehearsal::deployment::Deployment;
+use havengate_rehearsal::experiment::Experiment;
 
 use super::files::read_text;
 use super::intent_file::parse_intent;
@@ -14,11 +15,13 @@
 use crate::report::CheckReport;
 
 /// Keys that only one kind of file has at its top.
-const TELLTALE_KEYS: [(&str, FileKind); 17] = [
+const TELLTALE_KEYS: [(&str, FileKind); 19] = [
     ("callers_address", FileKind::Settings),
     ("operators_address", FileKind::Settings),
     ("peers_address", FileKind::Settings),
     ("platform_address", FileKind::Settings),
+    ("phase", FileKind::Experiment),
+    ("repetitions", FileKind::Experiment),
     ("machine", FileKind::Deployment),
     ("client_latency", FileKind::Deployment),
     ("configuration", FileKind::Intent),
@@ -48,6 +51,7 @@
         FileKind::Settings => check_settings(&options.file, &text)?,
         FileKind::Deployment => check_deployment(&options.file, &text)?,
         FileKind::Intent => check_intent(&options.file, &text)?,
+        FileKind::Experiment => check_experiment(options, &text)?,
     };
     output.print(&report)?;
     Ok(ExitStatus::Done)
@@ -79,3 +83,15 @@
     parse_intent(path, text)?;
     Ok(CheckReport::new(path, "intent", "the node checks the names in it when it is stated".to_owned()))
 }
+
+fn check_experiment(options: &CheckOptions, text: &str) -> Result<CheckReport, CommandError> {
+    let experiment: Experiment = parse_toml(&options.file, text)?;
+    match &options.deployment {
+        Some(deployment) => experiment.validate_for(&Deployment::load(deployment)?)?,
+        None => experiment.validate()?,
+    }
+    let (phases, faults) = (experiment.phases.len(), experiment.faults.len());
+    let duration = humantime::format_duration(experiment.duration());
+    let summary = format!("{}: {phases} phases, {faults} faults, {duration}", experiment.name);
+    Ok(CheckReport::new(&options.file, "experiment", summary))
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -8,6 +8,7 @@
 use havengate_node::operators::{OperatorError, OperatorErrorCode};
 use havengate_node::settings::{SettingsError, TomlFileError};
 use havengate_rehearsal::deployment::DeploymentError;
+use havengate_rehearsal::experiment::ExperimentError;
 
 use crate::client::ClientError;
 use crate::exit_status::ExitStatus;
@@ -22,6 +23,8 @@
     /// {0}
     Deployment(#[from] DeploymentError),
     /// {0}
+    Experiment(#[from] ExperimentError),
+    /// {0}
     File(#[from] TomlFileError),
     /// {0}
     Configuration(ConfigurationProblems),
@@ -55,6 +58,7 @@
             CommandError::Client(_) => ExitStatus::NoAnswer,
             CommandError::Settings(_)
             | CommandError::Deployment(_)
+            | CommandError::Experiment(_)
             | CommandError::File(_)
             | CommandError::Configuration(_)
             | CommandError::UnknownKind { .. } => ExitStatus::BadInput,
@@ -71,6 +75,7 @@
             CommandError::Client(ClientError::UnknownAnswer { .. }) => "unknown_answer".to_owned(),
             CommandError::Settings(_)
             | CommandError::Deployment(_)
+            | CommandError::Experiment(_)
             | CommandError::File(_)
             | CommandError::Configuration(_)
             | CommandError::UnknownKind { .. } => "bad_file".to_owned(),
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -40,7 +40,9 @@
     /// Checks a file of settings, a deployment, an intent or an experiment, and names what is wrong.
     #[bpaf(
         command("check"),
-        footer("Examples:\n  havengate check node.toml\n  havengate check --kind intent - < change.toml")
+        footer(
+            "Examples:\n  havengate check node.toml\n  havengate check --kind intent - < change.toml\n  havengate check waves.toml --deployment print-shop.toml"
+        )
     )]
     Check {
         #[bpaf(external(check_options))]
@@ -192,14 +194,20 @@
     Deployment,
     /// An intent.
     Intent,
+    /// An experiment on a deployment.
+    Experiment,
 }
 
 impl FromStr for FileKind {
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let kinds =
-            [("settings", FileKind::Settings), ("deployment", FileKind::Deployment), ("intent", FileKind::Intent)];
+        let kinds = [
+            ("settings", FileKind::Settings),
+            ("deployment", FileKind::Deployment),
+            ("intent", FileKind::Intent),
+            ("experiment", FileKind::Experiment),
+        ];
         choose(text, &kinds)
     }
 }
@@ -207,9 +215,12 @@
 /// Options of `check`:
 #[derive(Clone, Debug, Bpaf)]
 pub struct CheckOptions {
-    /// What the file holds: settings, deployment or intent; by default it is told from the file's keys
+    /// What the file holds: settings, deployment, intent or experiment; by default it is told from the file's keys
     #[bpaf(argument("KIND"))]
     pub kind: Option<FileKind>,
+    /// The deployment that an experiment is for; the names in the experiment are then checked, too
+    #[bpaf(argument("FILE"), complete_shell(TOML_FILE))]
+    pub deployment: Option<PathBuf>,
     #[bpaf(external)]
     pub format: Format,
     /// The file; `-` is standard input
--- a/crates/cli/tests/cli/files.rs
+++ b/crates/cli/tests/cli/files.rs
@@ -29,7 +29,7 @@
         (vec!["status", "--timeout", "soon"], "allowed: a duration above zero"),
         (vec!["status", "--timeout", "0s"], "allowed: a duration above zero"),
         (vec!["confirm"], "ID"),
-        (vec!["check", "--kind", "recipe", "x.toml"], "allowed: settings, deployment, intent"),
+        (vec!["check", "--kind", "recipe", "x.toml"], "allowed: settings, deployment, intent, experiment"),
     ] {
         let failed = run(&arguments);
         assert_eq!(failed.code, 2, "{arguments:?}: {failed:?}");
@@ -45,14 +45,26 @@
         ("intent.toml", "intent"),
         ("himal-chhapai.toml", "deployment"),
         ("trag.toml", "deployment"),
+        ("experiments/himal-waves.toml", "experiment"),
+        ("experiments/trag-waves.toml", "experiment"),
     ] {
-        let checked = run(&["check", "--format", "json", example(name).to_str().expect("a path")]);
+        let checked = run(&["check", "--format", "json", &example(name)]);
         assert_eq!(checked.code, 0, "{name}: {checked:?}");
         let report: serde_json::Value = serde_json::from_str(&checked.output).expect("JSON");
         assert_eq!(report["kind"], kind);
     }
 }
 
+#[test]
+fn an_experiment_is_checked_against_its_deployment() {
+    let experiment = example("experiments/trag-waves.toml");
+    let its_own = run(&["check", &experiment, "--deployment", &example("trag.toml")]);
+    assert_eq!(its_own.code, 0, "{its_own:?}");
+    let another = run(&["check", &experiment, "--deployment", &example("himal-chhapai.toml")]);
+    assert_eq!(another.code, 2, "{another:?}");
+    assert!(another.errors.contains("`maintainers`"), "{another:?}");
+}
+
 #[test]
 fn bad_files_exit_with_2_and_name_key_value_and_what_is_allowed() {
     let node = std::fs::read_to_string(example("node.toml")).expect("the example");
@@ -74,6 +86,7 @@
             "[[configuration.engine]]\nname=\"a\"\naddress=\"127.0.0.1:1\"\nzone=\"z\"\nmodel=\"m\"\n".to_owned(),
             "engine a.zone is `z`; allowed: nothing yet",
         ),
+        ("phase", "name = \"x\"\n[[phase]]\nname = \"x\"\nduration = \"0s\"\n".to_owned(), "duration"),
         ("toml", "zone = [".to_owned(), "line 1"),
         ("kind", "colour = \"red\"".to_owned(), "--kind"),
     ];
@@ -97,9 +110,7 @@
 
 #[test]
 fn a_node_does_not_start_with_settings_that_are_not_allowed() {
-    let settings = example("node.toml");
-    let settings = settings.to_str().expect("a path");
-    let failed = run(&["node", "--settings", settings, "--peers-address", "0.0.0.0:8082"]);
+    let failed = run(&["node", "--settings", &example("node.toml"), "--peers-address", "0.0.0.0:8082"]);
     assert_eq!(failed.code, 2, "{failed:?}");
     assert!(failed.errors.contains("`peers_address` is 0.0.0.0:8082"), "{failed:?}");
     let nothing = run(&["node"]);
--- a/crates/cli/tests/cli/support.rs
+++ b/crates/cli/tests/cli/support.rs
@@ -125,8 +125,8 @@
 }
 
 /// The path of an example.
-pub fn example(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name)
+pub fn example(name: &str) -> String {
+    format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"))
 }
 
 /// A file that is removed at the end of the test.
