HTTP server: prove the flush before a cut and the last connections

Cause: two mutations were not caught: a cut that throws away unwritten chunks, and a stop that drops connections not yet accepted; the test of the bound on all bodies could fail by its own races. Change: tests that fill the sockets before the cut, hold up the I/O thread before the stop, and hold a body by a waiting handler instead of by timing; the accept loop looks at the lifecycle first.

--- a/crates/node/src/http_server/server.rs
+++ b/crates/node/src/http_server/server.rs
@@ -224,8 +224,9 @@
     let ended = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => {
             let ended = tokio::select! {
-                error = accept_until_error(&listener, &shared) => Err(error),
+                biased;
                 _ = lifecycle.wait_for(|lifecycle| *lifecycle != Lifecycle::Serving) => Ok(()),
+                error = accept_until_error(&listener, &shared) => Err(error),
             };
             ended.and_then(|()| accept_completed(listener, &shared))
         }
--- a/crates/node/tests/http_server.rs
+++ b/crates/node/tests/http_server.rs
@@ -10,7 +10,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use havengate_node::http_server::{
     Handler, HangUp, HeaderMap, HttpServer, HttpServerConfig, HttpServerHandle, Request, Response, ResponseSender,
-    StatusCode,
+    ServerRefusal, StatusCode,
 };
 use http_server_support::{PATIENCE, RawClient};
 
@@ -25,6 +25,8 @@
 struct TestHandler {
     steps: Receiver<Step>,
     hang_ups: Sender<HangUp>,
+    /// When set, a refusal holds up the I/O thread that it is made on until something is sent.
+    release_refusal: Option<Receiver<()>>,
 }
 
 impl Handler for TestHandler {
@@ -55,6 +57,13 @@
             _ => response.send(Response::text(StatusCode::NOT_FOUND, "")),
         }
     }
+
+    fn refuse(&self, refusal: ServerRefusal) -> Response {
+        if let Some(release) = &self.release_refusal {
+            release.recv_timeout(PATIENCE).expect("released");
+        }
+        refusal.plain_response()
+    }
 }
 
 struct Fixture {
@@ -65,9 +74,13 @@
 
 impl Fixture {
     fn new(config: HttpServerConfig) -> Self {
+        Fixture::with_refusals(config, None)
+    }
+
+    fn with_refusals(config: HttpServerConfig, release_refusal: Option<Receiver<()>>) -> Self {
         let (steps, for_handler) = bounded(0);
         let (hang_ups, seen) = unbounded();
-        let handler = Arc::new(TestHandler { steps: for_handler, hang_ups });
+        let handler = Arc::new(TestHandler { steps: for_handler, hang_ups, release_refusal });
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Arc::new(HttpServer::bind(any, config, handler).expect("binds"));
         Fixture { server, steps, hang_ups: seen }
@@ -145,16 +158,20 @@
 #[test]
 fn an_aborted_stream_delivers_what_was_sent_and_stays_unterminated() {
     let fixture = Fixture::new(HttpServerConfig::default());
-    for length in [1, 1_000_000] {
-        let mut client = fixture.open_stream();
-        let first = "x".repeat(length);
-        fixture.send(&first);
-        fixture.send("last words");
-        fixture.step(Step::Abort);
-        assert_eq!(client.chunk().map(|chunk| chunk.len()), Some(length));
-        assert_eq!(client.chunk().as_deref(), Some("last words"));
-        assert!(client.is_closed(), "no terminating chunk");
+    let mut client = fixture.open_stream();
+    let more_than_sockets_hold = 32;
+    let megabyte = "x".repeat(1 << 20);
+    (0..more_than_sockets_hold).for_each(|_| fixture.send(&megabyte));
+    let last_words = ["last", "words", "of", "a", "stream"];
+    last_words.iter().for_each(|word| fixture.send(word));
+    fixture.step(Step::Abort);
+    for _ in 0..more_than_sockets_hold {
+        assert_eq!(client.chunk().map(|chunk| chunk.len()), Some(megabyte.len()));
+    }
+    for word in last_words {
+        assert_eq!(client.chunk().as_deref(), Some(word));
     }
+    assert!(client.is_closed(), "no terminating chunk");
 }
 
 #[test]
@@ -229,6 +246,22 @@
     assert!(client.is_closed());
 }
 
+#[test]
+fn a_connection_that_waits_to_be_accepted_is_served() {
+    let (release, released) = bounded(0);
+    let fixture = Fixture::with_refusals(HttpServerConfig { io_threads: 1, ..short() }, Some(released));
+    let mut blocking_io = fixture.client();
+    blocking_io.send("GET /echo HTTP/1.0\r\n\r\n");
+    thread::sleep(Duration::from_millis(50));
+    let mut waiting = fixture.client();
+    let server = Arc::clone(&fixture.server);
+    let stop = thread::spawn(move || server.stop_accepting());
+    thread::sleep(Duration::from_millis(50));
+    release.send_timeout((), PATIENCE).expect("the I/O thread is held up");
+    stop.join().expect("no panic");
+    assert_eq!(waiting.get("/echo").status, 200);
+}
+
 #[test]
 fn closing_the_server_sets_hang_ups() {
     let fixture = Fixture::new(HttpServerConfig::default());
@@ -311,15 +344,15 @@
 
 #[test]
 fn bodies_together_are_bounded() {
-    let config = HttpServerConfig { bodies_total_maximum: 100_000, body_timeout: PATIENCE, ..short() };
-    let fixture = Fixture::new(config);
+    let fixture = Fixture::new(HttpServerConfig { bodies_total_maximum: 100_000, ..short() });
     let mut holder = fixture.client();
-    holder.send("POST /echo HTTP/1.1\r\nhost: test\r\ncontent-length: 90000\r\n\r\n");
-    holder.send("b".repeat(89_999));
-    assert!(eventually(|| fixture.client().post("/echo", "", &"c".repeat(50_000)).status == 503));
-    holder.send("b");
-    assert_eq!(holder.response().status, 200);
-    assert_eq!(fixture.client().post("/echo", "", &"c".repeat(50_000)).status, 200);
+    holder.send_post("/wait", "", &"b".repeat(90_000));
+    fixture.hang_up();
+    let large = "c".repeat(50_000);
+    assert_eq!(fixture.client().post("/echo", "", &large).status, 503);
+    assert_eq!(fixture.client().post("/echo", "", "small").status, 200);
+    holder.hang_up();
+    assert!(eventually(|| fixture.client().post("/echo", "", &large).status == 200));
 }
 
 #[test]
