Keep the slot map: founding, review, gossip of changes

Cause: nothing wrote the slot map to the store or brought it to the nodes, and a holder that was waiting out old claims was named anew at each review, which started its wait again. A machine found to be gone while its claims were waited for was not taken note of. Change: a keeper on each node spreads the map's changes; the first in line reviews it against members, the platform's list and what holders say. A process that rejoins under a later incarnation keeps its claims. More rules of limits have a test of their own.

--- a/crates/core/src/claims/holder.rs
+++ b/crates/core/src/claims/holder.rs
@@ -3,28 +3,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use speedy::{Readable, Writable};
-
 use super::config::ClaimConfig;
-use super::message::{ClaimEnvelope, ClaimMessage, ClaimReply, ClaimRequest, OutcomeAck, OutcomeReport, TakeOverReply};
-use super::slot_map::{MapVersion, SLOTS, SlotIndex, SlotMap};
+use super::message::{
+    ClaimEnvelope, ClaimMessage, ClaimReply, ClaimRequest, OutcomeAck, OutcomeReport, SlotStatus, TakeOverReply,
+};
+use super::slot_map::{SLOTS, SlotIndex, SlotMap};
 use super::slot_state::SlotState;
 use super::usage::Usage;
 use crate::membership::Member;
 use crate::time::Timestamp;
 use crate::world::Address;
 
-/// Whether a holder votes in a slot; the proposer of a new map asks for it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
-pub struct SlotStatus {
-    /// The slot.
-    pub slot: SlotIndex,
-    /// The version that the holder has adopted.
-    pub version: MapVersion,
-    /// Whether it votes in that version.
-    pub votes: bool,
-}
-
 /// The claims that one life of a node holds. Its state is in memory only: a restarted node starts with none and
 /// abstains until it has taken its slots over.
 #[derive(Debug)]
@@ -44,6 +33,13 @@
         ClaimHolder { me, config, slots: BTreeMap::new(), usage, next_sweep }
     }
 
+    /// Goes on under a later incarnation that this same process has taken. It keeps its claims, since it has lost none.
+    pub fn rejoin(&mut self, me: Member) {
+        if me.address == self.me.address && me.incarnation > self.me.incarnation {
+            self.me = me;
+        }
+    }
+
     /// Adopts a map; slots that are older in it than known here stay as they are.
     pub fn adopt(&mut self, map: &SlotMap) {
         for (index, slot) in map.iter() {
@@ -68,7 +64,8 @@
                 self.receive(from, reply, now);
                 None
             }
-            ClaimMessage::ClaimReply(_) | ClaimMessage::OutcomeAck(_) => None,
+            ClaimMessage::StatusRequest => Some(ClaimMessage::Status(self.status())),
+            _ => None,
         }
     }
 
--- a/crates/core/src/claims/message.rs
+++ b/crates/core/src/claims/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use speedy::{Readable, Writable};
 
-use super::slot_map::{MapVersion, SlotIndex};
+use super::slot_map::{MapVersion, SlotIndex, SlotMapChanges};
 use crate::membership::{Incarnation, Member};
 use crate::request::{FinishReason, IdempotencyKey, RequestId};
 use crate::verdict::Verdict;
@@ -35,6 +35,25 @@
     TakeOver(TakeOverRequest),
     /// An older holder hands over its claims.
     TakeOverReply(TakeOverReply),
+    /// The proposer of maps asks a holder in which slots it votes.
+    StatusRequest,
+    /// A holder tells in which slots it votes.
+    Status(Vec<SlotStatus>),
+    /// A node tells which version of the map it has.
+    MapVersion(MapVersion),
+    /// A node that has a newer map sends what has changed.
+    MapChanges(SlotMapChanges),
+}
+
+/// Whether a holder votes in a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct SlotStatus {
+    /// The slot.
+    pub slot: SlotIndex,
+    /// The version that the holder has adopted.
+    pub version: MapVersion,
+    /// Whether it votes in that version.
+    pub votes: bool,
 }
 
 /// Asks a holder to grant a key to a request.
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -9,6 +9,8 @@
 mod config;
 mod delivery;
 mod holder;
+mod map_keeper;
+mod map_observer;
 mod message;
 mod record;
 mod slot_map;
@@ -20,10 +22,14 @@
 pub use attempt::ClaimOutcome;
 pub use client::{ClaimClient, ClaimDecision, ClaimWork};
 pub use config::{ClaimConfig, ClaimConfigError};
-pub use holder::{ClaimHolder, SlotStatus};
+pub use holder::ClaimHolder;
+pub use map_keeper::{SLOT_MAP_KEY, SlotMapKeeper, SlotMapKeeperConfig, SlotMapWork};
+pub use map_observer::ObservedNodes;
 pub use message::{
     ClaimAnswer, ClaimEnvelope, ClaimMessage, ClaimRefusal, ClaimReply, ClaimRequest, HeldClaim, OutcomeAck,
-    OutcomeReport, RecordedAnswer, RecordedOutcome, TakeOverReply, TakeOverRequest, TransferredClaim,
+    OutcomeReport, RecordedAnswer, RecordedOutcome, SlotStatus, TakeOverReply, TakeOverRequest, TransferredClaim,
+};
+pub use slot_map::{
+    ChangedSlot, HOLDERS, HolderSet, MapVersion, SLOTS, Slot, SlotHolder, SlotIndex, SlotMap, SlotMapChanges,
 };
-pub use slot_map::{HOLDERS, HolderSet, MapVersion, SLOTS, Slot, SlotHolder, SlotIndex, SlotMap};
 pub use slot_plan::{CandidateHolder, SlotObservation};
--- a/crates/core/src/claims/slot_map.rs
+++ b/crates/core/src/claims/slot_map.rs
@@ -92,8 +92,30 @@
     /// Earlier sets, oldest first. A new holder must fence a majority of each before it votes, since a set that is not
     /// known to have been fenced may still grant claims.
     pub history: Vec<HolderSet>,
-    /// Machines of earlier sets that no longer exist, by the platform's list. They can't grant any more.
+    /// Machines of these sets that no longer exist, by the platform's list. They can't grant any more.
     pub gone: Vec<Address>,
+    /// The map version in which anything of this was changed last.
+    pub changed: MapVersion,
+}
+
+/// A slot that has changed.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ChangedSlot {
+    /// The slot.
+    pub index: SlotIndex,
+    /// What it is now.
+    pub slot: Slot,
+}
+
+/// What has changed in the map from one version to another.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct SlotMapChanges {
+    /// The version that the changes start from.
+    pub from: MapVersion,
+    /// The version that they lead to.
+    pub to: MapVersion,
+    /// The slots that are different, by index.
+    pub slots: Vec<ChangedSlot>,
 }
 
 /// Which nodes hold the claims of which slot.
@@ -112,6 +134,30 @@
         self.slots.get(usize::from(index.0)).map(|slot| (index, slot))
     }
 
+    /// What has changed since `version`: a map of that version or a later one becomes this one by it.
+    pub fn changes_since(&self, version: MapVersion) -> SlotMapChanges {
+        let changed = self.iter().filter(|(_, slot)| slot.changed > version);
+        let slots = changed.map(|(index, slot)| ChangedSlot { index, slot: slot.clone() }).collect();
+        SlotMapChanges { from: version, to: self.version, slots }
+    }
+
+    /// Applies changes; false when they are older than this map or leave a gap after it.
+    pub fn apply(&mut self, changes: SlotMapChanges) -> bool {
+        let fits = changes.from <= self.version && changes.to > self.version;
+        let is_whole = !self.slots.is_empty() || changes.slots.len() == usize::from(SLOTS);
+        if !fits || !is_whole {
+            return false;
+        }
+        self.version = changes.to;
+        for ChangedSlot { index, slot } in changes.slots {
+            match self.slots.get_mut(usize::from(index.0)) {
+                Some(known) => *known = slot,
+                None => self.slots.push(slot),
+            }
+        }
+        true
+    }
+
     /// The slots with their indices.
     pub fn iter(&self) -> impl Iterator<Item = (SlotIndex, &Slot)> {
         (0..).map(SlotIndex).zip(&self.slots)
--- a/crates/core/src/claims/slot_plan.rs
+++ b/crates/core/src/claims/slot_plan.rs
@@ -43,7 +43,7 @@
         let slots = (0..SLOTS).map(|index| {
             let mut holders = Vec::new();
             add_holders(SlotIndex(index), version, nodes, &mut holders);
-            Slot { current: HolderSet { version, holders }, history: Vec::new(), gone: Vec::new() }
+            Slot { current: HolderSet { version, holders }, history: Vec::new(), gone: Vec::new(), changed: version }
         });
         SlotMap { version, slots: slots.collect() }
     }
@@ -62,10 +62,11 @@
     let history = if observation.settled.contains(&index) { &[][..] } else { &slot.history[..] };
     let holders = next_holders(index, slot, version, observation);
     if holders == slot.current.holders || history.len() >= HISTORY_MAXIMUM {
-        return Slot { gone, ..slot.clone() };
+        let changed = if gone == slot.gone { slot.changed } else { version };
+        return Slot { gone, changed, ..slot.clone() };
     }
     let history = history.iter().chain([&slot.current]).cloned().collect();
-    Slot { current: HolderSet { version, holders }, history, gone }
+    Slot { current: HolderSet { version, holders }, history, gone, changed: version }
 }
 
 fn gone_machines(slot: &Slot, observation: &SlotObservation) -> Vec<Address> {
@@ -82,7 +83,10 @@
     let stalled = observation.stalled.get(&index).unwrap_or(&none);
     let stays = |holder: &&SlotHolder| {
         let address = holder.member.address;
-        ![&observation.dead, &observation.gone, stalled].iter().any(|lost| lost.contains(&address))
+        let is_lost = observation.dead.contains(&address) || observation.gone.contains(&address);
+        // A holder that is named in its present life is waiting already: to name it anew would make it start again.
+        let is_named = observation.live.iter().any(|node| node.member == holder.member);
+        !is_lost && (is_named || !stalled.contains(&address))
     };
     let mut holders: Vec<SlotHolder> = slot.current.holders.iter().filter(stays).cloned().collect();
     add_holders(index, version, &observation.live, &mut holders);
--- a/crates/core/src/claims/slot_state.rs
+++ b/crates/core/src/claims/slot_state.rs
@@ -37,6 +37,7 @@
     /// Adopts a newer version of the slot; an older one changes nothing.
     pub fn adopt(&mut self, slot: &Slot, me: Member) {
         if slot.current.version <= self.version() {
+            self.note_gone(slot);
             return;
         }
         self.fence = self.fence.max(slot.current.version);
@@ -244,6 +245,14 @@
         has_room
     }
 
+    /// A machine may be found to be gone while its claims are waited for.
+    fn note_gone(&mut self, slot: &Slot) {
+        let is_current = slot.current.version == self.version();
+        if let Some(takeover) = self.takeover.as_mut().filter(|_| is_current) {
+            takeover.note_gone(&slot.gone);
+        }
+    }
+
     fn note_life(&mut self, member: Member) {
         let known = self.lives.entry(member.address).or_default();
         *known = member.incarnation.max(*known);
--- a/crates/core/src/claims/takeover.rs
+++ b/crates/core/src/claims/takeover.rs
@@ -108,6 +108,12 @@
         true
     }
 
+    /// Takes note of machines that no longer exist.
+    pub fn note_gone(&mut self, gone: &[Address]) {
+        self.gone = gone.to_vec();
+        self.sources.retain(|address, _| !gone.contains(address));
+    }
+
     /// Starts again with a holder whose claims could not all be kept.
     pub fn restart_source(&mut self, from: Address) {
         self.sources.insert(from, Source::default());
--- a/crates/core/tests/claims_fencing.rs
+++ b/crates/core/tests/claims_fencing.rs
@@ -158,6 +158,15 @@
     assert_eq!(holders.claim(0, 2, 1), ClaimAnswer::Held(HeldClaim::InProgress));
 }
 
+#[test]
+fn a_process_that_rejoins_under_a_later_incarnation_keeps_its_claims() {
+    let mut holders = Holders::new();
+    holders.claim(0, 1, 1);
+    holders.holder(0).rejoin(candidate(0, 2).member);
+    assert_eq!(holders.claim(0, 2, 1), ClaimAnswer::Held(HeldClaim::InProgress));
+    assert!(holders.votes(0));
+}
+
 #[test]
 fn two_restarted_holders_get_nothing_from_each_other() {
     let mut holders = Holders::new();
--- a/crates/core/tests/limits_rules.rs
+++ b/crates/core/tests/limits_rules.rs
@@ -67,14 +67,18 @@
 
     /// Admits a request after the gateway has got a share for it.
     fn admit_with_share(&mut self, work: u32) -> Permit {
-        for _ in 0..100 {
+        self.admit_with_share_within(work, 100)
+    }
+
+    fn admit_with_share_within(&mut self, work: u32, tries: u32) -> Permit {
+        for _ in 0..tries {
             if let Ok(permit) = self.admit(work) {
                 return permit;
             }
             self.renew();
             self.pass(config().request_interval);
         }
-        panic!("no share after 100 requests for one");
+        panic!("no share after {tries} tries");
     }
 }
 
@@ -191,6 +195,87 @@
     assert!(pair.home.counted(&name(), pair.now).concurrent_requests <= LIMITS.concurrent_requests);
 }
 
+#[test]
+fn a_lost_gateways_requests_count_for_as_long_as_they_may_run() {
+    let mut pair = Pair::new();
+    pair.home.step(&other_gateway(1, 0, 10), pair.now).expect("a grant");
+    let own = |sequence: u64| LeaseRequest { gateway: member(3), ..other_gateway(sequence, 0, 10) };
+    let granted = |pair: &mut Pair, sequence: u64| {
+        pair.home.step(&own(sequence), pair.now).expect("a grant").share.concurrent_requests
+    };
+    pair.pass(config().counted_lease() + config().request_time_maximum - Duration::from_millis(1));
+    assert_eq!(granted(&mut pair, 1), 0);
+    pair.pass(Duration::from_millis(1));
+    assert_eq!(granted(&mut pair, 2), 10);
+}
+
+#[test]
+fn the_rates_of_all_gateways_add_up_to_no_more_than_the_limit() {
+    let mut pair = Pair::new();
+    let wants = |gateway: u8, sequence: u64, holds: u32| {
+        let share = |tokens_per_second: u32| Share { concurrent_requests: 1, tokens_per_second };
+        LeaseRequest {
+            gateway: member(gateway),
+            wanted: share(900),
+            holds: share(holds),
+            ..other_gateway(sequence, 0, 1)
+        }
+    };
+    let first = pair.home.step(&wants(2, 1, 0), pair.now).expect("a grant").share.tokens_per_second;
+    let second = pair.home.step(&wants(3, 1, 0), pair.now).expect("a grant").share.tokens_per_second;
+    assert_eq!((first, second), (900, 100));
+    let shrunk = pair.home.step(&wants(2, 2, 900), pair.now).expect("a grant").share.tokens_per_second;
+    assert_eq!(shrunk, 500);
+    assert!(pair.home.counted(&name(), pair.now).tokens_per_second <= LIMITS.work_tokens_per_second);
+}
+
+/// A gateway with four running requests that gets less than it uses, and what it says at its next renewal.
+fn renewal_of_a_shrunken_share() -> (Pair, LeaseRequest) {
+    let mut pair = Pair::new();
+    let running: Vec<Permit> = (0..4).map(|_| pair.admit_with_share(1)).collect();
+    pair.home.step(&LeaseRequest { gateway: member(2), ..other_gateway(1, 0, 100) }, pair.now).expect("a grant");
+    pair.home.set_reach(Reach { visible_nodes: 1, existing_nodes: 10 });
+    for _ in 0..40 {
+        pair.pass(config().request_interval);
+        pair.renew();
+    }
+    pair.pass(config().lease / 2);
+    let renewal = pair.limiter.poll(pair.now).remove(0);
+    drop(running);
+    (pair, renewal)
+}
+
+#[test]
+fn a_gateway_says_that_it_holds_what_runs_even_above_its_share() {
+    let (_, renewal) = renewal_of_a_shrunken_share();
+    assert_eq!(renewal.holds.concurrent_requests, 4);
+}
+
+#[test]
+fn a_gateway_uses_no_more_than_it_has_said_while_the_answer_is_missing() {
+    let mut pair = Pair::new();
+    let permit = pair.admit_with_share(1);
+    (0..8).for_each(|_| drop(pair.admit(1)));
+    pair.pass(config().request_interval);
+    pair.renew();
+    pair.limiter.release(permit, 1, pair.now);
+    pair.pass(config().lease * 3 / 4);
+    let request = pair.limiter.poll(pair.now).remove(0);
+    let admitted = (0..20).filter(|_| pair.admit(0).is_ok()).count();
+    assert!(pair.limiter.running(&name()) <= request.holds.concurrent_requests, "{admitted} more than {request:?}");
+}
+
+#[test]
+fn work_beyond_what_a_share_can_save_up_is_paid_off_before_anything_else_is_admitted() {
+    let mut pair = Pair::new();
+    let permit = pair.admit_with_share(10_000);
+    pair.limiter.release(permit, 10_000, pair.now);
+    let start = pair.now;
+    let _second = pair.admit_with_share_within(1, 10_000);
+    let waited = pair.now.since(start);
+    assert!(waited >= Duration::from_secs(7), "10,000 tokens at 1,000 a second were paid off in {waited:?}");
+}
+
 #[test]
 fn a_new_home_leases_only_what_is_held_until_it_has_waited() {
     let mut home = LimitAllocator::new(config());
