core: a pending change names who holds it up; retries back off

Cause: only the coordinator knew the missing members, so most operators saw none; and in a long split each node repeated its acknowledgement four times a second. Change: the node at which a version was confirmed asks the coordinator for the members behind; retries double up to 4 s while nothing changes and begin anew when something does. Conclusion: a paused member is named within the test's 2.5 s.

--- a/crates/core/src/configuration/config.rs
+++ b/crates/core/src/configuration/config.rs
@@ -24,6 +24,8 @@
     pub remote_digest_every: u32,
     /// How often acknowledgements and missing changes are sent again while a version is not accepted.
     pub retry_interval: Duration,
+    /// The longest time between two retries: they double while nothing changes, as in a long split.
+    pub retry_interval_maximum: Duration,
     /// Members to which a delegate or coordinator resends at each retry; bounds the burst after a split.
     pub retry_maximum: usize,
     /// How long a node that starts, wakes or rejoins waits before it checks that it has missed nothing. It must exceed
@@ -49,6 +51,7 @@
             digest_interval: Duration::from_secs(1),
             remote_digest_every: 4,
             retry_interval: Duration::from_millis(250),
+            retry_interval_maximum: Duration::from_secs(4),
             retry_maximum: 16,
             settle_time: Duration::from_secs(2),
             pause_maximum: Duration::from_secs(2),
@@ -94,6 +97,7 @@
             ("store_timeout", self.store_timeout),
             ("digest_interval", self.digest_interval),
             ("retry_interval", self.retry_interval),
+            ("retry_interval_maximum", self.retry_interval_maximum),
             ("pause_maximum", self.pause_maximum),
         ];
         for (key, value) in durations {
--- a/crates/core/src/configuration/coordination.rs
+++ b/crates/core/src/configuration/coordination.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use super::content::ConfigurationVersion;
-use super::message::{ConfigurationMessage, Holding};
+use super::message::{ConfigurationMessage, Holding, Watermarks};
 use super::replica::ConfigurationReplica;
 use crate::membership::Member;
 use crate::time::Timestamp;
@@ -86,6 +86,32 @@
             self.update_zones_behind();
             self.coordinate(now);
         }
+        self.ask_missing();
+    }
+
+    /// Live members of the zones that hold up a version: those that the delegate has named as behind, or the delegate
+    /// itself when it has named none.
+    pub(super) fn members_behind(&self) -> Vec<Member> {
+        let Watermarks { held, in_force, .. } = self.versions.watermarks();
+        let has = |minimum: Holding| if in_force < held { minimum.held >= held } else { minimum.in_force >= held };
+        let zones = self.view.live_zones();
+        let incomplete = zones.filter(|zone| !has(self.acknowledgements.zone_minimum(&self.view, zone)));
+        let of_zone = |zone: &ZoneName| match self.acknowledgements.behind(zone) {
+            [] => self.view.delegate(zone).into_iter().collect(),
+            behind => behind.to_vec(),
+        };
+        incomplete.flat_map(of_zone).collect()
+    }
+
+    /// Asks who holds up a version that an operator has confirmed at this node and may be waiting for.
+    fn ask_missing(&mut self) {
+        if self.asked_about <= self.versions.accepted() {
+            return;
+        }
+        let coordinator = self.view.coordinator().filter(|coordinator| *coordinator != self.me);
+        if let Some(coordinator) = coordinator {
+            self.send(coordinator, ConfigurationMessage::AskMissing);
+        }
     }
 
     /// The zones without which no version comes into force: those with live members, and the unreachable ones that the
--- a/crates/core/src/configuration/replica.rs
+++ b/crates/core/src/configuration/replica.rs
@@ -88,11 +88,14 @@
     pub(super) store: StoreConversation,
     pub(super) actions: Vec<ConfigurationAction>,
     pub(super) digests_sent: u32,
+    pub(super) reported_missing: Vec<Member>,
+    pub(super) asked_about: Option<ConfigurationVersion>,
     floor: ConfigurationVersion,
     in_force: Option<VersionedConfiguration>,
     last_call: Option<Timestamp>,
     next_digest: Timestamp,
     next_retry: Timestamp,
+    retries: u32,
 }
 
 impl ConfigurationReplica {
@@ -114,11 +117,14 @@
             store: StoreConversation::default(),
             actions: Vec::new(),
             digests_sent: 0,
+            reported_missing: Vec::new(),
+            asked_about: None,
             floor: ConfigurationVersion::default(),
             in_force: None,
             last_call: None,
             next_digest: Timestamp::ZERO,
             next_retry: Timestamp::ZERO,
+            retries: 0,
         })
     }
 
@@ -168,7 +174,8 @@
             self.send_digest(now);
         }
         if now >= self.next_retry {
-            self.next_retry = now + self.config.retry_interval;
+            self.retries = self.retries.saturating_add(1);
+            self.next_retry = now + self.retry_interval();
             self.retry(now);
         }
         self.watch_store(now);
@@ -194,7 +201,10 @@
                 return Some(from);
             }
             ConfigurationInput::Store { token, reply } => self.store_replied(token, reply, now),
-            ConfigurationInput::Recorded(record) => self.observe(&record),
+            ConfigurationInput::Recorded(record) => {
+                self.asked_about = Some(record.latest());
+                self.observe(&record);
+            }
             ConfigurationInput::Floor(floor) => self.floor = self.floor.max(floor),
             ConfigurationInput::Trusted => self.trust(now),
             ConfigurationInput::Suspended => self.synchronization.suspend(),
@@ -207,6 +217,7 @@
         self.view = view;
         self.acknowledgements.retain(&self.view);
         self.choose_watchers();
+        self.retry_soon(now);
         if self.is_unsettled() {
             self.acknowledge(now);
         }
@@ -240,6 +251,7 @@
         }
         self.adopt();
         if self.versions.watermarks() != before.watermarks {
+            self.retry_soon(now);
             self.push_news(before.watermarks, told_by);
         }
     }
@@ -257,6 +269,21 @@
         }
     }
 
+    /// Retries begin anew: what has changed may be lost on its way to others.
+    fn retry_soon(&mut self, now: Timestamp) {
+        self.retries = 0;
+        self.next_retry = self.next_retry.min(now + self.config.retry_interval);
+    }
+
+    /// The time until the next retry doubles up to a maximum, so that a long split costs little.
+    fn retry_interval(&self) -> Duration {
+        if !self.is_unsettled() || !self.is_ready() {
+            return self.config.retry_interval;
+        }
+        let interval = self.config.retry_interval * 2_u32.saturating_pow(self.retries.saturating_sub(1).min(16));
+        interval.min(self.config.retry_interval_maximum)
+    }
+
     fn digest_interval(&self) -> Duration {
         if self.is_ready() { self.config.digest_interval } else { self.config.retry_interval }
     }
--- a/crates/core/src/configuration/spread.rs
+++ b/crates/core/src/configuration/spread.rs
@@ -35,6 +35,11 @@
                 self.acknowledgements.note_zone(statement);
                 self.coordinate(now);
             }
+            ConfigurationMessage::AskMissing => {
+                let missing = self.members_behind();
+                self.send(from, ConfigurationMessage::Missing(missing));
+            }
+            ConfigurationMessage::Missing(members) => self.reported_missing = members,
         }
     }
 
--- a/crates/core/src/configuration/status.rs
+++ b/crates/core/src/configuration/status.rs
@@ -42,9 +42,10 @@
     pub pending: Vec<PendingVersion>,
     /// Required zones that can't be reached; they hold up all pending versions.
     pub missing_zones: Vec<ZoneName>,
-    /// Live members that are known to lack a pending version; a few of each zone, and only known to the coordinator.
+    /// Live members that are known to lack a pending version, a few of each zone. Known to the coordinator and, a moment
+    /// later, to the node at which the version was confirmed.
     pub missing_members: Vec<Member>,
-    /// The node that brings versions into force; the others don't know `missing_members`.
+    /// The node that brings versions into force.
     pub coordinator: Option<Member>,
     /// Whether this node has made sure that it has missed no accepted version.
     pub ready: bool,
@@ -85,7 +86,6 @@
     }
 
     fn missing_members(&self) -> Vec<Member> {
-        let zones = self.view.live_zones();
-        zones.flat_map(|zone| self.acknowledgements.behind(zone).iter().copied()).collect()
+        if self.view.coordinator() == Some(self.me) { self.members_behind() } else { self.reported_missing.clone() }
     }
 }
--- a/crates/core/tests/configuration_faults.rs
+++ b/crates/core/tests/configuration_faults.rs
@@ -214,6 +214,22 @@
     assert!(world.run_until(end, |world| world.accepted.contains_key(&second)), "not accepted after the split");
 }
 
+/// A member that does not answer and is not yet declared dead is named to the operator, whichever node was asked.
+#[test]
+fn a_pending_change_names_the_member_that_holds_it_up() {
+    let mut world = running(6);
+    let latest = world.replica(7).and_then(|replica| replica.latest()).expect("a configuration");
+    world.pause(4);
+    world.confirm(&fixture::limit_plan(&latest, 10), 7);
+    world.run(Duration::from_millis(2_500));
+    let status = world.replica(7).expect("running").status();
+    let missing: Vec<_> = status.missing_members.iter().map(|member| member.address).collect();
+    assert_eq!((status.pending.len(), missing), (1, vec![fixture::node_address(4)]), "{status:?}");
+    let second = ConfigurationVersion(2);
+    let end = world.now + Duration::from_secs(4);
+    assert!(world.run_until(end, |world| world.accepted.contains_key(&second)), "not accepted without the dead node");
+}
+
 fn confirm_and_wait(world: &mut World, requests: u32) {
     let node = (0..world.len()).find(|node| world.replica(*node).is_some_and(|replica| replica.latest().is_some()));
     let node = node.expect("a node with a configuration");
