Test a node as a process: first configuration, stale plan, stop

Cause: the command line was tested against fixed answers only. Change: the built binary runs a node beside a stand-in platform; intents, plans and confirmations go through it, of two plans for one version one is told that it is stale, and drain and SIGTERM end the process with 0. Conclusion: the path from an intent file to a version in force works through real processes.

--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -1,5 +1,6 @@
 //! Runs the built `havengate` binary.
 
 mod files;
+mod node_process;
 mod operators_api;
 mod support;
