List the policies that exist, with parameters and ranges

Cause: havengate policy list showed what is in force and no policy that could be chosen. Change: a catalogue in the core, on the same lists of parameters that creating a policy checks; each parameter says what it does. The operators' API and the command line show it.

--- a/crates/cli/tests/cli/node_process.rs
+++ b/crates/cli/tests/cli/node_process.rs
@@ -138,6 +138,15 @@
     serde_json::from_str(&answer.output).unwrap_or_else(|error| panic!("{error}: {answer:?}"))
 }
 
+#[test]
+fn a_node_lists_the_policies_with_their_parameters() {
+    let node = NodeProcess::start();
+    let listed = node.run_until_done(&["policy", "list"]);
+    for expected in ["  hysteresis: ", "    dwell_seconds (default 60): ", "  cost: ", "allowed: 0 to 100"] {
+        assert!(listed.output.contains(expected), "{expected:?} is not in:\n{}", listed.output);
+    }
+}
+
 #[test]
 fn a_node_that_is_drained_exits_with_0() {
     let node = NodeProcess::start();
--- a/crates/core/src/policy/cost.rs
+++ b/crates/core/src/policy/cost.rs
@@ -8,14 +8,21 @@
 use crate::time::Timestamp;
 use crate::world::EngineRole;
 
-const FIRST_TOKEN: Parameter = Parameter::new("first_token", 1.0, 0.0, 100.0);
-const READ: Parameter = Parameter::new("read", 1.0, 0.0, 100.0);
-const GENERATION: Parameter = Parameter::new("generation", 0.2, 0.0, 100.0);
-const INTERFERENCE: Parameter = Parameter::new("interference", 0.2, 0.0, 100.0);
-const BROKEN_INTERVAL: Parameter = Parameter::new("broken_interval", 4.0, 0.0, 100.0);
-const MEMORY: Parameter = Parameter::new("memory", 0.05, 0.0, 100.0);
-const LINK: Parameter = Parameter::new("link", 1.0, 0.0, 100.0);
-const PARAMETERS: [Parameter; 7] = [FIRST_TOKEN, READ, GENERATION, INTERFERENCE, BROKEN_INTERVAL, MEMORY, LINK];
+const FIRST_TOKEN: Parameter = Parameter::new("first_token", 1.0, 0.0, 100.0)
+    .meaning("weight of the time to the first token: link, waiting prompts, this prompt, one step");
+const READ: Parameter =
+    Parameter::new("read", 1.0, 0.0, 100.0).meaning("weight of the time to read what is not cached of the prompt");
+const GENERATION: Parameter = Parameter::new("generation", 0.2, 0.0, 100.0)
+    .meaning("weight of the time that the batch adds to this request's generation");
+const INTERFERENCE: Parameter = Parameter::new("interference", 0.2, 0.0, 100.0)
+    .meaning("weight of the time by which reading delays the engine's streams, summed over them");
+const BROKEN_INTERVAL: Parameter = Parameter::new("broken_interval", 4.0, 0.0, 100.0)
+    .meaning("weight of the time by which that delay exceeds what the streams' contracts bear");
+const MEMORY: Parameter = Parameter::new("memory", 0.05, 0.0, 100.0).meaning("weight of the share of KV memory in use");
+const LINK: Parameter = Parameter::new("link", 1.0, 0.0, 100.0)
+    .meaning("weight of the one-way time on the link, besides its part in the time to the first token");
+pub(super) const PARAMETERS: [Parameter; 7] =
+    [FIRST_TOKEN, READ, GENERATION, INTERFERENCE, BROKEN_INTERVAL, MEMORY, LINK];
 
 /// The weights; each multiplies a predicted time in seconds.
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -3,6 +3,7 @@
 //! Both kinds stand behind a trait and are created by name from configuration, so that operators can swap them and
 //! compare them under the same live traffic.
 
+mod catalogue;
 mod cost;
 mod demand;
 mod parameters;
@@ -15,7 +16,9 @@
 mod shadow;
 mod trial;
 
+pub use catalogue::{PLACEMENT_POLICIES, PolicyEntry, ROLE_POLICIES};
 pub use demand::{DecayingRate, DemandTracker, PoolBacklog, PoolLimits};
+pub use parameters::Parameter;
 pub use placement::{EngineView, PlacementPolicy, Stage};
 pub use placement_by_name::placement_policy;
 pub use role::{PoolDemand, RoleCounts, RolePolicy};
--- a/crates/core/src/policy/parameters.rs
+++ b/crates/core/src/policy/parameters.rs
@@ -14,11 +14,17 @@
     pub minimum: f64,
     /// The highest value allowed.
     pub maximum: f64,
+    /// What the parameter does, in words.
+    pub meaning: &'static str,
 }
 
 impl Parameter {
     pub(super) const fn new(name: &'static str, default: f64, minimum: f64, maximum: f64) -> Self {
-        Parameter { name, default, minimum, maximum }
+        Parameter { name, default, minimum, maximum, meaning: "" }
+    }
+
+    pub(super) const fn meaning(self, meaning: &'static str) -> Self {
+        Parameter { meaning, ..self }
     }
 
     /// The value that `choice` gives. [`check`] has to have been called with this parameter.
--- a/crates/core/src/policy/placement_by_name.rs
+++ b/crates/core/src/policy/placement_by_name.rs
@@ -15,7 +15,9 @@
 const KNOWN: &str = "cost, least_loaded, power_of_two, prefix_affinity, round_robin";
 /// An engine with fewer requests is never too busy to be taken for its cache.
 const LOAD_LIMIT_MINIMUM: u32 = 4;
-const LOAD_BOUND: Parameter = Parameter::new("load_bound", 0.25, 0.0, 10.0);
+const LOAD_BOUND: Parameter = Parameter::new("load_bound", 0.25, 0.0, 10.0)
+    .meaning("share by which an engine may exceed the mean number of requests to be taken for its cache");
+pub(super) const PREFIX_AFFINITY_PARAMETERS: [Parameter; 1] = [LOAD_BOUND];
 
 /// Creates the placement policy that `choice` names. `seed` makes its random choices repeatable.
 ///
@@ -95,7 +97,7 @@
 
 impl PrefixAffinity {
     fn from_choice(choice: &PolicyChoice) -> Result<Self, PolicyError> {
-        check(choice, &[LOAD_BOUND])?;
+        check(choice, &PREFIX_AFFINITY_PARAMETERS)?;
         Ok(PrefixAffinity { load_bound: LOAD_BOUND.of(choice) })
     }
 
--- a/crates/core/src/policy/predictive.rs
+++ b/crates/core/src/policy/predictive.rs
@@ -14,11 +14,17 @@
 use crate::configuration::PolicyChoice;
 use crate::time::Timestamp;
 
-const HORIZON: Parameter = Parameter::new("horizon_seconds", 60.0, 5.0, 3_600.0);
-const MEMORY: Parameter = Parameter::new("memory_seconds", 120.0, 1.0, 3_600.0);
-const MEMORY_WEIGHT: Parameter = Parameter::new("memory_weight", 0.4, 0.0, 1.0);
-const MARGIN: Parameter = Parameter::new("margin", 0.03, 0.0, 1.0);
-const STEP: Parameter = Parameter::new("step_engines", 3.0, 1.0, 100.0);
+const HORIZON: Parameter =
+    Parameter::new("horizon_seconds", 60.0, 5.0, 3_600.0).meaning("seconds over which a change has to pay");
+const MEMORY: Parameter = Parameter::new("memory_seconds", 120.0, 1.0, 3_600.0)
+    .meaning("seconds over which the remembered demand is averaged");
+const MEMORY_WEIGHT: Parameter =
+    Parameter::new("memory_weight", 0.4, 0.0, 1.0).meaning("weight of the remembered demand against that of now");
+const MARGIN: Parameter = Parameter::new("margin", 0.03, 0.0, 1.0)
+    .meaning("least net gain, as a share of the demand served, that moves anything");
+const STEP: Parameter = Parameter::new("step_engines", 3.0, 1.0, 100.0).meaning("most engines that change at a time");
+pub(super) const PARAMETERS: [Parameter; 9] =
+    [DRAIN, ENOUGH, HORIZON, MEMORY, MEMORY_WEIGHT, MARGIN, CHANGE_COST, STEP, DWELL];
 
 pub(super) struct Predictive {
     drain: Duration,
@@ -43,8 +49,7 @@
 
 impl Predictive {
     pub(super) fn from_choice(choice: &PolicyChoice) -> Result<Self, PolicyError> {
-        let known = [DRAIN, ENOUGH, HORIZON, MEMORY, MEMORY_WEIGHT, MARGIN, CHANGE_COST, STEP, DWELL];
-        check(choice, &known)?;
+        check(choice, &PARAMETERS)?;
         Ok(Predictive {
             drain: duration_of(DRAIN, choice),
             enough_headroom: ENOUGH.of(choice),
--- a/crates/core/src/policy/role_by_name.rs
+++ b/crates/core/src/policy/role_by_name.rs
@@ -11,13 +11,22 @@
 use crate::time::Timestamp;
 
 const KNOWN: &str = "hysteresis, predictive, reactive, static";
-pub(super) const DRAIN: Parameter = Parameter::new("drain_seconds", 10.0, 1.0, 600.0);
-pub(super) const ENOUGH: Parameter = Parameter::new("enough_headroom", 1.3, 1.0, 16.0);
-const GAIN: Parameter = Parameter::new("gain", 0.1, 0.0, 10.0);
-const HOLD: Parameter = Parameter::new("hold_seconds", 5.0, 0.0, 600.0);
-pub(super) const DWELL: Parameter = Parameter::new("dwell_seconds", 60.0, 0.0, 3_600.0);
-const PAYBACK: Parameter = Parameter::new("payback_seconds", 30.0, 1.0, 3_600.0);
-pub(super) const CHANGE_COST: Parameter = Parameter::new("change_cost", 1.0, 0.0, 100.0);
+pub(super) const DRAIN: Parameter =
+    Parameter::new("drain_seconds", 10.0, 1.0, 600.0).meaning("seconds over which waiting work counts as demand");
+pub(super) const ENOUGH: Parameter =
+    Parameter::new("enough_headroom", 1.3, 1.0, 16.0).meaning("headroom beyond which more counts for nothing");
+const GAIN: Parameter =
+    Parameter::new("gain", 0.1, 0.0, 10.0).meaning("least relative gain in headroom that is worth a change");
+const HOLD: Parameter =
+    Parameter::new("hold_seconds", 5.0, 0.0, 600.0).meaning("seconds that the gain has to last before the change");
+pub(super) const DWELL: Parameter =
+    Parameter::new("dwell_seconds", 60.0, 0.0, 3_600.0).meaning("least seconds between two changes");
+const PAYBACK: Parameter = Parameter::new("payback_seconds", 30.0, 1.0, 3_600.0)
+    .meaning("seconds within which the gain has to make up for the engines' time out of service");
+pub(super) const CHANGE_COST: Parameter = Parameter::new("change_cost", 1.0, 0.0, 100.0)
+    .meaning("cost of an engine's second out of service, as a multiple of what it serves in a second");
+pub(super) const REACTIVE_PARAMETERS: [Parameter; 2] = [DRAIN, ENOUGH];
+pub(super) const HYSTERESIS_PARAMETERS: [Parameter; 7] = [DRAIN, ENOUGH, GAIN, HOLD, DWELL, PAYBACK, CHANGE_COST];
 
 /// Creates the role policy that `choice` names.
 ///
@@ -55,7 +64,7 @@
 
 impl Reactive {
     fn from_choice(choice: &PolicyChoice) -> Result<Self, PolicyError> {
-        check(choice, &[DRAIN, ENOUGH])?;
+        check(choice, &REACTIVE_PARAMETERS)?;
         Ok(Reactive { drain: duration_of(DRAIN, choice), enough_headroom: ENOUGH.of(choice) })
     }
 }
@@ -87,7 +96,7 @@
 
 impl Hysteresis {
     fn from_choice(choice: &PolicyChoice) -> Result<Self, PolicyError> {
-        check(choice, &[DRAIN, ENOUGH, GAIN, HOLD, DWELL, PAYBACK, CHANGE_COST])?;
+        check(choice, &HYSTERESIS_PARAMETERS)?;
         Ok(Hysteresis {
             drain: duration_of(DRAIN, choice),
             enough_headroom: ENOUGH.of(choice),
--- a/crates/node/src/operations/mod.rs
+++ b/crates/node/src/operations/mod.rs
@@ -2,6 +2,7 @@
 
 mod change_text;
 mod planning;
+mod policies;
 mod service;
 mod status;
 mod store_edits;
--- a/crates/node/src/operations/service.rs
+++ b/crates/node/src/operations/service.rs
@@ -11,10 +11,12 @@
 use havengate_core::plan::{
     ConfirmationOutcome, KeepPlan, KeepPlanOutcome, Plan, PlanBook, StagePlan, StoreEditEnd, plans_key,
 };
+use havengate_core::policy::{PLACEMENT_POLICIES, ROLE_POLICIES};
 use havengate_core::store::{ObjectKey, StoreReply, StoreRequest, StoredObject};
 use havengate_core::world::Address;
 
 use super::planning::{make_plan, plan_answer};
+use super::policies::policy_description;
 use super::status::{StatusContext, status_of, waiting_by_pool};
 use super::store_edits::run_edit;
 use crate::callers::Readiness;
@@ -213,8 +215,8 @@
     fn policies(&self) -> PoliciesAnswer {
         let snapshot = self.0.snapshot.load_full();
         PoliciesAnswer {
-            role_policies: Vec::new(),
-            placement_policies: Vec::new(),
+            role_policies: ROLE_POLICIES.iter().map(policy_description).collect(),
+            placement_policies: PLACEMENT_POLICIES.iter().map(policy_description).collect(),
             role_policy: snapshot.configuration.role_policy.clone(),
             shadow_role_policies: snapshot.configuration.shadow_role_policies.clone(),
             arms: snapshot.configuration.arms.clone(),
