--- /dev/null
+++ b/crates/rehearsal/src/commands/mod.rs
@@ -0,0 +1,18 @@
+//! The subcommands of havengate-rehearsal.
+
+pub mod live;
+pub mod scale;
+
+use bpaf::Bpaf;
+
+/// Rehearses a havengate deployment on one machine
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Runs nodes, stand-in engines and a stand-in platform on loopback
+    #[bpaf(command)]
+    Live(#[bpaf(external(live::live_options))] live::LiveOptions),
+    /// Runs the control of many nodes in virtual time and measures what it costs
+    #[bpaf(command)]
+    Scale(#[bpaf(external(scale::scale_options))] scale::ScaleOptions),
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod experiment;
 pub mod live;
 pub mod platform;
+pub mod scale;
 pub mod stand_in;
