--- a/crates/rehearsal/tests/engine_model.rs
+++ b/crates/rehearsal/tests/engine_model.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use engine_support::{config, engine, first_token_at, run_to_end, work};
+use havengate_core::authority::{Order, OrderAction, OrderId, OrderReply, Term};
 use havengate_core::request::{BLOCK_TOKENS, RequestId};
 use havengate_core::time::Timestamp;
 use havengate_core::world::EngineRole;
@@ -222,6 +223,39 @@
     assert_eq!(engine.cache_events(seen.next, Timestamp::from_millis(900_000)).events, []);
 }
 
+#[test]
+fn cache_events_can_be_read_after_their_lag_only() {
+    let mut engine = engine(config());
+    engine.submit(work(1, 1, 1_000, 2), Timestamp::ZERO).expect("accepted");
+    run_to_end(&mut engine);
+    // The prompt has been read after 125 ms; the event is a second late.
+    assert_eq!(engine.cache_events(0, Timestamp::from_millis(1_124)).events, []);
+    let seen = engine.cache_events(0, Timestamp::from_millis(1_150));
+    assert_eq!(seen.events.iter().map(|event| event.stored.len()).sum::<usize>(), 7);
+}
+
+#[test]
+fn engine_that_executes_an_order_takes_nothing_and_cuts_what_runs() {
+    let mut engine = engine(config());
+    engine.submit(work(1, 1, 100, 500), Timestamp::ZERO).expect("accepted");
+    let order = Order {
+        id: OrderId { term: Term(1), sequence: 1 },
+        engine_incarnation: 1,
+        replaces: None,
+        action: OrderAction::SetRole(EngineRole::Prefill),
+    };
+    let now = Timestamp::from_millis(1_000);
+    assert!(matches!(engine.order(&order, now), OrderReply::Accepted(_)));
+    let outputs = engine.advance(now);
+    assert_eq!(outputs.last().map(|output| output.event), Some(OutputEvent::Cut));
+    let during = now + engine.config().performance.role_change - Duration::from_millis(1);
+    assert_eq!(engine.submit(prefill(work(2, 2, 100, 5)), during), Err(EngineRefusalCode::Changing));
+    let after = during + Duration::from_millis(1);
+    assert_eq!(engine.submit(work(3, 3, 100, 5), after), Err(EngineRefusalCode::WrongRole));
+    engine.submit(prefill(work(4, 4, 100, 5)), after).expect("a prefill engine now");
+    assert_eq!(engine.history().runs().next().and_then(|run| run.end), Some((RunEnd::CutByOrder, now)));
+}
+
 #[test]
 fn settings_that_could_not_make_progress_are_refused() {
     let mut broken = config();
--- a/crates/rehearsal/tests/engine_model_properties.rs
+++ b/crates/rehearsal/tests/engine_model_properties.rs
@@ -302,6 +302,7 @@
         assert_eq!(engine.raise_fence(Term(10), later + Duration::from_millis(200)), OrderReply::Unknown);
         engine.restart(later + Duration::from_millis(300));
         let second_life = engine.report().expect("up").clone();
+        assert_eq!(engine.alive_for(later + Duration::from_millis(350)), Duration::from_millis(50));
         assert_eq!(second_life.incarnation, first_life.incarnation + 1);
         assert_eq!((second_life.fence, second_life.order, second_life.changing), (Term(0), None, false));
         assert_eq!(second_life.role, EngineRole::Mixed, "the change that was going on has no effect");
