--- a/crates/core/tests/authority_changes.rs
+++ b/crates/core/tests/authority_changes.rs
@@ -40,7 +40,7 @@
 impl OneEngine {
     fn new() -> Self {
         let engine = EngineName::from("engine-00");
-        let timing = OrderTiming { send_within: Duration::from_millis(500), settle: Duration::from_secs(5) };
+        let timing = OrderTiming { send_within: Duration::from_millis(500), settle: Duration::from_secs(20) };
         let mut changer = RoleChanger::new(RoleChangeConfig::default(), timing);
         let target = target(EngineRole::Decode, 1);
         changer.set_targets(&[EngineSpecification { engine: engine.clone(), target }]);
@@ -102,8 +102,8 @@
     assert_eq!(pool.tick(2_200), sent);
 }
 
-#[test]
-fn an_order_in_doubt_is_not_sent_again_once_the_authority_was_interrupted() {
+/// An order whose reply is lost, and then the authority is.
+fn interrupted() -> OneEngine {
     let mut pool = OneEngine::new();
     pool.tick(0);
     pool.activity.reported_at = at(1_000);
@@ -111,19 +111,36 @@
     let engine = pool.engine.clone();
     pool.changer.engine_reply(&engine, OrderReply::Unknown, at(1_600));
     pool.changer.authority_event(AuthorityEvent::Lost, at(2_000));
+    pool
+}
+
+#[test]
+fn an_order_in_doubt_is_not_sent_again_once_the_authority_was_interrupted() {
+    let mut pool = interrupted();
+    let engine = pool.engine.clone();
     let fenced = AuthorityEvent::EngineFenced { engine: engine.clone(), term: TERM, report: report(1) };
     pool.changer.authority_event(fenced, at(2_100));
-    pool.changer.authority_event(AuthorityEvent::Gained { term: TERM, orders_from: at(7_100) }, at(2_100));
-    for millis in (2_200..7_000).step_by(200) {
+    pool.changer.authority_event(AuthorityEvent::Gained { term: TERM, orders_from: at(22_100) }, at(2_100));
+    for millis in (2_200..22_000).step_by(200) {
         assert!(pool.tick(millis).is_empty());
         assert_eq!(pool.availability(), EngineAvailability::Unavailable);
         pool.changer.engine_reply(&engine, OrderReply::Accepted(report(1)), at(millis));
     }
-    pool.tick(7_200);
-    pool.changer.engine_reply(&engine, OrderReply::Accepted(report(1)), at(7_200));
+    pool.tick(22_800);
+    pool.changer.engine_reply(&engine, OrderReply::Accepted(report(1)), at(22_800));
     assert_eq!(pool.availability(), EngineAvailability::Serving, "no copy of the order can arrive any more");
 }
 
+#[test]
+fn a_fence_of_a_higher_term_ends_the_doubt_about_an_order_at_once() {
+    let mut pool = interrupted();
+    let (engine, term) = (pool.engine.clone(), Term(2));
+    assert_eq!(pool.availability(), EngineAvailability::Unavailable);
+    let report = EngineReport { fence: term, ..report(1) };
+    pool.changer.authority_event(AuthorityEvent::EngineFenced { engine, term, report }, at(2_100));
+    assert_eq!(pool.availability(), EngineAvailability::Serving);
+}
+
 #[test]
 fn an_engine_found_changing_gets_no_order() {
     let mut pool = OneEngine::new();
