--- a/crates/core/tests/claims_fencing.rs
+++ b/crates/core/tests/claims_fencing.rs
@@ -224,6 +224,25 @@
     assert!(!holders.votes(1), "took over from a holder that lacks the claims of the version between");
 }
 
+#[test]
+fn changes_of_a_map_are_applied_only_to_the_map_that_they_start_from_or_a_later_one() {
+    let nodes: Vec<CandidateHolder> = (0..5).map(|index| candidate(index, 1)).collect();
+    let mut holders = Holders::new();
+    let first = holders.map.clone();
+    holders.replan(&[0], &nodes[1..4], true);
+    let second = holders.map.clone();
+    holders.replan(&[1], &nodes[2..], true);
+    let third = holders.map.clone();
+    let mut map = first.clone();
+    assert!(!map.apply(third.changes_since(second.version)), "a change was left out");
+    assert!(map.apply(second.changes_since(first.version)) && map == second);
+    assert!(map.apply(third.changes_since(first.version)) && map == third);
+    assert!(!map.apply(second.changes_since(first.version)), "an older map was adopted");
+    let mut none = SlotMap::default();
+    assert!(!none.apply(third.changes_since(second.version)));
+    assert!(none.apply(third.changes_since(MapVersion::default())) && none == third);
+}
+
 /// Feeds a client that has claimed the key with the answers of holders, as (holder, answer), at `now`.
 fn answered(answers: &[(u8, ClaimAnswer)], now: Timestamp) -> Vec<ClaimOutcome> {
     let nodes: Vec<CandidateHolder> = (0..3).map(|index| candidate(index, 1)).collect();
--- a/crates/core/tests/limits_rules.rs
+++ b/crates/core/tests/limits_rules.rs
@@ -276,6 +276,36 @@
     assert!(waited >= Duration::from_secs(7), "10,000 tokens at 1,000 a second were paid off in {waited:?}");
 }
 
+#[test]
+fn debt_is_not_forgotten_while_the_home_is_silent() {
+    let mut pair = Pair::new();
+    let permit = pair.admit_with_share(30_000);
+    pair.limiter.release(permit, 30_000, pair.now);
+    for _ in 0..30 {
+        pair.pass(Duration::from_secs(1));
+        pair.limiter.poll(pair.now);
+    }
+    let start = pair.now;
+    let _next = pair.admit_with_share_within(1, 10_000);
+    let waited = pair.now.since(start);
+    assert!(waited >= Duration::from_secs(5), "the debt was forgotten: admitted after {waited:?}");
+}
+
+#[test]
+fn debt_is_paid_off_while_nothing_is_asked_for() {
+    let mut pair = Pair::new();
+    let permit = pair.admit_with_share(10_000);
+    pair.limiter.release(permit, 10_000, pair.now);
+    for _ in 0..200 {
+        pair.pass(config().request_interval);
+        pair.renew();
+    }
+    let start = pair.now;
+    let _next = pair.admit_with_share(1);
+    let waited = pair.now.since(start);
+    assert!(waited <= Duration::from_secs(1), "the debt of 40 s ago was still there: admitted after {waited:?}");
+}
+
 #[test]
 fn a_new_home_leases_only_what_is_held_until_it_has_waited() {
     let mut home = LimitAllocator::new(config());
