Stand-in engines at rest report their load, so drains end

Cause: a stand-in engine sampled its load only when its batch changed, and at most each 100 ms. At rest its last report grew older and older, or showed work that had ended. A drain waits for a report that is younger than its start, so role changes of idle engines never came: engines of the live deployment stood draining until the limit of 90 s. Change: reading the load takes a sample. Conclusion: the test fails without the sample.

--- a/crates/rehearsal/src/engine/model/state/mod.rs
+++ b/crates/rehearsal/src/engine/model/state/mod.rs
@@ -145,6 +145,8 @@
     /// The load as it was a while ago.
     pub fn load(&mut self, now: Timestamp) -> LoadReport {
         self.work_until(now);
+        // An engine at rest makes no samples of its own; without this one its last report would only grow older.
+        self.sample_load(now);
         self.loads.read(now)
     }
 
--- a/crates/rehearsal/tests/engine_model.rs
+++ b/crates/rehearsal/tests/engine_model.rs
@@ -256,6 +256,19 @@
     assert_eq!(engine.history().runs().next().and_then(|run| run.end), Some((RunEnd::CutByOrder, now)));
 }
 
+#[test]
+fn an_engine_at_rest_reports_that_it_is_idle_and_its_reports_stay_young() {
+    let mut engine = engine(config());
+    engine.submit(work(1, 1, 100, 1), Timestamp::ZERO).expect("accepted");
+    run_to_end(&mut engine);
+    for second in 60..70 {
+        engine.load(Timestamp::from_millis(second * 1_000));
+    }
+    let load = engine.load(Timestamp::from_millis(70_000));
+    assert_eq!((load.running, load.waiting), (0, 0), "{load:?}");
+    assert!(load.age_ms <= 3_000, "the lag and one interval between two questions: {load:?}");
+}
+
 #[test]
 fn settings_that_could_not_make_progress_are_refused() {
     let mut broken = config();
