Status shows each engine's state and order at the owner

Cause: operators have to tell unfenced, changing, in doubt, stuck, lost and given up apart; all of them showed as unavailable. Change: EngineStatus carries a state code and the order that the engine reported; the command line shows the state in place of the availability, so the expected row of one test has the new column's width.

--- a/crates/cli/src/report/status.rs
+++ b/crates/cli/src/report/status.rs
@@ -67,7 +67,7 @@
         return format!("{head}\n{}; the owner knows more", roles_text(&pool.engines));
     }
     let rows: Vec<Vec<String>> = pool.engines.iter().map(engine_row).collect();
-    let engines = table(&["ENGINE", "ZONE", "ROLE", "AVAILABILITY", "IN FLIGHT", "FENCE", "ORDER"], &rows);
+    let engines = table(&["ENGINE", "ZONE", "ROLE", "STATE", "IN FLIGHT", "FENCE", "ORDER"], &rows);
     format!("{head}\n{engines}")
 }
 
@@ -89,7 +89,7 @@
         engine.name.to_string(),
         engine.zone.to_string(),
         engine.role.to_string(),
-        or_dash(engine.availability.as_deref()),
+        or_dash(engine.state.as_deref().or(engine.availability.as_deref())),
         or_dash(engine.in_flight),
         or_dash(engine.fence.map(|term| term.0)),
         or_dash(engine.order.map(|order| format!("{}.{}", order.term.0, order.sequence))),
--- a/crates/cli/tests/cli/operators_api.rs
+++ b/crates/cli/tests/cli/operators_api.rs
@@ -28,6 +28,7 @@
         zone: ZoneName::from("patan"),
         role: EngineRole::Prefill,
         availability: Some("draining".to_owned()),
+        state: Some("draining".to_owned()),
         in_flight: Some(3),
         fence: None,
         order: None,
@@ -119,7 +120,7 @@
         "configuration 6 in force here, 7 pending, waiting for: 127.0.0.1:21302",
         "127.0.0.1:21302  thamel  suspect  6",
         "pool lekh-model/kathmandu-valley/0, owner 127.0.0.1:21301, term -, 4 waiting",
-        "lekh-model-01  patan  prefill  draining      3          -      -",
+        "lekh-model-01  patan  prefill  draining  3          -      -",
     ];
     assert_prints(&node, &["status"], &expected);
     assert_eq!(node.received()[0].line, "GET /status");
--- a/crates/core/src/authority/engine_state.rs
+++ b/crates/core/src/authority/engine_state.rs
@@ -53,3 +53,21 @@
     /// It serves, but its change was given up.
     GivenUp(GiveUpReason),
 }
+
+impl EngineState {
+    /// The stable code for bodies, logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            EngineState::Unfenced => "unfenced",
+            EngineState::Serving => "serving",
+            EngineState::Draining => "draining",
+            EngineState::OrderInDoubt => "order_in_doubt",
+            EngineState::Changing => "changing",
+            EngineState::Stuck => "stuck",
+            EngineState::Lost => "lost",
+            EngineState::GivenUp(GiveUpReason::Crashed) => "given_up_crashed",
+            EngineState::GivenUp(GiveUpReason::NotEffective) => "given_up_not_effective",
+            EngineState::GivenUp(GiveUpReason::Refused) => "given_up_refused",
+        }
+    }
+}
--- a/crates/core/src/authority/role_changer.rs
+++ b/crates/core/src/authority/role_changer.rs
@@ -75,6 +75,8 @@
     pub state: EngineState,
     /// The role that it reported last.
     pub role: Option<EngineRole>,
+    /// The order that it reported last.
+    pub order: Option<OrderId>,
 }
 
 /// Brings the engines of one pool to their targets, while this node holds the authority over it.
@@ -192,6 +194,7 @@
             engine: engine.clone(),
             state: change.state(now, &self.config),
             role: change.report().map(|report| report.role),
+            order: change.report().and_then(|report| report.order),
         };
         self.engines.iter().map(status).collect()
     }
--- a/crates/node/src/operations/status.rs
+++ b/crates/node/src/operations/status.rs
@@ -7,7 +7,7 @@
 use havengate_core::control::{NodeControl, PoolStanding};
 use havengate_core::dispatch::EngineAvailability;
 use havengate_core::time::Timestamp;
-use havengate_core::world::PoolId;
+use havengate_core::world::{EngineName, PoolId, ZoneName};
 
 use crate::operators::{ConfigurationStatus, EngineStatus, MemberStatus, NodeStatus, PoolStatus, StatusAnswer};
 use crate::traffic::PoolRegistry;
@@ -78,6 +78,8 @@
     let me = control.status().me;
     let owned = standing.is_owned_by(me);
     let authority = standing.control.as_ref().map(|control| control.status()).filter(|_| owned);
+    let states = standing.control.as_ref().map(|control| control.engine_states(context.now)).unwrap_or_default();
+    let state_of = |engine: &EngineName| states.iter().filter(|_| owned).find(|status| status.engine == *engine);
     let slots = standing.slots(control.configuration(), me, control.zone(), context.now);
     let engines = slots.into_iter().map(|slot| EngineStatus {
         zone: zone_of(control, &slot.name),
@@ -85,7 +87,8 @@
         availability: owned.then(|| availability_word(slot.availability).to_owned()),
         in_flight: None,
         fence: authority.as_ref().and_then(|authority| fence_of(authority, &slot.name)),
-        order: None,
+        state: state_of(&slot.name).map(|status| status.state.code().to_owned()),
+        order: state_of(&slot.name).and_then(|status| status.order),
         name: slot.name,
     });
     PoolStatus {
@@ -98,14 +101,11 @@
     }
 }
 
-fn zone_of(control: &NodeControl, engine: &havengate_core::world::EngineName) -> havengate_core::world::ZoneName {
+fn zone_of(control: &NodeControl, engine: &EngineName) -> ZoneName {
     control.configuration().engine(engine).map(|engine| engine.zone.clone()).unwrap_or_default()
 }
 
-fn fence_of(
-    authority: &AuthorityStatus,
-    engine: &havengate_core::world::EngineName,
-) -> Option<havengate_core::authority::Term> {
+fn fence_of(authority: &AuthorityStatus, engine: &EngineName) -> Option<havengate_core::authority::Term> {
     let fenced = authority.fenced.iter().any(|fenced| &fenced.engine == engine);
     authority.term.filter(|_| fenced)
 }
--- a/crates/node/src/operators/messages.rs
+++ b/crates/node/src/operators/messages.rs
@@ -102,6 +102,9 @@
     pub role: EngineRole,
     /// `serving`, `draining` or `unavailable`.
     pub availability: Option<String>,
+    /// Its state in detail, as in docs/AUTHORITY.md; known at the owner only.
+    #[serde(default)]
+    pub state: Option<String>,
     /// Requests placed on it that have not ended.
     pub in_flight: Option<u32>,
     /// The highest term that it has seen; none while it is unfenced by the present holder.
