--- /dev/null
+++ b/crates/core/examples/membership_scale.rs
@@ -0,0 +1,188 @@
+//! Measures the failure detector at several sizes in virtual time: detection, spreading, traffic, processor time.
+//!
+//! `cargo run --release -p havengate-core --example membership_scale [KILLS]`. All figures but the processor time follow
+//! from the seed alone; the processor time is that of the simulation, network included, on the machine at hand.
+
+#[path = "../tests/support/membership_cluster.rs"]
+#[allow(dead_code)]
+mod membership_cluster;
+
+use std::time::{Duration, Instant};
+
+use havengate_core::membership::{
+    Member, MemberRecord, MemberState, Membership, MembershipCounters, MembershipEvent, View,
+};
+use havengate_core::time::Timestamp;
+use havengate_core::world::ZoneName;
+use membership_cluster::{Cluster, NodeIndex};
+
+/// Zones and nodes in each: 15, 30, 100 and 330 nodes.
+const SIZES: [(usize, usize); 4] = [(3, 5), (3, 10), (10, 10), (11, 30)];
+const RANDOM_SEED: u64 = 42;
+const DEFAULT_KILLS: usize = 100;
+const STEADY: Duration = Duration::from_secs(60);
+/// Time for the gossip of the start to die down before the steady traffic is measured.
+const WARM_UP: Duration = Duration::from_secs(60);
+/// Time in which a change has certainly reached all nodes.
+const SETTLE: Duration = Duration::from_secs(10);
+const FORMATION_LIMIT: Duration = Duration::from_secs(60);
+
+/// Times from a change until the last node of a group knew of it.
+#[derive(Default)]
+struct Spread {
+    in_zone: Vec<Duration>,
+    everywhere: Vec<Duration>,
+}
+
+fn main() {
+    let kills = std::env::args().nth(1).and_then(|kills| kills.parse().ok()).unwrap_or(DEFAULT_KILLS);
+    println!(
+        "{kills} kills and {kills} departures each; seconds; bytes without transport headers; random seed {RANDOM_SEED}"
+    );
+    println!(
+        "| nodes | zones | formed | dead in zone p50 / p99 / max | dead everywhere p50 / p99 / max | leaving in zone p50 / max | leaving everywhere max | B/s sent a node mean / max | messages/s sent a node | B/s mean while a node dies and returns each 10 to 20 s | CPU ms per node-second | state KB a node |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for (zones, nodes_per_zone) in SIZES {
+        measure(zones, nodes_per_zone, kills);
+    }
+}
+
+fn measure(zones: usize, nodes_per_zone: usize, kills: usize) {
+    let mut cluster = Cluster::start(zones, nodes_per_zone, RANDOM_SEED);
+    let formed = form(&mut cluster);
+    cluster.run_for(WARM_UP);
+    let before = totals(&cluster);
+    let wall = Instant::now();
+    cluster.run_for(STEADY);
+    let nodes = cluster.all().len();
+    let node_seconds = nodes as f64 * STEADY.as_secs_f64();
+    let cpu = wall.elapsed().as_secs_f64() * 1e3 / node_seconds;
+    let sent = differences(&before, &totals(&cluster));
+    let mean_bytes = sent.iter().map(|sent| sent.bytes_sent).sum::<u64>() as f64 / node_seconds;
+    let max_bytes = sent.iter().map(|sent| sent.bytes_sent).max().unwrap_or(0) as f64 / STEADY.as_secs_f64();
+    let messages = sent.iter().map(|sent| sent.messages_sent).sum::<u64>() as f64 / node_seconds;
+    let state = state_kilobytes(cluster.node(0).view());
+    let leaves = departures(&mut cluster, kills);
+    let start = cluster.now;
+    let bytes_before = cluster.bytes_sent;
+    let deaths = deaths(&mut cluster, kills);
+    let churn = (cluster.bytes_sent - bytes_before) as f64 / cluster.now.since(start).as_secs_f64() / nodes as f64;
+    println!(
+        "| {nodes} | {zones} | {:.1} | {} | {} | {} / {} | {} | {mean_bytes:.0} / {max_bytes:.0} | {messages:.1} | {churn:.0} | {cpu:.3} | {state:.0} |",
+        formed.as_secs_f64(),
+        three(&deaths.in_zone),
+        three(&deaths.everywhere),
+        percentile(&leaves.in_zone, 0.5),
+        percentile(&leaves.in_zone, 1.0),
+        percentile(&leaves.everywhere, 1.0),
+    );
+}
+
+/// Lets all nodes find each other; looks every half second.
+fn form(cluster: &mut Cluster) -> Duration {
+    let start = cluster.now;
+    while !cluster.has_converged() {
+        assert!(cluster.now.since(start) < FORMATION_LIMIT, "the nodes don't agree");
+        cluster.run_for(Duration::from_millis(500));
+    }
+    cluster.now.since(start)
+}
+
+fn deaths(cluster: &mut Cluster, kills: usize) -> Spread {
+    let mut spread = Spread::default();
+    for kill in 0..kills {
+        let (victim, member) = choose(cluster, kill);
+        cluster.run_for(Duration::from_micros(7_919 * kill as u64));
+        let since = cluster.now;
+        cluster.kill(victim);
+        cluster.run_for(SETTLE);
+        note(cluster, &mut spread, victim, member, MemberState::Dead, since);
+        cluster.restart(victim);
+        form(cluster);
+    }
+    spread
+}
+
+/// Departures of nodes that are then replaced by a new process.
+fn departures(cluster: &mut Cluster, count: usize) -> Spread {
+    let mut spread = Spread::default();
+    for departure in 0..count {
+        let (victim, member) = choose(cluster, departure);
+        let since = cluster.now;
+        cluster.call(victim, Membership::leave);
+        cluster.run_for(SETTLE);
+        note(cluster, &mut spread, victim, member, MemberState::Leaving, since);
+        cluster.restart(victim);
+        form(cluster);
+    }
+    spread
+}
+
+fn choose(cluster: &Cluster, round: usize) -> (NodeIndex, Member) {
+    let index = round.wrapping_mul(7_919) % cluster.all().len();
+    (index, cluster.member(index))
+}
+
+/// Notes when the last node of the zone, and of all, reported the state; a node that never did counts as `SETTLE`.
+fn note(
+    cluster: &mut Cluster,
+    spread: &mut Spread,
+    subject: NodeIndex,
+    member: Member,
+    wanted: MemberState,
+    since: Timestamp,
+) {
+    let zone = cluster.zone(subject).clone();
+    let observers: Vec<NodeIndex> = cluster.all().filter(|index| *index != subject).collect();
+    let first_reports = |index: &NodeIndex| {
+        let own = cluster.reports.iter().filter(|report| report.reporter == *index);
+        own.filter(|report| is_state(&report.event, member, wanted)).map(|report| report.at.since(since)).next()
+    };
+    let times: Vec<(ZoneName, Duration)> =
+        observers.iter().map(|index| (cluster.zone(*index).clone(), first_reports(index).unwrap_or(SETTLE))).collect();
+    let latest = |times: &mut dyn Iterator<Item = &(ZoneName, Duration)>| times.map(|(_, time)| *time).max();
+    spread.in_zone.extend(latest(&mut times.iter().filter(|(of, _)| *of == zone)));
+    spread.everywhere.extend(latest(&mut times.iter()));
+    cluster.reports.clear();
+}
+
+fn is_state(event: &MembershipEvent, subject: Member, wanted: MemberState) -> bool {
+    matches!(event, MembershipEvent::MemberChanged { member, state, .. } if *member == subject && *state == wanted)
+}
+
+fn totals(cluster: &Cluster) -> Vec<MembershipCounters> {
+    cluster.all().map(|index| cluster.node(index).counters()).collect()
+}
+
+fn differences(before: &[MembershipCounters], after: &[MembershipCounters]) -> Vec<MembershipCounters> {
+    let pairs = before.iter().zip(after);
+    pairs
+        .map(|(before, after)| MembershipCounters {
+            messages_sent: after.messages_sent - before.messages_sent,
+            bytes_sent: after.bytes_sent - before.bytes_sent,
+            ..*after
+        })
+        .collect()
+}
+
+/// An estimate: the records with their zone names, and the roster's lists of members.
+fn state_kilobytes(view: &View) -> f64 {
+    let records: usize = view
+        .records()
+        .map(|record| size_of::<MemberRecord>() + record.zone.as_str().len() + 2 * size_of::<Member>())
+        .sum();
+    records as f64 / 1e3
+}
+
+fn three(times: &[Duration]) -> String {
+    format!("{} / {} / {}", percentile(times, 0.5), percentile(times, 0.99), percentile(times, 1.0))
+}
+
+fn percentile(times: &[Duration], share: f64) -> String {
+    let mut sorted = times.to_vec();
+    sorted.sort();
+    let index = (sorted.len() as f64 * share).ceil() as usize;
+    let time = sorted.get(index.saturating_sub(1)).copied().unwrap_or_default();
+    format!("{:.2}", time.as_secs_f64())
+}
--- a/crates/core/src/membership/timers.rs
+++ b/crates/core/src/membership/timers.rs
@@ -49,11 +49,12 @@
         }
     }
 
-    /// Spreads the first rounds of nodes that begin together.
+    /// Spreads the first rounds of nodes that begin together. Absent seeds are asked early: nodes that joined by
+    /// different seeds find each other by that.
     pub(super) fn stagger(&mut self, config: &MembershipConfig, random: &mut Rng, now: Timestamp) {
         self.probe = now + config.probe_interval.mul_f64(random.f64());
         self.zone_probe = now + config.zone_probe_interval.mul_f64(random.f64());
-        self.reconnect = now + config.reconnect_interval.mul_f64(random.f64());
+        self.reconnect = now + config.join_interval.mul_f64(random.f64());
         self.zone_round = random.usize(..1 << 16);
         self.gossip_zone = random.usize(..1 << 16);
     }
--- a/crates/core/tests/support/membership_cluster.rs
+++ b/crates/core/tests/support/membership_cluster.rs
@@ -49,6 +49,8 @@
     pub now: Timestamp,
     pub reports: Vec<Report>,
     pub overlaps: Vec<Overlap>,
+    /// Bytes that all processes have sent, those that have ended included.
+    pub bytes_sent: u64,
     config: MembershipConfig,
     zones: Vec<ZoneName>,
     seeds: Vec<Address>,
@@ -75,6 +77,7 @@
             now: Timestamp::from_millis(1_000),
             reports: Vec::new(),
             overlaps: Vec::new(),
+            bytes_sent: 0,
             config,
             seeds,
             indexes: (0..zones.len()).map(|index| (address_of(index), index)).collect(),
@@ -278,6 +281,7 @@
     fn take_ready(&mut self, index: NodeIndex) {
         let ready = self.nodes[index].membership.take_ready();
         for outgoing in ready.messages {
+            self.bytes_sent += outgoing.message.encoded_bytes();
             if let Some(to) = self.indexes.get(&outgoing.to) {
                 self.network.send(index, *to, outgoing.message, self.now);
             }
