core: the check of a starting node counts only the time it runs

Cause: a wider search found a node that was paused for less than the limit while it settled: it woke with an old view, in which it was alone, proved by the store that it had the latest version, and accepted versions alone.

--- a/crates/core/src/configuration/replica.rs
+++ b/crates/core/src/configuration/replica.rs
@@ -18,6 +18,9 @@
 use crate::time::Timestamp;
 use crate::world::ZoneName;
 
+/// A gap of so many retry intervals is no mere delay of a timer.
+const LATE_RETRIES: u32 = 2;
+
 /// What a replica is told.
 #[derive(Clone, Debug)]
 pub enum ConfigurationInput {
@@ -242,11 +245,12 @@
     }
 
     fn notice_pause(&mut self, now: Timestamp) {
-        let last_call = self.last_call.replace(now);
-        let paused = last_call.is_some_and(|last_call| now.since(last_call) > self.config.pause_maximum);
-        if paused && self.synchronization.is_trusted() {
+        let gap = self.last_call.replace(now).map_or(Duration::ZERO, |last_call| now.since(last_call));
+        if gap > self.config.pause_maximum && self.synchronization.is_trusted() {
             self.synchronization.restart(&self.config, now);
             self.drop_outstanding();
+        } else if gap > self.config.retry_interval * LATE_RETRIES && !self.is_ready() {
+            self.synchronization.postpone(gap);
         }
     }
 
--- a/crates/core/src/configuration/synchronization.rs
+++ b/crates/core/src/configuration/synchronization.rs
@@ -5,6 +5,8 @@
 //! the store by a compare-and-set, which unlike a read can't be answered from the past. Versions that are accepted
 //! later need this node's own acknowledgement.
 
+use std::time::Duration;
+
 use super::config::ReplicaConfig;
 use super::content::ConfigurationVersion;
 use super::message::ProbeId;
@@ -42,6 +44,11 @@
         self.target = None;
     }
 
+    /// Postpones the check by a time in which the node did nothing: it has learnt nothing meanwhile.
+    pub fn postpone(&mut self, gap: Duration) {
+        self.settled_at = self.settled_at.map(|settled_at| settled_at + gap);
+    }
+
     /// Whether membership counts this node as live.
     pub fn is_trusted(&self) -> bool {
         self.trusted
--- a/crates/core/src/plan/book.rs
+++ b/crates/core/src/plan/book.rs
@@ -5,7 +5,7 @@
 
 use super::plan::Plan;
 use super::store_edit::{Edit, EditDecision, StoreEdit};
-use crate::configuration::{ConfigurationVersion, PlanId};
+use crate::configuration::PlanId;
 use crate::store::{ObjectKey, OperationId, StoredObject};
 
 /// The name of the plans' object in the store.
@@ -21,16 +21,6 @@
     pub plans: Vec<Plan>,
 }
 
-/// What may be done with a plan.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum PlanState {
-    /// It may be confirmed.
-    Open,
-    /// It was made for a version that is no longer the latest; it has been confirmed itself, or never can be.
-    Closed,
-}
-
 impl PlanBook {
     /// The book in the store's object; no object stands for an empty book, and an unreadable one for nothing.
     pub fn parse(object: Option<&StoredObject>) -> Option<PlanBook> {
@@ -53,13 +43,6 @@
     }
 }
 
-impl Plan {
-    /// What may be done with the plan when `latest` is the latest version.
-    pub fn state(&self, latest: ConfigurationVersion) -> PlanState {
-        if self.base >= latest { PlanState::Open } else { PlanState::Closed }
-    }
-}
-
 /// The plans' object in the store.
 pub fn plans_key() -> ObjectKey {
     ObjectKey(PLANS_KEY.to_owned())
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -14,7 +14,7 @@
 mod waves;
 
 pub use crate::configuration::PlanId;
-pub use book::{KeepPlan, KeepPlanOutcome, PLANS_KEY, PLANS_MAXIMUM, PlanBook, PlanKeeping, PlanState, plans_key};
+pub use book::{KeepPlan, KeepPlanOutcome, PLANS_KEY, PLANS_MAXIMUM, PlanBook, PlanKeeping, plans_key};
 pub use confirmation::{Confirmation, ConfirmationOutcome, StagePlan};
 pub use intent::{EngineIntent, Intent, ModelIntent, Removal, RoleTarget, TenantIntent};
 pub use plan::{EngineOutage, ModelDemand, OutageReason, Plan, PredictedEffect, PredictionBasis, Wave};
