--- a/crates/core/tests/claims_simulation.rs
+++ b/crates/core/tests/claims_simulation.rs
@@ -1,24 +1,26 @@
 //! Keys are won at most once, over kills, restarts without memory, pauses, partitions, lost and doubled messages and
 //! changes of the slot map by proposers that are wrong about who is dead.
 
+mod claims_support;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::Duration;
 
+use claims_support::{address, candidate, only_used_slots, used_slots};
 use fastrand::Rng;
 use havengate_core::claims::{
     CandidateHolder, ClaimClient, ClaimConfig, ClaimEnvelope, ClaimHolder, ClaimMessage, ClaimOutcome, RecordedOutcome,
     SlotIndex, SlotMap, SlotObservation, SlotStatus,
 };
 use havengate_core::membership::{Incarnation, Member};
-use havengate_core::request::{IdempotencyKey, RequestId};
+use havengate_core::request::RequestId;
 use havengate_core::simulation::{NetworkFaults, VirtualNetwork};
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{MayHaveRun, NotRun, NotRunReason, Verdict};
-use havengate_core::world::{Address, ZoneName};
+use havengate_core::world::Address;
 
 const NODES: u8 = 7;
-const ZONES: u8 = 4;
+const KEYS: usize = 4;
 const TICK: Duration = Duration::from_millis(20);
 const RETENTION: Duration = Duration::from_secs(4);
 const REQUEST_TIME: Duration = Duration::from_secs(2);
@@ -36,10 +38,6 @@
     }
 }
 
-fn address(index: u8) -> Address {
-    Address(SocketAddr::from(([127, 0, 0, index + 1], 7000)))
-}
-
 fn all_addresses() -> impl Iterator<Item = Address> {
     (0..NODES).map(address)
 }
@@ -75,7 +73,6 @@
     paused: BTreeSet<Address>,
     cut_off: BTreeSet<Address>,
     map: SlotMap,
-    keys: Vec<IdempotencyKey>,
     wins: Vec<Vec<Win>>,
     next_request: u128,
     now: Timestamp,
@@ -83,8 +80,6 @@
 
 impl World {
     fn new(seed: u64, faults: NetworkFaults) -> Self {
-        let keys: Vec<IdempotencyKey> =
-            (0..4).map(|key| IdempotencyKey { tenant: "tenant".into(), key: format!("ticket-{key}") }).collect();
         let mut world = World {
             random: Rng::with_seed(seed),
             network: VirtualNetwork::new(seed, faults),
@@ -94,38 +89,19 @@
             paused: BTreeSet::new(),
             cut_off: BTreeSet::new(),
             map: SlotMap::default(),
-            wins: vec![Vec::new(); keys.len()],
-            keys,
+            wins: vec![Vec::new(); KEYS],
             next_request: 0,
             now: Timestamp::ZERO,
         };
         all_addresses().for_each(|address| world.start(address));
         let founders = world.candidates();
-        world.map = world.only_used_slots(SlotMap::found(&founders));
+        world.map = only_used_slots(SlotMap::found(&founders), KEYS);
         world
     }
 
-    fn used_slots(&self) -> BTreeSet<SlotIndex> {
-        self.keys.iter().map(SlotIndex::of).collect()
-    }
-
-    /// Empties the slots that no key of the test falls into, which saves most of the time.
-    fn only_used_slots(&self, mut map: SlotMap) -> SlotMap {
-        let used = self.used_slots();
-        for (index, slot) in (0..).map(SlotIndex).zip(&mut map.slots) {
-            if !used.contains(&index) {
-                slot.current.holders.clear();
-            }
-        }
-        map
-    }
-
     fn candidates(&self) -> Vec<CandidateHolder> {
-        let candidate = |index: u8| CandidateHolder {
-            member: Member { address: address(index), incarnation: self.lives[&address(index)] },
-            zone: ZoneName::new(format!("zone-{}", index % ZONES)),
-        };
-        (0..NODES).filter(|index| self.nodes.contains_key(&address(*index))).map(candidate).collect()
+        let running = (0..NODES).filter(|index| self.nodes.contains_key(&address(*index)));
+        running.map(|index| candidate(index, self.lives[&address(index)])).collect()
     }
 
     fn start(&mut self, address: Address) {
@@ -175,7 +151,7 @@
             observation.stalled.clear();
         }
         if let Some(next) = self.map.replan(&observation) {
-            self.map = self.only_used_slots(next);
+            self.map = only_used_slots(next, KEYS);
         }
     }
 
@@ -256,12 +232,12 @@
 
     fn claim_something(&mut self) {
         let gateway = self.random_node();
-        let key = self.random.usize(0..self.keys.len());
+        let key = self.random.usize(0..KEYS);
         let deadline = self.now + Duration::from_millis(self.random.u64(100..=2_000));
         let Some(node) = self.nodes.get_mut(&gateway).filter(|_| !self.paused.contains(&gateway)) else { return };
         self.next_request += 1;
         let request = RequestId(self.next_request);
-        if node.client.claim(self.keys[key].clone(), request, deadline, self.now).is_ok() {
+        if node.client.claim(claims_support::key(key), request, deadline, self.now).is_ok() {
             node.running.insert(request, Running { key, deadline, is_won: false });
         }
     }
@@ -391,7 +367,7 @@
         world.replan(world.not_running(), true);
         world.run(config().quarantine().as_millis() / TICK.as_millis() + 200, 0.0);
         let settled = world.observation(world.not_running()).settled;
-        assert!(settled.is_superset(&world.used_slots()), "seed {seed}: only {settled:?} settled");
+        assert!(settled.is_superset(&used_slots(KEYS)), "seed {seed}: only {settled:?} settled");
     }
 }
 
@@ -399,7 +375,7 @@
 fn two_of_three_holders_are_enough() {
     let mut world = World::new(1, NetworkFaults::default());
     world.run(200, 0.0);
-    let (_, slot) = world.map.slot_of(&world.keys[0]).expect("a slot");
+    let (_, slot) = world.map.slot_of(&claims_support::key(0)).expect("a slot");
     world.kill(slot.current.holders[0].member.address);
     let killed_at = world.now;
     world.run(1_000, 0.0);
--- a/crates/core/tests/gateway_simulation.rs
+++ b/crates/core/tests/gateway_simulation.rs
@@ -307,14 +307,10 @@
     fn heal(&mut self) {
         self.network.heal();
         self.cut.clear();
-        for paused in std::mem::take(&mut self.paused) {
-            self.network.resume(paused, self.now);
-        }
-        for address in (1..=DISPATCHERS).map(node) {
-            if !self.dispatchers.contains_key(&address) {
-                self.start(address);
-            }
-        }
+        std::mem::take(&mut self.paused).into_iter().for_each(|paused| self.network.resume(paused, self.now));
+        let dead: Vec<Address> =
+            (1..=DISPATCHERS).map(node).filter(|node| !self.dispatchers.contains_key(node)).collect();
+        dead.into_iter().for_each(|node| self.start(node));
     }
 
     fn tick(&mut self) {
