core: a new coordinator requires configured zones it knows nothing of

Cause: a coordinator that has just joined may not have heard of a whole zone yet, which then counted neither as live nor as unreachable, and a version could be accepted without it. Change: for 20 s after it has been trusted, longer than membership needs to find a zone unreachable, a coordinator also requires the configured zones of which its view tells nothing. Conclusion: a rule test pins the time; deployments with nodes in every zone see no delay.

--- a/crates/core/src/configuration/config.rs
+++ b/crates/core/src/configuration/config.rs
@@ -31,6 +31,9 @@
     /// How long a node that starts, wakes or rejoins waits before it checks that it has missed nothing. It must exceed
     /// the time in which membership makes the node known to everyone, so that no version is accepted without it.
     pub settle_time: Duration,
+    /// How long after it has been trusted a coordinator also requires the configured zones of which it knows nothing:
+    /// its view may not be complete yet. It must exceed the time in which membership finds a zone to be unreachable.
+    pub view_complete_after: Duration,
     /// A longer gap between two calls means that this node was paused and may have been declared dead. It must be
     /// shorter than the time in which membership declares a silent node dead.
     pub pause_maximum: Duration,
@@ -54,6 +57,7 @@
             retry_interval_maximum: Duration::from_secs(4),
             retry_maximum: 16,
             settle_time: Duration::from_secs(2),
+            view_complete_after: Duration::from_secs(20),
             pause_maximum: Duration::from_secs(2),
             log_maximum: 64,
             compact_above: 128,
--- a/crates/core/src/configuration/coordination.rs
+++ b/crates/core/src/configuration/coordination.rs
@@ -114,24 +114,25 @@
         }
     }
 
-    /// The zones without which no version comes into force: those with live members, and the unreachable ones that the
-    /// latest version still contains. Operators give up a lost zone by a change that removes it.
+    /// The zones without which no version comes into force: those with live members, and the missing ones.
     pub(super) fn required_zones(&self) -> BTreeSet<ZoneName> {
         let mut required: BTreeSet<ZoneName> = self.view.live_zones().cloned().collect();
         required.extend(self.missing_zones());
         required
     }
 
-    /// The required zones that can't be reached.
+    /// The required zones without live members: of the zones that the latest version contains those that can't be
+    /// reached, and while the view is new also those of which it tells nothing. Operators give up a lost zone by a change
+    /// that removes it; a zone may well have engines and no nodes.
     pub(super) fn missing_zones(&self) -> Vec<ZoneName> {
-        if self.view.unreachable_zones().is_empty() {
+        let unreachable = self.view.unreachable_zones();
+        if unreachable.is_empty() && !self.view_is_new() {
             return Vec::new();
         }
-        let latest = self.versions.latest();
-        let contains = |zone: &ZoneName| {
-            latest.as_ref().is_none_or(|latest| latest.configuration.zones.iter().any(|known| &known.name == zone))
-        };
-        self.view.unreachable_zones().iter().filter(|zone| contains(zone)).cloned().collect()
+        let Some(latest) = self.versions.latest() else { return unreachable.iter().cloned().collect() };
+        let configured = latest.configuration.zones.iter().map(|zone| &zone.name);
+        let without_members = configured.filter(|zone| !self.view.is_live(zone));
+        without_members.filter(|zone| self.view_is_new() || unreachable.contains(*zone)).cloned().collect()
     }
 
     fn required_minimum(&self) -> Holding {
--- a/crates/core/src/configuration/replica.rs
+++ b/crates/core/src/configuration/replica.rs
@@ -93,6 +93,7 @@
     pub(super) digests_sent: u32,
     pub(super) reported_missing: Vec<Member>,
     pub(super) asked_about: Option<ConfigurationVersion>,
+    view_complete_at: Timestamp,
     floor: ConfigurationVersion,
     in_force: Option<VersionedConfiguration>,
     last_call: Option<Timestamp>,
@@ -122,6 +123,7 @@
             digests_sent: 0,
             reported_missing: Vec::new(),
             asked_about: None,
+            view_complete_at: Timestamp::ZERO,
             floor: ConfigurationVersion::default(),
             in_force: None,
             last_call: None,
@@ -231,9 +233,15 @@
             self.synchronization.trust(&self.config, now);
             self.start_watching(now);
             self.drop_outstanding();
+            self.view_complete_at = now + self.config.view_complete_after;
         }
     }
 
+    /// Whether the view may still lack a whole zone.
+    pub(super) fn view_is_new(&self) -> bool {
+        self.last_call.is_none_or(|last_call| last_call < self.view_complete_at)
+    }
+
     fn rejoin(&mut self, me: Member) {
         self.me = me;
         self.suspend();
--- a/crates/core/tests/configuration_rules.rs
+++ b/crates/core/tests/configuration_rules.rs
@@ -157,6 +157,44 @@
     panic!("the replica asks for no proof");
 }
 
+/// A coordinator that has just joined may not have heard of a whole zone, which may well serve.
+#[test]
+fn a_configured_zone_that_a_new_view_does_not_know_is_required() {
+    let alone = LiveView::new(vec![live(0, 0)], BTreeSet::new());
+    let mut replica = replica(alone, Timestamp::ZERO);
+    let activated = (0..200).map(|step| Timestamp::from_millis(step * 250)).find(|now| {
+        replica.tick(*now);
+        answer_store(&mut replica, *now)
+    });
+    let ReplicaConfig { view_complete_after, retry_interval_maximum, .. } = ReplicaConfig::default();
+    let complete = Timestamp::ZERO + view_complete_after;
+    let expected = complete..=complete + retry_interval_maximum;
+    assert!(activated.is_some_and(|activated| expected.contains(&activated)), "{activated:?} is not in {expected:?}");
+}
+
+/// Answers what the replica asks of a store that holds version 1 staged; tells whether it asks to bring it into force.
+fn answer_store(replica: &mut ConfigurationReplica, now: Timestamp) -> bool {
+    let staged = serde_json::to_string(&staged_record()).expect("text");
+    loop {
+        let actions = replica.take_ready();
+        if actions.is_empty() {
+            return false;
+        }
+        for action in actions {
+            let ConfigurationAction::Store { token, request } = action else { continue };
+            let reply = match request {
+                StoreRequest::CompareAndSet { value, .. } if value != staged => return true,
+                StoreRequest::CompareAndSet { .. } => StoreReply::Written(Revision(5)),
+                StoreRequest::Read { .. } => {
+                    let (revision, operation, value) = (Revision(4), OperationId(1), staged.clone());
+                    StoreReply::Object(Some(StoredObject { revision, operation, value }))
+                }
+            };
+            replica.step(ConfigurationInput::Store { token, reply }, now);
+        }
+    }
+}
+
 #[test]
 fn readiness_is_a_lease() {
     let mut replica = replica(view(), Timestamp::ZERO);
