Show the requests in flight on each engine at its owner

Cause: the status left requests in flight out, and showed a column for members' versions that no node fills. Change: the owner tells what it has placed on each engine; versions of members are printed where they are known.

--- a/crates/cli/src/report/status.rs
+++ b/crates/cli/src/report/status.rs
@@ -49,14 +49,10 @@
 
 fn members_text(members: &[MemberStatus]) -> String {
     let row = |member: &MemberStatus| {
-        vec![
-            member.address.to_string(),
-            member.zone.to_string(),
-            member.state.clone(),
-            or_dash(member.configuration.map(|version| version.0)),
-        ]
+        let version = member.configuration.map_or(String::new(), |version| format!("configuration {}", version.0));
+        vec![member.address.to_string(), member.zone.to_string(), member.state.clone(), version]
     };
-    table(&["MEMBER", "ZONE", "STATE", "CONFIGURATION"], &members.iter().map(row).collect::<Vec<_>>())
+    table(&["MEMBER", "ZONE", "STATE", ""], &members.iter().map(row).collect::<Vec<_>>())
 }
 
 fn pool_text(pool: &PoolStatus) -> String {
--- a/crates/cli/tests/cli/operators_api.rs
+++ b/crates/cli/tests/cli/operators_api.rs
@@ -118,7 +118,7 @@
         "up 1m 1s",
         "12 open streams, store not heard of here",
         "configuration 6 in force here, 7 pending, waiting for: 127.0.0.1:21302",
-        "127.0.0.1:21302  thamel  suspect  6",
+        "127.0.0.1:21302  thamel  suspect  configuration 6",
         "pool lekh-model/kathmandu-valley/0, owner 127.0.0.1:21301, term -, 4 waiting",
         "lekh-model-01  patan  prefill  draining  3          -      -",
     ];
--- a/crates/node/src/operations/service.rs
+++ b/crates/node/src/operations/service.rs
@@ -17,7 +17,7 @@
 
 use super::planning::{make_plan, plan_answer};
 use super::policies::policy_description;
-use super::status::{StatusContext, status_of, waiting_by_pool};
+use super::status::{StatusContext, status_of, work_by_pool};
 use super::store_edits::run_edit;
 use crate::callers::Readiness;
 use crate::clock::Clock;
@@ -157,7 +157,7 @@
             readiness: self.readiness(),
             open_streams: (self.0.open_streams)(),
             store_last_seen: None,
-            waiting: waiting_by_pool(&self.0.registry),
+            work: work_by_pool(&self.0.registry, &self.0.snapshot.load().configuration),
         };
         match self.ask(move |control| status_of(control, &context)) {
             Ok(status) => status,
--- a/crates/node/src/operations/status.rs
+++ b/crates/node/src/operations/status.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use havengate_core::authority::AuthorityStatus;
+use havengate_core::configuration::Configuration;
 use havengate_core::control::{NodeControl, PoolStanding};
 use havengate_core::dispatch::EngineAvailability;
 use havengate_core::time::Timestamp;
-use havengate_core::world::{EngineName, PoolId, ZoneName};
+use havengate_core::world::{EngineName, Pool, PoolId, ZoneName};
 
 use crate::operators::{ConfigurationStatus, EngineStatus, MemberStatus, NodeStatus, PoolStatus, StatusAnswer};
-use crate::traffic::PoolRegistry;
+use crate::traffic::{PoolRegistry, PoolRuntime};
 
 /// What the status needs besides control.
 pub struct StatusContext {
@@ -22,17 +23,32 @@
     pub open_streams: u32,
     /// Time since the store last answered.
     pub store_last_seen: Option<Duration>,
-    /// Requests that wait, by pool, at the pools that this node dispatches for.
-    pub waiting: BTreeMap<PoolId, u32>,
+    /// The work at the pools that this node dispatches for.
+    pub work: BTreeMap<PoolId, PoolWork>,
 }
 
-/// Requests that wait here, by pool.
-pub fn waiting_by_pool(registry: &PoolRegistry) -> BTreeMap<PoolId, u32> {
-    let waiting = |(id, runtime): (PoolId, std::sync::Arc<crate::traffic::PoolRuntime>)| {
-        let count = runtime.with_dispatcher(|dispatcher, _| dispatcher.waiting());
-        (id, u32::try_from(count).unwrap_or(u32::MAX))
-    };
-    registry.all().into_iter().map(waiting).collect()
+/// The work of one pool that this node dispatches for.
+#[derive(Clone, Debug, Default)]
+pub struct PoolWork {
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests placed on each engine that have not ended.
+    pub in_flight: BTreeMap<EngineName, u32>,
+}
+
+/// The work at the pools that this node dispatches for.
+pub fn work_by_pool(registry: &PoolRegistry, configuration: &Configuration) -> BTreeMap<PoolId, PoolWork> {
+    let pools = configuration.pools();
+    let work = |pool: &Pool| Some((pool.id.clone(), work_of(&*registry.get(&pool.id)?, pool)));
+    pools.iter().filter_map(work).collect()
+}
+
+fn work_of(runtime: &PoolRuntime, pool: &Pool) -> PoolWork {
+    let count = |requests: usize| u32::try_from(requests).unwrap_or(u32::MAX);
+    runtime.with_dispatcher(|dispatcher, _| PoolWork {
+        waiting: count(dispatcher.waiting()),
+        in_flight: pool.engines.iter().map(|engine| (engine.clone(), count(dispatcher.in_flight(engine)))).collect(),
+    })
 }
 
 /// The status as control sees it.
@@ -80,12 +96,13 @@
     let authority = standing.control.as_ref().map(|control| control.status()).filter(|_| owned);
     let states = standing.control.as_ref().map(|control| control.engine_states(context.now)).unwrap_or_default();
     let state_of = |engine: &EngineName| states.iter().filter(|_| owned).find(|status| status.engine == *engine);
+    let work = context.work.get(&standing.pool.id).filter(|_| owned);
     let slots = standing.slots(control.configuration(), me, control.zone(), context.now);
     let engines = slots.into_iter().map(|slot| EngineStatus {
         zone: zone_of(control, &slot.name),
         role: slot.role,
         availability: owned.then(|| availability_word(slot.availability).to_owned()),
-        in_flight: None,
+        in_flight: work.and_then(|work| work.in_flight.get(&slot.name).copied()),
         fence: authority.as_ref().and_then(|authority| fence_of(authority, &slot.name)),
         state: state_of(&slot.name).map(|status| status.state.code().to_owned()),
         order: state_of(&slot.name).and_then(|status| status.order),
@@ -96,7 +113,7 @@
         model: standing.pool.id.model.clone(),
         owner: standing.owners.first().map(|owner| owner.address),
         term: authority.as_ref().and_then(|authority| authority.term),
-        waiting: context.waiting.get(&standing.pool.id).copied().filter(|_| owned),
+        waiting: work.map(|work| work.waiting),
         engines: engines.collect(),
     }
 }
