Find items of a configuration without making text of their keys

Cause: applying the first configuration at 330 nodes and 4,100 engines compared each of 4,100 changes with up to 4,100 items by a key made as text each time; the scale run did not end within 9 minutes. A sampled stack showed it. Change: items are compared by their names in place.

--- a/crates/core/src/configuration/item.rs
+++ b/crates/core/src/configuration/item.rs
@@ -13,6 +13,9 @@
 
     /// The item's key, unique in its list.
     fn key(&self) -> String;
+
+    /// Whether both have the same key. A list of thousands is searched by it, so it makes no text.
+    fn has_key_of(&self, other: &Self) -> bool;
 }
 
 macro_rules! named_item {
@@ -23,6 +26,10 @@
             fn key(&self) -> String {
                 self.name.to_string()
             }
+
+            fn has_key_of(&self, other: &Self) -> bool {
+                self.name == other.name
+            }
         })+
     };
 }
@@ -44,6 +51,11 @@
         let (low, high) = if self.from <= self.to { (&self.from, &self.to) } else { (&self.to, &self.from) };
         format!("{low} - {high}")
     }
+
+    fn has_key_of(&self, other: &Self) -> bool {
+        let same = self.from == other.from && self.to == other.to;
+        same || (self.from == other.to && self.to == other.from)
+    }
 }
 
 /// What turns the list `old` into `new`, up to the order of items; in the order of keys.
@@ -64,10 +76,10 @@
 /// # Errors
 /// When the list does not hold the old value, or already holds an item that is to be added.
 pub(super) fn replace_item<T: Item>(items: &mut Vec<T>, replacement: &Replacement<T>) -> Result<(), ChangeError> {
-    let key = replacement_key(replacement).ok_or(ChangeError::Malformed { kind: T::KIND })?;
-    let position = items.iter().position(|item| item.key() == key);
+    let wanted = wanted_item(replacement).ok_or(ChangeError::Malformed { kind: T::KIND })?;
+    let position = items.iter().position(|item| item.has_key_of(wanted));
     if position.map(|position| &items[position]) != replacement.from.as_ref() {
-        return Err(ChangeError::OtherValue { kind: T::KIND, name: key });
+        return Err(ChangeError::OtherValue { kind: T::KIND, name: wanted.key() });
     }
     match (position, &replacement.to) {
         (Some(position), Some(to)) => items[position] = to.clone(),
@@ -78,11 +90,10 @@
     Ok(())
 }
 
-fn replacement_key<T: Item>(replacement: &Replacement<T>) -> Option<String> {
-    let from = replacement.from.as_ref().map(T::key);
-    let to = replacement.to.as_ref().map(T::key);
-    match (from, to) {
-        (Some(from), Some(to)) if from != to => None,
-        (from, to) => from.or(to),
+/// The item that the replacement is about; `None` when its sides are two different items, or there is none.
+fn wanted_item<T: Item>(replacement: &Replacement<T>) -> Option<&T> {
+    match (&replacement.from, &replacement.to) {
+        (Some(from), Some(to)) if !from.has_key_of(to) => None,
+        (from, to) => from.as_ref().or(to.as_ref()),
     }
 }
--- a/crates/rehearsal/src/scale/figures.rs
+++ b/crates/rehearsal/src/scale/figures.rs
@@ -32,6 +32,9 @@
 impl Window {
     /// The figures of a window of `duration` in which the nodes have used `usages`.
     pub fn of(usages: &[Usage], duration: Duration) -> Window {
+        if duration.is_zero() {
+            return Window::default();
+        }
         let seconds = duration.as_secs_f64();
         let nodes = usages.len().max(1) as f64;
         let bytes = |usage: &Usage| (usage.membership_bytes + usage.control_bytes) as f64 / seconds;
