Claims: a life that isn't the latest takes nothing over

Cause: a process that restarts after its clock was set back has a lower incarnation than its predecessor. Had it taken over, grants of the predecessor could still have counted beside its own. Change: holders hand nothing to a life older than the latest they know of its address. Default limits are tested. Conclusion: such a process abstains until the map names it anew.

--- a/crates/core/src/claims/slot_state.rs
+++ b/crates/core/src/claims/slot_state.rs
@@ -9,7 +9,7 @@
     ClaimAnswer, ClaimRefusal, ClaimRequest, OutcomeReport, TakeOverReply, TakeOverRequest, TransferredClaim,
 };
 use super::record::{ClaimRecord, ClaimState};
-use super::slot_map::{HolderSet, MapVersion, Slot, SlotHolder};
+use super::slot_map::{HolderSet, MapVersion, Slot};
 use super::takeover::TakeOver;
 use super::usage::Usage;
 use crate::membership::{Incarnation, Member};
@@ -128,6 +128,9 @@
     }
 
     /// Fences this node at the taker's version and hands over a page of claims; `None` when the taker is behind.
+    ///
+    /// A taker whose life is not the latest known of its address gets nothing: a later one may have granted claims that
+    /// only lives after it would be told from. That includes a process restarted after its clock was set back.
     pub fn hand_over(
         &mut self,
         request: TakeOverRequest,
@@ -135,7 +138,7 @@
         config: &ClaimConfig,
         now: Timestamp,
     ) -> Option<TakeOverReply> {
-        if request.version < self.fence {
+        if request.version < self.fence || self.latest_life(request.taker.address) > request.taker.incarnation {
             return None;
         }
         self.fence = request.version;
@@ -220,12 +223,15 @@
     }
 
     fn granted(&self) -> ClaimAnswer {
+        let holders = self.current.iter().flat_map(|set| set.addresses());
+        ClaimAnswer::Granted(holders.map(|address| self.latest_life(address)).collect())
+    }
+
+    /// The latest life that is known of an address.
+    fn latest_life(&self, address: Address) -> Incarnation {
         let holders = self.current.iter().flat_map(|set| &set.holders);
-        let known = |holder: &SlotHolder| {
-            let life = self.lives.get(&holder.member.address).copied().unwrap_or_default();
-            life.max(holder.member.incarnation)
-        };
-        ClaimAnswer::Granted(holders.map(known).collect())
+        let named = holders.filter(|holder| holder.member.address == address).map(|holder| holder.member.incarnation);
+        named.chain(self.lives.get(&address).copied()).max().unwrap_or_default()
     }
 
     fn merge(&mut self, claim: TransferredClaim, usage: &mut Usage, now: Timestamp) -> bool {
--- a/crates/core/tests/claims_fencing.rs
+++ b/crates/core/tests/claims_fencing.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use havengate_core::claims::{
-    CandidateHolder, ClaimAnswer, ClaimClient, ClaimConfig, ClaimHolder, ClaimMessage, ClaimOutcome, ClaimRefusal,
-    ClaimReply, ClaimRequest, HeldClaim, MapVersion, OutcomeReport, RecordedAnswer, RecordedOutcome, SlotIndex,
-    SlotMap, SlotObservation, TakeOverReply, TakeOverRequest,
+    CandidateHolder, ClaimAnswer, ClaimClient, ClaimConfig, ClaimConfigError, ClaimHolder, ClaimMessage, ClaimOutcome,
+    ClaimRefusal, ClaimReply, ClaimRequest, HeldClaim, MapVersion, OutcomeReport, RecordedAnswer, RecordedOutcome,
+    SlotIndex, SlotMap, SlotObservation, TakeOverReply, TakeOverRequest,
 };
 use havengate_core::membership::{Incarnation, Member};
 use havengate_core::request::{FinishReason, IdempotencyKey, RequestId};
@@ -158,6 +158,24 @@
     assert_eq!(holders.claim(0, 2, 1), ClaimAnswer::Held(HeldClaim::InProgress));
 }
 
+#[test]
+fn a_process_restarted_after_its_clock_was_set_back_gets_no_claims() {
+    let mut holders = Holders::new();
+    holders.start(0, 5);
+    holders.take_over(0, &[1, 2]);
+    assert!(holders.votes(0));
+    holders.start(0, 4);
+    holders.take_over(0, &[1, 2]);
+    assert!(!holders.votes(0));
+}
+
+#[test]
+fn the_default_limits_are_valid_and_a_retention_that_attempts_outlive_is_not() {
+    assert_eq!(config().validate(), Ok(()));
+    let short = ClaimConfig { retention: config().attempt_timeout, ..config() };
+    assert_eq!(short.validate(), Err(ClaimConfigError::RetentionTooShort));
+}
+
 #[test]
 fn a_process_that_rejoins_under_a_later_incarnation_keeps_its_claims() {
     let mut holders = Holders::new();
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -8,8 +8,8 @@
 use arbtest::arbtest;
 use havengate_core::dispatch::{RetryBudget, RetryBudgetConfig, Revocation};
 use havengate_core::gateway::{
-    AnswerAssembler, AttemptNumber, GatewayAction, GatewayConfig, GatewayEvent, GatewayRequest, PoolLoad, PoolOption,
-    PoolPicker, Target,
+    AnswerAssembler, AttemptNumber, GatewayAction, GatewayConfig, GatewayConfigError, GatewayEvent, GatewayRequest,
+    PoolLoad, PoolOption, PoolPicker, Target,
 };
 use havengate_core::membership::{Incarnation, Member};
 use havengate_core::request::{AnswerPiece, BlockHash, FinishReason, IdempotencyKey, RequestId, RequestProfile};
@@ -102,6 +102,13 @@
     Verdict::MayHaveRun(MayHaveRun::DispatcherLost)
 }
 
+#[test]
+fn the_default_limits_are_valid_and_a_gateway_without_targets_is_not() {
+    assert_eq!(GatewayConfig::default().validate(), Ok(()));
+    let none = GatewayConfig { targets_maximum: 0, ..GatewayConfig::default() };
+    assert_eq!(none.validate(), Err(GatewayConfigError::NoTargets));
+}
+
 #[test]
 fn a_refusal_is_retried_within_the_budget_and_otherwise_final_at_once() {
     assert!(is_second_attempt(&Sent::new(false, None, 1.0).ended(queue_full())));
--- a/crates/core/tests/limits_rules.rs
+++ b/crates/core/tests/limits_rules.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use havengate_core::limits::{LeaseRequest, LimitAllocator, LimitConfig, Permit, Reach, Share, TenantLimiter};
+use havengate_core::limits::{
+    LeaseRequest, LimitAllocator, LimitConfig, LimitConfigError, Permit, Reach, Share, TenantLimiter,
+};
 use havengate_core::membership::{Incarnation, Member};
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{NotRun, NotRunReason};
@@ -95,6 +97,13 @@
     }
 }
 
+#[test]
+fn the_default_times_are_valid_and_requests_as_long_as_a_lease_are_not() {
+    assert_eq!(config().validate(), Ok(()));
+    let slow = LimitConfig { request_interval: config().lease, ..config() };
+    assert_eq!(slow.validate(), Err(LimitConfigError::RequestInterval));
+}
+
 #[test]
 fn a_tenant_without_limits_is_always_admitted() {
     let mut limiter = TenantLimiter::new(member(1), config());
