Record the answer of a request with a key as it passes

Cause: a repeat of a key gets the recorded answer, and nothing collected it. Change: a recorder bounded in bytes, and the recorded answer as a piece again.

--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -13,6 +13,7 @@
 mod map_observer;
 mod message;
 mod record;
+mod recorder;
 mod slot_map;
 mod slot_plan;
 mod slot_state;
@@ -29,6 +30,7 @@
     ClaimAnswer, ClaimEnvelope, ClaimMessage, ClaimRefusal, ClaimReply, ClaimRequest, HeldClaim, OutcomeAck,
     OutcomeReport, RecordedAnswer, RecordedOutcome, SlotStatus, TakeOverReply, TakeOverRequest, TransferredClaim,
 };
+pub use recorder::AnswerRecorder;
 pub use slot_map::{
     ChangedSlot, HOLDERS, HolderSet, MapVersion, SLOTS, Slot, SlotHolder, SlotIndex, SlotMap, SlotMapChanges,
 };
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -6,6 +6,7 @@
 
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
+use havengate_core::claims::AnswerRecorder;
 use havengate_core::dispatch::{RetryBudget, RetryBudgetConfig, Revocation};
 use havengate_core::gateway::{
     AnswerAssembler, AttemptNumber, GatewayAction, GatewayConfig, GatewayConfigError, GatewayEvent, GatewayRequest,
@@ -283,6 +284,22 @@
     assert_eq!(counted, [1; 5]);
 }
 
+#[test]
+fn a_whole_short_answer_is_recorded_and_comes_back_as_one_piece() {
+    let recorded = |bytes_maximum: usize, last: Option<FinishReason>, verdict: Verdict| {
+        let mut recorder = AnswerRecorder::new(bytes_maximum);
+        recorder.push(&piece(0, 3, None));
+        recorder.push(&piece(3, TOKENS - 3, last));
+        recorder.outcome(verdict).answer
+    };
+    let whole = text(0, TOKENS);
+    let answer = recorded(whole.len(), Some(FinishReason::Stop), Verdict::Completed).expect("a recorded answer");
+    assert_eq!(answer.into_piece(OWN), piece(0, TOKENS, Some(FinishReason::Stop)));
+    assert_eq!(recorded(whole.len() - 1, Some(FinishReason::Stop), Verdict::Completed), None);
+    assert_eq!(recorded(whole.len(), None, Verdict::Completed), None);
+    assert_eq!(recorded(whole.len(), Some(FinishReason::Stop), lost()), None);
+}
+
 fn option(shard: u16, latency_millis: u64) -> PoolOption {
     let index = u8::try_from(shard).expect("a small shard");
     PoolOption {
