--- a/crates/core/tests/dispatch_overload.rs
+++ b/crates/core/tests/dispatch_overload.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use dispatch_support::{LONG, ONCE, SHORT, SimulatedPool, contracts, dispatcher, request, slots};
+use dispatch_support::{LONG, Life, ONCE, SHORT, SimulatedPool, contracts, dispatcher, engine_name, request, slots};
 use fastrand::Rng;
-use havengate_core::dispatch::{DispatchAction, DispatchConfig};
+use havengate_core::dispatch::{DispatchAction, DispatchConfig, EngineEvent, ReportedLoad};
 use havengate_core::request::{RequestId, RequestProfile};
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{NotRun, NotRunReason, Verdict};
@@ -77,6 +77,36 @@
     }
 }
 
+#[test]
+fn nothing_is_started_on_an_engine_that_is_predicted_to_be_too_late() {
+    let mut dispatcher = dispatcher(DispatchConfig::default(), "cost", &[Mixed]);
+    let hurried = RequestProfile { time_left: Duration::from_millis(450), ..request(1, SHORT, 100, 10) };
+    dispatcher.submit(hurried, Timestamp::ZERO).expect("an idle engine makes it");
+    let load = ReportedLoad { requests: 2, waiting_prefill_tokens: 3_900, ..ReportedLoad::default() };
+    dispatcher.step(EngineEvent::Load { engine: engine_name(0), load }, Timestamp::ZERO);
+    assert_eq!(dispatcher.poll(Timestamp::ZERO), Vec::new(), "others' prompts take longer than it has");
+    let mut actions = Vec::new();
+    while actions.is_empty() {
+        let next = dispatcher.next_poll().expect("it waits");
+        assert!(next < Timestamp::from_millis(450), "it is given up before its deadline");
+        actions = dispatcher.poll(next);
+    }
+    assert_eq!(actions.iter().filter_map(given_up).collect::<Vec<_>>(), [RequestId(1)]);
+}
+
+#[test]
+fn short_prompts_do_not_wait_behind_long_ones_while_a_reader_is_left() {
+    let pool = run(SPLIT, "cost", four_short_to_one_long, 8.0, 11);
+    let is_short = |life: &&Life| life.profile.contract.as_str() == SHORT;
+    let short = pool.history.lives.values().filter(is_short);
+    let mut times: Vec<Duration> = short.clone().filter_map(|life| life.time_to_first_token()).collect();
+    times.sort();
+    assert!(times.len() * 100 >= short.count() * 99, "{} served", times.len());
+    let p95 = times[times.len() * 95 / 100];
+    println!("p95 of the time to the first token of short requests: {p95:?}");
+    assert!(p95 < Duration::from_millis(500), "one long prompt takes 1 to 2.5 s: {p95:?}");
+}
+
 #[test]
 fn a_request_that_is_given_up_is_told_at_once_and_when_to_come_back() {
     let pool = run(SPLIT, "cost", four_short_to_one_long, 16.0, 11);
--- a/crates/core/tests/dispatch_retries.rs
+++ b/crates/core/tests/dispatch_retries.rs
@@ -19,7 +19,7 @@
 const CUT: AttemptOutcome = AttemptOutcome::MayHaveRun(MayHaveRun::AnswerCut);
 
 fn two_engines() -> Dispatcher {
-    dispatcher(DispatchConfig::default(), "round_robin", &[Mixed, Mixed])
+    dispatcher(DispatchConfig::default(), "least_loaded", &[Mixed, Mixed])
 }
 
 /// The engine, attempt and resume point of the only start.
@@ -86,6 +86,26 @@
     assert_eq!(dispatcher.poll(now), ended_as(verdict), "an earlier attempt may have run, whatever the last one did");
 }
 
+#[test]
+fn a_retry_does_not_exceed_the_bound_of_the_queue() {
+    let now = Timestamp::ZERO;
+    let config = DispatchConfig { queue_maximum: 1, ..DispatchConfig::default() };
+    let mut dispatcher = dispatcher(config, "least_loaded", &[Mixed, Mixed]);
+    let mut one_at_a_time = slots(&[Mixed, Mixed]);
+    one_at_a_time.iter_mut().for_each(|slot| slot.performance.batch_maximum = 1);
+    dispatcher.set_engines(one_at_a_time);
+    for id in 1..=3 {
+        dispatcher.submit(request(id, SHORT, 100, 10), now).expect("room");
+        dispatcher.poll(now);
+    }
+    assert_eq!(dispatcher.waiting(), 1, "two run and one waits");
+    let outcome = AttemptOutcome::NotRun;
+    dispatcher.step(EngineEvent::Ended { request: RequestId(1), outcome }, now);
+    assert_eq!(dispatcher.waiting(), 1);
+    let ends = |action: &DispatchAction| matches!(action, DispatchAction::End { request: RequestId(1), .. });
+    assert!(dispatcher.poll(now).iter().any(ends), "it is given up at once");
+}
+
 #[test]
 fn retries_in_a_crash_storm_stay_within_the_budget() {
     for seed in 1..=5 {
--- a/crates/core/tests/dispatch_support/mod.rs
+++ b/crates/core/tests/dispatch_support/mod.rs
@@ -14,6 +14,7 @@
 use havengate_core::request::{RequestId, RequestProfile};
 use havengate_core::world::{Contract, EngineName, EnginePerformance, EngineRole, TenantName};
 
+pub use history::Life;
 pub use pool::SimulatedPool;
 
 pub const SHORT: &str = "short";
--- a/crates/core/tests/policy_roles.rs
+++ b/crates/core/tests/policy_roles.rs
@@ -123,7 +123,7 @@
 
 #[test]
 fn a_shadow_counts_what_it_would_have_changed_and_keeps_its_own_roles() {
-    let choice = PolicyChoice::with_defaults("reactive");
+    let choice = PolicyChoice::with_defaults("predictive");
     let mut shadow = ShadowRolePolicy::new(&choice).expect("a known policy");
     let mut live = role_policy(&choice).expect("a known policy");
     let (mut roles, mut changes) = (split(2), 0);
