--- a/crates/node/src/http_server/config.rs
+++ b/crates/node/src/http_server/config.rs
@@ -31,7 +31,8 @@
     pub body_timeout: Duration,
     /// How long a connection without a request stays open.
     pub idle_timeout: Duration,
-    /// The longest time that a client may leave written bytes unread before its connection is dropped.
+    /// The longest time that a client may be behind with reading: from the first byte that can't be written until all
+    /// that was handed over has been. Then its connection is dropped, so that it holds a handler's thread no longer.
     pub write_stall_timeout: Duration,
     /// How long idle connections stay open in a drain. A request that is on its way then still gets its answer.
     pub drain_idle_grace: Duration,
--- a/crates/node/src/http_server/monitor.rs
+++ b/crates/node/src/http_server/monitor.rs
@@ -29,7 +29,7 @@
     Head,
     /// No request came in time.
     Idle,
-    /// The client left written bytes unread for too long.
+    /// The client was behind with reading for too long.
     Write,
 }
 
@@ -41,7 +41,7 @@
 struct State {
     phase: Phase,
     since: Instant,
-    stalled_since: Option<Instant>,
+    behind_since: Option<Instant>,
     input_left: bool,
     flushes: u64,
     flush_waiter: Option<Waker>,
@@ -52,7 +52,7 @@
         Monitor(Arc::new(Mutex::new(State {
             phase: Phase::Idle,
             since: Instant::now(),
-            stalled_since: None,
+            behind_since: None,
             input_left: false,
             flushes: 0,
             flush_waiter: None,
@@ -72,7 +72,7 @@
     /// The limit that the connection has gone beyond, if any.
     pub(super) fn overdue(&self, config: &HttpServerConfig) -> Option<Overdue> {
         let state = self.lock();
-        if state.stalled_since.is_some_and(|since| since.elapsed() > config.write_stall_timeout) {
+        if state.behind_since.is_some_and(|since| since.elapsed() > config.write_stall_timeout) {
             return Some(Overdue::Write);
         }
         match state.phase {
@@ -115,15 +115,18 @@
         }
     }
 
+    /// A client counts as behind until it has taken everything, so that reading a byte now and then doesn't help it.
     fn write_polled(&self, blocked: bool) {
-        let mut state = self.lock();
-        state.stalled_since = blocked.then(|| state.stalled_since.unwrap_or_else(Instant::now));
+        if blocked {
+            self.lock().behind_since.get_or_insert_with(Instant::now);
+        }
     }
 
     fn flushed(&self) {
         let waiter = {
             let mut state = self.lock();
             state.flushes += 1;
+            state.behind_since = None;
             state.flush_waiter.take()
         };
         if let Some(waiter) = waiter {
--- a/crates/node/tests/http_server.rs
+++ b/crates/node/tests/http_server.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use havengate_node::http_server::{
@@ -362,19 +362,62 @@
     assert!(eventually(|| fixture.client().get("/echo").status == 200));
 }
 
+#[test]
+fn a_client_that_reads_now_and_then_is_dropped() {
+    let config = HttpServerConfig {
+        write_stall_timeout: Duration::from_secs(1),
+        stream_chunks_maximum: 1,
+        ..HttpServerConfig::default()
+    };
+    let fixture = Fixture::new(config);
+    let mut slow = fixture.open_stream();
+    let hang_up = fixture.hang_up();
+    let watched = hang_up.clone();
+    let reading = thread::spawn(move || {
+        while !watched.is_set() && slow.read_some(100_000) {
+            thread::sleep(Duration::from_millis(20));
+        }
+    });
+    let some_seconds_of_reading = 16 << 20;
+    send_until_over(&fixture, &hang_up, some_seconds_of_reading);
+    assert!(hang_up.is_set());
+    reading.join().expect("no panic");
+}
+
+#[test]
+fn a_body_is_asked_for_only_when_it_is_wanted() {
+    let fixture = Fixture::new(short());
+    let mut client = fixture.client();
+    let head = "POST /echo HTTP/1.1\r\nhost: test\r\nexpect: 100-continue\r\n";
+    client.send(format!("{head}content-length: 5\r\n\r\n"));
+    assert_eq!(client.head().0, 100);
+    client.send("hello");
+    assert_eq!(client.response().body, "hello");
+    let mut too_large = fixture.client();
+    too_large.send(format!("{head}content-length: 100001\r\n\r\n"));
+    assert_eq!(too_large.response().status, 413);
+}
+
 #[test]
 fn a_client_that_does_not_read_is_dropped() {
     let config = HttpServerConfig { write_stall_timeout: Duration::from_millis(300), ..HttpServerConfig::default() };
     let fixture = Fixture::new(config);
     let _client = fixture.open_stream();
     let hang_up = fixture.hang_up();
-    loop {
-        let unread = Step::Send("w".repeat(1 << 20));
+    send_until_over(&fixture, &hang_up, 1 << 20);
+    assert!(hang_up.is_set());
+}
+
+/// Sends more than the client takes until the handler is told that the client is gone.
+fn send_until_over(fixture: &Fixture, hang_up: &HangUp, chunk_bytes: usize) {
+    let deadline = Instant::now() + PATIENCE;
+    while Instant::now() < deadline {
+        let more = Step::Send("w".repeat(chunk_bytes));
         crossbeam::channel::select! {
-            send(fixture.steps, unread) -> sent => sent.expect("the handler is there"),
-            recv(hang_up.over()) -> _ => break,
-            default(PATIENCE) => panic!("the handler is held back for good"),
+            send(fixture.steps, more) -> sent => sent.expect("the handler is there"),
+            recv(hang_up.over()) -> _ => return,
+            default(PATIENCE) => {}
         }
     }
-    assert!(hang_up.is_set());
+    panic!("the client is served for good");
 }
--- a/crates/node/tests/http_server_support/mod.rs
+++ b/crates/node/tests/http_server_support/mod.rs
@@ -105,6 +105,11 @@
         self.unread.is_empty() && !self.read_more()
     }
 
+    /// Reads up to `bytes` bytes and throws them away; `false` at the end of the connection.
+    pub fn read_some(&mut self, bytes: usize) -> bool {
+        self.stream.read(&mut vec![0; bytes]).is_ok_and(|count| count > 0)
+    }
+
     pub fn hang_up(self) {
         let _ = self.stream.shutdown(Shutdown::Both);
     }
