--- a/crates/cli/src/report/plan.rs
+++ b/crates/cli/src/report/plan.rs
@@ -5,7 +5,7 @@
 };
 use serde::Serialize;
 
-use super::table::table;
+use super::table::{missing_text, table};
 use crate::output::Report;
 
 impl Report for PlanAnswer {
@@ -50,9 +50,8 @@
                 format!("plan {} accepted: configuration {} is in force everywhere", self.plan, version.0)
             }
             ConfirmAnswer::Pending { version, waiting_for } => {
-                let missing: Vec<String> = waiting_for.iter().map(ToString::to_string).collect();
-                let (version, missing) = (version.0, missing.join(", "));
-                format!("plan {} pending: configuration {version} still has to reach: {missing}", self.plan)
+                let (version, missing) = (version.0, missing_text(waiting_for));
+                format!("plan {} pending: configuration {version} waits for: {missing}", self.plan)
             }
             ConfirmAnswer::Unknown => format!(
                 "plan {} unknown: the store did not answer, and the confirmation may have taken effect; \
--- a/crates/cli/src/report/status.rs
+++ b/crates/cli/src/report/status.rs
@@ -7,7 +7,7 @@
     ConfigurationStatus, DrainAnswer, EngineStatus, MemberStatus, NodeStatus, PoolStatus, StatusAnswer,
 };
 
-use super::table::{or_dash, table};
+use super::table::{missing_text, or_dash, table};
 use crate::output::Report;
 
 impl Report for StatusAnswer {
@@ -43,8 +43,7 @@
 fn configuration_text(configuration: &ConfigurationStatus) -> String {
     let in_force = format!("configuration {} in force here", configuration.version.0);
     let Some(pending) = configuration.pending else { return in_force };
-    let missing: Vec<String> = configuration.waiting_for.iter().map(ToString::to_string).collect();
-    format!("{in_force}, {} pending, waiting for: {}", pending.0, missing.join(", "))
+    format!("{in_force}, {} pending, waiting for: {}", pending.0, missing_text(&configuration.waiting_for))
 }
 
 fn members_text(members: &[MemberStatus]) -> String {
--- a/crates/cli/src/report/table.rs
+++ b/crates/cli/src/report/table.rs
@@ -1,4 +1,6 @@
-//! Text in columns.
+//! Text in columns and lists.
+
+use havengate_core::world::Address;
 
 /// Rows under a header, each column as wide as its widest cell; two blanks between columns.
 pub fn table(header: &[&str], rows: &[Vec<String>]) -> String {
@@ -19,3 +21,11 @@
 pub fn or_dash(value: Option<impl ToString>) -> String {
     value.map_or_else(|| "-".to_owned(), |value| value.to_string())
 }
+
+/// Members that are missing, or what it means that none is: the store, or a whole zone, holds the change up.
+pub fn missing_text(members: &[Address]) -> String {
+    if members.is_empty() {
+        return "the store or a zone without members in view".to_owned();
+    }
+    members.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+}
