--- a/crates/core/tests/configuration_rules.rs
+++ b/crates/core/tests/configuration_rules.rs
@@ -130,7 +130,7 @@
     let alone = LiveView::new(vec![live(0, 0)], BTreeSet::new());
     for paused in [false, true] {
         let mut replica = replica(alone.clone(), Timestamp::ZERO);
-        let (token, now) = begin_proof(&mut replica);
+        let (token, now) = begin_proof(&mut replica, (0..40).map(|step| step * 250));
         let pause = if paused { Duration::from_secs(3) } else { Duration::ZERO };
         let reply = StoreReply::Written(Revision(5));
         replica.step(ConfigurationInput::Store { token, reply }, now + pause);
@@ -138,12 +138,24 @@
     }
 }
 
-/// Answers reads with the record until the replica writes it back.
-fn begin_proof(replica: &mut ConfigurationReplica) -> (StoreToken, Timestamp) {
+/// A node that sleeps while it settles has heard of nobody meanwhile.
+#[test]
+fn time_in_which_a_node_does_nothing_postpones_its_proof() {
+    let alone = LiveView::new(vec![live(0, 0)], BTreeSet::new());
+    let mut replica = replica(alone, Timestamp::ZERO);
+    let gap = 1_500;
+    let calls = [0, 250, 500].into_iter().chain((0..40).map(|step| 500 + gap + step * 250));
+    let (_, now) = begin_proof(&mut replica, calls);
+    let settled = Timestamp::from_millis(gap) + ReplicaConfig::default().settle_time;
+    assert!(now >= settled, "proves at {now:?}, before it has run for the time to settle");
+}
+
+/// Calls the replica at these milliseconds and answers reads with the record, until the replica writes it back.
+fn begin_proof(replica: &mut ConfigurationReplica, calls: impl Iterator<Item = u64>) -> (StoreToken, Timestamp) {
     let value = serde_json::to_string(&staged_record()).expect("text");
     let object = StoredObject { revision: Revision(4), operation: OperationId(1), value };
-    for step in 0..40 {
-        let now = Timestamp::from_millis(step * 250);
+    for millis in calls {
+        let now = Timestamp::from_millis(millis);
         replica.tick(now);
         for token in store_tokens(&replica.take_ready()) {
             let reply = StoreReply::Object(Some(object.clone()));
