node: a plan too old to judge is not said to have done nothing

Cause: a confirmation whose plan the store no longer remembers was answered with "nothing has happened", which may be untrue if it had been confirmed long before. Change: the answer says that nothing has happened now and that the past is no longer known. Conclusion: the promise "nothing has happened" is only given where it is known.

--- a/crates/node/src/operations/service.rs
+++ b/crates/node/src/operations/service.rs
@@ -137,8 +137,15 @@
                 log::info!(version = version.0; "plan_confirmed");
                 self.await_acceptance(version, request.wait)
             }
-            ConfirmationOutcome::Stale { latest } | ConfirmationOutcome::Forgotten { latest } => {
-                let message = format!("another change came first (version {}); nothing has happened", latest.0);
+            ConfirmationOutcome::Stale { latest } => {
+                let message = format!("another change came first (version {latest}); nothing has happened");
+                Err(OperatorError::new(OperatorErrorCode::StalePlan, message))
+            }
+            ConfirmationOutcome::Forgotten { latest } => {
+                let message = format!(
+                    "the plan is too old (version {latest} is the latest): nothing has happened now, and whether it was \
+                     confirmed before is no longer known"
+                );
                 Err(OperatorError::new(OperatorErrorCode::StalePlan, message))
             }
             ConfirmationOutcome::TooManyPending => {
