--- a/crates/node/src/metrics/labels.rs
+++ b/crates/node/src/metrics/labels.rs
@@ -77,20 +77,18 @@
     pub pool: String,
 }
 
-/// Messages between nodes.
+/// Traffic between nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct MessageLabels {
+pub struct DirectionLabel {
     /// `in` or `out`.
     pub direction: &'static str,
-    /// The kind of the message.
-    pub kind: &'static str,
 }
 
 /// Members of the view.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct MemberStateLabel {
     /// `alive`, `suspect`, `leaving` or `dead`.
-    pub state: &'static str,
+    pub state: String,
 }
 
 /// Calls to the platform's store.
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -1,12 +1,14 @@
 //! What a node counts, for Prometheus. docs/OPERATORS-API.md lists the metrics as operators see them.
 
 mod labels;
+mod link;
 mod registration;
 
 use std::fmt;
+use std::sync::Arc;
 
 pub use labels::{
-    ArmLabels, CauseLabel, ContractLabel, MemberStateLabel, MessageLabels, OutcomeLabel, PoolLabel, RefusalLabels,
+    ArmLabels, CauseLabel, ContractLabel, DirectionLabel, MemberStateLabel, OutcomeLabel, PoolLabel, RefusalLabels,
     RequestLabels, RoleChangeLabels, StoreLabels, TokenLabels,
 };
 use prometheus_client::encoding::prometheus_text;
@@ -16,6 +18,10 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use link::LinkCollector;
+
+use crate::peers::LinkCounters;
+
 /// Histograms of one metric, one for each set of labels.
 pub type Histograms<Labels> = Family<Labels, Histogram, fn() -> Histogram>;
 
@@ -55,10 +61,6 @@
     pub role_changes: Family<RoleChangeLabels, Counter>,
     /// Orders and fences given to engines, by the engine's answer.
     pub orders: Family<OutcomeLabel, Counter>,
-    /// Messages between nodes.
-    pub control_messages: Family<MessageLabels, Counter>,
-    /// Bytes of messages between nodes.
-    pub control_bytes: Family<MessageLabels, Counter>,
     /// Members of the view.
     pub members: Family<MemberStateLabel, Gauge>,
     /// The version of the configuration in force at this node.
@@ -75,6 +77,13 @@
         registration::registered()
     }
 
+    /// Metrics that all start at zero, with those of the links that `counters` count.
+    pub fn with_link_counters(counters: Arc<LinkCounters>) -> Self {
+        let mut metrics = Metrics::new();
+        metrics.registry.register_collector(Box::new(LinkCollector(counters)));
+        metrics
+    }
+
     /// The metrics in Prometheus's text format.
     ///
     /// # Errors
--- a/crates/node/src/metrics/registration.rs
+++ b/crates/node/src/metrics/registration.rs
@@ -62,8 +62,6 @@
         in_flight: names.add("in_flight", "Requests placed on engines of a pool that this node owns"),
         role_changes: names.add("role_changes", "Changes of engines' roles that this node has ordered"),
         orders: names.add("orders", "Orders and fences given to engines, by the engine's answer"),
-        control_messages: names.add("control_messages", "Messages between nodes"),
-        control_bytes: names.add("control_bytes", "Bytes of messages between nodes"),
         members: names.add("members", "Members of the view, by state"),
         configuration_version: names.add("configuration_version", "The configuration version in force here"),
         store_calls: names.add("store_calls", "Calls to the platform's store"),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -140,7 +140,7 @@
         let control = ControlThread::start(parts, events.clone())?;
         watch_machine_list(Arc::clone(&platform), Arc::clone(&snapshot), events.clone())?;
 
-        let metrics = Arc::new(Metrics::new());
+        let metrics = Arc::new(Metrics::with_link_counters(Arc::clone(&counters)));
         let remote = ForwardClient::new(member, gate);
         let gateway = Gateway::new(GatewayParts {
             snapshot: Arc::clone(&snapshot),
--- a/crates/node/src/operators/api.rs
+++ b/crates/node/src/operators/api.rs
@@ -1,11 +1,12 @@
 //! The operators' API as a handler of HTTP requests.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::handler::OperatorHandler;
+use super::levels::record_levels;
 use super::messages::{HealthAnswer, IntentDocument, OperatorError, OperatorErrorCode, PlanId};
 use crate::http_server::header::{ALLOW, HeaderValue};
 use crate::http_server::{Handler, Method, Request, Response, ResponseSender, ServerRefusal, StatusCode};
@@ -15,6 +16,8 @@
 pub struct OperatorApi {
     operations: Arc<dyn OperatorHandler>,
     metrics: Arc<Metrics>,
+    /// Held while levels are read and written, so that no scrape sees another one's half.
+    scrape: Mutex<()>,
 }
 
 /// What a request's path stands for, with the one method that it takes.
@@ -67,7 +70,7 @@
 impl OperatorApi {
     /// An API that passes operators' requests to `operations` and shows `metrics`.
     pub fn new(operations: Arc<dyn OperatorHandler>, metrics: Arc<Metrics>) -> Self {
-        OperatorApi { operations, metrics }
+        OperatorApi { operations, metrics, scrape: Mutex::new(()) }
     }
 
     fn respond(&self, request: &Request) -> Response {
@@ -99,6 +102,8 @@
     }
 
     fn metrics(&self) -> Result<Response, OperatorError> {
+        let _scrape = self.scrape.lock().unwrap_or_else(PoisonError::into_inner);
+        record_levels(&self.metrics, &self.operations.status());
         let text = self.metrics.encode();
         let text = text.map_err(|error| OperatorError::new(OperatorErrorCode::Failed, error.to_string()))?;
         Ok(Response::typed(StatusCode::OK, METRICS_CONTENT_TYPE, text.into_bytes()))
--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod handler;
+mod levels;
 mod messages;
 
 pub use api::OperatorApi;
--- a/crates/node/tests/operators.rs
+++ b/crates/node/tests/operators.rs
@@ -8,15 +8,16 @@
 
 use havengate_core::configuration::ConfigurationVersion;
 use havengate_core::membership::Incarnation;
-use havengate_core::world::ZoneName;
+use havengate_core::world::{EngineName, EngineRole, ModelName, ZoneName};
 use havengate_node::callers::Readiness;
 use havengate_node::http_server::{HttpServer, HttpServerConfig, HttpServerHandle};
 use havengate_node::metrics::{CauseLabel, Metrics};
 use havengate_node::operators::{
-    ConfigurationStatus, ConfirmAnswer, ConfirmRequest, DrainAnswer, HealthAnswer, IntentDocument, NodeStatus,
-    OperatorApi, OperatorError, OperatorErrorCode, OperatorHandler, PlanAnswer, PlanId, PlanList, PlanState,
-    PoliciesAnswer, StatusAnswer,
+    ConfigurationStatus, ConfirmAnswer, ConfirmRequest, DrainAnswer, EngineStatus, HealthAnswer, IntentDocument,
+    MemberStatus, NodeStatus, OperatorApi, OperatorError, OperatorErrorCode, OperatorHandler, PlanAnswer, PlanId,
+    PlanList, PlanState, PoliciesAnswer, PoolStatus, StatusAnswer,
 };
+use havengate_node::peers::LinkCounters;
 use http_server_support::RawClient;
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -53,9 +54,40 @@
             open_streams: 3,
             store_last_seen: Some(Duration::from_millis(250)),
         },
-        configuration: ConfigurationStatus::default(),
-        members: Vec::new(),
-        pools: Vec::new(),
+        configuration: ConfigurationStatus { version: ConfigurationVersion(4), ..ConfigurationStatus::default() },
+        members: vec![member("10.0.0.1:7000", "alive"), member("10.0.0.2:7000", "alive")],
+        pools: vec![pool("own", Some(5)), pool("another's", None)],
+    }
+}
+
+fn member(address: &str, state: &str) -> MemberStatus {
+    MemberStatus {
+        address: address.parse().expect("an address"),
+        incarnation: Incarnation(9),
+        zone: ZoneName::from("patan"),
+        state: state.to_owned(),
+        configuration: None,
+    }
+}
+
+fn pool(name: &str, waiting: Option<u32>) -> PoolStatus {
+    let engine = |name: &str| EngineStatus {
+        name: EngineName::from(name),
+        zone: ZoneName::from("patan"),
+        role: EngineRole::Mixed,
+        availability: None,
+        in_flight: waiting.map(|_| 2),
+        fence: None,
+        order: None,
+        state: None,
+    };
+    PoolStatus {
+        pool: name.to_owned(),
+        model: ModelName::from("lekh-model"),
+        owner: None,
+        term: None,
+        waiting,
+        engines: vec![engine("one"), engine("two")],
     }
 }
 
@@ -107,17 +139,19 @@
     server: HttpServerHandle,
     operations: Arc<FakeOperations>,
     metrics: Arc<Metrics>,
+    counters: Arc<LinkCounters>,
 }
 
 impl Operators {
     fn new() -> Self {
         let operations = Arc::new(FakeOperations::default());
-        let metrics = Arc::new(Metrics::new());
+        let counters = Arc::new(LinkCounters::default());
+        let metrics = Arc::new(Metrics::with_link_counters(Arc::clone(&counters)));
         let handler: Arc<dyn OperatorHandler> = Arc::<FakeOperations>::clone(&operations);
         let api = Arc::new(OperatorApi::new(handler, Arc::clone(&metrics)));
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let config = HttpServerConfig { requests_maximum: 8, ..HttpServerConfig::default() };
-        Operators { server: HttpServer::bind(any, config, api).expect("binds"), operations, metrics }
+        Operators { server: HttpServer::bind(any, config, api).expect("binds"), operations, metrics, counters }
     }
 
     fn client(&self) -> RawClient {
@@ -159,7 +193,22 @@
     operators.metrics.retries.get_or_create(&CauseLabel { cause: "no_engine" }).inc();
     let response = operators.client().get("/metrics");
     assert!(response.header("content-type").is_some_and(|kind| kind.starts_with("text/plain; version=0.0.4")));
-    assert!(response.body.contains("havengate_retries_total{cause=\"no_engine\"} 1\n"), "{}", response.body);
+    let counters = Arc::clone(&operators.counters);
+    counters.received(120);
+    let metrics = operators.client().get("/metrics").body;
+    for line in [
+        "havengate_retries_total{cause=\"no_engine\"} 1",
+        "havengate_members{state=\"alive\"} 2",
+        "havengate_configuration_version 4",
+        "havengate_queue_length{pool=\"own\"} 5",
+        "havengate_in_flight{pool=\"own\"} 4",
+        "havengate_control_bytes_total{direction=\"in\"} 120",
+        "havengate_control_messages_total{direction=\"in\"} 1",
+        "havengate_control_messages_total{direction=\"out\"} 0",
+    ] {
+        assert!(metrics.lines().any(|written| written == line), "{line}\n{metrics}");
+    }
+    assert!(!metrics.contains("another's"), "only an owner knows a pool's levels");
 }
 
 #[test]
