Keep suspicions and refutations inside their zone

Cause: a refutation looked like news to other zones, so each one went to all nodes; with 10 % loss this was most of the traffic. Change: only a new life, leaving, death and what delegates report of zones is spread across zones.

--- a/crates/core/examples/membership_scale.rs
+++ b/crates/core/examples/membership_scale.rs
@@ -1,6 +1,6 @@
 //! Measures the failure detector at several sizes in virtual time: detection, spreading, traffic, processor time.
 //!
-//! `cargo run --release -p havengate-core --example membership_scale [KILLS]`. All figures but the processor time follow
+//! `cargo run --release -p havengate-core --example membership_scale [KILLS [LOSS_PERCENT]]`. All figures but the processor time follow
 //! from the seed alone; the processor time is that of the simulation, network included, on the machine at hand.
 
 #[path = "../tests/support/membership_cluster.rs"]
@@ -12,6 +12,7 @@
 use havengate_core::membership::{
     Member, MemberRecord, MemberState, Membership, MembershipCounters, MembershipEvent, View,
 };
+use havengate_core::simulation::NetworkFaults;
 use havengate_core::time::Timestamp;
 use havengate_core::world::ZoneName;
 use membership_cluster::{Cluster, NodeIndex};
@@ -35,22 +36,25 @@
 }
 
 fn main() {
-    let kills = std::env::args().nth(1).and_then(|kills| kills.parse().ok()).unwrap_or(DEFAULT_KILLS);
+    let argument = |index: usize| std::env::args().nth(index).and_then(|argument| argument.parse().ok());
+    let kills = argument(1).unwrap_or(DEFAULT_KILLS);
+    let loss_percent = argument(2).unwrap_or(0);
     println!(
-        "{kills} kills and {kills} departures each; seconds; bytes without transport headers; random seed {RANDOM_SEED}"
+        "{kills} kills and {kills} departures each; seconds; bytes without transport headers; loss {loss_percent} %; random seed {RANDOM_SEED}"
     );
     println!(
         "| nodes | zones | formed | dead in zone p50 / p99 / max | dead everywhere p50 / p99 / max | leaving in zone p50 / max | leaving everywhere max | B/s sent a node mean / max | messages/s sent a node | B/s mean while a node dies and returns each 10 to 20 s | CPU ms per node-second | state KB a node |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
     for (zones, nodes_per_zone) in SIZES {
-        measure(zones, nodes_per_zone, kills);
+        measure(zones, nodes_per_zone, kills, loss_percent as f64 / 100.0);
     }
 }
 
-fn measure(zones: usize, nodes_per_zone: usize, kills: usize) {
+fn measure(zones: usize, nodes_per_zone: usize, kills: usize, loss: f64) {
     let mut cluster = Cluster::start(zones, nodes_per_zone, RANDOM_SEED);
     let formed = form(&mut cluster);
+    cluster.network.set_faults(NetworkFaults { loss, ..NetworkFaults::default() });
     cluster.run_for(WARM_UP);
     let before = totals(&cluster);
     let wall = Instant::now();
@@ -183,6 +187,6 @@
     let mut sorted = times.to_vec();
     sorted.sort();
     let index = (sorted.len() as f64 * share).ceil() as usize;
-    let time = sorted.get(index.saturating_sub(1)).copied().unwrap_or_default();
-    format!("{:.2}", time.as_secs_f64())
+    let time = sorted.get(index.saturating_sub(1));
+    time.map_or_else(|| "-".to_owned(), |time| format!("{:.2}", time.as_secs_f64()))
 }
--- a/crates/core/src/membership/learn.rs
+++ b/crates/core/src/membership/learn.rs
@@ -1,20 +1,12 @@
 //! Taking in what is said of members, this node included.
 
 use super::detector::{Membership, Suspicion};
-use super::member::Member;
 use super::ready::MembershipEvent;
 use super::record::{Liveness, MemberRecord, MemberState};
 use super::roster::Roster;
 use super::standing::SuspensionReason;
 use crate::time::Timestamp;
-use crate::world::{Address, ZoneName};
-
-/// What was known of an address before a change.
-struct Before {
-    member: Member,
-    zone: ZoneName,
-    state: MemberState,
-}
+use crate::world::Address;
 
 impl Membership {
     /// Takes in a record from another node, or one that this node has made of another.
@@ -54,7 +46,7 @@
 
     /// Changes what this node says of itself, and spreads it.
     pub(super) fn update_own_record(&mut self, change: impl FnOnce(&mut MemberRecord), now: Timestamp) {
-        let before = self.before(self.me.address);
+        let before = self.view.record(self.me.address).cloned();
         let mut record = self.own_record();
         change(&mut record);
         record.revision += 1;
@@ -64,32 +56,27 @@
 
     fn learn_of_other(&mut self, record: &MemberRecord, now: Timestamp) {
         let address = record.member.address;
-        let before = self.before(address);
+        let before = self.view.record(address).cloned();
         let is_news = before.is_some() || record.liveness != Liveness::Dead;
         if is_news && self.view.merge(record) {
             self.after_change(address, before, now);
         }
     }
 
-    fn before(&self, address: Address) -> Option<Before> {
-        let record = self.view.record(address)?;
-        Some(Before { member: record.member, zone: record.zone.clone(), state: record.state() })
-    }
-
-    fn after_change(&mut self, address: Address, before: Option<Before>, now: Timestamp) {
-        self.report_change(address, before);
+    fn after_change(&mut self, address: Address, before: Option<MemberRecord>, now: Timestamp) {
+        self.report_change(address, before.as_ref());
         self.track_suspicion(address, now);
-        self.spread(address, now);
+        self.spread(address, before.as_ref(), now);
         self.roster_is_stale = true;
     }
 
-    fn report_change(&mut self, address: Address, before: Option<Before>) {
+    fn report_change(&mut self, address: Address, before: Option<&MemberRecord>) {
         let Some(record) = self.view.record(address) else { return };
         let (member, zone, state) = (record.member, record.zone.clone(), record.state());
         match before {
-            Some(before) if before.member == member && before.state == state => return,
-            Some(before) if before.member != member && before.state != MemberState::Dead => {
-                let (member, zone) = (before.member, before.zone);
+            Some(before) if before.member == member && before.state() == state => return,
+            Some(before) if before.member != member && before.state() != MemberState::Dead => {
+                let (member, zone) = (before.member, before.zone.clone());
                 self.ready.events.push(MembershipEvent::MemberChanged { member, zone, state: MemberState::Dead });
             }
             _ => {}
@@ -121,14 +108,19 @@
         }
     }
 
-    fn spread(&mut self, address: Address, now: Timestamp) {
+    /// Suspicions and refutations stay in the zone whose member they concern.
+    fn spread(&mut self, address: Address, before: Option<&MemberRecord>, now: Timestamp) {
         let Some(record) = self.view.record(address) else { return };
-        let concerns_other_zones = record.zone == self.zone && record.liveness != Liveness::Suspect;
+        let is_zone_mate = record.zone == self.zone;
+        let concerns_all_zones = before.is_none_or(|before| !before.is_equal_to_other_zones(record));
+        if !is_zone_mate && !concerns_all_zones {
+            return;
+        }
         if self.zone_gossip.is_empty() && self.region_gossip.is_empty() {
             self.timers.gossip = self.timers.gossip.max(now);
         }
         self.zone_gossip.push(address);
-        if concerns_other_zones {
+        if is_zone_mate && concerns_all_zones {
             self.region_gossip.push(address);
         }
     }
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -112,6 +112,12 @@
         before != (self.revision, self.liveness, self.leaving)
     }
 
+    /// Whether both records are the same in the eyes of other zones, which neither suspect nor refute.
+    pub(super) fn is_equal_to_other_zones(&self, other: &MemberRecord) -> bool {
+        let ends = |record: &MemberRecord| (record.leaving, record.liveness == Liveness::Dead);
+        self.member == other.member && ends(self) == ends(other) && self.zone_report == other.zone_report
+    }
+
     fn merge_same_life(&mut self, other: &MemberRecord) {
         self.leaving |= other.leaving;
         let dead = self.liveness.max(other.liveness) == Liveness::Dead;
