An accept error of the callers' server makes the node unhealthy

Cause: HttpServerHandle::failure was told to nobody, so a node that no caller could reach reported itself healthy. Change: FailureWatch; GET /health asks it. Conclusion: the watch tells the failure (http_server_accept_failure); that GET /health passes it on is not tested on a whole node.

--- a/crates/node/src/http_server/mod.rs
+++ b/crates/node/src/http_server/mod.rs
@@ -23,7 +23,7 @@
 pub use refusal::ServerRefusal;
 pub use request::Request;
 pub use response::{HungUp, Response, ResponseSender, StreamWriter};
-pub use server::{DrainError, HttpServer, HttpServerHandle};
+pub use server::{DrainError, FailureWatch, HttpServer, HttpServerHandle};
 
 /// Answers requests.
 pub trait Handler: Send + Sync + 'static {
--- a/crates/node/src/http_server/server.rs
+++ b/crates/node/src/http_server/server.rs
@@ -41,7 +41,7 @@
     places: Arc<Semaphore>,
     refusal_places: Arc<Semaphore>,
     open: OpenConnections,
-    failure: OnceLock<String>,
+    failure: Arc<OnceLock<String>>,
 }
 
 /// Starts HTTP servers.
@@ -87,7 +87,7 @@
             places: Arc::new(Semaphore::new(config.connections_maximum)),
             refusal_places: Arc::new(Semaphore::new(REFUSED_CONNECTIONS_MAXIMUM)),
             open: OpenConnections::default(),
-            failure: OnceLock::new(),
+            failure: Arc::default(),
             handler,
             config,
         }
@@ -118,6 +118,11 @@
         self.shared.failure.get().map(String::as_str)
     }
 
+    /// Tells what [`HttpServerHandle::failure`] does, wherever it is kept.
+    pub fn failure_watch(&self) -> FailureWatch {
+        FailureWatch(Arc::clone(&self.shared.failure))
+    }
+
     /// Connections that are open now.
     pub fn open_connections(&self) -> usize {
         *self.shared.open.lock()
@@ -166,6 +171,17 @@
     }
 }
 
+/// Tells whether a server has stopped accepting connections without being told to. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct FailureWatch(Arc<OnceLock<String>>);
+
+impl FailureWatch {
+    /// Why the server has stopped accepting; none while it does, and after a planned stop.
+    pub fn reason(&self) -> Option<&str> {
+        self.0.get().map(String::as_str)
+    }
+}
+
 /// {open} connections are still open at the end of the time for draining
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, thiserror::Error)]
 pub struct DrainError {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -160,6 +160,7 @@
             platform,
             drain,
             open_streams: Box::new(move || u32::try_from(open.streams_open.get()).unwrap_or_default()),
+            callers_failure: callers.failure_watch(),
             clock,
         });
         let operator_api = OperatorApi::new(Arc::new(operator_service), metrics);
--- a/crates/node/src/operations/service.rs
+++ b/crates/node/src/operations/service.rs
@@ -22,6 +22,7 @@
 use crate::callers::Readiness;
 use crate::clock::Clock;
 use crate::control::{ControlEvent, SharedSnapshot, inspect};
+use crate::http_server::FailureWatch;
 use crate::operators::{
     ConfirmAnswer, ConfirmRequest, DrainAnswer, HealthAnswer, IntentDocument, OperatorError, OperatorErrorCode,
     OperatorHandler, PlanAnswer, PlanId, PlanList, PoliciesAnswer, StatusAnswer,
@@ -49,6 +50,8 @@
     pub drain: DrainSignal,
     /// Streams to callers that are open.
     pub open_streams: Box<dyn Fn() -> u32 + Send + Sync>,
+    /// Whether callers can still connect.
+    pub callers_failure: FailureWatch,
     /// The node's clock.
     pub clock: Clock,
 }
@@ -173,6 +176,9 @@
     }
 
     fn health(&self) -> HealthAnswer {
+        if let Some(reason) = self.0.callers_failure.reason() {
+            return HealthAnswer { ok: false, reason: Some(format!("callers can't connect: {reason}")) };
+        }
         match self.ask(|_| ()) {
             Ok(()) => HealthAnswer { ok: true, reason: None },
             Err(error) => HealthAnswer { ok: false, reason: Some(error.message) },
--- a/crates/node/tests/http_server_accept_failure.rs
+++ b/crates/node/tests/http_server_accept_failure.rs
@@ -40,7 +40,8 @@
     let server = HttpServer::bind(any, HttpServerConfig::default(), Arc::new(Ok200)).expect("binds");
     let mut open = RawClient::connect(server.local_address());
     assert_eq!(open.get("/").status, 200);
-    assert_eq!(server.failure(), None);
+    let watch = server.failure_watch();
+    assert_eq!((server.failure(), watch.reason()), (None, None));
 
     let mut files: Vec<File> = std::iter::from_fn(|| File::open("/dev/null").ok()).collect();
     files.pop();
@@ -50,6 +51,7 @@
         assert!(Instant::now() < deadline, "the failure is told");
         thread::sleep(Duration::from_millis(10));
     }
+    assert_eq!(watch.reason(), server.failure());
     drop((refused, files));
     assert_eq!(open.get("/").status, 200);
     assert!(std::net::TcpStream::connect(server.local_address()).is_err(), "others can tell at once");
