A node's new life keeps its pools' calls apart from the old one's

Cause: after a suspension the pools got new controls while replies to calls of the old ones were still to come; a write of the old life, taken for one of the new, could have given it a term that belongs to another process. Change: PoolControl::rejoin keeps the control, drops the term and what was not sent, and awaits the open replies; the random schedules rejoin nodes. Conclusion: keeping the old life's term, or forgetting its open write, fails a test.

--- a/crates/core/examples/authority_takeover/simulation/world.rs
+++ b/crates/core/examples/authority_takeover/simulation/world.rs
@@ -58,6 +58,8 @@
     RestartNode(usize),
     PauseNode(usize),
     ResumeNode(usize),
+    /// The process begins a new life without being restarted: it had suspended itself.
+    RejoinNode(usize),
     /// The node announces that it leaves: it is still there, and no view ranks it any more.
     LeaveNode(usize),
     /// Cuts the node from the other nodes and from the engines with an index of at least `engines_from`.
@@ -200,7 +202,8 @@
                 self.engines[engine].crashes_on_orders = crashes;
                 return;
             }
-            Fault::RestartNode(_) | Fault::PauseNode(_) | Fault::ResumeNode(_) => return,
+            Fault::RejoinNode(node) if self.nodes[node].alive && !self.nodes[node].paused => self.rejoin(node),
+            Fault::RejoinNode(_) | Fault::RestartNode(_) | Fault::PauseNode(_) | Fault::ResumeNode(_) => return,
             Fault::CutNode { node, engines_from } => self.cut_node(node, engines_from),
             Fault::Heal => {
                 self.cut.clear();
@@ -316,9 +319,7 @@
     }
 
     fn new_node(&mut self, index: usize) -> Node {
-        self.lives += 1;
-        let address = format!("10.0.0.{}:7000", index + 1).parse().expect("an address");
-        let member = Member { address, incarnation: Incarnation(self.lives) };
+        let member = self.new_member(index);
         let mut control = PoolControl::new(PoolControlConfig::default(), pool(), member, self.now);
         control.set_engines(self.specifications(), self.config.floors, self.now);
         Node {
@@ -335,6 +336,20 @@
         }
     }
 
+    fn new_member(&mut self, index: usize) -> Member {
+        self.lives += 1;
+        let address = format!("10.0.0.{}:7000", index + 1).parse().expect("an address");
+        Member { address, incarnation: Incarnation(self.lives) }
+    }
+
+    fn rejoin(&mut self, index: usize) {
+        let member = self.new_member(index);
+        let node = &mut self.nodes[index];
+        node.member = member;
+        node.ranking.clear();
+        node.control.rejoin(member, self.now);
+    }
+
     fn specifications(&self) -> Vec<EngineSpecification> {
         let specification = |(engine, target): (&Engine, &EngineTarget)| EngineSpecification {
             engine: engine.name.clone(),
--- a/crates/core/src/authority/control.rs
+++ b/crates/core/src/authority/control.rs
@@ -116,6 +116,14 @@
         self.shadows = shadows;
     }
 
+    /// This process begins a new life as `me`: it is a follower, and owns no term of the former life.
+    pub fn rejoin(&mut self, me: Member, now: Timestamp) {
+        self.authority.rejoin(me, now);
+        self.pass_events(now);
+        self.changer.rejoin(now);
+        self.decided = None;
+    }
+
     /// Takes in what has happened.
     pub fn step(&mut self, input: AuthorityInput, now: Timestamp) {
         self.authority.step(input.clone(), now);
--- a/crates/core/src/authority/mod.rs
+++ b/crates/core/src/authority/mod.rs
@@ -16,6 +16,7 @@
 mod record;
 mod record_store;
 mod role_changer;
+mod state;
 mod succession;
 mod target;
 
--- a/crates/core/src/authority/pool_authority.rs
+++ b/crates/core/src/authority/pool_authority.rs
@@ -3,32 +3,18 @@
 use super::config::AuthorityConfig;
 use super::fences::{FenceAnswer, FenceSet};
 use super::message::{
-    AuthorityAction, AuthorityEvent, AuthorityInput, AuthorityMessage, AuthorityRole, AuthorityStatus, FencedEngine,
+    AuthorityAction, AuthorityEvent, AuthorityInput, AuthorityMessage, AuthorityStatus, FencedEngine,
 };
 use super::order::{EngineReport, OrderReply, Term};
 use super::record::{RecordAt, SUCCESSORS, TermGrant};
 use super::record_store::RecordStore;
+use super::state::State;
 use super::succession::Succession;
 use crate::membership::Member;
 use crate::store::StoreReply;
 use crate::time::Timestamp;
 use crate::world::{EngineName, PoolId};
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Follower,
-    /// Needs a term and asks the store for one.
-    Acquiring,
-    /// Raises fences under its term.
-    Fencing {
-        term: Term,
-        deadline: Timestamp,
-    },
-    Holder {
-        term: Term,
-    },
-}
-
 /// The authority over one pool, as one node sees it.
 ///
 /// A node that is ranked first takes the authority: it uses a term that was allocated to it ahead of time, or has the
@@ -79,6 +65,18 @@
         }
     }
 
+    /// This process begins a new life as `me`, which owns no term yet. Replies to calls of the former life may follow.
+    pub fn rejoin(&mut self, me: Member, now: Timestamp) {
+        self.step_down();
+        let own = self.grant.take().unwrap_or_default();
+        self.highest_foreign = self.highest_foreign.max(own);
+        self.me = me;
+        self.ranking.clear();
+        self.invited_until = now;
+        self.store.rejoin(me);
+        self.use_record(now);
+    }
+
     /// Takes in what has happened.
     pub fn step(&mut self, input: AuthorityInput, now: Timestamp) {
         self.notice_pause(now);
@@ -120,12 +118,7 @@
 
     /// What this node publishes about the authority.
     pub fn status(&self) -> AuthorityStatus {
-        let (role, term) = match self.state {
-            State::Follower => (AuthorityRole::Follower, None),
-            State::Acquiring => (AuthorityRole::Candidate, None),
-            State::Fencing { term, .. } => (AuthorityRole::Candidate, Some(term)),
-            State::Holder { term } => (AuthorityRole::Holder, Some(term)),
-        };
+        let (role, term) = (self.state.role(), self.term());
         let fenced =
             self.fences.raised().map(|(engine, incarnation)| FencedEngine { engine: engine.clone(), incarnation });
         AuthorityStatus {
@@ -391,9 +384,6 @@
     }
 
     fn term(&self) -> Option<Term> {
-        match self.state {
-            State::Fencing { term, .. } | State::Holder { term } => Some(term),
-            State::Follower | State::Acquiring => None,
-        }
+        self.state.term()
     }
 }
--- a/crates/core/src/authority/record_store.rs
+++ b/crates/core/src/authority/record_store.rs
@@ -64,6 +64,12 @@
         }
     }
 
+    /// This process begins a new life as `me`. The reply to a request that is under way is still to come, and must not
+    /// be mistaken for that to a later one; what was seen in the store stays true.
+    pub(super) fn rejoin(&mut self, me: Member) {
+        self.me = me;
+    }
+
     /// The newest record that is known to have been in the store.
     pub(super) fn known(&self) -> Option<&RecordAt> {
         self.known.as_ref()
--- a/crates/core/src/authority/role_changer.rs
+++ b/crates/core/src/authority/role_changer.rs
@@ -145,6 +145,17 @@
         }
     }
 
+    /// This process begins a new life: orders that were not sent are dropped.
+    pub fn rejoin(&mut self, now: Timestamp) {
+        self.authority_event(AuthorityEvent::Lost, now);
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                AuthorityAction::SendOrder { engine, .. } => self.engine_reply(&engine, OrderReply::Unknown, now),
+                other => self.actions.push(other),
+            }
+        }
+    }
+
     /// Takes in the reply to an order or a query.
     pub fn engine_reply(&mut self, engine: &EngineName, reply: OrderReply, now: Timestamp) {
         let Some(change) = self.engines.get_mut(engine) else { return };
--- a/crates/core/src/control/node_control.rs
+++ b/crates/core/src/control/node_control.rs
@@ -154,7 +154,7 @@
         let me = self.membership.rejoin(incarnation, now);
         self.replica.step(ConfigurationInput::Rejoined(me), now);
         for standing in self.pools.values_mut() {
-            standing.restart();
+            standing.rejoin(me, now);
         }
         self.configure_pools(now);
         self.share_view(now);
--- a/crates/core/src/control/pools.rs
+++ b/crates/core/src/control/pools.rs
@@ -90,8 +90,8 @@
     ) {
         let engines = configuration.engines.iter().filter(|engine| self.pool.engines.contains(&engine.name));
         self.addresses = engines.clone().map(|engine| (engine.name.clone(), engine.address)).collect();
-        if !self.pool.zones.contains(zone) {
-            self.control = None;
+        // A control that exists stays, as a follower that is ranked no more: replies to its calls may still come.
+        if self.control.is_none() && !self.pool.zones.contains(zone) {
             return;
         }
         let model = model_of(configuration, &self.pool.id);
@@ -115,9 +115,11 @@
         control.set_shadows(configuration.shadow_role_policies.iter().filter_map(shadow).collect());
     }
 
-    /// Forgets the control of an ended life of this node.
-    pub(super) fn restart(&mut self) {
-        self.control = None;
+    /// This node begins a new life as `me`. The control stays: replies to calls of the former life are still to come.
+    pub(super) fn rejoin(&mut self, me: Member, now: Timestamp) {
+        if let Some(control) = &mut self.control {
+            control.rejoin(me, now);
+        }
     }
 
     /// What the pool's control wants done.
--- a/crates/core/tests/authority_changes.rs
+++ b/crates/core/tests/authority_changes.rs
@@ -206,6 +206,23 @@
     assert_eq!(authority.status().highest_foreign_term, Term(9));
 }
 
+#[test]
+fn a_reply_to_a_write_of_a_former_life_gives_the_new_life_no_term() {
+    let address = "10.0.0.1:7000".parse().expect("an address");
+    let [former, present] = [1, 2].map(|life| Member { address, incarnation: Incarnation(life) });
+    let mut authority = PoolAuthority::new(AuthorityConfig::default(), pool(), former, at(0));
+    authority.step(AuthorityInput::OwnerRanking(vec![former]), at(0));
+    authority.step(AuthorityInput::StoreReply(StoreReply::Object(None)), at(0));
+    authority.rejoin(present, at(100));
+    authority.take_ready();
+    authority.step(AuthorityInput::OwnerRanking(vec![present]), at(100));
+    assert!(authority.take_ready().is_empty(), "the write of the former life is still under way");
+    authority.step(AuthorityInput::StoreReply(StoreReply::Written(Revision(1))), at(200));
+    assert_eq!(authority.status().term, None, "term 1 belongs to the former life");
+    authority.step(AuthorityInput::StoreReply(StoreReply::Written(Revision(2))), at(300));
+    assert_eq!(authority.status().term, Some(Term(2)));
+}
+
 #[test]
 fn without_authority_an_engine_is_used_only_when_no_earlier_order_can_be_on_its_way() {
     let member = Member { address: "10.0.0.1:7000".parse().expect("an address"), incarnation: Incarnation(1) };
--- a/crates/core/tests/authority_faults.rs
+++ b/crates/core/tests/authority_faults.rs
@@ -31,7 +31,7 @@
 fn fault(u: &mut Unstructured) -> Result<Fault> {
     // Half of the faults hit the node that is ranked first.
     let node = if u.arbitrary()? { 0 } else { u.choose_index(NODES)? };
-    Ok(match u.int_in_range(0..=10)? {
+    Ok(match u.int_in_range(0..=11)? {
         0 => Fault::KillNode(node),
         1 | 2 => Fault::RestartNode(node),
         3 => Fault::PauseNode(node),
@@ -40,6 +40,7 @@
         7 => Fault::Heal,
         8 => Fault::CrashEngine(u.choose_index(ENGINES)?),
         9 => Fault::StoreDown(true),
+        10 => Fault::RejoinNode(node),
         _ => Fault::StoreDown(false),
     })
 }
