Dispatcher: work out an engine's slack once for all waiting requests

Cause: under overload, most of the time of a poll went into the slack of the same engines, once for each waiting request. Change: the slack is kept until the engine's streams change or time moves on; without an engine that may read, nothing is tried.

--- a/crates/core/src/dispatch/engine_state.rs
+++ b/crates/core/src/dispatch/engine_state.rs
@@ -1,5 +1,6 @@
 //! What a dispatcher knows of one engine: what it has placed there, and what that leaves room for.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -56,6 +57,8 @@
     report_lifetime: Duration,
     backlog_maximum: u32,
     output_counted_on: f64,
+    /// The interference slack at a time; asked for once for each waiting request, and costly.
+    known_slack: Cell<Option<(Timestamp, Duration)>>,
 }
 
 impl EngineState {
@@ -71,6 +74,7 @@
             report_lifetime: config.load_report_lifetime,
             backlog_maximum: config.prefill_backlog_tokens,
             output_counted_on: config.output_counted_on,
+            known_slack: Cell::new(None),
         }
     }
 
@@ -105,6 +109,15 @@
             && (stage == Stage::Decode || self.read_time(job) <= self.interference_slack(now))
     }
 
+    /// Whether it could be given any prompt at all now: cheaper to tell than whether it takes a certain request.
+    pub(super) fn may_read(&self, now: Timestamp) -> bool {
+        self.slot.availability == EngineAvailability::Serving
+            && self.slot.role.serves_prefill()
+            && self.health.admits(true, now)
+            && self.free_places(now) > 0
+            && self.wait(now) <= self.wait_maximum()
+    }
+
     /// Whether it would be given a request that needs nearly nothing: what it refuses then is refused for its size.
     pub(super) fn takes_small_work(&self, stage: Stage, now: Timestamp) -> bool {
         let has_time = stage == Stage::Decode || self.wait(now) <= self.wait_maximum();
@@ -164,6 +177,7 @@
     }
 
     pub(super) fn start(&mut self, job: &Job, stage: Stage, now: Timestamp) {
+        self.known_slack.set(None);
         let cached = self.prefixes.cached_tokens(&job.profile.blocks);
         let uncached_tokens = if stage == Stage::Decode { 0 } else { job.profile.prompt_tokens.saturating_sub(cached) };
         let task = Task {
@@ -189,10 +203,12 @@
 
     /// Notes that the prompt of a request has been read here.
     pub(super) fn finish_reading(&mut self, request: RequestId, now: Timestamp) {
+        self.known_slack.set(None);
         self.backlog.finish(request, now);
     }
 
     pub(super) fn first_token(&mut self, request: RequestId, now: Timestamp) {
+        self.known_slack.set(None);
         self.backlog.finish(request, now);
         if let Some(task) = self.tasks.get_mut(&request) {
             task.generating_since = Some(now);
@@ -200,6 +216,7 @@
     }
 
     pub(super) fn progress(&mut self, request: RequestId, tokens: u32) {
+        self.known_slack.set(None);
         if let Some(task) = self.tasks.get_mut(&request) {
             task.generated = task.generated.saturating_add(tokens);
         }
@@ -207,6 +224,7 @@
 
     /// Removes a request from the engine's load.
     pub(super) fn end(&mut self, request: RequestId, now: Timestamp) {
+        self.known_slack.set(None);
         let Some(task) = self.tasks.remove(&request) else { return };
         self.kv_tokens = self.kv_tokens.saturating_sub(task.kv_tokens);
         self.backlog.drop_request(request, now);
@@ -216,6 +234,7 @@
     /// Corrects the own knowledge by a late report: work of others, and prompts that are read faster or slower than
     /// predicted.
     pub(super) fn record_report(&mut self, report: &ReportedLoad, now: Timestamp) {
+        self.known_slack.set(None);
         let uncertainty = REPORT_UNCERTAINTY + self.slot.link_latency;
         self.correction.record_report(report, uncertainty, now);
         let arrived_later = |task: &&Task| task.placed_at + self.slot.link_latency > now - report.age;
@@ -247,6 +266,17 @@
     /// How long another prompt may take to read before it breaks the token interval of a stream that runs here, or
     /// will run once its prompt has been read. Prompts that wait already hold up the streams before them.
     fn interference_slack(&self, now: Timestamp) -> Duration {
+        match self.known_slack.get() {
+            Some((at, slack)) if at == now => slack,
+            _ => {
+                let slack = self.predict_interference_slack(now);
+                self.known_slack.set(Some((now, slack)));
+                slack
+            }
+        }
+    }
+
+    fn predict_interference_slack(&self, now: Timestamp) -> Duration {
         let step_time = self.slot.performance.step_time_of(self.decoding() + 1);
         let slack_left = |(request, task): (&RequestId, &Task)| {
             let held_up = self.backlog.read_after(*request).unwrap_or_else(|| self.wait(now));
--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -68,6 +68,11 @@
         self.capacity(Stage::Decode).any(|engine| !failed_at.contains(&engine.slot.name))
     }
 
+    /// Whether any engine could be given a prompt now; without one, nothing can be started.
+    pub(super) fn may_read(&self, now: Timestamp) -> bool {
+        self.engines.values().any(|engine| engine.may_read(now))
+    }
+
     /// Whether any engine could ever hold the request's KV cache.
     pub(super) fn could_hold(&self, job: &Job) -> bool {
         self.engines.values().any(|engine| job.kv_tokens() <= engine.slot.performance.kv_capacity_tokens)
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -52,6 +52,9 @@
         without_room: &mut BTreeSet<RequestId>,
         now: Timestamp,
     ) -> Option<(RequestId, Placement)> {
+        if !self.fleet.may_read(now) {
+            return None;
+        }
         for request in self.queue.order(TRIED_PER_FLOW, self.precedence(now)) {
             if without_room.contains(&request) {
                 continue;
