havengate-rehearsal simulate: experiments in virtual time

Cause: goodput and role changes were only measurable on a running deployment, where figures move with the machine. Change: gateways, dispatchers, pool control and engine models run in virtual time under an experiment and a seed.

--- a/crates/core/src/policy/trial.rs
+++ b/crates/core/src/policy/trial.rs
@@ -1,5 +1,6 @@
 //! Trials: live traffic split between placement policies, with goodput for each.
 
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::PolicyError;
@@ -23,7 +24,7 @@
 }
 
 /// What one arm of a trial has done.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct ArmOutcomes {
     /// The arm's name.
     pub arm: String,
--- a/crates/rehearsal/src/commands/mod.rs
+++ b/crates/rehearsal/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod live;
 pub mod scale;
+pub mod simulate;
 
 use bpaf::Bpaf;
 
@@ -15,4 +16,7 @@
     /// Runs the control of many nodes in virtual time and measures what it costs
     #[bpaf(command)]
     Scale(#[bpaf(external(scale::scale_options))] scale::ScaleOptions),
+    /// Simulates an experiment on a deployment in virtual time
+    #[bpaf(command)]
+    Simulate(#[bpaf(external(simulate::simulate_options))] simulate::SimulateOptions),
 }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod live;
 pub mod platform;
 pub mod scale;
+pub mod simulate;
 pub mod stand_in;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -8,5 +8,6 @@
     match commands::command().run() {
         commands::Command::Live(options) => commands::live::run(&options),
         commands::Command::Scale(options) => commands::scale::run(&options),
+        commands::Command::Simulate(options) => commands::simulate::run(&options),
     }
 }
