havengate-rehearsal compare: policies over seeds, splits, a clairvoyant plan

Cause: a single run says little about a policy, and nothing about what the best fixed roles would have done.

--- a/crates/rehearsal/src/commands/mod.rs
+++ b/crates/rehearsal/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! The subcommands of havengate-rehearsal.
 
+pub mod compare;
 pub mod live;
+mod policy_argument;
 pub mod scale;
 pub mod simulate;
 
@@ -19,4 +21,7 @@
     /// Simulates an experiment on a deployment in virtual time
     #[bpaf(command)]
     Simulate(#[bpaf(external(simulate::simulate_options))] simulate::SimulateOptions),
+    /// Compares policies on an experiment over several seeds
+    #[bpaf(command)]
+    Compare(#[bpaf(external(compare::compare_options))] compare::CompareOptions),
 }
--- a/crates/rehearsal/src/commands/simulate.rs
+++ b/crates/rehearsal/src/commands/simulate.rs
@@ -4,12 +4,12 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use havengate_core::configuration::PolicyChoice;
-use havengate_core::policy::RoleCounts;
 use havengate_rehearsal::deployment::Deployment;
 use havengate_rehearsal::experiment::Experiment;
 use havengate_rehearsal::simulate::{RoleSource, SimulationFigures, SimulationPlan, simulate};
 
+use super::policy_argument::{policy, role_counts};
+
 /// How figures are printed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OutputFormat {
@@ -46,24 +46,15 @@
     /// json or text
     #[bpaf(argument("FORMAT"), fallback(OutputFormat::Text))]
     format: OutputFormat,
-    /// The role policy, in place of the experiment's and the deployment's
+    /// The role policy, in place of the experiment's and the deployment's; predictive:margin=0.05 sets a parameter
     #[bpaf(argument("NAME"))]
     role_policy: Option<String>,
     /// The placement policy, in place of the experiment's and the deployment's
     #[bpaf(argument("NAME"))]
     placement: Option<String>,
     /// Engines of the largest pool that start as prefill, decode and mixed ones
-    #[bpaf(argument::<String>("P,D,M"), parse(role_counts), optional)]
-    split: Option<RoleCounts>,
-}
-
-/// Reads role counts from a text such as `6,6,0`.
-pub fn role_counts(text: String) -> Result<RoleCounts, String> {
-    let counts: Result<Vec<u16>, _> = text.split(',').map(str::parse).collect();
-    match counts.as_deref() {
-        Ok([prefill, decode, mixed]) => Ok(RoleCounts { prefill: *prefill, decode: *decode, mixed: *mixed }),
-        _ => Err(format!("`{text}` is not three numbers of engines with commas, such as 6,6,0")),
-    }
+    #[bpaf(argument("P,D,M"))]
+    split: Option<String>,
 }
 
 /// Runs one simulation.
@@ -80,11 +71,11 @@
 fn figures(options: &SimulateOptions) -> Result<SimulationFigures, String> {
     let deployment = Deployment::load(&options.deployment).map_err(|error| error.to_string())?;
     let experiment = Experiment::load(&options.experiment).map_err(|error| error.to_string())?;
-    let choice = |name: &String| PolicyChoice::with_defaults(name);
+    let choice = |text: &Option<String>| text.as_deref().map(policy).transpose();
     let plan = SimulationPlan {
-        roles: options.role_policy.as_ref().map(|name| RoleSource::Policy(choice(name))),
-        placement: options.placement.as_ref().map(choice),
-        first_roles: options.split,
+        roles: choice(&options.role_policy)?.map(RoleSource::Policy),
+        placement: choice(&options.placement)?,
+        first_roles: options.split.as_deref().map(role_counts).transpose()?,
         ..SimulationPlan::new(deployment, experiment, options.seed)
     };
     simulate(&plan).map_err(|error| error.to_string())
--- a/crates/rehearsal/src/simulate/mod.rs
+++ b/crates/rehearsal/src/simulate/mod.rs
@@ -22,7 +22,7 @@
 pub use checker::Violations;
 pub use error::SimulationError;
 pub use figures::{ShareFigures, SimulationFigures};
-pub use plan::{RoleSchedule, RoleSource, ScheduledRoles, SimulationPlan};
+pub use plan::{RoleSchedule, RoleSource, ScheduledRoles, SimulationPlan, largest_pool};
 
 /// Runs `plan` to its end.
 ///
