No panic on absurd sizes and performances

Cause: a step time near the largest duration overflowed in sums and products, and the dispatcher panicked. Change: predictions saturate. A test submits the largest requests to engines with absurd performance; with the sum put back as it was, the test panics on the overflow.

--- a/crates/core/src/dispatch/engine_state.rs
+++ b/crates/core/src/dispatch/engine_state.rs
@@ -40,7 +40,7 @@
         let to_come = (f64::from(tokens_left) * output_counted_on) as u32;
         let allowed = self.token_interval.saturating_mul((self.generated + to_come).max(1));
         let taken = self.generating_since.map_or(Duration::ZERO, |since| now.since(since));
-        allowed.checked_sub(taken + step_time * to_come)
+        allowed.checked_sub(taken.saturating_add(step_time.saturating_mul(to_come)))
     }
 }
 
--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -96,13 +96,8 @@
 
     /// Engine time to generate the whole answer, as a share of a full batch.
     pub(super) fn generation_time(&self, profile: &RequestProfile) -> Duration {
-        let rate = self.engines.values().map(|engine| engine.slot.performance.decode_tokens_per_second());
-        let fastest = rate.fold(0.0_f64, f64::max);
-        if fastest > 0.0 {
-            Duration::from_secs_f64(f64::from(profile.max_output_tokens) / fastest)
-        } else {
-            Duration::ZERO
-        }
+        let time = |engine: &EngineState| engine.slot.performance.generation_time(profile.max_output_tokens);
+        self.engines.values().map(time).min().unwrap_or_default()
     }
 
     /// When something that is only predicted, not reported, makes room: a backlog falls or a probe is due.
--- a/crates/core/src/world/engine.rs
+++ b/crates/core/src/world/engine.rs
@@ -123,7 +123,12 @@
 
     /// Time of one generation step with `requests` running requests.
     pub fn step_time_of(&self, requests: u32) -> Duration {
-        self.step_time + self.step_time_per_request * requests.saturating_sub(1)
+        self.step_time.saturating_add(self.step_time_per_request.saturating_mul(requests.saturating_sub(1)))
+    }
+
+    /// Time to generate `tokens`, as a share of a full batch.
+    pub fn generation_time(&self, tokens: u32) -> Duration {
+        seconds(f64::from(tokens) / self.decode_tokens_per_second())
     }
 
     /// Tokens generated a second with a full batch.
--- a/crates/core/tests/dispatch_overload.rs
+++ b/crates/core/tests/dispatch_overload.rs
@@ -194,3 +194,21 @@
     let refusal = dispatcher.submit(too_large, Timestamp::ZERO).expect_err("larger than any engine's memory");
     assert_eq!(refusal, NotRun::new(NotRunReason::InvalidRequest));
 }
+
+#[test]
+fn absurd_sizes_are_refused_or_served_without_a_panic() {
+    let mut absurd = slots(&[Mixed]);
+    absurd[0].performance.prefill_tokens_per_second = 0.0;
+    absurd[0].performance.step_time = Duration::MAX;
+    absurd[0].performance.step_time_per_request = Duration::MAX;
+    for engines in [slots(&[Mixed]), absurd] {
+        let mut dispatcher = dispatcher(DispatchConfig::default(), "cost", &[Mixed]);
+        dispatcher.set_engines(engines);
+        let endless = RequestProfile { time_left: Duration::MAX, ..request(1, "unknown", u32::MAX, u32::MAX) };
+        assert_eq!(dispatcher.submit(endless, Timestamp::ZERO), Err(NotRun::new(NotRunReason::InvalidRequest)));
+        let _ = dispatcher.submit(request(2, "unknown", 0, 0), Timestamp::ZERO);
+        let _ = dispatcher.submit(request(3, SHORT, 199_000, 1_000), Timestamp::ZERO);
+        let _ = dispatcher.poll(Timestamp::ZERO);
+        let _ = dispatcher.poll(Timestamp::from_micros(u64::MAX));
+    }
+}
