Count requests whose handler panics

Cause: such a request got its verdict, may_have_run, but was missing from the sums of the metrics. Change: it is counted and logged when its place is given back. Conclusion: tested with a handler that panics; without the count the test fails.

--- a/crates/node/src/callers/api.rs
+++ b/crates/node/src/callers/api.rs
@@ -4,7 +4,6 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use havengate_core::request::RequestId;
-use prometheus_client::metrics::gauge::Gauge;
 use ulid::Ulid;
 
 use super::body::CompletionKind;
@@ -14,7 +13,7 @@
 use super::format::{AnswerFormat, ModelList};
 use super::handler::{CallerLimits, RequestHandler};
 use super::headers;
-use super::record::{RequestParty, record_end, record_refusal};
+use super::record::{RequestParty, record_end, record_failure, record_refusal};
 use crate::http_server::header::ALLOW;
 use crate::http_server::{Handler, Method, Request, Response, ResponseSender, ServerRefusal, StatusCode};
 use crate::logging::RequestScope;
@@ -74,7 +73,7 @@
         let form = delivery_form(kind, &checked);
         let hang_up = response.hang_up().clone();
         let mut delivery = Delivery::new(form, response, &self.metrics, arrival);
-        let _open = OpenStream::count(&self.metrics.streams_open);
+        let _open = OpenStream::count(&self.metrics, &party);
         let verdict = self.requests.submit(checked.request, &mut delivery, &hang_up);
         let end = delivery.end(verdict);
         record_end(&self.metrics, &party, &end);
@@ -136,19 +135,26 @@
     Err(RoutingRefusal::MethodNotAllowed { allowed: if allowed == Method::GET { "GET" } else { "POST" } })
 }
 
-/// Counts a request as going on until it is dropped, also when its handler panics.
-struct OpenStream<'a>(&'a Gauge);
+/// Counts a request as going on until it is dropped. A handler that panics is recorded too: no request may be missing
+/// from the sums.
+struct OpenStream<'a> {
+    metrics: &'a Metrics,
+    party: &'a RequestParty,
+}
 
 impl<'a> OpenStream<'a> {
-    fn count(open: &'a Gauge) -> Self {
-        open.inc();
-        OpenStream(open)
+    fn count(metrics: &'a Metrics, party: &'a RequestParty) -> Self {
+        metrics.streams_open.inc();
+        OpenStream { metrics, party }
     }
 }
 
 impl Drop for OpenStream<'_> {
     fn drop(&mut self) {
-        self.0.dec();
+        self.metrics.streams_open.dec();
+        if std::thread::panicking() {
+            record_failure(self.metrics, self.party);
+        }
     }
 }
 
--- a/crates/node/src/callers/record.rs
+++ b/crates/node/src/callers/record.rs
@@ -1,7 +1,7 @@
 //! What a request leaves behind in metrics and in the log.
 
 use havengate_core::request::RequestProfile;
-use havengate_core::verdict::Verdict;
+use havengate_core::verdict::{MayHaveRun, Verdict};
 use havengate_core::world::{ContractName, ModelName, TenantName};
 
 use super::delivery::DeliveryEnd;
@@ -27,6 +27,16 @@
         }
     }
 
+    fn labels(&self, verdict: &Verdict) -> RequestLabels {
+        RequestLabels {
+            tenant: self.tenant.to_string(),
+            contract: self.contract.to_string(),
+            model: self.model.to_string(),
+            verdict: verdict.code(),
+            reason: reason_code(verdict),
+        }
+    }
+
     fn count_tokens(&self, metrics: &Metrics, kind: &'static str, tokens: u32) {
         let labels = TokenLabels { model: self.model.to_string(), kind };
         metrics.tokens.get_or_create(&labels).inc_by(u64::from(tokens));
@@ -36,14 +46,7 @@
 /// Records the end of a request that was submitted.
 pub(super) fn record_end(metrics: &Metrics, party: &RequestParty, end: &DeliveryEnd) {
     let reason = reason_code(&end.verdict);
-    let labels = RequestLabels {
-        tenant: party.tenant.to_string(),
-        contract: party.contract.to_string(),
-        model: party.model.to_string(),
-        verdict: end.verdict.code(),
-        reason,
-    };
-    metrics.requests.get_or_create(&labels).inc();
+    metrics.requests.get_or_create(&party.labels(&end.verdict)).inc();
     party.count_tokens(metrics, "prompt", party.prompt_tokens);
     party.count_tokens(metrics, "output", end.tokens);
     if end.replayed {
@@ -63,6 +66,13 @@
     );
 }
 
+/// Records a request whose handler panicked: it may have run, and its answer is lost.
+pub(super) fn record_failure(metrics: &Metrics, party: &RequestParty) {
+    let verdict = Verdict::MayHaveRun(MayHaveRun::AnswerCut);
+    metrics.requests.get_or_create(&party.labels(&verdict)).inc();
+    log::error!(tenant:% = party.tenant, model:% = party.model, verdict = verdict.code(); "request_handler_panicked");
+}
+
 /// Records a request that was refused before it was submitted.
 pub(super) fn record_refusal(metrics: &Metrics, tenant: Option<&TenantName>, error: &CallerError) {
     let tenant = tenant.map(TenantName::to_string).unwrap_or_default();
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -268,6 +268,16 @@
     }
 }
 
+#[test]
+fn a_request_whose_handler_panics_may_have_run_and_is_counted() {
+    let callers = Callers::new(|_, _, _| panic!("as the test wants"));
+    let response = post(&callers, "", WHOLE);
+    assert_eq!((response.status, response.header("x-havengate-verdict")), (500, Some("may_have_run")));
+    assert_eq!(response.json()["error"]["code"], "handler_failed");
+    callers.assert_metric("verdict=\"may_have_run\",reason=\"answer_cut\"} 1");
+    callers.assert_metric("havengate_streams_open 0");
+}
+
 #[test]
 fn a_hang_up_reaches_the_handler() {
     let (sender, receiver) = unbounded();
