--- a/crates/core/tests/dispatch_guarantees.rs
+++ b/crates/core/tests/dispatch_guarantees.rs
@@ -83,6 +83,9 @@
     }
     pool.run_until(pool.now + Duration::from_secs(120));
     pool.history.check_all_ended();
+    let counters = pool.dispatcher.counters();
+    let ended = counters.refused + counters.met + counters.missed + counters.not_run + counters.may_have_run;
+    assert_eq!(ended, counters.submitted, "each request is counted once: {counters:?}");
     for slot in &pool.slots {
         assert_eq!(pool.dispatcher.in_flight(&slot.name), 0, "nothing is left on {}", slot.name);
     }
