Count and log completed changes of engines

Cause: the users weigh the number of role changes, and the metric was registered and never counted. Change: the role changer reports each verified change once, with the role before and the time from drain to service; the control thread logs it as engine_changed and counts havengate_role_changes_total.

--- a/crates/core/src/authority/control.rs
+++ b/crates/core/src/authority/control.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::config::{AuthorityConfig, AuthorityError, RoleChangeConfig};
+use super::engine_state::CompletedChange;
 use super::message::{AuthorityAction, AuthorityInput, AuthorityStatus};
 use super::pool_authority::PoolAuthority;
 use super::role_changer::{
@@ -156,6 +157,11 @@
         actions
     }
 
+    /// The changes of engines completed since the last call.
+    pub fn take_completed(&mut self) -> Vec<CompletedChange> {
+        self.changer.take_completed()
+    }
+
     /// Whether the dispatcher of the node that is ranked first may use the engine.
     pub fn availability(&self, engine: &EngineName, now: Timestamp) -> EngineAvailability {
         self.changer.availability(engine, self.authority.may_use_unfenced(now))
--- a/crates/core/src/authority/engine_change.rs
+++ b/crates/core/src/authority/engine_change.rs
@@ -7,6 +7,7 @@
 use super::order::{EngineReport, Order, OrderAction, OrderId, OrderRefusal, OrderReply, Term};
 use super::target::EngineTarget;
 use crate::time::Timestamp;
+use crate::world::EngineRole;
 
 /// Where the change of an engine stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,6 +43,7 @@
     /// The order has been executed; the engine was out of service for so long.
     Done {
         order: Order,
+        role_before: EngineRole,
         out_of_service: Duration,
     },
     CalledOff,
@@ -263,7 +265,8 @@
             return self.fail(GiveUpReason::NotEffective, now, config);
         }
         self.attempts = 0;
-        ChangeOutcome::Done { order, out_of_service: now.since(since) }
+        let role_before = self.report.as_ref().map_or(report.role, |before| before.role);
+        ChangeOutcome::Done { order, role_before, out_of_service: now.since(since) }
     }
 
     fn fail(&mut self, reason: GiveUpReason, now: Timestamp, config: &RoleChangeConfig) -> ChangeOutcome {
--- a/crates/core/src/authority/engine_state.rs
+++ b/crates/core/src/authority/engine_state.rs
@@ -1,8 +1,12 @@
 //! An engine as its holder sees it: its work, its state, and why a change was given up.
 
+use std::time::Duration;
+
 use displaydoc::Display;
 
+use super::order::OrderAction;
 use crate::time::Timestamp;
+use crate::world::{EngineName, EngineRole};
 
 /// What is known about the work on an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +26,19 @@
     }
 }
 
+/// A change that an engine has completed and that was verified.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CompletedChange {
+    /// The engine.
+    pub engine: EngineName,
+    /// What it was told to do.
+    pub action: OrderAction,
+    /// The role that it had before.
+    pub role_before: EngineRole,
+    /// From the start of the drain to the verified end.
+    pub out_of_service: Duration,
+}
+
 /// Why a change of an engine was given up. The engine keeps what it has until its target changes.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum GiveUpReason {
--- a/crates/core/src/authority/mod.rs
+++ b/crates/core/src/authority/mod.rs
@@ -23,7 +23,7 @@
 pub use arbiter::EngineArbiter;
 pub use config::{AuthorityConfig, AuthorityError, RoleChangeConfig};
 pub use control::{PoolControl, PoolControlConfig, PoolObservation};
-pub use engine_state::{EngineActivity, EngineState, GiveUpReason};
+pub use engine_state::{CompletedChange, EngineActivity, EngineState, GiveUpReason};
 pub use message::{
     AuthorityAction, AuthorityEvent, AuthorityInput, AuthorityMessage, AuthorityRole, AuthorityStatus, FencedEngine,
 };
--- a/crates/core/src/authority/role_changer.rs
+++ b/crates/core/src/authority/role_changer.rs
@@ -5,9 +5,9 @@
 
 use super::config::RoleChangeConfig;
 use super::engine_change::{ChangeOutcome, EngineChange, Phase};
-use super::engine_state::{EngineActivity, EngineState};
+use super::engine_state::{CompletedChange, EngineActivity, EngineState};
 use super::message::{AuthorityAction, AuthorityEvent};
-use super::order::{EngineReport, OrderAction, OrderId, OrderReply, Term};
+use super::order::{EngineReport, Order, OrderAction, OrderId, OrderReply, Term};
 use super::target::{EngineTarget, RoleCandidate};
 use crate::dispatch::EngineAvailability;
 use crate::policy::RoleCounts;
@@ -92,6 +92,7 @@
     /// Goes on through all terms of this process, so that no order id is used twice.
     last_sequence: u32,
     counters: ChangeCounters,
+    completed: Vec<CompletedChange>,
     actions: Vec<AuthorityAction>,
 }
 
@@ -106,6 +107,7 @@
             timing,
             last_sequence: 0,
             counters: ChangeCounters::default(),
+            completed: Vec::new(),
             actions: Vec::new(),
         }
     }
@@ -135,7 +137,7 @@
             AuthorityEvent::EngineFenced { engine, term, report } => {
                 let Some(change) = self.engines.get_mut(&engine) else { return };
                 let outcome = change.fence(term, report, now, &self.config);
-                self.count(outcome);
+                self.count(&engine, outcome);
             }
             AuthorityEvent::EngineUnfenced { engine } => {
                 if let Some(change) = self.engines.get_mut(&engine) {
@@ -160,7 +162,7 @@
     pub fn engine_reply(&mut self, engine: &EngineName, reply: OrderReply, now: Timestamp) {
         let Some(change) = self.engines.get_mut(engine) else { return };
         let outcome = change.answer(reply, now, &self.config);
-        self.count(outcome);
+        self.count(engine, outcome);
     }
 
     /// Takes in a report that answers no call of this changer.
@@ -188,6 +190,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// The changes completed since the last call.
+    pub fn take_completed(&mut self) -> Vec<CompletedChange> {
+        std::mem::take(&mut self.completed)
+    }
+
     /// Whether the dispatcher may use the engine; `use_unfenced` as in [`super::PoolAuthority::may_use_unfenced`].
     pub fn availability(&self, engine: &EngineName, use_unfenced: bool) -> EngineAvailability {
         let unknown = EngineAvailability::Unavailable;
@@ -243,14 +250,15 @@
     /// Ends drains that last too long, that nobody wants any more, or that this holder may not end with an order.
     fn call_off_drains(&mut self, term: Option<Term>, now: Timestamp) {
         let mut outcomes = Vec::new();
-        for change in self.engines.values_mut().filter(|change| matches!(change.phase, Phase::Draining { .. })) {
+        let draining = |change: &EngineChange| matches!(change.phase, Phase::Draining { .. });
+        for (engine, change) in self.engines.iter_mut().filter(|(_, change)| draining(change)) {
             if change.drains_too_long(now, &self.config) {
-                outcomes.push(change.call_off(now, self.config.drain_retry));
+                outcomes.push((engine.clone(), change.call_off(now, self.config.drain_retry)));
             } else if term.is_none() || change.next_action().is_none() {
-                outcomes.push(change.call_off(now, Duration::ZERO));
+                outcomes.push((engine.clone(), change.call_off(now, Duration::ZERO)));
             }
         }
-        outcomes.into_iter().for_each(|outcome| self.count(outcome));
+        outcomes.into_iter().for_each(|(engine, outcome)| self.count(&engine, outcome));
     }
 
     fn give_orders(&mut self, term: Term, activity: &PoolActivity, now: Timestamp) {
@@ -263,7 +271,7 @@
             let Some(change) = self.engines.get_mut(&engine) else { continue };
             if !keeps_floors {
                 let outcome = change.call_off(now, self.config.retry_delay);
-                self.count(outcome);
+                self.count(&engine, outcome);
                 continue;
             }
             let id = OrderId { term, sequence: self.last_sequence + 1 };
@@ -335,16 +343,18 @@
         prefill && decode
     }
 
-    fn count(&mut self, outcome: ChangeOutcome) {
+    fn count(&mut self, engine: &EngineName, outcome: ChangeOutcome) {
         let counters = &mut self.counters;
         match outcome {
             ChangeOutcome::Nothing => {}
-            ChangeOutcome::Done { order, out_of_service } => {
-                match order.action {
+            ChangeOutcome::Done { order: Order { action, .. }, role_before, out_of_service } => {
+                match action {
                     OrderAction::SetRole(_) => counters.role_changes += 1,
                     OrderAction::Load { .. } => counters.loads += 1,
                 }
                 counters.out_of_service += out_of_service;
+                let engine = engine.clone();
+                self.completed.push(CompletedChange { engine, action, role_before, out_of_service });
             }
             ChangeOutcome::CalledOff => counters.called_off += 1,
             ChangeOutcome::Failed => counters.failed += 1,
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -2,7 +2,7 @@
 
 use speedy::{Readable, Writable};
 
-use crate::authority::{AuthorityMessage, Order, OrderReply, PoolObservation, Term};
+use crate::authority::{AuthorityMessage, CompletedChange, Order, OrderReply, PoolObservation, Term};
 use crate::configuration::{ConfigurationMessage, ConfigurationRecord, StoreToken};
 use crate::membership::{Member, MembershipMessage};
 use crate::store::{StoreReply, StoreRequest};
@@ -89,6 +89,15 @@
     Leave,
 }
 
+/// A change of an engine that this node has ordered and that was verified.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolChange {
+    /// The engine's pool.
+    pub pool: PoolId,
+    /// The change.
+    pub change: CompletedChange,
+}
+
 /// What the caller must do.
 #[derive(Clone, Debug)]
 pub enum ControlAction {
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -9,6 +9,6 @@
 mod pools;
 
 pub use config::{ControlConfig, ControlConfigError};
-pub use message::{ControlAction, ControlInput, ControlMessage, StoreCaller};
+pub use message::{ControlAction, ControlInput, ControlMessage, PoolChange, StoreCaller};
 pub use node_control::{ControlStatus, NodeControl, NodeIdentity};
 pub use pools::{PoolStanding, link_latency};
--- a/crates/core/src/control/node_control.rs
+++ b/crates/core/src/control/node_control.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::config::{ControlConfig, ControlConfigError};
-use super::message::{ControlAction, ControlInput, ControlMessage, StoreCaller};
+use super::message::{ControlAction, ControlInput, ControlMessage, PoolChange, StoreCaller};
 use super::pools::PoolStanding;
 use crate::authority::AuthorityInput;
 use crate::configuration::{
@@ -149,6 +149,16 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// The changes of engines that this node has ordered, completed since the last call.
+    pub fn take_completed_changes(&mut self) -> Vec<PoolChange> {
+        let changes = |(pool, standing): (&PoolId, &mut PoolStanding)| {
+            let pool = pool.clone();
+            let completed = standing.take_completed().into_iter();
+            completed.map(move |change| PoolChange { pool: pool.clone(), change })
+        };
+        self.pools.iter_mut().flat_map(changes).collect()
+    }
+
     /// Begins a new life after this node has been suspended; its pools are followers again.
     pub fn rejoin(&mut self, incarnation: Incarnation, now: Timestamp) -> Member {
         let me = self.membership.rejoin(incarnation, now);
--- a/crates/core/src/control/pools.rs
+++ b/crates/core/src/control/pools.rs
@@ -5,7 +5,8 @@
 
 use super::message::{ControlAction, ControlMessage, StoreCaller};
 use crate::authority::{
-    AuthorityAction, AuthorityInput, EngineSpecification, EngineTarget, PoolControl, PoolControlConfig, RoleFloors,
+    AuthorityAction, AuthorityInput, CompletedChange, EngineSpecification, EngineTarget, PoolControl,
+    PoolControlConfig, RoleFloors,
 };
 use crate::configuration::Configuration;
 use crate::dispatch::{EngineAvailability, EngineSlot};
@@ -122,6 +123,11 @@
         }
     }
 
+    /// The changes of the pool's engines completed since the last call.
+    pub(super) fn take_completed(&mut self) -> Vec<CompletedChange> {
+        self.control.as_mut().map(PoolControl::take_completed).unwrap_or_default()
+    }
+
     /// What the pool's control wants done.
     pub(super) fn take_actions(&mut self) -> Vec<ControlAction> {
         let Some(control) = &mut self.control else { return Vec::new() };
--- a/crates/core/src/world/engine.rs
+++ b/crates/core/src/world/engine.rs
@@ -25,6 +25,15 @@
 }
 
 impl EngineRole {
+    /// The stable word for the role in logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            EngineRole::Prefill => "prefill",
+            EngineRole::Decode => "decode",
+            EngineRole::Mixed => "mixed",
+        }
+    }
+
     /// Whether an engine of this role takes prompt work.
     pub fn serves_prefill(self) -> bool {
         matches!(self, EngineRole::Prefill | EngineRole::Mixed)
@@ -38,11 +47,7 @@
 
 impl fmt::Display for EngineRole {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
-            EngineRole::Prefill => "prefill",
-            EngineRole::Decode => "decode",
-            EngineRole::Mixed => "mixed",
-        })
+        formatter.write_str(self.code())
     }
 }
 
--- a/crates/core/tests/authority_changes.rs
+++ b/crates/core/tests/authority_changes.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use havengate_core::authority::{
-    AuthorityAction, AuthorityConfig, AuthorityEvent, AuthorityInput, AuthorityRole, EngineActivity, EngineReport,
-    EngineSpecification, Order, OrderReply, OrderTiming, PoolActivity, PoolAuthority, RoleCandidate, RoleChangeConfig,
-    RoleChanger, TargetRoles, Term,
+    AuthorityAction, AuthorityConfig, AuthorityEvent, AuthorityInput, AuthorityRole, CompletedChange, EngineActivity,
+    EngineReport, EngineSpecification, Order, OrderReply, OrderTiming, PoolActivity, PoolAuthority, RoleCandidate,
+    RoleChangeConfig, RoleChanger, TargetRoles, Term,
 };
 use havengate_core::dispatch::EngineAvailability;
 use havengate_core::membership::{Incarnation, Member};
@@ -80,6 +80,25 @@
     assert_eq!(pool.availability(), EngineAvailability::Unavailable);
 }
 
+#[test]
+fn a_completed_change_is_reported_once_with_the_role_before_and_the_time_out_of_service() {
+    let mut pool = OneEngine::new();
+    pool.tick(0);
+    pool.activity.reported_at = at(1_000);
+    let order = pool.tick(1_000).remove(0);
+    let done = EngineReport { order: Some(order.id), role: EngineRole::Decode, ..report(1) };
+    let engine = pool.engine.clone();
+    let changing = EngineReport { changing: true, role: EngineRole::Mixed, ..done.clone() };
+    pool.changer.engine_reply(&engine, OrderReply::Accepted(changing), at(1_100));
+    pool.tick(4_000);
+    pool.changer.engine_reply(&engine, OrderReply::Accepted(done), at(4_000));
+    let out_of_service = Duration::from_secs(4);
+    let change = CompletedChange { engine, action: order.action, role_before: EngineRole::Mixed, out_of_service };
+    assert_eq!(pool.changer.take_completed(), vec![change]);
+    assert_eq!(pool.changer.take_completed(), Vec::new());
+    assert_eq!(pool.changer.counters().role_changes, 1);
+}
+
 #[test]
 fn a_drain_that_lasts_too_long_is_called_off_and_the_engine_serves_again() {
     let mut pool = OneEngine::new();
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -7,12 +7,14 @@
 
 use arc_swap::ArcSwap;
 use crossbeam::channel::{Receiver, Sender, bounded};
-use havengate_core::control::{ControlInput, NodeControl};
+use havengate_core::authority::OrderAction;
+use havengate_core::control::{ControlInput, NodeControl, PoolChange};
 use havengate_core::membership::{Incarnation, Member};
 
 use super::outbox::Outbox;
 use super::publisher::Publisher;
 use crate::clock::Clock;
+use crate::metrics::{Metrics, RoleChangeLabels};
 
 /// Events that wait for the control thread. Peers' messages beyond it are dropped; they are repeated where it matters.
 pub const EVENTS_MAXIMUM: usize = 16_384;
@@ -54,6 +56,8 @@
     pub member: CurrentMember,
     /// The node's clock.
     pub clock: Clock,
+    /// Where changes of engines are counted.
+    pub metrics: Arc<Metrics>,
 }
 
 impl ControlThread {
@@ -104,6 +108,7 @@
             going = self.take_events();
             self.0.control.tick(self.0.clock.now());
             self.rejoin_if_suspended();
+            self.report_changes();
             self.0.publisher.publish(&mut self.0.control);
         }
     }
@@ -132,6 +137,20 @@
         }
     }
 
+    fn report_changes(&mut self) {
+        for PoolChange { pool, change } in self.0.control.take_completed_changes() {
+            log::info!(
+                pool:% = pool,
+                engine:% = change.engine,
+                action:? = change.action,
+                out_of_service:? = change.out_of_service; "engine_changed");
+            if let OrderAction::SetRole(role) = change.action {
+                let (from, to) = (change.role_before.code(), role.code());
+                self.0.metrics.role_changes.get_or_create(&RoleChangeLabels { pool: pool.to_string(), from, to }).inc();
+            }
+        }
+    }
+
     fn rejoin_if_suspended(&mut self) {
         let standing = self.0.control.status().standing;
         if !standing.must_rejoin() {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -135,12 +135,19 @@
         let control = NodeControl::new(control, identity, clock.now(), me.incarnation.0)?;
         let factory = PoolFactory::new(dispatch_config(&settings.limits), engines, clock);
         let publisher = Publisher::new(Arc::clone(&snapshot), Arc::clone(&registry), factory, clock);
-        let parts =
-            ControlThreadParts { control, outbox, publisher, events: incoming, member: Arc::clone(&member), clock };
+        let metrics = Arc::new(Metrics::with_link_counters(Arc::clone(&counters)));
+        let parts = ControlThreadParts {
+            control,
+            outbox,
+            publisher,
+            events: incoming,
+            member: Arc::clone(&member),
+            clock,
+            metrics: Arc::clone(&metrics),
+        };
         let control = ControlThread::start(parts, events.clone())?;
         watch_machine_list(Arc::clone(&platform), Arc::clone(&snapshot), events.clone())?;
 
-        let metrics = Arc::new(Metrics::with_link_counters(Arc::clone(&counters)));
         let remote = ForwardClient::new(member, gate);
         let gateway = Gateway::new(GatewayParts {
             snapshot: Arc::clone(&snapshot),
