Claims and tenants' limits in the node

Cause: keys were not claimed and limits not kept by running nodes: the same Idempotency-Key sent to two nodes of a running deployment ran twice. A node that does not own a pool says not_owner, and only refusals by which a pool may be changing hands make the gateway wait, never beyond the contract's time to the first token.

--- a/crates/core/src/claims/map_keeper.rs
+++ b/crates/core/src/claims/map_keeper.rs
@@ -155,7 +155,7 @@
             messages.extend(self.gossip());
         }
         if now >= self.next_review {
-            self.next_review = now + self.config.review_interval;
+            self.next_review = now + self.review_interval();
             messages.extend(self.review(now));
         }
         SlotMapWork { messages, store: self.queued.take() }
@@ -172,6 +172,12 @@
         Some(ClaimEnvelope { to, message: ClaimMessage::MapVersion(self.map.version) })
     }
 
+    /// Until there is a first map, no key can be claimed, so it is looked for more often.
+    fn review_interval(&self) -> Duration {
+        let has_map = self.map.version > MapVersion::default();
+        if has_map { self.config.review_interval } else { self.config.gossip_interval }
+    }
+
     /// The proposer reads the map, and asks holders what they hold before it does so next time.
     fn review(&mut self, now: Timestamp) -> Vec<ClaimEnvelope> {
         if !self.is_proposer() {
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -77,6 +77,8 @@
     Revoked,
     /// the node that dispatches for the model can't be reached
     DispatcherUnreachable,
+    /// the node does not dispatch for the pool, or no longer does
+    NotOwner,
     /// a request with the same idempotency key is in progress
     KeyInProgress,
     /// the idempotency key can't be claimed at a majority of its holders
@@ -101,6 +103,7 @@
             NotRunReason::NoEngine => "no_engine",
             NotRunReason::Revoked => "revoked",
             NotRunReason::DispatcherUnreachable => "dispatcher_unreachable",
+            NotRunReason::NotOwner => "not_owner",
             NotRunReason::KeyInProgress => "key_in_progress",
             NotRunReason::KeyUnclaimable => "key_unclaimable",
             NotRunReason::CallerGone => "caller_gone",
@@ -116,6 +119,7 @@
                 | NotRunReason::NodeSuspended
                 | NotRunReason::NoEngine
                 | NotRunReason::DispatcherUnreachable
+                | NotRunReason::NotOwner
         )
     }
 }
--- a/crates/node/src/callers/error.rs
+++ b/crates/node/src/callers/error.rs
@@ -155,6 +155,7 @@
         | NotRunReason::Revoked
         | NotRunReason::DispatcherUnreachable
         | NotRunReason::KeyUnclaimable
+        | NotRunReason::NotOwner
         | NotRunReason::CallerGone => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -7,8 +7,9 @@
 mod workers;
 
 pub use outbox::{Outbox, OutboxParts};
-pub use publisher::Publisher;
-pub use snapshot::{ControlSnapshot, PoolRoute, SharedSnapshot};
+pub use publisher::{Publisher, PublisherParts};
+pub use snapshot::{ControlSnapshot, KnownNode, PoolRoute, SharedSnapshot};
 pub use thread::{
     ControlEvent, ControlThread, ControlThreadParts, CurrentMember, EVENTS_MAXIMUM, inspect, new_incarnation,
 };
+pub use workers::{Busy, Workers};
--- a/crates/node/src/control/outbox.rs
+++ b/crates/node/src/control/outbox.rs
@@ -5,9 +5,10 @@
 
 use crossbeam::channel::Sender;
 use havengate_core::authority::{EngineReport, OrderReply};
-use havengate_core::control::{ControlAction, ControlInput, ControlMessage, StoreCaller};
+use havengate_core::control::{ControlAction, ControlInput, StoreCaller};
 use havengate_core::store::{StoreReply, StoreRequest};
 use havengate_core::world::{Address, EngineName, PoolId};
+use havengate_wire::PeerMessage;
 
 use super::thread::ControlEvent;
 use super::workers::Workers;
@@ -28,7 +29,7 @@
 /// The ways out of the control thread.
 pub struct Outbox {
     datagrams: DatagramLink,
-    peers: Arc<ControlLink<ControlMessage>>,
+    peers: Arc<ControlLink<PeerMessage>>,
     platform: Arc<dyn PlatformApi>,
     engines: Arc<dyn EngineApi>,
     store_workers: Workers,
@@ -42,7 +43,7 @@
     /// Datagrams to peers.
     pub datagrams: DatagramLink,
     /// Control messages to peers.
-    pub peers: Arc<ControlLink<ControlMessage>>,
+    pub peers: Arc<ControlLink<PeerMessage>>,
     /// The platform.
     pub platform: Arc<dyn PlatformApi>,
     /// The engines.
@@ -69,7 +70,7 @@
     pub fn carry_out(&self, action: ControlAction) {
         match action {
             ControlAction::SendDatagram { to, message } => self.datagrams.send(to, &message),
-            ControlAction::SendPeer { to, message } => self.peers.send(to.address, message),
+            ControlAction::SendPeer { to, message } => self.peers.send(to.address, PeerMessage::Control(message)),
             ControlAction::Store { caller, request } => self.call_store(caller, request),
             ControlAction::RaiseFence { pool, engine, address, term } => {
                 let input = fence_reply(pool, engine);
--- a/crates/node/src/control/publisher.rs
+++ b/crates/node/src/control/publisher.rs
@@ -6,11 +6,12 @@
 use havengate_core::authority::{EngineActivity, PoolActivity, PoolObservation};
 use havengate_core::configuration::Configuration;
 use havengate_core::control::{ControlInput, NodeControl, PoolStanding};
-use havengate_core::membership::Standing;
+use havengate_core::membership::{MemberState, Standing};
 use havengate_core::time::Timestamp;
 use havengate_core::world::{EngineName, PoolId};
 
-use super::snapshot::{ControlSnapshot, PoolRoute, SharedSnapshot};
+use super::snapshot::{ControlSnapshot, KnownNode, PoolRoute, SharedSnapshot};
+use crate::admission::Admission;
 use crate::callers::{CallerDirectory, Readiness};
 use crate::clock::Clock;
 use crate::traffic::{EngineTarget, PoolFactory, PoolRegistry, PoolRuntime};
@@ -18,10 +19,25 @@
 /// How often the work on pools is observed and their engines are handed to the dispatchers.
 const EXCHANGE_EVERY: Duration = Duration::from_millis(100);
 
+/// What a publisher works with.
+pub struct PublisherParts {
+    /// Where the snapshot is swapped.
+    pub snapshot: SharedSnapshot,
+    /// The dispatchers of this node.
+    pub registry: Arc<PoolRegistry>,
+    /// Claims and limits, which follow the members and tenants.
+    pub admission: Arc<Admission>,
+    /// Makes dispatchers.
+    pub factory: PoolFactory,
+    /// The node's clock.
+    pub clock: Clock,
+}
+
 /// Publishes control's state.
 pub struct Publisher {
     snapshot: SharedSnapshot,
     registry: Arc<PoolRegistry>,
+    admission: Arc<Admission>,
     factory: PoolFactory,
     clock: Clock,
     published: Option<Published>,
@@ -37,8 +53,9 @@
 
 impl Publisher {
     /// A publisher that has published nothing yet.
-    pub fn new(snapshot: SharedSnapshot, registry: Arc<PoolRegistry>, factory: PoolFactory, clock: Clock) -> Self {
-        Publisher { snapshot, registry, factory, clock, published: None, next_exchange: Timestamp::ZERO }
+    pub fn new(parts: PublisherParts) -> Self {
+        let PublisherParts { snapshot, registry, admission, factory, clock } = parts;
+        Publisher { snapshot, registry, admission, factory, clock, published: None, next_exchange: Timestamp::ZERO }
     }
 
     /// Publishes what has changed, and now and then exchanges work and engines with the dispatchers.
@@ -72,15 +89,18 @@
         if !same {
             self.configure_pools(&configuration);
         }
-        self.snapshot.store(Arc::new(ControlSnapshot {
+        let snapshot = Arc::new(ControlSnapshot {
             me: status.me,
             readiness: state.readiness,
             trusted_until: state.trusted_until,
             version: status.version.unwrap_or_default(),
             configuration,
             directory,
+            nodes: known_nodes(control),
             routes: routes.collect(),
-        }));
+        });
+        self.admission.update(&snapshot);
+        self.snapshot.store(snapshot);
     }
 
     fn configure_pools(&self, configuration: &Configuration) {
@@ -167,6 +187,17 @@
     PoolObservation { demand, activity: PoolActivity { engines } }
 }
 
+fn known_nodes(control: &NodeControl) -> Vec<KnownNode> {
+    let view = control.view();
+    let alive = view.records().filter(|record| record.state() != MemberState::Dead);
+    let known = alive.map(|record| KnownNode {
+        member: record.member,
+        zone: record.zone.clone(),
+        may_own: record.state().may_own() && view.is_reachable(&record.zone),
+    });
+    known.collect()
+}
+
 fn readiness(control: &NodeControl) -> Readiness {
     let status = control.status();
     if status.leaving {
--- a/crates/node/src/control/snapshot.rs
+++ b/crates/node/src/control/snapshot.rs
@@ -7,7 +7,7 @@
 use havengate_core::membership::Member;
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::NotRunReason;
-use havengate_core::world::{ModelName, Pool, PoolId};
+use havengate_core::world::{ModelName, Pool, PoolId, ZoneName};
 
 use crate::callers::{CallerDirectory, Readiness};
 
@@ -20,6 +20,17 @@
     pub owners: Vec<Member>,
 }
 
+/// A node that control knows to live, or believes to live beyond its reach.
+#[derive(Clone, Debug)]
+pub struct KnownNode {
+    /// The node.
+    pub member: Member,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Whether it may own things: it is not leaving, and its zone can be reached.
+    pub may_own: bool,
+}
+
 /// The state of control at one moment.
 #[derive(Clone, Debug)]
 pub struct ControlSnapshot {
@@ -35,6 +46,8 @@
     pub configuration: Arc<Configuration>,
     /// What the callers' API looks up in the configuration.
     pub directory: Arc<CallerDirectory>,
+    /// The nodes that have not been declared dead, this one included.
+    pub nodes: Vec<KnownNode>,
     /// All pools, in the order of their identifiers.
     pub routes: Vec<PoolRoute>,
 }
@@ -49,6 +62,7 @@
             version: ConfigurationVersion::default(),
             configuration: Arc::default(),
             directory: Arc::default(),
+            nodes: Vec::new(),
             routes: Vec::new(),
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! A havengate node: sockets, threads and the adapters to callers, engines, platform and peers.
 
+pub mod admission;
 pub mod callers;
 pub mod clock;
 pub mod control;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,11 +13,12 @@
 use havengate_core::membership::{Member, MembershipMessage};
 use havengate_core::world::Address;
 
+use crate::admission::{Admission, AdmissionParts};
 use crate::callers::{CallerApi, CallerLimits};
 use crate::clock::Clock;
 use crate::control::{
     ControlEvent, ControlSnapshot, ControlThread, ControlThreadParts, CurrentMember, EVENTS_MAXIMUM, Outbox,
-    OutboxParts, Publisher, SharedSnapshot, new_incarnation,
+    OutboxParts, Publisher, PublisherParts, SharedSnapshot, new_incarnation,
 };
 use crate::engines::{EngineApi, EngineTimeouts, HttpEngineApi};
 use crate::http_server::{HttpServer, HttpServerConfig, HttpServerHandle};
@@ -110,19 +111,22 @@
         let snapshot: SharedSnapshot = Arc::new(ArcSwap::from_pointee(ControlSnapshot::starting(me)));
         let registry = Arc::new(PoolRegistry::new(Arc::clone(&snapshot), clock));
         let (events, incoming) = bounded(EVENTS_MAXIMUM);
+        let engines: Arc<dyn EngineApi> = Arc::new(HttpEngineApi::new(engine_timeouts(&settings)));
+        let platform: Arc<dyn PlatformApi> =
+            Arc::new(HttpPlatformApi::new(settings.platform_address, platform_timeouts(&settings)));
+        let peers = Arc::new(ControlLink::new(Arc::clone(&member), Arc::clone(&gate), Arc::clone(&counters)));
+        let admission =
+            Admission::start(AdmissionParts { me, peers: Arc::clone(&peers), platform: Arc::clone(&platform), clock })?;
         let service = Arc::new(NodeService {
             member: Arc::clone(&member),
             pools: Arc::clone(&registry),
+            admission: Arc::clone(&admission),
             events: events.clone(),
             counters: Arc::clone(&counters),
         });
-        let engines: Arc<dyn EngineApi> = Arc::new(HttpEngineApi::new(engine_timeouts(&settings)));
-        let platform: Arc<dyn PlatformApi> =
-            Arc::new(HttpPlatformApi::new(settings.platform_address, platform_timeouts(&settings)));
 
         let datagrams = receive_datagrams(me.address, &gate, &counters, &service)?;
         let listener = PeerListener::start(me.address, service)?;
-        let peers = Arc::new(ControlLink::new(Arc::clone(&member), Arc::clone(&gate), Arc::clone(&counters)));
         let outbox = Outbox::start(OutboxParts {
             datagrams,
             peers,
@@ -134,7 +138,13 @@
         let identity = NodeIdentity { member: me, zone: settings.zone.clone(), seeds: settings.seeds.clone() };
         let control = NodeControl::new(control, identity, clock.now(), me.incarnation.0)?;
         let factory = PoolFactory::new(dispatch_config(&settings.limits), engines, clock);
-        let publisher = Publisher::new(Arc::clone(&snapshot), Arc::clone(&registry), factory, clock);
+        let publisher = Publisher::new(PublisherParts {
+            snapshot: Arc::clone(&snapshot),
+            registry: Arc::clone(&registry),
+            admission: Arc::clone(&admission),
+            factory,
+            clock,
+        });
         let metrics = Arc::new(Metrics::with_link_counters(Arc::clone(&counters)));
         let parts = ControlThreadParts {
             control,
@@ -146,12 +156,13 @@
             metrics: Arc::clone(&metrics),
         };
         let control = ControlThread::start(parts, events.clone())?;
-        watch_machine_list(Arc::clone(&platform), Arc::clone(&snapshot), events.clone())?;
+        watch_machine_list(Arc::clone(&platform), Arc::clone(&snapshot), Arc::clone(&admission), events.clone())?;
 
         let remote = ForwardClient::new(member, gate);
         let gateway = Gateway::new(GatewayParts {
             snapshot: Arc::clone(&snapshot),
             hops: Hops::new(Arc::clone(&registry), remote),
+            admission,
             zone: settings.zone.clone(),
             seed: me.incarnation.0,
             clock,
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 
 use crossbeam::channel::{Sender, TrySendError};
-use havengate_core::control::{ControlInput, ControlMessage};
+use havengate_core::control::ControlInput;
 use havengate_core::membership::Member;
+use havengate_wire::PeerMessage;
 
+use crate::admission::Admission;
 use crate::control::{ControlEvent, CurrentMember};
 use crate::peers::{ConnectionService, LinkCounters, receive_control, serve_forward};
 use crate::traffic::PoolRegistry;
@@ -17,6 +19,8 @@
     pub member: CurrentMember,
     /// The pools that this node dispatches for.
     pub pools: Arc<PoolRegistry>,
+    /// Claims and limits.
+    pub admission: Arc<Admission>,
     /// The control thread.
     pub events: Sender<ControlEvent>,
     /// Counts control bytes and messages.
@@ -29,9 +33,9 @@
     }
 
     fn serve_control(&self, peer: Member, stream: TcpStream) {
-        receive_control(stream, &self.counters, |message: ControlMessage| {
-            let input = ControlInput::Peer { from: peer, message };
-            self.hand_over(input);
+        receive_control(stream, &self.counters, |message: PeerMessage| match message {
+            PeerMessage::Control(message) => self.hand_over(ControlInput::Peer { from: peer, message }),
+            other => self.admission.receive(peer.address, other),
         });
     }
 
--- a/crates/node/src/traffic/gateway.rs
+++ b/crates/node/src/traffic/gateway.rs
@@ -4,17 +4,19 @@
 use std::thread;
 use std::time::Duration;
 
+use havengate_core::claims::{ClaimOutcome, RecordedOutcome};
 use havengate_core::control::link_latency;
 use havengate_core::dispatch::{RetryBudget, RetryBudgetConfig};
 use havengate_core::gateway::{
     GatewayAction, GatewayConfig, GatewayEvent, GatewayRequest, PoolLoad, PoolOption, PoolPicker, Target,
 };
-use havengate_core::request::RequestProfile;
+use havengate_core::request::{RequestId, RequestProfile};
 use havengate_core::time::Timestamp;
-use havengate_core::verdict::{NotRun, NotRunReason, Verdict};
+use havengate_core::verdict::{MayHaveRun, NotRun, NotRunReason, Verdict};
 use havengate_core::world::{PoolId, ZoneName};
 
 use super::hop::{Hop, HopEvent, HopRequest, Hops};
+use crate::admission::{Admission, RecordingSink};
 use crate::callers::{AnswerSink, CallerDirectory, CallerRequest, Readiness, RequestHandler};
 use crate::clock::Clock;
 use crate::control::{ControlSnapshot, PoolRoute, SharedSnapshot};
@@ -36,6 +38,8 @@
     pub snapshot: SharedSnapshot,
     /// The ways to dispatchers.
     pub hops: Hops,
+    /// Claims of keys and permits of tenants.
+    pub admission: Arc<Admission>,
     /// The zone of this node.
     pub zone: ZoneName,
     /// Makes random choices repeatable.
@@ -48,6 +52,7 @@
 pub struct Gateway {
     snapshot: SharedSnapshot,
     hops: Hops,
+    admission: Arc<Admission>,
     zone: ZoneName,
     clock: Clock,
     config: GatewayConfig,
@@ -76,6 +81,7 @@
         Gateway {
             snapshot: parts.snapshot,
             hops: parts.hops,
+            admission: parts.admission,
             zone: parts.zone,
             clock: parts.clock,
             picker: Mutex::new(PoolPicker::new(config.clone(), parts.seed)),
@@ -84,9 +90,29 @@
         }
     }
 
+    /// Takes the request to its verdict; one with a key only after its key was claimed.
+    fn pass_once(&self, request: CallerRequest, answer: &mut RecordingSink<'_>, hang_up: &HangUp) -> Verdict {
+        let deadline = self.clock.now() + request.profile.time_left;
+        let id = request.profile.id;
+        let Some(key) = request.profile.key.clone() else {
+            return self.pass(&mut Passage { request, deadline, answer, hang_up });
+        };
+        match self.admission.claim(key, id, deadline, hang_up) {
+            Ok(claimed) => {
+                let verdict = self.pass(&mut Passage { request, deadline, answer, hang_up });
+                self.admission.record(claimed, answer.outcome(verdict.clone()));
+                verdict
+            }
+            Err(ClaimOutcome::Repeated(earlier)) => replay(earlier, id, answer),
+            Err(ClaimOutcome::Refused(refusal)) => Verdict::NotRun(refusal),
+            // A claim that was won is no error.
+            Err(ClaimOutcome::Won) => Verdict::NotRun(NotRun::new(NotRunReason::KeyUnclaimable)),
+        }
+    }
+
     /// Takes the request to its verdict. While its pool changes hands, it is offered to each new owner.
     fn pass(&self, passage: &mut Passage<'_>) -> Verdict {
-        let patience = (self.clock.now() + HAND_OVER_PATIENCE).min(passage.deadline);
+        let patience = self.patience(passage);
         loop {
             let snapshot = self.snapshot.load_full();
             if let Some(reason) = snapshot.refuses(self.clock.now()) {
@@ -102,6 +128,15 @@
         }
     }
 
+    /// Until when the request may wait for its pool to change hands: never beyond its contract's time to the first
+    /// token, since later it is of no use and its caller must be told to come back.
+    fn patience(&self, passage: &Passage<'_>) -> Timestamp {
+        let snapshot = self.snapshot.load();
+        let contract = snapshot.directory.contract(&passage.request.profile.contract);
+        let first_token_within = contract.map_or(HAND_OVER_PATIENCE, |contract| contract.first_token_within);
+        (self.clock.now() + HAND_OVER_PATIENCE.min(first_token_within)).min(passage.deadline)
+    }
+
     fn rank(&self, snapshot: &ControlSnapshot, profile: &RequestProfile) -> Vec<Target> {
         let routes = snapshot.routes_of(&profile.model);
         let options: Vec<PoolOption> = routes.map(|route| self.option(snapshot, route)).collect();
@@ -231,6 +266,20 @@
     }
 }
 
+/// Gives the outcome of the earlier request with the same key.
+fn replay(earlier: RecordedOutcome, request: RequestId, answer: &mut dyn AnswerSink) -> Verdict {
+    answer.replayed();
+    match (earlier.verdict, earlier.answer) {
+        (Verdict::Completed, Some(recorded)) => {
+            // A caller that has hung up does not get the answer; the verdict stays true.
+            let _ = answer.piece(recorded.into_piece(request));
+            Verdict::Completed
+        }
+        // The request has run, but its answer was too long to be kept.
+        _ => Verdict::MayHaveRun(MayHaveRun::KeyUsed),
+    }
+}
+
 /// Whether a refusal may come from a pool that is changing hands.
 fn changes_hands(reason: NotRunReason) -> bool {
     matches!(
@@ -238,14 +287,27 @@
         NotRunReason::DispatcherUnreachable
             | NotRunReason::NodeLeaving
             | NotRunReason::NodeSuspended
-            | NotRunReason::NoEngine
+            | NotRunReason::NotOwner
     )
 }
 
 impl RequestHandler for Gateway {
     fn submit(&self, request: CallerRequest, answer: &mut dyn AnswerSink, hang_up: &HangUp) -> Verdict {
-        let deadline = self.clock.now() + request.profile.time_left;
-        self.pass(&mut Passage { request, deadline, answer, hang_up })
+        let tenant = request.profile.tenant.clone();
+        let work = request.profile.prompt_tokens.saturating_add(request.profile.max_output_tokens);
+        let permit = match self.admission.admit(&tenant, work, hang_up) {
+            Ok(permit) => permit,
+            Err(refusal) => return Verdict::NotRun(refusal),
+        };
+        let prompt_tokens = request.profile.prompt_tokens;
+        let mut recording = RecordingSink::new(answer, self.admission.answer_bytes_maximum());
+        let verdict = self.pass_once(request, &mut recording, hang_up);
+        let used = match verdict {
+            Verdict::NotRun(_) => 0,
+            Verdict::Completed | Verdict::MayHaveRun(_) => prompt_tokens.saturating_add(recording.tokens()),
+        };
+        self.admission.release(permit, used);
+        verdict
     }
 
     fn directory(&self) -> Arc<CallerDirectory> {
--- a/crates/node/src/traffic/pool_runtime.rs
+++ b/crates/node/src/traffic/pool_runtime.rs
@@ -163,7 +163,7 @@
     pub fn release(&self) {
         let mut state = self.lock();
         state.owner = false;
-        state.dispatcher.give_up_waiting(NotRunReason::NoEngine, self.clock.now());
+        state.dispatcher.give_up_waiting(NotRunReason::NotOwner, self.clock.now());
         drop(state);
         self.wake();
     }
--- a/crates/node/src/traffic/registry.rs
+++ b/crates/node/src/traffic/registry.rs
@@ -65,9 +65,9 @@
         }
         let owner = snapshot.route(pool).and_then(|route| route.owners.first());
         if owner != Some(&snapshot.me) {
-            return Err(NotRun::new(NotRunReason::NoEngine));
+            return Err(NotRun::new(NotRunReason::NotOwner));
         }
-        let runtime = self.get(pool).ok_or(NotRun::new(NotRunReason::NoEngine))?;
+        let runtime = self.get(pool).ok_or(NotRun::new(NotRunReason::NotOwner))?;
         runtime.submit(request)
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,8 +4,10 @@
 mod forward;
 mod frame;
 mod handshake;
+mod peer;
 
 pub use codec::{WireError, decode, encode};
 pub use forward::{ForwardReply, ForwardRequest, PoolLoad, RevocationOutcome};
 pub use frame::{FRAME_MAXIMUM_BYTES, read_counted_frame, read_frame, write_frame};
 pub use handshake::{Hello, PROTOCOL_VERSION, Purpose, read_hello, write_hello};
+pub use peer::PeerMessage;
