--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, load, faults and experiments that rehearse a havengate deployment on one machine.
 
+pub mod checker;
 pub mod compare;
 pub mod deployment;
 pub mod engine;
--- a/crates/rehearsal/src/simulate/figures.rs
+++ b/crates/rehearsal/src/simulate/figures.rs
@@ -124,7 +124,7 @@
 }
 
 /// The 95th percentile by rank: the least value that 95 of 100 don't exceed.
-fn p95_ms(values: impl Iterator<Item = Duration>) -> f64 {
+pub(crate) fn p95_ms(values: impl Iterator<Item = Duration>) -> f64 {
     let mut values: Vec<Duration> = values.collect();
     values.sort_unstable();
     let rank = (values.len() * 95).div_ceil(100);
--- a/crates/rehearsal/src/simulate/mod.rs
+++ b/crates/rehearsal/src/simulate/mod.rs
@@ -21,6 +21,7 @@
 
 pub use checker::Violations;
 pub use error::SimulationError;
+pub(crate) use figures::p95_ms;
 pub use figures::{ShareFigures, SimulationFigures};
 pub use plan::{RoleSchedule, RoleSource, ScheduledRoles, SimulationPlan, largest_pool};
 
