Keep role policies over changes of configuration that don't touch them

Cause: each new configuration made the pool's policies anew, so hysteresis and dwell times, and what shadows had counted, started over. Change: a pool's standing remembers the choices and replaces only what differs. Conclusion: all tests of the core pass; none covers this path by itself.

--- a/crates/core/src/control/pools.rs
+++ b/crates/core/src/control/pools.rs
@@ -8,7 +8,7 @@
     AuthorityAction, AuthorityInput, CompletedChange, EngineSpecification, EngineTarget, PoolControl,
     PoolControlConfig, RoleFloors,
 };
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, PolicyChoice};
 use crate::dispatch::{EngineAvailability, EngineSlot};
 use crate::membership::{Member, View, rank_pool_owners};
 use crate::policy::{PoolLimits, RoleCounts, ShadowRolePolicy, role_policy};
@@ -24,11 +24,20 @@
     /// Its control; only on nodes of the pool's zones.
     pub control: Option<PoolControl>,
     addresses: BTreeMap<EngineName, Address>,
+    role_policy: Option<PolicyChoice>,
+    shadow_policies: Vec<PolicyChoice>,
 }
 
 impl PoolStanding {
     pub(super) fn new(pool: Pool) -> Self {
-        PoolStanding { pool, owners: Vec::new(), control: None, addresses: BTreeMap::new() }
+        PoolStanding {
+            pool,
+            owners: Vec::new(),
+            control: None,
+            addresses: BTreeMap::new(),
+            role_policy: None,
+            shadow_policies: Vec::new(),
+        }
     }
 
     /// Whether `member` is the owner, as far as is known here.
@@ -110,10 +119,17 @@
         let new_control = || PoolControl::new(config.clone(), self.pool.id.clone(), me, now);
         let control = self.control.get_or_insert_with(new_control);
         control.set_engines(specifications.collect(), floors, now);
-        // A configuration in force names only policies that exist, since it was validated.
-        control.set_policy(configuration.role_policy.as_ref().and_then(|choice| role_policy(choice).ok()));
-        let shadow = |choice| ShadowRolePolicy::new(choice).ok();
-        control.set_shadows(configuration.shadow_role_policies.iter().filter_map(shadow).collect());
+        // Policies remember what they have seen, so they are made anew only when they change. A configuration in force
+        // names only policies that exist, since it was validated.
+        if self.role_policy != configuration.role_policy {
+            self.role_policy.clone_from(&configuration.role_policy);
+            control.set_policy(configuration.role_policy.as_ref().and_then(|choice| role_policy(choice).ok()));
+        }
+        if self.shadow_policies != configuration.shadow_role_policies {
+            self.shadow_policies.clone_from(&configuration.shadow_role_policies);
+            let shadow = |choice| ShadowRolePolicy::new(choice).ok();
+            control.set_shadows(configuration.shadow_role_policies.iter().filter_map(shadow).collect());
+        }
     }
 
     /// This node begins a new life as `me`. The control stays: replies to calls of the former life are still to come.
