Start the lease when a node becomes a member, however it does

Cause: a node that became a member for want of peers, not by an acknowledgement, kept the time of its last call from before; the next peer could then make it see a clock gap that was none. Change: beginning a membership restarts the lease.

--- a/crates/core/src/membership/detector.rs
+++ b/crates/core/src/membership/detector.rs
@@ -241,8 +241,9 @@
         }
     }
 
-    /// Becomes a member: others may hear of this life from now on.
+    /// Becomes a member. Others hear of this life from now on only, so none can have suspected it before.
     pub(super) fn begin_membership(&mut self, now: Timestamp) {
+        self.lease.restart(now);
         self.callers.clear();
         self.set_standing(Standing::Trusted);
         for suspicion in self.suspicions.values_mut() {
--- a/crates/core/src/membership/receive.rs
+++ b/crates/core/src/membership/receive.rs
@@ -131,16 +131,12 @@
         self.had_contact = true;
         match self.standing {
             Standing::Trusted if is_witness => self.lease.renew(sent_at),
-            Standing::Suspended { reason: SuspensionReason::Joining } => {
-                self.joined_through(sender.address, sent_at, now)
-            }
+            Standing::Suspended { reason: SuspensionReason::Joining } => self.joined_through(sender.address, now),
             _ => {}
         }
     }
 
-    fn joined_through(&mut self, peer: Address, sent_at: Timestamp, now: Timestamp) {
-        self.lease.restart(now);
-        self.lease.renew(sent_at);
+    fn joined_through(&mut self, peer: Address, now: Timestamp) {
         self.begin_membership(now);
         self.request_sync(peer, now);
     }
