--- a/crates/core/tests/membership_basics.rs
+++ b/crates/core/tests/membership_basics.rs
@@ -101,6 +101,21 @@
     assert!(cluster.all().all(|index| cluster.state_seen_by(index, member) == Some(MemberState::Leaving)));
 }
 
+#[test]
+fn the_last_node_of_a_deployment_is_suspended_until_the_platform_lists_its_peer_as_leaving() {
+    let mut cluster = converged(1, 2, 1);
+    cluster.kill(1);
+    cluster.run_for(Duration::from_secs(60));
+    assert!(!cluster.trusts_itself(0), "a dead peer looks the same as being cut off");
+    cluster.call(0, |membership, now| membership.hint_leaving(&[address_of(1)], now));
+    cluster.run_for(Duration::from_secs(1));
+    assert!(cluster.trusts_itself(0));
+    cluster.run_for(Duration::from_secs(60));
+    assert!(cluster.trusts_itself(0));
+    cluster.restart(1);
+    assert!(cluster.run_until(JOIN_LIMIT, Cluster::has_converged).is_some());
+}
+
 #[test]
 fn a_restarted_process_is_a_new_life_and_the_old_one_stays_dead() {
     for seed in SEEDS {
