Name the zones that hold up a pending version

Cause: a pending confirmation and the status listed members only, so a version held up by an unreachable zone read as "waiting for" nobody. Change: both carry missing_zones from the replica's status; the command line prints them; the status also names them while nothing is pending. Answers of older nodes without the field are still read. Conclusion: operators see which zone to mend or give up.

--- a/crates/cli/src/report/plan.rs
+++ b/crates/cli/src/report/plan.rs
@@ -49,8 +49,8 @@
             ConfirmAnswer::InForce { version } => {
                 format!("plan {} accepted: configuration {} is in force everywhere", self.plan, version.0)
             }
-            ConfirmAnswer::Pending { version, waiting_for } => {
-                let (version, missing) = (version.0, missing_text(waiting_for));
+            ConfirmAnswer::Pending { version, waiting_for, missing_zones } => {
+                let (version, missing) = (version.0, missing_text(waiting_for, missing_zones));
                 format!("plan {} pending: configuration {version} waits for: {missing}", self.plan)
             }
             ConfirmAnswer::Unknown => format!(
--- a/crates/cli/src/report/status.rs
+++ b/crates/cli/src/report/status.rs
@@ -42,8 +42,17 @@
 
 fn configuration_text(configuration: &ConfigurationStatus) -> String {
     let in_force = format!("configuration {} in force here", configuration.version.0);
-    let Some(pending) = configuration.pending else { return in_force };
-    format!("{in_force}, {} pending, waiting for: {}", pending.0, missing_text(&configuration.waiting_for))
+    let Some(pending) = configuration.pending else { return format!("{in_force}{}", zones_text(configuration)) };
+    let missing = missing_text(&configuration.waiting_for, &configuration.missing_zones);
+    format!("{in_force}, {} pending, waiting for: {missing}", pending.0)
+}
+
+/// Zones that would hold up the next change, while none is pending.
+fn zones_text(configuration: &ConfigurationStatus) -> String {
+    if configuration.missing_zones.is_empty() {
+        return String::new();
+    }
+    format!("; a change would wait for: {}", missing_text(&[], &configuration.missing_zones))
 }
 
 fn members_text(members: &[MemberStatus]) -> String {
--- a/crates/cli/src/report/table.rs
+++ b/crates/cli/src/report/table.rs
@@ -1,6 +1,6 @@
 //! Text in columns and lists.
 
-use havengate_core::world::Address;
+use havengate_core::world::{Address, ZoneName};
 
 /// Rows under a header, each column as wide as its widest cell; two blanks between columns.
 pub fn table(header: &[&str], rows: &[Vec<String>]) -> String {
@@ -22,10 +22,12 @@
     value.map_or_else(|| "-".to_owned(), |value| value.to_string())
 }
 
-/// Members that are missing, or what it means that none is: the store, or a whole zone, holds the change up.
-pub fn missing_text(members: &[Address]) -> String {
-    if members.is_empty() {
+/// Members and zones that are missing, or what it means that none is: the store, or a whole zone, holds the change up.
+pub fn missing_text(members: &[Address], zones: &[ZoneName]) -> String {
+    if members.is_empty() && zones.is_empty() {
         return "the store or a zone without members in view".to_owned();
     }
-    members.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+    let members = members.iter().map(ToString::to_string);
+    let zones = zones.iter().map(|zone| format!("zone {zone} (can't be reached)"));
+    members.chain(zones).collect::<Vec<_>>().join(", ")
 }
--- a/crates/cli/tests/cli/operators_api.rs
+++ b/crates/cli/tests/cli/operators_api.rs
@@ -55,6 +55,7 @@
             version: ConfigurationVersion(6),
             pending: Some(ConfigurationVersion(7)),
             waiting_for: vec![address(MISSING)],
+            missing_zones: vec![ZoneName::from("kirtipur")],
         },
         members: vec![member],
         pools: vec![PoolStatus {
@@ -117,7 +118,7 @@
         "node 127.0.0.1:21301 in patan, the node takes requests",
         "up 1m 1s",
         "12 open streams, store not heard of here",
-        "configuration 6 in force here, 7 pending, waiting for: 127.0.0.1:21302",
+        "configuration 6 in force here, 7 pending, waiting for: 127.0.0.1:21302, zone kirtipur (can't be reached)\n",
         "127.0.0.1:21302  thamel  suspect  configuration 6",
         "pool lekh-model/kathmandu-valley/0, owner 127.0.0.1:21301, term -, 4 waiting",
         "lekh-model-01  patan  prefill  draining  3          -      -",
@@ -126,6 +127,15 @@
     assert_eq!(node.received()[0].line, "GET /status");
 }
 
+#[test]
+fn a_zone_that_would_hold_up_a_change_is_named_before_one_is_made() {
+    let mut quiet = status();
+    quiet.configuration.pending = None;
+    let node = FakeNode::answering(200, &quiet);
+    let expected = "configuration 6 in force here; a change would wait for: zone kirtipur (can't be reached)\n";
+    assert_prints(&node, &["status"], &[expected]);
+}
+
 #[test]
 fn engines_of_a_pool_that_another_node_owns_are_counted() {
     let mut seen_from_elsewhere = status();
@@ -217,10 +227,13 @@
 #[test]
 fn confirming_tells_in_force_pending_and_unknown_apart() {
     let version = ConfigurationVersion(7);
-    let pending = |waiting_for| ConfirmAnswer::Pending { version, waiting_for };
+    let pending = |waiting_for| ConfirmAnswer::Pending { version, waiting_for, missing_zones: Vec::new() };
+    let missing_zones = vec![ZoneName::from("kirtipur")];
+    let cut_off = ConfirmAnswer::Pending { version, waiting_for: Vec::new(), missing_zones };
     for (answer, code, expected) in [
         (ConfirmAnswer::InForce { version }, 0, "configuration 7 is in force everywhere"),
         (pending(vec![address(MISSING)]), 4, "configuration 7 waits for: 127.0.0.1:21302"),
+        (cut_off, 4, "configuration 7 waits for: zone kirtipur (can't be reached)"),
         (pending(Vec::new()), 4, "configuration 7 waits for: the store or a zone"),
         (ConfirmAnswer::Unknown, 3, "may have taken effect"),
     ] {
--- a/crates/node/src/operations/mod.rs
+++ b/crates/node/src/operations/mod.rs
@@ -9,3 +9,4 @@
 
 pub use change_text::describe_change;
 pub use service::{DrainSignal, OperatorService, OperatorServiceParts};
+pub use status::{configuration_status, confirm_answer};
--- a/crates/node/src/operations/service.rs
+++ b/crates/node/src/operations/service.rs
@@ -6,18 +6,17 @@
 use std::time::Duration;
 
 use crossbeam::channel::Sender;
-use havengate_core::configuration::{ConfigurationRecord, ConfigurationVersion, VersionState, configuration_key};
+use havengate_core::configuration::{ConfigurationRecord, ConfigurationVersion, configuration_key};
 use havengate_core::control::ControlInput;
 use havengate_core::plan::{
     ConfirmationOutcome, KeepPlan, KeepPlanOutcome, Plan, PlanBook, StagePlan, StoreEditEnd, plans_key,
 };
 use havengate_core::policy::{PLACEMENT_POLICIES, ROLE_POLICIES};
 use havengate_core::store::{ObjectKey, StoreReply, StoreRequest, StoredObject};
-use havengate_core::world::Address;
 
 use super::planning::{make_plan, plan_answer};
 use super::policies::policy_description;
-use super::status::{StatusContext, status_of, work_by_pool};
+use super::status::{StatusContext, confirm_answer, status_of, work_by_pool};
 use super::store_edits::run_edit;
 use crate::callers::Readiness;
 use crate::clock::Clock;
@@ -113,16 +112,13 @@
     fn await_acceptance(&self, version: ConfigurationVersion, wait: Duration) -> Result<ConfirmAnswer, OperatorError> {
         let until = self.0.clock.now() + wait;
         loop {
-            let (state, missing) = self.ask(move |control| {
-                let status = control.replica().status();
-                let missing: Vec<Address> = status.missing_members.iter().map(|member| member.address).collect();
-                (control.replica().state_of(version), missing)
+            let answer = self.ask(move |control| {
+                let replica = control.replica();
+                confirm_answer(version, replica.state_of(version), &replica.status())
             })?;
-            if state == VersionState::Accepted {
-                return Ok(ConfirmAnswer::InForce { version });
-            }
-            if self.0.clock.now() >= until {
-                return Ok(ConfirmAnswer::Pending { version, waiting_for: missing });
+            let in_force = matches!(answer, ConfirmAnswer::InForce { .. });
+            if in_force || self.0.clock.now() >= until {
+                return Ok(answer);
             }
             thread::sleep(LOOK_EVERY);
         }
--- a/crates/node/src/operations/status.rs
+++ b/crates/node/src/operations/status.rs
@@ -4,13 +4,17 @@
 use std::time::Duration;
 
 use havengate_core::authority::AuthorityStatus;
-use havengate_core::configuration::Configuration;
+use havengate_core::configuration::{
+    Configuration, ConfigurationStatus as ReplicaStatus, ConfigurationVersion, VersionState,
+};
 use havengate_core::control::{NodeControl, PoolStanding};
 use havengate_core::dispatch::EngineAvailability;
 use havengate_core::time::Timestamp;
 use havengate_core::world::{EngineName, Pool, PoolId, ZoneName};
 
-use crate::operators::{ConfigurationStatus, EngineStatus, MemberStatus, NodeStatus, PoolStatus, StatusAnswer};
+use crate::operators::{
+    ConfigurationStatus, ConfirmAnswer, EngineStatus, MemberStatus, NodeStatus, PoolStatus, StatusAnswer,
+};
 use crate::traffic::{PoolRegistry, PoolRuntime};
 
 /// What the status needs besides control.
@@ -65,21 +69,31 @@
             open_streams: context.open_streams,
             store_last_seen: context.store_last_seen,
         },
-        configuration: configuration_of(control),
+        configuration: configuration_status(&control.replica().status()),
         members: control.view().records().map(member_of).collect(),
         pools: control.pools().map(|standing| pool_of(control, standing, context)).collect(),
     }
 }
 
-fn configuration_of(control: &NodeControl) -> ConfigurationStatus {
-    let status = control.replica().status();
+/// The configuration as operators see it, from what its replica tells.
+pub fn configuration_status(replica: &ReplicaStatus) -> ConfigurationStatus {
     ConfigurationStatus {
-        version: status.in_force.unwrap_or_default(),
-        pending: status.pending.last().map(|pending| pending.version),
-        waiting_for: status.missing_members.iter().map(|member| member.address).collect(),
+        version: replica.in_force.unwrap_or_default(),
+        pending: replica.pending.last().map(|pending| pending.version),
+        waiting_for: replica.missing_members.iter().map(|member| member.address).collect(),
+        missing_zones: replica.missing_zones.clone(),
     }
 }
 
+/// The answer to the confirmation of `version`, which is in `state`: accepted, or who and what holds it up.
+pub fn confirm_answer(version: ConfigurationVersion, state: VersionState, replica: &ReplicaStatus) -> ConfirmAnswer {
+    if state == VersionState::Accepted {
+        return ConfirmAnswer::InForce { version };
+    }
+    let ConfigurationStatus { waiting_for, missing_zones, .. } = configuration_status(replica);
+    ConfirmAnswer::Pending { version, waiting_for, missing_zones }
+}
+
 fn member_of(record: &havengate_core::membership::MemberRecord) -> MemberStatus {
     MemberStatus {
         address: record.member.address,
--- a/crates/node/src/operators/messages.rs
+++ b/crates/node/src/operators/messages.rs
@@ -57,6 +57,9 @@
     pub pending: Option<ConfigurationVersion>,
     /// Members whose acknowledgement of the staged version is missing.
     pub waiting_for: Vec<Address>,
+    /// Zones that this node can't reach and without which no version comes into force.
+    #[serde(default)]
+    pub missing_zones: Vec<ZoneName>,
 }
 
 /// One member of the view.
@@ -232,6 +235,9 @@
         version: ConfigurationVersion,
         /// The members that are missing.
         waiting_for: Vec<Address>,
+        /// Zones without which the change can't come into force and that can't be reached. No member of them is named.
+        #[serde(default)]
+        missing_zones: Vec<ZoneName>,
     },
     /// The store did not answer: the confirmation may or may not have taken effect. Ask for the plan again.
     Unknown,
