live: checker over callers' and engines' histories, faults

Cause: sums that match don't prove that refused requests did not run, that keys ran once or that answers were whole. Runs in engines' histories carry the hash of the prompt's first block.

--- a/crates/rehearsal/src/commands/live.rs
+++ b/crates/rehearsal/src/commands/live.rs
@@ -10,7 +10,7 @@
 use havengate_node::settings::{LogLevel, LogSettings};
 use havengate_rehearsal::deployment::Deployment;
 use havengate_rehearsal::experiment::Experiment;
-use havengate_rehearsal::live::{Cluster, LiveSummary, Rehearsal, mild_experiment, rehearse};
+use havengate_rehearsal::live::{Cluster, Event, LiveSummary, Rehearsal, mild_experiment, rehearse, seeded_events};
 
 use super::simulate::OutputFormat;
 
@@ -37,6 +37,9 @@
     /// Multiplies the rates of the load
     #[bpaf(argument("F"), fallback(1.0))]
     rate_scale: f64,
+    /// Lets engines, nodes, links and the platform fail meanwhile, and changes roles, by a schedule from the seed; an
+    /// experiment that names faults has these instead
+    faults: bool,
     /// How the summary is printed: text or json
     #[bpaf(argument("FORMAT"), fallback(OutputFormat::Text))]
     format: OutputFormat,
@@ -83,8 +86,9 @@
     let logged = LogSettings { level: LogLevel::Warn, ..LogSettings::default() };
     logging::start(&logged).map_err(|error| error.to_string())?;
     let duration = options.seconds.map_or(experiment.duration().min(LOAD_MAXIMUM), Duration::from_secs);
-    let summary =
-        rehearse(Rehearsal { deployment, experiment, duration, rate_scale: options.rate_scale, seed: options.seed });
+    let events = events(options, &deployment, &experiment, duration);
+    let (rate_scale, seed) = (options.rate_scale, options.seed);
+    let summary = rehearse(Rehearsal { deployment, experiment, duration, rate_scale, seed, events });
     let summary = summary.map_err(|error| error.to_string())?;
     match options.format {
         OutputFormat::Json => {
@@ -92,7 +96,15 @@
         }
         OutputFormat::Text => print_text(&summary),
     }
-    Ok(if summary.is_balanced() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if summary.is_balanced() && summary.violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn events(options: &LiveOptions, deployment: &Deployment, experiment: &Experiment, duration: Duration) -> Vec<Event> {
+    match (experiment.faults.is_empty(), options.faults) {
+        (false, _) => experiment.faults.iter().cloned().map(Event::Fault).collect(),
+        (true, true) => seeded_events(deployment, duration, options.seed),
+        (true, false) => Vec::new(),
+    }
 }
 
 fn print_text(summary: &LiveSummary) {
@@ -120,4 +132,11 @@
         "  p95 of the first token {:.0} ms, of the token interval {:.1} ms; {} role changes, {} runs on engines",
         summary.first_token_p95_ms, summary.token_interval_p95_ms, summary.role_changes, summary.engine_runs
     );
+    for event in &summary.events {
+        println!("  {event}");
+    }
+    println!("  {} violations", summary.violations.len());
+    for violation in &summary.violations {
+        println!("    {violation}");
+    }
 }
--- a/crates/rehearsal/src/engine/model/history.rs
+++ b/crates/rehearsal/src/engine/model/history.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use havengate_core::authority::{OrderAction, OrderId};
-use havengate_core::request::RequestId;
+use havengate_core::request::{BlockHash, RequestId};
 use havengate_core::time::Timestamp;
 
 use super::work::WorkKind;
@@ -28,6 +28,8 @@
     pub request: RequestId,
     /// The part of the work.
     pub kind: WorkKind,
+    /// The hash of the prompt's first block, if it fills one: tells whose run it is when no one knows the request.
+    pub first_block: Option<BlockHash>,
     /// The life of the engine in which it ran.
     pub incarnation: u64,
     /// When it left the queue.
--- a/crates/rehearsal/src/engine/model/state/stepping.rs
+++ b/crates/rehearsal/src/engine/model/state/stepping.rs
@@ -84,6 +84,7 @@
         let run = self.history.start(RunRecord {
             request: work.request,
             kind: work.kind,
+            first_block: work.blocks.first().copied(),
             incarnation: self.arbiter.report().incarnation,
             started_at: now,
             first_token: work.resume_from,
--- a/crates/rehearsal/src/engine/server/handle.rs
+++ b/crates/rehearsal/src/engine/server/handle.rs
@@ -112,6 +112,11 @@
         self.process.set_faults(faults);
     }
 
+    /// The time on the engine's clock, which its history counts in; it stands still while the engine is paused.
+    pub fn now(&self) -> Timestamp {
+        self.process.model.with_model(|_, now| now)
+    }
+
     /// What has run here, over all lives.
     pub fn history(&self) -> EngineHistory {
         self.process.model.with_model(|model, _| model.history().clone())
--- a/crates/rehearsal/src/live/bootstrap.rs
+++ b/crates/rehearsal/src/live/bootstrap.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use displaydoc::Display;
-use havengate_core::world::Address;
+use havengate_core::configuration::Configuration;
+use havengate_core::world::{Address, ModelName};
 use havengate_node::operators::{ConfirmAnswer, ConfirmRequest, HealthAnswer, PlanAnswer};
 use serde::de::DeserializeOwned;
-use serde_json::json;
+use serde_json::{Value, json};
 use ureq::Agent;
 
 use crate::deployment::Deployment;
@@ -61,8 +62,27 @@
 }
 
 fn confirm_configuration(agent: &Agent, operators: Address, deployment: &Deployment) -> Result<(), String> {
-    let intent = json!({ "configuration": deployment.configuration });
-    let plan: PlanAnswer = post(agent, &format!("http://{operators}/intents"), &intent)?;
+    confirm_by(agent, operators, &json!({ "configuration": deployment.configuration }))
+}
+
+/// States `intent` at a node and confirms the plan for it.
+///
+/// # Errors
+/// What the node answered when it is not accepted.
+pub(super) fn confirm_intent(operators: Address, intent: &Value) -> Result<(), String> {
+    confirm_by(&agent(), operators, intent)
+}
+
+/// An intent that makes an engine of `model` a prefill one and another a decode one, or all mixed.
+pub(super) fn role_intent(configuration: &Configuration, model: &ModelName, split: bool) -> Value {
+    let engines = configuration.engines.iter().filter(|engine| engine.model == *model).count();
+    let special = usize::from(split && engines > 2);
+    let mixed = engines - 2 * special;
+    json!({ "roles": [{ "model": model, "prefill": special, "decode": special, "mixed": mixed }] })
+}
+
+fn confirm_by(agent: &Agent, operators: Address, intent: &Value) -> Result<(), String> {
+    let plan: PlanAnswer = post(agent, &format!("http://{operators}/intents"), intent)?;
     let confirm = ConfirmRequest { wait: Duration::from_secs(10) };
     let answer: ConfirmAnswer = post(agent, &format!("http://{operators}/plans/{}/confirm", plan.id), &confirm)?;
     match answer {
--- a/crates/rehearsal/src/live/cluster.rs
+++ b/crates/rehearsal/src/live/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::sync::Arc;
 
 use displaydoc::Display;
 use havengate_core::world::{Address, Engine, EngineName};
@@ -10,6 +11,7 @@
 use havengate_node::settings::LogSettings;
 
 use super::bootstrap::{BootstrapError, put_in_force};
+use super::gate::{ZoneCut, ZoneGate};
 use crate::deployment::{Deployment, DeploymentMachine};
 use crate::engine::model::EngineModelConfig;
 use crate::engine::server::{EngineHandle, EngineServer, EngineServerError};
@@ -39,6 +41,8 @@
     pub engines: BTreeMap<EngineName, EngineHandle>,
     /// The nodes, by the address where peers reach them.
     pub nodes: BTreeMap<Address, Node>,
+    /// Cuts a zone off from the others.
+    pub zone_cut: ZoneCut,
 }
 
 impl Cluster {
@@ -52,9 +56,10 @@
         for engine in &deployment.configuration.engines {
             engines.insert(engine.name.clone(), start_engine(&deployment, engine)?);
         }
-        let mut cluster = Cluster { deployment, platform, engines, nodes: BTreeMap::new() };
+        let mut cluster =
+            Cluster { deployment, platform, engines, nodes: BTreeMap::new(), zone_cut: ZoneCut::default() };
         for machine in cluster.deployment.machines.clone() {
-            cluster.start_node(&machine, Surroundings::default())?;
+            cluster.start_node(&machine)?;
         }
         put_in_force(&cluster.deployment)?;
         Ok(cluster)
@@ -64,7 +69,9 @@
     ///
     /// # Errors
     /// When its sockets can't be had.
-    pub fn start_node(&mut self, machine: &DeploymentMachine, surroundings: Surroundings) -> Result<(), ClusterError> {
+    pub fn start_node(&mut self, machine: &DeploymentMachine) -> Result<(), ClusterError> {
+        let gate = ZoneGate::new(&self.deployment, machine.zone.clone(), self.zone_cut.clone());
+        let surroundings = Surroundings { gate: Arc::new(gate), ..Surroundings::default() };
         let settings = self.deployment.node_settings(machine, LogSettings::default());
         let node = Node::start_in(settings, surroundings)?;
         self.nodes.insert(machine.peers_address, node);
--- a/crates/rehearsal/src/live/load/caller.rs
+++ b/crates/rehearsal/src/live/load/caller.rs
@@ -118,7 +118,7 @@
             key: IdempotencyKey { tenant: call.tenant.clone(), key: key.clone() },
             first_block: first_block(prompt),
         });
-        let seen_by_engine = if call.is_chat { format!("user: {prompt}") } else { prompt.to_owned() };
+        let seen_by_engine = if call.is_chat { format!("user: {prompt}\n\n") } else { prompt.to_owned() };
         CallRecord {
             number: call.number,
             request: None,
--- a/crates/rehearsal/src/live/mod.rs
+++ b/crates/rehearsal/src/live/mod.rs
@@ -2,12 +2,18 @@
 
 mod bootstrap;
 mod cluster;
+mod fault_driver;
+mod fault_schedule;
+mod gate;
 mod load;
 mod rehearsal;
 mod summary;
 
 pub use bootstrap::{BootstrapError, put_in_force};
 pub use cluster::{Cluster, ClusterError};
+pub use fault_driver::{FaultDriver, FaultHistory};
+pub use fault_schedule::{Event, seeded_events};
+pub use gate::{ZoneCut, ZoneGate};
 pub use load::{
     CallerTargets, LoadHistory, LoadPlan, PlannedCall, ReadinessError, mild_experiment, plan_calls, run_load,
     wait_for_claims,
--- a/crates/rehearsal/src/live/summary.rs
+++ b/crates/rehearsal/src/live/summary.rs
@@ -49,6 +49,10 @@
     pub role_changes: u64,
     /// Runs of requests on engines, prefills included.
     pub engine_runs: u64,
+    /// What failed and what was changed, a line each.
+    pub events: Vec<String>,
+    /// Guarantees that were broken, a line each.
+    pub violations: Vec<String>,
 }
 
 /// Requests under one contract.
--- a/crates/rehearsal/src/simulate/checker.rs
+++ b/crates/rehearsal/src/simulate/checker.rs
@@ -105,7 +105,7 @@
 }
 
 /// Orders that did not follow from the one before in the same life of the engine.
-fn conflicting_orders<'a>(orders: impl Iterator<Item = &'a OrderRecord>) -> u64 {
+pub(crate) fn conflicting_orders<'a>(orders: impl Iterator<Item = &'a OrderRecord>) -> u64 {
     let mut last: Option<(u64, OrderId)> = None;
     let mut conflicts = 0;
     for order in orders {
--- a/crates/rehearsal/src/simulate/mod.rs
+++ b/crates/rehearsal/src/simulate/mod.rs
@@ -20,6 +20,7 @@
 mod world;
 
 pub use checker::Violations;
+pub(crate) use checker::conflicting_orders;
 pub use error::SimulationError;
 pub(crate) use figures::p95_ms;
 pub use figures::{ShareFigures, SimulationFigures};
