Refuse contracts that rank above the tenant's own

Cause: x-request-contract let a tenant name any contract, so one of a higher priority had other tenants' requests shed before its own. Change: a contract of a higher priority than the tenant's is refused as invalid and not run, also when x-request-priority lowers it; the same or a lower one is taken. Conclusion: a tenant can lower its rank and not raise it.

--- a/crates/node/src/callers/check.rs
+++ b/crates/node/src/callers/check.rs
@@ -74,8 +74,24 @@
     tenant: &Tenant,
     directory: &'a CallerDirectory,
 ) -> Result<&'a Contract, CallerError> {
-    let name = options.contract.as_deref().map_or_else(|| tenant.contract.clone(), ContractName::from);
-    directory.contract(&name).ok_or_else(|| CallerError::invalid(format!("there is no contract `{name}`")))
+    let own = find_contract(&tenant.contract, directory)?;
+    let Some(asked) = options.contract.as_deref() else { return Ok(own) };
+    let asked = find_contract(&ContractName::from(asked), directory)?;
+    require_rank(asked, own)?;
+    Ok(asked)
+}
+
+fn find_contract<'a>(name: &ContractName, directory: &'a CallerDirectory) -> Result<&'a Contract, CallerError> {
+    directory.contract(name).ok_or_else(|| CallerError::invalid(format!("there is no contract `{name}`")))
+}
+
+/// Refuses a contract that ranks above the tenant's own: with it the tenant would have others' requests shed before its.
+fn require_rank(asked: &Contract, own: &Contract) -> Result<(), CallerError> {
+    if asked.priority <= own.priority {
+        return Ok(());
+    }
+    let (asked, own) = (&asked.name, &own.name);
+    Err(CallerError::invalid(format!("the contract `{asked}` has a higher priority than the tenant's own, `{own}`")))
 }
 
 fn model<'a>(body: &CompletionBody, directory: &'a CallerDirectory) -> Result<&'a Model, CallerError> {
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -14,6 +14,7 @@
 use havengate_node::callers::{CallerRequest, Readiness};
 use havengate_node::http_server::HttpServerConfig;
 use http_server_support::{PATIENCE, RawClient, RawResponse};
+use serde_json::json;
 
 const WHOLE: &str = r#"{"model": "lekh-model", "prompt": "check the manuscript"}"#;
 const STREAM: &str = r#"{"model": "lekh-model", "prompt": "check the manuscript", "stream": true,
@@ -229,6 +230,27 @@
     assert_eq!((contract.contract.as_str(), contract.priority), ("ticket", 0), "a caller can't raise its priority");
 }
 
+#[test]
+fn another_contract_must_not_rank_above_the_tenants_own() {
+    let same = submitted("x-request-contract: proof\r\n", WHOLE).profile;
+    assert_eq!((same.contract.as_str(), same.priority), ("proof", 7));
+    let own = submitted("x-request-contract: verdict\r\n", WHOLE).profile;
+    assert_eq!((own.contract.as_str(), own.priority), ("verdict", 7));
+
+    let callers = Callers::new(|_, _, _| panic!("a refused request is not submitted"));
+    for lowered in ["", "x-request-priority: 0\r\n"] {
+        let headers = format!("{KEY}x-request-contract: release-night\r\n{lowered}");
+        let refused = callers.client().post("/v1/completions", &headers, WHOLE);
+        let error = &refused.json()["error"];
+        assert_eq!(
+            (refused.status, &error["code"], &error["verdict"]),
+            (400, &json!("invalid_request"), &json!("not_run"))
+        );
+        let message = error["message"].as_str().expect("a message");
+        assert!(message.contains("`release-night`") && message.contains("`verdict`"), "{message}");
+    }
+}
+
 #[test]
 fn requests_have_identities_of_their_own() {
     let callers = Callers::new(approve);
--- a/crates/node/tests/callers_support/mod.rs
+++ b/crates/node/tests/callers_support/mod.rs
@@ -41,6 +41,20 @@
 token_interval = "100ms"
 repeatable = false
 
+[[contract]]
+name = "proof"
+first_token_within = "3s"
+token_interval = "100ms"
+repeatable = true
+priority = 7
+
+[[contract]]
+name = "release-night"
+first_token_within = "1s"
+token_interval = "50ms"
+repeatable = true
+priority = 8
+
 [[tenant]]
 name = "press"
 api_key = "press-key"
