Feed the metrics of the store, orders, trials and retries

Cause: six metrics were registered and nothing fed them, and the status never told when the store last answered. Change: all calls to the platform go through ObservedPlatform, which counts them and notes the last answer; the outbox counts engines' answers to orders and fences; the gateway counts retries and revocations; the dispatchers' counts and the arms' outcomes are read when metrics are written. goodput_tokens is removed, since no part knows tokens by arm, and retries are told by pool. The test that a counter is written uses pieces_dropped, since retries is no longer a counter of its own.

--- a/crates/node/src/control/outbox.rs
+++ b/crates/node/src/control/outbox.rs
@@ -14,6 +14,7 @@
 use super::workers::Workers;
 use crate::clock::Clock;
 use crate::engines::EngineApi;
+use crate::metrics::{Metrics, OutcomeLabel};
 use crate::peers::{ControlLink, DatagramLink};
 use crate::platform::PlatformApi;
 
@@ -36,6 +37,7 @@
     engine_workers: Workers,
     events: Sender<ControlEvent>,
     clock: Clock,
+    metrics: Arc<Metrics>,
 }
 
 /// What the outbox is made of.
@@ -52,6 +54,8 @@
     pub events: Sender<ControlEvent>,
     /// The node's clock.
     pub clock: Clock,
+    /// Where the engines' answers are counted.
+    pub metrics: Arc<Metrics>,
 }
 
 impl Outbox {
@@ -60,10 +64,10 @@
     /// # Errors
     /// When a thread can't be started.
     pub fn start(parts: OutboxParts) -> io::Result<Self> {
-        let OutboxParts { datagrams, peers, platform, engines, events, clock } = parts;
+        let OutboxParts { datagrams, peers, platform, engines, events, clock, metrics } = parts;
         let store_workers = Workers::start("store", STORE_THREADS, QUEUE_MAXIMUM)?;
         let engine_workers = Workers::start("engine-control", ENGINE_THREADS, QUEUE_MAXIMUM)?;
-        Ok(Outbox { datagrams, peers, platform, engines, store_workers, engine_workers, events, clock })
+        Ok(Outbox { datagrams, peers, platform, engines, store_workers, engine_workers, events, clock, metrics })
     }
 
     /// Carries out an action. Replies come back as events; each call gets exactly one.
@@ -73,14 +77,18 @@
             ControlAction::SendPeer { to, message } => self.peers.send(to.address, PeerMessage::Control(message)),
             ControlAction::Store { caller, request } => self.call_store(caller, request),
             ControlAction::RaiseFence { pool, engine, address, term } => {
-                let input = fence_reply(pool, engine);
-                self.call_engine(move |engines| engines.raise_fence(address, term), input);
+                let metrics = Arc::clone(&self.metrics);
+                let call = move |engines: &dyn EngineApi| counted(&metrics, engines.raise_fence(address, term));
+                self.call_engine(call, fence_reply(pool, engine));
             }
             ControlAction::SendOrder { pool, engine, address, order, send_before } => {
-                let clock = self.clock;
+                let (clock, metrics) = (self.clock, Arc::clone(&self.metrics));
                 let call = move |engines: &dyn EngineApi| {
                     // A process that was paused here may have lost its authority meanwhile.
-                    if clock.now() >= send_before { OrderReply::Unknown } else { engines.order(address, &order) }
+                    if clock.now() >= send_before {
+                        return OrderReply::Unknown;
+                    }
+                    counted(&metrics, engines.order(address, &order))
                 };
                 self.call_engine(call, engine_reply(pool, engine));
             }
@@ -118,6 +126,12 @@
     }
 }
 
+/// Counts an engine's answer to an order or a fence that was sent, and passes it on.
+fn counted(metrics: &Metrics, reply: OrderReply) -> OrderReply {
+    metrics.orders.get_or_create(&OutcomeLabel::of_order(&reply)).inc();
+    reply
+}
+
 fn fence_reply(pool: PoolId, engine: EngineName) -> impl Fn(OrderReply) -> ControlInput + Clone + Send {
     move |reply| ControlInput::FenceReply { pool: pool.clone(), engine: engine.clone(), reply }
 }
--- a/crates/node/src/metrics/labels.rs
+++ b/crates/node/src/metrics/labels.rs
@@ -1,6 +1,8 @@
 //! The labels of metrics. Their values come from configuration or from fixed lists, never from callers' input, so the
 //! number of series is bounded.
 
+use havengate_core::authority::{OrderRefusal, OrderReply};
+use havengate_core::dispatch::Revocation;
 use prometheus_client::encoding::EncodeLabelSet;
 
 /// How a caller's request ended.
@@ -34,15 +36,13 @@
     pub kind: &'static str,
 }
 
-/// Requests of one arm of a trial, by whether they met their contract.
+/// Requests of one arm of a trial, by how they ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ArmLabels {
     /// The arm's name.
     pub arm: String,
-    /// The contract.
-    pub contract: String,
-    /// Whether the first token and the mean interval came in time.
-    pub met: bool,
+    /// `met` or `missed` the contract, `not_run`, or `may_have_run`.
+    pub outcome: &'static str,
 }
 
 /// Something that is told apart by its cause.
@@ -59,6 +59,31 @@
     pub outcome: &'static str,
 }
 
+impl OutcomeLabel {
+    /// What an engine answered to an order or a fence; `unknown` when no answer came.
+    pub fn of_order(reply: &OrderReply) -> Self {
+        let outcome = match reply {
+            OrderReply::Accepted(_) => "accepted",
+            OrderReply::Refused(OrderRefusal::OtherIncarnation, _) => "other_incarnation",
+            OrderReply::Refused(OrderRefusal::StaleTerm, _) => "stale_term",
+            OrderReply::Refused(OrderRefusal::ReplacesOther, _) => "replaces_other",
+            OrderReply::Refused(OrderRefusal::Busy, _) => "busy",
+            OrderReply::Unknown => "unknown",
+        };
+        OutcomeLabel { outcome }
+    }
+
+    /// What a revocation found; `unknown` also when no answer came.
+    pub fn of_revocation(revocation: Option<Revocation>) -> Self {
+        let outcome = match revocation {
+            Some(Revocation::BeforeStart) => "before_start",
+            Some(Revocation::AfterStart) => "after_start",
+            Some(Revocation::Unknown) | None => "unknown",
+        };
+        OutcomeLabel { outcome }
+    }
+}
+
 /// Role changes.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RoleChangeLabels {
@@ -94,9 +119,9 @@
 /// Calls to the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreLabels {
-    /// `read`, `write` or `watch`.
+    /// `read` or `write`.
     pub operation: &'static str,
-    /// `ok`, `conflict`, `throttled` or `unknown`.
+    /// `ok`, `conflict`, or `unknown` when no usable answer came: the store is down, slow or turns callers away.
     pub outcome: &'static str,
 }
 
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -2,6 +2,7 @@
 
 mod labels;
 mod link;
+mod pools;
 mod registration;
 
 use std::fmt;
@@ -19,6 +20,8 @@
 use prometheus_client::registry::Registry;
 
 use link::LinkCollector;
+use pools::PoolCollector;
+pub use pools::PoolCounts;
 
 use crate::peers::LinkCounters;
 
@@ -45,13 +48,9 @@
     pub pieces_dropped: Family<CauseLabel, Counter>,
     /// Answers given again from the record of an earlier request with the same idempotency key.
     pub replays: Counter,
-    /// Requests that ended, by arm of a trial.
-    pub arm_requests: Family<ArmLabels, Counter>,
-    /// Tokens of answers that met their contract, by arm of a trial.
-    pub goodput_tokens: Family<ArmLabels, Counter>,
-    /// Attempts after the first, by the reason why the attempt before did not run.
-    pub retries: Family<CauseLabel, Counter>,
-    /// Revocations of requests, by what they found: `before_start`, `after_start`, `unknown`.
+    /// Requests that this node as a gateway sent to another dispatcher after the first.
+    pub gateway_retries: Counter,
+    /// Revocations of requests by this node as a gateway, by what they found.
     pub revocations: Family<OutcomeLabel, Counter>,
     /// Requests that wait in a pool that this node owns.
     pub queue_length: Family<PoolLabel, Gauge>,
@@ -84,6 +83,13 @@
         metrics
     }
 
+    /// Adds the metrics of the pools, which are read by `counts` whenever metrics are written.
+    #[must_use]
+    pub fn with_pool_counts(mut self, counts: impl Fn() -> Vec<PoolCounts> + Send + Sync + 'static) -> Self {
+        self.registry.register_collector(Box::new(PoolCollector::new(counts)));
+        self
+    }
+
     /// The metrics in Prometheus's text format.
     ///
     /// # Errors
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -27,7 +27,7 @@
 use crate::operations::{OperatorService, OperatorServiceParts};
 use crate::operators::OperatorApi;
 use crate::peers::{ControlLink, DatagramLink, ForwardClient, LinkCounters, LinkGate, OpenGate, PeerListener};
-use crate::platform::{HttpPlatformApi, PlatformApi, PlatformTimeouts};
+use crate::platform::{HttpPlatformApi, ObservedPlatform, PlatformApi, PlatformTimeouts};
 use crate::service::NodeService;
 use crate::settings::{Limits, Settings};
 use crate::traffic::{Gateway, GatewayParts, Hops, PoolFactory, PoolRegistry};
@@ -112,8 +112,12 @@
         let registry = Arc::new(PoolRegistry::new(Arc::clone(&snapshot), clock));
         let (events, incoming) = bounded(EVENTS_MAXIMUM);
         let engines: Arc<dyn EngineApi> = Arc::new(HttpEngineApi::new(engine_timeouts(&settings)));
-        let platform: Arc<dyn PlatformApi> =
-            Arc::new(HttpPlatformApi::new(settings.platform_address, platform_timeouts(&settings)));
+        let pools = Arc::clone(&registry);
+        let metrics = Metrics::with_link_counters(Arc::clone(&counters)).with_pool_counts(move || pools.counts());
+        let metrics = Arc::new(metrics);
+        let platform = HttpPlatformApi::new(settings.platform_address, platform_timeouts(&settings));
+        let observed = Arc::new(ObservedPlatform::new(Arc::new(platform), Arc::clone(&metrics), clock));
+        let platform: Arc<dyn PlatformApi> = Arc::<ObservedPlatform>::clone(&observed);
         let peers = Arc::new(ControlLink::new(Arc::clone(&member), Arc::clone(&gate), Arc::clone(&counters)));
         let admission =
             Admission::start(AdmissionParts { me, peers: Arc::clone(&peers), platform: Arc::clone(&platform), clock })?;
@@ -134,6 +138,7 @@
             engines: Arc::clone(&engines),
             events: events.clone(),
             clock,
+            metrics: Arc::clone(&metrics),
         })?;
         let identity = NodeIdentity { member: me, zone: settings.zone.clone(), seeds: settings.seeds.clone() };
         let control = NodeControl::new(control, identity, clock.now(), me.incarnation.0)?;
@@ -145,7 +150,6 @@
             factory,
             clock,
         });
-        let metrics = Arc::new(Metrics::with_link_counters(Arc::clone(&counters)));
         let parts = ControlThreadParts {
             control,
             outbox,
@@ -166,6 +170,7 @@
             zone: settings.zone.clone(),
             seed: me.incarnation.0,
             clock,
+            metrics: Arc::clone(&metrics),
         });
         let caller_api = CallerApi::new(Arc::new(gateway), caller_limits(&settings), Arc::clone(&metrics));
         let callers = HttpServer::bind(settings.callers_address.0, callers_server(&settings), Arc::new(caller_api))?;
@@ -178,6 +183,7 @@
             platform,
             drain,
             open_streams: Box::new(move || u32::try_from(open.streams_open.get()).unwrap_or_default()),
+            store_last_seen: Box::new(move || observed.store_last_seen()),
             callers_failure: callers.failure_watch(),
             clock,
         });
--- a/crates/node/src/operations/service.rs
+++ b/crates/node/src/operations/service.rs
@@ -49,6 +49,8 @@
     pub drain: DrainSignal,
     /// Streams to callers that are open.
     pub open_streams: Box<dyn Fn() -> u32 + Send + Sync>,
+    /// Time since the platform's store last answered any call of this node.
+    pub store_last_seen: Box<dyn Fn() -> Option<Duration> + Send + Sync>,
     /// Whether callers can still connect.
     pub callers_failure: FailureWatch,
     /// The node's clock.
@@ -162,7 +164,7 @@
             now: self.0.clock.now(),
             readiness: self.readiness(),
             open_streams: (self.0.open_streams)(),
-            store_last_seen: None,
+            store_last_seen: (self.0.store_last_seen)(),
             work: work_by_pool(&self.0.registry, &self.0.snapshot.load().configuration),
         };
         match self.ask(move |control| status_of(control, &context)) {
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -3,6 +3,8 @@
 mod api;
 pub mod dialect;
 mod http;
+mod observed;
 
 pub use api::PlatformApi;
 pub use http::{HttpPlatformApi, PlatformTimeouts};
+pub use observed::ObservedPlatform;
--- a/crates/node/src/traffic/gateway.rs
+++ b/crates/node/src/traffic/gateway.rs
@@ -6,9 +6,9 @@
 
 use havengate_core::claims::{ClaimOutcome, RecordedOutcome};
 use havengate_core::control::link_latency;
-use havengate_core::dispatch::{RetryBudget, RetryBudgetConfig};
+use havengate_core::dispatch::{RetryBudget, RetryBudgetConfig, Revocation};
 use havengate_core::gateway::{
-    GatewayAction, GatewayConfig, GatewayEvent, GatewayRequest, PoolLoad, PoolOption, PoolPicker, Target,
+    AttemptNumber, GatewayAction, GatewayConfig, GatewayEvent, GatewayRequest, PoolLoad, PoolOption, PoolPicker, Target,
 };
 use havengate_core::request::{RequestId, RequestProfile};
 use havengate_core::time::Timestamp;
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::control::{ControlSnapshot, PoolRoute, SharedSnapshot};
 use crate::http_server::HangUp;
+use crate::metrics::{Metrics, OutcomeLabel};
 
 /// How often a waiting request looks whether its caller has hung up or its deadline has passed.
 const CHECK_EVERY: Duration = Duration::from_millis(20);
@@ -32,6 +33,9 @@
 /// When a caller is told to come back if no dispatcher took the request.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The first dispatcher that a request is sent to; those after it are retries.
+const FIRST_ATTEMPT: AttemptNumber = AttemptNumber(1);
+
 /// What a gateway works with.
 pub struct GatewayParts {
     /// Control's state.
@@ -46,6 +50,8 @@
     pub seed: u64,
     /// The node's clock.
     pub clock: Clock,
+    /// Where retries and revocations are counted.
+    pub metrics: Arc<Metrics>,
 }
 
 /// Serves callers' requests.
@@ -55,6 +61,7 @@
     admission: Arc<Admission>,
     zone: ZoneName,
     clock: Clock,
+    metrics: Arc<Metrics>,
     config: GatewayConfig,
     picker: Mutex<PoolPicker>,
     budget: Mutex<RetryBudget>,
@@ -84,6 +91,7 @@
             admission: parts.admission,
             zone: parts.zone,
             clock: parts.clock,
+            metrics: parts.metrics,
             picker: Mutex::new(PoolPicker::new(config.clone(), parts.seed)),
             config,
             budget: Mutex::new(RetryBudget::new(RetryBudgetConfig::default())),
@@ -125,6 +133,7 @@
             if !may_change_hands || !self.await_new_owners(&snapshot, passage, patience) {
                 return verdict;
             }
+            self.metrics.gateway_retries.inc();
         }
     }
 
@@ -191,6 +200,9 @@
         match action {
             GatewayAction::Forward { attempt, target, resume_from, time_left } => {
                 *open = None;
+                if attempt > FIRST_ATTEMPT {
+                    self.metrics.gateway_retries.inc();
+                }
                 let profile = RequestProfile { time_left, ..passage.request.profile.clone() };
                 let request = HopRequest { profile, prompt: passage.request.prompt.clone(), resume_from };
                 match self.hops.open(attempt, &target, snapshot.me, request) {
@@ -202,6 +214,7 @@
             GatewayAction::Revoke { attempt, peer } => {
                 let request = passage.request.profile.id;
                 let event = self.hops.revoke(attempt, peer, snapshot.me, request);
+                self.metrics.revocations.get_or_create(&OutcomeLabel::of_revocation(found(&event))).inc();
                 *open = None;
                 machine.step(event, self.clock.now());
                 None
@@ -280,6 +293,14 @@
     }
 }
 
+/// What a revocation found; `None` when its answer is lost.
+fn found(event: &GatewayEvent) -> Option<Revocation> {
+    match event {
+        GatewayEvent::Revoked { revocation, .. } => Some(*revocation),
+        _ => None,
+    }
+}
+
 /// Whether a refusal may come from a pool that is changing hands.
 fn changes_hands(reason: NotRunReason) -> bool {
     matches!(
--- a/crates/node/src/traffic/registry.rs
+++ b/crates/node/src/traffic/registry.rs
@@ -12,6 +12,7 @@
 use super::pool_runtime::{PoolRuntime, SubmittedRequest};
 use crate::clock::Clock;
 use crate::control::SharedSnapshot;
+use crate::metrics::PoolCounts;
 use crate::peers::ForwardService;
 
 /// The dispatchers of this node, by pool. Control adds and updates them; traffic finds them.
@@ -52,6 +53,18 @@
         self.all().iter().map(|(_, pool)| pool.open_requests()).sum()
     }
 
+    /// What the dispatchers have counted, for metrics.
+    pub fn counts(&self) -> Vec<PoolCounts> {
+        let counts = |(pool, runtime): (PoolId, Arc<PoolRuntime>)| {
+            runtime.with_dispatcher(|dispatcher, _| PoolCounts {
+                pool,
+                dispatch: dispatcher.counters().clone(),
+                arms: dispatcher.arm_outcomes(),
+            })
+        };
+        self.all().into_iter().map(counts).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<PoolId, Arc<PoolRuntime>>> {
         self.pools.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/node/tests/operators.rs
+++ b/crates/node/tests/operators.rs
@@ -190,14 +190,14 @@
 #[test]
 fn metrics_are_text_for_prometheus() {
     let operators = Operators::new();
-    operators.metrics.retries.get_or_create(&CauseLabel { cause: "no_engine" }).inc();
+    operators.metrics.pieces_dropped.get_or_create(&CauseLabel { cause: "gap" }).inc();
     let response = operators.client().get("/metrics");
     assert!(response.header("content-type").is_some_and(|kind| kind.starts_with("text/plain; version=0.0.4")));
     let counters = Arc::clone(&operators.counters);
     counters.received(120);
     let metrics = operators.client().get("/metrics").body;
     for line in [
-        "havengate_retries_total{cause=\"no_engine\"} 1",
+        "havengate_pieces_dropped_total{cause=\"gap\"} 1",
         "havengate_members{state=\"alive\"} 2",
         "havengate_configuration_version 4",
         "havengate_queue_length{pool=\"own\"} 5",
