A planned stop gives idle connections their whole grace

Cause: the stop asked the callers' server to drain for 20 ms at a time, which cut the grace of idle connections to that: a request that was on its way on one would have met a closed socket. A second signal in the first 2 s was swallowed. Change: one drain over the whole time limit on a thread of its own; a signal in the first seconds forces the stop.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,11 +2,12 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use displaydoc::Display;
 use havengate_core::control::{ControlConfig, ControlConfigError, ControlInput, NodeControl, NodeIdentity};
 use havengate_core::dispatch::DispatchConfig;
@@ -82,7 +83,7 @@
     snapshot: SharedSnapshot,
     registry: Arc<PoolRegistry>,
     listener: PeerListener,
-    callers: HttpServerHandle,
+    callers: Arc<HttpServerHandle>,
     operators: HttpServerHandle,
     drain_asked: Receiver<()>,
     counters: Arc<LinkCounters>,
@@ -202,7 +203,7 @@
             snapshot,
             registry,
             listener,
-            callers,
+            callers: Arc::new(callers),
             operators,
             drain_asked,
             counters,
@@ -242,9 +243,15 @@
         // Fails only when the control thread has ended; then there is no one to tell.
         let _ = self.events.send(ControlEvent::Input(ControlInput::Leave));
         log::info!(open_requests = self.registry.open_requests(); "drain_started");
-        let _ = forced.recv_timeout(LEAVING_GRACE);
-        self.callers.stop_accepting();
-        let outcome = self.wait_for_requests(forced);
+        let outcome = match forced.recv_timeout(LEAVING_GRACE) {
+            Ok(()) => StopOutcome::Forced { open_requests: self.open_requests() },
+            Err(RecvTimeoutError::Timeout) => self.wait_for_requests(forced),
+            Err(RecvTimeoutError::Disconnected) => {
+                // Nobody can force this stop; the time to announce the leaving is needed all the same.
+                thread::sleep(LEAVING_GRACE);
+                self.wait_for_requests(forced)
+            }
+        };
         match outcome {
             StopOutcome::Drained => log::info!("drain_finished"),
             StopOutcome::Forced { open_requests } => {
@@ -266,19 +273,34 @@
     /// Both callers' connections and requests forwarded by peers have to end.
     fn wait_for_requests(&self, forced: &Receiver<()>) -> StopOutcome {
         let limit = self.clock.now() + self.settings.deadlines.drain;
+        let callers_drained = self.drain_callers();
         loop {
-            let open_requests = self.registry.open_requests();
-            let callers_done = self.callers.drain(DRAIN_CHECK_EVERY).is_ok();
-            if open_requests == 0 && callers_done {
+            if self.registry.open_requests() == 0 && callers_drained.load(Ordering::Acquire) {
                 return StopOutcome::Drained;
             }
-            let out_of_time = self.clock.now() >= limit;
-            if out_of_time || forced.try_recv().is_ok() {
-                return StopOutcome::Forced { open_requests: open_requests.max(self.callers.open_connections()) };
+            if self.clock.now() >= limit || forced.try_recv().is_ok() {
+                return StopOutcome::Forced { open_requests: self.open_requests() };
             }
             thread::sleep(DRAIN_CHECK_EVERY);
         }
     }
+
+    /// Closes the callers' server for new connections and lets the open ones end, on a thread of its own. The flag is
+    /// set once the last byte of every answer has been written.
+    fn drain_callers(&self) -> Arc<AtomicBool> {
+        let drained = Arc::new(AtomicBool::new(false));
+        let (callers, flag, limit) = (Arc::clone(&self.callers), Arc::clone(&drained), self.settings.deadlines.drain);
+        let drain = move || flag.store(callers.drain(limit).is_ok(), Ordering::Release);
+        if let Err(error) = thread::Builder::new().name("drain-callers".to_owned()).spawn(drain) {
+            log::error!(error:% = error; "drain_thread_failed");
+        }
+        drained
+    }
+
+    /// Requests that a forced stop cuts off.
+    fn open_requests(&self) -> usize {
+        self.registry.open_requests().max(self.callers.open_connections())
+    }
 }
 
 fn receive_datagrams(
