Predict plans from measured demand, and say when they are not

Cause: plans were always predicted from capacity, while the answer read as if demand were known. Change: a plan is predicted from the demand that this node's dispatchers have measured, for models all of whose pools it dispatches for; the answer and the command line say whether a prediction rests on demand, capacity or both. A plan that touches no model or engine is no longer called one without demand. Conclusion: an operator sees what a prediction rests on. A node that owns only some pools of a model falls back on capacity.

--- a/crates/cli/src/report/plan.rs
+++ b/crates/cli/src/report/plan.rs
@@ -1,7 +1,7 @@
 //! The text of plans and confirmations.
 
 use havengate_node::operators::{
-    ConfirmAnswer, EngineOutage, GoodputPrediction, PlanAnswer, PlanId, PlanList, PlanState,
+    ConfirmAnswer, EngineOutage, GoodputPrediction, PlanAnswer, PlanId, PlanList, PlanState, PredictionBasis,
 };
 use serde::Serialize;
 
@@ -85,8 +85,17 @@
 
 fn prediction_text(prediction: Option<GoodputPrediction>) -> String {
     let Some(prediction) = prediction else {
-        return "predicted goodput: unknown, since there is no demand yet to predict from".to_owned();
+        return "predicted goodput: as before, since no model and no engine changes".to_owned();
     };
     let (before, after) = (prediction.tokens_per_second_before, prediction.tokens_per_second_after);
-    format!("predicted goodput: {before:.0} tokens/s before, {after:.0} tokens/s after")
+    let basis = basis_text(prediction.basis);
+    format!("predicted goodput: {before:.0} tokens/s before, {after:.0} tokens/s after ({basis})")
+}
+
+fn basis_text(basis: PredictionBasis) -> &'static str {
+    match basis {
+        PredictionBasis::Measured => "by the demand of the last seconds",
+        PredictionBasis::Capacity => "by the engines' capacity: this node does not know the demand",
+        PredictionBasis::Mixed => "by the demand of the last seconds where this node knows it, else by capacity",
+    }
 }
--- a/crates/cli/tests/cli/operators_api.rs
+++ b/crates/cli/tests/cli/operators_api.rs
@@ -11,7 +11,7 @@
 use havengate_node::operators::{
     ConfigurationStatus, ConfirmAnswer, DrainAnswer, EngineOutage, EngineStatus, GoodputPrediction, MemberStatus,
     NodeStatus, OperatorError, OperatorErrorCode, PlanAnswer, PlanId, PlanList, PlanState, PoliciesAnswer,
-    PolicyDescription, PolicyParameter, PoolStatus, StatusAnswer,
+    PolicyDescription, PolicyParameter, PoolStatus, PredictionBasis, StatusAnswer,
 };
 use serde_json::json;
 
@@ -80,7 +80,11 @@
             cause: "role mixed -> prefill".to_owned(),
             duration: Duration::from_secs(4),
         }],
-        prediction: Some(GoodputPrediction { tokens_per_second_before: 900.0, tokens_per_second_after: 1_200.4 }),
+        prediction: Some(GoodputPrediction {
+            basis: PredictionBasis::Measured,
+            tokens_per_second_before: 900.0,
+            tokens_per_second_after: 1_200.4,
+        }),
     }
 }
 
@@ -190,7 +194,7 @@
         "plan 4be1, proposed, on configuration 6",
         "engine lekh-model-01: role mixed -> prefill",
         "  lekh-model-01  4s   role mixed -> prefill",
-        "900 tokens/s before, 1200 tokens/s after",
+        "900 tokens/s before, 1200 tokens/s after (by the demand of the last seconds)\n",
         "havengate confirm 4be1",
     ];
     assert_prints(&node, &["intent", file.path()], &expected);
@@ -199,6 +203,24 @@
     assert_eq!(received[0].body, json!({"roles": [{"model": "lekh-model", "prefill": 4, "mixed": 8}]}));
 }
 
+#[test]
+fn a_prediction_tells_what_it_rests_on() {
+    for (basis, expected) in [
+        (PredictionBasis::Capacity, "after (by the engines' capacity: this node does not know the demand)"),
+        (
+            PredictionBasis::Mixed,
+            "after (by the demand of the last seconds where this node knows it, else by capacity)",
+        ),
+    ] {
+        let mut shown = plan();
+        shown.prediction = shown.prediction.map(|prediction| GoodputPrediction { basis, ..prediction });
+        assert_prints(&FakeNode::answering(200, &shown), &["plan", "show", "4be1"], &[expected]);
+    }
+    let unchanged = PlanAnswer { prediction: None, ..plan() };
+    let expected = "predicted goodput: as before, since no model and no engine changes";
+    assert_prints(&FakeNode::answering(200, &unchanged), &["plan", "show", "4be1"], &[expected]);
+}
+
 #[test]
 fn an_intent_with_a_mistake_is_not_sent_and_the_line_is_named() {
     let node = FakeNode::answering(200, &plan());
--- a/crates/node/src/operations/planning.rs
+++ b/crates/node/src/operations/planning.rs
@@ -11,7 +11,7 @@
 use super::change_text::describe_change;
 use crate::operators::{
     EngineOutage, GoodputPrediction, IntentDocument, OperatorError, OperatorErrorCode, PlanAnswer, PlanId, PlanState,
-    WholeConfiguration,
+    PredictionBasis, WholeConfiguration,
 };
 
 /// Makes a plan from what an operator sent: a whole configuration under the key `configuration`, or an intent.
@@ -89,11 +89,24 @@
         effects.iter().map(of).sum()
     };
     Some(GoodputPrediction {
+        basis: basis(effects),
         tokens_per_second_before: served(|effect| effect.before),
         tokens_per_second_after: served(|effect| effect.after),
     })
 }
 
+fn basis(effects: &[PredictedEffect]) -> PredictionBasis {
+    let is_measured =
+        |effect: &PredictedEffect| matches!(effect.basis, havengate_core::plan::PredictionBasis::Measured(_));
+    if effects.iter().all(is_measured) {
+        PredictionBasis::Measured
+    } else if effects.iter().any(is_measured) {
+        PredictionBasis::Mixed
+    } else {
+        PredictionBasis::Capacity
+    }
+}
+
 fn malformed(error: serde_json::Error) -> OperatorError {
     OperatorError::new(OperatorErrorCode::InvalidRequest, format!("the intent can't be read: {error}"))
 }
--- a/crates/node/src/operations/service.rs
+++ b/crates/node/src/operations/service.rs
@@ -1,6 +1,5 @@
 //! The operators' API behind its seam.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -14,6 +13,7 @@
 use havengate_core::policy::{PLACEMENT_POLICIES, ROLE_POLICIES};
 use havengate_core::store::{ObjectKey, StoreReply, StoreRequest, StoredObject};
 
+use super::demand::{demand_by_model, read_demand};
 use super::planning::{make_plan, plan_answer};
 use super::policies::policy_description;
 use super::status::{StatusContext, confirm_answer, status_of, work_by_pool};
@@ -195,7 +195,8 @@
         let latest = latest.ok_or_else(|| {
             OperatorError::new(OperatorErrorCode::NotReady, "the node has no configuration to plan on yet")
         })?;
-        let plan = make_plan(&latest, intent, &BTreeMap::new())?;
+        let readings = read_demand(&self.0.registry, &self.0.snapshot.load());
+        let plan = make_plan(&latest, intent, &demand_by_model(&readings))?;
         match run_edit(&*self.0.platform, self.0.clock, KeepPlan::new(plan.clone())) {
             StoreEditEnd::Settled(KeepPlanOutcome::Kept) => self.answer(&plan),
             StoreEditEnd::Settled(KeepPlanOutcome::UnreadableBook) => Err(unreadable("plans")),
--- a/crates/node/src/operators/messages.rs
+++ b/crates/node/src/operators/messages.rs
@@ -179,7 +179,7 @@
     pub changes: Vec<String>,
     /// The engines that the changes take out of service.
     pub outages: Vec<EngineOutage>,
-    /// What the changes are predicted to do; none when there is no demand yet to predict from.
+    /// What the changes are predicted to do; none when they touch no model and no engine.
     pub prediction: Option<GoodputPrediction>,
 }
 
@@ -198,12 +198,28 @@
 /// Goodput with the present configuration and with the plan's.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GoodputPrediction {
+    /// What the figures rest on.
+    #[serde(default)]
+    pub basis: PredictionBasis,
     /// Tokens a second that meet their contract, without the plan.
     pub tokens_per_second_before: f64,
     /// Tokens a second that meet their contract, with the plan and after its outages.
     pub tokens_per_second_after: f64,
 }
 
+/// What a prediction rests on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PredictionBasis {
+    /// The demand of the last seconds, as the planning node measured it at all pools of the models.
+    Measured,
+    /// The planning node knows no demand: the engines of the base version, fully used.
+    #[default]
+    Capacity,
+    /// Measured demand for some of the models, capacity for the others.
+    Mixed,
+}
+
 /// The answer to `GET /plans`.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PlanList {
--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -10,6 +10,6 @@
 pub use messages::{
     ConfigurationStatus, ConfirmAnswer, ConfirmRequest, DrainAnswer, EngineOutage, EngineStatus, GoodputPrediction,
     HealthAnswer, IntentDocument, MemberStatus, NodeStatus, OperatorError, OperatorErrorCode, PlanAnswer, PlanId,
-    PlanList, PlanState, PoliciesAnswer, PolicyDescription, PolicyParameter, PoolStatus, StatusAnswer,
+    PlanList, PlanState, PoliciesAnswer, PolicyDescription, PolicyParameter, PoolStatus, PredictionBasis, StatusAnswer,
     WholeConfiguration,
 };
