Experiments that strain both fleets, with faults and bursts

Cause: the shipped loads lay below capacity, so no roles mattered; experiment files with faults could not be read at all, since a flattened field and the refusal of unknown fields don't go together.

--- a/crates/rehearsal/src/commands/simulate.rs
+++ b/crates/rehearsal/src/commands/simulate.rs
@@ -6,7 +6,7 @@
 use bpaf::Bpaf;
 use havengate_rehearsal::deployment::Deployment;
 use havengate_rehearsal::experiment::Experiment;
-use havengate_rehearsal::simulate::{RoleSource, SimulationFigures, SimulationPlan, simulate};
+use havengate_rehearsal::simulate::{PIECE_TOKENS, RoleSource, SimulationFigures, SimulationPlan, simulate};
 
 use super::policy_argument::{policy, role_counts};
 
@@ -55,6 +55,9 @@
     /// Engines of the largest pool that start as prefill, decode and mixed ones
     #[bpaf(argument("P,D,M"))]
     split: Option<String>,
+    /// Tokens in one piece of an answer; 1 as real engines do, more is faster
+    #[bpaf(argument("N"), fallback(PIECE_TOKENS))]
+    piece_tokens: u32,
 }
 
 /// Runs one simulation.
@@ -76,6 +79,7 @@
         roles: choice(&options.role_policy)?.map(RoleSource::Policy),
         placement: choice(&options.placement)?,
         first_roles: options.split.as_deref().map(role_counts).transpose()?,
+        piece_tokens: options.piece_tokens,
         ..SimulationPlan::new(deployment, experiment, options.seed)
     };
     simulate(&plan).map_err(|error| error.to_string())
--- a/crates/rehearsal/src/experiment/description.rs
+++ b/crates/rehearsal/src/experiment/description.rs
@@ -93,8 +93,9 @@
 }
 
 /// Something that fails.
+///
+/// The fields of its kind stand beside its own; it is the kind that refuses unknown ones.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Fault {
     /// When it begins, from the start of the experiment.
     #[serde(with = "humantime_serde")]
@@ -109,7 +110,7 @@
 
 /// What can fail.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "snake_case")]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum FaultKind {
     /// An engine crashes, and restarts with nothing at the end.
     EngineCrash {
@@ -127,9 +128,9 @@
         engine: EngineName,
     },
     /// The platform's store refuses all calls.
-    StoreOutage,
+    StoreOutage {},
     /// Writes to the platform's store take effect, but their replies are lost.
-    StoreRepliesLost,
+    StoreRepliesLost {},
     /// Engines report their load later than otherwise.
     LoadReportLag {
         /// How old the reports are.
--- a/crates/rehearsal/src/experiment/validation.rs
+++ b/crates/rehearsal/src/experiment/validation.rs
@@ -102,7 +102,7 @@
             let known = configuration.zones.iter().any(|known| known.name == *zone);
             require(problems, known, "fault.zone", zone);
         }
-        FaultKind::StoreOutage | FaultKind::StoreRepliesLost | FaultKind::LoadReportLag { .. } => {}
+        FaultKind::StoreOutage {} | FaultKind::StoreRepliesLost {} | FaultKind::LoadReportLag { .. } => {}
     }
 }
 
--- a/crates/rehearsal/src/live/fault_driver.rs
+++ b/crates/rehearsal/src/live/fault_driver.rs
@@ -121,10 +121,10 @@
             FaultKind::EngineCrash { engine } => self.cluster.engines[engine].kill(),
             FaultKind::EnginePause { engine } => self.cluster.engines[engine].pause(),
             FaultKind::EngineLeaving { engine } => self.set_leaving(engine, true),
-            FaultKind::StoreOutage => {
+            FaultKind::StoreOutage {} => {
                 self.set_platform(PlatformFaults { availability: Availability::Refusing, ..PlatformFaults::default() });
             }
-            FaultKind::StoreRepliesLost => {
+            FaultKind::StoreRepliesLost {} => {
                 self.set_platform(PlatformFaults { lost_write_replies: LOST_REPLIES, ..PlatformFaults::default() });
             }
             FaultKind::NodeKill { machine } => self.kill_node(*machine),
@@ -145,7 +145,7 @@
             }
             FaultKind::EnginePause { engine } => self.cluster.engines[engine].resume(),
             FaultKind::EngineLeaving { engine } => self.set_leaving(engine, false),
-            FaultKind::StoreOutage | FaultKind::StoreRepliesLost => self.set_platform(PlatformFaults::default()),
+            FaultKind::StoreOutage {} | FaultKind::StoreRepliesLost {} => self.set_platform(PlatformFaults::default()),
             FaultKind::NodeKill { machine } => self.start_node(*machine),
             FaultKind::NodeDrain { machine } => {
                 self.await_drain(*machine);
--- a/crates/rehearsal/src/simulate/engines.rs
+++ b/crates/rehearsal/src/simulate/engines.rs
@@ -20,10 +20,6 @@
 use super::world::World;
 use crate::engine::model::{EngineModel, EngineModelConfig, EngineOutput, GenerateWork, OutputEvent};
 
-/// Tokens in one piece of an answer. Fewer make the same figures in more time: the first token and the last piece come
-/// at their own times in any case.
-const PIECE_TOKENS: u32 = 8;
-
 /// Time between two questions to an engine, as on a node.
 const ASK_EVERY: Duration = Duration::from_millis(500);
 
@@ -75,7 +71,7 @@
     let (version, performance) = model.map(|model| (model.version, model.performance)).unwrap_or_default();
     let options = &plan.deployment.engines;
     let config = EngineModelConfig {
-        piece_tokens: PIECE_TOKENS,
+        piece_tokens: plan.piece_tokens,
         load_time: options.model_load,
         load_lag: options.load_report_lag,
         cache_event_lag: options.cache_event_delay,
--- a/crates/rehearsal/src/simulate/faults.rs
+++ b/crates/rehearsal/src/simulate/faults.rs
@@ -25,8 +25,8 @@
         FaultKind::EngineCrash { .. }
         | FaultKind::EngineLeaving { .. }
         | FaultKind::EnginePause { .. }
-        | FaultKind::StoreOutage
-        | FaultKind::StoreRepliesLost
+        | FaultKind::StoreOutage {}
+        | FaultKind::StoreRepliesLost {}
         | FaultKind::LoadReportLag { .. } => None,
         FaultKind::NodeKill { .. } => Some("node_kill"),
         FaultKind::NodePause { .. } => Some("node_pause"),
@@ -53,12 +53,12 @@
                 world.engines[engine.0].model.set_leaving(on, world.queue.now());
             }),
             FaultKind::EnginePause { engine } => self.at_engine(engine, |world, engine| world.pause(engine, on)),
-            FaultKind::StoreOutage => {
+            FaultKind::StoreOutage {} => {
                 let availability = if on { Availability::Refusing } else { Availability::Up };
                 let faults = PlatformFaults { availability, ..self.platform.faults() };
                 self.platform.set_faults(faults, now);
             }
-            FaultKind::StoreRepliesLost => {
+            FaultKind::StoreRepliesLost {} => {
                 let lost_write_replies = if on { 1.0 } else { 0.0 };
                 let faults = PlatformFaults { lost_write_replies, ..self.platform.faults() };
                 self.platform.set_faults(faults, now);
--- a/crates/rehearsal/src/simulate/mod.rs
+++ b/crates/rehearsal/src/simulate/mod.rs
@@ -24,7 +24,7 @@
 pub use error::SimulationError;
 pub(crate) use figures::p95_ms;
 pub use figures::{ShareFigures, SimulationFigures};
-pub use plan::{RoleSchedule, RoleSource, ScheduledRoles, SimulationPlan, largest_pool};
+pub use plan::{PIECE_TOKENS, RoleSchedule, RoleSource, ScheduledRoles, SimulationPlan, largest_pool};
 
 /// Runs `plan` to its end.
 ///
--- a/crates/rehearsal/src/simulate/plan.rs
+++ b/crates/rehearsal/src/simulate/plan.rs
@@ -24,8 +24,14 @@
     pub placement: Option<PolicyChoice>,
     /// The roles at the start in the largest pool; `None` takes the configuration's.
     pub first_roles: Option<RoleCounts>,
+    /// Tokens in one piece of an answer. Real engines put out each token; more make a simulation faster, and dispatchers
+    /// know a little later how far answers have come.
+    pub piece_tokens: u32,
 }
 
+/// [`SimulationPlan::piece_tokens`] unless another number is asked for.
+pub const PIECE_TOKENS: u32 = 8;
+
 /// Where the roles of engines come from.
 #[derive(Clone, Debug)]
 pub enum RoleSource {
@@ -61,7 +67,15 @@
 impl SimulationPlan {
     /// A plan that varies nothing.
     pub fn new(deployment: Deployment, experiment: Experiment, seed: u64) -> Self {
-        SimulationPlan { deployment, experiment, seed, roles: None, placement: None, first_roles: None }
+        SimulationPlan {
+            deployment,
+            experiment,
+            seed,
+            roles: None,
+            placement: None,
+            first_roles: None,
+            piece_tokens: PIECE_TOKENS,
+        }
     }
 
     /// The name of what gives the roles, for reports.
--- a/crates/rehearsal/tests/experiments.rs
+++ b/crates/rehearsal/tests/experiments.rs
@@ -5,7 +5,14 @@
 use havengate_rehearsal::deployment::Deployment;
 use havengate_rehearsal::experiment::{Arrival, Arrivals, Experiment};
 
-const SHIPPED: [(&str, &str); 2] = [("himal-chhapai.toml", "himal-waves.toml"), ("trag.toml", "trag-waves.toml")];
+const SHIPPED: [(&str, &str); 6] = [
+    ("himal-chhapai.toml", "himal-waves.toml"),
+    ("himal-chhapai.toml", "himal-bursts.toml"),
+    ("himal-chhapai.toml", "himal-faults.toml"),
+    ("trag.toml", "trag-waves.toml"),
+    ("trag.toml", "trag-bursts.toml"),
+    ("trag.toml", "trag-faults.toml"),
+];
 
 fn example(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name)
@@ -61,3 +68,14 @@
         assert!(allowed, "{arrival:?}");
     }
 }
+
+#[test]
+fn unknown_fields_of_faults_are_refused() {
+    let phase = "name = \"x\"\n[[phase]]\nname = \"p\"\nduration = \"1m\"\n";
+    let read =
+        |fault: &str| toml::from_str::<Experiment>(&format!("{phase}[[fault]]\nat = \"1s\"\nfor = \"2s\"\n{fault}"));
+    for fault in ["kind = \"store_outage\"", "kind = \"engine_crash\"\nengine = \"e\""] {
+        assert!(read(fault).is_ok(), "{fault}: {:?}", read(fault).err());
+        assert!(read(&format!("{fault}\nspeed = 1")).is_err(), "{fault}");
+    }
+}
--- a/crates/rehearsal/tests/simulate.rs
+++ b/crates/rehearsal/tests/simulate.rs
@@ -57,10 +57,10 @@
         fault(8, 6, FaultKind::EngineCrash { engine: first }),
         fault(10, 12, FaultKind::EngineLeaving { engine: second }),
         fault(12, 5, FaultKind::LoadReportLag { lag: Duration::from_secs(3) }),
-        fault(15, 15, FaultKind::StoreOutage),
+        fault(15, 15, FaultKind::StoreOutage {}),
         fault(20, 3, FaultKind::EnginePause { engine: third.clone() }),
         fault(32, 4, FaultKind::EngineCrash { engine: third }),
-        fault(34, 4, FaultKind::StoreRepliesLost),
+        fault(34, 4, FaultKind::StoreRepliesLost {}),
     ];
     plan.roles = Some(RoleSource::Policy(PolicyChoice::with_defaults("reactive")));
     plan
