--- a/crates/core/src/policy/predictive.rs
+++ b/crates/core/src/policy/predictive.rs
@@ -19,10 +19,10 @@
 const MEMORY: Parameter = Parameter::new("memory_seconds", 120.0, 1.0, 3_600.0)
     .meaning("seconds over which the remembered demand is averaged");
 const MEMORY_WEIGHT: Parameter =
-    Parameter::new("memory_weight", 0.4, 0.0, 1.0).meaning("weight of the remembered demand against that of now");
-const MARGIN: Parameter = Parameter::new("margin", 0.03, 0.0, 1.0)
+    Parameter::new("memory_weight", 0.1, 0.0, 1.0).meaning("weight of the remembered demand against that of now");
+const MARGIN: Parameter = Parameter::new("margin", 0.05, 0.0, 1.0)
     .meaning("least net gain, as a share of the demand served, that moves anything");
-const STEP: Parameter = Parameter::new("step_engines", 3.0, 1.0, 100.0).meaning("most engines that change at a time");
+const STEP: Parameter = Parameter::new("step_engines", 6.0, 1.0, 100.0).meaning("most engines that change at a time");
 pub(super) const PARAMETERS: [Parameter; 9] =
     [DRAIN, ENOUGH, HORIZON, MEMORY, MEMORY_WEIGHT, MARGIN, CHANGE_COST, STEP, DWELL];
 
