A node that isn't ready calls no caller's key unknown

Cause: a node that has just started has no configuration and so no tenants. It answered good keys with 401 unknown_tenant, which tells a caller to mend its key and not to ask again.

Change: only a node that is ready says that a key is unknown; one that isn't answers 503 node_suspended or node_leaving, for completions and for the list of models. The test with processes requires that no good key is called unknown, and a test of the callers' API that a starting node doesn't.

Conclusion: callers of a node that starts are told to ask again.

--- a/crates/cli/tests/process_faults.rs
+++ b/crates/cli/tests/process_faults.rs
@@ -140,6 +140,8 @@
     assert!(completed(&|_| true) * 2 > calls, "fewer than half of {calls} requests completed: {}", outcomes(load));
     assert!(completed(&|call| call.keyed.is_some()) > 0, "no request with a key completed: {}", outcomes(load));
     assert!(load.calls.iter().any(|call| call.is_repeat), "no key was used again");
+    let refused_for_good = load.calls.iter().any(|call| call.reason() == Some("unknown_tenant"));
+    assert!(!refused_for_good, "a good key was called unknown: {}", outcomes(load));
 }
 
 fn outcomes(load: &LoadHistory) -> String {
--- a/crates/node/src/callers/api.rs
+++ b/crates/node/src/callers/api.rs
@@ -4,11 +4,13 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use havengate_core::request::RequestId;
+use havengate_core::world::Tenant;
 use ulid::Ulid;
 
 use super::body::CompletionKind;
 use super::check::{CheckedRequest, authenticate, check_completion, require_ready};
 use super::delivery::{Delivery, DeliveryForm};
+use super::directory::CallerDirectory;
 use super::error::CallerError;
 use super::format::{AnswerFormat, ModelList};
 use super::handler::{CallerLimits, RequestHandler};
@@ -40,7 +42,7 @@
 
     fn models(&self, request: &Request, id: RequestId) -> Response {
         let directory = self.requests.directory();
-        if let Err(error) = authenticate(request, &directory) {
+        if let Err(error) = self.tenant_of(request, &directory) {
             return error.response(Some(id), false);
         }
         let names = directory.models().map(|model| model.name.as_str());
@@ -52,7 +54,7 @@
     fn completion(&self, kind: CompletionKind, request: Request, id: RequestId, response: ResponseSender) {
         let arrival = Instant::now();
         let directory = self.requests.directory();
-        let tenant = authenticate(&request, &directory);
+        let tenant = self.tenant_of(&request, &directory);
         let checked = tenant.clone().and_then(|tenant| {
             require_ready(self.requests.readiness())?;
             check_completion(id, kind, &request, tenant, &directory, &self.limits)
@@ -68,6 +70,15 @@
         }
     }
 
+    /// The tenant that asks. A node that isn't ready may lack the configuration that names the tenant: it must not call
+    /// a key unknown, which tells the caller not to ask again.
+    fn tenant_of<'a>(&self, request: &Request, directory: &'a CallerDirectory) -> Result<&'a Tenant, CallerError> {
+        authenticate(request, directory).or_else(|unknown| {
+            require_ready(self.requests.readiness())?;
+            Err(unknown)
+        })
+    }
+
     fn submit(&self, kind: CompletionKind, checked: CheckedRequest, response: ResponseSender, arrival: Instant) {
         let party = RequestParty::of(&checked.request.profile);
         let form = delivery_form(kind, &checked);
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -290,6 +290,16 @@
     }
 }
 
+#[test]
+fn a_node_that_is_not_ready_calls_no_key_unknown() {
+    let callers =
+        Callers::with(Readiness::Starting, HttpServerConfig::default(), |_, _, _| panic!("must not be submitted"));
+    let key_of_a_newer_configuration = "authorization: Bearer not-known-here\r\n";
+    let asked = callers.client().post("/v1/completions", key_of_a_newer_configuration, WHOLE);
+    assert_eq!((asked.status, asked.json()["error"]["code"].as_str()), (503, Some("node_suspended")));
+    assert_eq!(callers.client().get("/v1/models").status, 503);
+}
+
 #[test]
 fn a_request_whose_handler_panics_may_have_run_and_is_counted() {
     let callers = Callers::new(|_, _, _| panic!("as the test wants"));
