Tell of claims and limits in status and metrics

Cause: an operator could not see why keys were refused or how much of a limit was in use. Change: the status has the slot map's version, slots held and voting, keys and answer bytes kept, and the permits in use by limited tenant; the metrics have the same as levels, and the gateway counts claims by how they ended. Conclusion: a refused key can be traced to the slot map or to the holders.

--- a/crates/cli/src/report/status.rs
+++ b/crates/cli/src/report/status.rs
@@ -4,7 +4,7 @@
 
 use havengate_core::world::EngineRole;
 use havengate_node::operators::{
-    ConfigurationStatus, DrainAnswer, EngineStatus, MemberStatus, NodeStatus, PoolStatus, StatusAnswer,
+    AdmissionStatus, ConfigurationStatus, DrainAnswer, EngineStatus, MemberStatus, NodeStatus, PoolStatus, StatusAnswer,
 };
 
 use super::table::{missing_text, or_dash, table};
@@ -17,6 +17,7 @@
             node_text(&self.node),
             configuration_text(&self.configuration),
             members_text(&self.members),
+            admission_text(&self.admission),
             pools.join("\n\n"),
         ];
         parts.join("\n\n")
@@ -63,6 +64,19 @@
     table(&["MEMBER", "ZONE", "STATE", ""], &members.iter().map(row).collect::<Vec<_>>())
 }
 
+fn admission_text(admission: &AdmissionStatus) -> String {
+    let claims = admission.claims;
+    let keys = format!(
+        "slot map {}, {} slots held, {} voting, {} keys remembered",
+        claims.slot_map.0, claims.slots_held, claims.slots_voting, claims.records
+    );
+    if admission.tenants.is_empty() {
+        return keys;
+    }
+    let in_use = admission.tenants.iter().map(|tenant| format!("{} {}", tenant.tenant, tenant.permits_in_use));
+    format!("{keys}\npermits in use: {}", in_use.collect::<Vec<_>>().join(", "))
+}
+
 fn pool_text(pool: &PoolStatus) -> String {
     let owner = or_dash(pool.owner);
     let (term, waiting) = (or_dash(pool.term.map(|term| term.0)), or_dash(pool.waiting));
--- a/crates/cli/tests/cli/operators_api.rs
+++ b/crates/cli/tests/cli/operators_api.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use crate::support::{FakeNode, TemporaryFile, command, run, run_at};
+use havengate_core::claims::MapVersion;
 use havengate_core::configuration::{ConfigurationVersion, PolicyChoice};
-use havengate_core::world::{Address, EngineName, EngineRole, ModelName, PolicyName, ZoneName};
+use havengate_core::world::{Address, EngineName, EngineRole, ModelName, PolicyName, TenantName, ZoneName};
 use havengate_node::callers::Readiness;
 use havengate_node::operators::{
-    ConfigurationStatus, ConfirmAnswer, DrainAnswer, EngineOutage, EngineStatus, GoodputPrediction, MemberStatus,
-    NodeStatus, OperatorError, OperatorErrorCode, PlanAnswer, PlanId, PlanList, PlanState, PoliciesAnswer,
-    PolicyDescription, PolicyParameter, PoolStatus, PredictionBasis, StatusAnswer,
+    AdmissionStatus, ClaimStatus, ConfigurationStatus, ConfirmAnswer, DrainAnswer, EngineOutage, EngineStatus,
+    GoodputPrediction, MemberStatus, NodeStatus, OperatorError, OperatorErrorCode, PlanAnswer, PlanId, PlanList,
+    PlanState, PoliciesAnswer, PolicyDescription, PolicyParameter, PoolStatus, PredictionBasis, StatusAnswer,
+    TenantStatus,
 };
 use serde_json::json;
 
@@ -40,6 +42,9 @@
         state: "suspect".to_owned(),
         configuration: Some(ConfigurationVersion(6)),
     };
+    let claims =
+        ClaimStatus { slot_map: MapVersion(3), slots_held: 12, slots_voting: 11, records: 40, answer_bytes: 900 };
+    let tenant = TenantStatus { tenant: TenantName::from("press"), permits_in_use: 6 };
     StatusAnswer {
         node: NodeStatus {
             address: address(NODE),
@@ -66,6 +71,7 @@
             waiting: Some(4),
             engines: vec![engine],
         }],
+        admission: AdmissionStatus { claims, tenants: vec![tenant] },
     }
 }
 
@@ -124,6 +130,7 @@
         "12 open streams, store not heard of here",
         "configuration 6 in force here, 7 pending, waiting for: 127.0.0.1:21302, zone kirtipur (can't be reached)\n",
         "127.0.0.1:21302  thamel  suspect  configuration 6",
+        "slot map 3, 12 slots held, 11 voting, 40 keys remembered\npermits in use: press 6\n",
         "pool lekh-model/kathmandu-valley/0, owner 127.0.0.1:21301, term -, 4 waiting",
         "lekh-model-01  patan  prefill  draining  3          -      -",
     ];
--- a/crates/node/src/admission/mod.rs
+++ b/crates/node/src/admission/mod.rs
@@ -6,6 +6,8 @@
 mod answer_record;
 mod service;
 mod state;
+mod status;
 
 pub use answer_record::RecordingSink;
 pub use service::{Admission, AdmissionParts, ClaimedKey};
+pub use state::AdmissionState;
--- a/crates/node/src/admission/service.rs
+++ b/crates/node/src/admission/service.rs
@@ -14,13 +14,14 @@
 use havengate_core::store::StoreRequest;
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{NotRun, NotRunReason};
-use havengate_core::world::{Address, TenantName};
+use havengate_core::world::{Address, Tenant, TenantName};
 use havengate_wire::PeerMessage;
 
 use super::state::{AdmissionState, DueWork, Outgoing};
 use crate::clock::Clock;
 use crate::control::{ControlSnapshot, Workers};
 use crate::http_server::HangUp;
+use crate::operators::AdmissionStatus;
 use crate::peers::ControlLink;
 use crate::platform::PlatformApi;
 
@@ -119,6 +120,11 @@
         }
     }
 
+    /// Claims and limits as operators see them.
+    pub fn status(&self, tenants: &[Tenant]) -> AdmissionStatus {
+        self.lock().status(tenants)
+    }
+
     /// The longest answer that is kept with a key, in bytes.
     pub fn answer_bytes_maximum(&self) -> usize {
         self.answer_bytes_maximum
--- a/crates/node/src/metrics/labels.rs
+++ b/crates/node/src/metrics/labels.rs
@@ -2,6 +2,7 @@
 //! number of series is bounded.
 
 use havengate_core::authority::{OrderRefusal, OrderReply};
+use havengate_core::claims::ClaimOutcome;
 use havengate_core::dispatch::Revocation;
 use prometheus_client::encoding::EncodeLabelSet;
 
@@ -73,6 +74,16 @@
         OutcomeLabel { outcome }
     }
 
+    /// How the claim of an idempotency key ended: `won`, `repeated`, or the code of the refusal.
+    pub fn of_claim(outcome: &ClaimOutcome) -> Self {
+        let outcome = match outcome {
+            ClaimOutcome::Won => "won",
+            ClaimOutcome::Repeated(_) => "repeated",
+            ClaimOutcome::Refused(refusal) => refusal.reason.code(),
+        };
+        OutcomeLabel { outcome }
+    }
+
     /// What a revocation found; `unknown` also when no answer came.
     pub fn of_revocation(revocation: Option<Revocation>) -> Self {
         let outcome = match revocation {
@@ -95,6 +106,13 @@
     pub to: &'static str,
 }
 
+/// Something that is told apart by tenant.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TenantLabel {
+    /// The tenant.
+    pub tenant: String,
+}
+
 /// Something that is told apart by pool.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PoolLabel {
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -10,7 +10,7 @@
 
 pub use labels::{
     ArmLabels, CauseLabel, ContractLabel, DirectionLabel, MemberStateLabel, OutcomeLabel, PoolLabel, RefusalLabels,
-    RequestLabels, RoleChangeLabels, StoreLabels, TokenLabels,
+    RequestLabels, RoleChangeLabels, StoreLabels, TenantLabel, TokenLabels,
 };
 use prometheus_client::encoding::prometheus_text;
 use prometheus_client::metrics::counter::Counter;
@@ -64,6 +64,20 @@
     pub members: Family<MemberStateLabel, Gauge>,
     /// The version of the configuration in force at this node.
     pub configuration_version: Gauge,
+    /// Claims of idempotency keys by this node as a gateway, by how they ended.
+    pub claims: Family<OutcomeLabel, Counter>,
+    /// The version of the slot map that this node goes by.
+    pub slot_map_version: Gauge,
+    /// Slots of which this node is a holder.
+    pub claim_slots_held: Gauge,
+    /// Slots in which this node votes.
+    pub claim_slots_voting: Gauge,
+    /// Keys that this node remembers.
+    pub claim_records: Gauge,
+    /// Bytes of recorded answers that this node keeps.
+    pub claim_answer_bytes: Gauge,
+    /// Requests of limited tenants that run through this node.
+    pub tenant_permits: Family<TenantLabel, Gauge>,
     /// Calls to the platform's store.
     pub store_calls: Family<StoreLabels, Counter>,
     /// Requests that an HTTP server refused by itself.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -167,7 +167,7 @@
         let gateway = Gateway::new(GatewayParts {
             snapshot: Arc::clone(&snapshot),
             hops: Hops::new(Arc::clone(&registry), remote),
-            admission,
+            admission: Arc::clone(&admission),
             zone: settings.zone.clone(),
             seed: me.incarnation.0,
             clock,
@@ -181,6 +181,7 @@
             events: events.clone(),
             snapshot: Arc::clone(&snapshot),
             registry: Arc::clone(&registry),
+            admission,
             platform,
             drain,
             open_streams: Box::new(move || u32::try_from(open.streams_open.get()).unwrap_or_default()),
--- a/crates/node/src/operations/service.rs
+++ b/crates/node/src/operations/service.rs
@@ -18,6 +18,7 @@
 use super::policies::policy_description;
 use super::status::{StatusContext, confirm_answer, status_of, work_by_pool};
 use super::store_edits::run_edit;
+use crate::admission::Admission;
 use crate::callers::Readiness;
 use crate::clock::Clock;
 use crate::control::{ControlEvent, SharedSnapshot, inspect};
@@ -41,6 +42,8 @@
     pub events: Sender<ControlEvent>,
     /// Control's state.
     pub snapshot: SharedSnapshot,
+    /// Claims and limits.
+    pub admission: Arc<Admission>,
     /// The pools that this node dispatches for.
     pub registry: Arc<PoolRegistry>,
     /// The platform.
@@ -160,12 +163,14 @@
 
 impl OperatorHandler for OperatorService {
     fn status(&self) -> StatusAnswer {
+        let configuration = Arc::clone(&self.0.snapshot.load().configuration);
         let context = StatusContext {
             now: self.0.clock.now(),
             readiness: self.readiness(),
             open_streams: (self.0.open_streams)(),
             store_last_seen: (self.0.store_last_seen)(),
-            work: work_by_pool(&self.0.registry, &self.0.snapshot.load().configuration),
+            admission: self.0.admission.status(&configuration.tenants),
+            work: work_by_pool(&self.0.registry, &configuration),
         };
         match self.ask(move |control| status_of(control, &context)) {
             Ok(status) => status,
@@ -260,6 +265,7 @@
         configuration: Default::default(),
         members: Vec::new(),
         pools: Vec::new(),
+        admission: Default::default(),
     }
 }
 
--- a/crates/node/src/operations/status.rs
+++ b/crates/node/src/operations/status.rs
@@ -13,7 +13,8 @@
 use havengate_core::world::{EngineName, Pool, PoolId, ZoneName};
 
 use crate::operators::{
-    ConfigurationStatus, ConfirmAnswer, EngineStatus, MemberStatus, NodeStatus, PoolStatus, StatusAnswer,
+    AdmissionStatus, ConfigurationStatus, ConfirmAnswer, EngineStatus, MemberStatus, NodeStatus, PoolStatus,
+    StatusAnswer,
 };
 use crate::traffic::{PoolRegistry, PoolRuntime};
 
@@ -27,6 +28,8 @@
     pub open_streams: u32,
     /// Time since the store last answered.
     pub store_last_seen: Option<Duration>,
+    /// Claims and limits.
+    pub admission: AdmissionStatus,
     /// The work at the pools that this node dispatches for.
     pub work: BTreeMap<PoolId, PoolWork>,
 }
@@ -72,6 +75,7 @@
         configuration: configuration_status(&control.replica().status()),
         members: control.view().records().map(member_of).collect(),
         pools: control.pools().map(|standing| pool_of(control, standing, context)).collect(),
+        admission: context.admission.clone(),
     }
 }
 
--- a/crates/node/src/operators/levels.rs
+++ b/crates/node/src/operators/levels.rs
@@ -1,7 +1,8 @@
 //! Metrics that are levels, taken from the node's status when they are asked for.
 
+use super::admission_messages::AdmissionStatus;
 use super::messages::{EngineStatus, PoolStatus, StatusAnswer};
-use crate::metrics::{MemberStateLabel, Metrics, PoolLabel};
+use crate::metrics::{MemberStateLabel, Metrics, PoolLabel, TenantLabel};
 
 /// Sets the levels in `metrics` to what `status` tells. A pool that is no longer the node's own loses its levels.
 pub(super) fn record_levels(metrics: &Metrics, status: &StatusAnswer) {
@@ -13,9 +14,24 @@
     }
     metrics.queue_length.clear();
     metrics.in_flight.clear();
+    record_admission(metrics, &status.admission);
     status.pools.iter().for_each(|pool| record_pool(metrics, pool));
 }
 
+fn record_admission(metrics: &Metrics, status: &AdmissionStatus) {
+    let claims = status.claims;
+    metrics.slot_map_version.set(i64::try_from(claims.slot_map.0).unwrap_or(i64::MAX));
+    metrics.claim_slots_held.set(i64::from(claims.slots_held));
+    metrics.claim_slots_voting.set(i64::from(claims.slots_voting));
+    metrics.claim_records.set(i64::from(claims.records));
+    metrics.claim_answer_bytes.set(i64::try_from(claims.answer_bytes).unwrap_or(i64::MAX));
+    metrics.tenant_permits.clear();
+    for tenant in &status.tenants {
+        let label = TenantLabel { tenant: tenant.tenant.to_string() };
+        metrics.tenant_permits.get_or_create(&label).set(i64::from(tenant.permits_in_use));
+    }
+}
+
 fn record_pool(metrics: &Metrics, pool: &PoolStatus) {
     let label = PoolLabel { pool: pool.pool.clone() };
     // Only the owner of a pool knows what waits in it.
--- a/crates/node/src/operators/messages.rs
+++ b/crates/node/src/operators/messages.rs
@@ -10,6 +10,7 @@
 use havengate_core::world::{Address, EngineName, EngineRole, ModelName, PolicyName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use super::admission_messages::AdmissionStatus;
 use crate::callers::Readiness;
 
 /// The answer to `GET /status`: the system as this node sees it.
@@ -23,6 +24,9 @@
     pub members: Vec<MemberStatus>,
     /// The pools of the fleet.
     pub pools: Vec<PoolStatus>,
+    /// Idempotency keys and tenants' limits at the node.
+    #[serde(default)]
+    pub admission: AdmissionStatus,
 }
 
 /// The node that answers.
--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -1,10 +1,12 @@
 //! The operators' API: status, metrics, health, plans and policies over HTTP.
 
+mod admission_messages;
 mod api;
 mod handler;
 mod levels;
 mod messages;
 
+pub use admission_messages::{AdmissionStatus, ClaimStatus, TenantStatus};
 pub use api::OperatorApi;
 pub use handler::OperatorHandler;
 pub use messages::{
--- a/crates/node/src/traffic/gateway.rs
+++ b/crates/node/src/traffic/gateway.rs
@@ -16,7 +16,7 @@
 use havengate_core::world::{PoolId, ZoneName};
 
 use super::hop::{Hop, HopEvent, HopRequest, Hops};
-use crate::admission::{Admission, RecordingSink};
+use crate::admission::{Admission, ClaimedKey, RecordingSink};
 use crate::callers::{AnswerSink, CallerDirectory, CallerRequest, Readiness, RequestHandler};
 use crate::clock::Clock;
 use crate::control::{ControlSnapshot, PoolRoute, SharedSnapshot};
@@ -105,7 +105,9 @@
         let Some(key) = request.profile.key.clone() else {
             return self.pass(&mut Passage { request, deadline, answer, hang_up });
         };
-        match self.admission.claim(key, id, deadline, hang_up) {
+        let claim = self.admission.claim(key, id, deadline, hang_up);
+        self.count_claim(&claim);
+        match claim {
             Ok(claimed) => {
                 let verdict = self.pass(&mut Passage { request, deadline, answer, hang_up });
                 self.admission.record(claimed, answer.outcome(verdict.clone()));
@@ -118,6 +120,12 @@
         }
     }
 
+    fn count_claim(&self, claim: &Result<ClaimedKey, ClaimOutcome>) {
+        let outcome =
+            claim.as_ref().map_or_else(OutcomeLabel::of_claim, |_| OutcomeLabel::of_claim(&ClaimOutcome::Won));
+        self.metrics.claims.get_or_create(&outcome).inc();
+    }
+
     /// Takes the request to its verdict. While its pool changes hands, it is offered to each new owner.
     fn pass(&self, passage: &mut Passage<'_>) -> Verdict {
         let patience = self.patience(passage);
--- a/crates/node/tests/operators.rs
+++ b/crates/node/tests/operators.rs
@@ -6,16 +6,17 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use havengate_core::claims::MapVersion;
 use havengate_core::configuration::ConfigurationVersion;
 use havengate_core::membership::Incarnation;
-use havengate_core::world::{EngineName, EngineRole, ModelName, ZoneName};
+use havengate_core::world::{EngineName, EngineRole, ModelName, TenantName, ZoneName};
 use havengate_node::callers::Readiness;
 use havengate_node::http_server::{HttpServer, HttpServerConfig, HttpServerHandle};
 use havengate_node::metrics::{CauseLabel, Metrics};
 use havengate_node::operators::{
-    ConfigurationStatus, ConfirmAnswer, ConfirmRequest, DrainAnswer, EngineStatus, HealthAnswer, IntentDocument,
-    MemberStatus, NodeStatus, OperatorApi, OperatorError, OperatorErrorCode, OperatorHandler, PlanAnswer, PlanId,
-    PlanList, PlanState, PoliciesAnswer, PoolStatus, StatusAnswer,
+    AdmissionStatus, ClaimStatus, ConfigurationStatus, ConfirmAnswer, ConfirmRequest, DrainAnswer, EngineStatus,
+    HealthAnswer, IntentDocument, MemberStatus, NodeStatus, OperatorApi, OperatorError, OperatorErrorCode,
+    OperatorHandler, PlanAnswer, PlanId, PlanList, PlanState, PoliciesAnswer, PoolStatus, StatusAnswer, TenantStatus,
 };
 use havengate_node::peers::LinkCounters;
 use http_server_support::RawClient;
@@ -57,9 +58,16 @@
         configuration: ConfigurationStatus { version: ConfigurationVersion(4), ..ConfigurationStatus::default() },
         members: vec![member("10.0.0.1:7000", "alive"), member("10.0.0.2:7000", "alive")],
         pools: vec![pool("own", Some(5)), pool("another's", None)],
+        admission: admission(),
     }
 }
 
+fn admission() -> AdmissionStatus {
+    let claims =
+        ClaimStatus { slot_map: MapVersion(3), slots_held: 12, slots_voting: 11, records: 40, answer_bytes: 900 };
+    AdmissionStatus { claims, tenants: vec![TenantStatus { tenant: TenantName::from("press"), permits_in_use: 6 }] }
+}
+
 fn member(address: &str, state: &str) -> MemberStatus {
     MemberStatus {
         address: address.parse().expect("an address"),
@@ -200,6 +208,12 @@
         "havengate_pieces_dropped_total{cause=\"gap\"} 1",
         "havengate_members{state=\"alive\"} 2",
         "havengate_configuration_version 4",
+        "havengate_slot_map_version 3",
+        "havengate_claim_slots_held 12",
+        "havengate_claim_slots_voting 11",
+        "havengate_claim_records 40",
+        "havengate_claim_answer_bytes 900",
+        "havengate_tenant_permits{tenant=\"press\"} 6",
         "havengate_queue_length{pool=\"own\"} 5",
         "havengate_in_flight{pool=\"own\"} 4",
         "havengate_control_bytes_total{direction=\"in\"} 120",
--- a/crates/node/tests/traffic_metrics.rs
+++ b/crates/node/tests/traffic_metrics.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeSet;
 
 use havengate_core::authority::{EngineReport, OrderRefusal, OrderReply, Term};
+use havengate_core::claims::{ClaimOutcome, RecordedOutcome};
 use havengate_core::dispatch::{DispatchCounters, Revocation};
 use havengate_core::policy::ArmOutcomes;
+use havengate_core::verdict::{NotRun, NotRunReason, Verdict};
 use havengate_core::world::{EngineRole, ModelName, ModelVersion, Pool, PoolId};
 use havengate_node::metrics::{Metrics, OutcomeLabel, PoolCounts};
 
@@ -157,3 +159,19 @@
         assert_eq!(OutcomeLabel::of_revocation(revocation), OutcomeLabel { outcome });
     }
 }
+
+#[test]
+fn claims_are_told_apart_by_how_they_ended() {
+    let refused = |reason| ClaimOutcome::Refused(NotRun::new(reason));
+    let earlier = RecordedOutcome { verdict: Verdict::Completed, answer: None };
+    let cases = [
+        (ClaimOutcome::Won, "won"),
+        (ClaimOutcome::Repeated(earlier), "repeated"),
+        (refused(NotRunReason::KeyInProgress), "key_in_progress"),
+        (refused(NotRunReason::KeyUnclaimable), "key_unclaimable"),
+        (refused(NotRunReason::CallerGone), "caller_gone"),
+    ];
+    for (claim, outcome) in cases {
+        assert_eq!(OutcomeLabel::of_claim(&claim), OutcomeLabel { outcome });
+    }
+}
