A node that stops cuts the connections of its peers

Cause: a node that was stopped and started again inside one process never got a configuration. Its peers kept their connections to the earlier life, whose threads went on reading. Change: the listener for peers keeps its open connections and cuts them when it stops.

--- a/crates/node/src/peers/listener.rs
+++ b/crates/node/src/peers/listener.rs
@@ -11,6 +11,8 @@
 use havengate_core::world::Address;
 use havengate_wire::{Hello, Purpose, WireError, read_hello, write_hello};
 
+use super::open_streams::OpenStreams;
+
 /// How long a peer may take for its introduction. A connection that says nothing would hold its thread for ever.
 const HELLO_WITHIN: Duration = Duration::from_secs(2);
 
@@ -33,6 +35,7 @@
 pub struct PeerListener {
     address: Address,
     stopped: Arc<AtomicBool>,
+    streams: OpenStreams,
 }
 
 impl PeerListener {
@@ -44,11 +47,10 @@
         let listener = TcpListener::bind(address.0)?;
         let address = Address(listener.local_addr()?);
         let stopped = Arc::new(AtomicBool::new(false));
-        let accept_stopped = Arc::clone(&stopped);
-        thread::Builder::new()
-            .name("peer-accept".to_owned())
-            .spawn(move || accept(&listener, &service, &accept_stopped))?;
-        Ok(PeerListener { address, stopped })
+        let streams = OpenStreams::default();
+        let acceptor = Acceptor { service, stopped: Arc::clone(&stopped), streams: streams.clone() };
+        thread::Builder::new().name("peer-accept".to_owned()).spawn(move || acceptor.accept(&listener))?;
+        Ok(PeerListener { address, stopped, streams })
     }
 
     /// Where peers connect.
@@ -56,9 +58,11 @@
         self.address
     }
 
-    /// Accepts no further connections.
+    /// Accepts no further connections and cuts those that are open: peers that kept one would go on sending to this life
+    /// of the node when the next one listens at the same address.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::Release);
+        self.streams.cut();
         // The accepting thread sees the flag only after its next accept: give it one.
         let _ = TcpStream::connect_timeout(&self.address.0, HELLO_WITHIN);
     }
@@ -70,26 +74,40 @@
     }
 }
 
-fn accept(listener: &TcpListener, service: &Arc<dyn ConnectionService>, stopped: &AtomicBool) {
-    loop {
-        let accepted = listener.accept();
-        if stopped.load(Ordering::Acquire) {
-            return;
-        }
-        match accepted {
-            Ok((stream, _)) => {
-                let service = Arc::clone(service);
-                let spawned = thread::Builder::new().name("peer".to_owned()).spawn(move || serve(stream, &*service));
-                if let Err(error) = spawned {
-                    log::error!(error:% = error; "peer_thread_failed");
-                }
+/// The accepting thread's part of the listener.
+struct Acceptor {
+    service: Arc<dyn ConnectionService>,
+    stopped: Arc<AtomicBool>,
+    streams: OpenStreams,
+}
+
+impl Acceptor {
+    fn accept(&self, listener: &TcpListener) {
+        loop {
+            let accepted = listener.accept();
+            if self.stopped.load(Ordering::Acquire) {
+                return;
             }
-            Err(error) => {
-                log::error!(error:% = error; "peer_accept_failed");
-                thread::sleep(PAUSE_AFTER_ERROR);
+            match accepted.and_then(|(stream, _)| self.start(stream)) {
+                Ok(()) => {}
+                Err(error) => {
+                    log::error!(error:% = error; "peer_accept_failed");
+                    thread::sleep(PAUSE_AFTER_ERROR);
+                }
             }
         }
     }
+
+    /// Serves a connection on a thread of its own.
+    fn start(&self, stream: TcpStream) -> io::Result<()> {
+        let service = Arc::clone(&self.service);
+        let open = self.streams.add(&stream)?;
+        let serve_while_open = move || {
+            serve(stream, &*service);
+            drop(open);
+        };
+        thread::Builder::new().name("peer".to_owned()).spawn(serve_while_open).map(drop)
+    }
 }
 
 fn serve(mut stream: TcpStream, service: &dyn ConnectionService) {
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod forward_server;
 mod link;
 mod listener;
+mod open_streams;
 
 pub use control_link::{ControlLink, receive_control};
 pub use datagrams::DatagramLink;
