--- a/crates/core/src/control/pools.rs
+++ b/crates/core/src/control/pools.rs
@@ -67,8 +67,8 @@
         let owner = self.is_owned_by(me);
         let roles = self.reported_roles(now);
         let performance = performance_of(configuration, &self.pool.id);
-        let engines = self.engines.iter();
-        engines
+        self.engines
+            .iter()
             .map(|engine| EngineSlot {
                 name: engine.name.clone(),
                 role: roles.get(&engine.name).copied().unwrap_or(engine.role),
--- a/crates/rehearsal/src/deployment/description.rs
+++ b/crates/rehearsal/src/deployment/description.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use havengate_core::configuration::Configuration;
+use havengate_core::control::link_latency;
 use havengate_core::world::{Address, Machine, ZoneName};
 use havengate_node::settings::{Deadlines, Limits, LogSettings, Settings, read_toml};
 use serde::{Deserialize, Serialize};
@@ -87,9 +88,7 @@
 
     /// One-way latency between two zones; none inside a zone and where the configuration has no link.
     pub fn zone_latency(&self, from: &ZoneName, to: &ZoneName) -> Duration {
-        let connects = |ends: (&ZoneName, &ZoneName)| ends == (from, to) || ends == (to, from);
-        let link = self.configuration.links.iter().find(|link| connects((&link.from, &link.to)));
-        link.map_or(Duration::ZERO, |link| link.latency)
+        link_latency(&self.configuration, from, to)
     }
 
     fn seeds(&self) -> Vec<Address> {
