--- /dev/null
+++ b/crates/core/src/back_ends/directory.rs
@@ -0,0 +1,168 @@
+//! The directory of back ends: a replica of what they write into the store, with the revision that it stands at.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use speedy::{Readable, Writable};
+
+use super::back_end::{BackEnd, BackEndState};
+use crate::store::Revision;
+use crate::time::Timestamp;
+use crate::world::{BackEndId, ServiceName};
+
+/// How long a back end that has just left, or vanished, may still be sent to when its service has no other.
+///
+/// Entries of back ends that are alive vanish for a while when the store is down, and a back end that leaves goes on
+/// serving for at least two seconds. The time is well below those, since the news itself takes a while.
+pub const LAST_RESORT: Duration = Duration::from_millis(1_000);
+
+/// The whole directory at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct DirectoryListing {
+    /// The store's revision at which the listing was taken.
+    pub revision: Revision,
+    /// All back ends of that revision.
+    pub back_ends: Vec<BackEnd>,
+}
+
+/// One change of the directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DirectoryChange {
+    /// The back end is new or has changed.
+    Put(BackEnd),
+    /// The back end's entry is gone.
+    Gone(BackEndId),
+}
+
+/// Whether a back end may be sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Usability {
+    /// It may.
+    Usable,
+    /// It left a moment ago: only when its service has no usable one.
+    LastResort,
+    /// It may not.
+    Unusable,
+}
+
+/// A back end with what the node has noticed about its entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DirectoryEntry {
+    /// The back end as last read.
+    pub back_end: BackEnd,
+    /// When the node learned that it leaves or that its entry vanished.
+    pub left_at: Option<Timestamp>,
+    /// Whether the store still lists it.
+    pub listed: bool,
+}
+
+impl DirectoryEntry {
+    /// Whether the back end may be sent a request at `now`.
+    pub fn usability(&self, now: Timestamp) -> Usability {
+        match self.left_at {
+            None => Usability::Usable,
+            Some(left_at) if now.since(left_at) < LAST_RESORT => Usability::LastResort,
+            Some(_) => Usability::Unusable,
+        }
+    }
+}
+
+/// A node's replica of the directory. Its revision never falls.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    revision: Revision,
+    known: bool,
+    entries: BTreeMap<BackEndId, DirectoryEntry>,
+}
+
+impl Directory {
+    /// An empty directory, of which nothing is known yet.
+    pub fn new() -> Self {
+        Directory::default()
+    }
+
+    /// Whether the directory has been read at least once.
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// The revision that the directory stands at.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// All back ends that are ready or draining, and those whose entry vanished a moment ago.
+    pub fn entries(&self) -> impl Iterator<Item = &DirectoryEntry> {
+        self.entries.values()
+    }
+
+    /// The entries of `service`.
+    pub fn of_service<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a DirectoryEntry> {
+        self.entries.values().filter(move |entry| entry.back_end.service == *service)
+    }
+
+    /// Replaces the directory by a listing, unless the listing is older. Entries that are missing have vanished.
+    ///
+    /// Returns whether the listing was taken.
+    pub fn adopt(&mut self, listing: DirectoryListing, now: Timestamp) -> bool {
+        if listing.revision < self.revision {
+            return false;
+        }
+        self.known = true;
+        self.revision = listing.revision;
+        let listed: Vec<BackEndId> = listing.back_ends.iter().map(|back_end| back_end.id.clone()).collect();
+        for back_end in listing.back_ends {
+            self.put(back_end, now);
+        }
+        for (id, entry) in &mut self.entries {
+            if !listed.contains(id) {
+                entry.vanish(now);
+            }
+        }
+        self.forget_unusable(now);
+        true
+    }
+
+    /// Applies changes that lead to `revision`, unless the directory is there already.
+    pub fn apply(&mut self, changes: Vec<DirectoryChange>, revision: Revision, now: Timestamp) {
+        if revision < self.revision {
+            return;
+        }
+        self.revision = revision;
+        for change in changes {
+            match change {
+                DirectoryChange::Put(back_end) => self.put(back_end, now),
+                DirectoryChange::Gone(id) => {
+                    if let Some(entry) = self.entries.get_mut(&id) {
+                        entry.vanish(now);
+                    }
+                }
+            }
+        }
+        self.forget_unusable(now);
+    }
+
+    /// The directory as a listing, for another node. What vanished is left out.
+    pub fn listing(&self) -> DirectoryListing {
+        let present = self.entries.values().filter(|entry| entry.listed);
+        DirectoryListing { revision: self.revision, back_ends: present.map(|entry| entry.back_end.clone()).collect() }
+    }
+
+    fn put(&mut self, back_end: BackEnd, now: Timestamp) {
+        let draining = back_end.state == BackEndState::Draining;
+        let left_before = self.entries.get(&back_end.id).and_then(|entry| entry.left_at);
+        let left_at = draining.then(|| left_before.unwrap_or(now));
+        self.entries.insert(back_end.id.clone(), DirectoryEntry { back_end, left_at, listed: true });
+    }
+
+    fn forget_unusable(&mut self, now: Timestamp) {
+        self.entries.retain(|_, entry| entry.listed || entry.usability(now) != Usability::Unusable);
+    }
+}
+
+impl DirectoryEntry {
+    fn vanish(&mut self, now: Timestamp) {
+        self.left_at.get_or_insert(now);
+        self.listed = false;
+    }
+}
--- /dev/null
+++ b/crates/core/src/back_ends/mod.rs
@@ -0,0 +1,9 @@
+//! The back ends that requests may be sent to: which there are, in which state, and how they have answered lately.
+
+mod back_end;
+mod directory;
+mod health;
+
+pub use back_end::{BackEnd, BackEndState, EngineStage};
+pub use directory::{Directory, DirectoryChange, DirectoryEntry, DirectoryListing, LAST_RESORT, Usability};
+pub use health::{BackEndHealth, HealthLimits};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! therefore runs in the node, in property tests and in a simulation in virtual time.
 
 pub mod authority;
+pub mod back_ends;
 pub mod claims;
 pub mod configuration;
 pub mod control;
@@ -14,7 +15,10 @@
 pub mod plan;
 pub mod policy;
 pub mod prompt;
+pub mod relay;
+pub mod replication;
 pub mod request;
+pub mod routing;
 pub mod simulation;
 pub mod store;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/relay/placement.rs
@@ -0,0 +1,120 @@
+//! Where a request is sent: a choice among the back ends of its service, made alike by every node.
+
+use crate::back_ends::{BackEnd, EngineStage, Usability};
+use crate::membership::rank_by_address;
+use crate::world::ZoneName;
+
+/// A back end as the node sees it at the moment of the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The back end.
+    pub back_end: &'a BackEnd,
+    /// Whether the directory lets it be used.
+    pub usability: Usability,
+    /// Whether its answers lately let it be used.
+    pub healthy: bool,
+    /// Whether the node may open or reuse one more connection to it.
+    pub connectable: bool,
+    /// This node's requests that are under way there.
+    pub in_flight: u32,
+}
+
+/// What the request is sent for.
+#[derive(Clone, Copy, Debug)]
+pub enum Purpose<'a> {
+    /// To be answered by a plain application.
+    Application,
+    /// To have its prompt read; the key names the prompt's first shared part, if it has one.
+    Prefill {
+        /// The identity of the first shared part.
+        affinity: Option<u64>,
+    },
+    /// To be answered by an engine, near the one that read its prompt, if another did.
+    Decode {
+        /// The zone of the engine that read the prompt.
+        near: Option<&'a ZoneName>,
+    },
+}
+
+/// What the choice weighs.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementLimits {
+    /// Requests that an engine in another zone must have fewer to be preferred to one in the prompt's zone: a KV cache
+    /// takes twice as long between zones.
+    pub zone_advantage: u32,
+}
+
+impl Default for PlacementLimits {
+    fn default() -> Self {
+        PlacementLimits { zone_advantage: 2 }
+    }
+}
+
+impl Purpose<'_> {
+    fn takes(&self, back_end: &BackEnd) -> bool {
+        match self {
+            Purpose::Application => back_end.stage.is_none(),
+            Purpose::Prefill { .. } => back_end.stage == Some(EngineStage::Prefill),
+            Purpose::Decode { .. } => back_end.stage == Some(EngineStage::Decode),
+        }
+    }
+}
+
+/// The index of the candidate that the request is sent to; `None` when none may be used.
+///
+/// Usable and healthy back ends come first, then usable ones that fail (a request there is better than none), then
+/// those that left a moment ago. `avoid` tells which candidates the request was already sent to.
+pub fn place(
+    candidates: &[Candidate<'_>],
+    purpose: &Purpose<'_>,
+    limits: &PlacementLimits,
+    avoid: impl Fn(&BackEnd) -> bool,
+    random: &mut fastrand::Rng,
+) -> Option<usize> {
+    let fitting = || {
+        let fits = |candidate: &Candidate<'_>| {
+            purpose.takes(candidate.back_end) && candidate.connectable && !avoid(candidate.back_end)
+        };
+        (0..candidates.len()).filter(move |index| fits(&candidates[*index]))
+    };
+    let usable = |index: &usize| candidates[*index].usability == Usability::Usable;
+    let healthy: Vec<usize> = fitting().filter(usable).filter(|index| candidates[*index].healthy).collect();
+    if !healthy.is_empty() {
+        return choose(candidates, &healthy, purpose, limits, random);
+    }
+    let failing: Vec<usize> = fitting().filter(usable).collect();
+    if !failing.is_empty() {
+        return choose(candidates, &failing, purpose, limits, random);
+    }
+    let leaving: Vec<usize> = fitting().filter(|index| candidates[*index].usability == Usability::LastResort).collect();
+    choose(candidates, &leaving, purpose, limits, random)
+}
+
+fn choose(
+    candidates: &[Candidate<'_>],
+    indexes: &[usize],
+    purpose: &Purpose<'_>,
+    limits: &PlacementLimits,
+    random: &mut fastrand::Rng,
+) -> Option<usize> {
+    match purpose {
+        Purpose::Prefill { affinity: Some(key) } => {
+            let address = |index: &usize| candidates[*index].back_end.address;
+            rank_by_address(&key.to_be_bytes(), indexes.iter().copied(), address).into_iter().next()
+        }
+        Purpose::Decode { near: Some(zone) } => least(indexes, random, |index| {
+            let elsewhere = candidates[index].back_end.zone != **zone;
+            candidates[index].in_flight + if elsewhere { limits.zone_advantage } else { 0 }
+        }),
+        Purpose::Application | Purpose::Prefill { affinity: None } | Purpose::Decode { near: None } => {
+            least(indexes, random, |index| candidates[index].in_flight)
+        }
+    }
+}
+
+/// The index with the least cost; ties are broken at random, so that nodes with equal views don't all choose alike.
+fn least(indexes: &[usize], random: &mut fastrand::Rng, cost: impl Fn(usize) -> u32) -> Option<usize> {
+    let minimum = indexes.iter().map(|index| cost(*index)).min()?;
+    let best: Vec<usize> = indexes.iter().copied().filter(|index| cost(*index) == minimum).collect();
+    Some(best[random.usize(..best.len())])
+}
--- /dev/null
+++ b/crates/core/src/relay/prompt.rs
@@ -0,0 +1,28 @@
+//! The shape of a prompt, as its caller declares it.
+
+/// A part of a prompt that may be shared with other requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Names the part's content; parts with the same identity are the same tokens.
+    pub id: u64,
+    /// The part's length in tokens.
+    pub tokens: u32,
+}
+
+/// The shape of a prompt.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// The prompt's length in tokens.
+    pub tokens: u32,
+    /// The most tokens that are generated.
+    pub output_tokens_maximum: u32,
+    /// The parts from the start. The last one belongs to the request or its session alone.
+    pub parts: Vec<PromptPart>,
+}
+
+impl Prompt {
+    /// The first part that other requests share; `None` when the prompt has no shared part.
+    pub fn first_shared_part(&self) -> Option<PromptPart> {
+        (self.parts.len() > 1).then(|| self.parts[0])
+    }
+}
--- /dev/null
+++ b/crates/core/src/replication/message.rs
@@ -0,0 +1,39 @@
+//! What nodes tell each other.
+
+use speedy::{Readable, Writable};
+
+use crate::back_ends::DirectoryListing;
+use crate::routing::{ConfigurationNumber, TrafficConfiguration};
+use crate::store::Revision;
+use crate::world::Address;
+
+/// What a node has, sent to a few peers at a time in one datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Digest {
+    /// Where the sender answers pulls and digests.
+    pub sender: Address,
+    /// The configuration in force at the sender; 0 when it has none.
+    pub configuration: ConfigurationNumber,
+    /// The revision of the sender's directory; 0 when it has none.
+    pub directory: Revision,
+    /// Peers that the sender has heard from lately, a few of them.
+    pub peers: Vec<Address>,
+}
+
+/// Asks for what is newer than the asker's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Pull {
+    /// The configuration in force at the asker.
+    pub configuration: ConfigurationNumber,
+    /// The revision of the asker's directory.
+    pub directory: Revision,
+}
+
+/// What is newer than the asker's own.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct PullAnswer {
+    /// A newer configuration.
+    pub configuration: Option<TrafficConfiguration>,
+    /// A newer directory.
+    pub directory: Option<DirectoryListing>,
+}
--- /dev/null
+++ b/crates/core/src/replication/mod.rs
@@ -0,0 +1,8 @@
+//! How nodes that can't reach the store learn from those that can: digests of what each node has, and pulls of what is
+//! newer.
+
+mod message;
+mod peer_table;
+
+pub use message::{Digest, Pull, PullAnswer};
+pub use peer_table::{PeerTable, PeerTableConfig};
--- /dev/null
+++ b/crates/core/src/replication/peer_table.rs
@@ -0,0 +1,141 @@
+//! Which other nodes there are, as their digests show it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::message::Digest;
+use crate::routing::ConfigurationNumber;
+use crate::store::Revision;
+use crate::time::Timestamp;
+use crate::world::Address;
+
+/// Limits of a [`PeerTable`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerTableConfig {
+    /// The peers that get a digest each time.
+    pub fan_out: usize,
+    /// The peers that a digest names.
+    pub peers_named: usize,
+    /// A peer that was not heard from for this time is no longer named to others, nor asked first.
+    pub fresh: Duration,
+    /// A peer that was not heard from for this time is forgotten; longer than the window of the retry budget.
+    pub forgotten: Duration,
+}
+
+impl Default for PeerTableConfig {
+    fn default() -> Self {
+        PeerTableConfig {
+            fan_out: 3,
+            peers_named: 8,
+            fresh: Duration::from_secs(2),
+            forgotten: Duration::from_secs(25),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    /// When a digest came from it; `None` for a peer that others named.
+    heard_at: Option<Timestamp>,
+    named_at: Timestamp,
+    configuration: ConfigurationNumber,
+    directory: Revision,
+}
+
+/// The other nodes that this one knows of. Seeds are never forgotten.
+#[derive(Clone, Debug)]
+pub struct PeerTable {
+    config: PeerTableConfig,
+    own_address: Address,
+    seeds: Vec<Address>,
+    peers: BTreeMap<Address, Peer>,
+}
+
+impl PeerTable {
+    /// A table that knows the seeds only.
+    pub fn new(config: PeerTableConfig, own_address: Address, seeds: Vec<Address>) -> Self {
+        PeerTable { config, own_address, seeds, peers: BTreeMap::new() }
+    }
+
+    /// Replaces the seeds, when the settings have changed.
+    pub fn set_seeds(&mut self, seeds: Vec<Address>) {
+        self.seeds = seeds;
+    }
+
+    /// Takes a digest in.
+    pub fn receive(&mut self, digest: &Digest, now: Timestamp) {
+        for address in &digest.peers {
+            self.note(*address, now);
+        }
+        self.note(digest.sender, now);
+        if let Some(peer) = self.peers.get_mut(&digest.sender) {
+            peer.heard_at = Some(now);
+            peer.configuration = digest.configuration;
+            peer.directory = digest.directory;
+        }
+    }
+
+    /// Forgets peers that nothing was heard of for long.
+    pub fn tick(&mut self, now: Timestamp) {
+        let forgotten = self.config.forgotten;
+        self.peers.retain(|_, peer| now.since(peer.named_at) < forgotten);
+    }
+
+    /// The nodes that were there within the time after which they are forgotten, this one included.
+    pub fn nodes(&self) -> u32 {
+        u32::try_from(self.peers.len()).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
+    /// The peers that were heard from lately.
+    pub fn fresh(&self, now: Timestamp) -> impl Iterator<Item = Address> {
+        let fresh = self.config.fresh;
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.heard_at.is_some_and(|heard_at| now.since(heard_at) < fresh))
+            .map(|(address, _)| *address)
+    }
+
+    /// A few peers at random for the next digest, and those to be named in it.
+    pub fn next_digest(&self, now: Timestamp, random: &mut fastrand::Rng) -> (Vec<Address>, Vec<Address>) {
+        let mut receivers: Vec<Address> = self.peers.keys().copied().collect();
+        for seed in &self.seeds {
+            if *seed != self.own_address && !receivers.contains(seed) {
+                receivers.push(*seed);
+            }
+        }
+        random.shuffle(&mut receivers);
+        receivers.truncate(self.config.fan_out);
+        let mut named: Vec<Address> = self.fresh(now).collect();
+        random.shuffle(&mut named);
+        named.truncate(self.config.peers_named);
+        (receivers, named)
+    }
+
+    /// A peer that has a newer configuration, or a newer directory where that is asked for.
+    pub fn ahead(
+        &self,
+        configuration: ConfigurationNumber,
+        directory: Option<Revision>,
+        now: Timestamp,
+        random: &mut fastrand::Rng,
+    ) -> Option<Address> {
+        let is_ahead = |peer: &Peer| {
+            peer.configuration > configuration || directory.is_some_and(|revision| peer.directory > revision)
+        };
+        let ahead: Vec<Address> = self.fresh(now).filter(|address| is_ahead(&self.peers[address])).collect();
+        (!ahead.is_empty()).then(|| ahead[random.usize(..ahead.len())])
+    }
+
+    fn note(&mut self, address: Address, now: Timestamp) {
+        if address == self.own_address {
+            return;
+        }
+        let peer = self.peers.entry(address).or_insert(Peer {
+            heard_at: None,
+            named_at: now,
+            configuration: ConfigurationNumber::default(),
+            directory: Revision::default(),
+        });
+        peer.named_at = now;
+    }
+}
--- a/crates/core/src/world/mod.rs
+++ b/crates/core/src/world/mod.rs
@@ -10,6 +10,9 @@
 pub use address::Address;
 pub use contract::{Contract, Tenant, TenantLimits};
 pub use engine::{Engine, EnginePerformance, EngineRole, Model, ModelVersion};
-pub use names::{AdapterName, ContractName, EngineName, ModelName, PolicyName, RegionName, TenantName, ZoneName};
+pub use names::{
+    AdapterName, BackEndId, ContractName, EngineName, ModelName, NodeName, PolicyName, RegionName, RouteName,
+    ServiceName, TenantName, ZoneName,
+};
 pub use pool::{Pool, PoolId, PoolLayout, group_into_pools};
 pub use zone::{Link, Machine, Zone};
--- a/crates/core/src/world/names.rs
+++ b/crates/core/src/world/names.rs
@@ -72,3 +72,19 @@
     /// A role policy or placement policy, as configuration names it.
     PolicyName
 );
+name_type!(
+    /// A service: back ends that are alike, for example the engines of one model or the processes of one application.
+    ServiceName
+);
+name_type!(
+    /// A route: the requests for one host below one path prefix.
+    RouteName
+);
+name_type!(
+    /// One life of a back end: a back end that starts again, or another one at its address, has another identity.
+    BackEndId
+);
+name_type!(
+    /// A node, as operators call the machine that it runs on.
+    NodeName
+);
--- /dev/null
+++ b/crates/core/tests/relay_placement.rs
@@ -0,0 +1,110 @@
+//! Where a request is sent.
+
+mod support {
+    pub mod relay_fixture;
+}
+
+use havengate_core::back_ends::{BackEnd, EngineStage, Usability};
+use havengate_core::relay::{Candidate, PlacementLimits, Purpose, place};
+use support::relay_fixture::back_end;
+
+fn prefill_engines(count: u8) -> Vec<BackEnd> {
+    (1..=count).map(|number| back_end(number, Some(EngineStage::Prefill))).collect()
+}
+
+fn decode_engines(count: u8) -> Vec<BackEnd> {
+    (1..=count).map(|number| back_end(number, Some(EngineStage::Decode))).collect()
+}
+
+fn candidate(back_end: &BackEnd) -> Candidate<'_> {
+    Candidate { back_end, usability: Usability::Usable, healthy: true, connectable: true, in_flight: 0 }
+}
+
+fn placed(candidates: &[Candidate<'_>], purpose: &Purpose<'_>, seed: u64) -> Option<String> {
+    let random = &mut fastrand::Rng::with_seed(seed);
+    let index = place(candidates, purpose, &PlacementLimits::default(), |_| false, random)?;
+    Some(candidates[index].back_end.id.to_string())
+}
+
+#[test]
+fn all_nodes_read_a_shared_part_at_the_same_engine() {
+    let engines = prefill_engines(6);
+    let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
+    for key in 0..50 {
+        let purpose = Purpose::Prefill { affinity: Some(key) };
+        let first = placed(&candidates, &purpose, 1);
+        assert!(first.is_some());
+        let reversed: Vec<Candidate<'_>> = candidates.iter().rev().copied().collect();
+        assert_eq!(first, placed(&reversed, &purpose, 2), "neither the order nor the node's randomness matters");
+    }
+}
+
+#[test]
+fn an_engine_that_leaves_moves_only_its_own_parts() {
+    let engines = prefill_engines(6);
+    let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
+    for key in 0..200 {
+        let purpose = Purpose::Prefill { affinity: Some(key) };
+        let before = placed(&candidates, &purpose, 1).expect("there are engines");
+        let after = placed(&candidates[1..], &purpose, 1).expect("there are engines");
+        assert!(before == after || before == engines[0].id.as_str());
+    }
+}
+
+#[test]
+fn requests_go_to_the_stage_that_serves_them() {
+    let (prefill, decode) = (back_end(1, Some(EngineStage::Prefill)), back_end(2, Some(EngineStage::Decode)));
+    let application = back_end(3, None);
+    let candidates = [candidate(&prefill), candidate(&decode), candidate(&application)];
+    let of = |purpose: &Purpose<'_>| placed(&candidates, purpose, 1);
+    assert_eq!(of(&Purpose::Prefill { affinity: None }).as_deref(), Some(prefill.id.as_str()));
+    assert_eq!(of(&Purpose::Decode { near: None }).as_deref(), Some(decode.id.as_str()));
+    assert_eq!(of(&Purpose::Application).as_deref(), Some(application.id.as_str()));
+}
+
+#[test]
+fn failing_back_ends_come_after_healthy_ones_and_leaving_ones_last() {
+    let engines = decode_engines(3);
+    let healthy = Candidate { in_flight: 30, ..candidate(&engines[0]) };
+    let failing = Candidate { healthy: false, ..candidate(&engines[1]) };
+    let leaving = Candidate { usability: Usability::LastResort, ..candidate(&engines[2]) };
+    let gone = Candidate { usability: Usability::Unusable, ..candidate(&engines[0]) };
+    let purpose = Purpose::Decode { near: None };
+    let id = |index: usize| Some(engines[index].id.to_string());
+    assert_eq!(placed(&[leaving, failing, healthy], &purpose, 1), id(0));
+    assert_eq!(placed(&[leaving, failing], &purpose, 1), id(1));
+    assert_eq!(placed(&[leaving, gone], &purpose, 1), id(2));
+    assert_eq!(placed(&[gone], &purpose, 1), None);
+}
+
+#[test]
+fn no_request_goes_where_no_connection_may_be_opened_or_where_it_was_sent() {
+    let engines = decode_engines(2);
+    let full = Candidate { connectable: false, ..candidate(&engines[0]) };
+    let purpose = Purpose::Decode { near: None };
+    assert_eq!(placed(&[full], &purpose, 1), None);
+    let candidates = [candidate(&engines[0]), candidate(&engines[1])];
+    let random = &mut fastrand::Rng::with_seed(1);
+    let avoid = |back_end: &BackEnd| back_end.id == engines[0].id;
+    assert_eq!(place(&candidates, &purpose, &PlacementLimits::default(), avoid, random), Some(1));
+}
+
+#[test]
+fn a_stream_goes_near_its_prompt_unless_others_have_much_less_to_do() {
+    let engines = decode_engines(2);
+    let zone = engines[0].zone.clone();
+    let purpose = Purpose::Decode { near: Some(&zone) };
+    let near = |in_flight| Candidate { in_flight, ..candidate(&engines[0]) };
+    let advantage = PlacementLimits::default().zone_advantage;
+    assert_eq!(placed(&[near(advantage - 1), candidate(&engines[1])], &purpose, 1), Some(engines[0].id.to_string()));
+    assert_eq!(placed(&[near(advantage + 1), candidate(&engines[1])], &purpose, 1), Some(engines[1].id.to_string()));
+}
+
+#[test]
+fn equal_back_ends_are_chosen_at_random() {
+    let engines = decode_engines(4);
+    let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
+    let chosen: std::collections::BTreeSet<_> =
+        (0..100).map(|seed| placed(&candidates, &Purpose::Decode { near: None }, seed)).collect();
+    assert_eq!(chosen.len(), engines.len());
+}
--- /dev/null
+++ b/crates/core/tests/relay_retry_budget.rs
@@ -0,0 +1,103 @@
+//! The budget for repeats that all nodes share without a message.
+
+use std::time::Duration;
+
+use arbtest::arbitrary::Unstructured;
+use havengate_core::relay::{BudgetShare, SharedRetryBudget, SharedRetryBudgetConfig};
+use havengate_core::time::Timestamp;
+
+const WINDOW: Duration = Duration::from_secs(10);
+const CONFIG: SharedRetryBudgetConfig = SharedRetryBudgetConfig { ratio: 0.2, slack: 54.0, window: WINDOW };
+const STEP_MILLIS: u64 = 50;
+const STEPS: u64 = 800;
+
+fn node(nodes: u32) -> SharedRetryBudget {
+    SharedRetryBudget::new(CONFIG, BudgetShare { nodes })
+}
+
+#[test]
+fn requests_pay_for_a_share_of_repeats() {
+    let mut budget = SharedRetryBudget::new(SharedRetryBudgetConfig { slack: 0.0, ..CONFIG }, BudgetShare { nodes: 1 });
+    let now = Timestamp::from_millis(1_000);
+    assert!(!budget.try_repeat(now));
+    (0..10).for_each(|_| budget.record_request(now));
+    assert!(budget.try_repeat(now) && budget.try_repeat(now) && !budget.try_repeat(now));
+}
+
+#[test]
+fn what_is_spent_comes_back_after_the_window() {
+    let mut budget = node(1);
+    let now = Timestamp::from_millis(1_000);
+    while budget.try_repeat(now) {}
+    assert!(!budget.try_repeat(now + WINDOW - Duration::from_millis(300)));
+    assert!(budget.try_repeat(now + WINDOW + Duration::from_millis(500)));
+}
+
+#[test]
+fn more_nodes_have_smaller_parts() {
+    let mut budget = node(1);
+    let now = Timestamp::from_millis(1_000);
+    let alone = budget.left(now);
+    budget.set_share(BudgetShare { nodes: 9 });
+    assert!((alone / 9.0 - budget.left(now)).abs() < 1e-9);
+}
+
+/// What all nodes did in one step.
+#[derive(Clone, Copy, Default)]
+struct Step {
+    requests: u32,
+    repeats: u32,
+}
+
+fn sum(steps: &[Step], first: u64, count: u64, what: impl Fn(&Step) -> u32) -> f64 {
+    let (first, count) = (usize::try_from(first).unwrap(), usize::try_from(count).unwrap());
+    steps.iter().skip(first).take(count).map(|step| f64::from(what(step))).sum()
+}
+
+/// Several nodes with bursts of requests that all want to repeat, one of which is restarted now and then.
+fn shared_budget_holds(choices: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    let count = choices.int_in_range(1..=9_u32)?;
+    let mut nodes: Vec<SharedRetryBudget> = (0..count).map(|_| node(count)).collect();
+    let mut steps = vec![Step::default(); STEPS as usize];
+    let mut loads = vec![0; nodes.len()];
+    for number in 0..STEPS {
+        if number % 40 == 0 {
+            for load in &mut loads {
+                *load = choices.int_in_range(0..=3_u32)?;
+            }
+        }
+        if number % 250 == 249 {
+            let restarted = choices.choose_index(nodes.len())?;
+            nodes[restarted] = node(count);
+        }
+        let now = Timestamp::from_millis(1_000 + number * STEP_MILLIS);
+        let step = &mut steps[usize::try_from(number).unwrap()];
+        for (budget, load) in nodes.iter_mut().zip(&loads) {
+            (0..*load).for_each(|_| budget.record_request(now));
+            step.requests += load;
+            while budget.try_repeat(now) {
+                step.repeats += 1;
+            }
+        }
+    }
+    check_windows(&steps);
+    Ok(())
+}
+
+fn check_windows(steps: &[Step]) {
+    let window = u64::try_from(WINDOW.as_millis()).unwrap() / STEP_MILLIS;
+    for first in window..STEPS - window {
+        let repeats = sum(steps, first, window, |step| step.repeats);
+        let starts = [first, first - window / 2, first - window];
+        let requests = starts.map(|start| sum(steps, start, window, |step| step.requests));
+        let allowed = CONFIG.ratio * requests.into_iter().fold(0.0, f64::max) + CONFIG.slack;
+        assert!(repeats <= allowed, "{repeats} repeats from step {first}, allowed {allowed}");
+    }
+}
+
+#[test]
+fn all_nodes_together_stay_within_the_budget_in_every_window() {
+    for seed in 1..=40_u64 {
+        arbtest::arbtest(shared_budget_holds).seed(seed << 32 | 0x100);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/replication.rs
@@ -0,0 +1,105 @@
+//! How nodes learn from each other when the store does not serve all of them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use havengate_core::replication::{Digest, PeerTable, PeerTableConfig};
+use havengate_core::routing::ConfigurationNumber;
+use havengate_core::store::Revision;
+use havengate_core::time::Timestamp;
+use havengate_core::world::Address;
+
+const START: Timestamp = Timestamp::from_millis(1_000);
+const ROUND: Duration = Duration::from_millis(200);
+
+fn address(number: u8) -> Address {
+    Address(SocketAddr::from(([10, 0, 0, number], 7_000)))
+}
+
+fn digest(sender: u8, configuration: u64, directory: u64, peers: &[u8]) -> Digest {
+    Digest {
+        sender: address(sender),
+        configuration: ConfigurationNumber(configuration),
+        directory: Revision(directory),
+        peers: peers.iter().map(|number| address(*number)).collect(),
+    }
+}
+
+fn table(own: u8, seeds: &[u8]) -> PeerTable {
+    let seeds = seeds.iter().map(|number| address(*number)).collect();
+    PeerTable::new(PeerTableConfig::default(), address(own), seeds)
+}
+
+fn random() -> fastrand::Rng {
+    fastrand::Rng::with_seed(7)
+}
+
+#[test]
+fn a_node_alone_tells_its_seeds_but_not_itself() {
+    let (receivers, named) = table(1, &[1, 2, 3]).next_digest(START, &mut random());
+    assert_eq!(receivers.len(), 2);
+    assert!(!receivers.contains(&address(1)) && named.is_empty());
+    assert_eq!(table(1, &[1, 2, 3]).nodes(), 1, "a seed that was never heard of is no node");
+}
+
+#[test]
+fn only_a_peer_that_is_ahead_is_asked() {
+    let mut table = table(1, &[]);
+    table.receive(&digest(2, 5, 40, &[]), START);
+    table.receive(&digest(3, 7, 30, &[]), START);
+    let ahead = |configuration, directory: Option<u64>| {
+        table.ahead(ConfigurationNumber(configuration), directory.map(Revision), START, &mut random())
+    };
+    assert_eq!(ahead(6, None), Some(address(3)));
+    assert_eq!(ahead(7, None), None, "a directory that is fresh is not asked for");
+    assert_eq!(ahead(7, Some(35)), Some(address(2)));
+    assert_eq!(ahead(7, Some(40)), None);
+}
+
+#[test]
+fn a_silent_peer_is_not_asked_and_is_forgotten_later() {
+    let mut table = table(1, &[]);
+    let config = PeerTableConfig::default();
+    table.receive(&digest(2, 5, 40, &[]), START);
+    assert_eq!(table.ahead(ConfigurationNumber(1), None, START + config.fresh, &mut random()), None);
+    table.tick(START + config.fresh);
+    assert_eq!(table.nodes(), 2, "it may have spent of what is shared");
+    table.tick(START + config.forgotten);
+    assert_eq!(table.nodes(), 1);
+}
+
+#[test]
+fn a_dead_peer_that_all_others_know_is_forgotten_by_all() {
+    let config = PeerTableConfig::default();
+    let mut tables: Vec<PeerTable> = (1..=4).map(|own| table(own, &[1])).collect();
+    let mut now = START;
+    let mut random = random();
+    let mut alive = 4;
+    for round in 0..400 {
+        if round == 100 {
+            alive = 3;
+        }
+        spread_once(&mut tables[..alive], now, &mut random);
+        if round == 99 {
+            assert!(tables.iter().all(|table| table.nodes() == 4), "all know all");
+        }
+        now = now + ROUND;
+    }
+    assert!(ROUND * 300 > config.forgotten + config.fresh);
+    assert!(tables[..3].iter().all(|table| table.nodes() == 3), "nobody names the dead one for ever");
+}
+
+fn spread_once(tables: &mut [PeerTable], now: Timestamp, random: &mut fastrand::Rng) {
+    for sender in 0..tables.len() {
+        tables[sender].tick(now);
+        let (receivers, peers) = tables[sender].next_digest(now, random);
+        let number = u8::try_from(sender + 1).unwrap();
+        let digest = Digest { peers, ..digest(number, 1, 1, &[]) };
+        for receiver in receivers {
+            let index = tables.iter().enumerate().position(|(index, _)| address(index as u8 + 1) == receiver);
+            if let Some(index) = index {
+                tables[index].receive(&digest, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/back_ends/mod.rs
@@ -0,0 +1,9 @@
+//! The side towards back ends: connections that are kept, and one send of a request.
+
+mod load;
+mod pool;
+mod send;
+
+pub use load::{BackEndLoads, InFlight};
+pub use pool::{ConnectError, ConnectionPool, Lease, PoolLimits};
+pub use send::{AnswerInProgress, SendFailure, Sent, send};
--- /dev/null
+++ b/crates/relay/src/back_ends/send.rs
@@ -0,0 +1,111 @@
+//! One send of a request to one back end, up to the head of its answer.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use havengate_core::back_ends::BackEnd;
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, Response, Uri};
+use tokio::time::timeout_at;
+
+use super::load::InFlight;
+use super::pool::{ConnectionPool, Lease};
+use crate::protocol::{AnswerHead, Protocol, RequestBody, RequestHead, SendFacts, SendStage};
+
+/// A request as it is sent on.
+pub struct Sent<'a> {
+    /// The method, unchanged.
+    pub method: &'a Method,
+    /// Path and query, unchanged.
+    pub target: &'a Uri,
+    /// The caller's headers without those that concern only its connection.
+    pub headers: &'a HeaderMap,
+    /// The whole body, unchanged.
+    pub body: Bytes,
+    /// What the head says.
+    pub head: &'a RequestHead,
+    /// The part that is sent.
+    pub stage: &'a SendStage,
+    /// When the answer must have come.
+    pub ends_at: Instant,
+}
+
+/// An answer whose head has come.
+pub struct AnswerInProgress {
+    /// The head and the body as it comes.
+    pub response: Response<Incoming>,
+    /// What the head proves.
+    pub judgement: AnswerHead,
+    /// The connection that the body comes over.
+    pub lease: Lease,
+    /// Counts the request as under way.
+    pub in_flight: InFlight,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Debug, displaydoc::Display, thiserror::Error)]
+pub enum SendFailure {
+    /// not sent: {0}
+    NotSent(String),
+    /// no answer: {0}
+    Lost(String),
+    /// no answer in time
+    TimedOut,
+}
+
+/// Sends a request to `back_end` and waits for the head of the answer.
+///
+/// # Errors
+/// When there is no answer; only [`SendFailure::NotSent`] proves that the back end has not seen the request.
+pub async fn send<P: Protocol>(
+    protocol: &P,
+    pool: &ConnectionPool,
+    back_end: &BackEnd,
+    request: &Sent<'_>,
+    in_flight: InFlight,
+) -> Result<AnswerInProgress, SendFailure> {
+    let mut lease = pool.lease(back_end).await.map_err(|error| SendFailure::NotSent(error.to_string()))?;
+    let outgoing = assemble(protocol, back_end, request)?;
+    let Some(sender) = lease.sender() else {
+        return Err(SendFailure::NotSent("the connection is gone".to_owned()));
+    };
+    let answer = match timeout_at(request.ends_at.into(), sender.try_send_request(outgoing)).await {
+        Err(_) => return Err(SendFailure::TimedOut),
+        Ok(Err(mut error)) => {
+            let unsent = error.take_message().is_some();
+            let text = error.into_error().to_string();
+            return Err(if unsent { SendFailure::NotSent(text) } else { SendFailure::Lost(text) });
+        }
+        Ok(Ok(response)) => response,
+    };
+    if let Some(seconds) = keep_alive_seconds(answer.headers()) {
+        lease.allow_rest(seconds);
+    }
+    let judgement = protocol.judge(&request.head.id, answer.status(), answer.headers());
+    Ok(AnswerInProgress { response: answer, judgement, lease, in_flight })
+}
+
+fn assemble<P: Protocol>(
+    protocol: &P,
+    back_end: &BackEnd,
+    request: &Sent<'_>,
+) -> Result<Request<RequestBody>, SendFailure> {
+    let mut outgoing = Request::new(RequestBody::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.target.clone();
+    *outgoing.headers_mut() = request.headers.clone();
+    let deadline = request.ends_at.saturating_duration_since(Instant::now());
+    if deadline.is_zero() {
+        return Err(SendFailure::NotSent("the deadline has passed".to_owned()));
+    }
+    let facts = SendFacts { back_end, deadline, stage: request.stage };
+    protocol.dress(outgoing.headers_mut(), &facts);
+    Ok(outgoing)
+}
+
+fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+    timeout.unwrap_or(text).trim().parse().ok()
+}
--- /dev/null
+++ b/crates/relay/src/callers/candidates.rs
@@ -0,0 +1,53 @@
+//! The back ends that a request may be sent to, as this node sees them now.
+
+use havengate_core::back_ends::BackEnd;
+use havengate_core::relay::{Candidate, Purpose, place};
+use havengate_core::time::Timestamp;
+use havengate_core::world::{BackEndId, ServiceName};
+
+use super::traffic::Traffic;
+use crate::knowledge::Knowledge;
+
+/// Chooses the back end of `service` that a request is sent to, other than those in `tried`.
+pub fn choose_back_end<P>(
+    traffic: &Traffic<P>,
+    knowledge: &Knowledge,
+    service: &ServiceName,
+    purpose: &Purpose<'_>,
+    tried: &[BackEndId],
+) -> Option<BackEnd> {
+    let candidates = candidates(traffic, knowledge, service, traffic.clock.now());
+    let avoid = |back_end: &BackEnd| tried.contains(&back_end.id);
+    let choose = |random: &mut fastrand::Rng| place(&candidates, purpose, &traffic.placement, avoid, random);
+    let index = traffic.with_random(choose)?;
+    Some(candidates[index].back_end.clone())
+}
+
+fn candidates<'k, P>(
+    traffic: &Traffic<P>,
+    knowledge: &'k Knowledge,
+    service: &ServiceName,
+    now: Timestamp,
+) -> Vec<Candidate<'k>> {
+    let connections_maximum = connections_maximum(knowledge, service);
+    let entries = knowledge.directory.entries().filter(|entry| entry.back_end.service == *service);
+    entries
+        .map(|entry| {
+            let id = &entry.back_end.id;
+            Candidate {
+                back_end: &entry.back_end,
+                usability: entry.usability(now),
+                healthy: traffic.loads.admits(id, now),
+                connectable: traffic.pool.open(id) < connections_maximum || traffic.pool.resting(id) > 0,
+                in_flight: traffic.loads.in_flight(id),
+            }
+        })
+        .collect()
+}
+
+/// This node's part of the connections that a back end accepts from all nodes together.
+fn connections_maximum(knowledge: &Knowledge, service: &ServiceName) -> u32 {
+    let description = knowledge.configuration.as_ref().and_then(|active| active.configuration.service(service));
+    let maximum = description.map_or(u32::MAX, |description| description.connections_maximum);
+    (maximum / knowledge.nodes.max(1)).max(1)
+}
--- /dev/null
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -0,0 +1,277 @@
+//! Drives one request: places it, sends it, and acts on the outcome until there is an answer.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use havengate_core::back_ends::BackEnd;
+use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Purpose, SendOutcome};
+use havengate_core::routing::Route;
+use havengate_core::time::Timestamp;
+use havengate_core::verdict::{MayHaveRun, NotRunReason};
+use havengate_core::world::{BackEndId, ServiceName, ZoneName};
+use http_body_util::Full;
+use hyper::header::HeaderMap;
+use hyper::http::response::Parts;
+use hyper::{Method, Response, Uri};
+use tokio::time::{sleep_until, timeout_at};
+
+use super::answer::{OwnAnswer, RelayBody};
+use super::candidates::choose_back_end;
+use super::headers::strip_answer;
+use super::record::{RequestEnd, RequestRecord};
+use super::send_step::{discard, first_piece, outcome_of_failure, outcome_of_head, read_whole, send_noted};
+use super::stream_body::StreamBody;
+use super::traffic::Traffic;
+use crate::back_ends::{AnswerInProgress, SendFailure};
+use crate::protocol::{AnswerHead, CacheSource, Protocol, RequestHead, SendStage};
+
+/// Prompts of this many tokens and more are read by a prefill engine; shorter ones take less time on the decode engine
+/// than the move of their KV cache.
+const PREFILL_TOKENS_MINIMUM: u32 = 2_000;
+
+/// A caller's request, read whole.
+pub struct CallerRequest {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// The headers that travel.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// What the head says.
+    pub head: RequestHead,
+    /// The route.
+    pub route: Arc<Route>,
+    /// The service that the request goes to.
+    pub service: ServiceName,
+    /// When the request must have ended.
+    pub ends_at: Timestamp,
+}
+
+/// Sends `request` until there is an answer for its caller.
+pub async fn drive<P: Protocol>(
+    traffic: &Traffic<P>,
+    request: CallerRequest,
+    record: RequestRecord,
+) -> Response<RelayBody> {
+    let rules = ExchangeRules {
+        kind: request.route.kind,
+        attempts_maximum: request.route.attempts_maximum,
+        ends_at: request.ends_at,
+    };
+    let now = traffic.clock.now();
+    traffic.with_budget(&request.service, |budget| budget.record_request(now));
+    let ends_at = Instant::now() + request.ends_at.since(now);
+    let exchange = Exchange::new(rules);
+    Driver { traffic, request, ends_at, exchange, record: Some(record), tried: Vec::new() }.run().await
+}
+
+struct Driver<'a, P> {
+    traffic: &'a Traffic<P>,
+    request: CallerRequest,
+    ends_at: Instant,
+    exchange: Exchange,
+    /// Taken when the record goes along with an answer that is passed on as it comes.
+    record: Option<RequestRecord>,
+    tried: Vec<BackEndId>,
+}
+
+/// How one send ended.
+enum Attempt {
+    /// There is an answer for the caller.
+    Answered(Response<RelayBody>),
+    /// There is none; the back end's report of a failure may be passed on.
+    Ended(SendOutcome, Option<Response<RelayBody>>),
+    /// The request's time is over.
+    TimedOut,
+}
+
+impl<P: Protocol> Driver<'_, P> {
+    async fn run(&mut self) -> Response<RelayBody> {
+        let source = self.read_prompt_elsewhere().await;
+        let near = source.as_ref().map(|(_, zone)| zone.clone());
+        let mut stage = source.map_or(SendStage::Whole, |(source, _)| SendStage::Decode(source));
+        loop {
+            let now = self.traffic.clock.now();
+            let exchange = &self.exchange;
+            if let Err(end) = self.traffic.with_budget(&self.request.service, |budget| exchange.begin_send(budget, now))
+            {
+                return self.end(end, None);
+            }
+            let Some(back_end) = self.place_answer(near.as_ref()) else {
+                let end = self.exchange.give_up(NotRunReason::NoEngine, MayHaveRun::EngineFailed);
+                return self.end(end, None);
+            };
+            let attempt = self.attempt(&back_end, &stage).await;
+            let (next, answer) = match attempt {
+                Attempt::Answered(answer) => return answer,
+                Attempt::Ended(outcome, answer) => (self.exchange.after_send(outcome), answer),
+                Attempt::TimedOut => (NextStep::Fail(MayHaveRun::DeadlinePassed), None),
+            };
+            if next != NextStep::SendAgain {
+                return self.end(next, answer);
+            }
+            if self.exchange.sends() > 0 {
+                // A handle is taken only once, and may be gone with its engine: the next engine reads the prompt itself.
+                stage = SendStage::Whole;
+            }
+            self.tried.push(back_end.id);
+        }
+    }
+
+    fn end(&mut self, end: NextStep, answer: Option<Response<RelayBody>>) -> Response<RelayBody> {
+        let (outcome, own) = match end {
+            NextStep::Deliver | NextStep::SendAgain => match answer {
+                Some(answer) => {
+                    self.finish(RequestEnd::Failed, "back_end_failed");
+                    return answer;
+                }
+                None => (RequestEnd::MayHaveRun, OwnAnswer::failure(MayHaveRun::EngineFailed)),
+            },
+            NextStep::Refuse(reason) => (RequestEnd::Refused, OwnAnswer::refusal(reason)),
+            NextStep::Fail(reason) => (RequestEnd::MayHaveRun, OwnAnswer::failure(reason)),
+        };
+        self.finish(outcome, own.cause);
+        own.response()
+    }
+
+    fn finish(&mut self, outcome: RequestEnd, cause: &'static str) {
+        if let Some(mut record) = self.record.take() {
+            record.sends = self.exchange.sends();
+            record.finish(outcome, cause);
+        }
+    }
+
+    /// Has a long prompt read by a prefill engine; the handle of its KV cache, and the zone that it is in.
+    async fn read_prompt_elsewhere(&mut self) -> Option<(CacheSource, ZoneName)> {
+        let prompt = self.request.head.prompt.as_ref()?;
+        if prompt.tokens < PREFILL_TOKENS_MINIMUM {
+            return None;
+        }
+        let affinity = prompt.first_shared_part().map(|part| part.id);
+        while self.exchange.may_prefill() {
+            let back_end = self.place(&Purpose::Prefill { affinity })?;
+            if let Some(record) = &mut self.record {
+                record.prefill_back_end = Some(back_end.id.clone());
+            }
+            match self.prefill(&back_end).await {
+                Ok(handle) => {
+                    self.exchange.after_prefill(None);
+                    return Some((CacheSource { address: back_end.address, handle }, back_end.zone));
+                }
+                Err(outcome) => {
+                    self.exchange.after_prefill(Some(outcome));
+                    let request = self.request.head.id_text();
+                    log::info!(event = "prefill_failed", request, back_end:% = back_end.id, outcome:? = outcome; "");
+                    self.tried.push(back_end.id);
+                }
+            }
+        }
+        None
+    }
+
+    async fn prefill(&self, back_end: &BackEnd) -> Result<String, SendOutcome> {
+        let answer = send_noted(self.traffic, &self.request, back_end, &SendStage::Prefill, self.ends_at)
+            .await
+            .map_err(|failure| outcome_of_failure(&failure))?;
+        if let Some(outcome) = outcome_of_head(answer.judgement) {
+            discard(answer, self.ends_at).await;
+            return Err(outcome);
+        }
+        let whole = read_whole(self.traffic, back_end, answer, self.ends_at).await;
+        let (_, body) = whole.ok_or(SendOutcome::Lost)?;
+        self.traffic.protocol.read_handle(&body).ok_or(SendOutcome::Lost)
+    }
+
+    async fn attempt(&mut self, back_end: &BackEnd, stage: &SendStage) -> Attempt {
+        if let Some(record) = &mut self.record {
+            record.back_end = Some(back_end.id.clone());
+        }
+        let answer = match send_noted(self.traffic, &self.request, back_end, stage, self.ends_at).await {
+            Err(SendFailure::NotSent(_)) => return Attempt::Ended(SendOutcome::NotSent, None),
+            Err(failure) => {
+                self.exchange.record_sent();
+                return match failure {
+                    SendFailure::TimedOut => Attempt::TimedOut,
+                    _ => Attempt::Ended(SendOutcome::Lost, None),
+                };
+            }
+            Ok(answer) => answer,
+        };
+        self.exchange.record_sent();
+        match outcome_of_head(answer.judgement) {
+            Some(SendOutcome::Failed) => match self.hold(back_end, answer).await {
+                Some(response) => Attempt::Ended(SendOutcome::Failed, Some(response)),
+                None => Attempt::Ended(SendOutcome::Lost, None),
+            },
+            Some(outcome) => {
+                if answer.judgement != AnswerHead::Foreign {
+                    discard(answer, self.ends_at).await;
+                }
+                Attempt::Ended(outcome, None)
+            }
+            None if self.request.route.kind.is_stream() => self.pass_on(back_end, answer).await,
+            None => match self.hold(back_end, answer).await {
+                Some(response) => {
+                    self.finish(RequestEnd::Completed, "");
+                    Attempt::Answered(response)
+                }
+                None => Attempt::Ended(SendOutcome::Lost, None),
+            },
+        }
+    }
+
+    /// Reads an answer to its end before its head is passed on, so that one that is cut is never begun.
+    async fn hold(&self, back_end: &BackEnd, answer: AnswerInProgress) -> Option<Response<RelayBody>> {
+        let (parts, body) = read_whole(self.traffic, back_end, answer, self.ends_at).await?;
+        Some(passed_on(parts, RelayBody::Whole(Full::new(body))))
+    }
+
+    /// Waits for the first piece of a stream and passes the rest on as it comes.
+    async fn pass_on(&mut self, back_end: &BackEnd, answer: AnswerInProgress) -> Attempt {
+        let AnswerInProgress { response, lease, in_flight, .. } = answer;
+        let (parts, mut body) = response.into_parts();
+        let first = match timeout_at(self.ends_at.into(), first_piece(&mut body)).await {
+            Err(_) => return Attempt::TimedOut,
+            Ok(Err(_)) => {
+                self.traffic.loads.failed(&back_end.id, self.traffic.clock.now());
+                return Attempt::Ended(SendOutcome::Lost, None);
+            }
+            Ok(Ok(first)) => first,
+        };
+        self.traffic.loads.succeeded(&back_end.id);
+        let Some(mut record) = self.record.take() else {
+            return Attempt::Ended(SendOutcome::Lost, None);
+        };
+        record.sends = self.exchange.sends();
+        record.first_piece = Some(self.traffic.clock.now());
+        record.in_flight = Some(in_flight);
+        let time_limit = Box::pin(sleep_until(self.ends_at.into()));
+        let body = StreamBody::new(first, body, lease, time_limit, record);
+        Attempt::Answered(passed_on(parts, RelayBody::Stream(Box::new(body))))
+    }
+
+    fn place_answer(&mut self, near: Option<&ZoneName>) -> Option<BackEnd> {
+        if self.request.head.prompt.is_some() {
+            self.place(&Purpose::Decode { near })
+        } else {
+            self.place(&Purpose::Application)
+        }
+    }
+
+    fn place(&mut self, purpose: &Purpose<'_>) -> Option<BackEnd> {
+        let knowledge = self.traffic.knowledge.load_full();
+        let now = self.traffic.clock.now();
+        if let Some(record) = &mut self.record {
+            record.directory_age = knowledge.directory_confirmed_at.map(|confirmed_at| now.since(confirmed_at));
+        }
+        choose_back_end(self.traffic, &knowledge, &self.request.service, purpose, &self.tried)
+    }
+}
+
+fn passed_on(mut parts: Parts, body: RelayBody) -> Response<RelayBody> {
+    strip_answer(&mut parts.headers);
+    Response::from_parts(parts, body)
+}
--- /dev/null
+++ b/crates/relay/src/callers/handler.rs
@@ -0,0 +1,106 @@
+//! One request of a caller, from its head to its answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use havengate_core::routing::{CallerLimits, Route};
+use havengate_core::verdict::NotRunReason;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
+use tokio::time::timeout;
+
+use super::answer::{OwnAnswer, RelayBody};
+use super::exchange_driver::{CallerRequest, drive};
+use super::headers::strip_request;
+use super::record::{RequestEnd, RequestRecord};
+use super::traffic::Traffic;
+use crate::knowledge::ActiveConfiguration;
+use crate::protocol::{Protocol, RequestHead};
+
+/// Answers one request.
+pub async fn handle<P: Protocol>(traffic: Rc<Traffic<P>>, request: Request<Incoming>) -> Response<RelayBody> {
+    let mut record = RequestRecord::begin(&traffic);
+    let mut response = match take_in(&traffic, request, &mut record).await {
+        Ok(taken) => drive(&traffic, taken, record).await,
+        Err(own) => {
+            let end = if own.retry_after.is_some() { RequestEnd::Refused } else { RequestEnd::Rejected };
+            record.finish(end, own.cause);
+            own.response()
+        }
+    };
+    if traffic.leaving.get() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn take_in<P: Protocol>(
+    traffic: &Traffic<P>,
+    request: Request<Incoming>,
+    record: &mut RequestRecord,
+) -> Result<CallerRequest, OwnAnswer> {
+    let (mut parts, body) = request.into_parts();
+    let knowledge = traffic.knowledge.load_full();
+    let Some(active) = &knowledge.configuration else {
+        return Err(OwnAnswer::refusal(NotRunReason::NodeSuspended));
+    };
+    record.configuration = active.configuration.version.0;
+    let route = find_route(active, &parts)?;
+    record.route = Some(route.name.clone());
+    let head = read_head(traffic, &parts.headers, record)?;
+    let limit = head.deadline.map_or(route.time_limit, |deadline| deadline.min(route.time_limit));
+    let body = read_body(body, &active.configuration.limits, limit).await?;
+    let service = traffic.with_splits(|turns| turns.next(&route).cloned());
+    let service = service.ok_or_else(|| OwnAnswer::refusal(NotRunReason::NoEngine))?;
+    record.service = Some(service.clone());
+    strip_request(&mut parts.headers);
+    Ok(CallerRequest {
+        method: parts.method,
+        target: parts.uri,
+        headers: parts.headers,
+        body,
+        head,
+        route,
+        service,
+        ends_at: record.arrived + limit,
+    })
+}
+
+fn read_head<P: Protocol>(
+    traffic: &Traffic<P>,
+    headers: &HeaderMap,
+    record: &mut RequestRecord,
+) -> Result<RequestHead, OwnAnswer> {
+    let head = traffic.protocol.read_head(headers).map_err(|error| {
+        log::warn!(event = "head_malformed", error:% = error; "");
+        OwnAnswer::rejection(StatusCode::BAD_REQUEST, "malformed_head")
+    })?;
+    head.id_text().clone_into(&mut record.request);
+    Ok(head)
+}
+
+fn find_route(active: &ActiveConfiguration, parts: &Parts) -> Result<Arc<Route>, OwnAnswer> {
+    let named = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = named.or_else(|| parts.uri.host()).unwrap_or_default();
+    let route = active.routes.find(host, parts.uri.path());
+    route.cloned().ok_or_else(|| OwnAnswer::rejection(StatusCode::NOT_FOUND, "no_route"))
+}
+
+async fn read_body(body: Incoming, limits: &CallerLimits, limit: Duration) -> Result<Bytes, OwnAnswer> {
+    let too_large = || OwnAnswer::rejection(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
+    if body.size_hint().lower() > limits.body_maximum_bytes {
+        return Err(too_large());
+    }
+    let maximum = usize::try_from(limits.body_maximum_bytes).unwrap_or(usize::MAX);
+    match timeout(limit, Limited::new(body, maximum).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(_)) => Err(OwnAnswer::rejection(StatusCode::BAD_REQUEST, "body_broken_off")),
+        Err(_) => Err(OwnAnswer::refusal(NotRunReason::DeadlinePassed)),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/callers/mod.rs
@@ -0,0 +1,18 @@
+//! The side towards callers: their connections, and each request from its head to the end of its answer.
+
+mod answer;
+mod candidates;
+mod exchange_driver;
+mod handler;
+mod headers;
+mod record;
+mod send_step;
+mod server;
+mod stream_body;
+mod traffic;
+
+pub use answer::{OwnAnswer, RelayBody};
+pub use handler::handle;
+pub use record::RequestRecord;
+pub use server::{CallerServer, ServerPhase, listen};
+pub use traffic::{ActiveRequests, Traffic};
--- /dev/null
+++ b/crates/relay/src/callers/record.rs
@@ -0,0 +1,143 @@
+//! What is logged and counted of one request when it ends.
+
+use std::time::Duration;
+
+use havengate_core::time::Timestamp;
+use havengate_core::world::{BackEndId, RouteName, ServiceName};
+use havengate_node::clock::Clock;
+
+use super::traffic::{ActiveRequest, Traffic};
+use crate::back_ends::InFlight;
+use crate::metrics::RelayMetrics;
+
+/// How a request ended, as logs and metrics name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// The whole answer was passed on.
+    Completed,
+    /// The back end's own report of a failure was passed on.
+    Failed,
+    /// The request has not run.
+    Refused,
+    /// The request is not one that the node takes.
+    Rejected,
+    /// The outcome is not known.
+    MayHaveRun,
+    /// The answer was broken off after it had begun.
+    Cut,
+    /// The caller hung up.
+    CallerGone,
+}
+
+impl RequestEnd {
+    /// The word in logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            RequestEnd::Completed => "completed",
+            RequestEnd::Failed => "failed",
+            RequestEnd::Refused => "refused",
+            RequestEnd::Rejected => "rejected",
+            RequestEnd::MayHaveRun => "may_have_run",
+            RequestEnd::Cut => "cut",
+            RequestEnd::CallerGone => "caller_gone",
+        }
+    }
+}
+
+/// The record of one request. One that is dropped unfinished belongs to a caller that hung up.
+pub struct RequestRecord {
+    /// The request's identity.
+    pub request: String,
+    /// Its route.
+    pub route: Option<RouteName>,
+    /// The service that it went to.
+    pub service: Option<ServiceName>,
+    /// The back end that it was sent to last.
+    pub back_end: Option<BackEndId>,
+    /// The engine that read its prompt.
+    pub prefill_back_end: Option<BackEndId>,
+    /// Sends that left the node.
+    pub sends: u32,
+    /// The version of the configuration that decided its route.
+    pub configuration: u64,
+    /// The age of the directory when it was placed.
+    pub directory_age: Option<Duration>,
+    /// When it arrived.
+    pub arrived: Timestamp,
+    /// When the first piece of its answer came.
+    pub first_piece: Option<Timestamp>,
+    /// Counts it as under way at its back end.
+    pub in_flight: Option<InFlight>,
+    clock: Clock,
+    metrics: RelayMetrics,
+    active: Option<ActiveRequest>,
+}
+
+impl RequestRecord {
+    /// The record of a request that has just arrived.
+    pub fn begin<P>(traffic: &Traffic<P>) -> Self {
+        RequestRecord {
+            request: String::new(),
+            route: None,
+            service: None,
+            back_end: None,
+            prefill_back_end: None,
+            sends: 0,
+            configuration: 0,
+            directory_age: None,
+            arrived: traffic.clock.now(),
+            first_piece: None,
+            in_flight: None,
+            clock: traffic.clock,
+            metrics: traffic.metrics.clone(),
+            active: Some(traffic.active.begin()),
+        }
+    }
+
+    /// Logs and counts the end of the request, once.
+    pub fn finish(&mut self, end: RequestEnd, cause: &'static str) {
+        if self.active.take().is_none() {
+            return;
+        }
+        self.in_flight = None;
+        let took = self.clock.now().since(self.arrived);
+        let first = self.first_piece.map(|first_piece| first_piece.since(self.arrived));
+        let route = self.route.as_ref().map_or("", RouteName::as_str);
+        self.metrics.record_end(route, end.code(), cause, took, first);
+        log::log!(
+            level_of(end),
+            event = "request_ended",
+            request = self.request.as_str(),
+            outcome = end.code(),
+            cause,
+            route,
+            service = self.service.as_ref().map_or("", ServiceName::as_str),
+            back_end = self.back_end.as_ref().map_or("", BackEndId::as_str),
+            prefill = self.prefill_back_end.as_ref().map_or("", BackEndId::as_str),
+            sends = self.sends,
+            took_ms = millis(Some(took)),
+            first_ms = millis(first),
+            configuration = self.configuration,
+            directory_age_ms = millis(self.directory_age);
+            ""
+        );
+    }
+}
+
+fn level_of(end: RequestEnd) -> log::Level {
+    match end {
+        RequestEnd::Completed | RequestEnd::Failed | RequestEnd::CallerGone => log::Level::Info,
+        RequestEnd::Refused | RequestEnd::Rejected | RequestEnd::MayHaveRun | RequestEnd::Cut => log::Level::Warn,
+    }
+}
+
+/// Whole milliseconds; -1 where there is no value.
+fn millis(duration: Option<Duration>) -> i64 {
+    duration.map_or(-1, |duration| i64::try_from(duration.as_millis()).unwrap_or(i64::MAX))
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        self.finish(RequestEnd::CallerGone, "hung_up");
+    }
+}
--- /dev/null
+++ b/crates/relay/src/callers/send_step.rs
@@ -0,0 +1,153 @@
+//! One send of a request, with what its outcome tells about the back end.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use havengate_core::back_ends::BackEnd;
+use havengate_core::relay::SendOutcome;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::http::response::Parts;
+use tokio::time::timeout_at;
+
+use super::exchange_driver::CallerRequest;
+use super::traffic::Traffic;
+use crate::back_ends::{AnswerInProgress, SendFailure, Sent, send};
+use crate::protocol::{AnswerHead, Protocol, SendStage};
+
+/// The largest answer that is held until it is whole.
+const HELD_ANSWER_MAXIMUM_BYTES: usize = 1024 * 1024;
+
+/// The largest answer that is read only to keep its connection.
+const DISCARDED_ANSWER_MAXIMUM_BYTES: usize = 16 * 1024;
+
+/// Sends a request and notes what the outcome tells about the back end.
+///
+/// # Errors
+/// When there is no answer.
+pub async fn send_noted<P: Protocol>(
+    traffic: &Traffic<P>,
+    request: &CallerRequest,
+    back_end: &BackEnd,
+    stage: &SendStage,
+    ends_at: Instant,
+) -> Result<AnswerInProgress, SendFailure> {
+    let sent = Sent {
+        method: &request.method,
+        target: &request.target,
+        headers: &request.headers,
+        body: request.body.clone(),
+        head: &request.head,
+        stage,
+        ends_at,
+    };
+    let in_flight = traffic.loads.begin(&back_end.id, traffic.clock.now());
+    let result = send(&traffic.protocol, &traffic.pool, back_end, &sent, in_flight).await;
+    match &result {
+        Ok(answer) => note_judgement(traffic, request, back_end, answer.judgement),
+        Err(failure) => note_failure(traffic, request, back_end, failure),
+    }
+    traffic.metrics.record_send(request.service.as_str(), label_of(&result));
+    result
+}
+
+fn note_failure<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd, failure: &SendFailure) {
+    let now = traffic.clock.now();
+    let cause = failure.to_string();
+    match failure {
+        SendFailure::TimedOut => traffic.loads.failed(&back_end.id, now),
+        SendFailure::NotSent(_) | SendFailure::Lost(_) => traffic.loads.unreachable(&back_end.id, now, &cause),
+    }
+    let request = request.head.id_text();
+    log::warn!(event = "send_failed", request, back_end:% = back_end.id, address:% = back_end.address, cause; "");
+}
+
+fn note_judgement<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd, judgement: AnswerHead) {
+    let now = traffic.clock.now();
+    match judgement {
+        // Whether the answer is whole is not known yet.
+        AnswerHead::Proper => return,
+        AnswerHead::Failure | AnswerHead::Foreign => traffic.loads.failed(&back_end.id, now),
+        // A back end without room is in order, and its load is known by what is under way there.
+        AnswerHead::Declined => {}
+        AnswerHead::WrongBackEnd => traffic.loads.unreachable(&back_end.id, now, "another_back_end"),
+    }
+    let request = request.head.id_text();
+    log::info!(event = "answer_judged", request, back_end:% = back_end.id, judgement:? = judgement; "");
+}
+
+/// What an answer's head means for the request; `None`: its proper answer.
+pub fn outcome_of_head(judgement: AnswerHead) -> Option<SendOutcome> {
+    match judgement {
+        AnswerHead::Proper => None,
+        AnswerHead::Failure => Some(SendOutcome::Failed),
+        AnswerHead::Declined | AnswerHead::WrongBackEnd => Some(SendOutcome::Declined),
+        AnswerHead::Foreign => Some(SendOutcome::Lost),
+    }
+}
+
+/// What the lack of an answer means for the request.
+pub fn outcome_of_failure(failure: &SendFailure) -> SendOutcome {
+    match failure {
+        SendFailure::NotSent(_) => SendOutcome::NotSent,
+        SendFailure::Lost(_) | SendFailure::TimedOut => SendOutcome::Lost,
+    }
+}
+
+/// Reads an answer to its end and keeps its connection; `None` when it is cut or too large.
+pub async fn read_whole<P>(
+    traffic: &Traffic<P>,
+    back_end: &BackEnd,
+    answer: AnswerInProgress,
+    ends_at: Instant,
+) -> Option<(Parts, Bytes)> {
+    let AnswerInProgress { response, judgement, lease, in_flight } = answer;
+    let (parts, body) = response.into_parts();
+    let collected = timeout_at(ends_at.into(), Limited::new(body, HELD_ANSWER_MAXIMUM_BYTES).collect()).await;
+    drop(in_flight);
+    let Ok(Ok(collected)) = collected else {
+        traffic.loads.failed(&back_end.id, traffic.clock.now());
+        return None;
+    };
+    lease.give_back();
+    if judgement == AnswerHead::Proper {
+        traffic.loads.succeeded(&back_end.id);
+    }
+    Some((parts, collected.to_bytes()))
+}
+
+/// Reads the answer of a back end that declined, so that its connection serves again.
+pub async fn discard(answer: AnswerInProgress, ends_at: Instant) {
+    let body = Limited::new(answer.response.into_body(), DISCARDED_ANSWER_MAXIMUM_BYTES).collect();
+    if let Ok(Ok(_)) = timeout_at(ends_at.into(), body).await {
+        answer.lease.give_back();
+    }
+}
+
+/// The first piece of a body; `None` for an empty one.
+///
+/// # Errors
+/// When the body is broken off before.
+pub async fn first_piece(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
+fn label_of(result: &Result<AnswerInProgress, SendFailure>) -> &'static str {
+    match result {
+        Ok(answer) => match answer.judgement {
+            AnswerHead::Proper => "answered",
+            AnswerHead::Failure => "failed",
+            AnswerHead::Declined => "declined",
+            AnswerHead::WrongBackEnd => "wrong_back_end",
+            AnswerHead::Foreign => "foreign",
+        },
+        Err(SendFailure::NotSent(_)) => "not_sent",
+        Err(SendFailure::Lost(_)) => "lost",
+        Err(SendFailure::TimedOut) => "timed_out",
+    }
+}
--- /dev/null
+++ b/crates/relay/src/callers/server.rs
@@ -0,0 +1,129 @@
+//! Accepts callers' connections and serves them, through planned stops too.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::handler::handle;
+use super::traffic::Traffic;
+use crate::protocol::Protocol;
+
+/// Connections that wait to be accepted. When many callers come at once, a full queue costs them seconds.
+const LISTEN_BACKLOG: u32 = 1_024;
+
+/// How long a connection may rest, and a head may take, while no configuration says so.
+const IDLE_TIME_LIMIT_DEFAULT: Duration = Duration::from_secs(15);
+
+/// Room for a head beyond what the configuration allows: what exceeds it is told so instead of cut.
+const HEAD_BUFFER_BYTES: usize = 64 * 1024;
+
+/// After an accept that failed (no descriptor is left, most likely), others are given this time to end.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A connection that came just before the listener closed gets this time to send its first request.
+const LAST_CONNECTIONS_PATIENCE: Duration = Duration::from_millis(300);
+
+/// The server's part in a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerPhase {
+    /// Connections are accepted and kept.
+    Serving,
+    /// No more are accepted; those that are open end after their present request.
+    Closing,
+}
+
+/// A listening server.
+pub struct CallerServer {
+    listener: TcpListener,
+}
+
+impl CallerServer {
+    /// Listens at `address`.
+    ///
+    /// # Errors
+    /// When the address can't be listened at.
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        Ok(CallerServer { listener: listen(address)? })
+    }
+
+    /// Serves until the phase is `Closing` and the listener's queue is empty. Connections go on as local tasks.
+    pub async fn serve<P: Protocol>(self, traffic: Rc<Traffic<P>>, phase: watch::Receiver<ServerPhase>) {
+        let mut phase_change = phase.clone();
+        loop {
+            tokio::select! {
+                accepted = self.listener.accept() => match accepted {
+                    Ok((stream, _)) => open_connection(&traffic, stream, phase.clone()),
+                    Err(error) => {
+                        log::warn!(event = "accept_failed", error:% = error; "");
+                        sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+                _ = phase_change.wait_for(|phase| *phase == ServerPhase::Closing) => break,
+            }
+        }
+        while let Some(stream) = accept_waiting(&self.listener).await {
+            open_connection(&traffic, stream, phase.clone());
+        }
+    }
+}
+
+/// A listener with a queue that bears many callers at once.
+///
+/// # Errors
+/// When the address can't be listened at.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
+/// The next connection of the queue, if one waits there already.
+async fn accept_waiting(listener: &TcpListener) -> Option<TcpStream> {
+    tokio::select! {
+        biased;
+        accepted = listener.accept() => accepted.ok().map(|(stream, _)| stream),
+        () = tokio::task::yield_now() => None,
+    }
+}
+
+fn open_connection<P: Protocol>(traffic: &Rc<Traffic<P>>, stream: TcpStream, mut phase: watch::Receiver<ServerPhase>) {
+    let _ = stream.set_nodelay(true);
+    let service_traffic = Rc::clone(traffic);
+    let service = service_fn(move |request| {
+        let traffic = Rc::clone(&service_traffic);
+        async move { Ok::<_, std::convert::Infallible>(handle(traffic, request).await) }
+    });
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle_time_limit(traffic))
+        .max_buf_size(HEAD_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::task::spawn_local(async move {
+        tokio::pin!(connection);
+        let closing = async {
+            let _ = phase.wait_for(|phase| *phase == ServerPhase::Closing).await;
+            sleep(LAST_CONNECTIONS_PATIENCE).await;
+        };
+        tokio::select! {
+            // The caller's and the back end's part in a broken connection is logged with the request.
+            _ = connection.as_mut() => return,
+            () = closing => connection.as_mut().graceful_shutdown(),
+        }
+        let _ = connection.await;
+    });
+}
+
+fn idle_time_limit<P>(traffic: &Traffic<P>) -> Duration {
+    let knowledge = traffic.knowledge.load();
+    let limits = knowledge.configuration.as_ref().map(|active| active.configuration.limits);
+    limits.map_or(IDLE_TIME_LIMIT_DEFAULT, |limits| limits.idle_time_limit.max(limits.head_time_limit))
+}
--- /dev/null
+++ b/crates/relay/src/callers/stream_body.rs
@@ -0,0 +1,92 @@
+//! An answer's body that is passed on piece by piece as it comes.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::time::Sleep;
+
+use super::record::{RequestEnd, RequestRecord};
+use crate::back_ends::Lease;
+
+/// The rest of an answer, tied to the connection that it comes over.
+///
+/// An answer that the back end breaks off, or that is not whole at the route's time limit, ends with an error: the
+/// server then closes the caller's connection without the mark of a whole answer. A caller that hangs up drops the
+/// body, which closes the back end's connection.
+pub struct StreamBody {
+    first: Option<Bytes>,
+    incoming: Incoming,
+    lease: Option<Lease>,
+    time_limit: Pin<Box<Sleep>>,
+    record: RequestRecord,
+}
+
+impl StreamBody {
+    /// A body whose first piece has been read already.
+    pub fn new(
+        first: Option<Bytes>,
+        incoming: Incoming,
+        lease: Lease,
+        time_limit: Pin<Box<Sleep>>,
+        record: RequestRecord,
+    ) -> Self {
+        StreamBody { first, incoming, lease: Some(lease), time_limit, record }
+    }
+
+    fn ended(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            lease.give_back();
+        }
+        self.record.finish(RequestEnd::Completed, "");
+    }
+
+    fn cut(&mut self, cause: &'static str) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        self.lease = None;
+        self.record.finish(RequestEnd::Cut, cause);
+        Poll::Ready(Some(Err(io::Error::other(cause))))
+    }
+}
+
+impl Body for StreamBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let body = self.get_mut();
+        if let Some(first) = body.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        if body.lease.is_none() {
+            return Poll::Ready(None);
+        }
+        loop {
+            match Pin::new(&mut body.incoming).poll_frame(context) {
+                Poll::Ready(Some(Ok(frame))) if frame.is_data() => return Poll::Ready(Some(Ok(frame))),
+                // Trailers concern the back end's connection only.
+                Poll::Ready(Some(Ok(_))) => {}
+                Poll::Ready(Some(Err(_))) => return body.cut("back_end_broke_off"),
+                Poll::Ready(None) => {
+                    body.ended();
+                    return Poll::Ready(None);
+                }
+                Poll::Pending => break,
+            }
+        }
+        match body.time_limit.as_mut().poll(context) {
+            Poll::Ready(()) => body.cut("time_limit"),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let mut hint = self.incoming.size_hint();
+        if let (Some(first), Some(exact)) = (&self.first, hint.exact()) {
+            hint.set_exact(exact + first.len() as u64);
+        }
+        hint
+    }
+}
--- /dev/null
+++ b/crates/relay/src/callers/traffic.rs
@@ -0,0 +1,118 @@
+//! What all requests of a node share, on its traffic thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use havengate_core::relay::{BudgetShare, PlacementLimits, SharedRetryBudget, SharedRetryBudgetConfig};
+use havengate_core::routing::SplitTurns;
+use havengate_core::world::ServiceName;
+use havengate_node::clock::Clock;
+
+use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits};
+use crate::knowledge::SharedKnowledge;
+use crate::metrics::RelayMetrics;
+
+/// What all requests of a node share.
+pub struct Traffic<P> {
+    /// What callers and back ends speak.
+    pub protocol: P,
+    /// What the control thread knows.
+    pub knowledge: SharedKnowledge,
+    /// The node's clock.
+    pub clock: Clock,
+    /// Connections to back ends.
+    pub pool: ConnectionPool,
+    /// What is under way at back ends, and how they answer.
+    pub loads: BackEndLoads,
+    /// What placement weighs.
+    pub placement: PlacementLimits,
+    /// Counters and histograms.
+    pub metrics: RelayMetrics,
+    /// Requests that are open now.
+    pub active: ActiveRequests,
+    /// Whether the node is in a planned stop: answers then tell that their connection closes.
+    pub leaving: Cell<bool>,
+    budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
+    budget_config: SharedRetryBudgetConfig,
+    splits: RefCell<SplitTurns>,
+    random: RefCell<fastrand::Rng>,
+}
+
+impl<P> Traffic<P> {
+    /// What a node shares that has just started.
+    pub fn new(
+        protocol: P,
+        knowledge: SharedKnowledge,
+        clock: Clock,
+        budget_config: SharedRetryBudgetConfig,
+        metrics: RelayMetrics,
+    ) -> Self {
+        Traffic {
+            protocol,
+            knowledge,
+            clock,
+            pool: ConnectionPool::new(PoolLimits::default()),
+            loads: BackEndLoads::default(),
+            placement: PlacementLimits::default(),
+            metrics,
+            active: ActiveRequests::default(),
+            leaving: Cell::new(false),
+            budgets: RefCell::default(),
+            budget_config,
+            splits: RefCell::default(),
+            random: RefCell::new(fastrand::Rng::new()),
+        }
+    }
+
+    /// Calls `change` with the retry budget of `service`.
+    pub fn with_budget<T>(&self, service: &ServiceName, change: impl FnOnce(&mut SharedRetryBudget) -> T) -> T {
+        let share = BudgetShare { nodes: self.knowledge.load().nodes };
+        let mut budgets = self.budgets.borrow_mut();
+        let budget =
+            budgets.entry(service.clone()).or_insert_with(|| SharedRetryBudget::new(self.budget_config, share));
+        budget.set_share(share);
+        change(budget)
+    }
+
+    /// Calls `choose` with the turns of split routes.
+    pub fn with_splits<T>(&self, choose: impl FnOnce(&mut SplitTurns) -> T) -> T {
+        choose(&mut self.splits.borrow_mut())
+    }
+
+    /// Calls `choose` with the node's source of randomness.
+    pub fn with_random<T>(&self, choose: impl FnOnce(&mut fastrand::Rng) -> T) -> T {
+        choose(&mut self.random.borrow_mut())
+    }
+}
+
+/// Counts the requests that are open. Copies share the count.
+#[derive(Clone, Debug, Default)]
+pub struct ActiveRequests {
+    count: Rc<Cell<usize>>,
+}
+
+impl ActiveRequests {
+    /// Requests that are open now.
+    pub fn count(&self) -> usize {
+        self.count.get()
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub fn begin(&self) -> ActiveRequest {
+        self.count.set(self.count.get() + 1);
+        ActiveRequest { requests: self.clone() }
+    }
+}
+
+/// A request that is open.
+#[derive(Debug)]
+pub struct ActiveRequest {
+    requests: ActiveRequests,
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.requests.count.set(self.requests.count.get().saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/relay/src/control/peers.rs
@@ -0,0 +1,193 @@
+//! The exchange with other nodes: digests by datagram, pulls by connection.
+
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use havengate_core::replication::{Digest, PeerTable, Pull, PullAnswer};
+use havengate_core::world::Address;
+use havengate_wire::{FRAME_MAXIMUM_BYTES, WireError, decode, encode};
+use speedy::{LittleEndian, Readable, Writable};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::Semaphore;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use super::learner::{Learner, Source};
+use crate::callers::listen;
+
+/// How often a digest is sent. News reaches all of ten nodes in two or three rounds.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Digests are a few hundred bytes; anything larger is none.
+const DATAGRAM_MAXIMUM_BYTES: usize = 1_400;
+
+/// A directory that the store has confirmed within this time needs no peer.
+const DIRECTORY_FRESH: Duration = Duration::from_millis(500);
+
+/// The longest that a pull may take.
+const PULL_TIME_LIMIT: Duration = Duration::from_millis(600);
+
+/// Pulls that are answered at once; more are closed.
+const PULLS_MAXIMUM: usize = 16;
+
+/// What goes wrong between nodes.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum PeersError {
+    /// the connection failed: {0}
+    Connection(#[from] io::Error),
+    /// the message is none: {0}
+    Message(#[from] WireError),
+    /// the peer took too long
+    TooSlow,
+}
+
+/// The exchange with other nodes. Copies share it.
+#[derive(Clone)]
+pub struct PeerExchange {
+    own_address: Address,
+    table: Rc<RefCell<PeerTable>>,
+    learner: Learner,
+    socket: Rc<UdpSocket>,
+}
+
+impl PeerExchange {
+    /// Takes part in the exchange at `own_address`.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub async fn bind(own_address: Address, table: PeerTable, learner: Learner) -> io::Result<(Self, TcpListener)> {
+        let socket = UdpSocket::bind(own_address.0).await?;
+        let listener = listen(own_address.0)?;
+        let table = Rc::new(RefCell::new(table));
+        Ok((PeerExchange { own_address, table, learner, socket: Rc::new(socket) }, listener))
+    }
+
+    /// Sends digests for ever, and pulls what peers have newer.
+    pub async fn spread(self) {
+        let mut ticks = interval(DIGEST_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let now = self.learner.clock().now();
+            self.table.borrow_mut().tick(now);
+            self.learner.set_nodes(self.table.borrow().nodes());
+            self.send_digests().await;
+            self.pull_if_behind().await;
+        }
+    }
+
+    /// Takes digests in for ever.
+    pub async fn receive(self) {
+        let mut buffer = [0; DATAGRAM_MAXIMUM_BYTES];
+        loop {
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            if let Ok(digest) = decode::<Digest>(&buffer[..length]) {
+                self.table.borrow_mut().receive(&digest, self.learner.clock().now());
+            }
+        }
+    }
+
+    /// Answers pulls for ever.
+    pub async fn answer_pulls(self, listener: TcpListener) {
+        let places = Arc::new(Semaphore::new(PULLS_MAXIMUM));
+        loop {
+            let Ok((mut stream, _)) = listener.accept().await else {
+                tokio::time::sleep(DIGEST_INTERVAL).await;
+                continue;
+            };
+            let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+                continue;
+            };
+            let learner = self.learner.clone();
+            tokio::task::spawn_local(async move {
+                let _place = place;
+                // The peer that asks notices a failure and asks another one.
+                let _ = timeout(PULL_TIME_LIMIT, answer_pull(&mut stream, &learner)).await;
+            });
+        }
+    }
+
+    async fn send_digests(&self) {
+        let now = self.learner.clock().now();
+        let knowledge = self.learner.knowledge();
+        let (receivers, peers) = self.table.borrow().next_digest(now, &mut fastrand::Rng::new());
+        let digest = Digest {
+            sender: self.own_address,
+            configuration: knowledge.configuration_number(),
+            directory: knowledge.directory.revision(),
+            peers,
+        };
+        let Ok(bytes) = encode(&digest) else {
+            return;
+        };
+        for receiver in receivers {
+            // A datagram that can't be sent is like one that is lost.
+            let _ = self.socket.send_to(&bytes, receiver.0).await;
+        }
+    }
+
+    async fn pull_if_behind(&self) {
+        let now = self.learner.clock().now();
+        let knowledge = self.learner.knowledge();
+        let confirmed = knowledge.directory_confirmed_at;
+        let stale = confirmed.is_none_or(|confirmed_at| now.since(confirmed_at) > DIRECTORY_FRESH);
+        let pull = Pull { configuration: knowledge.configuration_number(), directory: knowledge.directory.revision() };
+        let directory = stale.then_some(pull.directory);
+        let ahead = self.table.borrow().ahead(pull.configuration, directory, now, &mut fastrand::Rng::new());
+        let Some(peer) = ahead else {
+            return;
+        };
+        match self.pull(peer, pull).await {
+            Ok(answer) => self.learn(answer),
+            Err(error) => log::warn!(event = "pull_failed", peer:% = peer, error:% = error; ""),
+        }
+    }
+
+    async fn pull(&self, peer: Address, pull: Pull) -> Result<PullAnswer, PeersError> {
+        let exchange = async {
+            let mut stream = TcpStream::connect(peer.0).await?;
+            write_message(&mut stream, &pull).await?;
+            read_message::<PullAnswer>(&mut stream).await
+        };
+        timeout(PULL_TIME_LIMIT, exchange).await.map_err(|_| PeersError::TooSlow)?
+    }
+
+    fn learn(&self, answer: PullAnswer) {
+        if let Some(configuration) = answer.configuration {
+            self.learner.adopt_configuration(configuration, Source::Peer);
+        }
+        if let Some(listing) = answer.directory {
+            self.learner.adopt_listing(listing, Source::Peer);
+        }
+    }
+}
+
+async fn answer_pull(stream: &mut TcpStream, learner: &Learner) -> Result<(), PeersError> {
+    let pull = read_message::<Pull>(stream).await?;
+    write_message(stream, &learner.answer(pull)).await
+}
+
+async fn write_message<M: Writable<LittleEndian>>(stream: &mut TcpStream, message: &M) -> Result<(), PeersError> {
+    let payload = encode(message)?;
+    let length = u32::try_from(payload.len()).unwrap_or(u32::MAX);
+    stream.write_all(&length.to_le_bytes()).await?;
+    stream.write_all(&payload).await?;
+    Ok(())
+}
+
+async fn read_message<M: for<'a> Readable<'a, LittleEndian>>(stream: &mut TcpStream) -> Result<M, PeersError> {
+    let mut length = [0; size_of::<u32>()];
+    stream.read_exact(&mut length).await?;
+    let length = u32::from_le_bytes(length) as usize;
+    if length > FRAME_MAXIMUM_BYTES {
+        return Err(WireError::FrameTooLarge { bytes: length, limit: FRAME_MAXIMUM_BYTES }.into());
+    }
+    let mut payload = vec![0; length];
+    stream.read_exact(&mut payload).await?;
+    Ok(decode(&payload)?)
+}
--- /dev/null
+++ b/crates/relay/src/knowledge.rs
@@ -0,0 +1,65 @@
+//! What the control thread knows, as one immutable value that the traffic thread reads without a lock.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use havengate_core::back_ends::Directory;
+use havengate_core::routing::{ConfigurationNumber, RouteTable, TrafficConfiguration};
+use havengate_core::time::Timestamp;
+
+/// A configuration in force, with its routes ready to be looked up.
+#[derive(Debug)]
+pub struct ActiveConfiguration {
+    /// The configuration.
+    pub configuration: TrafficConfiguration,
+    /// Its routes.
+    pub routes: RouteTable,
+}
+
+impl ActiveConfiguration {
+    /// Makes `configuration` ready for use.
+    pub fn new(configuration: TrafficConfiguration) -> Self {
+        ActiveConfiguration { routes: RouteTable::new(&configuration), configuration }
+    }
+}
+
+/// What a node knows at one moment.
+#[derive(Clone, Debug)]
+pub struct Knowledge {
+    /// The configuration in force; `None` until the node has learned one.
+    pub configuration: Option<Arc<ActiveConfiguration>>,
+    /// The back ends.
+    pub directory: Arc<Directory>,
+    /// When the store or a peer last confirmed the directory; `None`: never.
+    pub directory_confirmed_at: Option<Timestamp>,
+    /// Nodes that take requests, this one included: the most that may share a budget now.
+    pub nodes: u32,
+}
+
+impl Knowledge {
+    /// What a node knows that has just started. Until it has heard of its peers, it takes them for many.
+    pub fn nothing() -> Self {
+        Knowledge {
+            configuration: None,
+            directory: Arc::new(Directory::new()),
+            directory_confirmed_at: None,
+            nodes: NODES_ASSUMED,
+        }
+    }
+
+    /// The version of the configuration in force; 0 when there is none.
+    pub fn configuration_number(&self) -> ConfigurationNumber {
+        self.configuration.as_ref().map(|active| active.configuration.version).unwrap_or_default()
+    }
+
+    /// Whether the node can serve: it has a configuration and knows the back ends.
+    pub fn is_complete(&self) -> bool {
+        self.configuration.is_some() && self.directory.is_known()
+    }
+}
+
+/// The nodes that a node assumes before it has heard of any: its part of what is shared is then small.
+pub const NODES_ASSUMED: u32 = 16;
+
+/// What is known, shared between the two threads.
+pub type SharedKnowledge = Arc<ArcSwap<Knowledge>>;
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,151 @@
+//! What a relaying node counts, for Prometheus.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
+
+/// Labels of a request's end.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndLabels {
+    /// The route; empty when none was found.
+    pub route: String,
+    /// How the request ended.
+    pub outcome: &'static str,
+    /// Why.
+    pub cause: &'static str,
+}
+
+/// Labels of a send.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SendLabels {
+    /// The service.
+    pub service: String,
+    /// How the send ended.
+    pub outcome: &'static str,
+}
+
+/// Labels of a call to the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreLabels {
+    /// What was asked for.
+    pub call: &'static str,
+    /// How the call ended.
+    pub outcome: &'static str,
+}
+
+/// Labels of a latency.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RouteLabel {
+    /// The route.
+    pub route: String,
+}
+
+type Latencies = Family<RouteLabel, Histogram, fn() -> Histogram>;
+
+struct Metrics {
+    registry: Registry,
+    ends: Family<EndLabels, Counter>,
+    sends: Family<SendLabels, Counter>,
+    store_calls: Family<StoreLabels, Counter>,
+    took: Latencies,
+    first: Latencies,
+    configuration: Gauge,
+    directory: Gauge,
+    nodes: Gauge,
+}
+
+/// The metrics of a node. Copies share them.
+#[derive(Clone)]
+pub struct RelayMetrics {
+    metrics: Arc<Metrics>,
+}
+
+impl RelayMetrics {
+    /// Metrics that all start at zero.
+    pub fn new() -> Self {
+        let latencies: fn() -> Histogram = || Histogram::new(LATENCY_BUCKETS);
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("havengate"),
+            ends: Family::default(),
+            sends: Family::default(),
+            store_calls: Family::default(),
+            took: Family::new_with_constructor(latencies),
+            first: Family::new_with_constructor(latencies),
+            configuration: Gauge::default(),
+            directory: Gauge::default(),
+            nodes: Gauge::default(),
+        };
+        let registry = &mut metrics.registry;
+        registry.register("requests", "Requests that ended, by how", metrics.ends.clone());
+        registry.register("sends", "Sends to back ends, by how they ended", metrics.sends.clone());
+        registry.register("store_calls", "Calls to the store, by how they ended", metrics.store_calls.clone());
+        registry.register("request_seconds", "From arrival to the end of the answer", metrics.took.clone());
+        registry.register("first_piece_seconds", "From arrival to the first piece", metrics.first.clone());
+        registry.register("configuration_version", "The configuration in force", metrics.configuration.clone());
+        registry.register("directory_revision", "The revision of the directory", metrics.directory.clone());
+        registry.register("nodes", "Nodes that share the budgets", metrics.nodes.clone());
+        RelayMetrics { metrics: Arc::new(metrics) }
+    }
+
+    /// Counts the end of a request.
+    pub fn record_end(
+        &self,
+        route: &str,
+        outcome: &'static str,
+        cause: &'static str,
+        took: Duration,
+        first: Option<Duration>,
+    ) {
+        let labels = EndLabels { route: route.to_owned(), outcome, cause };
+        self.metrics.ends.get_or_create(&labels).inc();
+        let label = RouteLabel { route: route.to_owned() };
+        self.metrics.took.get_or_create(&label).observe(took.as_secs_f64());
+        if let Some(first) = first {
+            self.metrics.first.get_or_create(&label).observe(first.as_secs_f64());
+        }
+    }
+
+    /// Counts a send to a back end.
+    pub fn record_send(&self, service: &str, outcome: &'static str) {
+        self.metrics.sends.get_or_create(&SendLabels { service: service.to_owned(), outcome }).inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn record_store_call(&self, call: &'static str, outcome: &'static str) {
+        self.metrics.store_calls.get_or_create(&StoreLabels { call, outcome }).inc();
+    }
+
+    /// Sets what the node knows.
+    pub fn set_knowledge(&self, configuration: u64, directory: u64, nodes: u32) {
+        let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        self.metrics.configuration.set(gauge(configuration));
+        self.metrics.directory.set(gauge(directory));
+        self.metrics.nodes.set(i64::from(nodes));
+    }
+
+    /// The metrics in Prometheus's text format.
+    ///
+    /// # Errors
+    /// When a metric can't be written as text.
+    pub fn encode(&self) -> Result<String, fmt::Error> {
+        let mut buffer = String::new();
+        text::encode(&mut buffer, &self.metrics.registry)?;
+        Ok(buffer)
+    }
+}
+
+impl Default for RelayMetrics {
+    fn default() -> Self {
+        RelayMetrics::new()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/process.rs
@@ -0,0 +1,159 @@
+//! A relaying node as a process: its start, its planned stop, and whether it is ready.
+
+use std::convert::Infallible;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use havengate_core::world::Address;
+use havengate_node::clock::Clock;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder as HttpBuilder;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::{interval, sleep};
+
+use crate::callers::{CallerServer, ServerPhase, Traffic, listen};
+use crate::control::{ControlSettings, spawn};
+use crate::knowledge::{Knowledge, SharedKnowledge};
+use crate::metrics::RelayMetrics;
+use crate::protocol::{ControlStore, Protocol};
+use crate::settings::RelaySettings;
+
+/// How long new connections are still accepted after a planned stop began: until whoever spreads callers over the nodes
+/// has asked twice, a second apart, and sends none any more.
+const ACCEPT_WHILE_LEAVING: Duration = Duration::from_millis(2_600);
+
+/// Kept back from the grace of a planned stop for the process's own end.
+const STOP_RESERVE: Duration = Duration::from_millis(300);
+
+/// How often a planned stop looks whether requests are open.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// How often rested connections are closed.
+const TIDY_INTERVAL: Duration = Duration::from_secs(2);
+
+/// A peer that asks for readiness or metrics gets this time.
+const SIDE_REQUEST_TIME_LIMIT: Duration = Duration::from_secs(5);
+
+/// Runs a node until it is told to stop and the stop has ended.
+///
+/// # Errors
+/// When an address can't be bound, or a thread or signal handler can't be started.
+pub fn run<P: Protocol, S: ControlStore>(settings: &RelaySettings, protocol: P, store: S) -> io::Result<()> {
+    let clock = Clock::start();
+    let metrics = RelayMetrics::new();
+    let knowledge: SharedKnowledge = Arc::new(ArcSwap::from_pointee(Knowledge::nothing()));
+    let control = ControlSettings { peers_address: settings.peers_address, seeds: settings.seeds.clone() };
+    let _control = spawn(control, store, Arc::clone(&knowledge), clock, metrics.clone())?;
+    let traffic = Rc::new(Traffic::new(protocol, knowledge, clock, settings.retry_budget(), metrics));
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(settings, traffic))
+}
+
+async fn serve<P: Protocol>(settings: &RelaySettings, traffic: Rc<Traffic<P>>) -> io::Result<()> {
+    let mut stop_signal = signal(SignalKind::terminate())?;
+    let mut reload_signal = signal(SignalKind::hangup())?;
+    let server = CallerServer::bind(settings.callers_address.0)?;
+    serve_side(settings.readiness_address, Rc::clone(&traffic), readiness::<P>)?;
+    if let Some(address) = settings.metrics_address {
+        serve_side(address, Rc::clone(&traffic), metrics_text::<P>)?;
+    }
+    let (phase, phase_receiver) = watch::channel(ServerPhase::Serving);
+    let accepting = tokio::task::spawn_local(server.serve(Rc::clone(&traffic), phase_receiver));
+    log::info!(event = "started", node:% = settings.name, zone:% = settings.zone; "");
+    let mut tidy = interval(TIDY_INTERVAL);
+    loop {
+        tokio::select! {
+            _ = stop_signal.recv() => break,
+            // Nothing of the settings takes effect without a restart yet; a reload must not disturb anything.
+            _ = reload_signal.recv() => log::info!(event = "reloaded"; ""),
+            _ = tidy.tick() => traffic.pool.tidy(),
+        }
+    }
+    stop(settings.stop_grace(), &traffic, &phase).await;
+    accepting.abort();
+    Ok(())
+}
+
+/// A planned stop: not ready at once, then no new connections, then the end of all open requests.
+async fn stop<P>(grace: Duration, traffic: &Traffic<P>, phase: &watch::Sender<ServerPhase>) {
+    let began = Instant::now();
+    let until = began + grace.saturating_sub(STOP_RESERVE);
+    traffic.leaving.set(true);
+    log::info!(event = "stopping", open_requests = traffic.active.count(); "");
+    sleep(ACCEPT_WHILE_LEAVING.min(grace / 2)).await;
+    phase.send_replace(ServerPhase::Closing);
+    // Connections that have just come get a moment for their first request before open requests are counted.
+    sleep(2 * STOP_POLL + Duration::from_millis(300)).await;
+    while traffic.active.count() > 0 && Instant::now() < until {
+        sleep(STOP_POLL).await;
+    }
+    // The last bytes of the last answer leave with the next turn of the connections' tasks.
+    sleep(STOP_POLL).await;
+    let took_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
+    log::info!(event = "stopped", open_requests = traffic.active.count(), took_ms; "");
+}
+
+type SideAnswer = Response<Full<Bytes>>;
+
+fn readiness<P>(traffic: &Traffic<P>) -> SideAnswer {
+    let ready = !traffic.leaving.get() && traffic.knowledge.load().is_complete();
+    let mut response = Response::new(Full::new(Bytes::from_static(if ready { b"ready" } else { b"not ready" })));
+    if !ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+fn metrics_text<P>(traffic: &Traffic<P>) -> SideAnswer {
+    match traffic.metrics.encode() {
+        Ok(text) => Response::new(Full::new(Bytes::from(text))),
+        Err(_) => {
+            let mut response = Response::new(Full::new(Bytes::new()));
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
+
+/// Serves one answer at an address of its own, whatever the path.
+fn serve_side<P: Protocol>(
+    address: Address,
+    traffic: Rc<Traffic<P>>,
+    answer: fn(&Traffic<P>) -> SideAnswer,
+) -> io::Result<()> {
+    let listener: TcpListener = listen(address.0)?;
+    tokio::task::spawn_local(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(STOP_POLL).await;
+                continue;
+            };
+            let traffic = Rc::clone(&traffic);
+            let service = service_fn(move |_: Request<Incoming>| {
+                let response = answer(&traffic);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = HttpBuilder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(SIDE_REQUEST_TIME_LIMIT)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::task::spawn_local(async move {
+                // Whoever asks notices a broken connection and asks again.
+                let _ = connection.await;
+            });
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/relay/src/settings.rs
@@ -0,0 +1,112 @@
+//! The settings of a node that relays.
+
+use std::path::Path;
+use std::time::Duration;
+
+use havengate_core::relay::SharedRetryBudgetConfig;
+use havengate_core::world::{Address, NodeName, ZoneName};
+use havengate_node::settings::{InvalidValue, LogLevel, TomlFileError, ValueCheck, parse_toml, read_toml};
+use serde::Deserialize;
+
+/// The settings of a node that relays, as its file holds them.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelaySettings {
+    /// The node's name, for logs.
+    pub name: NodeName,
+    /// The zone that its machine stands in.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub callers_address: Address,
+    /// Where the node tells whether it takes requests.
+    pub readiness_address: Address,
+    /// Where peers connect, TCP and UDP on the same port.
+    pub peers_address: Address,
+    /// Where the node's metrics are read; `None`: nowhere.
+    #[serde(default)]
+    pub metrics_address: Option<Address>,
+    /// The store.
+    pub store_address: Address,
+    /// Peers that are told of this node from the start; they may be gone.
+    #[serde(default)]
+    pub seeds: Vec<Address>,
+    /// The longest that a planned stop may take, in seconds.
+    pub stop_grace_seconds: f64,
+    /// The limits of repeats.
+    pub retry_budget: RetryBudgetSettings,
+    /// The least severe events that are logged.
+    #[serde(default)]
+    pub log_level: LogLevel,
+}
+
+/// The limits of repeats to one service, over all nodes.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetryBudgetSettings {
+    /// Repeats that each request pays for, from 0 to 1.
+    pub ratio: f64,
+    /// Repeats in a window beyond the ratio.
+    pub slack: f64,
+    /// The length of the window, in seconds.
+    pub window_seconds: f64,
+}
+
+/// Why settings can't be used.
+#[derive(Clone, Debug, displaydoc::Display, thiserror::Error)]
+pub enum RelaySettingsError {
+    /// {0}
+    File(#[from] TomlFileError),
+    /// {}
+    #[displaydoc("{0:?}")]
+    Values(Vec<InvalidValue>),
+}
+
+const STOP_GRACE_SECONDS: std::ops::RangeInclusive<f64> = 1.0..=3_600.0;
+const WINDOW_SECONDS: std::ops::RangeInclusive<f64> = 1.0..=600.0;
+
+impl RelaySettings {
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    /// When it can't be read, is malformed or holds values that are not allowed.
+    pub fn load(path: &Path) -> Result<Self, RelaySettingsError> {
+        read_toml::<RelaySettings>(path)?.checked()
+    }
+
+    /// Parses and checks settings; `path` only names the source in errors.
+    ///
+    /// # Errors
+    /// As [`RelaySettings::load`], except for reading.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, RelaySettingsError> {
+        parse_toml::<RelaySettings>(path, text)?.checked()
+    }
+
+    fn checked(self) -> Result<Self, RelaySettingsError> {
+        let mut check = ValueCheck::new();
+        check.in_range("stop_grace_seconds", self.stop_grace_seconds, STOP_GRACE_SECONDS, |seconds| seconds);
+        check.in_range("retry_budget.ratio", self.retry_budget.ratio, 0.0..=1.0, |ratio| ratio);
+        check.in_range("retry_budget.slack", self.retry_budget.slack, 0.0..=1e6, |slack| slack);
+        check
+            .in_range("retry_budget.window_seconds", self.retry_budget.window_seconds, WINDOW_SECONDS, |window| window);
+        check.reachable("callers_address", self.callers_address);
+        check.reachable("readiness_address", self.readiness_address);
+        check.reachable("peers_address", self.peers_address);
+        check.reachable("store_address", self.store_address);
+        check.finish().map_err(RelaySettingsError::Values)?;
+        Ok(self)
+    }
+
+    /// The longest that a planned stop may take.
+    pub fn stop_grace(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_grace_seconds)
+    }
+
+    /// The limits of repeats to one service.
+    pub fn retry_budget(&self) -> SharedRetryBudgetConfig {
+        SharedRetryBudgetConfig {
+            ratio: self.retry_budget.ratio,
+            slack: self.retry_budget.slack,
+            window: Duration::from_secs_f64(self.retry_budget.window_seconds),
+        }
+    }
+}
