--- a/crates/node/src/logging/mod.rs
+++ b/crates/node/src/logging/mod.rs
@@ -1,4 +1,4 @@
-//! The log: one line of `key=value` pairs for each event, on standard error.
+//! The log: one line of `key=value` pairs for each event.
 //!
 //! # How to log
 //!
@@ -24,12 +24,17 @@
 //!   Elsewhere, lines that belong to a request have the pair `request`.
 //! - Durations are written with their unit, by `humantime`. Prompts, answers and bearer keys are never logged.
 //!
-//! A line that can't be written is dropped: the log may not stop the traffic.
+//! A line that can't be written is dropped: the log may not stop the traffic. Nodes that relay log to standard output
+//! through a [`BoundedLog`], which counts what it leaves out.
 
+mod bounded;
 mod line;
+mod line_budget;
 mod output;
 mod scope;
 
+pub use bounded::BoundedLog;
 pub use line::Line;
-pub use output::{dispatch, log_panics, start};
+pub use line_budget::{LineBudget, LineBudgetConfig};
+pub use output::{dispatch, log_panics, start, start_bounded};
 pub use scope::RequestScope;
--- a/crates/node/src/logging/output.rs
+++ b/crates/node/src/logging/output.rs
@@ -1,19 +1,28 @@
 //! Where lines go, and which are let through.
 
-use std::io::Write;
+use std::io::{self, Write};
 use std::panic::PanicHookInfo;
 use std::time::SystemTime;
 
 use log::{LevelFilter, SetLoggerError};
 
+use super::bounded::BoundedLog;
 use super::line::Line;
+use super::line_budget::LineBudgetConfig;
 use super::scope::RequestScope;
 use crate::settings::LogSettings;
 
 /// The crates whose events the settings' level decides on. Those of libraries need an operator's attention only from
 /// warnings on, except at `trace`.
-const OWN_CRATES: [&str; 5] =
-    ["havengate", "havengate_core", "havengate_wire", "havengate_node", "havengate_rehearsal"];
+const OWN_CRATES: [&str; 7] = [
+    "havengate",
+    "havengate_core",
+    "havengate_wire",
+    "havengate_node",
+    "havengate_rehearsal",
+    "havengate_relay",
+    "havengate_platform",
+];
 
 /// Logs to standard error from now on, panics included.
 ///
@@ -30,6 +39,19 @@
     Ok(())
 }
 
+/// Logs to standard output from now on, panics included, within a budget and without ever waiting for the output.
+///
+/// # Errors
+/// When the process has a logger already, or the log's thread can't be started.
+pub fn start_bounded(settings: &LogSettings, budget: LineBudgetConfig) -> io::Result<BoundedLog> {
+    let bounded = BoundedLog::start(budget, io::stdout())?;
+    let lines = bounded.clone();
+    let output = fern::Output::call(move |record| lines.log(record.level(), record.args().to_string()));
+    dispatch(settings, output).apply().map_err(io::Error::other)?;
+    log_panics();
+    Ok(bounded)
+}
+
 /// The logger that [`start`] installs, with another output.
 pub fn dispatch(settings: &LogSettings, output: impl Into<fern::Output>) -> fern::Dispatch {
     let own_level = settings.level.filter();
