Place long prompts by what all nodes read now

Each node saw only its own readings: two cold prompts of 17,000 tokens met at the engine that comes first by hash while others were idle.

Long prompts are few (8 to 20 a second over all nodes), so each beginning and end of a reading can be told to all peers at once by datagram.

Change: relay::PromptIndex (open readings of all nodes, shared parts kept by each engine) and a cost in tokens: backlog, what is not kept, a share of what another engine keeps. A notice holds all open readings, so a lost one is made up for. Nodes of equal knowledge break ties by rendezvous hashing.

Conclusion: exact knowledge of few, large pieces of work is worth more than a frequent picture of all of it.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -3,9 +3,11 @@
 mod exchange;
 mod placement;
 mod prompt;
+mod prompt_index;
 mod retry_budget;
 
 pub use exchange::{Exchange, ExchangeRules, NextStep, SendOutcome};
 pub use placement::{Candidate, PlacementLimits, Purpose, place};
 pub use prompt::{Prompt, PromptPart};
+pub use prompt_index::{FinishedReading, OpenReading, PromptIndex, PromptIndexConfig, ReadingId, ReadingsNotice};
 pub use retry_budget::{BudgetShare, SharedRetryBudget, SharedRetryBudgetConfig};
--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -1,7 +1,10 @@
 //! Where a request is sent: a choice among the back ends of its service, made alike by every node.
 
+use super::prompt::Prompt;
+use super::prompt_index::PromptIndex;
 use crate::back_ends::{BackEnd, EngineStage, Usability};
 use crate::membership::rank_by_address;
+use crate::time::Timestamp;
 use crate::world::ZoneName;
 
 /// A back end as the node sees it at the moment of the choice.
@@ -24,10 +27,14 @@
 pub enum Purpose<'a> {
     /// To be answered by a plain application.
     Application,
-    /// To have its prompt read; the key names the prompt's first shared part, if it has one.
-    Prefill {
-        /// The identity of the first shared part.
-        affinity: Option<u64>,
+    /// To have a long prompt read, by a prefill engine or by the engine that answers it.
+    Read {
+        /// The prompt.
+        prompt: &'a Prompt,
+        /// What is known of the reading of prompts.
+        index: &'a PromptIndex,
+        /// The time now.
+        now: Timestamp,
     },
     /// To be answered by an engine, near the one that read its prompt, if another did.
     Decode {
@@ -54,7 +61,7 @@
     fn takes(&self, back_end: &BackEnd) -> bool {
         match self {
             Purpose::Application => back_end.stage.is_none(),
-            Purpose::Prefill { .. } => back_end.stage == Some(EngineStage::Prefill),
+            Purpose::Read { .. } => back_end.stage.is_some(),
             Purpose::Decode { .. } => back_end.stage == Some(EngineStage::Decode),
         }
     }
@@ -98,15 +105,21 @@
     random: &mut fastrand::Rng,
 ) -> Option<usize> {
     match purpose {
-        Purpose::Prefill { affinity: Some(key) } => {
+        Purpose::Read { prompt, index, now } => {
+            // All nodes rank engines of equal cost alike, so that a part that nobody has read yet is read once.
             let address = |index: &usize| candidates[*index].back_end.address;
-            rank_by_address(&key.to_be_bytes(), indexes.iter().copied(), address).into_iter().next()
+            let key = prompt.first_shared_part().map_or_else(|| random.u64(..), |part| part.id);
+            let ranked = rank_by_address(&key.to_be_bytes(), indexes.iter().copied(), address);
+            ranked.into_iter().min_by_key(|candidate| {
+                let back_end = candidates[*candidate].back_end;
+                index.cost(&back_end.id, back_end.stage.unwrap_or(EngineStage::Decode), prompt, *now)
+            })
         }
         Purpose::Decode { near: Some(zone) } => least(indexes, random, |index| {
             let elsewhere = candidates[index].back_end.zone != **zone;
             candidates[index].in_flight + if elsewhere { limits.zone_advantage } else { 0 }
         }),
-        Purpose::Application | Purpose::Prefill { affinity: None } | Purpose::Decode { near: None } => {
+        Purpose::Application | Purpose::Decode { near: None } => {
             least(indexes, random, |index| candidates[index].in_flight)
         }
     }
--- a/crates/core/src/relay/prompt.rs
+++ b/crates/core/src/relay/prompt.rs
@@ -1,7 +1,9 @@
 //! The shape of a prompt, as its caller declares it.
 
+use speedy::{Readable, Writable};
+
 /// A part of a prompt that may be shared with other requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct PromptPart {
     /// Names the part's content; parts with the same identity are the same tokens.
     pub id: u64,
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -12,6 +12,8 @@
 pub struct Digest {
     /// Where the sender answers pulls and digests.
     pub sender: Address,
+    /// Where the sender takes notices of readings.
+    pub notices: Address,
     /// The configuration in force at the sender; 0 when it has none.
     pub configuration: ConfigurationNumber,
     /// The revision of the sender's directory; 0 when it has none.
--- a/crates/core/src/replication/peer_table.rs
+++ b/crates/core/src/replication/peer_table.rs
@@ -38,6 +38,7 @@
     /// When a digest came from it; `None` for a peer that others named.
     heard_at: Option<Timestamp>,
     named_at: Timestamp,
+    notices: Option<Address>,
     configuration: ConfigurationNumber,
     directory: Revision,
 }
@@ -70,6 +71,7 @@
         self.note(digest.sender, now);
         if let Some(peer) = self.peers.get_mut(&digest.sender) {
             peer.heard_at = Some(now);
+            peer.notices = Some(digest.notices);
             peer.configuration = digest.configuration;
             peer.directory = digest.directory;
         }
@@ -95,6 +97,11 @@
             .map(|(address, _)| *address)
     }
 
+    /// Where the peers that were heard from lately take notices of readings, in order.
+    pub fn notice_addresses(&self, now: Timestamp) -> Vec<Address> {
+        self.fresh(now).filter_map(|address| self.peers[&address].notices).collect()
+    }
+
     /// A few peers at random for the next digest, and those to be named in it.
     pub fn next_digest(&self, now: Timestamp, random: &mut fastrand::Rng) -> (Vec<Address>, Vec<Address>) {
         let mut receivers: Vec<Address> = self.peers.keys().copied().collect();
@@ -133,6 +140,7 @@
         let peer = self.peers.entry(address).or_insert(Peer {
             heard_at: None,
             named_at: now,
+            notices: None,
             configuration: ConfigurationNumber::default(),
             directory: Revision::default(),
         });
--- a/crates/core/tests/relay_placement.rs
+++ b/crates/core/tests/relay_placement.rs
@@ -5,7 +5,10 @@
 }
 
 use havengate_core::back_ends::{BackEnd, EngineStage, Usability};
-use havengate_core::relay::{Candidate, PlacementLimits, Purpose, place};
+use havengate_core::relay::{
+    Candidate, PlacementLimits, Prompt, PromptIndex, PromptIndexConfig, PromptPart, Purpose, place,
+};
+use havengate_core::time::Timestamp;
 use support::relay_fixture::back_end;
 
 fn prefill_engines(count: u8) -> Vec<BackEnd> {
@@ -20,6 +23,18 @@
     Candidate { back_end, usability: Usability::Usable, healthy: true, connectable: true, in_flight: 0 }
 }
 
+const NOW: Timestamp = Timestamp::from_millis(10_000);
+
+fn index() -> PromptIndex {
+    PromptIndex::new(PromptIndexConfig::default())
+}
+
+/// A long prompt whose first part is shared with others.
+fn prompt(id: u64) -> Prompt {
+    let parts = vec![PromptPart { id, tokens: 12_000 }, PromptPart { id: id + 1_000, tokens: 3_000 }];
+    Prompt { tokens: 15_000, output_tokens_maximum: 10, parts }
+}
+
 fn placed(candidates: &[Candidate<'_>], purpose: &Purpose<'_>, seed: u64) -> Option<String> {
     let random = &mut fastrand::Rng::with_seed(seed);
     let index = place(candidates, purpose, &PlacementLimits::default(), |_| false, random)?;
@@ -27,11 +42,12 @@
 }
 
 #[test]
-fn all_nodes_read_a_shared_part_at_the_same_engine() {
+fn all_nodes_read_a_new_part_at_the_same_engine() {
     let engines = prefill_engines(6);
     let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
+    let index = index();
     for key in 0..50 {
-        let purpose = Purpose::Prefill { affinity: Some(key) };
+        let purpose = Purpose::Read { prompt: &prompt(key), index: &index, now: NOW };
         let first = placed(&candidates, &purpose, 1);
         assert!(first.is_some());
         let reversed: Vec<Candidate<'_>> = candidates.iter().rev().copied().collect();
@@ -43,21 +59,54 @@
 fn an_engine_that_leaves_moves_only_its_own_parts() {
     let engines = prefill_engines(6);
     let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
+    let index = index();
     for key in 0..200 {
-        let purpose = Purpose::Prefill { affinity: Some(key) };
+        let purpose = Purpose::Read { prompt: &prompt(key), index: &index, now: NOW };
         let before = placed(&candidates, &purpose, 1).expect("there are engines");
         let after = placed(&candidates[1..], &purpose, 1).expect("there are engines");
         assert!(before == after || before == engines[0].id.as_str());
     }
 }
 
+#[test]
+fn a_part_goes_where_it_is_kept_unless_that_engine_has_much_to_read() {
+    let engines = prefill_engines(3);
+    let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
+    let mut index = index();
+    let reading = index.begin(&engines[1].id, &prompt(1), NOW);
+    index.end(reading, true, NOW);
+    let place_now =
+        |index: &PromptIndex| placed(&candidates, &Purpose::Read { prompt: &prompt(1), index, now: NOW }, 1);
+    assert_eq!(place_now(&index).as_deref(), Some(engines[1].id.as_str()));
+    for key in 2..20 {
+        index.begin(&engines[1].id, &prompt(key), NOW);
+    }
+    assert_ne!(place_now(&index).as_deref(), Some(engines[1].id.as_str()));
+}
+
+#[test]
+fn a_decode_engine_reads_a_long_prompt_when_all_prefill_engines_have_much_to_read() {
+    let (prefill, decode) = (back_end(1, Some(EngineStage::Prefill)), back_end(2, Some(EngineStage::Decode)));
+    let candidates = [candidate(&prefill), candidate(&decode)];
+    let mut index = index();
+    let place_now =
+        |index: &PromptIndex| placed(&candidates, &Purpose::Read { prompt: &prompt(1), index, now: NOW }, 1);
+    assert_eq!(place_now(&index).as_deref(), Some(prefill.id.as_str()));
+    for key in 2..20 {
+        index.begin(&prefill.id, &prompt(key), NOW);
+    }
+    assert_eq!(place_now(&index).as_deref(), Some(decode.id.as_str()));
+}
+
 #[test]
 fn requests_go_to_the_stage_that_serves_them() {
     let (prefill, decode) = (back_end(1, Some(EngineStage::Prefill)), back_end(2, Some(EngineStage::Decode)));
     let application = back_end(3, None);
     let candidates = [candidate(&prefill), candidate(&decode), candidate(&application)];
     let of = |purpose: &Purpose<'_>| placed(&candidates, purpose, 1);
-    assert_eq!(of(&Purpose::Prefill { affinity: None }).as_deref(), Some(prefill.id.as_str()));
+    let index = index();
+    let read = Purpose::Read { prompt: &prompt(1), index: &index, now: NOW };
+    assert_eq!(of(&read).as_deref(), Some(prefill.id.as_str()));
     assert_eq!(of(&Purpose::Decode { near: None }).as_deref(), Some(decode.id.as_str()));
     assert_eq!(of(&Purpose::Application).as_deref(), Some(application.id.as_str()));
 }
--- a/crates/core/tests/replication.rs
+++ b/crates/core/tests/replication.rs
@@ -19,6 +19,7 @@
 fn digest(sender: u8, configuration: u64, directory: u64, peers: &[u8]) -> Digest {
     Digest {
         sender: address(sender),
+        notices: address(sender),
         configuration: ConfigurationNumber(configuration),
         directory: Revision(directory),
         peers: peers.iter().map(|number| address(*number)).collect(),
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use havengate_core::back_ends::BackEnd;
-use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Purpose, SendOutcome};
+use havengate_core::back_ends::{BackEnd, EngineStage};
+use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Prompt, Purpose, SendOutcome};
 use havengate_core::routing::Route;
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{MayHaveRun, NotRunReason};
@@ -26,9 +26,9 @@
 use crate::back_ends::{AnswerInProgress, SendFailure};
 use crate::protocol::{AnswerHead, CacheSource, Protocol, RequestHead, SendStage};
 
-/// Prompts of this many tokens and more are read by a prefill engine; shorter ones take less time on the decode engine
-/// than the move of their KV cache.
-const PREFILL_TOKENS_MINIMUM: u32 = 2_000;
+/// Prompts of this many tokens and more are worth a choice of the engine that reads them; shorter ones take less time on
+/// the engine that answers them than the move of their KV cache.
+const LONG_PROMPT_TOKENS: u32 = 2_000;
 
 /// A caller's request, read whole.
 pub struct CallerRequest {
@@ -78,6 +78,21 @@
     tried: Vec<BackEndId>,
 }
 
+/// Where a request's prompt is read.
+enum ReadingPlan {
+    /// By the engine that answers, whichever it is.
+    WhereAnswered,
+    /// By this engine, which answers too.
+    There(BackEnd),
+    /// By another engine, which has done so; its KV cache is moved.
+    Elsewhere {
+        /// Where the KV cache is.
+        source: CacheSource,
+        /// The zone of the engine that has it.
+        zone: ZoneName,
+    },
+}
+
 /// How one send ended.
 enum Attempt {
     /// There is an answer for the caller.
@@ -90,9 +105,7 @@
 
 impl<P: Protocol> Driver<'_, P> {
     async fn run(&mut self) -> Response<RelayBody> {
-        let source = self.read_prompt_elsewhere().await;
-        let near = source.as_ref().map(|(_, zone)| zone.clone());
-        let mut stage = source.map_or(SendStage::Whole, |(source, _)| SendStage::Decode(source));
+        let mut plan = self.plan_reading().await;
         loop {
             let now = self.traffic.clock.now();
             let exchange = &self.exchange;
@@ -100,12 +113,11 @@
             {
                 return self.end(end, None);
             }
-            let Some(back_end) = self.place_answer(near.as_ref()) else {
+            let Some(back_end) = self.place_answer(&plan) else {
                 let end = self.exchange.give_up(NotRunReason::NoEngine, MayHaveRun::EngineFailed);
                 return self.end(end, None);
             };
-            let attempt = self.attempt(&back_end, &stage).await;
-            let (next, answer) = match attempt {
+            let (next, answer) = match self.attempt(&back_end, &plan).await {
                 Attempt::Answered(answer) => return answer,
                 Attempt::Ended(outcome, answer) => (self.exchange.after_send(outcome), answer),
                 Attempt::TimedOut => (NextStep::Fail(MayHaveRun::DeadlinePassed), None),
@@ -113,9 +125,9 @@
             if next != NextStep::SendAgain {
                 return self.end(next, answer);
             }
-            if self.exchange.sends() > 0 {
+            if self.exchange.sends() > 0 || matches!(plan, ReadingPlan::There(_)) {
                 // A handle is taken only once, and may be gone with its engine: the next engine reads the prompt itself.
-                stage = SendStage::Whole;
+                plan = ReadingPlan::WhereAnswered;
             }
             self.tried.push(back_end.id);
         }
@@ -144,22 +156,30 @@
         }
     }
 
-    /// Has a long prompt read by a prefill engine; the handle of its KV cache, and the zone that it is in.
-    async fn read_prompt_elsewhere(&mut self) -> Option<(CacheSource, ZoneName)> {
-        let prompt = self.request.head.prompt.as_ref()?;
-        if prompt.tokens < PREFILL_TOKENS_MINIMUM {
-            return None;
-        }
-        let affinity = prompt.first_shared_part().map(|part| part.id);
+    /// Decides where a long prompt is read, and has it read there if that is a prefill engine.
+    async fn plan_reading(&mut self) -> ReadingPlan {
+        let long = self.request.head.prompt.clone().filter(|prompt| prompt.tokens >= LONG_PROMPT_TOKENS);
+        let Some(prompt) = long else {
+            return ReadingPlan::WhereAnswered;
+        };
         while self.exchange.may_prefill() {
-            let back_end = self.place(&Purpose::Prefill { affinity })?;
+            let Some(back_end) = self.place_reading(&prompt) else {
+                break;
+            };
+            if back_end.stage != Some(EngineStage::Prefill) {
+                return ReadingPlan::There(back_end);
+            }
             if let Some(record) = &mut self.record {
                 record.prefill_back_end = Some(back_end.id.clone());
             }
-            match self.prefill(&back_end).await {
+            let reading = self.traffic.readings.begin(&back_end.id, &prompt);
+            let result = self.prefill(&back_end).await;
+            reading.end(result.is_ok());
+            match result {
                 Ok(handle) => {
                     self.exchange.after_prefill(None);
-                    return Some((CacheSource { address: back_end.address, handle }, back_end.zone));
+                    let source = CacheSource { address: back_end.address, handle };
+                    return ReadingPlan::Elsewhere { source, zone: back_end.zone };
                 }
                 Err(outcome) => {
                     self.exchange.after_prefill(Some(outcome));
@@ -169,7 +189,7 @@
                 }
             }
         }
-        None
+        ReadingPlan::WhereAnswered
     }
 
     async fn prefill(&self, back_end: &BackEnd) -> Result<String, SendOutcome> {
@@ -185,7 +205,28 @@
         self.traffic.protocol.read_handle(&body).ok_or(SendOutcome::Lost)
     }
 
-    async fn attempt(&mut self, back_end: &BackEnd, stage: &SendStage) -> Attempt {
+    /// Sends the request to `back_end` for its answer. A long prompt that is read there, or whose KV cache is moved
+    /// there, is noted until the answer begins.
+    async fn attempt(&mut self, back_end: &BackEnd, plan: &ReadingPlan) -> Attempt {
+        let traffic = self.traffic;
+        let long = self.request.head.prompt.clone().filter(|prompt| prompt.tokens >= LONG_PROMPT_TOKENS);
+        let Some(prompt) = long else {
+            return self.attempt_stage(back_end, &SendStage::Whole).await;
+        };
+        if let ReadingPlan::Elsewhere { source, .. } = plan {
+            let attempt = self.attempt_stage(back_end, &SendStage::Decode(source.clone())).await;
+            if matches!(attempt, Attempt::Answered(_)) {
+                traffic.readings.moved(&back_end.id, &prompt);
+            }
+            return attempt;
+        }
+        let reading = traffic.readings.begin(&back_end.id, &prompt);
+        let attempt = self.attempt_stage(back_end, &SendStage::Whole).await;
+        reading.end(matches!(attempt, Attempt::Answered(_)));
+        attempt
+    }
+
+    async fn attempt_stage(&mut self, back_end: &BackEnd, stage: &SendStage) -> Attempt {
         if let Some(record) = &mut self.record {
             record.back_end = Some(back_end.id.clone());
         }
@@ -253,14 +294,23 @@
         Attempt::Answered(passed_on(parts, RelayBody::Stream(Box::new(body))))
     }
 
-    fn place_answer(&mut self, near: Option<&ZoneName>) -> Option<BackEnd> {
-        if self.request.head.prompt.is_some() {
-            self.place(&Purpose::Decode { near })
-        } else {
-            self.place(&Purpose::Application)
+    fn place_answer(&mut self, plan: &ReadingPlan) -> Option<BackEnd> {
+        match plan {
+            ReadingPlan::There(back_end) => Some(back_end.clone()),
+            ReadingPlan::Elsewhere { zone, .. } => self.place(&Purpose::Decode { near: Some(zone) }),
+            ReadingPlan::WhereAnswered if self.request.head.prompt.is_some() => {
+                self.place(&Purpose::Decode { near: None })
+            }
+            ReadingPlan::WhereAnswered => self.place(&Purpose::Application),
         }
     }
 
+    fn place_reading(&mut self, prompt: &Prompt) -> Option<BackEnd> {
+        let now = self.traffic.clock.now();
+        let traffic = self.traffic;
+        traffic.readings.with_index(|index| self.place(&Purpose::Read { prompt, index, now }))
+    }
+
     fn place(&mut self, purpose: &Purpose<'_>) -> Option<BackEnd> {
         let knowledge = self.traffic.knowledge.load_full();
         let now = self.traffic.clock.now();
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use havengate_core::relay::{BudgetShare, PlacementLimits, SharedRetryBudget, SharedRetryBudgetConfig};
 use havengate_core::routing::SplitTurns;
@@ -12,6 +13,7 @@
 use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits};
 use crate::knowledge::SharedKnowledge;
 use crate::metrics::RelayMetrics;
+use crate::readings::Readings;
 
 /// What all requests of a node share.
 pub struct Traffic<P> {
@@ -25,6 +27,8 @@
     pub pool: ConnectionPool,
     /// What is under way at back ends, and how they answer.
     pub loads: BackEndLoads,
+    /// The prompts that are read now, and where shared parts are kept.
+    pub readings: Readings,
     /// What placement weighs.
     pub placement: PlacementLimits,
     /// Counters and histograms.
@@ -50,11 +54,12 @@
     ) -> Self {
         Traffic {
             protocol,
-            knowledge,
             clock,
             pool: ConnectionPool::new(PoolLimits::default()),
             loads: BackEndLoads::default(),
+            readings: Readings::new(Arc::clone(&knowledge), clock),
             placement: PlacementLimits::default(),
+            knowledge,
             metrics,
             active: ActiveRequests::default(),
             leaving: Cell::new(false),
--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -8,6 +8,7 @@
 use havengate_core::replication::{Pull, PullAnswer};
 use havengate_core::routing::TrafficConfiguration;
 use havengate_core::store::Revision;
+use havengate_core::world::Address;
 use havengate_node::clock::Clock;
 
 use crate::knowledge::{ActiveConfiguration, Knowledge, SharedKnowledge};
@@ -97,13 +98,14 @@
         self.publish_directory();
     }
 
-    /// Sets the number of nodes.
-    pub fn set_nodes(&self, nodes: u32) {
+    /// Sets the number of nodes, and where those that were heard from lately take notices.
+    pub fn set_peers(&self, nodes: u32, peers: Vec<Address>) {
         let knowledge = self.knowledge.load_full();
-        if knowledge.nodes != nodes {
-            log::info!(event = "nodes_changed", nodes, before = knowledge.nodes; "");
-            self.publish(Knowledge { nodes, ..(*knowledge).clone() });
+        if knowledge.nodes == nodes && *knowledge.peers == peers {
+            return;
         }
+        log::info!(event = "peers_changed", nodes, before = knowledge.nodes, reachable = peers.len(); "");
+        self.publish(Knowledge { nodes, peers: Arc::new(peers), ..(*knowledge).clone() });
     }
 
     /// What a peer that has `pull` lacks.
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -48,21 +48,27 @@
 #[derive(Clone)]
 pub struct PeerExchange {
     own_address: Address,
+    notices_address: Address,
     table: Rc<RefCell<PeerTable>>,
     learner: Learner,
     socket: Rc<UdpSocket>,
 }
 
 impl PeerExchange {
-    /// Takes part in the exchange at `own_address`.
+    /// Takes part in the exchange at `own_address`, and tells peers that notices are taken at `notices_address`.
     ///
     /// # Errors
     /// When the address can't be bound.
-    pub async fn bind(own_address: Address, table: PeerTable, learner: Learner) -> io::Result<(Self, TcpListener)> {
+    pub async fn bind(
+        own_address: Address,
+        notices_address: Address,
+        table: PeerTable,
+        learner: Learner,
+    ) -> io::Result<(Self, TcpListener)> {
         let socket = UdpSocket::bind(own_address.0).await?;
         let listener = listen(own_address.0)?;
         let table = Rc::new(RefCell::new(table));
-        Ok((PeerExchange { own_address, table, learner, socket: Rc::new(socket) }, listener))
+        Ok((PeerExchange { own_address, notices_address, table, learner, socket: Rc::new(socket) }, listener))
     }
 
     /// Sends digests for ever, and pulls what peers have newer.
@@ -73,7 +79,8 @@
             ticks.tick().await;
             let now = self.learner.clock().now();
             self.table.borrow_mut().tick(now);
-            self.learner.set_nodes(self.table.borrow().nodes());
+            let (nodes, peers) = (self.table.borrow().nodes(), self.table.borrow().notice_addresses(now));
+            self.learner.set_peers(nodes, peers);
             self.send_digests().await;
             self.pull_if_behind().await;
         }
@@ -118,6 +125,7 @@
         let (receivers, peers) = self.table.borrow().next_digest(now, &mut fastrand::Rng::new());
         let digest = Digest {
             sender: self.own_address,
+            notices: self.notices_address,
             configuration: knowledge.configuration_number(),
             directory: knowledge.directory.revision(),
             peers,
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -21,6 +21,8 @@
 pub struct ControlSettings {
     /// Where peers reach this node.
     pub peers_address: Address,
+    /// Where this node takes notices of readings.
+    pub notices_address: Address,
     /// Peers that are told of this node from the start.
     pub seeds: Vec<Address>,
 }
@@ -63,7 +65,8 @@
 ) -> io::Result<()> {
     let learner = Learner::new(knowledge, clock, metrics.clone());
     let table = PeerTable::new(PeerTableConfig::default(), settings.peers_address, settings.seeds);
-    let (peers, listener) = PeerExchange::bind(settings.peers_address, table, learner.clone()).await?;
+    let (peers, listener) =
+        PeerExchange::bind(settings.peers_address, settings.notices_address, table, learner.clone()).await?;
     tokio::task::spawn_local(follow_directory(store.clone(), learner.clone(), metrics.clone()));
     tokio::task::spawn_local(follow_configuration(store, learner, metrics));
     tokio::task::spawn_local(peers.clone().receive());
--- a/crates/relay/src/knowledge.rs
+++ b/crates/relay/src/knowledge.rs
@@ -6,6 +6,7 @@
 use havengate_core::back_ends::Directory;
 use havengate_core::routing::{ConfigurationNumber, RouteTable, TrafficConfiguration};
 use havengate_core::time::Timestamp;
+use havengate_core::world::Address;
 
 /// A configuration in force, with its routes ready to be looked up.
 #[derive(Debug)]
@@ -34,6 +35,8 @@
     pub directory_confirmed_at: Option<Timestamp>,
     /// Nodes that take requests, this one included: the most that may share a budget now.
     pub nodes: u32,
+    /// Where the other nodes take notices of readings.
+    pub peers: Arc<Vec<Address>>,
 }
 
 impl Knowledge {
@@ -44,6 +47,7 @@
             directory: Arc::new(Directory::new()),
             directory_confirmed_at: None,
             nodes: NODES_ASSUMED,
+            peers: Arc::default(),
         }
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod metrics;
 pub mod process;
 pub mod protocol;
+pub mod readings;
 pub mod settings;
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -54,7 +54,11 @@
     let clock = Clock::start();
     let metrics = RelayMetrics::new();
     let knowledge: SharedKnowledge = Arc::new(ArcSwap::from_pointee(Knowledge::nothing()));
-    let control = ControlSettings { peers_address: settings.peers_address, seeds: settings.seeds.clone() };
+    let control = ControlSettings {
+        peers_address: settings.peers_address,
+        notices_address: settings.notices_address,
+        seeds: settings.seeds.clone(),
+    };
     let _control = spawn(control, store, Arc::clone(&knowledge), clock, metrics.clone())?;
     let traffic = Rc::new(Traffic::new(protocol, knowledge, clock, settings.retry_budget(), metrics));
     let runtime = Builder::new_current_thread().enable_all().build()?;
@@ -65,6 +69,7 @@
     let mut stop_signal = signal(SignalKind::terminate())?;
     let mut reload_signal = signal(SignalKind::hangup())?;
     let server = CallerServer::bind(settings.callers_address.0)?;
+    traffic.readings.exchange(settings.notices_address).await?;
     serve_side(settings.readiness_address, Rc::clone(&traffic), readiness::<P>)?;
     if let Some(address) = settings.metrics_address {
         serve_side(address, Rc::clone(&traffic), metrics_text::<P>)?;
@@ -78,7 +83,7 @@
             _ = stop_signal.recv() => break,
             // Nothing of the settings takes effect without a restart yet; a reload must not disturb anything.
             _ = reload_signal.recv() => log::info!(event = "reloaded"; ""),
-            _ = tidy.tick() => traffic.pool.tidy(),
+            _ = tidy.tick() => tidy_up(&traffic),
         }
     }
     stop(settings.stop_grace(), &traffic, &phase).await;
@@ -86,6 +91,14 @@
     Ok(())
 }
 
+/// Lets go of what is no longer needed.
+fn tidy_up<P>(traffic: &Traffic<P>) {
+    traffic.pool.tidy();
+    let knowledge = traffic.knowledge.load();
+    let services = knowledge.configuration.iter().flat_map(|active| &active.configuration.services);
+    traffic.readings.refresh(services.filter_map(|service| service.engines).map(|engines| engines.cache_tokens).min());
+}
+
 /// A planned stop: not ready at once, then no new connections, then the end of all open requests.
 async fn stop<P>(grace: Duration, traffic: &Traffic<P>, phase: &watch::Sender<ServerPhase>) {
     let began = Instant::now();
--- /dev/null
+++ b/crates/relay/src/readings.rs
@@ -0,0 +1,139 @@
+//! The prompts that engines read now, as this node and its peers see it.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+
+use havengate_core::relay::{Prompt, PromptIndex, PromptIndexConfig, ReadingId, ReadingsNotice};
+use havengate_core::world::{Address, BackEndId};
+use havengate_node::clock::Clock;
+use havengate_wire::{decode, encode};
+use tokio::net::UdpSocket;
+
+use crate::knowledge::SharedKnowledge;
+
+/// A notice of more bytes is not sent: it would be split on its way. It holds some 25 readings.
+const NOTICE_MAXIMUM_BYTES: usize = 1_400;
+
+/// The peers that are told of each reading. Long prompts are few, but each notice wakes its receiver.
+const PEERS_TOLD_MAXIMUM: usize = 32;
+
+/// The readings that this node and its peers know of. Copies share them.
+#[derive(Clone)]
+pub struct Readings {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    index: RefCell<PromptIndex>,
+    knowledge: SharedKnowledge,
+    clock: Clock,
+    socket: RefCell<Option<(Address, Rc<UdpSocket>)>>,
+    sequence: Cell<u64>,
+}
+
+impl Readings {
+    /// Readings that are not exchanged with peers yet.
+    pub fn new(knowledge: SharedKnowledge, clock: Clock) -> Self {
+        let index = RefCell::new(PromptIndex::new(PromptIndexConfig::default()));
+        Readings {
+            shared: Rc::new(Shared { index, knowledge, clock, socket: RefCell::default(), sequence: Cell::new(0) }),
+        }
+    }
+
+    /// Takes notices at `address` from now on, and sends them from there.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub async fn exchange(&self, address: Address) -> io::Result<()> {
+        let socket = Rc::new(UdpSocket::bind(address.0).await?);
+        *self.shared.socket.borrow_mut() = Some((address, Rc::clone(&socket)));
+        let readings = self.clone();
+        tokio::task::spawn_local(async move {
+            let mut buffer = [0; NOTICE_MAXIMUM_BYTES];
+            loop {
+                let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+                    continue;
+                };
+                if let Ok(notice) = decode::<ReadingsNotice>(&buffer[..length]) {
+                    let now = readings.shared.clock.now();
+                    readings.shared.index.borrow_mut().receive(notice, now);
+                }
+            }
+        });
+        Ok(())
+    }
+
+    /// Calls `read` with what is known.
+    pub fn with_index<T>(&self, read: impl FnOnce(&PromptIndex) -> T) -> T {
+        read(&self.shared.index.borrow())
+    }
+
+    /// Notes that `engine` begins to read `prompt`, until the guard is ended or dropped.
+    pub fn begin(&self, engine: &BackEndId, prompt: &Prompt) -> ReadingGuard {
+        let id = self.shared.index.borrow_mut().begin(engine, prompt, self.shared.clock.now());
+        self.tell_peers();
+        ReadingGuard { readings: self.clone(), id: Some(id) }
+    }
+
+    /// Notes that `engine` has got the KV cache of `prompt` from another one. Peers are told with the next notice.
+    pub fn moved(&self, engine: &BackEndId, prompt: &Prompt) {
+        self.shared.index.borrow_mut().moved(engine, prompt, self.shared.clock.now());
+    }
+
+    /// Takes over what the knowledge says about engines.
+    pub fn refresh(&self, cache_tokens: Option<u64>) {
+        let knowledge = self.shared.knowledge.load_full();
+        let mut index = self.shared.index.borrow_mut();
+        index.retain_engines(|id| knowledge.directory.entries().any(|entry| entry.back_end.id == *id));
+        if let Some(cache_tokens) = cache_tokens {
+            index.set_cache_tokens(cache_tokens);
+        }
+    }
+
+    fn tell_peers(&self) {
+        let socket = self.shared.socket.borrow();
+        let Some((address, socket)) = socket.as_ref() else {
+            return;
+        };
+        let sequence = self.shared.sequence.get() + 1;
+        self.shared.sequence.set(sequence);
+        let notice = self.shared.index.borrow().notice(*address, sequence, self.shared.clock.now());
+        let Ok(bytes) = encode(&notice) else {
+            return;
+        };
+        if bytes.len() > NOTICE_MAXIMUM_BYTES {
+            return;
+        }
+        for peer in self.shared.knowledge.load().peers.iter().take(PEERS_TOLD_MAXIMUM) {
+            // A notice that can't be sent is like one that is lost: the next one makes up for it.
+            let _ = socket.try_send_to(&bytes, peer.0);
+        }
+    }
+}
+
+/// A prompt that is being read.
+pub struct ReadingGuard {
+    readings: Readings,
+    id: Option<ReadingId>,
+}
+
+impl ReadingGuard {
+    /// Notes that the reading has ended, and whether the engine has read all of the prompt.
+    pub fn end(mut self, whole: bool) {
+        self.note_end(whole);
+    }
+
+    fn note_end(&mut self, whole: bool) {
+        if let Some(id) = self.id.take() {
+            self.readings.shared.index.borrow_mut().end(id, whole, self.readings.shared.clock.now());
+            self.readings.tell_peers();
+        }
+    }
+}
+
+impl Drop for ReadingGuard {
+    fn drop(&mut self) {
+        self.note_end(false);
+    }
+}
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -22,6 +22,8 @@
     pub readiness_address: Address,
     /// Where peers connect, TCP and UDP on the same port.
     pub peers_address: Address,
+    /// Where peers tell of the prompts that they have read, UDP.
+    pub notices_address: Address,
     /// Where the node's metrics are read; `None`: nowhere.
     #[serde(default)]
     pub metrics_address: Option<Address>,
@@ -91,6 +93,7 @@
         check.reachable("callers_address", self.callers_address);
         check.reachable("readiness_address", self.readiness_address);
         check.reachable("peers_address", self.peers_address);
+        check.reachable("notices_address", self.notices_address);
         check.reachable("store_address", self.store_address);
         check.finish().map_err(RelaySettingsError::Values)?;
         Ok(self)
