Give up bytes that nobody acknowledges; a broken answer ejects nobody

Change: connections to back ends give up after 0.7 s without acknowledgement (TCP user timeout; answers that are merely late are not touched). A broken answer counts like a failure; what can't be connected to, or is another back end, is ejected at once as before.

Loopback always acknowledges, so the time limit itself has no test here.

--- a/crates/relay/src/back_ends/pool.rs
+++ b/crates/relay/src/back_ends/pool.rs
@@ -9,6 +9,7 @@
 use havengate_core::world::BackEndId;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -21,6 +22,9 @@
     /// The longest that a connection may take to come up. A live back end takes a few milliseconds; one without power
     /// never answers.
     pub connect_time_limit: Duration,
+    /// How long bytes may stay without the word that they have arrived. A back end without power says nothing, and a
+    /// request on a kept connection would wait for it until its deadline. A lost packet is sent again well before.
+    pub unacknowledged_time_limit: Duration,
     /// How long a connection may rest before its next request when the back end doesn't say.
     pub rest_default: Duration,
     /// The share of the time that the back end allows, for which a connection may rest: a request that crosses the back
@@ -34,6 +38,7 @@
     fn default() -> Self {
         PoolLimits {
             connect_time_limit: Duration::from_millis(300),
+            unacknowledged_time_limit: Duration::from_millis(700),
             rest_default: Duration::from_secs(1),
             rest_share: 0.6,
             head_maximum_bytes: 16 * 1024,
@@ -125,6 +130,7 @@
         };
         // Events of a stream are small and must not wait for each other.
         let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(self.limits.unacknowledged_time_limit));
         let handshake = Builder::new()
             .max_buf_size(self.limits.head_maximum_bytes)
             .handshake::<_, RequestBody>(TokioIo::new(stream));
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -55,8 +55,9 @@
     let now = traffic.clock.now();
     let cause = failure.to_string();
     match failure {
-        SendFailure::TimedOut => traffic.loads.failed(&back_end.id, now),
-        SendFailure::NotSent(_) | SendFailure::Lost(_) => traffic.loads.unreachable(&back_end.id, now, &cause),
+        SendFailure::NotSent(_) => traffic.loads.unreachable(&back_end.id, now, &cause),
+        // A back end that broke off may be in order. One that is gone shows at the next connection, which costs nothing.
+        SendFailure::TimedOut | SendFailure::Lost(_) => traffic.loads.failed(&back_end.id, now),
     }
     let request = request.head.id_text();
     log::warn!(event = "send_failed", request, back_end:% = back_end.id, address:% = back_end.address, cause; "");
