Take shared parts over from the engine that keeps them

Cause: a prompt that went to another engine than the one that keeps its shared part had the part read again: 13,300 tokens, 220 to 270 ms of an engine, and a price. So placement had to choose between a busy engine that keeps the part and an idle one that does not.

Change: the engine that reads is told who keeps the part (the protocol's fetch from another engine); in the cost, taking over counts for 1,500 tokens instead of the part's. What an engine keeps is believed by what was brought in after a part's last use, as engines give up what rests longest, and each finished reading is counted once however often it is told.

Conclusion: with parts taken over, load decides and affinity follows.

--- a/crates/core/src/relay/prompt_index.rs
+++ b/crates/core/src/relay/prompt_index.rs
@@ -17,9 +17,8 @@
     /// The tokens that an engine reads in a millisecond, to tell how much of a reading is left. Engines differ; an error
     /// here only makes a backlog look a little longer or shorter.
     pub tokens_per_milli: f64,
-    /// What reading a part again counts for that another engine keeps, relative to its tokens: it takes the time of an
-    /// engine and the place of other parts.
-    pub reread_weight: f64,
+    /// What taking a kept part over from another engine counts for, in tokens that could be read meanwhile.
+    pub fetch_tokens: u32,
     /// How much longer a decode engine takes to read than a prefill engine: it reads in small pieces between the tokens
     /// of others, whom it holds up a little.
     pub decode_slowness: f64,
@@ -27,8 +26,9 @@
     pub reading_maximum: Duration,
     /// The tokens that an engine's cache holds.
     pub cache_tokens: u64,
-    /// What a shared part takes of a cache together with the prompts' own parts behind it, relative to its tokens.
-    pub cache_weight: f64,
+    /// The share of a cache that is believed to hold what was read last; the rest is for requests that run and for short
+    /// prompts, of which nothing is known here.
+    pub cache_share: f64,
     /// The finished readings that are told once more with the next notice, in case the last one was lost.
     pub finished_told: usize,
 }
@@ -37,11 +37,11 @@
     fn default() -> Self {
         PromptIndexConfig {
             tokens_per_milli: 50.0,
-            reread_weight: 2.5,
+            fetch_tokens: 1_500,
             decode_slowness: 3.5,
             reading_maximum: Duration::from_secs(4),
             cache_tokens: 400_000,
-            cache_weight: 1.3,
+            cache_share: 0.85,
             finished_told: 4,
         }
     }
@@ -63,8 +63,12 @@
 pub struct FinishedReading {
     /// The engine.
     pub engine: BackEndId,
+    /// Rises with each finished reading of one life of the sender.
+    pub number: u64,
     /// The prompt's first shared part, which the engine now keeps.
     pub part: PromptPart,
+    /// The tokens of the whole prompt.
+    pub tokens: u32,
 }
 
 /// What a node tells its peers about the prompts that it has read: everything that is open, so that a lost notice is
@@ -90,20 +94,33 @@
     engine: BackEndId,
     tokens: u32,
     part: Option<PromptPart>,
+    prompt_tokens: u32,
     began: Timestamp,
 }
 
 #[derive(Clone, Debug)]
 struct PeerReadings {
     sequence: u64,
+    /// The number of the last finished reading that was counted.
+    finished: u64,
     heard_at: Timestamp,
     open: Vec<Reading>,
 }
 
+/// What an engine is believed to keep. Engines give up what was not used for the longest time, so a part is there until
+/// as many tokens were brought in after its last use as the cache holds.
+#[derive(Clone, Debug, Default)]
+struct EngineCache {
+    /// Tokens brought in so far.
+    brought: u64,
+    parts: HashMap<u64, KeptPart>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct KeptPart {
     tokens: u32,
     used_at: Timestamp,
+    brought_before: u64,
 }
 
 /// What this node knows of the reading of prompts.
@@ -112,9 +129,10 @@
     config: PromptIndexConfig,
     own: BTreeMap<ReadingId, Reading>,
     next: u64,
+    finished_count: u64,
     finished: Vec<FinishedReading>,
     peers: HashMap<Address, PeerReadings>,
-    kept: HashMap<BackEndId, HashMap<u64, KeptPart>>,
+    kept: HashMap<BackEndId, EngineCache>,
 }
 
 impl PromptIndex {
@@ -129,7 +147,8 @@
         self.next += 1;
         let tokens = self.unread(engine, prompt);
         let part = prompt.first_shared_part();
-        self.own.insert(id, Reading { engine: engine.clone(), tokens, part, began: now });
+        let prompt_tokens = prompt.tokens;
+        self.own.insert(id, Reading { engine: engine.clone(), tokens, part, prompt_tokens, began: now });
         id
     }
 
@@ -139,20 +158,22 @@
             return;
         };
         if let (true, Some(part)) = (whole, reading.part) {
-            self.finish(reading.engine, part, now);
+            self.finish(reading.engine, part, reading.prompt_tokens, now);
         }
     }
 
     /// Notes that `engine` has got the KV cache of `prompt` from another one, and keeps its shared part from now on.
     pub fn moved(&mut self, engine: &BackEndId, prompt: &Prompt, now: Timestamp) {
         if let Some(part) = prompt.first_shared_part() {
-            self.finish(engine.clone(), part, now);
+            self.finish(engine.clone(), part, prompt.tokens, now);
         }
     }
 
-    fn finish(&mut self, engine: BackEndId, part: PromptPart, now: Timestamp) {
-        self.keep(&engine, part, now);
-        self.finished.push(FinishedReading { engine, part });
+    fn finish(&mut self, engine: BackEndId, part: PromptPart, tokens: u32, now: Timestamp) {
+        self.finished_count += 1;
+        let finished = FinishedReading { engine, number: self.finished_count, part, tokens };
+        self.keep(&finished, now);
+        self.finished.push(finished);
         let excess = self.finished.len().saturating_sub(self.config.finished_told);
         self.finished.drain(..excess);
     }
@@ -169,23 +190,26 @@
 
     /// Takes a peer's notice in, unless a newer one of it came before.
     pub fn receive(&mut self, notice: ReadingsNotice, now: Timestamp) {
-        let stale = self.peers.get(&notice.sender).is_some_and(|peer| {
+        let known = self.peers.get(&notice.sender).filter(|peer| {
             // A sender that was restarted counts anew; its last life is soon forgotten.
-            notice.sequence <= peer.sequence && now.since(peer.heard_at) < self.config.reading_maximum
+            now.since(peer.heard_at) < self.config.reading_maximum || notice.sequence > peer.sequence
         });
-        if stale {
+        if known.is_some_and(|peer| notice.sequence <= peer.sequence) {
             return;
         }
+        let counted = known.map_or(0, |peer| peer.finished);
         let open = notice.open.into_iter().map(|reading| Reading {
             engine: reading.engine,
             tokens: reading.tokens,
             part: None,
+            prompt_tokens: reading.tokens,
             began: now - Duration::from_millis(u64::from(reading.age_millis)),
         });
-        let readings = PeerReadings { sequence: notice.sequence, heard_at: now, open: open.collect() };
+        let finished = notice.finished.last().map_or(counted, |last| last.number.max(counted));
+        let readings = PeerReadings { sequence: notice.sequence, finished, heard_at: now, open: open.collect() };
         self.peers.insert(notice.sender, readings);
-        for finished in notice.finished {
-            self.keep(&finished.engine, finished.part, now);
+        for finished in notice.finished.iter().filter(|finished| finished.number > counted) {
+            self.keep(finished, now);
         }
     }
 
@@ -195,20 +219,20 @@
     }
 
     /// What it costs to have an engine read `prompt` now, in tokens of a prefill engine: those that it has still to read
-    /// for others, those of the prompt that it does not keep, and a share of those that another one keeps.
+    /// for others and those of the prompt that it does not keep. A shared part that another engine keeps is taken over
+    /// from there instead of being read.
     pub fn cost(&self, engine: &BackEndId, stage: EngineStage, prompt: &Prompt, now: Timestamp) -> u64 {
-        let unread = self.unread(engine, prompt);
-        let reread = match prompt.first_shared_part() {
+        let unread = match prompt.first_shared_part() {
             Some(part) if !self.keeps(engine, part) && self.is_kept_anywhere(part) => {
-                f64::from(part.tokens) * self.config.reread_weight
+                prompt.tokens.saturating_sub(part.tokens) + self.config.fetch_tokens
             }
-            _ => 0.0,
+            _ => self.unread(engine, prompt),
         };
         let slowness = match stage {
             EngineStage::Prefill => 1.0,
             EngineStage::Decode => self.config.decode_slowness,
         };
-        ((self.backlog(engine, now) + f64::from(unread)) * slowness + reread) as u64
+        ((self.backlog(engine, now) + f64::from(unread)) * slowness) as u64
     }
 
     /// The tokens that `engine` has still to read.
@@ -233,26 +257,51 @@
         prompt.tokens.saturating_sub(kept.map_or(0, |part| part.tokens))
     }
 
+    /// An engine other than `reader` that `is_usable` and keeps the shared part of `prompt`, which `reader` lacks: the
+    /// one that used it last.
+    pub fn keeper(
+        &self,
+        reader: &BackEndId,
+        prompt: &Prompt,
+        is_usable: impl Fn(&BackEndId) -> bool,
+    ) -> Option<&BackEndId> {
+        let part = prompt.first_shared_part()?;
+        if self.keeps(reader, part) {
+            return None;
+        }
+        let keepers =
+            self.kept.iter().filter_map(|(engine, parts)| Some((engine, self.kept_part(parts, part)?.used_at)));
+        let usable = keepers.filter(|(engine, _)| is_usable(engine));
+        usable.max_by_key(|(engine, used_at)| (*used_at, *engine)).map(|(engine, _)| engine)
+    }
+
     fn keeps(&self, engine: &BackEndId, part: PromptPart) -> bool {
-        self.kept.get(engine).is_some_and(|parts| parts.contains_key(&part.id))
+        self.kept.get(engine).is_some_and(|cache| self.kept_part(cache, part).is_some())
     }
 
     fn is_kept_anywhere(&self, part: PromptPart) -> bool {
-        self.kept.values().any(|parts| parts.contains_key(&part.id))
+        self.kept.values().any(|cache| self.kept_part(cache, part).is_some())
     }
 
-    fn keep(&mut self, engine: &BackEndId, part: PromptPart, now: Timestamp) {
-        let parts = self.kept.entry(engine.clone()).or_default();
-        parts.insert(part.id, KeptPart { tokens: part.tokens, used_at: now });
-        let room = self.config.cache_tokens as f64 / self.config.cache_weight;
-        let mut tokens: f64 = parts.values().map(|part| f64::from(part.tokens)).sum();
-        while tokens > room && parts.len() > 1 {
-            // An engine gives up what was not used for the longest time, and so is it forgotten here.
-            let Some(oldest) = parts.iter().min_by_key(|(id, part)| (part.used_at, **id)).map(|(id, _)| *id) else {
-                return;
-            };
-            tokens -= parts.remove(&oldest).map_or(0.0, |part| f64::from(part.tokens));
-        }
+    fn kept_part<'c>(&self, cache: &'c EngineCache, part: PromptPart) -> Option<&'c KeptPart> {
+        cache.parts.get(&part.id).filter(|kept| cache.brought - kept.brought_before < self.room())
+    }
+
+    fn room(&self) -> u64 {
+        (self.config.cache_tokens as f64 * self.config.cache_share) as u64
+    }
+
+    fn keep(&mut self, finished: &FinishedReading, now: Timestamp) {
+        let room = self.room();
+        let part = finished.part;
+        let kept_before = self.keeps(&finished.engine, part);
+        let brought = if kept_before { finished.tokens.saturating_sub(part.tokens) } else { finished.tokens };
+        let cache = self.kept.entry(finished.engine.clone()).or_default();
+        cache.brought += u64::from(brought);
+        let kept = KeptPart { tokens: part.tokens, used_at: now, brought_before: cache.brought };
+        cache.parts.insert(part.id, kept);
+        let brought = cache.brought;
+        cache.parts.retain(|_, kept| brought - kept.brought_before < room);
     }
 
     /// Sets the tokens that an engine's cache holds.
@@ -262,7 +311,7 @@
 
     /// The tokens of all parts that `engine` is believed to keep.
     pub fn kept_tokens(&self, engine: &BackEndId) -> u64 {
-        self.kept.get(engine).map_or(0, |parts| parts.values().map(|part| u64::from(part.tokens)).sum())
+        self.kept.get(engine).map_or(0, |cache| cache.parts.values().map(|part| u64::from(part.tokens)).sum())
     }
 }
 
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use havengate_core::back_ends::BackEnd;
+use havengate_core::world::Address;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, Uri};
@@ -27,6 +28,8 @@
     pub head: &'a RequestHead,
     /// The part that is sent.
     pub stage: &'a SendStage,
+    /// An engine that keeps a part of the prompt.
+    pub keeper: Option<Address>,
     /// When the answer must have come.
     pub ends_at: Instant,
 }
@@ -99,7 +102,7 @@
     if deadline.is_zero() {
         return Err(SendFailure::NotSent("the deadline has passed".to_owned()));
     }
-    let facts = SendFacts { back_end, deadline, stage: request.stage };
+    let facts = SendFacts { back_end, deadline, stage: request.stage, keeper: request.keeper };
     protocol.dress(outgoing.headers_mut(), &facts);
     Ok(outgoing)
 }
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -50,6 +50,13 @@
     pub ends_at: Timestamp,
 }
 
+impl CallerRequest {
+    /// The prompt, if it is worth a choice of the engine that reads it.
+    pub fn long_prompt(&self) -> Option<&Prompt> {
+        self.head.prompt.as_ref().filter(|prompt| prompt.tokens >= LONG_PROMPT_TOKENS)
+    }
+}
+
 /// Sends `request` until there is an answer for its caller.
 pub async fn drive<P: Protocol>(
     traffic: &Traffic<P>,
@@ -158,8 +165,7 @@
 
     /// Decides where a long prompt is read, and has it read there if that is a prefill engine.
     async fn plan_reading(&mut self) -> ReadingPlan {
-        let long = self.request.head.prompt.clone().filter(|prompt| prompt.tokens >= LONG_PROMPT_TOKENS);
-        let Some(prompt) = long else {
+        let Some(prompt) = self.request.long_prompt().cloned() else {
             return ReadingPlan::WhereAnswered;
         };
         while self.exchange.may_prefill() {
@@ -209,8 +215,7 @@
     /// there, is noted until the answer begins.
     async fn attempt(&mut self, back_end: &BackEnd, plan: &ReadingPlan) -> Attempt {
         let traffic = self.traffic;
-        let long = self.request.head.prompt.clone().filter(|prompt| prompt.tokens >= LONG_PROMPT_TOKENS);
-        let Some(prompt) = long else {
+        let Some(prompt) = self.request.long_prompt().cloned() else {
             return self.attempt_stage(back_end, &SendStage::Whole).await;
         };
         if let ReadingPlan::Elsewhere { source, .. } = plan {
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -3,8 +3,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use havengate_core::back_ends::BackEnd;
+use havengate_core::back_ends::{BackEnd, Usability};
 use havengate_core::relay::SendOutcome;
+use havengate_core::world::{Address, BackEndId};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
@@ -39,6 +40,7 @@
         body: request.body.clone(),
         head: &request.head,
         stage,
+        keeper: keeper_for(traffic, request, back_end, stage),
         ends_at,
     };
     let in_flight = traffic.loads.begin(&back_end.id, traffic.clock.now());
@@ -51,6 +53,24 @@
     result
 }
 
+/// The engine from which `back_end` may take the shared part of a long prompt that it is to read.
+fn keeper_for<P>(
+    traffic: &Traffic<P>,
+    request: &CallerRequest,
+    back_end: &BackEnd,
+    stage: &SendStage,
+) -> Option<Address> {
+    let prompt = request.long_prompt().filter(|_| !matches!(stage, SendStage::Decode(_)))?;
+    let knowledge = traffic.knowledge.load();
+    let now = traffic.clock.now();
+    let entry_of = |id: &BackEndId| knowledge.directory.entries().find(|entry| entry.back_end.id == *id);
+    let usable = |id: &BackEndId| {
+        entry_of(id).is_some_and(|entry| entry.usability(now) == Usability::Usable) && traffic.loads.admits(id, now)
+    };
+    let keeper = traffic.readings.with_index(|index| index.keeper(&back_end.id, prompt, usable).cloned())?;
+    entry_of(&keeper).map(|entry| entry.back_end.address)
+}
+
 fn note_failure<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd, failure: &SendFailure) {
     let now = traffic.clock.now();
     let cause = failure.to_string();
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -63,6 +63,8 @@
     pub deadline: Duration,
     /// The part that is sent.
     pub stage: &'a SendStage,
+    /// An engine that keeps a part of the prompt, from which the back end may take it instead of reading it.
+    pub keeper: Option<Address>,
 }
 
 /// What an answer's head proves.
