Reload settings, tell state in metrics, end a start whose address is used

Cause: SIGHUP was only logged.

Change: a reload takes over seeds, grace and the retry budget, and refuses a file that it can't use. The control thread binds before the start goes on, so the error is told on standard error. Metrics tell open requests, connections, the directory's age and repeats left.

--- a/crates/core/src/relay/retry_budget.rs
+++ b/crates/core/src/relay/retry_budget.rs
@@ -59,6 +59,11 @@
         self.share = share;
     }
 
+    /// Changes the limits; requests and repeats so far still count.
+    pub fn set_config(&mut self, config: SharedRetryBudgetConfig) {
+        self.config = config;
+    }
+
     /// Notes a caller's request for the service.
     pub fn record_request(&mut self, now: Timestamp) {
         self.slice(now).requests += 1;
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -38,7 +38,7 @@
     /// Whether the node is in a planned stop: answers then tell that their connection closes.
     pub leaving: Cell<bool>,
     budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
-    budget_config: SharedRetryBudgetConfig,
+    budget_config: Cell<SharedRetryBudgetConfig>,
     splits: RefCell<SplitTurns>,
     random: RefCell<fastrand::Rng>,
 }
@@ -64,7 +64,7 @@
             active: ActiveRequests::default(),
             leaving: Cell::new(false),
             budgets: RefCell::default(),
-            budget_config,
+            budget_config: Cell::new(budget_config),
             splits: RefCell::default(),
             random: RefCell::new(fastrand::Rng::new()),
         }
@@ -75,11 +75,26 @@
         let share = BudgetShare { nodes: self.knowledge.load().nodes };
         let mut budgets = self.budgets.borrow_mut();
         let budget =
-            budgets.entry(service.clone()).or_insert_with(|| SharedRetryBudget::new(self.budget_config, share));
+            budgets.entry(service.clone()).or_insert_with(|| SharedRetryBudget::new(self.budget_config.get(), share));
         budget.set_share(share);
         change(budget)
     }
 
+    /// Changes the limits of repeats. What was spent under the former ones is not forgotten.
+    pub fn set_budget_config(&self, config: SharedRetryBudgetConfig) {
+        self.budget_config.set(config);
+        for budget in self.budgets.borrow_mut().values_mut() {
+            budget.set_config(config);
+        }
+    }
+
+    /// The repeats that are left for each service.
+    pub fn repeats_left(&self) -> Vec<(ServiceName, f64)> {
+        let now = self.clock.now();
+        let budgets = self.budgets.borrow();
+        budgets.iter().map(|(service, budget)| (service.clone(), budget.left(now))).collect()
+    }
+
     /// Calls `choose` with the turns of split routes.
     pub fn with_splits<T>(&self, choose: impl FnOnce(&mut SplitTurns) -> T) -> T {
         choose(&mut self.splits.borrow_mut())
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -12,7 +12,7 @@
 use speedy::{LittleEndian, Readable, Writable};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::learner::{Learner, Source};
@@ -71,13 +71,16 @@
         Ok((PeerExchange { own_address, notices_address, table, learner, socket: Rc::new(socket) }, listener))
     }
 
-    /// Sends digests for ever, and pulls what peers have newer.
-    pub async fn spread(self) {
+    /// Sends digests for ever, to `seeds` as well, and pulls what peers have newer.
+    pub async fn spread(self, mut seeds: watch::Receiver<Vec<Address>>) {
         let mut ticks = interval(DIGEST_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
             let now = self.learner.clock().now();
+            if seeds.has_changed().unwrap_or(false) {
+                self.table.borrow_mut().set_seeds(seeds.borrow_and_update().clone());
+            }
             self.table.borrow_mut().tick(now);
             let (nodes, peers) = (self.table.borrow().nodes(), self.table.borrow().notice_addresses(now));
             self.learner.set_peers(nodes, peers);
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -1,12 +1,15 @@
 //! The control thread and what it runs.
 
 use std::io;
+use std::sync::mpsc;
 use std::thread;
 
 use havengate_core::replication::{PeerTable, PeerTableConfig};
 use havengate_core::world::Address;
 use havengate_node::clock::Clock;
+use tokio::net::TcpListener;
 use tokio::runtime::Builder;
+use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 use super::follower::{follow_configuration, follow_directory};
@@ -23,8 +26,8 @@
     pub peers_address: Address,
     /// Where this node takes notices of readings.
     pub notices_address: Address,
-    /// Peers that are told of this node from the start.
-    pub seeds: Vec<Address>,
+    /// Peers that are told of this node from the start; a reload may change them.
+    pub seeds: watch::Receiver<Vec<Address>>,
 }
 
 /// The running control thread. It ends with the process.
@@ -32,10 +35,10 @@
     _thread: thread::JoinHandle<()>,
 }
 
-/// Starts the control thread.
+/// Starts the control thread, once it takes part in the exchange with peers.
 ///
 /// # Errors
-/// When the thread or its runtime can't be started.
+/// When the thread or its runtime can't be started, or the address for peers can't be bound.
 pub fn spawn<S: ControlStore>(
     settings: ControlSettings,
     store: S,
@@ -44,33 +47,49 @@
     metrics: RelayMetrics,
 ) -> io::Result<ControlHandle> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
+    let (bound_sender, bound) = mpsc::sync_channel(1);
     let body = move || {
         let tasks = LocalSet::new();
-        let result = tasks.block_on(&runtime, run(settings, store, knowledge, clock, metrics));
-        if let Err(error) = result {
-            log::error!(event = "control_failed", error:% = error; "");
-            std::process::exit(1);
-        }
+        tasks.block_on(&runtime, async move {
+            let learner = Learner::new(knowledge, clock, metrics.clone());
+            match bind(&settings, learner.clone()).await {
+                Ok((peers, listener)) => {
+                    // The start has been given up when nobody waits for this any more.
+                    let _ = bound_sender.send(Ok(()));
+                    run(settings, peers, listener, store, learner, metrics).await;
+                }
+                Err(error) => drop(bound_sender.send(Err(error))),
+            }
+        });
     };
     let thread = thread::Builder::new().name("control".to_owned()).spawn(body)?;
-    Ok(ControlHandle { _thread: thread })
+    match bound.recv() {
+        Ok(Ok(())) => Ok(ControlHandle { _thread: thread }),
+        Ok(Err(error)) => Err(error),
+        Err(_) => Err(io::Error::other("the control thread ended at its start")),
+    }
+}
+
+async fn bind(settings: &ControlSettings, learner: Learner) -> io::Result<(PeerExchange, TcpListener)> {
+    let seeds = settings.seeds.borrow().clone();
+    let table = PeerTable::new(PeerTableConfig::default(), settings.peers_address, seeds);
+    let bound = PeerExchange::bind(settings.peers_address, settings.notices_address, table, learner).await;
+    bound.map_err(|error| {
+        io::Error::new(error.kind(), format!("peers_address {} can't be bound: {error}", settings.peers_address))
+    })
 }
 
 async fn run<S: ControlStore>(
     settings: ControlSettings,
+    peers: PeerExchange,
+    listener: TcpListener,
     store: S,
-    knowledge: SharedKnowledge,
-    clock: Clock,
+    learner: Learner,
     metrics: RelayMetrics,
-) -> io::Result<()> {
-    let learner = Learner::new(knowledge, clock, metrics.clone());
-    let table = PeerTable::new(PeerTableConfig::default(), settings.peers_address, settings.seeds);
-    let (peers, listener) =
-        PeerExchange::bind(settings.peers_address, settings.notices_address, table, learner.clone()).await?;
+) {
     tokio::task::spawn_local(follow_directory(store.clone(), learner.clone(), metrics.clone()));
     tokio::task::spawn_local(follow_configuration(store, learner, metrics));
     tokio::task::spawn_local(peers.clone().receive());
     tokio::task::spawn_local(peers.clone().answer_pulls(listener));
-    peers.spread().await;
-    Ok(())
+    peers.spread(settings.seeds).await;
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havengate_core::world::ServiceName;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -43,6 +44,26 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a service's budget.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabel {
+    /// The service.
+    pub service: String,
+}
+
+/// What a node holds at the moment that its metrics are read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeState {
+    /// Callers' requests that are open.
+    pub open_requests: usize,
+    /// Connections to back ends.
+    pub connections: u32,
+    /// How long ago the directory was confirmed; `None`: never.
+    pub directory_age: Option<Duration>,
+    /// The repeats that are left for each service.
+    pub repeats_left: Vec<(ServiceName, f64)>,
+}
+
 /// Labels of a latency.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteLabel {
@@ -62,6 +83,10 @@
     configuration: Gauge,
     directory: Gauge,
     nodes: Gauge,
+    open_requests: Gauge,
+    connections: Gauge,
+    directory_age_millis: Gauge,
+    repeats_left: Family<ServiceLabel, Gauge>,
 }
 
 /// The metrics of a node. Copies share them.
@@ -84,6 +109,10 @@
             configuration: Gauge::default(),
             directory: Gauge::default(),
             nodes: Gauge::default(),
+            open_requests: Gauge::default(),
+            connections: Gauge::default(),
+            directory_age_millis: Gauge::default(),
+            repeats_left: Family::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that ended, by how", metrics.ends.clone());
@@ -94,6 +123,11 @@
         registry.register("configuration_version", "The configuration in force", metrics.configuration.clone());
         registry.register("directory_revision", "The revision of the directory", metrics.directory.clone());
         registry.register("nodes", "Nodes that share the budgets", metrics.nodes.clone());
+        registry.register("open_requests", "Callers' requests that are open", metrics.open_requests.clone());
+        registry.register("connections", "Connections to back ends", metrics.connections.clone());
+        let age = metrics.directory_age_millis.clone();
+        registry.register("directory_age_milliseconds", "Since the directory was confirmed; -1: never", age);
+        registry.register("repeats_left", "Repeats that this node may still send", metrics.repeats_left.clone());
         RelayMetrics { metrics: Arc::new(metrics) }
     }
 
@@ -133,6 +167,18 @@
         self.metrics.nodes.set(i64::from(nodes));
     }
 
+    /// Sets what the node holds now.
+    pub fn set_state(&self, state: &NodeState) {
+        self.metrics.open_requests.set(i64::try_from(state.open_requests).unwrap_or(i64::MAX));
+        self.metrics.connections.set(i64::from(state.connections));
+        let age = state.directory_age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        self.metrics.directory_age_millis.set(age);
+        for (service, left) in &state.repeats_left {
+            let label = ServiceLabel { service: service.to_string() };
+            self.metrics.repeats_left.get_or_create(&label).set(*left as i64);
+        }
+    }
+
     /// The metrics in Prometheus's text format.
     ///
     /// # Errors
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -26,9 +26,9 @@
 use crate::callers::{CallerServer, ServerPhase, Traffic, listen};
 use crate::control::{ControlSettings, spawn};
 use crate::knowledge::{Knowledge, SharedKnowledge};
-use crate::metrics::RelayMetrics;
+use crate::metrics::{NodeState, RelayMetrics};
 use crate::protocol::{ControlStore, Protocol};
-use crate::settings::RelaySettings;
+use crate::settings::{RelaySettings, RelaySettingsError};
 
 /// How long new connections are still accepted after a planned stop began: until whoever spreads callers over the nodes
 /// has asked twice, a second apart, and sends none any more.
@@ -46,49 +46,81 @@
 /// A peer that asks for readiness or metrics gets this time.
 const SIDE_REQUEST_TIME_LIMIT: Duration = Duration::from_secs(5);
 
-/// Runs a node until it is told to stop and the stop has ended.
+/// Runs a node until it is told to stop and the stop has ended. `read_settings` reads the settings anew for a reload.
 ///
 /// # Errors
 /// When an address can't be bound, or a thread or signal handler can't be started.
-pub fn run<P: Protocol, S: ControlStore>(settings: &RelaySettings, protocol: P, store: S) -> io::Result<()> {
+pub fn run<P: Protocol, S: ControlStore>(
+    settings: RelaySettings,
+    read_settings: impl Fn() -> Result<RelaySettings, RelaySettingsError>,
+    protocol: P,
+    store: S,
+) -> io::Result<()> {
+    let (seeds, seeds_receiver) = watch::channel(settings.seeds.clone());
     let clock = Clock::start();
     let metrics = RelayMetrics::new();
     let knowledge: SharedKnowledge = Arc::new(ArcSwap::from_pointee(Knowledge::nothing()));
     let control = ControlSettings {
         peers_address: settings.peers_address,
         notices_address: settings.notices_address,
-        seeds: settings.seeds.clone(),
+        seeds: seeds_receiver,
     };
     let _control = spawn(control, store, Arc::clone(&knowledge), clock, metrics.clone())?;
     let traffic = Rc::new(Traffic::new(protocol, knowledge, clock, settings.retry_budget(), metrics));
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(settings, traffic))
+    let mut node = RunningNode { settings, read_settings, seeds, traffic };
+    LocalSet::new().block_on(&runtime, node.serve())
 }
 
-async fn serve<P: Protocol>(settings: &RelaySettings, traffic: Rc<Traffic<P>>) -> io::Result<()> {
-    let mut stop_signal = signal(SignalKind::terminate())?;
-    let mut reload_signal = signal(SignalKind::hangup())?;
-    let server = CallerServer::bind(settings.callers_address.0)?;
-    traffic.readings.exchange(settings.notices_address).await?;
-    serve_side(settings.readiness_address, Rc::clone(&traffic), readiness::<P>)?;
-    if let Some(address) = settings.metrics_address {
-        serve_side(address, Rc::clone(&traffic), metrics_text::<P>)?;
+struct RunningNode<P, R> {
+    settings: RelaySettings,
+    read_settings: R,
+    seeds: watch::Sender<Vec<Address>>,
+    traffic: Rc<Traffic<P>>,
+}
+
+impl<P: Protocol, R: Fn() -> Result<RelaySettings, RelaySettingsError>> RunningNode<P, R> {
+    /// Takes over what a reload may change. Addresses and the name need a restart; nothing that is open is disturbed.
+    fn reload(&mut self) {
+        let read = match (self.read_settings)() {
+            Ok(read) => read,
+            Err(error) => {
+                log::error!(event = "reload_refused", error:% = error; "");
+                return;
+            }
+        };
+        let needs_restart = !read.is_at_the_same_place(&self.settings);
+        self.traffic.set_budget_config(read.retry_budget());
+        self.seeds.send_replace(read.seeds.clone());
+        self.settings = read;
+        log::info!(event = "reloaded", seeds = self.settings.seeds.len(), needs_restart; "");
     }
-    let (phase, phase_receiver) = watch::channel(ServerPhase::Serving);
-    let accepting = tokio::task::spawn_local(server.serve(Rc::clone(&traffic), phase_receiver));
-    log::info!(event = "started", node:% = settings.name, zone:% = settings.zone; "");
-    let mut tidy = interval(TIDY_INTERVAL);
-    loop {
-        tokio::select! {
-            _ = stop_signal.recv() => break,
-            // Nothing of the settings takes effect without a restart yet; a reload must not disturb anything.
-            _ = reload_signal.recv() => log::info!(event = "reloaded"; ""),
-            _ = tidy.tick() => tidy_up(&traffic),
+
+    async fn serve(&mut self) -> io::Result<()> {
+        let (settings, traffic) = (self.settings.clone(), Rc::clone(&self.traffic));
+        let mut stop_signal = signal(SignalKind::terminate())?;
+        let mut reload_signal = signal(SignalKind::hangup())?;
+        let server = CallerServer::bind(settings.callers_address.0)?;
+        traffic.readings.exchange(settings.notices_address).await?;
+        serve_side(settings.readiness_address, Rc::clone(&traffic), readiness::<P>)?;
+        if let Some(address) = settings.metrics_address {
+            serve_side(address, Rc::clone(&traffic), metrics_text::<P>)?;
         }
+        let (phase, phase_receiver) = watch::channel(ServerPhase::Serving);
+        let accepting = tokio::task::spawn_local(server.serve(Rc::clone(&traffic), phase_receiver));
+        log::info!(event = "started", node:% = settings.name, zone:% = settings.zone; "");
+        let mut tidy = interval(TIDY_INTERVAL);
+        loop {
+            tokio::select! {
+                _ = stop_signal.recv() => break,
+                _ = reload_signal.recv() => self.reload(),
+                _ = tidy.tick() => tidy_up(&traffic),
+            }
+        }
+        stop(self.settings.stop_grace(), &traffic, &phase).await;
+        accepting.abort();
+        Ok(())
     }
-    stop(settings.stop_grace(), &traffic, &phase).await;
-    accepting.abort();
-    Ok(())
 }
 
 /// Lets go of what is no longer needed.
@@ -130,6 +162,14 @@
 }
 
 fn metrics_text<P>(traffic: &Traffic<P>) -> SideAnswer {
+    let now = traffic.clock.now();
+    let confirmed_at = traffic.knowledge.load().directory_confirmed_at;
+    traffic.metrics.set_state(&NodeState {
+        open_requests: traffic.active.count(),
+        connections: traffic.pool.open_in_all(),
+        directory_age: confirmed_at.map(|confirmed_at| now.since(confirmed_at)),
+        repeats_left: traffic.repeats_left(),
+    });
     match traffic.metrics.encode() {
         Ok(text) => Response::new(Full::new(Bytes::from(text))),
         Err(_) => {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -99,6 +99,22 @@
         Ok(self)
     }
 
+    /// Whether the name and all addresses but the seeds are those of `other`.
+    pub fn is_at_the_same_place(&self, other: &RelaySettings) -> bool {
+        let place = |settings: &RelaySettings| {
+            let addresses = [
+                Some(settings.callers_address),
+                Some(settings.readiness_address),
+                Some(settings.peers_address),
+                Some(settings.notices_address),
+                Some(settings.store_address),
+                settings.metrics_address,
+            ];
+            (settings.name.clone(), settings.zone.clone(), addresses)
+        };
+        place(self) == place(other)
+    }
+
     /// The longest that a planned stop may take.
     pub fn stop_grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop_grace_seconds)
