A node that has just started takes a small part of the retry budget

For the next rounds of digests a node took half of the whole slack (27 of 54 repeats) for itself, and so would all nodes at once after a common kill.

Change: until 3 s after its start a node assumes at least 16 nodes (PeerTable), then those it has heard of.

The test of the assumed nodes does not compile before (nodes took no time); with the assumption at 1 it fails.

--- a/crates/core/src/replication/peer_table.rs
+++ b/crates/core/src/replication/peer_table.rs
@@ -20,6 +20,10 @@
     pub fresh: Duration,
     /// A peer that was not heard from for this time is forgotten; longer than the window of the retry budget.
     pub forgotten: Duration,
+    /// The nodes that a node assumes until it has had time to hear of them: its part of what is shared is then small.
+    pub nodes_assumed: u32,
+    /// The time in which all nodes are heard of, a few rounds of digests.
+    pub settling: Duration,
 }
 
 impl Default for PeerTableConfig {
@@ -29,6 +33,8 @@
             peers_named: 8,
             fresh: Duration::from_secs(2),
             forgotten: Duration::from_secs(25),
+            nodes_assumed: 16,
+            settling: Duration::from_secs(3),
         }
     }
 }
@@ -49,13 +55,14 @@
     config: PeerTableConfig,
     own_address: Address,
     seeds: Vec<Address>,
+    started_at: Timestamp,
     peers: BTreeMap<Address, Peer>,
 }
 
 impl PeerTable {
-    /// A table that knows the seeds only.
-    pub fn new(config: PeerTableConfig, own_address: Address, seeds: Vec<Address>) -> Self {
-        PeerTable { config, own_address, seeds, peers: BTreeMap::new() }
+    /// A table that knows the seeds only, of a node that starts at `now`.
+    pub fn new(config: PeerTableConfig, own_address: Address, seeds: Vec<Address>, now: Timestamp) -> Self {
+        PeerTable { config, own_address, seeds, started_at: now, peers: BTreeMap::new() }
     }
 
     /// Replaces the seeds, when the settings have changed.
@@ -83,9 +90,11 @@
         self.peers.retain(|_, peer| now.since(peer.named_at) < forgotten);
     }
 
-    /// The nodes that were there within the time after which they are forgotten, this one included.
-    pub fn nodes(&self) -> u32 {
-        u32::try_from(self.peers.len()).unwrap_or(u32::MAX).saturating_add(1)
+    /// The nodes that were there within the time after which they are forgotten, this one included; at least those that
+    /// are assumed while the node has just started.
+    pub fn nodes(&self, now: Timestamp) -> u32 {
+        let known = u32::try_from(self.peers.len()).unwrap_or(u32::MAX).saturating_add(1);
+        if now.since(self.started_at) < self.config.settling { known.max(self.config.nodes_assumed) } else { known }
     }
 
     /// The peers that were heard from lately.
--- a/crates/core/tests/replication.rs
+++ b/crates/core/tests/replication.rs
@@ -28,7 +28,7 @@
 
 fn table(own: u8, seeds: &[u8]) -> PeerTable {
     let seeds = seeds.iter().map(|number| address(*number)).collect();
-    PeerTable::new(PeerTableConfig::default(), address(own), seeds)
+    PeerTable::new(PeerTableConfig::default(), address(own), seeds, START)
 }
 
 fn random() -> fastrand::Rng {
@@ -40,7 +40,18 @@
     let (receivers, named) = table(1, &[1, 2, 3]).next_digest(START, &mut random());
     assert_eq!(receivers.len(), 2);
     assert!(!receivers.contains(&address(1)) && named.is_empty());
-    assert_eq!(table(1, &[1, 2, 3]).nodes(), 1, "a seed that was never heard of is no node");
+    let settled = START + PeerTableConfig::default().settling;
+    assert_eq!(table(1, &[1, 2, 3]).nodes(settled), 1, "a seed that was never heard of is no node");
+}
+
+#[test]
+fn a_node_that_has_just_started_assumes_many_nodes() {
+    let config = PeerTableConfig::default();
+    let mut table = table(1, &[2]);
+    assert_eq!(table.nodes(START), config.nodes_assumed, "it has heard of nobody yet");
+    table.receive(&digest(2, 1, 1, &[3]), START);
+    assert_eq!(table.nodes(START), config.nodes_assumed, "others may not have been heard of yet");
+    assert_eq!(table.nodes(START + config.settling), 3);
 }
 
 #[test]
@@ -63,10 +74,11 @@
     let config = PeerTableConfig::default();
     table.receive(&digest(2, 5, 40, &[]), START);
     assert_eq!(table.ahead(ConfigurationNumber(1), None, START + config.fresh, &mut random()), None);
-    table.tick(START + config.fresh);
-    assert_eq!(table.nodes(), 2, "it may have spent of what is shared");
-    table.tick(START + config.forgotten);
-    assert_eq!(table.nodes(), 1);
+    let (silent, forgotten) = (START + config.settling, START + config.forgotten);
+    table.tick(silent);
+    assert_eq!(table.nodes(silent), 2, "it may have spent of what is shared");
+    table.tick(forgotten);
+    assert_eq!(table.nodes(forgotten), 1);
 }
 
 #[test]
@@ -82,12 +94,12 @@
         }
         spread_once(&mut tables[..alive], now, &mut random);
         if round == 99 {
-            assert!(tables.iter().all(|table| table.nodes() == 4), "all know all");
+            assert!(tables.iter().all(|table| table.nodes(now) == 4), "all know all");
         }
         now = now + ROUND;
     }
     assert!(ROUND * 300 > config.forgotten + config.fresh);
-    assert!(tables[..3].iter().all(|table| table.nodes() == 3), "nobody names the dead one for ever");
+    assert!(tables[..3].iter().all(|table| table.nodes(now) == 3), "nobody names the dead one for ever");
 }
 
 fn spread_once(tables: &mut [PeerTable], now: Timestamp, random: &mut fastrand::Rng) {
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -82,7 +82,7 @@
                 self.table.borrow_mut().set_seeds(seeds.borrow_and_update().clone());
             }
             self.table.borrow_mut().tick(now);
-            let (nodes, peers) = (self.table.borrow().nodes(), self.table.borrow().notice_addresses(now));
+            let (nodes, peers) = (self.table.borrow().nodes(now), self.table.borrow().notice_addresses(now));
             self.learner.set_peers(nodes, peers);
             self.send_digests().await;
             self.pull_if_behind().await;
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -72,7 +72,7 @@
 
 async fn bind(settings: &ControlSettings, learner: Learner) -> io::Result<(PeerExchange, TcpListener)> {
     let seeds = settings.seeds.borrow().clone();
-    let table = PeerTable::new(PeerTableConfig::default(), settings.peers_address, seeds);
+    let table = PeerTable::new(PeerTableConfig::default(), settings.peers_address, seeds, learner.clock().now());
     let bound = PeerExchange::bind(settings.peers_address, settings.notices_address, table, learner).await;
     bound.map_err(|error| {
         io::Error::new(error.kind(), format!("peers_address {} can't be bound: {error}", settings.peers_address))
--- a/crates/relay/src/knowledge.rs
+++ b/crates/relay/src/knowledge.rs
@@ -4,6 +4,7 @@
 
 use arc_swap::ArcSwap;
 use havengate_core::back_ends::Directory;
+use havengate_core::replication::PeerTableConfig;
 use havengate_core::routing::{ConfigurationNumber, RouteTable, TrafficConfiguration};
 use havengate_core::time::Timestamp;
 use havengate_core::world::Address;
@@ -46,7 +47,7 @@
             configuration: None,
             directory: Arc::new(Directory::new()),
             directory_confirmed_at: None,
-            nodes: NODES_ASSUMED,
+            nodes: PeerTableConfig::default().nodes_assumed,
             peers: Arc::default(),
         }
     }
@@ -62,8 +63,5 @@
     }
 }
 
-/// The nodes that a node assumes before it has heard of any: its part of what is shared is then small.
-pub const NODES_ASSUMED: u32 = 16;
-
 /// What is known, shared between the two threads.
 pub type SharedKnowledge = Arc<ArcSwap<Knowledge>>;
