Undo three circles between files of the core

Cause: authority order/target, claims map_keeper/map_observer and configuration change/item each needed the other to be read.

Change: an engine's report tells its next step towards a target, so a target knows nothing of orders; the keeper's times and the replacements of items have files of their own. Behaviour is as before.

Conclusion: replica/store_conversation and detector/timers are left.

--- a/crates/core/examples/authority_takeover/simulation/world.rs
+++ b/crates/core/examples/authority_takeover/simulation/world.rs
@@ -253,7 +253,7 @@
         let status = self.nodes[0].control.status();
         let alone = (1..self.nodes.len()).all(|node| !self.is_holder(node));
         let reached = |(engine, target): (&Engine, &EngineTarget)| {
-            !engine.arbiter.report().changing && target.next_action(engine.arbiter.report()).is_none()
+            !engine.arbiter.report().changing && engine.arbiter.report().next_action(target).is_none()
         };
         let reached = self.engines.iter().zip(&self.targets).all(reached);
         self.is_holder(0) && alone && status.unfenced.is_empty() && status.stored && reached
--- a/crates/core/src/authority/engine_change.rs
+++ b/crates/core/src/authority/engine_change.rs
@@ -280,7 +280,7 @@
     }
 
     pub(super) fn next_action(&self) -> Option<OrderAction> {
-        self.target.as_ref()?.next_action(self.report.as_ref()?)
+        self.report.as_ref()?.next_action(self.target.as_ref()?)
     }
 
     pub(super) fn start_drain(&mut self, now: Timestamp) {
--- a/crates/core/src/authority/order.rs
+++ b/crates/core/src/authority/order.rs
@@ -94,6 +94,16 @@
             incarnation,
         }
     }
+
+    /// The next step from here to `target`; `None` when the engine is what it should be.
+    pub fn next_action(&self, target: &EngineTarget) -> Option<OrderAction> {
+        let loaded = self.model == target.model && self.version == target.version && self.adapter == target.adapter;
+        if !loaded {
+            let (model, adapter) = (target.model.clone(), target.adapter.clone());
+            return Some(OrderAction::Load { model, version: target.version, adapter });
+        }
+        (self.role != target.role).then_some(OrderAction::SetRole(target.role))
+    }
 }
 
 /// Why an engine refuses a fence or an order; nothing has changed at the engine.
--- a/crates/core/src/authority/target.rs
+++ b/crates/core/src/authority/target.rs
@@ -5,8 +5,6 @@
 use crate::policy::RoleCounts;
 use crate::world::{AdapterName, EngineName, EngineRole, ModelName, ModelVersion};
 
-use super::order::{EngineReport, OrderAction};
-
 /// What an engine should be.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineTarget {
@@ -20,18 +18,6 @@
     pub adapter: Option<AdapterName>,
 }
 
-impl EngineTarget {
-    /// The next step from `report` to the target; `None` when the engine is what it should be.
-    pub fn next_action(&self, report: &EngineReport) -> Option<OrderAction> {
-        let loaded = report.model == self.model && report.version == self.version && report.adapter == self.adapter;
-        if !loaded {
-            let (model, adapter) = (self.model.clone(), self.adapter.clone());
-            return Some(OrderAction::Load { model, version: self.version, adapter });
-        }
-        (report.role != self.role).then_some(OrderAction::SetRole(self.role))
-    }
-}
-
 /// An engine whose role may change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RoleCandidate {
--- a/crates/core/src/claims/map_keeper.rs
+++ b/crates/core/src/claims/map_keeper.rs
@@ -4,6 +4,7 @@
 
 use fastrand::Rng;
 
+use super::map_keeper_config::SlotMapKeeperConfig;
 use super::map_observer::{MapObserver, ObservedNodes};
 use super::message::{ClaimEnvelope, ClaimMessage};
 use super::slot_map::{MapVersion, SlotMap};
@@ -15,38 +16,6 @@
 /// The slot map's object in the store; the node that is first in line for this name proposes its versions.
 pub const SLOT_MAP_KEY: &str = "claim-slots";
 
-/// Times of the spread and the change of the map.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SlotMapKeeperConfig {
-    /// Time between two tellings of a node's version to another one, drawn at random. A message has some ten bytes.
-    pub gossip_interval: Duration,
-    /// Time between two reads of the store by the proposer; also between two rounds of asking holders what they hold.
-    pub review_interval: Duration,
-    /// How long a holder must be missing, or live without a vote, before it is replaced. A node that restarts in this
-    /// time costs no change of the map.
-    pub patience: Duration,
-    /// How long a missing holder's machine must be absent from the platform's list to count as gone for good. It must
-    /// exceed the lag of that list.
-    pub gone_after: Duration,
-    /// How long the proposer waits for other nodes to come up before it writes the first map.
-    pub founding_delay: Duration,
-    /// How long a reply of the store is waited for.
-    pub store_timeout: Duration,
-}
-
-impl Default for SlotMapKeeperConfig {
-    fn default() -> Self {
-        SlotMapKeeperConfig {
-            gossip_interval: Duration::from_secs(2),
-            review_interval: Duration::from_secs(30),
-            patience: Duration::from_secs(60),
-            gone_after: Duration::from_secs(600),
-            founding_delay: Duration::from_secs(5),
-            store_timeout: Duration::from_secs(10),
-        }
-    }
-}
-
 /// What to do after a call.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SlotMapWork {
--- a/crates/core/src/claims/map_observer.rs
+++ b/crates/core/src/claims/map_observer.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::map_keeper::SlotMapKeeperConfig;
+use super::map_keeper_config::SlotMapKeeperConfig;
 use super::message::SlotStatus;
 use super::slot_map::{HolderSet, MapVersion, Slot, SlotIndex, SlotMap};
 use super::slot_plan::{CandidateHolder, SlotObservation};
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -10,6 +10,7 @@
 mod delivery;
 mod holder;
 mod map_keeper;
+mod map_keeper_config;
 mod map_observer;
 mod message;
 mod record;
@@ -24,7 +25,8 @@
 pub use client::{ClaimClient, ClaimDecision, ClaimWork};
 pub use config::{ClaimConfig, ClaimConfigError};
 pub use holder::ClaimHolder;
-pub use map_keeper::{SLOT_MAP_KEY, SlotMapKeeper, SlotMapKeeperConfig, SlotMapWork};
+pub use map_keeper::{SLOT_MAP_KEY, SlotMapKeeper, SlotMapWork};
+pub use map_keeper_config::SlotMapKeeperConfig;
 pub use map_observer::ObservedNodes;
 pub use message::{
     ClaimAnswer, ClaimEnvelope, ClaimMessage, ClaimRefusal, ClaimReply, ClaimRequest, HeldClaim, OutcomeAck,
--- a/crates/core/src/configuration/change.rs
+++ b/crates/core/src/configuration/change.rs
@@ -1,37 +1,13 @@
 //! Typed changes between two configurations: what travels between nodes instead of whole configurations.
 
-use displaydoc::Display;
 use serde::{Deserialize, Serialize};
-use speedy::{Context, Readable, Reader, Writable, Writer};
+use speedy::{Readable, Writable};
 
 use super::content::{Configuration, PolicyChoice, TrialArm};
 use super::item::{Item, replace_item, replacements};
+use super::replacement::{ChangeError, Replacement};
 use crate::world::{Contract, Engine, Link, Model, PoolLayout, Tenant, Zone};
 
-/// The value of one item before and after a change; an absent side means that the item is added or removed.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Replacement<T> {
-    /// The value that the change replaces.
-    #[serde(default = "Option::default", skip_serializing_if = "Option::is_none")]
-    pub from: Option<T>,
-    /// The value after the change.
-    #[serde(default = "Option::default", skip_serializing_if = "Option::is_none")]
-    pub to: Option<T>,
-}
-
-impl<'a, C: Context, T: Readable<'a, C>> Readable<'a, C> for Replacement<T> {
-    fn read_from<R: Reader<'a, C>>(reader: &mut R) -> Result<Self, C::Error> {
-        Ok(Replacement { from: Option::read_from(reader)?, to: Option::read_from(reader)? })
-    }
-}
-
-impl<C: Context, T: Writable<C>> Writable<C> for Replacement<T> {
-    fn write_to<W: ?Sized + Writer<C>>(&self, writer: &mut W) -> Result<(), C::Error> {
-        self.from.write_to(writer)?;
-        self.to.write_to(writer)
-    }
-}
-
 /// One change of a configuration.
 #[derive(Clone, Debug, PartialEq, Readable, Writable, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -58,23 +34,6 @@
     Arm(Replacement<TrialArm>),
 }
 
-/// Why a change can't be applied: it was made for another configuration. Nothing has been changed.
-#[derive(Clone, Debug, Display, PartialEq, Eq, thiserror::Error)]
-pub enum ChangeError {
-    /// {kind} `{name}` is not as the change expects it
-    OtherValue {
-        /// What kind of item.
-        kind: &'static str,
-        /// The item's name.
-        name: String,
-    },
-    /// a change of a {kind} has neither an old nor a new value, or two that name different items
-    Malformed {
-        /// What kind of item.
-        kind: &'static str,
-    },
-}
-
 impl Configuration {
     /// Applies `changes` in their order; items keep their places and new ones go to the end.
     ///
--- a/crates/core/src/configuration/item.rs
+++ b/crates/core/src/configuration/item.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use super::change::{ChangeError, Replacement};
 use super::content::{PolicyChoice, TrialArm};
+use super::replacement::{ChangeError, Replacement};
 use crate::world::{Contract, Engine, Link, Model, Tenant, Zone};
 
 /// Something that stands in a list of the configuration at most once for each key.
--- a/crates/core/src/configuration/mod.rs
+++ b/crates/core/src/configuration/mod.rs
@@ -12,6 +12,7 @@
 mod item;
 mod message;
 mod record;
+mod replacement;
 mod replica;
 mod spread;
 mod status;
@@ -21,7 +22,7 @@
 mod versions;
 mod view;
 
-pub use change::{Change, ChangeError, Replacement};
+pub use change::Change;
 pub use config::{ReplicaConfig, ReplicaConfigError};
 pub use content::{Configuration, ConfigurationVersion, PolicyChoice, TrialArm};
 pub use message::{ConfigurationMessage, Holding, ProbeId, Watermarks, ZoneHolding};
@@ -29,6 +30,7 @@
     CONFIGURATION_KEY, CONFIRMED_MAXIMUM, ConfigurationRecord, ConfigurationSnapshot, ConfirmedPlan, PlanId,
     STAGED_MAXIMUM, StageError, VersionChange, configuration_key,
 };
+pub use replacement::{ChangeError, Replacement};
 pub use replica::{ConfigurationAction, ConfigurationInput, ConfigurationReplica};
 pub use status::{ConfigurationStatus, PendingVersion, VersionState};
 pub use store_conversation::StoreToken;
