--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -40,6 +40,10 @@
     Decode {
         /// The zone of the engine that read the prompt.
         near: Option<&'a ZoneName>,
+        /// What is known of the reading of prompts.
+        index: &'a PromptIndex,
+        /// The time now.
+        now: Timestamp,
     },
 }
 
@@ -49,11 +53,14 @@
     /// Requests that an engine in another zone must have fewer to be preferred to one in the prompt's zone: a KV cache
     /// takes twice as long between zones.
     pub zone_advantage: u32,
+    /// Tokens that an engine has still to read that count like a request under way there: short prompts wait behind
+    /// long ones.
+    pub backlog_tokens_per_request: f64,
 }
 
 impl Default for PlacementLimits {
     fn default() -> Self {
-        PlacementLimits { zone_advantage: 2 }
+        PlacementLimits { zone_advantage: 2, backlog_tokens_per_request: 1_000.0 }
     }
 }
 
@@ -115,13 +122,13 @@
                 index.cost(&back_end.id, back_end.stage.unwrap_or(EngineStage::Decode), prompt, *now)
             })
         }
-        Purpose::Decode { near: Some(zone) } => least(indexes, random, |index| {
-            let elsewhere = candidates[index].back_end.zone != **zone;
-            candidates[index].in_flight + if elsewhere { limits.zone_advantage } else { 0 }
+        Purpose::Decode { near, index, now } => least(indexes, random, |candidate| {
+            let back_end = candidates[candidate].back_end;
+            let elsewhere = near.is_some_and(|zone| back_end.zone != *zone);
+            let backlog = index.backlog(&back_end.id, *now) / limits.backlog_tokens_per_request;
+            candidates[candidate].in_flight + backlog as u32 + if elsewhere { limits.zone_advantage } else { 0 }
         }),
-        Purpose::Application | Purpose::Decode { near: None } => {
-            least(indexes, random, |index| candidates[index].in_flight)
-        }
+        Purpose::Application => least(indexes, random, |candidate| candidates[candidate].in_flight),
     }
 }
 
--- a/crates/core/tests/relay_placement.rs
+++ b/crates/core/tests/relay_placement.rs
@@ -107,7 +107,7 @@
     let index = index();
     let read = Purpose::Read { prompt: &prompt(1), index: &index, now: NOW };
     assert_eq!(of(&read).as_deref(), Some(prefill.id.as_str()));
-    assert_eq!(of(&Purpose::Decode { near: None }).as_deref(), Some(decode.id.as_str()));
+    assert_eq!(of(&Purpose::Decode { near: None, index: &index, now: NOW }).as_deref(), Some(decode.id.as_str()));
     assert_eq!(of(&Purpose::Application).as_deref(), Some(application.id.as_str()));
 }
 
@@ -118,7 +118,8 @@
     let failing = Candidate { healthy: false, ..candidate(&engines[1]) };
     let leaving = Candidate { usability: Usability::LastResort, ..candidate(&engines[2]) };
     let gone = Candidate { usability: Usability::Unusable, ..candidate(&engines[0]) };
-    let purpose = Purpose::Decode { near: None };
+    let index = index();
+    let purpose = Purpose::Decode { near: None, index: &index, now: NOW };
     let id = |index: usize| Some(engines[index].id.to_string());
     assert_eq!(placed(&[leaving, failing, healthy], &purpose, 1), id(0));
     assert_eq!(placed(&[leaving, failing], &purpose, 1), id(1));
@@ -130,7 +131,8 @@
 fn no_request_goes_where_no_connection_may_be_opened_or_where_it_was_sent() {
     let engines = decode_engines(2);
     let full = Candidate { connectable: false, ..candidate(&engines[0]) };
-    let purpose = Purpose::Decode { near: None };
+    let index = index();
+    let purpose = Purpose::Decode { near: None, index: &index, now: NOW };
     assert_eq!(placed(&[full], &purpose, 1), None);
     let candidates = [candidate(&engines[0]), candidate(&engines[1])];
     let random = &mut fastrand::Rng::with_seed(1);
@@ -142,7 +144,8 @@
 fn a_stream_goes_near_its_prompt_unless_others_have_much_less_to_do() {
     let engines = decode_engines(2);
     let zone = engines[0].zone.clone();
-    let purpose = Purpose::Decode { near: Some(&zone) };
+    let index = index();
+    let purpose = Purpose::Decode { near: Some(&zone), index: &index, now: NOW };
     let near = |in_flight| Candidate { in_flight, ..candidate(&engines[0]) };
     let advantage = PlacementLimits::default().zone_advantage;
     assert_eq!(placed(&[near(advantage - 1), candidate(&engines[1])], &purpose, 1), Some(engines[0].id.to_string()));
@@ -153,7 +156,18 @@
 fn equal_back_ends_are_chosen_at_random() {
     let engines = decode_engines(4);
     let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
-    let chosen: std::collections::BTreeSet<_> =
-        (0..100).map(|seed| placed(&candidates, &Purpose::Decode { near: None }, seed)).collect();
+    let index = index();
+    let purpose = Purpose::Decode { near: None, index: &index, now: NOW };
+    let chosen: std::collections::BTreeSet<_> = (0..100).map(|seed| placed(&candidates, &purpose, seed)).collect();
     assert_eq!(chosen.len(), engines.len());
 }
+
+#[test]
+fn a_short_prompt_does_not_wait_behind_a_long_one() {
+    let engines = decode_engines(2);
+    let candidates = [candidate(&engines[0]), Candidate { in_flight: 5, ..candidate(&engines[1]) }];
+    let mut index = index();
+    index.begin(&engines[0].id, &prompt(1), NOW);
+    let purpose = Purpose::Decode { near: None, index: &index, now: NOW };
+    assert_eq!(placed(&candidates, &purpose, 1).as_deref(), Some(engines[1].id.as_str()));
+}
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -302,14 +302,18 @@
     fn place_answer(&mut self, plan: &ReadingPlan) -> Option<BackEnd> {
         match plan {
             ReadingPlan::There(back_end) => Some(back_end.clone()),
-            ReadingPlan::Elsewhere { zone, .. } => self.place(&Purpose::Decode { near: Some(zone) }),
-            ReadingPlan::WhereAnswered if self.request.head.prompt.is_some() => {
-                self.place(&Purpose::Decode { near: None })
-            }
+            ReadingPlan::Elsewhere { zone, .. } => self.place_decode(Some(zone)),
+            ReadingPlan::WhereAnswered if self.request.head.prompt.is_some() => self.place_decode(None),
             ReadingPlan::WhereAnswered => self.place(&Purpose::Application),
         }
     }
 
+    fn place_decode(&mut self, near: Option<&ZoneName>) -> Option<BackEnd> {
+        let now = self.traffic.clock.now();
+        let traffic = self.traffic;
+        traffic.readings.with_index(|index| self.place(&Purpose::Decode { near, index, now }))
+    }
+
     fn place_reading(&mut self, prompt: &Prompt) -> Option<BackEnd> {
         let now = self.traffic.clock.now();
         let traffic = self.traffic;
