Take a repeat out of the budget only when it has somewhere to go

A request that was declined while no other back end was known took a repeat out of the budget and was then not sent. Since a node that has just started takes a small part, a few such requests emptied it, and the next one that could have gone on was refused.

Change: the back end is chosen first, the budget asked after.

Conclusion: the budget counts what arrives, as the rule does.

--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -114,16 +114,17 @@
     async fn run(&mut self) -> Response<RelayBody> {
         let mut plan = self.plan_reading().await;
         loop {
+            let Some(back_end) = self.place_answer(&plan) else {
+                let end = self.exchange.give_up(NotRunReason::NoEngine, MayHaveRun::EngineFailed);
+                return self.end(end, None);
+            };
+            // Only a send that has somewhere to go is taken out of the budget.
             let now = self.traffic.clock.now();
             let exchange = &self.exchange;
             if let Err(end) = self.traffic.with_budget(&self.request.service, |budget| exchange.begin_send(budget, now))
             {
                 return self.end(end, None);
             }
-            let Some(back_end) = self.place_answer(&plan) else {
-                let end = self.exchange.give_up(NotRunReason::NoEngine, MayHaveRun::EngineFailed);
-                return self.end(end, None);
-            };
             let (next, answer) = match self.attempt(&back_end, &plan).await {
                 Attempt::Answered(answer) => return answer,
                 Attempt::Ended(outcome, answer) => (self.exchange.after_send(outcome), answer),
