One layout of frames; code that nothing calls is gone

Change: frame_of and payload_length in crates/wire serve both kinds of streams; Directory::of_service is used; LAST_CONNECTIONS_PATIENCE is the one limit; Route::matches, Exchange::ends_at and Learner::directory_revision are removed. A comment said that back ends' heartbeats end each watch; most watches end by their time. Behaviour is as before.

Conclusion: the same, with less to read.

--- a/crates/core/src/back_ends/directory.rs
+++ b/crates/core/src/back_ends/directory.rs
@@ -97,7 +97,10 @@
     }
 
     /// The entries of `service`.
-    pub fn of_service<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a DirectoryEntry> {
+    pub fn of_service<'a, 'b>(
+        &'a self,
+        service: &'b ServiceName,
+    ) -> impl Iterator<Item = &'a DirectoryEntry> + use<'a, 'b> {
         self.entries.values().filter(move |entry| entry.back_end.service == *service)
     }
 
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -70,11 +70,6 @@
         Exchange { rules, sends: 0, unsent: 0, may_have_run: false, prefilled: false }
     }
 
-    /// When the request must have ended.
-    pub fn ends_at(&self) -> Timestamp {
-        self.rules.ends_at
-    }
-
     /// Whether a back end may be running the request, or have run it.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
--- a/crates/core/src/routing/route.rs
+++ b/crates/core/src/routing/route.rs
@@ -66,10 +66,3 @@
     /// The services that share the requests; never empty.
     pub services: Vec<WeightedService>,
 }
-
-impl Route {
-    /// Whether the route takes requests for `host` and `path`.
-    pub fn matches(&self, host: &str, path: &str) -> bool {
-        self.host == host && path.starts_with(&self.path_prefix)
-    }
-}
--- a/crates/relay/src/callers/candidates.rs
+++ b/crates/relay/src/callers/candidates.rs
@@ -30,7 +30,7 @@
     now: Timestamp,
 ) -> Vec<Candidate<'k>> {
     let connections_maximum = connections_maximum(knowledge, service);
-    let entries = knowledge.directory.entries().filter(|entry| entry.back_end.service == *service);
+    let entries = knowledge.directory.of_service(service);
     entries
         .map(|entry| {
             let id = &entry.back_end.id;
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -14,5 +14,5 @@
 pub use answer::{OwnAnswer, RelayBody};
 pub use handler::handle;
 pub use record::RequestRecord;
-pub use server::{CallerServer, ServerPhase, listen};
+pub use server::{CallerServer, LAST_CONNECTIONS_PATIENCE, ServerPhase, listen};
 pub use traffic::{ActiveRequests, Traffic};
--- a/crates/relay/src/callers/server.rs
+++ b/crates/relay/src/callers/server.rs
@@ -29,7 +29,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A connection that came just before the listener closed gets this time to send its first request.
-const LAST_CONNECTIONS_PATIENCE: Duration = Duration::from_millis(300);
+pub const LAST_CONNECTIONS_PATIENCE: Duration = Duration::from_millis(300);
 
 /// The server's part in a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/relay/src/control/follower.rs
+++ b/crates/relay/src/control/follower.rs
@@ -9,7 +9,8 @@
 use crate::metrics::RelayMetrics;
 use crate::protocol::{ControlStore, StoreError};
 
-/// How long a watch of the directory waits. Back ends write every second or so: silence means trouble.
+/// How long a watch of the directory waits. A heartbeat alone is often no change, so most watches end by this time; it
+/// bounds the age of the directory.
 const DIRECTORY_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Changes that come together are taken together: each call has a price. Far below the time in which a back end that
--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -7,7 +7,6 @@
 use havengate_core::back_ends::{Directory, DirectoryListing};
 use havengate_core::replication::{Pull, PullAnswer};
 use havengate_core::routing::TrafficConfiguration;
-use havengate_core::store::Revision;
 use havengate_core::world::Address;
 use havengate_node::clock::Clock;
 
@@ -58,11 +57,6 @@
         self.knowledge.load_full()
     }
 
-    /// The revision that the directory stands at.
-    pub fn directory_revision(&self) -> Revision {
-        self.directory.borrow().revision()
-    }
-
     /// Adopts a configuration if it is newer than the one in force.
     pub fn adopt_configuration(&self, configuration: TrafficConfiguration, source: Source) {
         let knowledge = self.knowledge.load_full();
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -8,7 +8,7 @@
 
 use havengate_core::replication::{Digest, PeerTable, Pull, PullAnswer};
 use havengate_core::world::Address;
-use havengate_wire::{FRAME_MAXIMUM_BYTES, WireError, decode, encode};
+use havengate_wire::{LENGTH_BYTES, WireError, decode, encode, frame_of, payload_length};
 use speedy::{LittleEndian, Readable, Writable};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -184,21 +184,14 @@
 }
 
 async fn write_message<M: Writable<LittleEndian>>(stream: &mut TcpStream, message: &M) -> Result<(), PeersError> {
-    let payload = encode(message)?;
-    let length = u32::try_from(payload.len()).unwrap_or(u32::MAX);
-    stream.write_all(&length.to_le_bytes()).await?;
-    stream.write_all(&payload).await?;
+    stream.write_all(&frame_of(message)?).await?;
     Ok(())
 }
 
 async fn read_message<M: for<'a> Readable<'a, LittleEndian>>(stream: &mut TcpStream) -> Result<M, PeersError> {
-    let mut length = [0; size_of::<u32>()];
+    let mut length = [0; LENGTH_BYTES];
     stream.read_exact(&mut length).await?;
-    let length = u32::from_le_bytes(length) as usize;
-    if length > FRAME_MAXIMUM_BYTES {
-        return Err(WireError::FrameTooLarge { bytes: length, limit: FRAME_MAXIMUM_BYTES }.into());
-    }
-    let mut payload = vec![0; length];
+    let mut payload = vec![0; payload_length(length)?];
     stream.read_exact(&mut payload).await?;
     Ok(decode(&payload)?)
 }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -23,7 +23,7 @@
 use tokio::task::LocalSet;
 use tokio::time::{interval, sleep};
 
-use crate::callers::{CallerServer, ServerPhase, Traffic, listen};
+use crate::callers::{CallerServer, LAST_CONNECTIONS_PATIENCE, ServerPhase, Traffic, listen};
 use crate::control::{ControlSettings, spawn};
 use crate::knowledge::{Knowledge, SharedKnowledge};
 use crate::metrics::{NodeState, RelayMetrics};
@@ -140,7 +140,7 @@
     sleep(ACCEPT_WHILE_LEAVING.min(grace / 2)).await;
     phase.send_replace(ServerPhase::Closing);
     // Connections that have just come get a moment for their first request before open requests are counted.
-    sleep(2 * STOP_POLL + Duration::from_millis(300)).await;
+    sleep(LAST_CONNECTIONS_PATIENCE + 2 * STOP_POLL).await;
     while traffic.active.count() > 0 && Instant::now() < until {
         sleep(STOP_POLL).await;
     }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,4 +1,5 @@
-//! Frames on a TCP connection: a length of four bytes, little-endian, then one message.
+//! Frames on a TCP connection: a length of four bytes, little-endian, then one message. [`frame_of`] and
+//! [`payload_length`] are the layout, for streams of any kind; the other functions read and write blocking ones.
 
 use std::io::{Read, Write};
 
@@ -10,16 +11,38 @@
 /// reading on would let it take this node's memory.
 pub const FRAME_MAXIMUM_BYTES: usize = 16 * 1024 * 1024;
 
-/// Writes one message and leaves flushing to the caller.
+/// The bytes of a frame's length.
+pub const LENGTH_BYTES: usize = size_of::<u32>();
+
+/// One message as a whole frame.
 ///
 /// # Errors
-/// When the message is too large or the connection fails. Part of the frame may have left.
-pub fn write_frame<M: Writable<LittleEndian>>(stream: &mut impl Write, message: &M) -> Result<usize, WireError> {
+/// When the message is too large or can't be encoded.
+pub fn frame_of<M: Writable<LittleEndian>>(message: &M) -> Result<Vec<u8>, WireError> {
     let payload = encode(message)?;
     check_length(payload.len())?;
-    let mut frame = Vec::with_capacity(size_of::<u32>() + payload.len());
+    let mut frame = Vec::with_capacity(LENGTH_BYTES + payload.len());
     frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
     frame.extend_from_slice(&payload);
+    Ok(frame)
+}
+
+/// The length of the message that follows a frame's first bytes.
+///
+/// # Errors
+/// When a longer message is announced than a frame may hold.
+pub fn payload_length(first: [u8; LENGTH_BYTES]) -> Result<usize, WireError> {
+    let length = u32::from_le_bytes(first) as usize;
+    check_length(length)?;
+    Ok(length)
+}
+
+/// Writes one message and leaves flushing to the caller.
+///
+/// # Errors
+/// When the message is too large or the connection fails. Part of the frame may have left.
+pub fn write_frame<M: Writable<LittleEndian>>(stream: &mut impl Write, message: &M) -> Result<usize, WireError> {
+    let frame = frame_of(message)?;
     stream.write_all(&frame)?;
     Ok(frame.len())
 }
@@ -39,14 +62,12 @@
 pub fn read_counted_frame<M: for<'a> Readable<'a, LittleEndian>>(
     stream: &mut impl Read,
 ) -> Result<(M, usize), WireError> {
-    let mut length = [0; size_of::<u32>()];
+    let mut length = [0; LENGTH_BYTES];
     stream.read_exact(&mut length)?;
-    let length = u32::from_le_bytes(length) as usize;
-    check_length(length)?;
-    let mut payload = vec![0; length];
+    let mut payload = vec![0; payload_length(length)?];
     stream.read_exact(&mut payload)?;
     let message = decode(&payload)?;
-    Ok((message, size_of::<u32>() + payload.len()))
+    Ok((message, LENGTH_BYTES + payload.len()))
 }
 
 fn check_length(bytes: usize) -> Result<(), WireError> {
