Tell every node of readings, not the third that was heard from lately

Cause: a node told those peers of readings from which a digest had come within 2 s. A digest goes to three peers five times a second, so of 87 peers a node hears from about 30 in that time: two of three nodes never learned which engine reads what and which keeps which part. Ruled out: the limit of 32 peers told (a trial with 128 changed nothing), processor time (a trial without it was alike). Change: digests name peers with the address that takes notices; all peers named within 10 s are told, up to 400. Test: every_node_of_many_is_told_of_readings_and_a_dead_one_is_not_for_long; with 2 s in place of 10 s it fails (node 1 tells 84 of 87); the former rule, heard from within 2 s, is stricter still.

--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -10,16 +10,23 @@
 /// What a node has, sent to a few peers at a time in one datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct Digest {
-    /// Where the sender answers pulls and digests.
-    pub sender: Address,
-    /// Where the sender takes notices of readings.
-    pub notices: Address,
+    /// The sender.
+    pub sender: PeerAddresses,
     /// The configuration in force at the sender; 0 when it has none.
     pub configuration: ConfigurationNumber,
     /// The revision of the sender's directory; 0 when it has none.
     pub directory: Revision,
     /// Peers that the sender has heard from lately, a few of them.
-    pub peers: Vec<Address>,
+    pub peers: Vec<PeerAddresses>,
+}
+
+/// Where a node is reached by its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct PeerAddresses {
+    /// Where it answers pulls and digests; names the node.
+    pub control: Address,
+    /// Where it takes notices of readings.
+    pub notices: Address,
 }
 
 /// Asks for what is newer than the asker's own.
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -4,5 +4,5 @@
 mod message;
 mod peer_table;
 
-pub use message::{Digest, Pull, PullAnswer};
+pub use message::{Digest, PeerAddresses, Pull, PullAnswer};
 pub use peer_table::{PeerTable, PeerTableConfig};
--- a/crates/core/src/replication/peer_table.rs
+++ b/crates/core/src/replication/peer_table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::message::Digest;
+use super::message::{Digest, PeerAddresses};
 use crate::routing::ConfigurationNumber;
 use crate::store::Revision;
 use crate::time::Timestamp;
@@ -18,6 +18,9 @@
     pub peers_named: usize,
     /// A peer that was not heard from for this time is no longer named to others, nor asked first.
     pub fresh: Duration,
+    /// A peer that nobody has named for this time is no longer told of readings. With many nodes a digest of a peer itself
+    /// comes seldom, its name much more often: at 330 nodes three to four times in this time.
+    pub recent: Duration,
     /// A peer that was not heard from for this time is forgotten; longer than the window of the retry budget.
     pub forgotten: Duration,
     /// The nodes that a node assumes until it has had time to hear of them: its part of what is shared is then small.
@@ -32,6 +35,7 @@
             fan_out: 3,
             peers_named: 8,
             fresh: Duration::from_secs(2),
+            recent: Duration::from_secs(10),
             forgotten: Duration::from_secs(25),
             nodes_assumed: 16,
             settling: Duration::from_secs(3),
@@ -44,7 +48,7 @@
     /// When a digest came from it; `None` for a peer that others named.
     heard_at: Option<Timestamp>,
     named_at: Timestamp,
-    notices: Option<Address>,
+    notices: Address,
     configuration: ConfigurationNumber,
     directory: Revision,
 }
@@ -72,13 +76,12 @@
 
     /// Takes a digest in.
     pub fn receive(&mut self, digest: &Digest, now: Timestamp) {
-        for address in &digest.peers {
-            self.note(*address, now);
+        for peer in &digest.peers {
+            self.note(*peer, now);
         }
         self.note(digest.sender, now);
-        if let Some(peer) = self.peers.get_mut(&digest.sender) {
+        if let Some(peer) = self.peers.get_mut(&digest.sender.control) {
             peer.heard_at = Some(now);
-            peer.notices = Some(digest.notices);
             peer.configuration = digest.configuration;
             peer.directory = digest.directory;
         }
@@ -106,13 +109,14 @@
             .map(|(address, _)| *address)
     }
 
-    /// Where the peers that were heard from lately take notices of readings, in order.
+    /// Where the peers that were heard of lately take notices of readings, in order.
     pub fn notice_addresses(&self, now: Timestamp) -> Vec<Address> {
-        self.fresh(now).filter_map(|address| self.peers[&address].notices).collect()
+        let recent = self.config.recent;
+        self.peers.values().filter(|peer| now.since(peer.named_at) < recent).map(|peer| peer.notices).collect()
     }
 
     /// A few peers at random for the next digest, and those to be named in it.
-    pub fn next_digest(&self, now: Timestamp, random: &mut fastrand::Rng) -> (Vec<Address>, Vec<Address>) {
+    pub fn next_digest(&self, now: Timestamp, random: &mut fastrand::Rng) -> (Vec<Address>, Vec<PeerAddresses>) {
         let mut receivers: Vec<Address> = self.peers.keys().copied().collect();
         for seed in &self.seeds {
             if *seed != self.own_address && !receivers.contains(seed) {
@@ -121,7 +125,8 @@
         }
         random.shuffle(&mut receivers);
         receivers.truncate(self.config.fan_out);
-        let mut named: Vec<Address> = self.fresh(now).collect();
+        let name = |control: Address| PeerAddresses { control, notices: self.peers[&control].notices };
+        let mut named: Vec<PeerAddresses> = self.fresh(now).map(name).collect();
         random.shuffle(&mut named);
         named.truncate(self.config.peers_named);
         (receivers, named)
@@ -142,17 +147,18 @@
         (!ahead.is_empty()).then(|| ahead[random.usize(..ahead.len())])
     }
 
-    fn note(&mut self, address: Address, now: Timestamp) {
-        if address == self.own_address {
+    fn note(&mut self, named: PeerAddresses, now: Timestamp) {
+        if named.control == self.own_address {
             return;
         }
-        let peer = self.peers.entry(address).or_insert(Peer {
+        let peer = self.peers.entry(named.control).or_insert(Peer {
             heard_at: None,
             named_at: now,
-            notices: None,
+            notices: named.notices,
             configuration: ConfigurationNumber::default(),
             directory: Revision::default(),
         });
         peer.named_at = now;
+        peer.notices = named.notices;
     }
 }
--- a/crates/core/tests/replication.rs
+++ b/crates/core/tests/replication.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use havengate_core::replication::{Digest, PeerTable, PeerTableConfig};
+use havengate_core::replication::{Digest, PeerAddresses, PeerTable, PeerTableConfig};
 use havengate_core::routing::ConfigurationNumber;
 use havengate_core::store::Revision;
 use havengate_core::time::Timestamp;
@@ -16,13 +16,16 @@
     Address(SocketAddr::from(([10, 0, 0, number], 7_000)))
 }
 
+fn addresses(number: u8) -> PeerAddresses {
+    PeerAddresses { control: address(number), notices: Address(SocketAddr::from(([10, 0, 0, number], 7_001))) }
+}
+
 fn digest(sender: u8, configuration: u64, directory: u64, peers: &[u8]) -> Digest {
     Digest {
-        sender: address(sender),
-        notices: address(sender),
+        sender: addresses(sender),
         configuration: ConfigurationNumber(configuration),
         directory: Revision(directory),
-        peers: peers.iter().map(|number| address(*number)).collect(),
+        peers: peers.iter().map(|number| addresses(*number)).collect(),
     }
 }
 
@@ -102,6 +105,31 @@
     assert!(tables[..3].iter().all(|table| table.nodes(now) == 3), "nobody names the dead one for ever");
 }
 
+#[test]
+fn every_node_of_many_is_told_of_readings_and_a_dead_one_is_not_for_long() {
+    let nodes: u8 = 88;
+    let config = PeerTableConfig::default();
+    let mut tables: Vec<PeerTable> = (1..=nodes).map(|own| table(own, &[1, 2, 3])).collect();
+    let mut now = START;
+    let mut random = random();
+    let rounds = |tables: &mut [PeerTable], now: &mut Timestamp, random: &mut fastrand::Rng, time: Duration| {
+        for _ in 0..time.as_millis() / ROUND.as_millis() {
+            spread_once(tables, *now, random);
+            *now = *now + ROUND;
+        }
+    };
+    rounds(&mut tables, &mut now, &mut random, Duration::from_secs(12));
+    for (index, table) in tables.iter().enumerate() {
+        let told = table.notice_addresses(now);
+        assert_eq!(told.len(), usize::from(nodes) - 1, "node {} tells all others", index + 1);
+        assert!(told.iter().all(|address| address.0.port() == 7_001), "where they take notices");
+    }
+    tables.pop();
+    rounds(&mut tables, &mut now, &mut random, config.fresh + config.recent + ROUND);
+    let dead = addresses(nodes).notices;
+    assert!(tables.iter().all(|table| !table.notice_addresses(now).contains(&dead)));
+}
+
 fn spread_once(tables: &mut [PeerTable], now: Timestamp, random: &mut fastrand::Rng) {
     for sender in 0..tables.len() {
         tables[sender].tick(now);
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use havengate_core::replication::{Digest, PeerTable, Pull, PullAnswer};
+use havengate_core::replication::{Digest, PeerAddresses, PeerTable, Pull, PullAnswer};
 use havengate_core::world::Address;
 use havengate_wire::{LENGTH_BYTES, WireError, decode, encode, frame_of, payload_length};
 use speedy::{LittleEndian, Readable, Writable};
@@ -47,28 +47,22 @@
 /// The exchange with other nodes. Copies share it.
 #[derive(Clone)]
 pub struct PeerExchange {
-    own_address: Address,
-    notices_address: Address,
+    own: PeerAddresses,
     table: Rc<RefCell<PeerTable>>,
     learner: Learner,
     socket: Rc<UdpSocket>,
 }
 
 impl PeerExchange {
-    /// Takes part in the exchange at `own_address`, and tells peers that notices are taken at `notices_address`.
+    /// Takes part in the exchange as `own`.
     ///
     /// # Errors
     /// When the address can't be bound.
-    pub async fn bind(
-        own_address: Address,
-        notices_address: Address,
-        table: PeerTable,
-        learner: Learner,
-    ) -> io::Result<(Self, TcpListener)> {
-        let socket = UdpSocket::bind(own_address.0).await?;
-        let listener = listen(own_address.0)?;
+    pub async fn bind(own: PeerAddresses, table: PeerTable, learner: Learner) -> io::Result<(Self, TcpListener)> {
+        let socket = UdpSocket::bind(own.control.0).await?;
+        let listener = listen(own.control.0)?;
         let table = Rc::new(RefCell::new(table));
-        Ok((PeerExchange { own_address, notices_address, table, learner, socket: Rc::new(socket) }, listener))
+        Ok((PeerExchange { own, table, learner, socket: Rc::new(socket) }, listener))
     }
 
     /// Sends digests for ever, to `seeds` as well, and pulls what peers have newer.
@@ -127,8 +121,7 @@
         let knowledge = self.learner.knowledge();
         let (receivers, peers) = self.table.borrow().next_digest(now, &mut fastrand::Rng::new());
         let digest = Digest {
-            sender: self.own_address,
-            notices: self.notices_address,
+            sender: self.own,
             configuration: knowledge.configuration_number(),
             directory: knowledge.directory.revision(),
             peers,
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc;
 use std::thread;
 
-use havengate_core::replication::{PeerTable, PeerTableConfig};
+use havengate_core::replication::{PeerAddresses, PeerTable, PeerTableConfig};
 use havengate_core::world::Address;
 use havengate_node::clock::Clock;
 use tokio::net::TcpListener;
@@ -73,7 +73,8 @@
 async fn bind(settings: &ControlSettings, learner: Learner) -> io::Result<(PeerExchange, TcpListener)> {
     let seeds = settings.seeds.borrow().clone();
     let table = PeerTable::new(PeerTableConfig::default(), settings.peers_address, seeds, learner.clock().now());
-    let bound = PeerExchange::bind(settings.peers_address, settings.notices_address, table, learner).await;
+    let own = PeerAddresses { control: settings.peers_address, notices: settings.notices_address };
+    let bound = PeerExchange::bind(own, table, learner).await;
     bound.map_err(|error| {
         io::Error::new(error.kind(), format!("peers_address {} can't be bound: {error}", settings.peers_address))
     })
--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings.rs
@@ -15,8 +15,9 @@
 /// A notice of more bytes is not sent: it would be split on its way. It holds some 25 readings.
 const NOTICE_MAXIMUM_BYTES: usize = 1_400;
 
-/// The peers that are told of each reading. Long prompts are few, but each notice wakes its receiver.
-const PEERS_TOLD_MAXIMUM: usize = 32;
+/// The peers that are told of each reading: all, up to the size that is designed for. Long prompts are few, and a node
+/// that doesn't hear of a reading sends the next prompt behind it.
+const PEERS_TOLD_MAXIMUM: usize = 400;
 
 /// The readings that this node and its peers know of. Copies share them.
 #[derive(Clone)]
