--- a/crates/core/src/back_ends/directory.rs
+++ b/crates/core/src/back_ends/directory.rs
@@ -6,6 +6,7 @@
 use speedy::{Readable, Writable};
 
 use super::back_end::{BackEnd, BackEndState};
+use super::history::ChangeHistory;
 use crate::store::Revision;
 use crate::time::Timestamp;
 use crate::world::{BackEndId, ServiceName};
@@ -26,7 +27,7 @@
 }
 
 /// One change of the directory.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum DirectoryChange {
     /// The back end is new or has changed.
     Put(BackEnd),
@@ -34,6 +35,24 @@
     Gone(BackEndId),
 }
 
+/// Changes of the directory after a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct DirectoryChanges {
+    /// The revision that the changes lead to.
+    pub revision: Revision,
+    /// The changes in their order; none when nothing has changed up to that revision.
+    pub changes: Vec<DirectoryChange>,
+}
+
+/// What leads a replica of the directory to a newer revision.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum DirectoryNews {
+    /// The changes since the revision that was asked from.
+    Changes(DirectoryChanges),
+    /// The whole directory: the changes are no longer known.
+    Listing(DirectoryListing),
+}
+
 /// Whether a back end may be sent a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Usability {
@@ -71,8 +90,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     revision: Revision,
+    /// The revision of the last change that was not only a confirmation.
+    changed_at: Revision,
     known: bool,
     entries: BTreeMap<BackEndId, DirectoryEntry>,
+    history: ChangeHistory,
 }
 
 impl Directory {
@@ -91,6 +113,11 @@
         self.revision
     }
 
+    /// The revision of the last change: a replica that stands there or later lacks nothing.
+    pub fn changed_at(&self) -> Revision {
+        self.changed_at
+    }
+
     /// All back ends that are ready or draining, and those whose entry vanished a moment ago.
     pub fn entries(&self) -> impl Iterator<Item = &DirectoryEntry> {
         self.entries.values()
@@ -111,6 +138,10 @@
         if listing.revision < self.revision {
             return false;
         }
+        if !self.known || listing != (DirectoryListing { revision: listing.revision, ..self.listing() }) {
+            self.changed_at = listing.revision;
+            self.history.restart(listing.revision);
+        }
         self.known = true;
         self.revision = listing.revision;
         let listed: Vec<BackEndId> = listing.back_ends.iter().map(|back_end| back_end.id.clone()).collect();
@@ -126,13 +157,20 @@
         true
     }
 
-    /// Applies changes that lead to `revision`, unless the directory is there already.
-    pub fn apply(&mut self, changes: Vec<DirectoryChange>, revision: Revision, now: Timestamp) {
-        if revision < self.revision {
-            return;
+    /// Applies changes, unless the directory is past their revision already. Changes that it has are applied again, which
+    /// does no harm: the last change of each back end decides.
+    ///
+    /// Returns whether the directory stands at their revision now.
+    pub fn apply(&mut self, news: DirectoryChanges, now: Timestamp) -> bool {
+        if news.revision < self.revision {
+            return false;
         }
-        self.revision = revision;
-        for change in changes {
+        if !news.changes.is_empty() {
+            self.changed_at = news.revision;
+            self.history.record(self.revision, &news);
+        }
+        self.revision = news.revision;
+        for change in news.changes {
             match change {
                 DirectoryChange::Put(back_end) => self.put(back_end, now),
                 DirectoryChange::Gone(id) => {
@@ -143,6 +181,23 @@
             }
         }
         self.forget_unusable(now);
+        true
+    }
+
+    /// What leads a replica that stands at `revision` to this one, without a change when it stands there already; `None`
+    /// when it is ahead.
+    pub fn news_since(&self, revision: Revision) -> Option<DirectoryNews> {
+        if !self.known || revision > self.revision {
+            return None;
+        }
+        if revision >= self.changed_at {
+            return Some(DirectoryNews::Changes(DirectoryChanges { revision: self.revision, changes: Vec::new() }));
+        }
+        let changes = self.history.since(revision);
+        Some(match changes {
+            Some(changes) => DirectoryNews::Changes(DirectoryChanges { revision: self.revision, changes }),
+            None => DirectoryNews::Listing(self.listing()),
+        })
     }
 
     /// The directory as a listing, for another node. What vanished is left out.
--- a/crates/core/src/back_ends/mod.rs
+++ b/crates/core/src/back_ends/mod.rs
@@ -3,7 +3,11 @@
 mod back_end;
 mod directory;
 mod health;
+mod history;
 
 pub use back_end::{BackEnd, BackEndState, EngineStage};
-pub use directory::{Directory, DirectoryChange, DirectoryEntry, DirectoryListing, LAST_RESORT, Usability};
+pub use directory::{
+    Directory, DirectoryChange, DirectoryChanges, DirectoryEntry, DirectoryListing, DirectoryNews, LAST_RESORT,
+    Usability,
+};
 pub use health::{BackEndHealth, HealthLimits};
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -2,7 +2,7 @@
 
 use speedy::{Readable, Writable};
 
-use crate::back_ends::DirectoryListing;
+use crate::back_ends::DirectoryNews;
 use crate::routing::{ConfigurationNumber, TrafficConfiguration};
 use crate::store::Revision;
 use crate::world::Address;
@@ -14,7 +14,7 @@
     pub sender: PeerAddresses,
     /// The configuration in force at the sender; 0 when it has none.
     pub configuration: ConfigurationNumber,
-    /// The revision of the sender's directory; 0 when it has none.
+    /// The revision of the last change in the sender's directory; 0 when it has none.
     pub directory: Revision,
     /// Peers that the sender has heard from lately, a few of them.
     pub peers: Vec<PeerAddresses>,
@@ -36,6 +36,8 @@
     pub configuration: ConfigurationNumber,
     /// The revision of the asker's directory.
     pub directory: Revision,
+    /// How long the answer may wait until there is something new, in milliseconds.
+    pub wait_millis: u32,
 }
 
 /// What is newer than the asker's own.
@@ -43,6 +45,17 @@
 pub struct PullAnswer {
     /// A newer configuration.
     pub configuration: Option<TrafficConfiguration>,
-    /// A newer directory.
-    pub directory: Option<DirectoryListing>,
+    /// What leads to a newer directory.
+    pub directory: Option<DirectoryNews>,
+    /// How long ago the store confirmed what the sender has.
+    pub ages: KnowledgeAges,
+}
+
+/// How long ago the store has confirmed what a node has, directly or by way of others, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct KnowledgeAges {
+    /// Of the configuration; `None`: never.
+    pub configuration_millis: Option<u32>,
+    /// Of the directory; `None`: never.
+    pub directory_millis: Option<u32>,
 }
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -1,8 +1,10 @@
-//! How nodes that can't reach the store learn from those that can: digests of what each node has, and pulls of what is
-//! newer.
+//! How nodes learn from each other what is in the store: a few read it and feed the rest; digests of what each node has
+//! lead to pulls of what is newer where that does not suffice.
 
 mod message;
 mod peer_table;
+mod readers;
 
-pub use message::{Digest, PeerAddresses, Pull, PullAnswer};
+pub use message::{Digest, KnowledgeAges, PeerAddresses, Pull, PullAnswer};
 pub use peer_table::{PeerTable, PeerTableConfig};
+pub use readers::{Readers, ReadersConfig};
--- a/crates/core/src/replication/peer_table.rs
+++ b/crates/core/src/replication/peer_table.rs
@@ -18,7 +18,7 @@
     pub peers_named: usize,
     /// A peer that was not heard from for this time is no longer named to others, nor asked first.
     pub fresh: Duration,
-    /// A peer that nobody has named for this time is no longer told of readings. With many nodes a digest of a peer itself
+    /// A peer that nobody has named for this time is no longer told of readings, nor a reader. With many nodes a digest of a peer itself
     /// comes seldom, its name much more often: at 330 nodes three to four times in this time.
     pub recent: Duration,
     /// A peer that was not heard from for this time is forgotten; longer than the window of the retry budget.
@@ -111,8 +111,17 @@
 
     /// Where the peers that were heard of lately take notices of readings, in order.
     pub fn notice_addresses(&self, now: Timestamp) -> Vec<Address> {
+        self.recently_named(now).map(|(_, peer)| peer.notices).collect()
+    }
+
+    /// The peers that were heard of lately, in order.
+    pub fn recent(&self, now: Timestamp) -> Vec<Address> {
+        self.recently_named(now).map(|(control, _)| *control).collect()
+    }
+
+    fn recently_named(&self, now: Timestamp) -> impl Iterator<Item = (&Address, &Peer)> {
         let recent = self.config.recent;
-        self.peers.values().filter(|peer| now.since(peer.named_at) < recent).map(|peer| peer.notices).collect()
+        self.peers.iter().filter(move |(_, peer)| now.since(peer.named_at) < recent)
     }
 
     /// A few peers at random for the next digest, and those to be named in it.
--- a/crates/core/tests/back_ends.rs
+++ b/crates/core/tests/back_ends.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use havengate_core::back_ends::{
-    BackEnd, BackEndHealth, BackEndState, Directory, DirectoryChange, DirectoryListing, HealthLimits, LAST_RESORT,
-    Usability,
+    BackEnd, BackEndHealth, BackEndState, Directory, DirectoryChange, DirectoryChanges, DirectoryListing,
+    DirectoryNews, HealthLimits, LAST_RESORT, Usability,
 };
 use havengate_core::store::Revision;
 use havengate_core::time::Timestamp;
@@ -21,6 +21,10 @@
     DirectoryListing { revision: Revision(revision), back_ends }
 }
 
+fn changes(revision: u64, changes: Vec<DirectoryChange>) -> DirectoryChanges {
+    DirectoryChanges { revision: Revision(revision), changes }
+}
+
 fn usability(directory: &Directory, number: u8, now: Timestamp) -> Option<Usability> {
     let id = back_end(number, None).id;
     directory.entries().find(|entry| entry.back_end.id == id).map(|entry| entry.usability(now))
@@ -39,7 +43,7 @@
 #[test]
 fn a_draining_back_end_is_a_last_resort_and_then_nothing() {
     let mut directory = directory_of(&[1, 2]);
-    directory.apply(vec![DirectoryChange::Put(draining(1))], Revision(11), START);
+    directory.apply(changes(11, vec![DirectoryChange::Put(draining(1))]), START);
     assert_eq!(usability(&directory, 1, START), Some(Usability::LastResort));
     assert_eq!(usability(&directory, 2, START), Some(Usability::Usable));
     assert_eq!(usability(&directory, 1, START + LAST_RESORT), Some(Usability::Unusable));
@@ -48,30 +52,30 @@
 #[test]
 fn a_heartbeat_of_a_draining_back_end_does_not_lengthen_its_last_resort() {
     let mut directory = directory_of(&[1]);
-    directory.apply(vec![DirectoryChange::Put(draining(1))], Revision(11), START);
+    directory.apply(changes(11, vec![DirectoryChange::Put(draining(1))]), START);
     let later = START + LAST_RESORT;
-    directory.apply(vec![DirectoryChange::Put(draining(1))], Revision(12), later);
+    directory.apply(changes(12, vec![DirectoryChange::Put(draining(1))]), later);
     assert_eq!(usability(&directory, 1, later), Some(Usability::Unusable));
 }
 
 #[test]
 fn a_vanished_entry_is_a_last_resort_until_it_is_forgotten_or_comes_back() {
     let mut directory = directory_of(&[1, 2]);
-    directory.apply(vec![DirectoryChange::Gone(back_end(1, None).id)], Revision(11), START);
+    directory.apply(changes(11, vec![DirectoryChange::Gone(back_end(1, None).id)]), START);
     assert_eq!(usability(&directory, 1, START), Some(Usability::LastResort));
     assert_eq!(directory.listing().back_ends, vec![back_end(2, None)], "peers are not told of it");
-    directory.apply(vec![DirectoryChange::Put(back_end(1, None))], Revision(12), START);
+    directory.apply(changes(12, vec![DirectoryChange::Put(back_end(1, None))]), START);
     assert_eq!(usability(&directory, 1, START), Some(Usability::Usable));
-    directory.apply(vec![DirectoryChange::Gone(back_end(1, None).id)], Revision(13), START);
-    directory.apply(Vec::new(), Revision(14), START + LAST_RESORT);
+    directory.apply(changes(13, vec![DirectoryChange::Gone(back_end(1, None).id)]), START);
+    directory.apply(changes(14, Vec::new()), START + LAST_RESORT);
     assert_eq!(usability(&directory, 1, START + LAST_RESORT), None);
 }
 
 #[test]
 fn a_draining_back_end_is_forgotten_once_it_has_vanished() {
     let mut directory = directory_of(&[1]);
-    directory.apply(vec![DirectoryChange::Put(draining(1))], Revision(11), START);
-    directory.apply(vec![DirectoryChange::Gone(back_end(1, None).id)], Revision(12), START + LAST_RESORT);
+    directory.apply(changes(11, vec![DirectoryChange::Put(draining(1))]), START);
+    directory.apply(changes(12, vec![DirectoryChange::Gone(back_end(1, None).id)]), START + LAST_RESORT);
     assert_eq!(directory.entries().count(), 0);
 }
 
@@ -79,7 +83,7 @@
 fn an_older_listing_or_change_is_not_taken() {
     let mut directory = directory_of(&[1]);
     assert!(!directory.adopt(listing(9, &[1, 2]), START));
-    directory.apply(vec![DirectoryChange::Put(back_end(3, None))], Revision(9), START);
+    directory.apply(changes(9, vec![DirectoryChange::Put(back_end(3, None))]), START);
     assert_eq!(directory.listing(), listing(10, &[1]));
 }
 
@@ -101,7 +105,7 @@
             if choices.arbitrary()? {
                 directory.adopt(listing(revision, &[1]), START);
             } else {
-                directory.apply(vec![DirectoryChange::Put(back_end(2, None))], Revision(revision), START);
+                directory.apply(changes(revision, vec![DirectoryChange::Put(back_end(2, None))]), START);
             }
             assert!(directory.revision() >= highest);
             highest = directory.revision();
@@ -171,3 +175,90 @@
     assert!(!health.admits(probe + Duration::from_millis(500)));
     assert!(health.admits(probe + Duration::from_secs(3)));
 }
+
+/// Directories as readers of the store and those that they feed hold them: one is led to the other's state by its news.
+fn led_by(news: Option<DirectoryNews>, replica: &mut Directory) {
+    match news {
+        Some(DirectoryNews::Changes(changes)) => drop(replica.apply(changes, START)),
+        Some(DirectoryNews::Listing(listing)) => drop(replica.adopt(listing, START)),
+        None => {}
+    }
+}
+
+#[test]
+fn a_replica_that_is_a_little_behind_gets_the_changes_only() {
+    let mut directory = directory_of(&[1, 2]);
+    let mut replica = directory.clone();
+    directory.apply(changes(11, vec![DirectoryChange::Put(back_end(3, None))]), START);
+    directory.apply(changes(12, Vec::new()), START);
+    directory.apply(changes(13, vec![DirectoryChange::Gone(back_end(1, None).id)]), START);
+    let news = directory.news_since(replica.revision());
+    assert!(matches!(&news, Some(DirectoryNews::Changes(news)) if news.changes.len() == 2), "{news:?}");
+    led_by(news, &mut replica);
+    assert_eq!(replica.listing(), directory.listing());
+}
+
+#[test]
+fn a_replica_that_lacks_nothing_is_told_so() {
+    let mut directory = directory_of(&[1]);
+    directory.apply(changes(12, Vec::new()), START);
+    assert_eq!(directory.changed_at(), Revision(10), "a confirmation is no change");
+    let confirmed = Some(DirectoryNews::Changes(changes(12, Vec::new())));
+    assert_eq!(directory.news_since(Revision(11)), confirmed);
+    assert_eq!(directory.news_since(Revision(12)), confirmed, "also one that stands at the same revision");
+    assert_eq!(directory.news_since(Revision(13)), None, "one that is ahead is told nothing");
+    assert_eq!(Directory::new().news_since(Revision(0)), None);
+}
+
+#[test]
+fn a_replica_that_is_far_behind_gets_the_whole_directory() {
+    let mut directory = directory_of(&[1, 2]);
+    let mut replica = directory.clone();
+    for revision in 11..2_000 {
+        let number = u8::try_from(revision % 7).unwrap() + 1;
+        directory.apply(changes(revision, vec![DirectoryChange::Put(back_end(number, None))]), START);
+    }
+    let news = directory.news_since(replica.revision());
+    assert!(matches!(news, Some(DirectoryNews::Listing(_))));
+    led_by(news, &mut replica);
+    assert_eq!(replica.listing(), directory.listing());
+    assert!(
+        matches!(directory.news_since(Revision(9)), Some(DirectoryNews::Listing(_))),
+        "older than all that is known"
+    );
+}
+
+/// Readers take batches of the same changes at other revisions; a replica fed by two of them, in any order, ends as they do.
+#[test]
+fn a_replica_that_two_readers_feed_ends_where_they_stand() {
+    arbtest::arbtest(|u| {
+        let mut readers = [directory_of(&[1, 2, 3]), directory_of(&[1, 2, 3])];
+        let mut replica = readers[0].clone();
+        let mut behind: [Vec<(u64, DirectoryChange)>; 2] = Default::default();
+        for revision in 11..60 {
+            let number = u.int_in_range(1..=5)?;
+            let change = match u.int_in_range(0..=2)? {
+                0 => DirectoryChange::Put(back_end(number, None)),
+                1 => DirectoryChange::Put(draining(number)),
+                _ => DirectoryChange::Gone(back_end(number, None).id),
+            };
+            for (reader, behind) in readers.iter_mut().zip(&mut behind) {
+                behind.push((revision, change.clone()));
+                if u.ratio(1, 3)? {
+                    let batch = behind.drain(..).map(|(_, change)| change).collect();
+                    reader.apply(changes(revision, batch), START);
+                }
+            }
+            let feeding = &readers[usize::from(u.ratio(1, 2)?)];
+            led_by(feeding.news_since(replica.revision()), &mut replica);
+        }
+        for (reader, behind) in readers.iter_mut().zip(&mut behind) {
+            reader.apply(changes(60, behind.drain(..).map(|(_, change)| change).collect()), START);
+        }
+        led_by(readers[0].news_since(replica.revision()), &mut replica);
+        assert_eq!(readers[0].listing(), readers[1].listing());
+        assert_eq!(replica.listing(), readers[0].listing());
+        Ok(())
+    })
+    .seed(1 << 32 | 4_096);
+}
--- a/crates/core/tests/replication.rs
+++ b/crates/core/tests/replication.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use havengate_core::replication::{Digest, PeerAddresses, PeerTable, PeerTableConfig};
+use havengate_core::replication::{Digest, PeerAddresses, PeerTable, PeerTableConfig, Readers, ReadersConfig};
 use havengate_core::routing::ConfigurationNumber;
 use havengate_core::store::Revision;
 use havengate_core::time::Timestamp;
@@ -144,3 +144,72 @@
         }
     }
 }
+
+fn all(nodes: u8) -> Vec<Address> {
+    (1..=nodes).map(address).collect()
+}
+
+/// What the node `own` knows when it has heard of all nodes.
+fn others(nodes: u8, own: u8) -> Vec<Address> {
+    all(nodes).into_iter().filter(|other| *other != address(own)).collect()
+}
+
+#[test]
+fn a_node_that_knows_nobody_reads_the_store_itself() {
+    let readers = Readers::new(ReadersConfig::default(), address(1));
+    assert!(readers.includes_own(&[]));
+    assert_eq!(readers.feeds(&[], START), []);
+}
+
+#[test]
+fn nodes_that_know_the_same_nodes_agree_on_few_readers() {
+    for (nodes, expected) in [(2, 2), (7, 3), (88, 3), (201, 5)] {
+        let reading = (1..=nodes).filter(|own| {
+            let readers = Readers::new(ReadersConfig::default(), address(*own));
+            readers.includes_own(&others(nodes, *own))
+        });
+        assert_eq!(reading.count(), expected, "of {nodes} nodes");
+    }
+}
+
+#[test]
+fn every_node_is_fed_by_two_readers_other_than_itself_and_the_work_is_shared() {
+    let nodes: u8 = 88;
+    let readers = Readers::new(ReadersConfig::default(), address(1)).of(&others(nodes, 1));
+    let mut fed = vec![0; readers.len()];
+    for own in 1..=nodes {
+        let feeds = Readers::new(ReadersConfig::default(), address(own)).feeds(&others(nodes, own), START);
+        assert_eq!(feeds.len(), 2);
+        assert!(!feeds.contains(&address(own)));
+        for feed in feeds {
+            let reader = readers.iter().position(|reader| *reader == feed).expect("only readers feed");
+            fed[reader] += 1;
+        }
+    }
+    assert!(fed.iter().all(|count| *count > usize::from(nodes) / 3), "{fed:?}");
+}
+
+#[test]
+fn a_reader_that_failed_is_passed_over_for_a_while() {
+    let config = ReadersConfig::default();
+    let mut readers = Readers::new(config, address(1));
+    let peers = others(7, 1);
+    let first = readers.feeds(&peers, START)[0];
+    readers.suspend(first, START);
+    let instead = readers.feeds(&peers, START);
+    assert!(instead.len() == 2 && !instead.contains(&first));
+    assert_eq!(readers.feeds(&peers, START + config.suspension)[0], first);
+    for peer in readers.of(&peers) {
+        readers.suspend(peer, START);
+    }
+    assert_eq!(readers.feeds(&peers, START).len(), 2, "others stand in for readers that all failed");
+}
+
+#[test]
+fn knowledge_is_stale_when_nobody_has_confirmed_it_in_time() {
+    let config = ReadersConfig::default();
+    let readers = Readers::new(config, address(1));
+    assert!(readers.is_stale(None, START));
+    assert!(!readers.is_stale(Some(START), START + config.stale));
+    assert!(readers.is_stale(Some(START), START + config.stale + Duration::from_millis(1)));
+}
--- /dev/null
+++ b/crates/relay/src/control/feed.rs
@@ -0,0 +1,74 @@
+//! Learning from readers of the store: connections over which they tell what is new as soon as they know it.
+
+use std::time::Duration;
+
+use havengate_core::replication::{Pull, PullAnswer};
+use havengate_core::world::Address;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use super::learner::Learner;
+use super::peers::{PeersError, read_message, write_message};
+use super::reader_role::ReaderRole;
+
+/// The longest that a reader waits for news before it answers, and so confirms what this node knows.
+const FEED_WAIT: Duration = Duration::from_millis(400);
+
+/// How long an answer may be on its way beyond the wait.
+const ANSWER_TIME_LIMIT: Duration = Duration::from_millis(500);
+
+/// The longest that a connection to a reader may take to come up.
+const CONNECT_TIME_LIMIT: Duration = Duration::from_millis(300);
+
+/// How often a node looks for a reader that feeds it.
+const CHOICE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Learns for ever from the reader in the place `slot` of this node's feeds, whichever that is.
+pub async fn learn_from_feed(slot: usize, role: ReaderRole, learner: Learner) {
+    loop {
+        let Some(reader) = role.feed(slot) else {
+            sleep(CHOICE_PAUSE).await;
+            continue;
+        };
+        match follow(reader, slot, &role, &learner).await {
+            // Another reader is to feed this node from now on.
+            Ok(()) => {}
+            Err(error) => {
+                role.suspend(reader);
+                log::info!(event = "feed_lost", reader:% = reader, error:% = error; "");
+            }
+        }
+        sleep(CHOICE_PAUSE).await;
+    }
+}
+
+async fn follow(reader: Address, slot: usize, role: &ReaderRole, learner: &Learner) -> Result<(), PeersError> {
+    let connecting = timeout(CONNECT_TIME_LIMIT, TcpStream::connect(reader.0)).await;
+    let mut stream = connecting.map_err(|_| PeersError::TooSlow)??;
+    stream.set_nodelay(true)?;
+    let mut is_first = true;
+    while role.feed(slot) == Some(reader) {
+        let knowledge = learner.knowledge();
+        // The first answer comes at once and shows whether the reader knows anything.
+        let wait = if is_first { Duration::ZERO } else { FEED_WAIT };
+        let pull = Pull {
+            configuration: knowledge.configuration_number(),
+            directory: learner.directory_revision().unwrap_or_default(),
+            wait_millis: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        };
+        let exchange = async {
+            write_message(&mut stream, &pull).await?;
+            read_message::<PullAnswer>(&mut stream).await
+        };
+        let answer = timeout(wait + ANSWER_TIME_LIMIT, exchange).await.map_err(|_| PeersError::TooSlow)??;
+        let ages = answer.ages;
+        learner.learn(answer);
+        let now = learner.clock().now();
+        let confirmed_at = ages.directory_millis.map(|millis| now - Duration::from_millis(u64::from(millis)));
+        if role.is_stale(confirmed_at) {
+            return Err(PeersError::Stale);
+        }
+        is_first = false;
+    }
+    Ok(())
+}
--- a/crates/relay/src/control/follower.rs
+++ b/crates/relay/src/control/follower.rs
@@ -1,4 +1,5 @@
-//! Follows the directory and the configuration in the store: read once, then watch; read again when history is lost.
+//! Follows the directory and the configuration in the store, where that is this node's to do: read once, then watch; read
+//! again when history is lost.
 
 use std::time::Duration;
 
@@ -6,35 +7,49 @@
 use tokio::time::sleep;
 
 use super::learner::{Learner, Source};
+use super::reader_role::ReaderRole;
 use crate::metrics::RelayMetrics;
 use crate::protocol::{ControlStore, StoreError};
 
-/// How long a watch of the directory waits. A heartbeat alone is often no change, so most watches end by this time; it
-/// bounds the age of the directory.
-const DIRECTORY_WAIT: Duration = Duration::from_millis(1_500);
+/// How long a watch waits. Its end confirms what is known, at this node and at those that it feeds, so it bounds the age of
+/// their knowledge; a watch that was cut in silence is noticed after this time and a little more.
+const WATCH_WAIT: Duration = Duration::from_millis(800);
 
 /// Changes that come together are taken together: each call has a price. Far below the time in which a back end that
 /// leaves must get nothing new.
 const DIRECTORY_PAUSE: Duration = Duration::from_millis(150);
 
-/// How long a watch of the configuration waits. A watch that was cut in silence is noticed after this time; peers tell
-/// of a new configuration much sooner.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(2_500);
+/// How often a node that does not read the store looks whether it has to.
+const IDLE_PAUSE: Duration = Duration::from_millis(50);
 
 const BACK_OFF_MINIMUM: Duration = Duration::from_millis(60);
 const BACK_OFF_MAXIMUM: Duration = Duration::from_millis(500);
 
+/// The longest pause of a node that only asks because nobody else can tell it: the readers ask as well, and there are many
+/// such nodes.
+const BACK_OFF_MAXIMUM_OF_OTHERS: Duration = Duration::from_secs(2);
+
 /// The pauses between failed calls, and whether the store is regarded as lost.
 struct StoreAccess {
     call: &'static str,
     metrics: RelayMetrics,
     back_off: Duration,
     lost: bool,
+    stands_in: bool,
 }
 
 impl StoreAccess {
     fn new(call: &'static str, metrics: RelayMetrics) -> Self {
-        StoreAccess { call, metrics, back_off: BACK_OFF_MINIMUM, lost: false }
+        StoreAccess { call, metrics, back_off: BACK_OFF_MINIMUM, lost: false, stands_in: false }
+    }
+
+    /// Notes whether the node asks although others are to tell it, because what it knows is stale.
+    fn note_standing_in(&mut self, stands_in: bool, age: Option<Duration>) {
+        if stands_in != self.stands_in {
+            self.stands_in = stands_in;
+            let age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+            log::info!(event = "store_asked_as_stale", call = self.call, asks = stands_in, age_ms:? = age_ms; "");
+        }
     }
 
     fn succeeded(&mut self) {
@@ -46,7 +61,7 @@
         }
     }
 
-    async fn failed(&mut self, error: &StoreError) {
+    async fn failed(&mut self, error: &StoreError, is_reader: bool) {
         self.metrics.record_store_call(self.call, label_of(error));
         if !self.lost {
             self.lost = true;
@@ -54,7 +69,8 @@
         }
         // Nodes that lost the store at the same moment must not come back at the same moment.
         sleep(self.back_off.mul_f64(0.5 + fastrand::f64())).await;
-        self.back_off = (2 * self.back_off).min(BACK_OFF_MAXIMUM);
+        let maximum = if is_reader { BACK_OFF_MAXIMUM } else { BACK_OFF_MAXIMUM_OF_OTHERS };
+        self.back_off = (2 * self.back_off).min(maximum);
     }
 }
 
@@ -67,68 +83,88 @@
     }
 }
 
-/// Follows the directory for ever.
-pub async fn follow_directory<S: ControlStore>(mut store: S, learner: Learner, metrics: RelayMetrics) {
+/// Follows the directory for ever, while `role` has it read the store.
+pub async fn follow_directory<S: ControlStore>(
+    mut store: S,
+    role: ReaderRole,
+    learner: Learner,
+    metrics: RelayMetrics,
+) {
     let mut access = StoreAccess::new("directory", metrics);
-    let mut after: Option<Revision> = None;
+    let mut needs_listing = false;
     loop {
+        while !role.reads(learner.knowledge().directory_confirmed_at) {
+            access.note_standing_in(false, None);
+            sleep(IDLE_PAUSE).await;
+        }
+        access.note_standing_in(!role.is_reader(), learner.age_of(learner.knowledge().directory_confirmed_at));
+        // What peers have told meanwhile counts: the watch goes on from there.
+        let after = learner.directory_revision().filter(|_| !needs_listing);
+        let now = || learner.clock().now();
         let result = match after {
-            None => store.list_back_ends().await.map(|listing| {
-                let revision = listing.revision;
-                learner.adopt_listing(listing, Source::Store);
-                revision
-            }),
-            Some(revision) => store.watch_back_ends(revision, DIRECTORY_WAIT).await.map(|changes| {
-                let revision = changes.revision;
-                learner.apply_changes(changes);
-                revision
-            }),
+            None => store.list_back_ends().await.map(|listing| learner.adopt_listing(listing, now(), Source::Store)),
+            Some(revision) => store
+                .watch_back_ends(revision, WATCH_WAIT)
+                .await
+                .map(|changes| learner.apply_changes(changes, now(), Source::Store)),
         };
-        after = next_revision(result, after, &mut access).await;
-        if after.is_some() {
+        let succeeded = result.is_ok();
+        needs_listing = settle(result, needs_listing, &mut access, role.is_reader()).await;
+        if succeeded {
             sleep(DIRECTORY_PAUSE).await;
         }
     }
 }
 
-/// Follows the configuration for ever.
-pub async fn follow_configuration<S: ControlStore>(mut store: S, learner: Learner, metrics: RelayMetrics) {
+/// Follows the configuration for ever, while `role` has it read the store.
+pub async fn follow_configuration<S: ControlStore>(
+    mut store: S,
+    role: ReaderRole,
+    learner: Learner,
+    metrics: RelayMetrics,
+) {
     let mut access = StoreAccess::new("configuration", metrics);
     let mut after: Option<Revision> = None;
     loop {
+        while !role.reads(learner.configuration_confirmed_at()) {
+            after = None;
+            access.note_standing_in(false, None);
+            sleep(IDLE_PAUSE).await;
+        }
+        access.note_standing_in(!role.is_reader(), learner.age_of(learner.configuration_confirmed_at()));
         let result = match after {
             None => store.read_configuration().await,
-            Some(revision) => store.watch_configuration(revision, CONFIGURATION_WAIT).await,
+            Some(revision) => store.watch_configuration(revision, WATCH_WAIT).await,
         };
         let result = result.map(|read| {
+            after = Some(read.revision);
             if let Some(configuration) = read.configuration {
                 learner.adopt_configuration(configuration, Source::Store);
             }
-            read.revision
+            learner.confirm_configuration(learner.clock().now());
         });
-        after = next_revision(result, after, &mut access).await;
+        if settle(result, after.is_none(), &mut access, role.is_reader()).await {
+            after = None;
+        }
     }
 }
 
-/// Where to go on from: a lost history needs a new read, any other failure the same call again.
-async fn next_revision(
-    result: Result<Revision, StoreError>,
-    after: Option<Revision>,
-    access: &mut StoreAccess,
-) -> Option<Revision> {
+/// Notes how a call ended, and pauses after a failure. Returns whether all has to be read anew: when the history was lost,
+/// or when it had to be and the call failed.
+async fn settle(result: Result<(), StoreError>, read_anew: bool, access: &mut StoreAccess, is_reader: bool) -> bool {
     match result {
-        Ok(revision) => {
+        Ok(()) => {
             access.succeeded();
-            Some(revision)
+            false
         }
         Err(StoreError::HistoryGone) => {
             log::info!(event = "store_history_gone", call = access.call; "");
             access.metrics.record_store_call(access.call, "history_gone");
-            None
+            true
         }
         Err(error) => {
-            access.failed(&error).await;
-            after
+            access.failed(&error, is_reader).await;
+            read_anew
         }
     }
 }
--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -1,18 +1,21 @@
 //! Takes in what the store and the peers tell, and publishes it. Versions and revisions only rise.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
-use havengate_core::back_ends::{Directory, DirectoryListing};
-use havengate_core::replication::{Pull, PullAnswer};
+use havengate_core::back_ends::{Directory, DirectoryChanges, DirectoryListing, DirectoryNews};
+use havengate_core::replication::{KnowledgeAges, Pull, PullAnswer};
 use havengate_core::routing::TrafficConfiguration;
+use havengate_core::store::Revision;
+use havengate_core::time::Timestamp;
 use havengate_core::world::Address;
 use havengate_node::clock::Clock;
+use tokio::sync::watch;
 
 use crate::knowledge::{ActiveConfiguration, Knowledge, SharedKnowledge};
 use crate::metrics::RelayMetrics;
-use crate::protocol::DirectoryChanges;
 
 /// Where a piece of knowledge came from, for logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,7 +39,11 @@
 #[derive(Clone)]
 pub struct Learner {
     directory: Rc<RefCell<Directory>>,
+    configuration_confirmed_at: Rc<Cell<Option<Timestamp>>>,
     knowledge: SharedKnowledge,
+    /// Counts what was learned, for those that wait for it. A mere confirmation is no news: readers that feed each other
+    /// would tell it for ever.
+    news: Rc<watch::Sender<u64>>,
     clock: Clock,
     metrics: RelayMetrics,
 }
@@ -44,7 +51,14 @@
 impl Learner {
     /// A learner that publishes to `knowledge`.
     pub fn new(knowledge: SharedKnowledge, clock: Clock, metrics: RelayMetrics) -> Self {
-        Learner { directory: Rc::default(), knowledge, clock, metrics }
+        Learner {
+            directory: Rc::default(),
+            configuration_confirmed_at: Rc::default(),
+            knowledge,
+            news: Rc::new(watch::Sender::new(0)),
+            clock,
+            metrics,
+        }
     }
 
     /// The node's clock.
@@ -57,6 +71,32 @@
         self.knowledge.load_full()
     }
 
+    /// Tells of everything that is learned from now on.
+    pub fn news(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
+    /// The revision that the directory stands at; `None` until it has been read once.
+    pub fn directory_revision(&self) -> Option<Revision> {
+        let directory = self.directory.borrow();
+        directory.is_known().then(|| directory.revision())
+    }
+
+    /// The revision of the last change in the directory.
+    pub fn directory_changed_at(&self) -> Revision {
+        self.directory.borrow().changed_at()
+    }
+
+    /// How long ago `confirmed_at` was.
+    pub fn age_of(&self, confirmed_at: Option<Timestamp>) -> Option<Duration> {
+        confirmed_at.map(|confirmed_at| self.clock.now().since(confirmed_at))
+    }
+
+    /// When the store, or by way of a peer, last confirmed the configuration.
+    pub fn configuration_confirmed_at(&self) -> Option<Timestamp> {
+        self.configuration_confirmed_at.get()
+    }
+
     /// Adopts a configuration if it is newer than the one in force.
     pub fn adopt_configuration(&self, configuration: TrafficConfiguration, source: Source) {
         let knowledge = self.knowledge.load_full();
@@ -73,26 +113,58 @@
         );
         let active = Arc::new(ActiveConfiguration::new(configuration));
         self.publish(Knowledge { configuration: Some(active), ..(*knowledge).clone() });
+        self.tell_news();
+    }
+
+    /// Notes that no configuration newer than the one in force was there at `confirmed_at`.
+    pub fn confirm_configuration(&self, confirmed_at: Timestamp) {
+        if self.configuration_confirmed_at.get().is_none_or(|before| before < confirmed_at) {
+            self.configuration_confirmed_at.set(Some(confirmed_at));
+        }
     }
 
-    /// Replaces the directory by a listing that is not older.
-    pub fn adopt_listing(&self, listing: DirectoryListing, source: Source) {
+    /// Replaces the directory by a listing that is not older, and was right at `confirmed_at`.
+    pub fn adopt_listing(&self, listing: DirectoryListing, confirmed_at: Timestamp, source: Source) {
         let back_ends = listing.back_ends.len();
         let revision = listing.revision.0;
         if self.directory.borrow_mut().adopt(listing, self.clock.now()) {
             log::info!(event = "directory_adopted", revision, back_ends, source = source.code(); "");
-            self.publish_directory();
+            self.publish_directory(confirmed_at, true);
         }
     }
 
-    /// Applies changes that the store told.
-    pub fn apply_changes(&self, changes: DirectoryChanges) {
+    /// Applies changes that lead to a directory which was right at `confirmed_at`.
+    pub fn apply_changes(&self, changes: DirectoryChanges, confirmed_at: Timestamp, source: Source) {
+        let (revision, count) = (changes.revision.0, changes.changes.len());
+        if self.directory.borrow_mut().apply(changes, self.clock.now()) {
+            if count > 0 {
+                log::debug!(event = "directory_changed", revision, changes = count, source = source.code(); "");
+            }
+            self.publish_directory(confirmed_at, count > 0);
+        }
+    }
+
+    /// Takes in what a peer told.
+    pub fn learn(&self, answer: PullAnswer) {
         let now = self.clock.now();
-        self.directory.borrow_mut().apply(changes.changes, changes.revision, now);
-        self.publish_directory();
+        let confirmed_at = |age: Option<u32>| age.map(|millis| now - Duration::from_millis(u64::from(millis)));
+        if let Some(configuration) = answer.configuration {
+            self.adopt_configuration(configuration, Source::Peer);
+        }
+        if let Some(confirmed_at) = confirmed_at(answer.ages.configuration_millis) {
+            self.confirm_configuration(confirmed_at);
+        }
+        let Some(confirmed_at) = confirmed_at(answer.ages.directory_millis) else {
+            return;
+        };
+        match answer.directory {
+            Some(DirectoryNews::Changes(changes)) => self.apply_changes(changes, confirmed_at, Source::Peer),
+            Some(DirectoryNews::Listing(listing)) => self.adopt_listing(listing, confirmed_at, Source::Peer),
+            None => {}
+        }
     }
 
-    /// Sets the number of nodes, and where those that were heard from lately take notices.
+    /// Sets the number of nodes, and where those that were heard of lately take notices.
     pub fn set_peers(&self, nodes: u32, peers: Vec<Address>) {
         let knowledge = self.knowledge.load_full();
         if knowledge.nodes == nodes && *knowledge.peers == peers {
@@ -104,21 +176,36 @@
 
     /// What a peer that has `pull` lacks.
     pub fn answer(&self, pull: Pull) -> PullAnswer {
+        let now = self.clock.now();
+        let age = |confirmed_at: Option<Timestamp>| {
+            confirmed_at.map(|confirmed_at| u32::try_from(now.since(confirmed_at).as_millis() + 1).unwrap_or(u32::MAX))
+        };
         let knowledge = self.knowledge.load();
         let newer = knowledge.configuration.as_ref().filter(|active| active.configuration.version > pull.configuration);
-        let directory = self.directory.borrow();
-        let directory_newer = directory.is_known() && directory.revision() > pull.directory;
         PullAnswer {
             configuration: newer.map(|active| active.configuration.clone()),
-            directory: directory_newer.then(|| directory.listing()),
+            directory: self.directory.borrow().news_since(pull.directory),
+            ages: KnowledgeAges {
+                configuration_millis: age(self.configuration_confirmed_at.get()),
+                directory_millis: age(knowledge.directory_confirmed_at),
+            },
         }
     }
 
-    fn publish_directory(&self) {
-        let directory = Arc::new(self.directory.borrow().clone());
-        let directory_confirmed_at = Some(self.clock.now());
-        let knowledge = self.knowledge.load_full();
-        self.publish(Knowledge { directory, directory_confirmed_at, ..(*knowledge).clone() });
+    fn publish_directory(&self, confirmed_at: Timestamp, changed: bool) {
+        let mut knowledge = (*self.knowledge.load_full()).clone();
+        if changed {
+            knowledge.directory = Arc::new(self.directory.borrow().clone());
+        }
+        knowledge.directory_confirmed_at = knowledge.directory_confirmed_at.max(Some(confirmed_at));
+        self.publish(knowledge);
+        if changed {
+            self.tell_news();
+        }
+    }
+
+    fn tell_news(&self) {
+        self.news.send_modify(|count| *count += 1);
     }
 
     fn publish(&self, knowledge: Knowledge) {
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -1,8 +1,10 @@
 //! The control thread: it follows the store and the peers, and publishes what it knows.
 
+mod feed;
 mod follower;
 mod learner;
 mod peers;
+mod reader_role;
 mod thread;
 
 pub use learner::Learner;
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -15,7 +15,8 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use super::learner::{Learner, Source};
+use super::learner::Learner;
+use super::reader_role::ReaderRole;
 use crate::callers::listen;
 
 /// How often a digest is sent. News reaches all of ten nodes in two or three rounds.
@@ -30,8 +31,12 @@
 /// The longest that a pull may take.
 const PULL_TIME_LIMIT: Duration = Duration::from_millis(600);
 
-/// Pulls that are answered at once; more are closed.
-const PULLS_MAXIMUM: usize = 16;
+/// Peers that are answered at the same time, most of them fed for long; more are closed. A reader feeds some 27 nodes at
+/// the size that is designed for, all of them when it is the only one left that others know.
+const PEERS_ANSWERED_MAXIMUM: usize = 400;
+
+/// A fed peer that asks nothing for this time is gone. It asks again as soon as it is answered.
+const ASK_PATIENCE: Duration = Duration::from_secs(4);
 
 /// What goes wrong between nodes.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
@@ -42,6 +47,8 @@
     Message(#[from] WireError),
     /// the peer took too long
     TooSlow,
+    /// what the peer knows is stale
+    Stale,
 }
 
 /// The exchange with other nodes. Copies share it.
@@ -49,6 +56,7 @@
 pub struct PeerExchange {
     own: PeerAddresses,
     table: Rc<RefCell<PeerTable>>,
+    role: ReaderRole,
     learner: Learner,
     socket: Rc<UdpSocket>,
 }
@@ -58,11 +66,16 @@
     ///
     /// # Errors
     /// When the address can't be bound.
-    pub async fn bind(own: PeerAddresses, table: PeerTable, learner: Learner) -> io::Result<(Self, TcpListener)> {
+    pub async fn bind(
+        own: PeerAddresses,
+        table: PeerTable,
+        role: ReaderRole,
+        learner: Learner,
+    ) -> io::Result<(Self, TcpListener)> {
         let socket = UdpSocket::bind(own.control.0).await?;
         let listener = listen(own.control.0)?;
         let table = Rc::new(RefCell::new(table));
-        Ok((PeerExchange { own, table, learner, socket: Rc::new(socket) }, listener))
+        Ok((PeerExchange { own, table, role, learner, socket: Rc::new(socket) }, listener))
     }
 
     /// Sends digests for ever, to `seeds` as well, and pulls what peers have newer.
@@ -78,6 +91,7 @@
             self.table.borrow_mut().tick(now);
             let (nodes, peers) = (self.table.borrow().nodes(now), self.table.borrow().notice_addresses(now));
             self.learner.set_peers(nodes, peers);
+            self.role.set_peers(self.table.borrow().recent(now));
             self.send_digests().await;
             self.pull_if_behind().await;
         }
@@ -98,7 +112,7 @@
 
     /// Answers pulls for ever.
     pub async fn answer_pulls(self, listener: TcpListener) {
-        let places = Arc::new(Semaphore::new(PULLS_MAXIMUM));
+        let places = Arc::new(Semaphore::new(PEERS_ANSWERED_MAXIMUM));
         loop {
             let Ok((mut stream, _)) = listener.accept().await else {
                 tokio::time::sleep(DIGEST_INTERVAL).await;
@@ -111,7 +125,7 @@
             tokio::task::spawn_local(async move {
                 let _place = place;
                 // The peer that asks notices a failure and asks another one.
-                let _ = timeout(PULL_TIME_LIMIT, answer_pull(&mut stream, &learner)).await;
+                let _ = answer_pulls_on(&mut stream, &learner).await;
             });
         }
     }
@@ -123,7 +137,7 @@
         let digest = Digest {
             sender: self.own,
             configuration: knowledge.configuration_number(),
-            directory: knowledge.directory.revision(),
+            directory: self.learner.directory_changed_at(),
             peers,
         };
         let Ok(bytes) = encode(&digest) else {
@@ -140,14 +154,15 @@
         let knowledge = self.learner.knowledge();
         let confirmed = knowledge.directory_confirmed_at;
         let stale = confirmed.is_none_or(|confirmed_at| now.since(confirmed_at) > DIRECTORY_FRESH);
-        let pull = Pull { configuration: knowledge.configuration_number(), directory: knowledge.directory.revision() };
+        let directory = self.learner.directory_revision().unwrap_or_default();
+        let pull = Pull { configuration: knowledge.configuration_number(), directory, wait_millis: 0 };
         let directory = stale.then_some(pull.directory);
         let ahead = self.table.borrow().ahead(pull.configuration, directory, now, &mut fastrand::Rng::new());
         let Some(peer) = ahead else {
             return;
         };
         match self.pull(peer, pull).await {
-            Ok(answer) => self.learn(answer),
+            Ok(answer) => self.learner.learn(answer),
             Err(error) => log::warn!(event = "pull_failed", peer:% = peer, error:% = error; ""),
         }
     }
@@ -160,28 +175,39 @@
         };
         timeout(PULL_TIME_LIMIT, exchange).await.map_err(|_| PeersError::TooSlow)?
     }
+}
 
-    fn learn(&self, answer: PullAnswer) {
-        if let Some(configuration) = answer.configuration {
-            self.learner.adopt_configuration(configuration, Source::Peer);
-        }
-        if let Some(listing) = answer.directory {
-            self.learner.adopt_listing(listing, Source::Peer);
+/// Answers one pull after the other, each when there is something new or its wait is over.
+async fn answer_pulls_on(stream: &mut TcpStream, learner: &Learner) -> Result<(), PeersError> {
+    stream.set_nodelay(true)?;
+    let mut news = learner.news();
+    loop {
+        let pull = timeout(ASK_PATIENCE, read_message::<Pull>(stream)).await.map_err(|_| PeersError::TooSlow)??;
+        if pull.wait_millis > 0 {
+            let wait = Duration::from_millis(u64::from(pull.wait_millis));
+            // What the last answer told has been seen; the sender lives as long as the learner.
+            let _ = timeout(wait, news.changed()).await;
         }
+        news.mark_unchanged();
+        let answer = learner.answer(pull);
+        timeout(PULL_TIME_LIMIT, write_message(stream, &answer)).await.map_err(|_| PeersError::TooSlow)??;
     }
 }
 
-async fn answer_pull(stream: &mut TcpStream, learner: &Learner) -> Result<(), PeersError> {
-    let pull = read_message::<Pull>(stream).await?;
-    write_message(stream, &learner.answer(pull)).await
-}
-
-async fn write_message<M: Writable<LittleEndian>>(stream: &mut TcpStream, message: &M) -> Result<(), PeersError> {
+/// Writes a message as one frame.
+///
+/// # Errors
+/// When the connection fails.
+pub async fn write_message<M: Writable<LittleEndian>>(stream: &mut TcpStream, message: &M) -> Result<(), PeersError> {
     stream.write_all(&frame_of(message)?).await?;
     Ok(())
 }
 
-async fn read_message<M: for<'a> Readable<'a, LittleEndian>>(stream: &mut TcpStream) -> Result<M, PeersError> {
+/// Reads one frame with a message.
+///
+/// # Errors
+/// When the connection fails, or the frame holds no such message.
+pub async fn read_message<M: for<'a> Readable<'a, LittleEndian>>(stream: &mut TcpStream) -> Result<M, PeersError> {
     let mut length = [0; LENGTH_BYTES];
     stream.read_exact(&mut length).await?;
     let mut payload = vec![0; payload_length(length)?];
--- /dev/null
+++ b/crates/relay/src/control/reader_role.rs
@@ -0,0 +1,65 @@
+//! Whether this node reads the store, as the nodes that it has heard of show it.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use havengate_core::replication::Readers;
+use havengate_core::time::Timestamp;
+use havengate_core::world::Address;
+use havengate_node::clock::Clock;
+
+/// This node's part in reading the store. Copies share it.
+#[derive(Clone)]
+pub struct ReaderRole {
+    readers: Rc<RefCell<Readers>>,
+    peers: Rc<RefCell<Vec<Address>>>,
+    is_reader: Rc<Cell<bool>>,
+    clock: Clock,
+}
+
+impl ReaderRole {
+    /// The role of a node that has heard of nobody yet: it reads.
+    pub fn new(readers: Readers, clock: Clock) -> Self {
+        ReaderRole {
+            readers: Rc::new(RefCell::new(readers)),
+            peers: Rc::default(),
+            is_reader: Rc::new(Cell::new(true)),
+            clock,
+        }
+    }
+
+    /// Works the role out anew from the nodes that were heard of lately.
+    pub fn set_peers(&self, peers: Vec<Address>) {
+        let is_reader = self.readers.borrow().includes_own(&peers);
+        if self.is_reader.replace(is_reader) != is_reader {
+            log::info!(event = "reader_role", reads_store = is_reader, peers = peers.len(); "");
+        }
+        *self.peers.borrow_mut() = peers;
+    }
+
+    /// Whether this node is one of the readers.
+    pub fn is_reader(&self) -> bool {
+        self.is_reader.get()
+    }
+
+    /// Whether this node has to ask the store for what was confirmed at `confirmed_at`: always as a reader, else when that
+    /// is stale.
+    pub fn reads(&self, confirmed_at: Option<Timestamp>) -> bool {
+        self.is_reader() || self.is_stale(confirmed_at)
+    }
+
+    /// Whether knowledge that was confirmed at `confirmed_at` is stale.
+    pub fn is_stale(&self, confirmed_at: Option<Timestamp>) -> bool {
+        self.readers.borrow().is_stale(confirmed_at, self.clock.now())
+    }
+
+    /// The peer that feeds this node in the place `slot`, from 0.
+    pub fn feed(&self, slot: usize) -> Option<Address> {
+        self.readers.borrow().feeds(&self.peers.borrow(), self.clock.now()).get(slot).copied()
+    }
+
+    /// Notes that `reader` could not be reached or knows nothing.
+    pub fn suspend(&self, reader: Address) {
+        self.readers.borrow_mut().suspend(reader, self.clock.now());
+    }
+}
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc;
 use std::thread;
 
-use havengate_core::replication::{PeerAddresses, PeerTable, PeerTableConfig};
+use havengate_core::replication::{PeerAddresses, PeerTable, PeerTableConfig, Readers, ReadersConfig};
 use havengate_core::world::Address;
 use havengate_node::clock::Clock;
 use tokio::net::TcpListener;
@@ -12,9 +12,11 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+use super::feed::learn_from_feed;
 use super::follower::{follow_configuration, follow_directory};
 use super::learner::Learner;
 use super::peers::PeerExchange;
+use super::reader_role::ReaderRole;
 use crate::knowledge::SharedKnowledge;
 use crate::metrics::RelayMetrics;
 use crate::protocol::ControlStore;
@@ -52,11 +54,13 @@
         let tasks = LocalSet::new();
         tasks.block_on(&runtime, async move {
             let learner = Learner::new(knowledge, clock, metrics.clone());
-            match bind(&settings, learner.clone()).await {
+            let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
+            let role = ReaderRole::new(readers, clock);
+            match bind(&settings, role.clone(), learner.clone()).await {
                 Ok((peers, listener)) => {
                     // The start has been given up when nobody waits for this any more.
                     let _ = bound_sender.send(Ok(()));
-                    run(settings, peers, listener, store, learner, metrics).await;
+                    run(settings, peers, listener, store, role, learner, metrics).await;
                 }
                 Err(error) => drop(bound_sender.send(Err(error))),
             }
@@ -70,11 +74,15 @@
     }
 }
 
-async fn bind(settings: &ControlSettings, learner: Learner) -> io::Result<(PeerExchange, TcpListener)> {
+async fn bind(
+    settings: &ControlSettings,
+    role: ReaderRole,
+    learner: Learner,
+) -> io::Result<(PeerExchange, TcpListener)> {
     let seeds = settings.seeds.borrow().clone();
     let table = PeerTable::new(PeerTableConfig::default(), settings.peers_address, seeds, learner.clock().now());
     let own = PeerAddresses { control: settings.peers_address, notices: settings.notices_address };
-    let bound = PeerExchange::bind(own, table, learner).await;
+    let bound = PeerExchange::bind(own, table, role, learner).await;
     bound.map_err(|error| {
         io::Error::new(error.kind(), format!("peers_address {} can't be bound: {error}", settings.peers_address))
     })
@@ -85,11 +93,15 @@
     peers: PeerExchange,
     listener: TcpListener,
     store: S,
+    role: ReaderRole,
     learner: Learner,
     metrics: RelayMetrics,
 ) {
-    tokio::task::spawn_local(follow_directory(store.clone(), learner.clone(), metrics.clone()));
-    tokio::task::spawn_local(follow_configuration(store, learner, metrics));
+    tokio::task::spawn_local(follow_directory(store.clone(), role.clone(), learner.clone(), metrics.clone()));
+    tokio::task::spawn_local(follow_configuration(store, role.clone(), learner.clone(), metrics));
+    for slot in 0..ReadersConfig::default().feeds {
+        tokio::task::spawn_local(learn_from_feed(slot, role.clone(), learner.clone()));
+    }
     tokio::task::spawn_local(peers.clone().receive());
     tokio::task::spawn_local(peers.clone().answer_pulls(listener));
     peers.spread(settings.seeds).await;
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use havengate_core::back_ends::{BackEnd, DirectoryChange, DirectoryListing};
+use havengate_core::back_ends::{BackEnd, DirectoryChanges, DirectoryListing};
 use havengate_core::relay::Prompt;
 use havengate_core::routing::TrafficConfiguration;
 use havengate_core::store::Revision;
@@ -113,15 +113,6 @@
     Malformed(String),
 }
 
-/// Changes of the directory after a revision.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DirectoryChanges {
-    /// The revision that the changes lead to.
-    pub revision: Revision,
-    /// The changes in their order; none when the wait ended without one.
-    pub changes: Vec<DirectoryChange>,
-}
-
 /// The configuration at a revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigurationRead {
