--- a/crates/core/src/back_ends/directory.rs
+++ b/crates/core/src/back_ends/directory.rs
@@ -1,6 +1,6 @@
 //! The directory of back ends: a replica of what they write into the store, with the revision that it stands at.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use speedy::{Readable, Writable};
@@ -35,6 +35,15 @@
     Gone(BackEndId),
 }
 
+impl DirectoryChange {
+    fn id(&self) -> &BackEndId {
+        match self {
+            DirectoryChange::Put(back_end) => &back_end.id,
+            DirectoryChange::Gone(id) => id,
+        }
+    }
+}
+
 /// Changes of the directory after a revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct DirectoryChanges {
@@ -161,10 +170,17 @@
     /// does no harm: the last change of each back end decides.
     ///
     /// Returns whether the directory stands at their revision now.
-    pub fn apply(&mut self, news: DirectoryChanges, now: Timestamp) -> bool {
+    pub fn apply(&mut self, mut news: DirectoryChanges, now: Timestamp) -> bool {
         if news.revision < self.revision {
             return false;
         }
+        // Back ends write their entries again and again; what says nothing new goes no further.
+        let last = Self::last_changes(&news.changes);
+        let mut number = 0;
+        news.changes.retain(|change| {
+            number += 1;
+            last[number - 1] && self.is_new(change)
+        });
         if !news.changes.is_empty() {
             self.changed_at = news.revision;
             self.history.record(self.revision, &news);
@@ -206,6 +222,22 @@
         DirectoryListing { revision: self.revision, back_ends: present.map(|entry| entry.back_end.clone()).collect() }
     }
 
+    /// Which of `changes` are the last ones of their back ends: those before them decide nothing.
+    fn last_changes(changes: &[DirectoryChange]) -> Vec<bool> {
+        let mut seen = BTreeSet::new();
+        let mut last: Vec<bool> = changes.iter().rev().map(|change| seen.insert(change.id())).collect();
+        last.reverse();
+        last
+    }
+
+    fn is_new(&self, change: &DirectoryChange) -> bool {
+        let listed = self.entries.get(change.id()).filter(|entry| entry.listed);
+        match change {
+            DirectoryChange::Put(back_end) => listed.is_none_or(|entry| entry.back_end != *back_end),
+            DirectoryChange::Gone(_) => listed.is_some(),
+        }
+    }
+
     fn put(&mut self, back_end: BackEnd, now: Timestamp) {
         let draining = back_end.state == BackEndState::Draining;
         let left_before = self.entries.get(&back_end.id).and_then(|entry| entry.left_at);
--- a/crates/core/src/replication/readers.rs
+++ b/crates/core/src/replication/readers.rs
@@ -24,7 +24,7 @@
     pub nodes_per_reader: usize,
     /// The readers that feed a node. One may be cut off from the store without a word.
     pub feeds: usize,
-    /// A reader that could not be reached, or was cut off, is not asked again for this time.
+    /// A reader that could not be reached, or was cut off, is passed over for this time while there are others.
     pub suspension: Duration,
     /// Knowledge that was not confirmed for this time is stale: the node asks the store itself. Longer than a reader's
     /// watch and the wait of a feed together, shorter than the time in which a back end that leaves must get nothing new.
@@ -68,22 +68,20 @@
         self.of(peers).contains(&self.own)
     }
 
-    /// The readers that feed this node: others than itself that are not suspended. When those are too few, the next in
-    /// rank stand in for them.
+    /// The readers that feed this node, others than itself. Suspended ones come last: when the store is lost to all, it is
+    /// as well to stay with them and to hear when it is back.
     pub fn feeds(&self, peers: &[Address], now: Timestamp) -> Vec<Address> {
-        let (readers, others) = {
-            let mut ranked = self.ranked(peers);
-            let others = ranked.split_off(self.of(peers).len());
-            (ranked, others)
-        };
-        let is_asked = |address: &Address| {
-            let suspended_at = self.suspended.get(address);
-            *address != self.own && suspended_at.is_none_or(|since| now.since(*since) >= self.config.suspension)
-        };
         // Each node ranks the readers anew, so that they share the work of feeding.
         let own_key = self.own.to_string();
-        let near = rank_by_address(own_key.as_bytes(), readers, |address| *address);
-        near.into_iter().chain(others).filter(is_asked).take(self.config.feeds).collect()
+        let mut readers = rank_by_address(own_key.as_bytes(), self.of(peers), |address| *address);
+        readers.retain(|reader| *reader != self.own);
+        readers.sort_by_key(|reader| self.is_suspended(*reader, now));
+        readers.truncate(self.config.feeds);
+        readers
+    }
+
+    fn is_suspended(&self, reader: Address, now: Timestamp) -> bool {
+        self.suspended.get(&reader).is_some_and(|since| now.since(*since) < self.config.suspension)
     }
 
     /// Notes that `reader` could not be reached, or that its own knowledge is stale.
--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -23,6 +23,9 @@
 /// How often a node looks for a reader that feeds it.
 const CHOICE_PAUSE: Duration = Duration::from_millis(100);
 
+/// The pause after a reader could not be reached: it may be the only one.
+const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+
 /// Learns for ever from the reader in the place `slot` of this node's feeds, whichever that is.
 pub async fn learn_from_feed(slot: usize, role: ReaderRole, learner: Learner) {
     loop {
@@ -36,9 +39,9 @@
             Err(error) => {
                 role.suspend(reader);
                 log::info!(event = "feed_lost", reader:% = reader, error:% = error; "");
+                sleep(FAILURE_PAUSE).await;
             }
         }
-        sleep(CHOICE_PAUSE).await;
     }
 }
 
@@ -66,7 +69,8 @@
         let now = learner.clock().now();
         let confirmed_at = ages.directory_millis.map(|millis| now - Duration::from_millis(u64::from(millis)));
         if role.is_stale(confirmed_at) {
-            return Err(PeersError::Stale);
+            // Another reader may know more; when none is better, this one tells as soon as it has the store again.
+            role.suspend(reader);
         }
         is_first = false;
     }
--- a/crates/relay/src/control/follower.rs
+++ b/crates/relay/src/control/follower.rs
@@ -29,6 +29,17 @@
 /// such nodes.
 const BACK_OFF_MAXIMUM_OF_OTHERS: Duration = Duration::from_secs(2);
 
+/// The longest pause of a node that knows nothing yet: it refuses every request meanwhile.
+const BACK_OFF_MAXIMUM_AT_START: Duration = Duration::from_millis(120);
+
+fn back_off_maximum(role: &ReaderRole, knows_something: bool) -> Duration {
+    match (knows_something, role.is_reader()) {
+        (false, _) => BACK_OFF_MAXIMUM_AT_START,
+        (true, true) => BACK_OFF_MAXIMUM,
+        (true, false) => BACK_OFF_MAXIMUM_OF_OTHERS,
+    }
+}
+
 /// The pauses between failed calls, and whether the store is regarded as lost.
 struct StoreAccess {
     call: &'static str,
@@ -61,7 +72,7 @@
         }
     }
 
-    async fn failed(&mut self, error: &StoreError, is_reader: bool) {
+    async fn failed(&mut self, error: &StoreError, back_off_maximum: Duration) {
         self.metrics.record_store_call(self.call, label_of(error));
         if !self.lost {
             self.lost = true;
@@ -69,8 +80,7 @@
         }
         // Nodes that lost the store at the same moment must not come back at the same moment.
         sleep(self.back_off.mul_f64(0.5 + fastrand::f64())).await;
-        let maximum = if is_reader { BACK_OFF_MAXIMUM } else { BACK_OFF_MAXIMUM_OF_OTHERS };
-        self.back_off = (2 * self.back_off).min(maximum);
+        self.back_off = (2 * self.back_off).min(back_off_maximum);
     }
 }
 
@@ -78,6 +88,7 @@
     match error {
         StoreError::Unreachable(_) => "unreachable",
         StoreError::Refused(_) => "refused",
+        StoreError::Throttled => "throttled",
         StoreError::HistoryGone => "history_gone",
         StoreError::Malformed(_) => "malformed",
     }
@@ -102,20 +113,39 @@
         let after = learner.directory_revision().filter(|_| !needs_listing);
         let now = || learner.clock().now();
         let result = match after {
-            None => store.list_back_ends().await.map(|listing| learner.adopt_listing(listing, now(), Source::Store)),
+            None => list_unless_told(&mut store, &learner).await,
             Some(revision) => store
                 .watch_back_ends(revision, WATCH_WAIT)
                 .await
                 .map(|changes| learner.apply_changes(changes, now(), Source::Store)),
         };
         let succeeded = result.is_ok();
-        needs_listing = settle(result, needs_listing, &mut access, role.is_reader()).await;
+        needs_listing = settle(result, needs_listing, &mut access, back_off_maximum(&role, after.is_some())).await;
         if succeeded {
             sleep(DIRECTORY_PAUSE).await;
         }
     }
 }
 
+/// Lists the directory, unless a peer tells the whole of it meanwhile: a list may take long while many nodes start.
+async fn list_unless_told<S: ControlStore>(store: &mut S, learner: &Learner) -> Result<(), StoreError> {
+    let mut news = learner.news();
+    let knows_before = learner.directory_revision().is_some();
+    let told = async {
+        while knows_before || learner.directory_revision().is_none() {
+            // The sender lives as long as the learner.
+            let _ = news.changed().await;
+        }
+    };
+    tokio::select! {
+        listing = store.list_back_ends() => {
+            learner.adopt_listing(listing?, learner.clock().now(), Source::Store);
+            Ok(())
+        }
+        () = told => Ok(()),
+    }
+}
+
 /// Follows the configuration for ever, while `role` has it read the store.
 pub async fn follow_configuration<S: ControlStore>(
     mut store: S,
@@ -143,7 +173,8 @@
             }
             learner.confirm_configuration(learner.clock().now());
         });
-        if settle(result, after.is_none(), &mut access, role.is_reader()).await {
+        let maximum = back_off_maximum(&role, learner.knowledge().configuration.is_some());
+        if settle(result, after.is_none(), &mut access, maximum).await {
             after = None;
         }
     }
@@ -151,7 +182,12 @@
 
 /// Notes how a call ended, and pauses after a failure. Returns whether all has to be read anew: when the history was lost,
 /// or when it had to be and the call failed.
-async fn settle(result: Result<(), StoreError>, read_anew: bool, access: &mut StoreAccess, is_reader: bool) -> bool {
+async fn settle(
+    result: Result<(), StoreError>,
+    read_anew: bool,
+    access: &mut StoreAccess,
+    back_off_maximum: Duration,
+) -> bool {
     match result {
         Ok(()) => {
             access.succeeded();
@@ -163,7 +199,7 @@
             true
         }
         Err(error) => {
-            access.failed(&error, is_reader).await;
+            access.failed(&error, back_off_maximum).await;
             read_anew
         }
     }
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -47,8 +47,6 @@
     Message(#[from] WireError),
     /// the peer took too long
     TooSlow,
-    /// what the peer knows is stale
-    Stale,
 }
 
 /// The exchange with other nodes. Copies share it.
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -107,6 +107,8 @@
     Unreachable(String),
     /// the store refuses: {0}
     Refused(String),
+    /// the store takes no more calls now
+    Throttled,
     /// the store has forgotten the history after the revision
     HistoryGone,
     /// the store's answer can't be understood: {0}
