A node that has just started asks peers what engines keep

Change: messages about readings are one enum; AskKept goes to two peers once any is known, Kept answers it, a datagram an engine with the fifty parts used last. Parts that the node knows of stay as they are. After a loss of power of all, nobody can tell; the engines could. Test: relay_prompt_index::a_node_that_has_just_started_learns_what_engines_keep_and_for_how_long.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -4,10 +4,12 @@
 mod placement;
 mod prompt;
 mod prompt_index;
+mod readings_message;
 mod retry_budget;
 
 pub use exchange::{Exchange, ExchangeRules, NextStep, SendOutcome};
 pub use placement::{Candidate, PlacementLimits, Purpose, place};
 pub use prompt::{Prompt, PromptPart};
-pub use prompt_index::{FinishedReading, OpenReading, PromptIndex, PromptIndexConfig, ReadingId, ReadingsNotice};
+pub use prompt_index::{PromptIndex, PromptIndexConfig, ReadingId};
+pub use readings_message::{FinishedReading, KeptParts, OpenReading, ReadingsMessage, ReadingsNotice, ToldPart};
 pub use retry_budget::{BudgetShare, SharedRetryBudget, SharedRetryBudgetConfig};
--- a/crates/core/src/relay/prompt_index.rs
+++ b/crates/core/src/relay/prompt_index.rs
@@ -4,9 +4,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use speedy::{Readable, Writable};
-
 use super::prompt::{Prompt, PromptPart};
+use super::readings_message::{FinishedReading, KeptParts, OpenReading, ReadingsNotice, ToldPart};
 use crate::back_ends::EngineStage;
 use crate::time::Timestamp;
 use crate::world::{Address, BackEndId};
@@ -47,44 +46,6 @@
     }
 }
 
-/// A prompt that an engine reads now.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
-pub struct OpenReading {
-    /// The engine.
-    pub engine: BackEndId,
-    /// The tokens that it has to read, without those that it kept.
-    pub tokens: u32,
-    /// How long it has been reading, in milliseconds.
-    pub age_millis: u32,
-}
-
-/// A prompt that an engine has read.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
-pub struct FinishedReading {
-    /// The engine.
-    pub engine: BackEndId,
-    /// Rises with each finished reading of one life of the sender.
-    pub number: u64,
-    /// The prompt's first shared part, which the engine now keeps.
-    pub part: PromptPart,
-    /// The tokens of the whole prompt.
-    pub tokens: u32,
-}
-
-/// What a node tells its peers about the prompts that it has read: everything that is open, so that a lost notice is
-/// made up for by the next.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
-pub struct ReadingsNotice {
-    /// Where the sender takes notices; names it.
-    pub sender: Address,
-    /// Rises with each notice of one life of the sender.
-    pub sequence: u64,
-    /// All of the sender's readings that are open.
-    pub open: Vec<OpenReading>,
-    /// The sender's last finished readings.
-    pub finished: Vec<FinishedReading>,
-}
-
 /// Names one of this node's own readings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReadingId(u64);
@@ -213,6 +174,34 @@
         }
     }
 
+    /// What a node that has just started is told: for each engine the parts that it is believed to keep, those used last
+    /// first, so many at most.
+    pub fn kept_parts(&self, parts_maximum: usize) -> impl Iterator<Item = KeptParts> {
+        self.kept.iter().map(move |(engine, cache)| {
+            let told = cache.parts.iter().map(|(id, kept)| ToldPart {
+                part: PromptPart { id: *id, tokens: kept.tokens },
+                brought_since: cache.brought - kept.brought_before,
+            });
+            let mut parts: Vec<ToldPart> = told.collect();
+            parts.sort_by_key(|told| (told.brought_since, told.part.id));
+            parts.truncate(parts_maximum);
+            KeptParts { engine: engine.clone(), parts }
+        })
+    }
+
+    /// Takes in what a peer believes that an engine keeps; parts that this node knows of stay as they are.
+    pub fn adopt_kept(&mut self, told: KeptParts, now: Timestamp) {
+        let cache = self.kept.entry(told.engine).or_default();
+        let oldest = told.parts.iter().map(|told| told.brought_since).max().unwrap_or(0);
+        let missing = oldest.saturating_sub(cache.brought);
+        cache.brought += missing;
+        cache.parts.values_mut().for_each(|kept| kept.brought_before += missing);
+        for ToldPart { part, brought_since } in told.parts {
+            let brought_before = cache.brought - brought_since;
+            cache.parts.entry(part.id).or_insert(KeptPart { tokens: part.tokens, used_at: now, brought_before });
+        }
+    }
+
     /// Forgets engines that are not in `present`.
     pub fn retain_engines(&mut self, present: impl Fn(&BackEndId) -> bool) {
         self.kept.retain(|engine, _| present(engine));
--- a/crates/core/tests/relay_prompt_index.rs
+++ b/crates/core/tests/relay_prompt_index.rs
@@ -161,3 +161,28 @@
     index.retain_engines(|id| *id != engine(1));
     assert_eq!(cost(&index, 1, START), 15_000);
 }
+
+#[test]
+fn a_node_that_has_just_started_learns_what_engines_keep_and_for_how_long() {
+    let mut here = index();
+    let small = Prompt {
+        tokens: 300,
+        output_tokens_maximum: 1,
+        parts: vec![PromptPart { id: 9, tokens: 200 }, PromptPart { id: 10, tokens: 100 }],
+    };
+    for prompt in [prompt(), small.clone()] {
+        let reading = here.begin(&engine(1), &prompt, START);
+        here.end(reading, true, START);
+    }
+    let mut there = index();
+    here.kept_parts(50).for_each(|kept| there.adopt_kept(kept, START));
+    assert_eq!(there.kept_tokens(&engine(1)), here.kept_tokens(&engine(1)));
+    assert_eq!(cost(&there, 1, START), cost(&here, 1, START));
+    let told: Vec<_> = here.kept_parts(50).collect();
+    assert_eq!(there.kept_parts(50).collect::<Vec<_>>(), told, "it can tell the next one the same");
+    // Told once more, or by another peer: nothing is brought in twice, and what is known here stays.
+    told.into_iter().for_each(|kept| there.adopt_kept(kept, START));
+    assert_eq!(there.kept_parts(50).collect::<Vec<_>>(), here.kept_parts(50).collect::<Vec<_>>());
+    let newest_only: Vec<_> = here.kept_parts(1).collect();
+    assert_eq!(newest_only[0].parts[0].part.id, 9, "those used last come first");
+}
--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings.rs
@@ -3,22 +3,34 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
-use havengate_core::relay::{Prompt, PromptIndex, PromptIndexConfig, ReadingId, ReadingsNotice};
+use havengate_core::relay::{Prompt, PromptIndex, PromptIndexConfig, ReadingId, ReadingsMessage};
 use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
 use havengate_wire::{decode, encode};
 use tokio::net::UdpSocket;
+use tokio::time::sleep;
 
 use crate::knowledge::SharedKnowledge;
 
-/// A notice of more bytes is not sent: it would be split on its way. It holds some 25 readings.
-const NOTICE_MAXIMUM_BYTES: usize = 1_400;
+/// A message of more bytes is not sent: it would be split on its way. A notice of this size holds some 25 readings.
+const MESSAGE_MAXIMUM_BYTES: usize = 1_400;
 
 /// The peers that are told of each reading: all, up to the size that is designed for. Long prompts are few, and a node
 /// that doesn't hear of a reading sends the next prompt behind it.
 const PEERS_TOLD_MAXIMUM: usize = 400;
 
+/// The parts of one engine that a node that has just started is told: a message of more bytes than fit would be lost, and
+/// an engine keeps some thirty parts of long prompts.
+const KEPT_PARTS_TOLD: usize = 50;
+
+/// How often a node that has just started looks for peers that can tell it what engines keep.
+const PEERS_POLL: Duration = Duration::from_millis(100);
+
+/// The peers that are asked; one of them may have just started too.
+const PEERS_ASKED: usize = 2;
+
 /// The readings that this node and its peers know of. Copies share them.
 #[derive(Clone)]
 pub struct Readings {
@@ -51,20 +63,64 @@
         *self.shared.socket.borrow_mut() = Some((address, Rc::clone(&socket)));
         let readings = self.clone();
         tokio::task::spawn_local(async move {
-            let mut buffer = [0; NOTICE_MAXIMUM_BYTES];
+            let mut buffer = [0; MESSAGE_MAXIMUM_BYTES];
             loop {
                 let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
                     continue;
                 };
-                if let Ok(notice) = decode::<ReadingsNotice>(&buffer[..length]) {
-                    let now = readings.shared.clock.now();
-                    readings.shared.index.borrow_mut().receive(notice, now);
+                if let Ok(message) = decode::<ReadingsMessage>(&buffer[..length]) {
+                    readings.receive(message);
                 }
             }
         });
+        tokio::task::spawn_local(self.clone().ask_kept());
         Ok(())
     }
 
+    fn receive(&self, message: ReadingsMessage) {
+        let now = self.shared.clock.now();
+        match message {
+            ReadingsMessage::Notice(notice) => self.shared.index.borrow_mut().receive(notice, now),
+            ReadingsMessage::AskKept { sender } => {
+                let index = self.shared.index.borrow();
+                index.kept_parts(KEPT_PARTS_TOLD).for_each(|kept| self.send(&ReadingsMessage::Kept(kept), [sender]));
+            }
+            ReadingsMessage::Kept(kept) => {
+                let (engine, parts) = (kept.engine.clone(), kept.parts.len());
+                log::debug!(event = "kept_parts_told", back_end:% = engine, parts; "");
+                self.shared.index.borrow_mut().adopt_kept(kept, now);
+            }
+        }
+    }
+
+    /// Asks the first peers that are heard of what engines keep. Without that, a node that has just started would have
+    /// parts read again that are kept somewhere.
+    async fn ask_kept(self) {
+        while self.shared.knowledge.load().peers.is_empty() {
+            sleep(PEERS_POLL).await;
+        }
+        let Some((sender, _)) = *self.shared.socket.borrow() else {
+            return;
+        };
+        let peers = self.shared.knowledge.load().peers.clone();
+        log::info!(event = "kept_parts_asked", peers = peers.len().min(PEERS_ASKED); "");
+        self.send(&ReadingsMessage::AskKept { sender }, peers.iter().take(PEERS_ASKED).copied());
+    }
+
+    /// Sends a message. One that can't be sent, or is too large, is like one that is lost: later ones make up for it.
+    fn send(&self, message: &ReadingsMessage, receivers: impl IntoIterator<Item = Address>) {
+        let socket = self.shared.socket.borrow();
+        let (Some((_, socket)), Ok(bytes)) = (socket.as_ref(), encode(message)) else {
+            return;
+        };
+        if bytes.len() > MESSAGE_MAXIMUM_BYTES {
+            return;
+        }
+        for receiver in receivers {
+            let _ = socket.try_send_to(&bytes, receiver.0);
+        }
+    }
+
     /// Calls `read` with what is known.
     pub fn with_index<T>(&self, read: impl FnOnce(&PromptIndex) -> T) -> T {
         read(&self.shared.index.borrow())
@@ -93,23 +149,14 @@
     }
 
     fn tell_peers(&self) {
-        let socket = self.shared.socket.borrow();
-        let Some((address, socket)) = socket.as_ref() else {
+        let Some((address, _)) = *self.shared.socket.borrow() else {
             return;
         };
         let sequence = self.shared.sequence.get() + 1;
         self.shared.sequence.set(sequence);
-        let notice = self.shared.index.borrow().notice(*address, sequence, self.shared.clock.now());
-        let Ok(bytes) = encode(&notice) else {
-            return;
-        };
-        if bytes.len() > NOTICE_MAXIMUM_BYTES {
-            return;
-        }
-        for peer in self.shared.knowledge.load().peers.iter().take(PEERS_TOLD_MAXIMUM) {
-            // A notice that can't be sent is like one that is lost: the next one makes up for it.
-            let _ = socket.try_send_to(&bytes, peer.0);
-        }
+        let notice = self.shared.index.borrow().notice(address, sequence, self.shared.clock.now());
+        let peers = self.shared.knowledge.load();
+        self.send(&ReadingsMessage::Notice(notice), peers.peers.iter().take(PEERS_TOLD_MAXIMUM).copied());
     }
 }
 
