One way to ask a peer and to tell an age

Cause: on the last reading, the feed and the digests' pull each built the same question, and the feed turned an age into a moment as the learner does. Change: Learner::pull and Learner::moment_of serve both; behaviour is the same. Conclusion: no change but in the text.

--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use havengate_core::replication::{Pull, PullAnswer};
+use havengate_core::replication::PullAnswer;
 use havengate_core::world::Address;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -51,23 +51,16 @@
     stream.set_nodelay(true)?;
     let mut is_first = true;
     while role.feed(slot) == Some(reader) {
-        let knowledge = learner.knowledge();
         // The first answer comes at once and shows whether the reader knows anything.
         let wait = if is_first { Duration::ZERO } else { FEED_WAIT };
-        let pull = Pull {
-            configuration: knowledge.configuration_number(),
-            directory: learner.directory_revision().unwrap_or_default(),
-            wait_millis: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
-        };
+        let pull = learner.pull(wait);
         let exchange = async {
             write_message(&mut stream, &pull).await?;
             read_message::<PullAnswer>(&mut stream).await
         };
         let answer = timeout(wait + ANSWER_TIME_LIMIT, exchange).await.map_err(|_| PeersError::TooSlow)??;
-        let ages = answer.ages;
+        let confirmed_at = learner.moment_of(answer.ages.directory_millis);
         learner.learn(answer);
-        let now = learner.clock().now();
-        let confirmed_at = ages.directory_millis.map(|millis| now - Duration::from_millis(u64::from(millis)));
         if role.is_stale(confirmed_at) {
             // Another reader may know more; when none is better, this one tells as soon as it has the store again.
             role.suspend(reader);
--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -92,6 +92,20 @@
         confirmed_at.map(|confirmed_at| self.clock.now().since(confirmed_at))
     }
 
+    /// The moment that lies so many milliseconds back.
+    pub fn moment_of(&self, age_millis: Option<u32>) -> Option<Timestamp> {
+        age_millis.map(|millis| self.clock.now() - Duration::from_millis(u64::from(millis)))
+    }
+
+    /// Asks a peer for what this node lacks; the answer may wait for news.
+    pub fn pull(&self, wait: Duration) -> Pull {
+        Pull {
+            configuration: self.knowledge.load().configuration_number(),
+            directory: self.directory_revision().unwrap_or_default(),
+            wait_millis: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
     /// When the store, or by way of a peer, last confirmed the configuration.
     pub fn configuration_confirmed_at(&self) -> Option<Timestamp> {
         self.configuration_confirmed_at.get()
@@ -146,15 +160,13 @@
 
     /// Takes in what a peer told.
     pub fn learn(&self, answer: PullAnswer) {
-        let now = self.clock.now();
-        let confirmed_at = |age: Option<u32>| age.map(|millis| now - Duration::from_millis(u64::from(millis)));
         if let Some(configuration) = answer.configuration {
             self.adopt_configuration(configuration, Source::Peer);
         }
-        if let Some(confirmed_at) = confirmed_at(answer.ages.configuration_millis) {
+        if let Some(confirmed_at) = self.moment_of(answer.ages.configuration_millis) {
             self.confirm_configuration(confirmed_at);
         }
-        let Some(confirmed_at) = confirmed_at(answer.ages.directory_millis) else {
+        let Some(confirmed_at) = self.moment_of(answer.ages.directory_millis) else {
             return;
         };
         match answer.directory {
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -152,8 +152,7 @@
         let knowledge = self.learner.knowledge();
         let confirmed = knowledge.directory_confirmed_at;
         let stale = confirmed.is_none_or(|confirmed_at| now.since(confirmed_at) > DIRECTORY_FRESH);
-        let directory = self.learner.directory_revision().unwrap_or_default();
-        let pull = Pull { configuration: knowledge.configuration_number(), directory, wait_millis: 0 };
+        let pull = self.learner.pull(Duration::ZERO);
         let directory = stale.then_some(pull.directory);
         let ahead = self.table.borrow().ahead(pull.configuration, directory, now, &mut fastrand::Rng::new());
         let Some(peer) = ahead else {
