--- /dev/null
+++ b/crates/core/src/relay/engine_cache.rs
@@ -0,0 +1,90 @@
+//! What one engine is believed to keep of the prompts that it has read.
+
+use std::collections::HashMap;
+
+use super::prompt::PromptPart;
+use super::readings_message::ToldPart;
+use crate::time::Timestamp;
+
+/// The parts that an engine keeps. Engines give up what was not used for the longest time, so a part is there until as
+/// many tokens were brought in after its last use as the cache holds.
+///
+/// Invariant: every part's `brought_before` is at most `brought`.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EngineCache {
+    /// Tokens brought in so far.
+    brought: u64,
+    parts: HashMap<u64, KeptPart>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KeptPart {
+    tokens: u32,
+    used_at: Timestamp,
+    brought_before: u64,
+}
+
+impl EngineCache {
+    /// The tokens at the start of a prompt that need not be read again, with `room` tokens believed to be kept: the
+    /// shared parts from the first up to the first that is missing.
+    pub(super) fn kept_tokens_of(&self, shared_parts: &[PromptPart], room: u64) -> u32 {
+        shared_parts.iter().take_while(|part| self.keeps(part.id, room)).map(|part| part.tokens).sum()
+    }
+
+    /// When the last of the shared parts that are kept from the start was used; `None` when not even the first is kept.
+    pub(super) fn used_at(&self, shared_parts: &[PromptPart], room: u64) -> Option<Timestamp> {
+        let kept = shared_parts.iter().take_while(|part| self.keeps(part.id, room));
+        kept.last().and_then(|part| self.parts.get(&part.id)).map(|kept| kept.used_at)
+    }
+
+    fn keeps(&self, id: u64, room: u64) -> bool {
+        self.parts.get(&id).is_some_and(|kept| self.brought - kept.brought_before < room)
+    }
+
+    /// Notes that the engine has read a prompt of `tokens`, or got its KV cache: each shared part is used now, and what
+    /// it did not keep was brought in.
+    pub(super) fn use_prompt(&mut self, shared_parts: &[PromptPart], tokens: u32, room: u64, now: Timestamp) {
+        let brought = tokens.saturating_sub(self.kept_tokens_of(shared_parts, room));
+        self.brought += u64::from(brought);
+        let brought_before = self.brought;
+        for part in shared_parts {
+            self.parts.insert(part.id, KeptPart { tokens: part.tokens, used_at: now, brought_before });
+        }
+        let newest = self.brought;
+        self.parts.retain(|_, kept| newest - kept.brought_before < room);
+    }
+
+    /// The parts, those used last first, so many at most.
+    pub(super) fn told_parts(&self, parts_maximum: usize) -> Vec<ToldPart> {
+        let told = self.parts.iter().map(|(id, kept)| ToldPart {
+            part: PromptPart { id: *id, tokens: kept.tokens },
+            brought_since: self.brought - kept.brought_before,
+        });
+        let mut parts: Vec<ToldPart> = told.collect();
+        parts.sort_by_key(|told| (told.brought_since, told.part.id));
+        parts.truncate(parts_maximum);
+        parts
+    }
+
+    /// Takes in what a peer believes; parts that are known here stay as they are.
+    pub(super) fn adopt(&mut self, told: Vec<ToldPart>, now: Timestamp) {
+        let oldest = told.iter().map(|told| told.brought_since).max().unwrap_or(0);
+        let missing = oldest.saturating_sub(self.brought);
+        self.brought += missing;
+        self.parts.values_mut().for_each(|kept| kept.brought_before += missing);
+        for ToldPart { part, brought_since } in told {
+            let brought_before = self.brought - brought_since;
+            self.parts.entry(part.id).or_insert(KeptPart { tokens: part.tokens, used_at: now, brought_before });
+        }
+    }
+
+    /// The tokens of all parts.
+    pub(super) fn tokens(&self) -> u64 {
+        self.parts.values().map(|part| u64::from(part.tokens)).sum()
+    }
+
+    /// Whether nothing is known to be kept.
+    pub(super) fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+}
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -1,15 +1,28 @@
 //! Decisions about one opaque request: where it is sent, whether it is sent again, and how it ends.
 
+mod engine_cache;
+mod engine_model;
+mod engine_tag;
 mod exchange;
+mod open_readings;
 mod placement;
+mod placement_config;
 mod prompt;
 mod prompt_index;
 mod readings_message;
 mod retry_budget;
+mod telling_pace;
+mod urgency;
 
+pub use engine_model::{EngineModel, Estimate};
+pub use engine_tag::EngineTag;
 pub use exchange::{Exchange, ExchangeRules, NextStep, SendOutcome};
-pub use placement::{Candidate, PlacementLimits, Purpose, place};
+pub use open_readings::ReadingId;
+pub use placement::{Candidate, Placed, Purpose, place};
+pub use placement_config::{Affinity, PlacementConfig, PlacementConfigError};
 pub use prompt::{Prompt, PromptPart};
-pub use prompt_index::{PromptIndex, PromptIndexConfig, ReadingId};
-pub use readings_message::{FinishedReading, KeptParts, OpenReading, ReadingsMessage, ReadingsNotice, ToldPart};
+pub use prompt_index::{PromptIndex, PromptIndexConfig};
+pub use readings_message::{FinishedReading, KeptParts, OpenReadings, ReadingsMessage, ReadingsNotice, ToldPart};
 pub use retry_budget::{BudgetShare, SharedRetryBudget, SharedRetryBudgetConfig};
+pub use telling_pace::{TellingPace, TellingPaceConfig};
+pub use urgency::Urgency;
--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -1,7 +1,11 @@
 //! Where a request is sent: a choice among the back ends of its service, made alike by every node.
 
+use std::time::Duration;
+
+use super::placement_config::{Affinity, PlacementConfig};
 use super::prompt::Prompt;
 use super::prompt_index::PromptIndex;
+use super::urgency::Urgency;
 use crate::back_ends::{BackEnd, EngineStage, Usability};
 use crate::membership::rank_by_address;
 use crate::time::Timestamp;
@@ -31,15 +35,19 @@
     Read {
         /// The prompt.
         prompt: &'a Prompt,
+        /// Whether it can be in time.
+        urgency: Urgency,
         /// What is known of the reading of prompts.
         index: &'a PromptIndex,
         /// The time now.
         now: Timestamp,
     },
-    /// To be answered by an engine, near the one that read its prompt, if another did.
+    /// To be answered by an engine.
     Decode {
-        /// The zone of the engine that read the prompt.
+        /// The zone of the engine that read the prompt, if another did.
         near: Option<&'a ZoneName>,
+        /// The prompt, if it is long.
+        prompt: Option<&'a Prompt>,
         /// What is known of the reading of prompts.
         index: &'a PromptIndex,
         /// The time now.
@@ -47,94 +55,163 @@
     },
 }
 
-/// What the choice weighs.
-#[derive(Clone, Copy, Debug)]
-pub struct PlacementLimits {
-    /// Requests that an engine in another zone must have fewer to be preferred to one in the prompt's zone: a KV cache
-    /// takes twice as long between zones.
-    pub zone_advantage: u32,
-    /// Tokens that an engine has still to read that count like a request under way there: short prompts wait behind
-    /// long ones.
-    pub backlog_tokens_per_request: f64,
-}
-
-impl Default for PlacementLimits {
-    fn default() -> Self {
-        PlacementLimits { zone_advantage: 2, backlog_tokens_per_request: 1_000.0 }
-    }
-}
-
 impl Purpose<'_> {
-    fn takes(&self, back_end: &BackEnd) -> bool {
+    fn takes(&self, back_end: &BackEnd, config: &PlacementConfig) -> bool {
         match self {
             Purpose::Application => back_end.stage.is_none(),
-            Purpose::Read { .. } => back_end.stage.is_some(),
+            Purpose::Read { .. } if config.decode_engines_read => back_end.stage.is_some(),
+            Purpose::Read { .. } => back_end.stage == Some(EngineStage::Prefill),
             Purpose::Decode { .. } => back_end.stage == Some(EngineStage::Decode),
         }
     }
 }
 
-/// The index of the candidate that the request is sent to; `None` when none may be used.
+/// The candidate that a request is sent to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Placed {
+    /// Its index among the candidates.
+    pub index: usize,
+    /// The time until a prompt is expected to be read there and ready for its answer; zero where nothing is read.
+    pub reading: Duration,
+}
+
+/// The candidate that the request is sent to; `None` when none may be used.
 ///
 /// Usable and healthy back ends come first, then usable ones that fail (a request there is better than none), then
 /// those that left a moment ago. `avoid` tells which candidates the request was already sent to.
 pub fn place(
     candidates: &[Candidate<'_>],
     purpose: &Purpose<'_>,
-    limits: &PlacementLimits,
+    config: &PlacementConfig,
     avoid: impl Fn(&BackEnd) -> bool,
     random: &mut fastrand::Rng,
-) -> Option<usize> {
+) -> Option<Placed> {
     let fitting = || {
         let fits = |candidate: &Candidate<'_>| {
-            purpose.takes(candidate.back_end) && candidate.connectable && !avoid(candidate.back_end)
+            purpose.takes(candidate.back_end, config) && candidate.connectable && !avoid(candidate.back_end)
         };
         (0..candidates.len()).filter(move |index| fits(&candidates[*index]))
     };
     let usable = |index: &usize| candidates[*index].usability == Usability::Usable;
     let healthy: Vec<usize> = fitting().filter(usable).filter(|index| candidates[*index].healthy).collect();
     if !healthy.is_empty() {
-        return choose(candidates, &healthy, purpose, limits, random);
+        return choose(candidates, &healthy, purpose, config, random);
     }
     let failing: Vec<usize> = fitting().filter(usable).collect();
     if !failing.is_empty() {
-        return choose(candidates, &failing, purpose, limits, random);
+        return choose(candidates, &failing, purpose, config, random);
     }
     let leaving: Vec<usize> = fitting().filter(|index| candidates[*index].usability == Usability::LastResort).collect();
-    choose(candidates, &leaving, purpose, limits, random)
+    choose(candidates, &leaving, purpose, config, random)
 }
 
 fn choose(
     candidates: &[Candidate<'_>],
     indexes: &[usize],
     purpose: &Purpose<'_>,
-    limits: &PlacementLimits,
+    config: &PlacementConfig,
     random: &mut fastrand::Rng,
-) -> Option<usize> {
+) -> Option<Placed> {
+    let at_once = |index| Placed { index, reading: Duration::ZERO };
     match purpose {
-        Purpose::Read { prompt, index, now } => {
-            // All nodes rank engines of equal cost alike, so that a part that nobody has read yet is read once.
-            let address = |index: &usize| candidates[*index].back_end.address;
-            let key = prompt.first_shared_part().map_or_else(|| random.u64(..), |part| part.id);
-            let ranked = rank_by_address(&key.to_be_bytes(), indexes.iter().copied(), address);
-            ranked.into_iter().min_by_key(|candidate| {
-                let back_end = candidates[*candidate].back_end;
-                index.cost(&back_end.id, back_end.stage.unwrap_or(EngineStage::Decode), prompt, *now)
-            })
+        Purpose::Read { prompt, urgency, index, now } => {
+            let readers = Readers { candidates, prompt, urgency: *urgency, index, config, now: *now };
+            readers.cheapest(indexes, random)
         }
-        Purpose::Decode { near, index, now } => least(indexes, random, |candidate| {
-            let back_end = candidates[candidate].back_end;
+        Purpose::Decode { near, prompt, index, now } => least(indexes, random, |candidate| {
+            let Candidate { back_end, in_flight, .. } = candidates[candidate];
             let elsewhere = near.is_some_and(|zone| back_end.zone != *zone);
-            let backlog = index.backlog(&back_end.id, *now) / limits.backlog_tokens_per_request;
-            candidates[candidate].in_flight + backlog as u32 + if elsewhere { limits.zone_advantage } else { 0 }
-        }),
-        Purpose::Application => least(indexes, random, |candidate| candidates[candidate].in_flight),
+            let backlog = index.backlog(&back_end.id, EngineStage::Decode, Urgency::Late, *now);
+            let backlog_millis = index.model().reading_millis(EngineStage::Decode, backlog);
+            let kept = prompt.map_or(0.0, |prompt| kept_share(index, back_end, prompt, config));
+            f64::from(in_flight)
+                + backlog_millis / millis_of(config.backlog_per_request)
+                + if elsewhere { config.zone_advantage } else { 0.0 }
+                - kept * config.keeper_advantage
+        })
+        .map(at_once),
+        Purpose::Application => {
+            least(indexes, random, |candidate| f64::from(candidates[candidate].in_flight)).map(at_once)
+        }
     }
 }
 
+/// The share of a prompt's shared parts that an engine keeps, from 0 to 1.
+fn kept_share(index: &PromptIndex, back_end: &BackEnd, prompt: &Prompt, config: &PlacementConfig) -> f64 {
+    let shared: u32 = prompt.shared_parts().iter().map(|part| part.tokens).sum();
+    if shared == 0 || config.affinity == Affinity::Nothing {
+        return 0.0;
+    }
+    f64::from(index.kept_tokens_of(&back_end.id, prompt)) / f64::from(shared)
+}
+
+/// The choice of the engine that reads a prompt.
+struct Readers<'a> {
+    candidates: &'a [Candidate<'a>],
+    prompt: &'a Prompt,
+    urgency: Urgency,
+    index: &'a PromptIndex,
+    config: &'a PlacementConfig,
+    now: Timestamp,
+}
+
+impl Readers<'_> {
+    /// The candidate that has the prompt ready for its answer first. All nodes rank engines of equal cost alike, so that a
+    /// part that nobody has read yet is read once.
+    fn cheapest(&self, indexes: &[usize], random: &mut fastrand::Rng) -> Option<Placed> {
+        let address = |index: &usize| self.candidates[*index].back_end.address;
+        let key = self.prompt.deepest_shared_part().map_or_else(|| random.u64(..), |part| part.id);
+        let ranked = rank_by_address(&key.to_be_bytes(), indexes.iter().copied(), address);
+        let kept_anywhere = indexes.iter().map(|index| self.kept(*index)).max().unwrap_or(0);
+        let cost = |index: &usize| (self.cost_millis(*index, kept_anywhere) * 1e3) as u64;
+        let index = ranked.into_iter().min_by_key(cost)?;
+        Some(Placed { index, reading: self.expected(index, kept_anywhere) })
+    }
+
+    fn kept(&self, index: usize) -> u32 {
+        match self.config.affinity {
+            Affinity::AllParts => self.index.kept_tokens_of(&self.candidates[index].back_end.id, self.prompt),
+            Affinity::Nothing => 0,
+        }
+    }
+
+    /// What it costs, in milliseconds: the time until the prompt is ready for its answer, and what a decode engine's
+    /// reading costs others.
+    fn cost_millis(&self, index: usize, kept_anywhere: u32) -> f64 {
+        let expected = millis_of(self.expected(index, kept_anywhere));
+        match self.candidates[index].back_end.stage {
+            Some(EngineStage::Prefill) => expected,
+            _ => expected * self.config.decode_interference,
+        }
+    }
+
+    /// The time until the prompt is read and its KV cache is where it is answered.
+    fn expected(&self, index: usize, kept_anywhere: u32) -> Duration {
+        let back_end = self.candidates[index].back_end;
+        let stage = back_end.stage.unwrap_or(EngineStage::Decode);
+        let model = self.index.model();
+        let kept = self.kept(index);
+        let taken_over = if self.config.takes_parts_over { kept_anywhere.saturating_sub(kept) } else { 0 };
+        let unread = self.prompt.tokens.saturating_sub(kept + taken_over);
+        let backlog = self.index.backlog(&back_end.id, stage, self.urgency, self.now);
+        let reading = model.reading_millis(stage, backlog + f64::from(unread));
+        let taking_over = model.move_millis(f64::from(taken_over));
+        let handing_over = match stage {
+            EngineStage::Prefill => model.move_millis(f64::from(self.prompt.tokens)),
+            EngineStage::Decode => 0.0,
+        };
+        Duration::from_secs_f64((reading + taking_over + handing_over) / 1e3)
+    }
+}
+
+fn millis_of(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e3
+}
+
 /// The index with the least cost; ties are broken at random, so that nodes with equal views don't all choose alike.
-fn least(indexes: &[usize], random: &mut fastrand::Rng, cost: impl Fn(usize) -> u32) -> Option<usize> {
-    let minimum = indexes.iter().map(|index| cost(*index)).min()?;
-    let best: Vec<usize> = indexes.iter().copied().filter(|index| cost(*index) == minimum).collect();
+fn least(indexes: &[usize], random: &mut fastrand::Rng, cost: impl Fn(usize) -> f64) -> Option<usize> {
+    let costs: Vec<(usize, f64)> = indexes.iter().map(|index| (*index, cost(*index))).collect();
+    let minimum = costs.iter().map(|(_, cost)| *cost).min_by(f64::total_cmp)?;
+    let best: Vec<usize> = costs.iter().filter(|(_, cost)| *cost <= minimum).map(|(index, _)| *index).collect();
     Some(best[random.usize(..best.len())])
 }
--- /dev/null
+++ b/crates/core/src/relay/placement_config.rs
@@ -0,0 +1,88 @@
+//! What placement weighs, as operators set it: each mechanism can be switched off to see what it is worth.
+
+use std::time::Duration;
+
+/// How much of a prompt's shared parts placement looks at.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Affinity {
+    /// The whole chain: each part that an engine keeps, with all before it, need not be read again.
+    #[default]
+    AllParts,
+    /// None: an engine is taken to keep nothing.
+    Nothing,
+}
+
+/// What placement weighs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementConfig {
+    /// How much of a prompt's shared parts counts.
+    pub affinity: Affinity,
+    /// Whether an engine takes parts over from another one that keeps them instead of reading them.
+    pub takes_parts_over: bool,
+    /// Whether decode engines are candidates for reading long prompts.
+    pub decode_engines_read: bool,
+    /// How much more a millisecond of reading costs on a decode engine: it holds up the answers that run there.
+    pub decode_interference: f64,
+    /// Requests that an engine in another zone must have fewer to be preferred to one in the prompt's zone: a KV cache
+    /// takes twice as long between zones.
+    pub zone_advantage: f64,
+    /// Requests that an engine must have fewer to be preferred to one that keeps all shared parts of the prompt: a part
+    /// that is kept twice leaves less room for others.
+    pub keeper_advantage: f64,
+    /// Whether engines are told who goes first: urgent routes before others, and requests that can be in time before those
+    /// that are late.
+    pub orders_by_urgency: bool,
+    /// Whether a request that no engine can begin to answer before its end is refused at once.
+    pub refuses_early: bool,
+    /// The share of a target within which a prompt must be expected to be read, for the request to count as in time.
+    pub target_share: f64,
+    /// The time that an engine has still to read that counts like a request under way there.
+    pub backlog_per_request: Duration,
+}
+
+/// a placement value is out of its range: {0}
+#[derive(Clone, Debug, displaydoc::Display, PartialEq, Eq, thiserror::Error)]
+pub struct PlacementConfigError(pub &'static str);
+
+impl Default for PlacementConfig {
+    fn default() -> Self {
+        PlacementConfig {
+            affinity: Affinity::AllParts,
+            takes_parts_over: true,
+            decode_engines_read: true,
+            decode_interference: 1.75,
+            zone_advantage: 2.0,
+            keeper_advantage: 2.0,
+            orders_by_urgency: true,
+            refuses_early: true,
+            target_share: 0.8,
+            backlog_per_request: Duration::from_millis(20),
+        }
+    }
+}
+
+impl PlacementConfig {
+    /// Checks that each value can be reckoned with.
+    ///
+    /// # Errors
+    /// Names the first value that can't.
+    pub fn validate(&self) -> Result<(), PlacementConfigError> {
+        let within = |value: f64, least: f64| value.is_finite() && (least..=1e3).contains(&value);
+        if !within(self.decode_interference, 0.1) {
+            return Err(PlacementConfigError("decode_interference: 0.1 to 1000"));
+        }
+        if !within(self.zone_advantage, 0.0) {
+            return Err(PlacementConfigError("zone_advantage: 0 to 1000"));
+        }
+        if !within(self.keeper_advantage, 0.0) {
+            return Err(PlacementConfigError("keeper_advantage: 0 to 1000"));
+        }
+        if !within(self.target_share, 0.0) {
+            return Err(PlacementConfigError("target_share: 0 to 1000"));
+        }
+        if self.backlog_per_request.is_zero() {
+            return Err(PlacementConfigError("backlog_per_request_milliseconds: more than 0"));
+        }
+        Ok(())
+    }
+}
--- a/crates/core/src/relay/prompt.rs
+++ b/crates/core/src/relay/prompt.rs
@@ -23,8 +23,13 @@
 }
 
 impl Prompt {
-    /// The first part that other requests share; `None` when the prompt has no shared part.
-    pub fn first_shared_part(&self) -> Option<PromptPart> {
-        (self.parts.len() > 1).then(|| self.parts[0])
+    /// The parts that other requests share, from the start: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// The last part that other requests share: who shares it shares all before it. `None` when nothing is shared.
+    pub fn deepest_shared_part(&self) -> Option<PromptPart> {
+        self.shared_parts().last().copied()
     }
 }
--- a/crates/core/src/relay/prompt_index.rs
+++ b/crates/core/src/relay/prompt_index.rs
@@ -1,99 +1,102 @@
 //! Which engine reads which prompts now, and which shared parts each has read: from this node's own requests and from
-//! what its peers tell when a reading begins or ends.
+//! what its peers tell.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use super::engine_cache::EngineCache;
+use super::engine_model::EngineModel;
+use super::engine_tag::EngineTag;
+use super::open_readings::{OpenTable, OwnReading, ReadingId};
 use super::prompt::{Prompt, PromptPart};
-use super::readings_message::{FinishedReading, KeptParts, OpenReading, ReadingsNotice, ToldPart};
-use crate::back_ends::EngineStage;
+use super::readings_message::{FinishedReading, KeptParts, ReadingsNotice};
+use super::urgency::Urgency;
+use crate::back_ends::{BackEnd, EngineStage};
 use crate::time::Timestamp;
 use crate::world::{Address, BackEndId};
 
 /// Limits of a [`PromptIndex`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PromptIndexConfig {
-    /// The tokens that an engine reads in a millisecond, to tell how much of a reading is left. Engines differ; an error
-    /// here only makes a backlog look a little longer or shorter.
-    pub tokens_per_milli: f64,
-    /// What taking a kept part over from another engine counts for, in tokens that could be read meanwhile.
-    pub fetch_tokens: u32,
-    /// How much longer a decode engine takes to read than a prefill engine: it reads in small pieces between the tokens
-    /// of others, whom it holds up a little.
-    pub decode_slowness: f64,
     /// A reading that is not heard to end is regarded as ended after this time.
     pub reading_maximum: Duration,
-    /// The tokens that an engine's cache holds.
+    /// A peer that told nothing for this time is forgotten; longer than any datagram is on its way.
+    pub peer_forgotten: Duration,
+    /// The tokens that an engine's cache holds, until the configuration tells.
     pub cache_tokens: u64,
     /// The share of a cache that is believed to hold what was read last; the rest is for requests that run and for short
     /// prompts, of which nothing is known here.
     pub cache_share: f64,
-    /// The finished readings that are told once more with the next notice, in case the last one was lost.
-    pub finished_told: usize,
+    /// How often each finished reading is told: a datagram may be lost.
+    pub finished_times_told: u32,
+    /// Finished readings that wait to be told; beyond it the oldest are dropped.
+    pub finished_maximum: usize,
+    /// The bytes that a notice may take.
+    pub notice_bytes: usize,
 }
 
 impl Default for PromptIndexConfig {
     fn default() -> Self {
         PromptIndexConfig {
-            tokens_per_milli: 50.0,
-            fetch_tokens: 1_500,
-            decode_slowness: 3.5,
             reading_maximum: Duration::from_secs(4),
+            peer_forgotten: Duration::from_secs(30),
             cache_tokens: 400_000,
             cache_share: 0.85,
-            finished_told: 4,
+            finished_times_told: 2,
+            finished_maximum: 256,
+            notice_bytes: 1_200,
         }
     }
 }
 
-/// Names one of this node's own readings.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ReadingId(u64);
+/// The bytes of a notice without its lists.
+const NOTICE_BASE_BYTES: usize = 64;
 
-#[derive(Clone, Debug)]
-struct Reading {
-    engine: BackEndId,
-    tokens: u32,
-    part: Option<PromptPart>,
-    prompt_tokens: u32,
-    began: Timestamp,
-}
+/// The bytes of one engine's open readings in a notice.
+const OPEN_BYTES: usize = 14;
 
-#[derive(Clone, Debug)]
-struct PeerReadings {
+/// The bytes of a finished reading in a notice without its parts.
+const FINISHED_BASE_BYTES: usize = 12;
+
+/// The bytes of one part in a notice.
+const PART_BYTES: usize = 12;
+
+/// The share of a notice that open readings may take; finished ones go on to the next.
+const OPEN_SHARE: f64 = 0.6;
+
+#[derive(Clone, Copy, Debug)]
+struct PeerState {
     sequence: u64,
     /// The number of the last finished reading that was counted.
     finished: u64,
     heard_at: Timestamp,
-    open: Vec<Reading>,
 }
 
-/// What an engine is believed to keep. Engines give up what was not used for the longest time, so a part is there until
-/// as many tokens were brought in after its last use as the cache holds.
-#[derive(Clone, Debug, Default)]
-struct EngineCache {
-    /// Tokens brought in so far.
-    brought: u64,
-    parts: HashMap<u64, KeptPart>,
+#[derive(Clone, Debug)]
+struct OwnPrompt {
+    shared_parts: Vec<PromptPart>,
+    tokens: u32,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct KeptPart {
-    tokens: u32,
-    used_at: Timestamp,
-    brought_before: u64,
+#[derive(Clone, Debug)]
+struct Untold {
+    number: u64,
+    reading: FinishedReading,
+    times: u32,
 }
 
 /// What this node knows of the reading of prompts.
 #[derive(Clone, Debug, Default)]
 pub struct PromptIndex {
     config: PromptIndexConfig,
-    own: BTreeMap<ReadingId, Reading>,
+    model: EngineModel,
     next: u64,
+    open: OpenTable,
+    own_prompts: HashMap<ReadingId, OwnPrompt>,
     finished_count: u64,
-    finished: Vec<FinishedReading>,
-    peers: HashMap<Address, PeerReadings>,
-    kept: HashMap<BackEndId, EngineCache>,
+    untold: VecDeque<Untold>,
+    peers: HashMap<Address, PeerState>,
+    kept: HashMap<EngineTag, EngineCache>,
 }
 
 impl PromptIndex {
@@ -102,197 +105,187 @@
         PromptIndex { config, ..PromptIndex::default() }
     }
 
+    /// What is believed of the engines' speed.
+    pub fn model(&self) -> &EngineModel {
+        &self.model
+    }
+
+    /// What is believed of the engines' speed, to note what a send shows.
+    pub fn model_mut(&mut self) -> &mut EngineModel {
+        &mut self.model
+    }
+
     /// Notes that `engine` begins to read `prompt` for this node.
-    pub fn begin(&mut self, engine: &BackEndId, prompt: &Prompt, now: Timestamp) -> ReadingId {
+    pub fn begin(&mut self, engine: &BackEndId, prompt: &Prompt, urgency: Urgency, now: Timestamp) -> ReadingId {
         let id = ReadingId(self.next);
         self.next += 1;
-        let tokens = self.unread(engine, prompt);
-        let part = prompt.first_shared_part();
-        let prompt_tokens = prompt.tokens;
-        self.own.insert(id, Reading { engine: engine.clone(), tokens, part, prompt_tokens, began: now });
+        let reading = OwnReading { engine: engine.into(), tokens: self.unread(engine, prompt), urgency, began: now };
+        self.open.begin(id, reading);
+        let shared_parts = prompt.shared_parts().to_vec();
+        self.own_prompts.insert(id, OwnPrompt { shared_parts, tokens: prompt.tokens });
         id
     }
 
     /// Notes that one of this node's readings has ended, whole or not.
     pub fn end(&mut self, id: ReadingId, whole: bool, now: Timestamp) {
-        let Some(reading) = self.own.remove(&id) else {
+        let (Some(reading), Some(prompt)) = (self.open.end(id, now), self.own_prompts.remove(&id)) else {
             return;
         };
-        if let (true, Some(part)) = (whole, reading.part) {
-            self.finish(reading.engine, part, reading.prompt_tokens, now);
+        if whole && !prompt.shared_parts.is_empty() {
+            self.finish(reading.engine, prompt.shared_parts, prompt.tokens, now);
         }
     }
 
-    /// Notes that `engine` has got the KV cache of `prompt` from another one, and keeps its shared part from now on.
+    /// Notes that `engine` has got the KV cache of `prompt` from another one, and keeps its shared parts from now on.
     pub fn moved(&mut self, engine: &BackEndId, prompt: &Prompt, now: Timestamp) {
-        if let Some(part) = prompt.first_shared_part() {
-            self.finish(engine.clone(), part, prompt.tokens, now);
+        if !prompt.shared_parts().is_empty() {
+            self.finish(engine.into(), prompt.shared_parts().to_vec(), prompt.tokens, now);
         }
     }
 
-    fn finish(&mut self, engine: BackEndId, part: PromptPart, tokens: u32, now: Timestamp) {
+    fn finish(&mut self, engine: EngineTag, shared_parts: Vec<PromptPart>, tokens: u32, now: Timestamp) {
         self.finished_count += 1;
-        let finished = FinishedReading { engine, number: self.finished_count, part, tokens };
-        self.keep(&finished, now);
-        self.finished.push(finished);
-        let excess = self.finished.len().saturating_sub(self.config.finished_told);
-        self.finished.drain(..excess);
+        let reading = FinishedReading { engine, shared_parts, tokens };
+        self.keep(&reading, now);
+        self.untold.push_back(Untold { number: self.finished_count, reading, times: 0 });
+        let excess = self.untold.len().saturating_sub(self.config.finished_maximum);
+        self.untold.drain(..excess);
     }
 
-    /// What peers are to be told now.
-    pub fn notice(&self, sender: Address, sequence: u64, now: Timestamp) -> ReadingsNotice {
-        let open = self.own.values().map(|reading| OpenReading {
-            engine: reading.engine.clone(),
-            tokens: reading.tokens,
-            age_millis: u32::try_from(now.since(reading.began).as_millis()).unwrap_or(u32::MAX),
-        });
-        ReadingsNotice { sender, sequence, open: open.collect(), finished: self.finished.clone() }
+    /// Whether finished readings wait to be told (again).
+    pub fn has_untold(&self) -> bool {
+        !self.untold.is_empty()
     }
 
-    /// Takes a peer's notice in, unless a newer one of it came before.
-    pub fn receive(&mut self, notice: ReadingsNotice, now: Timestamp) {
+    /// What peers are to be told now: as much as fits, and the rest with the next notice. Open readings that do not fit
+    /// are those with the fewest tokens.
+    pub fn notice(&mut self, sender: Address, sequence: u64, now: Timestamp) -> ReadingsNotice {
+        let bytes = self.config.notice_bytes;
+        let mut open = self.open.told(now);
+        open.truncate((bytes as f64 * OPEN_SHARE) as usize / OPEN_BYTES);
+        let mut left = bytes.saturating_sub(NOTICE_BASE_BYTES + open.len() * OPEN_BYTES);
+        let first_finished = self.untold.front().map_or(self.finished_count + 1, |untold| untold.number);
+        let mut finished = Vec::new();
+        for untold in &mut self.untold {
+            let size = FINISHED_BASE_BYTES + untold.reading.shared_parts.len() * PART_BYTES;
+            if size > left && !finished.is_empty() {
+                break;
+            }
+            left = left.saturating_sub(size);
+            untold.times += 1;
+            finished.push(untold.reading.clone());
+        }
+        let times = self.config.finished_times_told;
+        while self.untold.front().is_some_and(|untold| untold.times >= times) {
+            self.untold.pop_front();
+        }
+        ReadingsNotice { sender, sequence, open, first_finished, finished }
+    }
+
+    /// Takes a peer's notice in, unless a newer one of it came before; whether it was taken in.
+    pub fn receive(&mut self, notice: ReadingsNotice, now: Timestamp) -> bool {
         let known = self.peers.get(&notice.sender).filter(|peer| {
             // A sender that was restarted counts anew; its last life is soon forgotten.
             now.since(peer.heard_at) < self.config.reading_maximum || notice.sequence > peer.sequence
         });
         if known.is_some_and(|peer| notice.sequence <= peer.sequence) {
-            return;
+            return false;
         }
         let counted = known.map_or(0, |peer| peer.finished);
-        let open = notice.open.into_iter().map(|reading| Reading {
-            engine: reading.engine,
-            tokens: reading.tokens,
-            part: None,
-            prompt_tokens: reading.tokens,
-            began: now - Duration::from_millis(u64::from(reading.age_millis)),
-        });
-        let finished = notice.finished.last().map_or(counted, |last| last.number.max(counted));
-        let readings = PeerReadings { sequence: notice.sequence, finished, heard_at: now, open: open.collect() };
-        self.peers.insert(notice.sender, readings);
-        for finished in notice.finished.iter().filter(|finished| finished.number > counted) {
-            self.keep(finished, now);
+        self.open.replace(notice.sender, &notice.open, now);
+        let mut number = notice.first_finished;
+        for reading in &notice.finished {
+            if number > counted {
+                self.open.note_end(reading.engine, now);
+                self.keep(reading, now);
+            }
+            number += 1;
         }
+        let finished = counted.max(number.saturating_sub(1));
+        self.peers.insert(notice.sender, PeerState { sequence: notice.sequence, finished, heard_at: now });
+        true
     }
 
-    /// What a node that has just started is told: for each engine the parts that it is believed to keep, those used last
-    /// first, so many at most.
-    pub fn kept_parts(&self, parts_maximum: usize) -> impl Iterator<Item = KeptParts> {
-        self.kept.iter().map(move |(engine, cache)| {
-            let told = cache.parts.iter().map(|(id, kept)| ToldPart {
-                part: PromptPart { id: *id, tokens: kept.tokens },
-                brought_since: cache.brought - kept.brought_before,
-            });
-            let mut parts: Vec<ToldPart> = told.collect();
-            parts.sort_by_key(|told| (told.brought_since, told.part.id));
-            parts.truncate(parts_maximum);
-            KeptParts { engine: engine.clone(), parts }
+    /// What a node that has just started is told: for each engine of `engines` the parts that it is believed to keep,
+    /// those used last first, so many at most.
+    pub fn kept_parts<'e>(
+        &'e self,
+        engines: impl Iterator<Item = &'e BackEndId> + 'e,
+        parts_maximum: usize,
+    ) -> impl Iterator<Item = KeptParts> + 'e {
+        engines.filter_map(move |engine| {
+            let cache = self.kept.get(&engine.into()).filter(|cache| !cache.is_empty())?;
+            Some(KeptParts { engine: engine.clone(), parts: cache.told_parts(parts_maximum) })
         })
     }
 
-    /// Takes in what a peer believes that an engine keeps; parts that this node knows of stay as they are.
-    pub fn adopt_kept(&mut self, told: KeptParts, now: Timestamp) {
-        let cache = self.kept.entry(told.engine).or_default();
-        let oldest = told.parts.iter().map(|told| told.brought_since).max().unwrap_or(0);
-        let missing = oldest.saturating_sub(cache.brought);
-        cache.brought += missing;
-        cache.parts.values_mut().for_each(|kept| kept.brought_before += missing);
-        for ToldPart { part, brought_since } in told.parts {
-            let brought_before = cache.brought - brought_since;
-            cache.parts.entry(part.id).or_insert(KeptPart { tokens: part.tokens, used_at: now, brought_before });
-        }
+    /// Whether anything is known of what engines keep.
+    pub fn knows_kept(&self) -> bool {
+        !self.kept.is_empty()
     }
 
-    /// Forgets engines that are not in `present`.
-    pub fn retain_engines(&mut self, present: impl Fn(&BackEndId) -> bool) {
-        self.kept.retain(|engine, _| present(engine));
+    /// Takes in what a peer believes that an engine keeps; parts that this node knows of stay as they are.
+    pub fn adopt_kept(&mut self, told: KeptParts, now: Timestamp) {
+        self.kept.entry((&told.engine).into()).or_default().adopt(told.parts, now);
     }
 
-    /// What it costs to have an engine read `prompt` now, in tokens of a prefill engine: those that it has still to read
-    /// for others and those of the prompt that it does not keep. A shared part that another engine keeps is taken over
-    /// from there instead of being read.
-    pub fn cost(&self, engine: &BackEndId, stage: EngineStage, prompt: &Prompt, now: Timestamp) -> u64 {
-        let unread = match prompt.first_shared_part() {
-            Some(part) if !self.keeps(engine, part) && self.is_kept_anywhere(part) => {
-                prompt.tokens.saturating_sub(part.tokens) + self.config.fetch_tokens
-            }
-            _ => self.unread(engine, prompt),
-        };
-        let slowness = match stage {
-            EngineStage::Prefill => 1.0,
-            EngineStage::Decode => self.config.decode_slowness,
-        };
-        ((self.backlog(engine, now) + f64::from(unread)) * slowness) as u64
+    /// Forgets engines that are not among `present`, and peers that told nothing for long.
+    pub fn retain_engines<'e>(&mut self, present: impl Iterator<Item = &'e BackEndId>, now: Timestamp) {
+        let present: std::collections::HashSet<EngineTag> = present.map(EngineTag::from).collect();
+        self.kept.retain(|engine, _| present.contains(engine));
+        self.open.retain_engines(|engine| present.contains(&engine));
+        let forgotten = self.config.peer_forgotten;
+        let silent = self.peers.iter().filter(|(_, peer)| now.since(peer.heard_at) >= forgotten);
+        let silent: Vec<Address> = silent.map(|(address, _)| *address).collect();
+        for peer in silent {
+            self.peers.remove(&peer);
+            self.open.forget(peer);
+        }
     }
 
-    /// The tokens that `engine` has still to read.
-    pub fn backlog(&self, engine: &BackEndId, now: Timestamp) -> f64 {
-        let of_peers = self.peers.values().flat_map(|peer| &peer.open);
-        let open = self.own.values().chain(of_peers).filter(|reading| reading.engine == *engine);
-        open.map(|reading| self.left_of(reading, now)).sum()
+    /// The tokens that `engine`, which serves `stage`, has to read before a prompt of `urgency` that comes now.
+    pub fn backlog(&self, engine: &BackEndId, stage: EngineStage, urgency: Urgency, now: Timestamp) -> f64 {
+        self.open.backlog(engine.into(), urgency, self.model.rate(stage), self.config.reading_maximum, now)
     }
 
-    fn left_of(&self, reading: &Reading, now: Timestamp) -> f64 {
-        let age = now.since(reading.began);
-        if age >= self.config.reading_maximum {
-            return 0.0;
-        }
-        let read = age.as_secs_f64() * 1e3 * self.config.tokens_per_milli;
-        // A reading that takes longer than expected waits for others; it is not over before it is heard to be.
-        (f64::from(reading.tokens) - read).max(f64::from(reading.tokens) * LEFT_MINIMUM)
+    /// The tokens of `prompt` that `engine` keeps.
+    pub fn kept_tokens_of(&self, engine: &BackEndId, prompt: &Prompt) -> u32 {
+        let cache = self.kept.get(&engine.into());
+        cache.map_or(0, |cache| cache.kept_tokens_of(prompt.shared_parts(), self.room()))
     }
 
     fn unread(&self, engine: &BackEndId, prompt: &Prompt) -> u32 {
-        let kept = prompt.first_shared_part().filter(|part| self.keeps(engine, *part));
-        prompt.tokens.saturating_sub(kept.map_or(0, |part| part.tokens))
+        prompt.tokens.saturating_sub(self.kept_tokens_of(engine, prompt))
     }
 
-    /// An engine other than `reader` that `is_usable` and keeps the shared part of `prompt`, which `reader` lacks: the
-    /// one that used it last.
-    pub fn keeper(
+    /// The engine among `others` that keeps more of the start of `prompt` than `reader` does, and how many tokens: the
+    /// one that keeps most, and of those the one that used it last.
+    pub fn keeper<'b>(
         &self,
         reader: &BackEndId,
         prompt: &Prompt,
-        is_usable: impl Fn(&BackEndId) -> bool,
-    ) -> Option<&BackEndId> {
-        let part = prompt.first_shared_part()?;
-        if self.keeps(reader, part) {
-            return None;
-        }
-        let keepers =
-            self.kept.iter().filter_map(|(engine, parts)| Some((engine, self.kept_part(parts, part)?.used_at)));
-        let usable = keepers.filter(|(engine, _)| is_usable(engine));
-        usable.max_by_key(|(engine, used_at)| (*used_at, *engine)).map(|(engine, _)| engine)
-    }
-
-    fn keeps(&self, engine: &BackEndId, part: PromptPart) -> bool {
-        self.kept.get(engine).is_some_and(|cache| self.kept_part(cache, part).is_some())
-    }
-
-    fn is_kept_anywhere(&self, part: PromptPart) -> bool {
-        self.kept.values().any(|cache| self.kept_part(cache, part).is_some())
+        others: impl Iterator<Item = &'b BackEnd>,
+    ) -> Option<(&'b BackEnd, u32)> {
+        let own = self.kept_tokens_of(reader, prompt);
+        let keepers = others.filter_map(|other| {
+            let cache = self.kept.get(&(&other.id).into())?;
+            let kept = cache.kept_tokens_of(prompt.shared_parts(), self.room());
+            let used_at = cache.used_at(prompt.shared_parts(), self.room())?;
+            (kept > own && other.id != *reader).then_some((kept, used_at, other))
+        });
+        let best = keepers.max_by_key(|(kept, used_at, other)| (*kept, *used_at, &other.id));
+        best.map(|(kept, _, other)| (other, kept))
     }
 
-    fn kept_part<'c>(&self, cache: &'c EngineCache, part: PromptPart) -> Option<&'c KeptPart> {
-        cache.parts.get(&part.id).filter(|kept| cache.brought - kept.brought_before < self.room())
+    fn keep(&mut self, finished: &FinishedReading, now: Timestamp) {
+        let room = self.room();
+        self.kept.entry(finished.engine).or_default().use_prompt(&finished.shared_parts, finished.tokens, room, now);
     }
 
     fn room(&self) -> u64 {
         (self.config.cache_tokens as f64 * self.config.cache_share) as u64
     }
 
-    fn keep(&mut self, finished: &FinishedReading, now: Timestamp) {
-        let room = self.room();
-        let part = finished.part;
-        let kept_before = self.keeps(&finished.engine, part);
-        let brought = if kept_before { finished.tokens.saturating_sub(part.tokens) } else { finished.tokens };
-        let cache = self.kept.entry(finished.engine.clone()).or_default();
-        cache.brought += u64::from(brought);
-        let kept = KeptPart { tokens: part.tokens, used_at: now, brought_before: cache.brought };
-        cache.parts.insert(part.id, kept);
-        let brought = cache.brought;
-        cache.parts.retain(|_, kept| brought - kept.brought_before < room);
-    }
-
     /// Sets the tokens that an engine's cache holds.
     pub fn set_cache_tokens(&mut self, cache_tokens: u64) {
         self.config.cache_tokens = cache_tokens;
@@ -300,9 +293,6 @@
 
     /// The tokens of all parts that `engine` is believed to keep.
     pub fn kept_tokens(&self, engine: &BackEndId) -> u64 {
-        self.kept.get(engine).map_or(0, |cache| cache.parts.values().map(|part| u64::from(part.tokens)).sum())
+        self.kept.get(&engine.into()).map_or(0, EngineCache::tokens)
     }
 }
-
-/// The share of a reading that is regarded as left until it is heard to end.
-const LEFT_MINIMUM: f64 = 0.1;
--- a/crates/core/src/relay/readings_message.rs
+++ b/crates/core/src/relay/readings_message.rs
@@ -2,6 +2,7 @@
 
 use speedy::{Readable, Writable};
 
+use super::engine_tag::EngineTag;
 use super::prompt::PromptPart;
 use crate::world::{Address, BackEndId};
 
@@ -37,26 +38,26 @@
     pub brought_since: u64,
 }
 
-/// A prompt that an engine reads now.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
-pub struct OpenReading {
+/// The prompts that one engine reads now for the sender, taken together: its size does not grow with the requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct OpenReadings {
     /// The engine.
-    pub engine: BackEndId,
-    /// The tokens that it has to read, without those that it kept.
+    pub engine: EngineTag,
+    /// The tokens that it has to read for prompts that can be in time, without those that it kept.
     pub tokens: u32,
-    /// How long it has been reading, in milliseconds.
-    pub age_millis: u32,
+    /// The same for prompts that are late, which wait behind the others.
+    pub late_tokens: u32,
+    /// How long it has been reading the first of them, in milliseconds.
+    pub age_millis: u16,
 }
 
-/// A prompt that an engine has read.
+/// A prompt that an engine has read, or whose KV cache it has got.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct FinishedReading {
     /// The engine.
-    pub engine: BackEndId,
-    /// Rises with each finished reading of one life of the sender.
-    pub number: u64,
-    /// The prompt's first shared part, which the engine now keeps.
-    pub part: PromptPart,
+    pub engine: EngineTag,
+    /// The prompt's shared parts, which the engine now keeps.
+    pub shared_parts: Vec<PromptPart>,
     /// The tokens of the whole prompt.
     pub tokens: u32,
 }
@@ -69,8 +70,10 @@
     pub sender: Address,
     /// Rises with each notice of one life of the sender.
     pub sequence: u64,
-    /// All of the sender's readings that are open.
-    pub open: Vec<OpenReading>,
-    /// The sender's last finished readings.
+    /// The sender's readings that are open, by engine.
+    pub open: Vec<OpenReadings>,
+    /// The number of the first of `finished`. Numbers rise by one with each finished reading of one life of the sender.
+    pub first_finished: u64,
+    /// Finished readings of the sender, one after the other.
     pub finished: Vec<FinishedReading>,
 }
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -12,7 +12,7 @@
 
 use super::load::InFlight;
 use super::pool::{ConnectionPool, Lease};
-use crate::protocol::{AnswerHead, Protocol, RequestBody, RequestHead, SendFacts, SendStage};
+use crate::protocol::{AnswerHead, EngineUrgency, Protocol, RequestBody, RequestHead, SendFacts, SendStage};
 
 /// A request as it is sent on.
 pub struct Sent<'a> {
@@ -30,6 +30,8 @@
     pub stage: &'a SendStage,
     /// An engine that keeps a part of the prompt.
     pub keeper: Option<Address>,
+    /// Who goes first at the back end.
+    pub urgency: Option<EngineUrgency>,
     /// When the answer must have come.
     pub ends_at: Instant,
 }
@@ -102,7 +104,8 @@
     if deadline.is_zero() {
         return Err(SendFailure::NotSent("the deadline has passed".to_owned()));
     }
-    let facts = SendFacts { back_end, deadline, stage: request.stage, keeper: request.keeper };
+    let facts =
+        SendFacts { back_end, deadline, stage: request.stage, keeper: request.keeper, urgency: request.urgency };
     protocol.dress(outgoing.headers_mut(), &facts);
     Ok(outgoing)
 }
--- a/crates/relay/src/callers/candidates.rs
+++ b/crates/relay/src/callers/candidates.rs
@@ -1,5 +1,7 @@
 //! The back ends that a request may be sent to, as this node sees them now.
 
+use std::time::Duration;
+
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{Candidate, Purpose, place};
 use havengate_core::time::Timestamp;
@@ -8,19 +10,20 @@
 use super::traffic::Traffic;
 use crate::knowledge::Knowledge;
 
-/// Chooses the back end of `service` that a request is sent to, other than those in `tried`.
+/// Chooses the back end of `service` that a request is sent to, other than those in `tried`, and tells how long it is
+/// expected to read the prompt.
 pub fn choose_back_end<P>(
     traffic: &Traffic<P>,
     knowledge: &Knowledge,
     service: &ServiceName,
     purpose: &Purpose<'_>,
     tried: &[BackEndId],
-) -> Option<BackEnd> {
+) -> Option<(BackEnd, Duration)> {
     let candidates = candidates(traffic, knowledge, service, traffic.clock.now());
     let avoid = |back_end: &BackEnd| tried.contains(&back_end.id);
     let choose = |random: &mut fastrand::Rng| place(&candidates, purpose, &traffic.placement, avoid, random);
-    let index = traffic.with_random(choose)?;
-    Some(candidates[index].back_end.clone())
+    let placed = traffic.with_random(choose)?;
+    Some((candidates[placed.index].back_end.clone(), placed.reading))
 }
 
 fn candidates<'k, P>(
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -1,11 +1,11 @@
 //! Drives one request: places it, sends it, and acts on the outcome until there is an answer.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use havengate_core::back_ends::{BackEnd, EngineStage};
-use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Prompt, Purpose, SendOutcome};
+use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Prompt, Purpose, SendOutcome, Urgency};
 use havengate_core::routing::Route;
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{MayHaveRun, NotRunReason};
@@ -46,8 +46,12 @@
     pub route: Arc<Route>,
     /// The service that the request goes to.
     pub service: ServiceName,
+    /// When it arrived.
+    pub arrived: Timestamp,
     /// When the request must have ended.
     pub ends_at: Timestamp,
+    /// Whether it can be in time, as it was last expected.
+    pub urgency: Urgency,
 }
 
 impl CallerRequest {
@@ -179,7 +183,7 @@
             if let Some(record) = &mut self.record {
                 record.prefill_back_end = Some(back_end.id.clone());
             }
-            let reading = self.traffic.readings.begin(&back_end.id, &prompt);
+            let reading = self.traffic.readings.begin(&back_end, &prompt, self.request.urgency);
             let result = self.prefill(&back_end).await;
             reading.end(result.is_ok());
             match result {
@@ -220,13 +224,14 @@
             return self.attempt_stage(back_end, &SendStage::Whole).await;
         };
         if let ReadingPlan::Elsewhere { source, .. } = plan {
+            let began = traffic.clock.now();
             let attempt = self.attempt_stage(back_end, &SendStage::Decode(source.clone())).await;
             if matches!(attempt, Attempt::Answered(_)) {
-                traffic.readings.moved(&back_end.id, &prompt);
+                traffic.readings.moved(&back_end.id, &prompt, traffic.clock.now().since(began));
             }
             return attempt;
         }
-        let reading = traffic.readings.begin(&back_end.id, &prompt);
+        let reading = traffic.readings.begin(back_end, &prompt, self.request.urgency);
         let attempt = self.attempt_stage(back_end, &SendStage::Whole).await;
         reading.end(matches!(attempt, Attempt::Answered(_)));
         attempt
@@ -312,16 +317,40 @@
     fn place_decode(&mut self, near: Option<&ZoneName>) -> Option<BackEnd> {
         let now = self.traffic.clock.now();
         let traffic = self.traffic;
-        traffic.readings.with_index(|index| self.place(&Purpose::Decode { near, index, now }))
+        let prompt = self.request.long_prompt().cloned();
+        let prompt = prompt.as_ref();
+        traffic.readings.with_index(|index| self.place(&Purpose::Decode { near, prompt, index, now }))
     }
 
+    /// Chooses the engine that reads the prompt: one that has it read in time, or, when none can, the one that has it read
+    /// first behind those that can be in time.
     fn place_reading(&mut self, prompt: &Prompt) -> Option<BackEnd> {
-        let now = self.traffic.clock.now();
-        let traffic = self.traffic;
-        traffic.readings.with_index(|index| self.place(&Purpose::Read { prompt, index, now }))
+        let (now, traffic) = (self.traffic.clock.now(), self.traffic);
+        let target = self.request.route.target_latency.mul_f64(traffic.placement.target_share);
+        let in_time = self.request.arrived + target;
+        let (mut back_end, mut reading) = self.place_reading_as(prompt, Urgency::InTime)?;
+        self.request.urgency = Urgency::InTime;
+        if traffic.placement.orders_by_urgency && now + reading > in_time {
+            (back_end, reading) = self.place_reading_as(prompt, Urgency::Late)?;
+            self.request.urgency = Urgency::Late;
+        }
+        if let Some(record) = &mut self.record {
+            record.expected_reading = Some(reading);
+            record.urgency = Some(self.request.urgency);
+        }
+        Some(back_end)
+    }
+
+    fn place_reading_as(&mut self, prompt: &Prompt, urgency: Urgency) -> Option<(BackEnd, Duration)> {
+        let (now, traffic) = (self.traffic.clock.now(), self.traffic);
+        traffic.readings.with_index(|index| self.place_expecting(&Purpose::Read { prompt, urgency, index, now }))
     }
 
     fn place(&mut self, purpose: &Purpose<'_>) -> Option<BackEnd> {
+        self.place_expecting(purpose).map(|(back_end, _)| back_end)
+    }
+
+    fn place_expecting(&mut self, purpose: &Purpose<'_>) -> Option<(BackEnd, Duration)> {
         let knowledge = self.traffic.knowledge.load_full();
         let now = self.traffic.clock.now();
         if let Some(record) = &mut self.record {
--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use havengate_core::relay::Urgency;
 use havengate_core::routing::{CallerLimits, Route};
 use havengate_core::verdict::NotRunReason;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -67,7 +68,9 @@
         head,
         route,
         service,
+        arrived: record.arrived,
         ends_at: record.arrived + limit,
+        urgency: Urgency::InTime,
     })
 }
 
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use havengate_core::relay::Urgency;
 use havengate_core::time::Timestamp;
 use havengate_core::world::{BackEndId, RouteName, ServiceName};
 use havengate_node::clock::Clock;
@@ -62,6 +63,10 @@
     pub configuration: u64,
     /// The age of the directory when it was placed.
     pub directory_age: Option<Duration>,
+    /// How long its prompt was expected to be read.
+    pub expected_reading: Option<Duration>,
+    /// Whether it could be in time, as it was expected.
+    pub urgency: Option<Urgency>,
     /// When it arrived.
     pub arrived: Timestamp,
     /// When the first piece of its answer came.
@@ -85,6 +90,8 @@
             sends: 0,
             configuration: 0,
             directory_age: None,
+            expected_reading: None,
+            urgency: None,
             arrived: traffic.clock.now(),
             first_piece: None,
             in_flight: None,
@@ -117,6 +124,8 @@
             sends = self.sends,
             took_ms = millis(Some(took)),
             first_ms = millis(first),
+            expected_reading_ms = millis(self.expected_reading),
+            late = self.urgency == Some(Urgency::Late),
             configuration = self.configuration,
             directory_age_ms = millis(self.directory_age);
             ""
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use havengate_core::back_ends::{BackEnd, Usability};
 use havengate_core::relay::SendOutcome;
-use havengate_core::world::{Address, BackEndId};
+use havengate_core::world::Address;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
@@ -14,7 +14,7 @@
 use super::exchange_driver::CallerRequest;
 use super::traffic::Traffic;
 use crate::back_ends::{AnswerInProgress, SendFailure, Sent, send};
-use crate::protocol::{AnswerHead, Protocol, SendStage};
+use crate::protocol::{AnswerHead, EngineUrgency, Protocol, SendStage};
 
 /// The largest answer that is held until it is whole.
 const HELD_ANSWER_MAXIMUM_BYTES: usize = 1024 * 1024;
@@ -41,6 +41,7 @@
         head: &request.head,
         stage,
         keeper: keeper_for(traffic, request, back_end, stage),
+        urgency: urgency_for(traffic, request, back_end),
         ends_at,
     };
     let in_flight = traffic.loads.begin(&back_end.id, traffic.clock.now());
@@ -63,12 +64,21 @@
     let prompt = request.long_prompt().filter(|_| !matches!(stage, SendStage::Decode(_)))?;
     let knowledge = traffic.knowledge.load();
     let now = traffic.clock.now();
-    let entry_of = |id: &BackEndId| knowledge.directory.entries().find(|entry| entry.back_end.id == *id);
-    let usable = |id: &BackEndId| {
-        entry_of(id).is_some_and(|entry| entry.usability(now) == Usability::Usable) && traffic.loads.admits(id, now)
-    };
-    let keeper = traffic.readings.with_index(|index| index.keeper(&back_end.id, prompt, usable).cloned())?;
-    entry_of(&keeper).map(|entry| entry.back_end.address)
+    if !traffic.placement.takes_parts_over {
+        return None;
+    }
+    let usable = knowledge
+        .directory
+        .of_service(&request.service)
+        .filter(|entry| entry.usability(now) == Usability::Usable && traffic.loads.admits(&entry.back_end.id, now));
+    let others = usable.map(|entry| &entry.back_end);
+    traffic.readings.with_index(|index| index.keeper(&back_end.id, prompt, others).map(|(keeper, _)| keeper.address))
+}
+
+/// Who goes first at `back_end`: engines are told, applications have no such order.
+fn urgency_for<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd) -> Option<EngineUrgency> {
+    let told = traffic.placement.orders_by_urgency && back_end.stage.is_some();
+    told.then_some(EngineUrgency { urgency: request.urgency, rank: request.route.priority })
 }
 
 fn note_failure<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd, failure: &SendFailure) {
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use havengate_core::relay::{BudgetShare, PlacementLimits, SharedRetryBudget, SharedRetryBudgetConfig};
+use havengate_core::relay::{BudgetShare, PlacementConfig, SharedRetryBudget, SharedRetryBudgetConfig};
 use havengate_core::routing::SplitTurns;
 use havengate_core::world::ServiceName;
 use havengate_node::clock::Clock;
@@ -30,7 +30,7 @@
     /// The prompts that are read now, and where shared parts are kept.
     pub readings: Readings,
     /// What placement weighs.
-    pub placement: PlacementLimits,
+    pub placement: PlacementConfig,
     /// Counters and histograms.
     pub metrics: RelayMetrics,
     /// Requests that are open now.
@@ -50,6 +50,7 @@
         knowledge: SharedKnowledge,
         clock: Clock,
         budget_config: SharedRetryBudgetConfig,
+        placement: PlacementConfig,
         metrics: RelayMetrics,
     ) -> Self {
         Traffic {
@@ -57,8 +58,8 @@
             clock,
             pool: ConnectionPool::new(PoolLimits::default()),
             loads: BackEndLoads::default(),
-            readings: Readings::new(Arc::clone(&knowledge), clock),
-            placement: PlacementLimits::default(),
+            readings: Readings::new(Arc::clone(&knowledge), clock, metrics.clone()),
+            placement,
             knowledge,
             metrics,
             active: ActiveRequests::default(),
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -71,6 +71,44 @@
     pub route: String,
 }
 
+/// What a message between nodes is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum NodeMessageKind {
+    /// Prompts that are read.
+    Readings,
+    /// What engines keep, for nodes that have just started.
+    KeptParts,
+    /// Which versions nodes have.
+    Digest,
+    /// Configuration and directory.
+    Feed,
+}
+
+impl NodeMessageKind {
+    fn code(self) -> &'static str {
+        match self {
+            NodeMessageKind::Readings => "readings",
+            NodeMessageKind::KeptParts => "kept_parts",
+            NodeMessageKind::Digest => "digest",
+            NodeMessageKind::Feed => "feed",
+        }
+    }
+}
+
+/// Labels of messages between nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MessageLabel {
+    /// What they are about.
+    pub kind: &'static str,
+}
+
+/// Labels of messages that were dropped.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DropLabel {
+    /// Why.
+    pub cause: &'static str,
+}
+
 type Latencies = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 struct Metrics {
@@ -78,6 +116,9 @@
     ends: Family<EndLabels, Counter>,
     sends: Family<SendLabels, Counter>,
     store_calls: Family<StoreLabels, Counter>,
+    node_messages: Family<MessageLabel, Counter>,
+    node_bytes: Family<MessageLabel, Counter>,
+    dropped_messages: Family<DropLabel, Counter>,
     took: Latencies,
     first: Latencies,
     configuration: Gauge,
@@ -104,6 +145,9 @@
             ends: Family::default(),
             sends: Family::default(),
             store_calls: Family::default(),
+            node_messages: Family::default(),
+            node_bytes: Family::default(),
+            dropped_messages: Family::default(),
             took: Family::new_with_constructor(latencies),
             first: Family::new_with_constructor(latencies),
             configuration: Gauge::default(),
@@ -118,6 +162,10 @@
         registry.register("requests", "Requests that ended, by how", metrics.ends.clone());
         registry.register("sends", "Sends to back ends, by how they ended", metrics.sends.clone());
         registry.register("store_calls", "Calls to the store, by how they ended", metrics.store_calls.clone());
+        registry.register("node_messages", "Messages sent to other nodes, by kind", metrics.node_messages.clone());
+        registry.register("node_bytes", "Bytes sent to other nodes, by kind", metrics.node_bytes.clone());
+        let dropped = metrics.dropped_messages.clone();
+        registry.register("dropped_messages", "Messages between nodes that were dropped, by cause", dropped);
         registry.register("request_seconds", "From arrival to the end of the answer", metrics.took.clone());
         registry.register("first_piece_seconds", "From arrival to the first piece", metrics.first.clone());
         registry.register("configuration_version", "The configuration in force", metrics.configuration.clone());
@@ -159,6 +207,18 @@
         self.metrics.store_calls.get_or_create(&StoreLabels { call, outcome }).inc();
     }
 
+    /// Counts messages to other nodes and their bytes.
+    pub fn record_node_messages(&self, kind: NodeMessageKind, messages: usize, bytes: usize) {
+        let label = MessageLabel { kind: kind.code() };
+        self.metrics.node_messages.get_or_create(&label).inc_by(messages as u64);
+        self.metrics.node_bytes.get_or_create(&label).inc_by(bytes as u64);
+    }
+
+    /// Counts a message between nodes that was dropped.
+    pub fn record_dropped_message(&self, cause: &'static str) {
+        self.metrics.dropped_messages.get_or_create(&DropLabel { cause }).inc();
+    }
+
     /// Sets what the node knows.
     pub fn set_knowledge(&self, configuration: u64, directory: u64, nodes: u32) {
         let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -67,7 +67,8 @@
         seeds: seeds_receiver,
     };
     let _control = spawn(control, store, Arc::clone(&knowledge), clock, metrics.clone())?;
-    let traffic = Rc::new(Traffic::new(protocol, knowledge, clock, settings.retry_budget(), metrics));
+    let traffic =
+        Rc::new(Traffic::new(protocol, knowledge, clock, settings.retry_budget(), settings.placement(), metrics));
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let mut node = RunningNode { settings, read_settings, seeds, traffic };
     LocalSet::new().block_on(&runtime, node.serve())
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use havengate_core::back_ends::{BackEnd, DirectoryChanges, DirectoryListing};
-use havengate_core::relay::{Prompt, PromptPart};
+use havengate_core::relay::{Prompt, PromptPart, Urgency};
 use havengate_core::routing::TrafficConfiguration;
 use havengate_core::store::Revision;
 use havengate_core::world::Address;
@@ -65,6 +65,17 @@
     pub stage: &'a SendStage,
     /// An engine that keeps a part of the prompt, from which the back end may take it instead of reading it.
     pub keeper: Option<Address>,
+    /// Who goes first; `None` where the back end is not told.
+    pub urgency: Option<EngineUrgency>,
+}
+
+/// Who goes first at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineUrgency {
+    /// Whether the request can be in time; those that can go before all others.
+    pub urgency: Urgency,
+    /// The route's rank among requests alike; 0 is the most urgent.
+    pub rank: u8,
 }
 
 /// What an answer's head proves.
--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings.rs
@@ -3,18 +3,25 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
+use havengate_core::back_ends::{BackEnd, EngineStage};
 use havengate_core::relay::{
-    KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId, ReadingsMessage, ToldPart,
+    KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId, ReadingsMessage, TellingPace,
+    TellingPaceConfig, ToldPart, Urgency,
 };
+use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
 use havengate_wire::{decode, encode};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 
 use crate::knowledge::SharedKnowledge;
+use crate::metrics::{NodeMessageKind, RelayMetrics};
 
-/// A message of more bytes is not sent: it would be split on its way. A notice of this size holds some 25 readings.
+/// A message of more bytes would be split on its way. Notices are cut to fit; what one engine keeps is told in part.
 const MESSAGE_MAXIMUM_BYTES: usize = 1_400;
 
 /// The peers that are told of each reading: all, up to the size that is designed for. Long prompts are few, and a node
@@ -40,15 +47,26 @@
     clock: Clock,
     socket: RefCell<Option<(Address, Rc<UdpSocket>)>>,
     sequence: Cell<u64>,
+    metrics: RelayMetrics,
+    /// Whether open readings have changed since peers were told.
+    has_news: Cell<bool>,
+    /// Wakes the task that tells peers.
+    news: Notify,
 }
 
+/// How long a finished reading waits at most to be told once more.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
+
+/// The bytes that a datagram takes beside what is in it.
+const DATAGRAM_OVERHEAD_BYTES: usize = 28;
+
 impl Readings {
     /// Readings that are not exchanged with peers yet.
-    pub fn new(knowledge: SharedKnowledge, clock: Clock) -> Self {
+    pub fn new(knowledge: SharedKnowledge, clock: Clock, metrics: RelayMetrics) -> Self {
         let index = RefCell::new(PromptIndex::new(PromptIndexConfig::default()));
-        Readings {
-            shared: Rc::new(Shared { index, knowledge, clock, socket: RefCell::default(), sequence: Cell::new(0) }),
-        }
+        let (socket, sequence) = (RefCell::default(), Cell::new(0));
+        let (has_news, news) = (Cell::new(false), Notify::new());
+        Readings { shared: Rc::new(Shared { index, knowledge, clock, socket, sequence, metrics, has_news, news }) }
     }
 
     /// Takes notices at `address` from now on, and sends them from there.
@@ -58,6 +76,7 @@
     pub async fn exchange(&self, address: Address) -> io::Result<()> {
         let socket = Rc::new(UdpSocket::bind(address.0).await?);
         *self.shared.socket.borrow_mut() = Some((address, Rc::clone(&socket)));
+        tokio::task::spawn_local(self.clone().tell_at_pace(TellingPaceConfig::default()));
         let readings = self.clone();
         tokio::task::spawn_local(async move {
             let mut buffer = [0; MESSAGE_MAXIMUM_BYTES];
@@ -65,8 +84,9 @@
                 let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
                     continue;
                 };
-                if let Ok(message) = decode::<ReadingsMessage>(&buffer[..length]) {
-                    readings.receive(message);
+                match decode::<ReadingsMessage>(&buffer[..length]) {
+                    Ok(message) => readings.receive(message),
+                    Err(_) => readings.shared.metrics.record_dropped_message("malformed"),
                 }
             }
         });
@@ -76,10 +96,19 @@
     fn receive(&self, message: ReadingsMessage) {
         let now = self.shared.clock.now();
         match message {
-            ReadingsMessage::Notice(notice) => self.shared.index.borrow_mut().receive(notice, now),
+            ReadingsMessage::Notice(notice) => {
+                if !self.shared.index.borrow_mut().receive(notice, now) {
+                    self.shared.metrics.record_dropped_message("overtaken");
+                }
+            }
             ReadingsMessage::AskKept { sender } => {
+                let knowledge = self.shared.knowledge.load_full();
+                let engines = knowledge.directory.entries().map(|entry| &entry.back_end.id);
                 let index = self.shared.index.borrow();
-                index.kept_parts(KEPT_PARTS_TOLD).for_each(|kept| self.send(&ReadingsMessage::Kept(kept), [sender]));
+                let tell = |kept| {
+                    self.send(&ReadingsMessage::Kept(kept), NodeMessageKind::KeptParts, &[sender]);
+                };
+                index.kept_parts(engines, KEPT_PARTS_TOLD).for_each(tell);
             }
             ReadingsMessage::Kept(kept) => {
                 let (engine, parts) = (kept.engine.clone(), kept.parts.len());
@@ -97,12 +126,12 @@
         let mut peers = (*self.shared.knowledge.load().peers).clone();
         fastrand::shuffle(&mut peers);
         peers.truncate(PEERS_ASKED);
-        self.send(&ReadingsMessage::AskKept { sender }, peers);
+        self.send(&ReadingsMessage::AskKept { sender }, NodeMessageKind::KeptParts, &peers);
     }
 
     /// Whether anything is known of what engines keep.
     pub fn knows_kept(&self) -> bool {
-        self.shared.index.borrow().kept_parts(1).next().is_some()
+        self.shared.index.borrow().knows_kept()
     }
 
     /// Takes in what an engine itself tells that it keeps.
@@ -112,18 +141,24 @@
         self.shared.index.borrow_mut().adopt_kept(kept, self.shared.clock.now());
     }
 
-    /// Sends a message. One that can't be sent, or is too large, is like one that is lost: later ones make up for it.
-    fn send(&self, message: &ReadingsMessage, receivers: impl IntoIterator<Item = Address>) {
+    /// Sends a message and returns the bytes that went out. One that can't be sent is like one that is lost: later ones
+    /// make up for it.
+    fn send(&self, message: &ReadingsMessage, kind: NodeMessageKind, receivers: &[Address]) -> usize {
         let socket = self.shared.socket.borrow();
         let (Some((_, socket)), Ok(bytes)) = (socket.as_ref(), encode(message)) else {
-            return;
+            return 0;
         };
         if bytes.len() > MESSAGE_MAXIMUM_BYTES {
-            return;
+            self.shared.metrics.record_dropped_message("too_large");
+            log::warn!(event = "message_too_large", bytes = bytes.len(); "");
+            return 0;
         }
         for receiver in receivers {
             let _ = socket.try_send_to(&bytes, receiver.0);
         }
+        let sent = (bytes.len() + DATAGRAM_OVERHEAD_BYTES) * receivers.len();
+        self.shared.metrics.record_node_messages(kind, receivers.len(), sent);
+        sent
     }
 
     /// Calls `read` with what is known.
@@ -132,36 +167,72 @@
     }
 
     /// Notes that `engine` begins to read `prompt`, until the guard is ended or dropped.
-    pub fn begin(&self, engine: &BackEndId, prompt: &Prompt) -> ReadingGuard {
-        let id = self.shared.index.borrow_mut().begin(engine, prompt, self.shared.clock.now());
-        self.tell_peers();
-        ReadingGuard { readings: self.clone(), id: Some(id) }
+    pub fn begin(&self, engine: &BackEnd, prompt: &Prompt, urgency: Urgency) -> ReadingGuard {
+        let now = self.shared.clock.now();
+        let mut index = self.shared.index.borrow_mut();
+        let sample = ReadingSample::begin(&index, engine, prompt, now);
+        let id = index.begin(&engine.id, prompt, urgency, now);
+        drop(index);
+        self.note_news();
+        ReadingGuard { readings: self.clone(), id: Some(id), sample }
     }
 
-    /// Notes that `engine` has got the KV cache of `prompt` from another one. Peers are told with the next notice.
-    pub fn moved(&self, engine: &BackEndId, prompt: &Prompt) {
-        self.shared.index.borrow_mut().moved(engine, prompt, self.shared.clock.now());
+    /// Notes that `engine` has got the KV cache of `prompt` from another one and began its answer `took` after it was
+    /// sent there.
+    pub fn moved(&self, engine: &BackEndId, prompt: &Prompt, took: Duration) {
+        let mut index = self.shared.index.borrow_mut();
+        index.moved(engine, prompt, self.shared.clock.now());
+        index.model_mut().observe_move(prompt.tokens, took);
+        self.note_news();
     }
 
     /// Takes over what the knowledge says about engines.
     pub fn refresh(&self, cache_tokens: Option<u64>) {
         let knowledge = self.shared.knowledge.load_full();
         let mut index = self.shared.index.borrow_mut();
-        index.retain_engines(|id| knowledge.directory.entries().any(|entry| entry.back_end.id == *id));
+        let present = knowledge.directory.entries().map(|entry| &entry.back_end.id);
+        index.retain_engines(present, self.shared.clock.now());
         if let Some(cache_tokens) = cache_tokens {
             index.set_cache_tokens(cache_tokens);
         }
     }
 
-    fn tell_peers(&self) {
+    /// Tells peers of news for ever: at once while that is cheap, else together and as often as the pace allows.
+    async fn tell_at_pace(self, config: TellingPaceConfig) {
+        let mut pace = TellingPace::new(config, self.shared.clock.now());
+        loop {
+            while !self.shared.has_news.get() && !self.shared.index.borrow().has_untold() {
+                self.shared.news.notified().await;
+            }
+            let wait = pace.wait(self.shared.clock.now());
+            if !wait.is_zero() {
+                sleep(wait).await;
+            }
+            let sent = self.tell_peers();
+            pace.spend(sent, self.shared.clock.now());
+            // What is told a second time, against loss, goes with later news or after a while.
+            if !self.shared.has_news.get() && self.shared.index.borrow().has_untold() {
+                let _ = timeout(REPEAT_PAUSE, self.shared.news.notified()).await;
+            }
+        }
+    }
+
+    fn note_news(&self) {
+        self.shared.has_news.set(true);
+        self.shared.news.notify_one();
+    }
+
+    fn tell_peers(&self) -> usize {
+        self.shared.has_news.set(false);
         let Some((address, _)) = *self.shared.socket.borrow() else {
-            return;
+            return 0;
         };
         let sequence = self.shared.sequence.get() + 1;
         self.shared.sequence.set(sequence);
-        let notice = self.shared.index.borrow().notice(address, sequence, self.shared.clock.now());
-        let peers = self.shared.knowledge.load();
-        self.send(&ReadingsMessage::Notice(notice), peers.peers.iter().take(PEERS_TOLD_MAXIMUM).copied());
+        let notice = self.shared.index.borrow_mut().notice(address, sequence, self.shared.clock.now());
+        let knowledge = self.shared.knowledge.load();
+        let receivers = &knowledge.peers[..knowledge.peers.len().min(PEERS_TOLD_MAXIMUM)];
+        self.send(&ReadingsMessage::Notice(notice), NodeMessageKind::Readings, receivers)
     }
 }
 
@@ -169,6 +240,23 @@
 pub struct ReadingGuard {
     readings: Readings,
     id: Option<ReadingId>,
+    sample: Option<ReadingSample>,
+}
+
+/// A reading that shows how fast engines read: one of an engine that had nothing else to read.
+struct ReadingSample {
+    stage: EngineStage,
+    tokens: u32,
+    began: Timestamp,
+}
+
+impl ReadingSample {
+    fn begin(index: &PromptIndex, engine: &BackEnd, prompt: &Prompt, began: Timestamp) -> Option<Self> {
+        let stage = engine.stage?;
+        let is_idle = index.backlog(&engine.id, stage, Urgency::Late, began) <= 0.0;
+        let tokens = prompt.tokens.saturating_sub(index.kept_tokens_of(&engine.id, prompt));
+        is_idle.then_some(ReadingSample { stage, tokens, began })
+    }
 }
 
 impl ReadingGuard {
@@ -179,8 +267,14 @@
 
     fn note_end(&mut self, whole: bool) {
         if let Some(id) = self.id.take() {
-            self.readings.shared.index.borrow_mut().end(id, whole, self.readings.shared.clock.now());
-            self.readings.tell_peers();
+            let now = self.readings.shared.clock.now();
+            let mut index = self.readings.shared.index.borrow_mut();
+            index.end(id, whole, now);
+            if let Some(sample) = self.sample.take().filter(|_| whole) {
+                index.model_mut().observe_reading(sample.stage, sample.tokens, now.since(sample.began));
+            }
+            drop(index);
+            self.readings.note_news();
         }
     }
 }
