Requests that no engine can answer before their end are refused at once; bytes between nodes and beliefs are counted

Nothing showed what nodes send each other by kind, nor what is believed of engines. Change: the driver refuses a prompt whose expected reading ends after the request's end, as not run (refuses_early); target_share is 1.5, since what is expected errs on the high side; counters of messages and bytes by kind, estimates with their samples, and a summary in the log every 10 s.

--- a/crates/core/src/relay/placement_config.rs
+++ b/crates/core/src/relay/placement_config.rs
@@ -34,7 +34,8 @@
     pub orders_by_urgency: bool,
     /// Whether a request that no engine can begin to answer before its end is refused at once.
     pub refuses_early: bool,
-    /// The share of a target within which a prompt must be expected to be read, for the request to count as in time.
+    /// The share of a target within which a prompt must be expected to be read, for the request to count as in time. More
+    /// than 1: what is expected is not exact, and one that is put behind others is late for sure.
     pub target_share: f64,
     /// The time that an engine has still to read that counts like a request under way there.
     pub backlog_per_request: Duration,
@@ -55,7 +56,7 @@
             keeper_advantage: 2.0,
             orders_by_urgency: true,
             refuses_early: true,
-            target_share: 0.8,
+            target_share: 1.5,
             backlog_per_request: Duration::from_millis(20),
         }
     }
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -76,7 +76,8 @@
     traffic.with_budget(&request.service, |budget| budget.record_request(now));
     let ends_at = Instant::now() + request.ends_at.since(now);
     let exchange = Exchange::new(rules);
-    Driver { traffic, request, ends_at, exchange, record: Some(record), tried: Vec::new() }.run().await
+    let (tried, refused_early) = (Vec::new(), None);
+    Driver { traffic, request, ends_at, exchange, record: Some(record), tried, refused_early }.run().await
 }
 
 struct Driver<'a, P> {
@@ -87,6 +88,8 @@
     /// Taken when the record goes along with an answer that is passed on as it comes.
     record: Option<RequestRecord>,
     tried: Vec<BackEndId>,
+    /// Why no engine can answer in time, where that is expected.
+    refused_early: Option<NotRunReason>,
 }
 
 /// Where a request's prompt is read.
@@ -119,7 +122,8 @@
         let mut plan = self.plan_reading().await;
         loop {
             let Some(back_end) = self.place_answer(&plan) else {
-                let end = self.exchange.give_up(NotRunReason::NoEngine, MayHaveRun::EngineFailed);
+                let reason = self.refused_early.unwrap_or(NotRunReason::NoEngine);
+                let end = self.exchange.give_up(reason, MayHaveRun::EngineFailed);
                 return self.end(end, None);
             };
             // Only a send that has somewhere to go is taken out of the budget.
@@ -177,6 +181,9 @@
             let Some(back_end) = self.place_reading(&prompt) else {
                 break;
             };
+            if self.refused_early.is_some() {
+                break;
+            }
             if back_end.stage != Some(EngineStage::Prefill) {
                 return ReadingPlan::There(back_end);
             }
@@ -306,6 +313,9 @@
     }
 
     fn place_answer(&mut self, plan: &ReadingPlan) -> Option<BackEnd> {
+        if self.refused_early.is_some() {
+            return None;
+        }
         match plan {
             ReadingPlan::There(back_end) => Some(back_end.clone()),
             ReadingPlan::Elsewhere { zone, .. } => self.place_decode(Some(zone)),
@@ -334,6 +344,10 @@
             (back_end, reading) = self.place_reading_as(prompt, Urgency::Late)?;
             self.request.urgency = Urgency::Late;
         }
+        let ends_after = self.request.ends_at.since(now);
+        if traffic.placement.refuses_early && !self.exchange.may_have_run() && reading > ends_after {
+            self.refused_early = Some(NotRunReason::DeadlineUnreachable);
+        }
         if let Some(record) = &mut self.record {
             record.expected_reading = Some(reading);
             record.urgency = Some(self.request.urgency);
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -18,6 +18,7 @@
 use super::learner::Learner;
 use super::reader_role::ReaderRole;
 use crate::callers::listen;
+use crate::metrics::{NodeMessageKind, RelayMetrics};
 
 /// How often a digest is sent. News reaches all of ten nodes in two or three rounds.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
@@ -25,6 +26,9 @@
 /// Digests are a few hundred bytes; anything larger is none.
 const DATAGRAM_MAXIMUM_BYTES: usize = 1_400;
 
+/// The bytes that a datagram takes beside what is in it.
+const DATAGRAM_OVERHEAD_BYTES: usize = 28;
+
 /// A directory that the store has confirmed within this time needs no peer.
 const DIRECTORY_FRESH: Duration = Duration::from_millis(500);
 
@@ -57,6 +61,7 @@
     role: ReaderRole,
     learner: Learner,
     socket: Rc<UdpSocket>,
+    metrics: RelayMetrics,
 }
 
 impl PeerExchange {
@@ -69,11 +74,12 @@
         table: PeerTable,
         role: ReaderRole,
         learner: Learner,
+        metrics: RelayMetrics,
     ) -> io::Result<(Self, TcpListener)> {
         let socket = UdpSocket::bind(own.control.0).await?;
         let listener = listen(own.control.0)?;
         let table = Rc::new(RefCell::new(table));
-        Ok((PeerExchange { own, table, role, learner, socket: Rc::new(socket) }, listener))
+        Ok((PeerExchange { own, table, role, learner, socket: Rc::new(socket), metrics }, listener))
     }
 
     /// Sends digests for ever, to `seeds` as well, and pulls what peers have newer.
@@ -119,11 +125,11 @@
             let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
                 continue;
             };
-            let learner = self.learner.clone();
+            let (learner, metrics) = (self.learner.clone(), self.metrics.clone());
             tokio::task::spawn_local(async move {
                 let _place = place;
                 // The peer that asks notices a failure and asks another one.
-                let _ = answer_pulls_on(&mut stream, &learner).await;
+                let _ = answer_pulls_on(&mut stream, &learner, &metrics).await;
             });
         }
     }
@@ -141,6 +147,8 @@
         let Ok(bytes) = encode(&digest) else {
             return;
         };
+        let sent = receivers.len() * (bytes.len() + DATAGRAM_OVERHEAD_BYTES);
+        self.metrics.record_node_messages(NodeMessageKind::Digest, receivers.len(), sent);
         for receiver in receivers {
             // A datagram that can't be sent is like one that is lost.
             let _ = self.socket.send_to(&bytes, receiver.0).await;
@@ -175,7 +183,7 @@
 }
 
 /// Answers one pull after the other, each when there is something new or its wait is over.
-async fn answer_pulls_on(stream: &mut TcpStream, learner: &Learner) -> Result<(), PeersError> {
+async fn answer_pulls_on(stream: &mut TcpStream, learner: &Learner, metrics: &RelayMetrics) -> Result<(), PeersError> {
     stream.set_nodelay(true)?;
     let mut news = learner.news();
     loop {
@@ -187,17 +195,23 @@
         }
         news.mark_unchanged();
         let answer = learner.answer(pull);
-        timeout(PULL_TIME_LIMIT, write_message(stream, &answer)).await.map_err(|_| PeersError::TooSlow)??;
+        let written = timeout(PULL_TIME_LIMIT, write_message(stream, &answer)).await;
+        let bytes = written.map_err(|_| PeersError::TooSlow)??;
+        metrics.record_node_messages(NodeMessageKind::Feed, 1, bytes);
     }
 }
 
-/// Writes a message as one frame.
+/// Writes a message as one frame and returns its bytes.
 ///
 /// # Errors
 /// When the connection fails.
-pub async fn write_message<M: Writable<LittleEndian>>(stream: &mut TcpStream, message: &M) -> Result<(), PeersError> {
-    stream.write_all(&frame_of(message)?).await?;
-    Ok(())
+pub async fn write_message<M: Writable<LittleEndian>>(
+    stream: &mut TcpStream,
+    message: &M,
+) -> Result<usize, PeersError> {
+    let frame = frame_of(message)?;
+    stream.write_all(&frame).await?;
+    Ok(frame.len())
 }
 
 /// Reads one frame with a message.
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -56,7 +56,7 @@
             let learner = Learner::new(knowledge, clock, metrics.clone());
             let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
             let role = ReaderRole::new(readers, clock);
-            match bind(&settings, role.clone(), learner.clone()).await {
+            match bind(&settings, role.clone(), learner.clone(), metrics.clone()).await {
                 Ok((peers, listener)) => {
                     // The start has been given up when nobody waits for this any more.
                     let _ = bound_sender.send(Ok(()));
@@ -78,11 +78,12 @@
     settings: &ControlSettings,
     role: ReaderRole,
     learner: Learner,
+    metrics: RelayMetrics,
 ) -> io::Result<(PeerExchange, TcpListener)> {
     let seeds = settings.seeds.borrow().clone();
     let table = PeerTable::new(PeerTableConfig::default(), settings.peers_address, seeds, learner.clock().now());
     let own = PeerAddresses { control: settings.peers_address, notices: settings.notices_address };
-    let bound = PeerExchange::bind(own, table, role, learner).await;
+    let bound = PeerExchange::bind(own, table, role, learner, metrics).await;
     bound.map_err(|error| {
         io::Error::new(error.kind(), format!("peers_address {} can't be bound: {error}", settings.peers_address))
     })
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,8 +2,10 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use havengate_core::relay::EngineModel;
 use havengate_core::world::ServiceName;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -102,6 +104,13 @@
     pub kind: &'static str,
 }
 
+/// Labels of an estimate.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EstimateLabel {
+    /// What is estimated.
+    pub name: &'static str,
+}
+
 /// Labels of messages that were dropped.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct DropLabel {
@@ -128,6 +137,8 @@
     connections: Gauge,
     directory_age_millis: Gauge,
     repeats_left: Family<ServiceLabel, Gauge>,
+    estimates: Family<EstimateLabel, Gauge<f64, AtomicU64>>,
+    estimate_samples: Family<EstimateLabel, Gauge>,
 }
 
 /// The metrics of a node. Copies share them.
@@ -157,6 +168,8 @@
             connections: Gauge::default(),
             directory_age_millis: Gauge::default(),
             repeats_left: Family::default(),
+            estimates: Family::default(),
+            estimate_samples: Family::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that ended, by how", metrics.ends.clone());
@@ -176,6 +189,9 @@
         let age = metrics.directory_age_millis.clone();
         registry.register("directory_age_milliseconds", "Since the directory was confirmed; -1: never", age);
         registry.register("repeats_left", "Repeats that this node may still send", metrics.repeats_left.clone());
+        registry.register("engine_estimate", "What is believed of engines", metrics.estimates.clone());
+        let samples = metrics.estimate_samples.clone();
+        registry.register("engine_estimate_samples", "What a belief rests on; 0: the prior", samples);
         RelayMetrics { metrics: Arc::new(metrics) }
     }
 
@@ -214,6 +230,11 @@
         self.metrics.node_bytes.get_or_create(&label).inc_by(bytes as u64);
     }
 
+    /// The bytes sent to other nodes so far, of one kind.
+    pub fn node_bytes(&self, kind: NodeMessageKind) -> u64 {
+        self.metrics.node_bytes.get_or_create(&MessageLabel { kind: kind.code() }).get()
+    }
+
     /// Counts a message between nodes that was dropped.
     pub fn record_dropped_message(&self, cause: &'static str) {
         self.metrics.dropped_messages.get_or_create(&DropLabel { cause }).inc();
@@ -239,6 +260,15 @@
         }
     }
 
+    /// Sets what is believed of engines.
+    pub fn set_estimates(&self, model: &EngineModel) {
+        for (name, estimate) in model.estimates() {
+            let label = EstimateLabel { name };
+            self.metrics.estimates.get_or_create(&label).set(estimate.value);
+            self.metrics.estimate_samples.get_or_create(&label).set(i64::from(estimate.samples));
+        }
+    }
+
     /// The metrics in Prometheus's text format.
     ///
     /// # Errors
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -27,7 +27,7 @@
 use crate::callers::{CallerServer, LAST_CONNECTIONS_PATIENCE, ServerPhase, Traffic, listen};
 use crate::control::{ControlSettings, spawn};
 use crate::knowledge::{Knowledge, SharedKnowledge};
-use crate::metrics::{NodeState, RelayMetrics};
+use crate::metrics::{NodeMessageKind, NodeState, RelayMetrics};
 use crate::protocol::{ControlStore, Protocol};
 use crate::settings::{RelaySettings, RelaySettingsError};
 
@@ -44,6 +44,9 @@
 /// How often rested connections are closed.
 const TIDY_INTERVAL: Duration = Duration::from_secs(2);
 
+/// How often a node tells what it believes of engines and what it has sent to other nodes.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
+
 /// A peer that asks for readiness or metrics gets this time.
 const SIDE_REQUEST_TIME_LIMIT: Duration = Duration::from_secs(5);
 
@@ -113,11 +116,13 @@
         let accepting = tokio::task::spawn_local(server.serve(Rc::clone(&traffic), phase_receiver));
         log::info!(event = "started", node:% = settings.name, zone:% = settings.zone; "");
         let mut tidy = interval(TIDY_INTERVAL);
+        let mut summary = interval(SUMMARY_INTERVAL);
         loop {
             tokio::select! {
                 _ = stop_signal.recv() => break,
                 _ = reload_signal.recv() => self.reload(),
                 _ = tidy.tick() => tidy_up(&traffic),
+                _ = summary.tick() => log_summary(&traffic),
             }
         }
         stop(self.settings.stop_grace(), &traffic, &phase).await;
@@ -134,6 +139,29 @@
     traffic.readings.refresh(services.filter_map(|service| service.engines).map(|engines| engines.cache_tokens).min());
 }
 
+/// Logs what the node believes of engines, and the bytes that it has sent to other nodes since its start.
+fn log_summary<P>(traffic: &Traffic<P>) {
+    let [prefill, decode, moving] = traffic.readings.with_index(|index| index.model().estimates());
+    log::info!(
+        event = "engines_believed",
+        prefill_rate = prefill.1.value,
+        prefill_samples = prefill.1.samples,
+        decode_rate = decode.1.value,
+        decode_samples = decode.1.samples,
+        move_ms = moving.1.value,
+        move_samples = moving.1.samples;
+        ""
+    );
+    log::info!(
+        event = "node_bytes_sent",
+        readings = traffic.metrics.node_bytes(NodeMessageKind::Readings),
+        kept_parts = traffic.metrics.node_bytes(NodeMessageKind::KeptParts),
+        digests = traffic.metrics.node_bytes(NodeMessageKind::Digest),
+        feeds = traffic.metrics.node_bytes(NodeMessageKind::Feed);
+        ""
+    );
+}
+
 /// A planned stop: not ready at once, then no new connections, then the end of all open requests.
 async fn stop<P>(grace: Duration, traffic: &Traffic<P>, phase: &watch::Sender<ServerPhase>) {
     let began = Instant::now();
@@ -167,6 +195,7 @@
 fn metrics_text<P>(traffic: &Traffic<P>) -> SideAnswer {
     let now = traffic.clock.now();
     let confirmed_at = traffic.knowledge.load().directory_confirmed_at;
+    traffic.readings.with_index(|index| traffic.metrics.set_estimates(index.model()));
     traffic.metrics.set_state(&NodeState {
         open_requests: traffic.active.count(),
         connections: traffic.pool.open_in_all(),
