Operators change placement by a reload; a stream's longest pause is logged

Cause: [placement] could only be set at a start; why streams are late was not to be seen. Change: a reload takes [placement] over for requests placed from then on; request_ended tells pause_ms.

--- a/crates/relay/src/callers/candidates.rs
+++ b/crates/relay/src/callers/candidates.rs
@@ -21,7 +21,7 @@
 ) -> Option<(BackEnd, Duration)> {
     let candidates = candidates(traffic, knowledge, service, traffic.clock.now());
     let avoid = |back_end: &BackEnd| tried.contains(&back_end.id);
-    let choose = |random: &mut fastrand::Rng| place(&candidates, purpose, &traffic.placement, avoid, random);
+    let choose = |random: &mut fastrand::Rng| place(&candidates, purpose, &traffic.placement(), avoid, random);
     let placed = traffic.with_random(choose)?;
     Some((candidates[placed.index].back_end.clone(), placed.reading))
 }
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -336,16 +336,16 @@
     /// first behind those that can be in time.
     fn place_reading(&mut self, prompt: &Prompt) -> Option<BackEnd> {
         let (now, traffic) = (self.traffic.clock.now(), self.traffic);
-        let target = self.request.route.target_latency.mul_f64(traffic.placement.target_share);
+        let target = self.request.route.target_latency.mul_f64(traffic.placement().target_share);
         let in_time = self.request.arrived + target;
         let (mut back_end, mut reading) = self.place_reading_as(prompt, Urgency::InTime)?;
         self.request.urgency = Urgency::InTime;
-        if traffic.placement.orders_by_urgency && now + reading > in_time {
+        if traffic.placement().orders_by_urgency && now + reading > in_time {
             (back_end, reading) = self.place_reading_as(prompt, Urgency::Late)?;
             self.request.urgency = Urgency::Late;
         }
         let ends_after = self.request.ends_at.since(now);
-        if traffic.placement.refuses_early && !self.exchange.may_have_run() && reading > ends_after {
+        if traffic.placement().refuses_early && !self.exchange.may_have_run() && reading > ends_after {
             self.refused_early = Some(NotRunReason::DeadlineUnreachable);
         }
         if let Some(record) = &mut self.record {
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -71,6 +71,10 @@
     pub arrived: Timestamp,
     /// When the first piece of its answer came.
     pub first_piece: Option<Timestamp>,
+    /// When the last piece came.
+    pub last_piece: Option<Timestamp>,
+    /// The longest time between two pieces.
+    pub longest_pause: Option<Duration>,
     /// Counts it as under way at its back end.
     pub in_flight: Option<InFlight>,
     clock: Clock,
@@ -94,6 +98,8 @@
             urgency: None,
             arrived: traffic.clock.now(),
             first_piece: None,
+            last_piece: None,
+            longest_pause: None,
             in_flight: None,
             clock: traffic.clock,
             metrics: traffic.metrics.clone(),
@@ -101,6 +107,13 @@
         }
     }
 
+    /// Notes that a piece of the answer came.
+    pub fn note_piece(&mut self) {
+        let now = self.clock.now();
+        let last = self.last_piece.replace(now).or(self.first_piece);
+        self.longest_pause = self.longest_pause.max(last.map(|last| now.since(last)));
+    }
+
     /// Logs and counts the end of the request, once.
     pub fn finish(&mut self, end: RequestEnd, cause: &'static str) {
         if self.active.take().is_none() {
@@ -124,6 +137,7 @@
             sends = self.sends,
             took_ms = millis(Some(took)),
             first_ms = millis(first),
+            pause_ms = millis(self.longest_pause),
             expected_reading_ms = millis(self.expected_reading),
             late = self.urgency == Some(Urgency::Late),
             configuration = self.configuration,
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -64,7 +64,7 @@
     let prompt = request.long_prompt().filter(|_| !matches!(stage, SendStage::Decode(_)))?;
     let knowledge = traffic.knowledge.load();
     let now = traffic.clock.now();
-    if !traffic.placement.takes_parts_over {
+    if !traffic.placement().takes_parts_over {
         return None;
     }
     let usable = knowledge
@@ -77,7 +77,7 @@
 
 /// Who goes first at `back_end`: engines are told, applications have no such order.
 fn urgency_for<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd) -> Option<EngineUrgency> {
-    let told = traffic.placement.orders_by_urgency && back_end.stage.is_some();
+    let told = traffic.placement().orders_by_urgency && back_end.stage.is_some();
     told.then_some(EngineUrgency { urgency: request.urgency, rank: request.route.priority })
 }
 
--- a/crates/relay/src/callers/stream_body.rs
+++ b/crates/relay/src/callers/stream_body.rs
@@ -65,7 +65,10 @@
         }
         loop {
             match Pin::new(&mut body.incoming).poll_frame(context) {
-                Poll::Ready(Some(Ok(frame))) if frame.is_data() => return Poll::Ready(Some(Ok(frame))),
+                Poll::Ready(Some(Ok(frame))) if frame.is_data() => {
+                    body.record.note_piece();
+                    return Poll::Ready(Some(Ok(frame)));
+                }
                 // Trailers concern the back end's connection only.
                 Poll::Ready(Some(Ok(_))) => {}
                 Poll::Ready(Some(Err(_))) => return body.cut("back_end_broke_off"),
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -29,8 +29,6 @@
     pub loads: BackEndLoads,
     /// The prompts that are read now, and where shared parts are kept.
     pub readings: Readings,
-    /// What placement weighs.
-    pub placement: PlacementConfig,
     /// Counters and histograms.
     pub metrics: RelayMetrics,
     /// Requests that are open now.
@@ -39,6 +37,7 @@
     pub leaving: Cell<bool>,
     budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     budget_config: Cell<SharedRetryBudgetConfig>,
+    placement: Cell<PlacementConfig>,
     splits: RefCell<SplitTurns>,
     random: RefCell<fastrand::Rng>,
 }
@@ -59,7 +58,7 @@
             pool: ConnectionPool::new(PoolLimits::default()),
             loads: BackEndLoads::default(),
             readings: Readings::new(Arc::clone(&knowledge), clock, metrics.clone()),
-            placement,
+            placement: Cell::new(placement),
             knowledge,
             metrics,
             active: ActiveRequests::default(),
@@ -89,6 +88,16 @@
         }
     }
 
+    /// What the placement of requests weighs now.
+    pub fn placement(&self) -> PlacementConfig {
+        self.placement.get()
+    }
+
+    /// Changes what placement weighs, for requests that are placed from now on.
+    pub fn set_placement(&self, placement: PlacementConfig) {
+        self.placement.set(placement);
+    }
+
     /// The repeats that are left for each service.
     pub fn repeats_left(&self) -> Vec<(ServiceName, f64)> {
         let now = self.clock.now();
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -96,9 +96,11 @@
         };
         let needs_restart = !read.is_at_the_same_place(&self.settings);
         self.traffic.set_budget_config(read.retry_budget());
+        self.traffic.set_placement(read.placement());
         self.seeds.send_replace(read.seeds.clone());
         self.settings = read;
-        log::info!(event = "reloaded", seeds = self.settings.seeds.len(), needs_restart; "");
+        let placement = self.traffic.placement();
+        log::info!(event = "reloaded", seeds = self.settings.seeds.len(), placement:? = placement, needs_restart; "");
     }
 
     async fn serve(&mut self) -> io::Result<()> {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -89,8 +89,9 @@
             Some(false) => Affinity::Nothing,
             _ => default.affinity,
         };
-        let backlog =
-            self.backlog_per_request_milliseconds.and_then(|millis| Duration::try_from_secs_f64(millis / 1e3).ok());
+        // A time that is none becomes zero, which the check refuses.
+        let backlog = |millis: f64| Duration::try_from_secs_f64(millis / 1e3).unwrap_or_default();
+        let backlog = self.backlog_per_request_milliseconds.map(backlog);
         PlacementConfig {
             affinity,
             takes_parts_over: self.takes_parts_over.unwrap_or(default.takes_parts_over),
