Datagrams about readings wait until the socket can be written; notices of unknown peers are dropped

Cause: try_send_to says that it would block until the socket was seen to be writable, and nothing waited for that: on loopback both notices of a node that had just read a prompt were never sent (Err(WouldBlock), seen in a trial), and the result was thrown away. Found by the new test between two nodes, which failed before and passes now. Ruled out: the receiver, the codec. Change: send_to is awaited, what can't be sent is counted (not_sent), bytes are counted when they left; a notice whose sender the node has not heard of is dropped and counted.

--- a/crates/relay/src/cache_survey.rs
+++ b/crates/relay/src/cache_survey.rs
@@ -34,7 +34,7 @@
         sleep(TRY_PAUSE).await;
     }
     for attempt in 0..TRIES {
-        traffic.readings.ask_kept();
+        traffic.readings.ask_kept().await;
         sleep(TRY_PAUSE).await;
         if traffic.readings.knows_kept() {
             log::info!(event = "kept_parts_learned", source = "peer", attempt; "");
--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings.rs
@@ -85,7 +85,7 @@
                     continue;
                 };
                 match decode::<ReadingsMessage>(&buffer[..length]) {
-                    Ok(message) => readings.receive(message),
+                    Ok(message) => readings.receive(message).await,
                     Err(_) => readings.shared.metrics.record_dropped_message("malformed"),
                 }
             }
@@ -93,9 +93,12 @@
         Ok(())
     }
 
-    fn receive(&self, message: ReadingsMessage) {
+    async fn receive(&self, message: ReadingsMessage) {
         let now = self.shared.clock.now();
         match message {
+            ReadingsMessage::Notice(notice) if !self.shared.knowledge.load().peers.contains(&notice.sender) => {
+                self.shared.metrics.record_dropped_message("unknown_sender");
+            }
             ReadingsMessage::Notice(notice) => {
                 if !self.shared.index.borrow_mut().receive(notice, now) {
                     self.shared.metrics.record_dropped_message("overtaken");
@@ -104,11 +107,10 @@
             ReadingsMessage::AskKept { sender } => {
                 let knowledge = self.shared.knowledge.load_full();
                 let engines = knowledge.directory.entries().map(|entry| &entry.back_end.id);
-                let index = self.shared.index.borrow();
-                let tell = |kept| {
-                    self.send(&ReadingsMessage::Kept(kept), NodeMessageKind::KeptParts, &[sender]);
-                };
-                index.kept_parts(engines, KEPT_PARTS_TOLD).for_each(tell);
+                let kept: Vec<KeptParts> = self.shared.index.borrow().kept_parts(engines, KEPT_PARTS_TOLD).collect();
+                for kept in kept {
+                    self.send(&ReadingsMessage::Kept(kept), NodeMessageKind::KeptParts, &[sender]).await;
+                }
             }
             ReadingsMessage::Kept(kept) => {
                 let (engine, parts) = (kept.engine.clone(), kept.parts.len());
@@ -119,14 +121,14 @@
     }
 
     /// Asks a few peers what engines keep.
-    pub fn ask_kept(&self) {
+    pub async fn ask_kept(&self) {
         let Some((sender, _)) = *self.shared.socket.borrow() else {
             return;
         };
         let mut peers = (*self.shared.knowledge.load().peers).clone();
         fastrand::shuffle(&mut peers);
         peers.truncate(PEERS_ASKED);
-        self.send(&ReadingsMessage::AskKept { sender }, NodeMessageKind::KeptParts, &peers);
+        self.send(&ReadingsMessage::AskKept { sender }, NodeMessageKind::KeptParts, &peers).await;
     }
 
     /// Whether anything is known of what engines keep.
@@ -143,9 +145,9 @@
 
     /// Sends a message and returns the bytes that went out. One that can't be sent is like one that is lost: later ones
     /// make up for it.
-    fn send(&self, message: &ReadingsMessage, kind: NodeMessageKind, receivers: &[Address]) -> usize {
-        let socket = self.shared.socket.borrow();
-        let (Some((_, socket)), Ok(bytes)) = (socket.as_ref(), encode(message)) else {
+    async fn send(&self, message: &ReadingsMessage, kind: NodeMessageKind, receivers: &[Address]) -> usize {
+        let socket = self.shared.socket.borrow().as_ref().map(|(_, socket)| Rc::clone(socket));
+        let (Some(socket), Ok(bytes)) = (socket, encode(message)) else {
             return 0;
         };
         if bytes.len() > MESSAGE_MAXIMUM_BYTES {
@@ -153,11 +155,15 @@
             log::warn!(event = "message_too_large", bytes = bytes.len(); "");
             return 0;
         }
+        let mut told = 0;
         for receiver in receivers {
-            let _ = socket.try_send_to(&bytes, receiver.0);
+            match socket.send_to(&bytes, receiver.0).await {
+                Ok(_) => told += 1,
+                Err(_) => self.shared.metrics.record_dropped_message("not_sent"),
+            }
         }
-        let sent = (bytes.len() + DATAGRAM_OVERHEAD_BYTES) * receivers.len();
-        self.shared.metrics.record_node_messages(kind, receivers.len(), sent);
+        let sent = (bytes.len() + DATAGRAM_OVERHEAD_BYTES) * told;
+        self.shared.metrics.record_node_messages(kind, told, sent);
         sent
     }
 
@@ -208,7 +214,7 @@
             if !wait.is_zero() {
                 sleep(wait).await;
             }
-            let sent = self.tell_peers();
+            let sent = self.tell_peers().await;
             pace.spend(sent, self.shared.clock.now());
             // What is told a second time, against loss, goes with later news or after a while.
             if !self.shared.has_news.get() && self.shared.index.borrow().has_untold() {
@@ -222,7 +228,7 @@
         self.shared.news.notify_one();
     }
 
-    fn tell_peers(&self) -> usize {
+    async fn tell_peers(&self) -> usize {
         self.shared.has_news.set(false);
         let Some((address, _)) = *self.shared.socket.borrow() else {
             return 0;
@@ -230,9 +236,9 @@
         let sequence = self.shared.sequence.get() + 1;
         self.shared.sequence.set(sequence);
         let notice = self.shared.index.borrow_mut().notice(address, sequence, self.shared.clock.now());
-        let knowledge = self.shared.knowledge.load();
+        let knowledge = self.shared.knowledge.load_full();
         let receivers = &knowledge.peers[..knowledge.peers.len().min(PEERS_TOLD_MAXIMUM)];
-        self.send(&ReadingsMessage::Notice(notice), NodeMessageKind::Readings, receivers)
+        self.send(&ReadingsMessage::Notice(notice), NodeMessageKind::Readings, receivers).await
     }
 }
 
--- /dev/null
+++ b/crates/relay/tests/readings.rs
@@ -0,0 +1,102 @@
+//! What nodes tell each other of readings, over real datagrams.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use havengate_core::back_ends::{BackEnd, BackEndState, EngineStage};
+use havengate_core::relay::{Prompt, PromptPart, Urgency};
+use havengate_core::world::Address;
+use havengate_node::clock::Clock;
+use havengate_relay::knowledge::{Knowledge, SharedKnowledge};
+use havengate_relay::metrics::RelayMetrics;
+use havengate_relay::readings::Readings;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+/// How often a condition is looked at, and how often in all before the test fails.
+const POLL: Duration = Duration::from_millis(10);
+const POLLS: usize = 1_000;
+
+struct Node {
+    address: Address,
+    knowledge: SharedKnowledge,
+    metrics: RelayMetrics,
+    readings: Readings,
+}
+
+impl Node {
+    async fn start() -> Node {
+        let metrics = RelayMetrics::new();
+        let knowledge: SharedKnowledge = Arc::new(ArcSwap::from_pointee(Knowledge::nothing()));
+        let readings = Readings::new(Arc::clone(&knowledge), Clock::start(), metrics.clone());
+        let address = free_address();
+        readings.exchange(address).await.expect("the address is free");
+        Node { address, knowledge, metrics, readings }
+    }
+
+    fn knows(&self, peers: &[&Node]) {
+        let peers = Arc::new(peers.iter().map(|peer| peer.address).collect());
+        self.knowledge.store(Arc::new(Knowledge { peers, ..Knowledge::nothing() }));
+    }
+
+    fn dropped(&self, cause: &str) -> bool {
+        let text = self.metrics.encode().expect("metrics are text");
+        text.contains(&format!("dropped_messages_total{{cause=\"{cause}\"}}"))
+    }
+
+    fn keeps(&self) -> u32 {
+        self.readings.with_index(|index| index.kept_tokens_of(&engine().id, &prompt()))
+    }
+}
+
+fn free_address() -> Address {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("there is a free port");
+    Address(socket.local_addr().expect("the socket is bound"))
+}
+
+fn engine() -> BackEnd {
+    BackEnd {
+        id: "engine-1".into(),
+        service: "model".into(),
+        address: Address(SocketAddr::from(([10, 0, 0, 1], 80))),
+        zone: "zone".into(),
+        slots: 8,
+        state: BackEndState::Ready,
+        stage: Some(EngineStage::Prefill),
+    }
+}
+
+fn prompt() -> Prompt {
+    let part = |id, tokens| PromptPart { id, tokens };
+    Prompt { tokens: 9_000, output_tokens_maximum: 2, parts: vec![part(1, 4_000), part(2, 2_000), part(3, 3_000)] }
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    for _ in 0..POLLS {
+        if condition() {
+            return;
+        }
+        sleep(POLL).await;
+    }
+    panic!("the condition never held");
+}
+
+#[tokio::test]
+async fn only_known_peers_are_believed_and_what_is_dropped_is_counted() {
+    let test = async {
+        let (here, there) = (Node::start().await, Node::start().await);
+        here.knows(&[&there]);
+        here.readings.begin(&engine(), &prompt(), Urgency::InTime).end(true);
+        until(|| there.dropped("unknown_sender")).await;
+        assert_eq!(there.keeps(), 0);
+        there.knows(&[&here]);
+        here.readings.begin(&engine(), &prompt(), Urgency::InTime).end(true);
+        until(|| there.keeps() == 6_000).await;
+        let stranger = UdpSocket::bind("127.0.0.1:0").expect("there is a free port");
+        stranger.send_to(&[0xff; 40], there.address.0).expect("loopback takes datagrams");
+        until(|| there.dropped("malformed")).await;
+    };
+    LocalSet::new().run_until(test).await;
+}
