--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -46,8 +46,6 @@
     Decode {
         /// The zone of the engine that read the prompt, if another did.
         near: Option<&'a ZoneName>,
-        /// The prompt, if it is long.
-        prompt: Option<&'a Prompt>,
         /// What is known of the reading of prompts.
         index: &'a PromptIndex,
         /// The time now.
@@ -118,16 +116,14 @@
             let readers = Readers { candidates, prompt, urgency: *urgency, index, config, now: *now };
             readers.cheapest(indexes, random)
         }
-        Purpose::Decode { near, prompt, index, now } => least(indexes, random, |candidate| {
+        Purpose::Decode { near, index, now } => least(indexes, random, |candidate| {
             let Candidate { back_end, in_flight, .. } = candidates[candidate];
             let elsewhere = near.is_some_and(|zone| back_end.zone != *zone);
             let backlog = index.backlog(&back_end.id, EngineStage::Decode, Urgency::Late, *now);
             let backlog_millis = index.model().reading_millis(EngineStage::Decode, backlog);
-            let kept = prompt.map_or(0.0, |prompt| kept_share(index, back_end, prompt, config));
             f64::from(in_flight)
                 + backlog_millis / millis_of(config.backlog_per_request)
                 + if elsewhere { config.zone_advantage } else { 0.0 }
-                - kept * config.keeper_advantage
         })
         .map(at_once),
         Purpose::Application => {
@@ -136,15 +132,6 @@
     }
 }
 
-/// The share of a prompt's shared parts that an engine keeps, from 0 to 1.
-fn kept_share(index: &PromptIndex, back_end: &BackEnd, prompt: &Prompt, config: &PlacementConfig) -> f64 {
-    let shared: u32 = prompt.shared_parts().iter().map(|part| part.tokens).sum();
-    if shared == 0 || config.affinity == Affinity::Nothing {
-        return 0.0;
-    }
-    f64::from(index.kept_tokens_of(&back_end.id, prompt)) / f64::from(shared)
-}
-
 /// The choice of the engine that reads a prompt.
 struct Readers<'a> {
     candidates: &'a [Candidate<'a>],
--- a/crates/core/src/relay/placement_config.rs
+++ b/crates/core/src/relay/placement_config.rs
@@ -26,9 +26,6 @@
     /// Requests that an engine in another zone must have fewer to be preferred to one in the prompt's zone: a KV cache
     /// takes twice as long between zones.
     pub zone_advantage: f64,
-    /// Requests that an engine must have fewer to be preferred to one that keeps all shared parts of the prompt: a part
-    /// that is kept twice leaves less room for others.
-    pub keeper_advantage: f64,
     /// Whether engines are told who goes first: urgent routes before others, and requests that can be in time before those
     /// that are late.
     pub orders_by_urgency: bool,
@@ -53,7 +50,6 @@
             decode_engines_read: true,
             decode_interference: 1.75,
             zone_advantage: 2.0,
-            keeper_advantage: 2.0,
             orders_by_urgency: true,
             refuses_early: true,
             target_share: 1.5,
@@ -75,9 +71,6 @@
         if !within(self.zone_advantage, 0.0) {
             return Err(PlacementConfigError("zone_advantage: 0 to 1000"));
         }
-        if !within(self.keeper_advantage, 0.0) {
-            return Err(PlacementConfigError("keeper_advantage: 0 to 1000"));
-        }
         if !within(self.target_share, 0.0) {
             return Err(PlacementConfigError("target_share: 0 to 1000"));
         }
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -327,9 +327,7 @@
     fn place_decode(&mut self, near: Option<&ZoneName>) -> Option<BackEnd> {
         let now = self.traffic.clock.now();
         let traffic = self.traffic;
-        let prompt = self.request.long_prompt().cloned();
-        let prompt = prompt.as_ref();
-        traffic.readings.with_index(|index| self.place(&Purpose::Decode { near, prompt, index, now }))
+        traffic.readings.with_index(|index| self.place(&Purpose::Decode { near, index, now }))
     }
 
     /// Chooses the engine that reads the prompt: one that has it read in time, or, when none can, the one that has it read
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -70,8 +70,6 @@
     pub decode_interference: Option<f64>,
     /// Requests that an engine in another zone must have fewer.
     pub zone_advantage: Option<f64>,
-    /// Requests that an engine must have fewer than one that keeps all shared parts.
-    pub keeper_advantage: Option<f64>,
     /// Whether engines are told who goes first.
     pub orders_by_urgency: Option<bool>,
     /// Whether requests are refused that can't be answered in time.
@@ -98,7 +96,6 @@
             decode_engines_read: self.decode_engines_read.unwrap_or(default.decode_engines_read),
             decode_interference: self.decode_interference.unwrap_or(default.decode_interference),
             zone_advantage: self.zone_advantage.unwrap_or(default.zone_advantage),
-            keeper_advantage: self.keeper_advantage.unwrap_or(default.keeper_advantage),
             orders_by_urgency: self.orders_by_urgency.unwrap_or(default.orders_by_urgency),
             refuses_early: self.refuses_early.unwrap_or(default.refuses_early),
             target_share: self.target_share.unwrap_or(default.target_share),
