A prompt is refused early only where it waits for others

Change: placement tells whether the prompt waits behind others, and only that is hopeless; a test that fails without it. DATAGRAM_OVERHEAD_BYTES stands once.

--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -71,6 +71,18 @@
     pub index: usize,
     /// The time until a prompt is expected to be read there and ready for its answer; zero where nothing is read.
     pub reading: Duration,
+    /// Whether the prompt waits for others there.
+    pub waits: bool,
+}
+
+impl Placed {
+    /// Whether a request that must end within `left` is better refused than sent.
+    ///
+    /// Only what waits for others is refused: were an engine with nothing to do taken for too slow, nothing would be sent
+    /// there any more that could show the contrary.
+    pub fn is_hopeless(&self, left: Duration) -> bool {
+        self.waits && self.reading > left
+    }
 }
 
 /// The candidate that the request is sent to; `None` when none may be used.
@@ -110,7 +122,7 @@
     config: &PlacementConfig,
     random: &mut fastrand::Rng,
 ) -> Option<Placed> {
-    let at_once = |index| Placed { index, reading: Duration::ZERO };
+    let at_once = |index| Placed { index, reading: Duration::ZERO, waits: false };
     match purpose {
         Purpose::Read { prompt, urgency, index, now } => {
             let readers = Readers { candidates, prompt, urgency: *urgency, index, config, now: *now };
@@ -152,7 +164,8 @@
         let kept_anywhere = indexes.iter().map(|index| self.kept(*index)).max().unwrap_or(0);
         let cost = |index: &usize| (self.cost_millis(*index, kept_anywhere) * 1e3) as u64;
         let index = ranked.into_iter().min_by_key(cost)?;
-        Some(Placed { index, reading: self.expected(index, kept_anywhere) })
+        let waits = self.backlog(index) > 0.0;
+        Some(Placed { index, reading: self.expected(index, kept_anywhere), waits })
     }
 
     fn kept(&self, index: usize) -> u32 {
@@ -162,6 +175,13 @@
         }
     }
 
+    /// The tokens that are read before the prompt.
+    fn backlog(&self, index: usize) -> f64 {
+        let back_end = self.candidates[index].back_end;
+        let stage = back_end.stage.unwrap_or(EngineStage::Decode);
+        self.index.backlog(&back_end.id, stage, self.urgency, self.now)
+    }
+
     /// What it costs, in milliseconds: the time until the prompt is ready for its answer, and what a decode engine's
     /// reading costs others.
     fn cost_millis(&self, index: usize, kept_anywhere: u32) -> f64 {
@@ -180,8 +200,7 @@
         let kept = self.kept(index);
         let taken_over = if self.config.takes_parts_over { kept_anywhere.saturating_sub(kept) } else { 0 };
         let unread = self.prompt.tokens.saturating_sub(kept + taken_over);
-        let backlog = self.index.backlog(&back_end.id, stage, self.urgency, self.now);
-        let reading = model.reading_millis(stage, backlog + f64::from(unread));
+        let reading = model.reading_millis(stage, self.backlog(index) + f64::from(unread));
         let taking_over = model.move_millis(f64::from(taken_over));
         let handing_over = match stage {
             EngineStage::Prefill => model.move_millis(f64::from(self.prompt.tokens)),
--- a/crates/core/tests/relay_placement.rs
+++ b/crates/core/tests/relay_placement.rs
@@ -217,3 +217,25 @@
     ];
     assert!(wrong.iter().all(|config| config.validate().is_err()));
 }
+
+#[test]
+fn a_request_is_hopeless_only_where_it_waits_for_others() {
+    let engines = prefill_engines(1);
+    let candidates = [candidate(&engines[0])];
+    let mut index = index();
+    let place_now = |index: &PromptIndex| {
+        let purpose = Purpose::Read { prompt: &prompt(1), urgency: Urgency::Late, index, now: NOW };
+        let random = &mut fastrand::Rng::with_seed(1);
+        place(&candidates, &purpose, &PlacementConfig::default(), |_| false, random).expect("there is an engine")
+    };
+    for _ in 0..400 {
+        index.model_mut().observe_reading(EngineStage::Prefill, 10_000, std::time::Duration::from_secs(60));
+    }
+    let left = std::time::Duration::from_secs(2);
+    let idle = place_now(&index);
+    assert!(idle.reading > left && !idle.is_hopeless(left), "only a send there can show that it is fast again");
+    let reading = index.begin(&engines[0].id, &prompt(2), Urgency::InTime, NOW);
+    assert!(place_now(&index).is_hopeless(left));
+    index.end(reading, true, NOW);
+    assert!(!place_now(&index).is_hopeless(left));
+}
--- a/crates/relay/src/callers/candidates.rs
+++ b/crates/relay/src/callers/candidates.rs
@@ -1,9 +1,7 @@
 //! The back ends that a request may be sent to, as this node sees them now.
 
-use std::time::Duration;
-
 use havengate_core::back_ends::BackEnd;
-use havengate_core::relay::{Candidate, Purpose, place};
+use havengate_core::relay::{Candidate, Placed, Purpose, place};
 use havengate_core::time::Timestamp;
 use havengate_core::world::{BackEndId, ServiceName};
 
@@ -18,12 +16,12 @@
     service: &ServiceName,
     purpose: &Purpose<'_>,
     tried: &[BackEndId],
-) -> Option<(BackEnd, Duration)> {
+) -> Option<(BackEnd, Placed)> {
     let candidates = candidates(traffic, knowledge, service, traffic.clock.now());
     let avoid = |back_end: &BackEnd| tried.contains(&back_end.id);
     let choose = |random: &mut fastrand::Rng| place(&candidates, purpose, &traffic.placement(), avoid, random);
     let placed = traffic.with_random(choose)?;
-    Some((candidates[placed.index].back_end.clone(), placed.reading))
+    Some((candidates[placed.index].back_end.clone(), placed))
 }
 
 fn candidates<'k, P>(
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -1,11 +1,11 @@
 //! Drives one request: places it, sends it, and acts on the outcome until there is an answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use havengate_core::back_ends::{BackEnd, EngineStage};
-use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Prompt, Purpose, SendOutcome, Urgency};
+use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Placed, Prompt, Purpose, SendOutcome, Urgency};
 use havengate_core::routing::Route;
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{MayHaveRun, NotRunReason};
@@ -336,24 +336,24 @@
         let (now, traffic) = (self.traffic.clock.now(), self.traffic);
         let target = self.request.route.target_latency.mul_f64(traffic.placement().target_share);
         let in_time = self.request.arrived + target;
-        let (mut back_end, mut reading) = self.place_reading_as(prompt, Urgency::InTime)?;
+        let (mut back_end, mut placed) = self.place_reading_as(prompt, Urgency::InTime)?;
         self.request.urgency = Urgency::InTime;
-        if traffic.placement().orders_by_urgency && now + reading > in_time {
-            (back_end, reading) = self.place_reading_as(prompt, Urgency::Late)?;
+        if traffic.placement().orders_by_urgency && now + placed.reading > in_time {
+            (back_end, placed) = self.place_reading_as(prompt, Urgency::Late)?;
             self.request.urgency = Urgency::Late;
         }
-        let ends_after = self.request.ends_at.since(now);
-        if traffic.placement().refuses_early && !self.exchange.may_have_run() && reading > ends_after {
+        let left = self.request.ends_at.since(now);
+        if traffic.placement().refuses_early && placed.is_hopeless(left) {
             self.refused_early = Some(NotRunReason::DeadlineUnreachable);
         }
         if let Some(record) = &mut self.record {
-            record.expected_reading = Some(reading);
+            record.expected_reading = Some(placed.reading);
             record.urgency = Some(self.request.urgency);
         }
         Some(back_end)
     }
 
-    fn place_reading_as(&mut self, prompt: &Prompt, urgency: Urgency) -> Option<(BackEnd, Duration)> {
+    fn place_reading_as(&mut self, prompt: &Prompt, urgency: Urgency) -> Option<(BackEnd, Placed)> {
         let (now, traffic) = (self.traffic.clock.now(), self.traffic);
         traffic.readings.with_index(|index| self.place_expecting(&Purpose::Read { prompt, urgency, index, now }))
     }
@@ -362,7 +362,7 @@
         self.place_expecting(purpose).map(|(back_end, _)| back_end)
     }
 
-    fn place_expecting(&mut self, purpose: &Purpose<'_>) -> Option<(BackEnd, Duration)> {
+    fn place_expecting(&mut self, purpose: &Purpose<'_>) -> Option<(BackEnd, Placed)> {
         let knowledge = self.traffic.knowledge.load_full();
         let now = self.traffic.clock.now();
         if let Some(record) = &mut self.record {
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -18,7 +18,7 @@
 use super::learner::Learner;
 use super::reader_role::ReaderRole;
 use crate::callers::listen;
-use crate::metrics::{NodeMessageKind, RelayMetrics};
+use crate::metrics::{DATAGRAM_OVERHEAD_BYTES, NodeMessageKind, RelayMetrics};
 
 /// How often a digest is sent. News reaches all of ten nodes in two or three rounds.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
@@ -26,9 +26,6 @@
 /// Digests are a few hundred bytes; anything larger is none.
 const DATAGRAM_MAXIMUM_BYTES: usize = 1_400;
 
-/// The bytes that a datagram takes beside what is in it.
-const DATAGRAM_OVERHEAD_BYTES: usize = 28;
-
 /// A directory that the store has confirmed within this time needs no peer.
 const DIRECTORY_FRESH: Duration = Duration::from_millis(500);
 
--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::knowledge::SharedKnowledge;
-use crate::metrics::{NodeMessageKind, RelayMetrics};
+use crate::metrics::{DATAGRAM_OVERHEAD_BYTES, NodeMessageKind, RelayMetrics};
 
 /// A message of more bytes would be split on its way. Notices are cut to fit; what one engine keeps is told in part.
 const MESSAGE_MAXIMUM_BYTES: usize = 1_400;
@@ -57,9 +57,6 @@
 /// How long a finished reading waits at most to be told once more.
 const REPEAT_PAUSE: Duration = Duration::from_millis(200);
 
-/// The bytes that a datagram takes beside what is in it.
-const DATAGRAM_OVERHEAD_BYTES: usize = 28;
-
 impl Readings {
     /// Readings that are not exchanged with peers yet.
     pub fn new(knowledge: SharedKnowledge, clock: Clock, metrics: RelayMetrics) -> Self {
