--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -16,3 +16,4 @@
 pub use config::{LimitConfig, LimitConfigError};
 pub use limiter::{Permit, TenantLimiter};
 pub use message::{LeaseGrant, LeaseRequest, Share};
+pub(crate) use token_bucket::TokenBucket;
--- a/crates/core/src/limits/token_bucket.rs
+++ b/crates/core/src/limits/token_bucket.rs
@@ -6,7 +6,7 @@
 
 /// Work in tokens that may be admitted now. The balance is negative after a request of more work than the bucket holds.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct TokenBucket {
+pub struct TokenBucket {
     balance: f64,
     rate: f64,
     burst: Duration,
@@ -48,6 +48,12 @@
         is_there
     }
 
+    /// Takes tokens whether they are there or not: what is missing becomes a debt.
+    pub fn take(&mut self, tokens: f64, now: Timestamp) {
+        self.fill(now);
+        self.balance -= tokens;
+    }
+
     /// Takes as many of the tokens as are there.
     pub fn take_up_to(&mut self, tokens: f64, now: Timestamp) -> f64 {
         self.fill(now);
--- a/crates/core/src/relay/engine_cache.rs
+++ b/crates/core/src/relay/engine_cache.rs
@@ -28,17 +28,22 @@
     /// The tokens at the start of a prompt that need not be read again, with `room` tokens believed to be kept: the
     /// shared parts from the first up to the first that is missing.
     pub(super) fn kept_tokens_of(&self, shared_parts: &[PromptPart], room: u64) -> u32 {
-        shared_parts.iter().take_while(|part| self.keeps(part.id, room)).map(|part| part.tokens).sum()
+        self.kept_start(shared_parts, room).map(|(part, _)| part.tokens).sum()
     }
 
     /// When the last of the shared parts that are kept from the start was used; `None` when not even the first is kept.
     pub(super) fn used_at(&self, shared_parts: &[PromptPart], room: u64) -> Option<Timestamp> {
-        let kept = shared_parts.iter().take_while(|part| self.keeps(part.id, room));
-        kept.last().and_then(|part| self.parts.get(&part.id)).map(|kept| kept.used_at)
+        self.kept_start(shared_parts, room).last().map(|(_, kept)| kept.used_at)
     }
 
-    fn keeps(&self, id: u64, room: u64) -> bool {
-        self.parts.get(&id).is_some_and(|kept| self.brought - kept.brought_before < room)
+    /// The shared parts from the first up to the first that is missing, and what is known of each.
+    fn kept_start<'p>(
+        &self,
+        shared_parts: &'p [PromptPart],
+        room: u64,
+    ) -> impl Iterator<Item = (&'p PromptPart, &KeptPart)> {
+        let kept = move |id: u64| self.parts.get(&id).filter(|kept| self.brought - kept.brought_before < room);
+        shared_parts.iter().map_while(move |part| Some((part, kept(part.id)?)))
     }
 
     /// Notes that the engine has read a prompt of `tokens`, or got its KV cache: each shared part is used now, and what
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -19,7 +19,7 @@
 pub use exchange::{Exchange, ExchangeRules, NextStep, SendOutcome};
 pub use open_readings::ReadingId;
 pub use placement::{Candidate, Placed, Purpose, place};
-pub use placement_config::{Affinity, PlacementConfig, PlacementConfigError};
+pub use placement_config::{PlacementConfig, PlacementConfigError};
 pub use prompt::{Prompt, PromptPart};
 pub use prompt_index::{PromptIndex, PromptIndexConfig};
 pub use readings_message::{FinishedReading, KeptParts, OpenReadings, ReadingsMessage, ReadingsNotice, ToldPart};
--- a/crates/core/src/relay/open_readings.rs
+++ b/crates/core/src/relay/open_readings.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use super::engine_tag::EngineTag;
+use super::prompt::PromptPart;
 use super::readings_message::OpenReadings;
 use super::urgency::Urgency;
+use crate::back_ends::EngineStage;
 use crate::time::Timestamp;
 use crate::world::Address;
 
@@ -17,12 +19,18 @@
 pub struct ReadingId(pub(super) u64);
 
 /// One of this node's own readings that is open.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct OwnReading {
     pub(super) engine: EngineTag,
+    /// The tokens that the engine has to read, without those that it kept.
     pub(super) tokens: u32,
     pub(super) urgency: Urgency,
     pub(super) began: Timestamp,
+    /// The stage of an engine that had nothing else to read: such a reading shows how fast engines read.
+    pub(super) alone_at: Option<EngineStage>,
+    pub(super) shared_parts: Vec<PromptPart>,
+    /// The tokens of the whole prompt.
+    pub(super) prompt_tokens: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::placement_config::{Affinity, PlacementConfig};
+use super::placement_config::PlacementConfig;
 use super::prompt::Prompt;
 use super::prompt_index::PromptIndex;
 use super::urgency::Urgency;
@@ -35,8 +35,8 @@
     Read {
         /// The prompt.
         prompt: &'a Prompt,
-        /// Whether it can be in time.
-        urgency: Urgency,
+        /// The time within which it has to be read to be in time.
+        in_time: Duration,
         /// What is known of the reading of prompts.
         index: &'a PromptIndex,
         /// The time now.
@@ -73,6 +73,8 @@
     pub reading: Duration,
     /// Whether the prompt waits for others there.
     pub waits: bool,
+    /// Whether it is expected to be in time.
+    pub urgency: Urgency,
 }
 
 impl Placed {
@@ -122,11 +124,11 @@
     config: &PlacementConfig,
     random: &mut fastrand::Rng,
 ) -> Option<Placed> {
-    let at_once = |index| Placed { index, reading: Duration::ZERO, waits: false };
+    let at_once = |index| Placed { index, reading: Duration::ZERO, waits: false, urgency: Urgency::InTime };
     match purpose {
-        Purpose::Read { prompt, urgency, index, now } => {
-            let readers = Readers { candidates, prompt, urgency: *urgency, index, config, now: *now };
-            readers.cheapest(indexes, random)
+        Purpose::Read { prompt, in_time, index, now } => {
+            let readers = Readers { candidates, prompt, index, config, now: *now };
+            readers.choose(indexes, *in_time, random)
         }
         Purpose::Decode { near, index, now } => least(indexes, random, |candidate| {
             let Candidate { back_end, in_flight, .. } = candidates[candidate];
@@ -134,7 +136,7 @@
             let backlog = index.backlog(&back_end.id, EngineStage::Decode, Urgency::Late, *now);
             let backlog_millis = index.model().reading_millis(EngineStage::Decode, backlog);
             f64::from(in_flight)
-                + backlog_millis / millis_of(config.backlog_per_request)
+                + backlog_millis / config.backlog_per_request_milliseconds
                 + if elsewhere { config.zone_advantage } else { 0.0 }
         })
         .map(at_once),
@@ -148,65 +150,71 @@
 struct Readers<'a> {
     candidates: &'a [Candidate<'a>],
     prompt: &'a Prompt,
-    urgency: Urgency,
     index: &'a PromptIndex,
     config: &'a PlacementConfig,
     now: Timestamp,
 }
 
 impl Readers<'_> {
-    /// The candidate that has the prompt ready for its answer first. All nodes rank engines of equal cost alike, so that a
-    /// part that nobody has read yet is read once.
-    fn cheapest(&self, indexes: &[usize], random: &mut fastrand::Rng) -> Option<Placed> {
+    /// One that has the prompt read in time, or, when none can, the one that has it read first behind those that can be.
+    fn choose(&self, indexes: &[usize], in_time: Duration, random: &mut fastrand::Rng) -> Option<Placed> {
+        let ranked = self.ranked(indexes, random);
+        let placed = self.cheapest(&ranked, Urgency::InTime)?;
+        if self.config.orders_by_urgency && placed.reading > in_time {
+            return self.cheapest(&ranked, Urgency::Late);
+        }
+        Some(placed)
+    }
+
+    /// All nodes rank the engines alike, so that a part that nobody has read yet is read once.
+    fn ranked(&self, indexes: &[usize], random: &mut fastrand::Rng) -> Vec<usize> {
         let address = |index: &usize| self.candidates[*index].back_end.address;
         let key = self.prompt.deepest_shared_part().map_or_else(|| random.u64(..), |part| part.id);
-        let ranked = rank_by_address(&key.to_be_bytes(), indexes.iter().copied(), address);
-        let kept_anywhere = indexes.iter().map(|index| self.kept(*index)).max().unwrap_or(0);
-        let cost = |index: &usize| (self.cost_millis(*index, kept_anywhere) * 1e3) as u64;
-        let index = ranked.into_iter().min_by_key(cost)?;
-        let waits = self.backlog(index) > 0.0;
-        Some(Placed { index, reading: self.expected(index, kept_anywhere), waits })
+        rank_by_address(&key.to_be_bytes(), indexes.iter().copied(), address)
     }
 
-    fn kept(&self, index: usize) -> u32 {
-        match self.config.affinity {
-            Affinity::AllParts => self.index.kept_tokens_of(&self.candidates[index].back_end.id, self.prompt),
-            Affinity::Nothing => 0,
-        }
+    /// The candidate with the least cost for a prompt of `urgency`, of equal ones the first in rank.
+    fn cheapest(&self, ranked: &[usize], urgency: Urgency) -> Option<Placed> {
+        let kept_anywhere = ranked.iter().map(|index| self.kept(*index)).max().unwrap_or(0);
+        let expected = ranked.iter().map(|index| self.expected(*index, kept_anywhere, urgency));
+        expected.min_by_key(|placed| (self.cost_millis(placed) * 1e3) as u64)
     }
 
-    /// The tokens that are read before the prompt.
-    fn backlog(&self, index: usize) -> f64 {
-        let back_end = self.candidates[index].back_end;
-        let stage = back_end.stage.unwrap_or(EngineStage::Decode);
-        self.index.backlog(&back_end.id, stage, self.urgency, self.now)
+    /// The tokens of the prompt that need not be read, as far as that counts.
+    fn kept(&self, index: usize) -> u32 {
+        if self.config.affinity {
+            self.index.kept_tokens_of(&self.candidates[index].back_end.id, self.prompt)
+        } else {
+            0
+        }
     }
 
     /// What it costs, in milliseconds: the time until the prompt is ready for its answer, and what a decode engine's
     /// reading costs others.
-    fn cost_millis(&self, index: usize, kept_anywhere: u32) -> f64 {
-        let expected = millis_of(self.expected(index, kept_anywhere));
-        match self.candidates[index].back_end.stage {
-            Some(EngineStage::Prefill) => expected,
-            _ => expected * self.config.decode_interference,
+    fn cost_millis(&self, placed: &Placed) -> f64 {
+        match self.candidates[placed.index].back_end.stage {
+            Some(EngineStage::Prefill) => millis_of(placed.reading),
+            _ => millis_of(placed.reading) * self.config.decode_interference,
         }
     }
 
-    /// The time until the prompt is read and its KV cache is where it is answered.
-    fn expected(&self, index: usize, kept_anywhere: u32) -> Duration {
+    /// When the prompt would be read and its KV cache be where it is answered.
+    fn expected(&self, index: usize, kept_anywhere: u32, urgency: Urgency) -> Placed {
         let back_end = self.candidates[index].back_end;
         let stage = back_end.stage.unwrap_or(EngineStage::Decode);
         let model = self.index.model();
         let kept = self.kept(index);
         let taken_over = if self.config.takes_parts_over { kept_anywhere.saturating_sub(kept) } else { 0 };
         let unread = self.prompt.tokens.saturating_sub(kept + taken_over);
-        let reading = model.reading_millis(stage, self.backlog(index) + f64::from(unread));
+        let backlog = self.index.backlog(&back_end.id, stage, urgency, self.now);
+        let reading = model.reading_millis(stage, backlog + f64::from(unread));
         let taking_over = model.move_millis(f64::from(taken_over));
         let handing_over = match stage {
             EngineStage::Prefill => model.move_millis(f64::from(self.prompt.tokens)),
             EngineStage::Decode => 0.0,
         };
-        Duration::from_secs_f64((reading + taking_over + handing_over) / 1e3)
+        let reading = Duration::from_secs_f64((reading + taking_over + handing_over) / 1e3);
+        Placed { index, reading, waits: backlog > 0.0, urgency }
     }
 }
 
--- a/crates/core/src/relay/placement_config.rs
+++ b/crates/core/src/relay/placement_config.rs
@@ -1,22 +1,13 @@
 //! What placement weighs, as operators set it: each mechanism can be switched off to see what it is worth.
 
-use std::time::Duration;
+use serde::Deserialize;
 
-/// How much of a prompt's shared parts placement looks at.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Affinity {
-    /// The whole chain: each part that an engine keeps, with all before it, need not be read again.
-    #[default]
-    AllParts,
-    /// None: an engine is taken to keep nothing.
-    Nothing,
-}
-
-/// What placement weighs.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// What placement weighs. What a settings file leaves out has its default.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct PlacementConfig {
-    /// How much of a prompt's shared parts counts.
-    pub affinity: Affinity,
+    /// Whether what engines keep counts: each shared part that an engine keeps, with all before it, need not be read again.
+    pub affinity: bool,
     /// Whether an engine takes parts over from another one that keeps them instead of reading them.
     pub takes_parts_over: bool,
     /// Whether decode engines are candidates for reading long prompts.
@@ -34,8 +25,9 @@
     /// The share of a target within which a prompt must be expected to be read, for the request to count as in time. More
     /// than 1: what is expected is not exact, and one that is put behind others is late for sure.
     pub target_share: f64,
-    /// The time that an engine has still to read that counts like a request under way there.
-    pub backlog_per_request: Duration,
+    /// The time that an engine has still to read that counts like a request under way there, in milliseconds: short
+    /// prompts wait behind long ones.
+    pub backlog_per_request_milliseconds: f64,
 }
 
 /// a placement value is out of its range: {0}
@@ -45,7 +37,7 @@
 impl Default for PlacementConfig {
     fn default() -> Self {
         PlacementConfig {
-            affinity: Affinity::AllParts,
+            affinity: true,
             takes_parts_over: true,
             decode_engines_read: true,
             decode_interference: 1.75,
@@ -53,7 +45,7 @@
             orders_by_urgency: true,
             refuses_early: true,
             target_share: 1.5,
-            backlog_per_request: Duration::from_millis(20),
+            backlog_per_request_milliseconds: 20.0,
         }
     }
 }
@@ -74,7 +66,7 @@
         if !within(self.target_share, 0.0) {
             return Err(PlacementConfigError("target_share: 0 to 1000"));
         }
-        if self.backlog_per_request.is_zero() {
+        if !(self.backlog_per_request_milliseconds.is_finite() && self.backlog_per_request_milliseconds > 0.0) {
             return Err(PlacementConfigError("backlog_per_request_milliseconds: more than 0"));
         }
         Ok(())
--- a/crates/core/src/relay/prompt_index.rs
+++ b/crates/core/src/relay/prompt_index.rs
@@ -1,7 +1,7 @@
 //! Which engine reads which prompts now, and which shared parts each has read: from this node's own requests and from
 //! what its peers tell.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use super::engine_cache::EngineCache;
@@ -72,12 +72,6 @@
     heard_at: Timestamp,
 }
 
-#[derive(Clone, Debug)]
-struct OwnPrompt {
-    shared_parts: Vec<PromptPart>,
-    tokens: u32,
-}
-
 #[derive(Clone, Debug)]
 struct Untold {
     number: u64,
@@ -92,7 +86,6 @@
     model: EngineModel,
     next: u64,
     open: OpenTable,
-    own_prompts: HashMap<ReadingId, OwnPrompt>,
     finished_count: u64,
     untold: VecDeque<Untold>,
     peers: HashMap<Address, PeerState>,
@@ -110,40 +103,46 @@
         &self.model
     }
 
-    /// What is believed of the engines' speed, to note what a send shows.
-    pub fn model_mut(&mut self) -> &mut EngineModel {
-        &mut self.model
-    }
-
     /// Notes that `engine` begins to read `prompt` for this node.
-    pub fn begin(&mut self, engine: &BackEndId, prompt: &Prompt, urgency: Urgency, now: Timestamp) -> ReadingId {
+    pub fn begin(&mut self, engine: &BackEnd, prompt: &Prompt, urgency: Urgency, now: Timestamp) -> ReadingId {
         let id = ReadingId(self.next);
         self.next += 1;
-        let reading = OwnReading { engine: engine.into(), tokens: self.unread(engine, prompt), urgency, began: now };
+        let is_idle = |stage: &EngineStage| self.backlog(&engine.id, *stage, Urgency::Late, now) <= 0.0;
+        let reading = OwnReading {
+            engine: (&engine.id).into(),
+            tokens: prompt.tokens.saturating_sub(self.kept_tokens_of(&engine.id, prompt)),
+            urgency,
+            began: now,
+            alone_at: engine.stage.filter(is_idle),
+            shared_parts: prompt.shared_parts().to_vec(),
+            prompt_tokens: prompt.tokens,
+        };
         self.open.begin(id, reading);
-        let shared_parts = prompt.shared_parts().to_vec();
-        self.own_prompts.insert(id, OwnPrompt { shared_parts, tokens: prompt.tokens });
         id
     }
 
     /// Notes that one of this node's readings has ended, whole or not.
     pub fn end(&mut self, id: ReadingId, whole: bool, now: Timestamp) {
-        let (Some(reading), Some(prompt)) = (self.open.end(id, now), self.own_prompts.remove(&id)) else {
+        let Some(reading) = self.open.end(id, now).filter(|_| whole) else {
             return;
         };
-        if whole && !prompt.shared_parts.is_empty() {
-            self.finish(reading.engine, prompt.shared_parts, prompt.tokens, now);
+        if let Some(stage) = reading.alone_at {
+            self.model.observe_reading(stage, reading.tokens, now.since(reading.began));
         }
+        self.finish(reading.engine, reading.shared_parts, reading.prompt_tokens, now);
     }
 
-    /// Notes that `engine` has got the KV cache of `prompt` from another one, and keeps its shared parts from now on.
-    pub fn moved(&mut self, engine: &BackEndId, prompt: &Prompt, now: Timestamp) {
-        if !prompt.shared_parts().is_empty() {
-            self.finish(engine.into(), prompt.shared_parts().to_vec(), prompt.tokens, now);
-        }
+    /// Notes that `engine` has got the KV cache of `prompt` from another one, and keeps its shared parts from now on. It
+    /// began its answer `took` after it was sent there.
+    pub fn moved(&mut self, engine: &BackEndId, prompt: &Prompt, took: Duration, now: Timestamp) {
+        self.model.observe_move(prompt.tokens, took);
+        self.finish(engine.into(), prompt.shared_parts().to_vec(), prompt.tokens, now);
     }
 
     fn finish(&mut self, engine: EngineTag, shared_parts: Vec<PromptPart>, tokens: u32, now: Timestamp) {
+        if shared_parts.is_empty() {
+            return;
+        }
         self.finished_count += 1;
         let reading = FinishedReading { engine, shared_parts, tokens };
         self.keep(&reading, now);
@@ -231,7 +230,7 @@
 
     /// Forgets engines that are not among `present`, and peers that told nothing for long.
     pub fn retain_engines<'e>(&mut self, present: impl Iterator<Item = &'e BackEndId>, now: Timestamp) {
-        let present: std::collections::HashSet<EngineTag> = present.map(EngineTag::from).collect();
+        let present: HashSet<EngineTag> = present.map(EngineTag::from).collect();
         self.kept.retain(|engine, _| present.contains(engine));
         self.open.retain_engines(|engine| present.contains(&engine));
         let forgotten = self.config.peer_forgotten;
@@ -254,18 +253,14 @@
         cache.map_or(0, |cache| cache.kept_tokens_of(prompt.shared_parts(), self.room()))
     }
 
-    fn unread(&self, engine: &BackEndId, prompt: &Prompt) -> u32 {
-        prompt.tokens.saturating_sub(self.kept_tokens_of(engine, prompt))
-    }
-
-    /// The engine among `others` that keeps more of the start of `prompt` than `reader` does, and how many tokens: the
-    /// one that keeps most, and of those the one that used it last.
+    /// The engine among `others` that keeps more of the start of `prompt` than `reader` does: the one that keeps most, and
+    /// of those the one that used it last.
     pub fn keeper<'b>(
         &self,
         reader: &BackEndId,
         prompt: &Prompt,
         others: impl Iterator<Item = &'b BackEnd>,
-    ) -> Option<(&'b BackEnd, u32)> {
+    ) -> Option<&'b BackEnd> {
         let own = self.kept_tokens_of(reader, prompt);
         let keepers = others.filter_map(|other| {
             let cache = self.kept.get(&(&other.id).into())?;
@@ -274,7 +269,7 @@
             (kept > own && other.id != *reader).then_some((kept, used_at, other))
         });
         let best = keepers.max_by_key(|(kept, used_at, other)| (*kept, *used_at, &other.id));
-        best.map(|(kept, _, other)| (other, kept))
+        best.map(|(_, _, other)| other)
     }
 
     fn keep(&mut self, finished: &FinishedReading, now: Timestamp) {
--- a/crates/core/src/relay/telling_pace.rs
+++ b/crates/core/src/relay/telling_pace.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use crate::limits::TokenBucket;
 use crate::time::Timestamp;
 
 /// Limits of a [`TellingPace`].
@@ -20,41 +21,31 @@
     }
 }
 
-/// A token bucket that goes into debt: what was sent is taken out, and nothing is sent while it is below zero.
+/// A bucket of bytes that goes into debt: what was sent is taken out, and nothing is sent while it is below zero.
 ///
 /// Invariant: in any span of time, at most its bytes, the burst and one message to every receiver are sent.
 #[derive(Clone, Copy, Debug)]
 pub struct TellingPace {
-    config: TellingPaceConfig,
-    left: f64,
-    at: Timestamp,
+    bytes: TokenBucket,
 }
 
 impl TellingPace {
     /// A pace of which nothing is spent.
     pub fn new(config: TellingPaceConfig, now: Timestamp) -> Self {
-        TellingPace { config, left: config.bytes_per_second * config.burst.as_secs_f64(), at: now }
+        let mut bytes = TokenBucket::new(config.burst, now);
+        bytes.set_rate(config.bytes_per_second, now);
+        bytes.add(config.bytes_per_second * config.burst.as_secs_f64());
+        TellingPace { bytes }
     }
 
     /// The time until something may be sent; zero: now.
     pub fn wait(&mut self, now: Timestamp) -> Duration {
-        self.refill(now);
-        if self.left >= 0.0 {
-            return Duration::ZERO;
-        }
-        Duration::from_secs_f64(-self.left / self.config.bytes_per_second)
+        self.bytes.take(0.0, now);
+        self.bytes.wait_for(0.0).unwrap_or_default()
     }
 
     /// Takes out what was sent to all receivers.
     pub fn spend(&mut self, bytes: usize, now: Timestamp) {
-        self.refill(now);
-        self.left -= bytes as f64;
-    }
-
-    fn refill(&mut self, now: Timestamp) {
-        let full = self.config.bytes_per_second * self.config.burst.as_secs_f64();
-        let gained = self.config.bytes_per_second * now.since(self.at).as_secs_f64();
-        self.left = (self.left + gained).min(full);
-        self.at = now;
+        self.bytes.take(bytes as f64, now);
     }
 }
--- a/crates/core/tests/relay_placement.rs
+++ b/crates/core/tests/relay_placement.rs
@@ -4,9 +4,11 @@
     pub mod relay_fixture;
 }
 
+use std::time::Duration;
+
 use havengate_core::back_ends::{BackEnd, EngineStage, Usability};
 use havengate_core::relay::{
-    Affinity, Candidate, PlacementConfig, Prompt, PromptIndex, PromptIndexConfig, PromptPart, Purpose, Urgency, place,
+    Candidate, PlacementConfig, Prompt, PromptIndex, PromptIndexConfig, PromptPart, Purpose, Urgency, place,
 };
 use havengate_core::time::Timestamp;
 use support::relay_fixture::back_end;
@@ -25,6 +27,9 @@
 
 const NOW: Timestamp = Timestamp::from_millis(10_000);
 
+/// A target that no reading misses.
+const ANY_TIME: Duration = Duration::from_secs(3_600);
+
 fn index() -> PromptIndex {
     PromptIndex::new(PromptIndexConfig::default())
 }
@@ -47,7 +52,7 @@
     let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
     let index = index();
     for key in 0..50 {
-        let purpose = Purpose::Read { prompt: &prompt(key), urgency: Urgency::InTime, index: &index, now: NOW };
+        let purpose = Purpose::Read { prompt: &prompt(key), in_time: ANY_TIME, index: &index, now: NOW };
         let first = placed(&candidates, &purpose, 1);
         assert!(first.is_some());
         let reversed: Vec<Candidate<'_>> = candidates.iter().rev().copied().collect();
@@ -61,7 +66,7 @@
     let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
     let index = index();
     for key in 0..200 {
-        let purpose = Purpose::Read { prompt: &prompt(key), urgency: Urgency::InTime, index: &index, now: NOW };
+        let purpose = Purpose::Read { prompt: &prompt(key), in_time: ANY_TIME, index: &index, now: NOW };
         let before = placed(&candidates, &purpose, 1).expect("there are engines");
         let after = placed(&candidates[1..], &purpose, 1).expect("there are engines");
         assert!(before == after || before == engines[0].id.as_str());
@@ -73,14 +78,14 @@
     let engines = prefill_engines(3);
     let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
     let mut index = index();
-    let reading = index.begin(&engines[1].id, &prompt(1), Urgency::InTime, NOW);
+    let reading = index.begin(&engines[1], &prompt(1), Urgency::InTime, NOW);
     index.end(reading, true, NOW);
     let place_now = |index: &PromptIndex| {
-        placed(&candidates, &Purpose::Read { prompt: &prompt(1), urgency: Urgency::InTime, index, now: NOW }, 1)
+        placed(&candidates, &Purpose::Read { prompt: &prompt(1), in_time: ANY_TIME, index, now: NOW }, 1)
     };
     assert_eq!(place_now(&index).as_deref(), Some(engines[1].id.as_str()));
     for key in 2..20 {
-        index.begin(&engines[1].id, &prompt(key), Urgency::InTime, NOW);
+        index.begin(&engines[1], &prompt(key), Urgency::InTime, NOW);
     }
     assert_ne!(place_now(&index).as_deref(), Some(engines[1].id.as_str()));
 }
@@ -91,11 +96,11 @@
     let candidates = [candidate(&prefill), candidate(&decode)];
     let mut index = index();
     let place_now = |index: &PromptIndex| {
-        placed(&candidates, &Purpose::Read { prompt: &prompt(1), urgency: Urgency::InTime, index, now: NOW }, 1)
+        placed(&candidates, &Purpose::Read { prompt: &prompt(1), in_time: ANY_TIME, index, now: NOW }, 1)
     };
     assert_eq!(place_now(&index).as_deref(), Some(prefill.id.as_str()));
     for key in 2..20 {
-        index.begin(&prefill.id, &prompt(key), Urgency::InTime, NOW);
+        index.begin(&prefill, &prompt(key), Urgency::InTime, NOW);
     }
     assert_eq!(place_now(&index).as_deref(), Some(decode.id.as_str()));
 }
@@ -107,7 +112,7 @@
     let candidates = [candidate(&prefill), candidate(&decode), candidate(&application)];
     let of = |purpose: &Purpose<'_>| placed(&candidates, purpose, 1);
     let index = index();
-    let read = Purpose::Read { prompt: &prompt(1), urgency: Urgency::InTime, index: &index, now: NOW };
+    let read = Purpose::Read { prompt: &prompt(1), in_time: ANY_TIME, index: &index, now: NOW };
     assert_eq!(of(&read).as_deref(), Some(prefill.id.as_str()));
     assert_eq!(of(&Purpose::Decode { near: None, index: &index, now: NOW }).as_deref(), Some(decode.id.as_str()));
     assert_eq!(of(&Purpose::Application).as_deref(), Some(application.id.as_str()));
@@ -172,7 +177,7 @@
     let engines = decode_engines(2);
     let candidates = [candidate(&engines[0]), Candidate { in_flight: 5, ..candidate(&engines[1]) }];
     let mut index = index();
-    index.begin(&engines[0].id, &prompt(1), Urgency::InTime, NOW);
+    index.begin(&engines[0], &prompt(1), Urgency::InTime, NOW);
     let purpose = Purpose::Decode { near: None, index: &index, now: NOW };
     assert_eq!(placed(&candidates, &purpose, 1).as_deref(), Some(engines[1].id.as_str()));
 }
@@ -184,19 +189,19 @@
     let candidates = [candidate(&prefill), candidate(&decode), candidate(&other)];
     let mut index = index();
     let place_with = |index: &PromptIndex, config: &PlacementConfig| {
-        let purpose = Purpose::Read { prompt: &prompt(1), urgency: Urgency::InTime, index, now: NOW };
+        let purpose = Purpose::Read { prompt: &prompt(1), in_time: ANY_TIME, index, now: NOW };
         place(&candidates, &purpose, config, |_| false, &mut fastrand::Rng::with_seed(1)).map(|placed| placed.index)
     };
     let default = PlacementConfig::default();
     let first = place_with(&index, &default).expect("there are engines");
     let keeper = if first == 0 { &other } else { &prefill };
-    index.moved(&keeper.id, &prompt(1), NOW);
+    index.moved(&keeper.id, &prompt(1), Duration::from_millis(12), NOW);
     assert_ne!(place_with(&index, &default), Some(first), "it is read where it is kept");
-    let without_affinity = PlacementConfig { affinity: Affinity::Nothing, ..default };
+    let without_affinity = PlacementConfig { affinity: false, ..default };
     assert_eq!(place_with(&index, &without_affinity), Some(first));
-    for id in [&prefill.id, &other.id] {
+    for engine in [&prefill, &other] {
         (2..40).for_each(|key| {
-            index.begin(id, &prompt(key), Urgency::InTime, NOW);
+            index.begin(engine, &prompt(key), Urgency::InTime, NOW);
         });
     }
     assert_eq!(place_with(&index, &default), Some(1));
@@ -213,7 +218,8 @@
         PlacementConfig { zone_advantage: f64::NAN, ..default },
         PlacementConfig { zone_advantage: -1.0, ..default },
         PlacementConfig { target_share: f64::INFINITY, ..default },
-        PlacementConfig { backlog_per_request: std::time::Duration::ZERO, ..default },
+        PlacementConfig { backlog_per_request_milliseconds: 0.0, ..default },
+        PlacementConfig { backlog_per_request_milliseconds: f64::NAN, ..default },
     ];
     assert!(wrong.iter().all(|config| config.validate().is_err()));
 }
@@ -224,18 +230,43 @@
     let candidates = [candidate(&engines[0])];
     let mut index = index();
     let place_now = |index: &PromptIndex| {
-        let purpose = Purpose::Read { prompt: &prompt(1), urgency: Urgency::Late, index, now: NOW };
+        let purpose = Purpose::Read { prompt: &prompt(1), in_time: Duration::ZERO, index, now: NOW };
         let random = &mut fastrand::Rng::with_seed(1);
         place(&candidates, &purpose, &PlacementConfig::default(), |_| false, random).expect("there is an engine")
     };
     for _ in 0..400 {
-        index.model_mut().observe_reading(EngineStage::Prefill, 10_000, std::time::Duration::from_secs(60));
+        let reading = index.begin(&engines[0], &prompt(1), Urgency::Late, NOW);
+        index.end(reading, true, NOW + Duration::from_secs(60));
     }
-    let left = std::time::Duration::from_secs(2);
+    let left = Duration::from_secs(2);
     let idle = place_now(&index);
     assert!(idle.reading > left && !idle.is_hopeless(left), "only a send there can show that it is fast again");
-    let reading = index.begin(&engines[0].id, &prompt(2), Urgency::InTime, NOW);
+    let reading = index.begin(&engines[0], &prompt(2), Urgency::InTime, NOW);
     assert!(place_now(&index).is_hopeless(left));
     index.end(reading, true, NOW);
     assert!(!place_now(&index).is_hopeless(left));
 }
+
+#[test]
+fn a_prompt_that_no_engine_reads_in_time_goes_behind_those_that_can_be_in_time() {
+    let engines = prefill_engines(2);
+    let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
+    let mut index = index();
+    let place_within = |index: &PromptIndex, in_time: Duration, config: &PlacementConfig| {
+        let purpose = Purpose::Read { prompt: &prompt(1), in_time, index, now: NOW };
+        let random = &mut fastrand::Rng::with_seed(1);
+        place(&candidates, &purpose, config, |_| false, random).expect("there are engines")
+    };
+    let default = PlacementConfig::default();
+    let first = place_within(&index, ANY_TIME, &default);
+    assert_eq!(first.urgency, Urgency::InTime);
+    assert_eq!(place_within(&index, Duration::ZERO, &default).urgency, Urgency::Late);
+    // What is late there is no hindrance to what can be in time, but is to what is late too.
+    for key in 2..20 {
+        index.begin(&engines[first.index], &prompt(key), Urgency::Late, NOW);
+    }
+    assert_eq!(place_within(&index, ANY_TIME, &default).index, first.index);
+    assert_ne!(place_within(&index, Duration::ZERO, &default).index, first.index);
+    let without_order = PlacementConfig { orders_by_urgency: false, ..default };
+    assert_eq!(place_within(&index, Duration::ZERO, &without_order).urgency, Urgency::InTime);
+}
--- a/crates/core/tests/relay_prompt_index.rs
+++ b/crates/core/tests/relay_prompt_index.rs
@@ -33,8 +33,12 @@
     PromptIndex::new(PromptIndexConfig::default())
 }
 
+fn engine_called(number: u8) -> BackEnd {
+    BackEnd { id: engine(number), ..back_end(number, Some(EngineStage::Prefill)) }
+}
+
 fn begin(index: &mut PromptIndex, number: u8, prompt: &Prompt, now: Timestamp) -> ReadingId {
-    index.begin(&engine(number), prompt, Urgency::InTime, now)
+    index.begin(&engine_called(number), prompt, Urgency::InTime, now)
 }
 
 fn read(index: &mut PromptIndex, number: u8, prompt: &Prompt, now: Timestamp) {
@@ -52,14 +56,14 @@
 }
 
 fn back_ends() -> Vec<BackEnd> {
-    (1..=3).map(|number| BackEnd { id: engine(number), ..back_end(number, Some(EngineStage::Prefill)) }).collect()
+    (1..=3).map(engine_called).collect()
 }
 
 /// The number of the engine that engine `reader` takes parts over from, among those that are usable.
 fn keeper(index: &PromptIndex, reader: u8, usable: &[u8]) -> Option<u8> {
     let back_ends = back_ends();
     let others = back_ends.iter().filter(|back_end| usable.iter().any(|number| back_end.id == engine(*number)));
-    let (found, _) = index.keeper(&engine(reader), &prompt(), others)?;
+    let found = index.keeper(&engine(reader), &prompt(), others)?;
     (1..=3).find(|number| engine(*number) == found.id)
 }
 
@@ -161,8 +165,8 @@
 #[test]
 fn what_can_be_in_time_does_not_wait_behind_what_is_late() {
     let (mut here, mut there) = (index(), index());
-    here.begin(&engine(1), &prompt(), Urgency::Late, START);
-    here.begin(&engine(1), &prompt(), Urgency::InTime, START);
+    here.begin(&engine_called(1), &prompt(), Urgency::Late, START);
+    here.begin(&engine_called(1), &prompt(), Urgency::InTime, START);
     there.receive(here.notice(address(1), 1, START), START);
     for index in [&here, &there] {
         assert!((backlog(index, 1, Urgency::InTime, START) - 15_000.0).abs() < 1.0);
@@ -184,7 +188,7 @@
 #[test]
 fn a_moved_cache_is_kept_at_its_new_engine_too() {
     let (mut here, mut there) = (index(), index());
-    here.moved(&engine(2), &prompt(), START);
+    here.moved(&engine(2), &prompt(), Duration::from_millis(15), START);
     there.receive(here.notice(address(1), 1, START), START);
     for index in [&here, &there] {
         assert_eq!(unread(index, 2), 3_000);
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -76,8 +76,7 @@
     traffic.with_budget(&request.service, |budget| budget.record_request(now));
     let ends_at = Instant::now() + request.ends_at.since(now);
     let exchange = Exchange::new(rules);
-    let (tried, refused_early) = (Vec::new(), None);
-    Driver { traffic, request, ends_at, exchange, record: Some(record), tried, refused_early }.run().await
+    Driver { traffic, request, ends_at, exchange, record: Some(record), tried: Vec::new() }.run().await
 }
 
 struct Driver<'a, P> {
@@ -88,12 +87,12 @@
     /// Taken when the record goes along with an answer that is passed on as it comes.
     record: Option<RequestRecord>,
     tried: Vec<BackEndId>,
-    /// Why no engine can answer in time, where that is expected.
-    refused_early: Option<NotRunReason>,
 }
 
 /// Where a request's prompt is read.
 enum ReadingPlan {
+    /// By no engine before the request's end.
+    Nowhere,
     /// By the engine that answers, whichever it is.
     WhereAnswered,
     /// By this engine, which answers too.
@@ -122,7 +121,10 @@
         let mut plan = self.plan_reading().await;
         loop {
             let Some(back_end) = self.place_answer(&plan) else {
-                let reason = self.refused_early.unwrap_or(NotRunReason::NoEngine);
+                let reason = match plan {
+                    ReadingPlan::Nowhere => NotRunReason::DeadlineUnreachable,
+                    _ => NotRunReason::NoEngine,
+                };
                 let end = self.exchange.give_up(reason, MayHaveRun::EngineFailed);
                 return self.end(end, None);
             };
@@ -178,11 +180,12 @@
             return ReadingPlan::WhereAnswered;
         };
         while self.exchange.may_prefill() {
-            let Some(back_end) = self.place_reading(&prompt) else {
+            let Some((back_end, placed)) = self.place_reading(&prompt) else {
                 break;
             };
-            if self.refused_early.is_some() {
-                break;
+            let left = self.request.ends_at.since(self.traffic.clock.now());
+            if self.traffic.placement().refuses_early && placed.is_hopeless(left) {
+                return ReadingPlan::Nowhere;
             }
             if back_end.stage != Some(EngineStage::Prefill) {
                 return ReadingPlan::There(back_end);
@@ -313,10 +316,8 @@
     }
 
     fn place_answer(&mut self, plan: &ReadingPlan) -> Option<BackEnd> {
-        if self.refused_early.is_some() {
-            return None;
-        }
         match plan {
+            ReadingPlan::Nowhere => None,
             ReadingPlan::There(back_end) => Some(back_end.clone()),
             ReadingPlan::Elsewhere { zone, .. } => self.place_decode(Some(zone)),
             ReadingPlan::WhereAnswered if self.request.head.prompt.is_some() => self.place_decode(None),
@@ -330,32 +331,20 @@
         traffic.readings.with_index(|index| self.place(&Purpose::Decode { near, index, now }))
     }
 
-    /// Chooses the engine that reads the prompt: one that has it read in time, or, when none can, the one that has it read
-    /// first behind those that can be in time.
-    fn place_reading(&mut self, prompt: &Prompt) -> Option<BackEnd> {
+    /// Chooses the engine that reads the prompt, and notes whether it can be in time.
+    fn place_reading(&mut self, prompt: &Prompt) -> Option<(BackEnd, Placed)> {
         let (now, traffic) = (self.traffic.clock.now(), self.traffic);
         let target = self.request.route.target_latency.mul_f64(traffic.placement().target_share);
-        let in_time = self.request.arrived + target;
-        let (mut back_end, mut placed) = self.place_reading_as(prompt, Urgency::InTime)?;
-        self.request.urgency = Urgency::InTime;
-        if traffic.placement().orders_by_urgency && now + placed.reading > in_time {
-            (back_end, placed) = self.place_reading_as(prompt, Urgency::Late)?;
-            self.request.urgency = Urgency::Late;
-        }
-        let left = self.request.ends_at.since(now);
-        if traffic.placement().refuses_early && placed.is_hopeless(left) {
-            self.refused_early = Some(NotRunReason::DeadlineUnreachable);
-        }
+        let in_time = (self.request.arrived + target).since(now);
+        let (back_end, placed) = traffic
+            .readings
+            .with_index(|index| self.place_expecting(&Purpose::Read { prompt, in_time, index, now }))?;
+        self.request.urgency = placed.urgency;
         if let Some(record) = &mut self.record {
             record.expected_reading = Some(placed.reading);
-            record.urgency = Some(self.request.urgency);
+            record.urgency = Some(placed.urgency);
         }
-        Some(back_end)
-    }
-
-    fn place_reading_as(&mut self, prompt: &Prompt, urgency: Urgency) -> Option<(BackEnd, Placed)> {
-        let (now, traffic) = (self.traffic.clock.now(), self.traffic);
-        traffic.readings.with_index(|index| self.place_expecting(&Purpose::Read { prompt, urgency, index, now }))
+        Some((back_end, placed))
     }
 
     fn place(&mut self, purpose: &Purpose<'_>) -> Option<BackEnd> {
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -72,7 +72,7 @@
         .of_service(&request.service)
         .filter(|entry| entry.usability(now) == Usability::Usable && traffic.loads.admits(&entry.back_end.id, now));
     let others = usable.map(|entry| &entry.back_end);
-    traffic.readings.with_index(|index| index.keeper(&back_end.id, prompt, others).map(|(keeper, _)| keeper.address))
+    traffic.readings.with_index(|index| index.keeper(&back_end.id, prompt, others).map(|keeper| keeper.address))
 }
 
 /// Who goes first at `back_end`: engines are told, applications have no such order.
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -71,7 +71,7 @@
     };
     let _control = spawn(control, store, Arc::clone(&knowledge), clock, metrics.clone())?;
     let traffic =
-        Rc::new(Traffic::new(protocol, knowledge, clock, settings.retry_budget(), settings.placement(), metrics));
+        Rc::new(Traffic::new(protocol, knowledge, clock, settings.retry_budget(), settings.placement, metrics));
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let mut node = RunningNode { settings, read_settings, seeds, traffic };
     LocalSet::new().block_on(&runtime, node.serve())
@@ -96,7 +96,7 @@
         };
         let needs_restart = !read.is_at_the_same_place(&self.settings);
         self.traffic.set_budget_config(read.retry_budget());
-        self.traffic.set_placement(read.placement());
+        self.traffic.set_placement(read.placement);
         self.seeds.send_replace(read.seeds.clone());
         self.settings = read;
         let placement = self.traffic.placement();
--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings.rs
@@ -5,12 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use havengate_core::back_ends::{BackEnd, EngineStage};
+use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{
     KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId, ReadingsMessage, TellingPace,
     TellingPaceConfig, ToldPart, Urgency,
 };
-use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
 use havengate_wire::{decode, encode};
@@ -173,19 +172,16 @@
     pub fn begin(&self, engine: &BackEnd, prompt: &Prompt, urgency: Urgency) -> ReadingGuard {
         let now = self.shared.clock.now();
         let mut index = self.shared.index.borrow_mut();
-        let sample = ReadingSample::begin(&index, engine, prompt, now);
-        let id = index.begin(&engine.id, prompt, urgency, now);
+        let id = index.begin(engine, prompt, urgency, now);
         drop(index);
         self.note_news();
-        ReadingGuard { readings: self.clone(), id: Some(id), sample }
+        ReadingGuard { readings: self.clone(), id: Some(id) }
     }
 
     /// Notes that `engine` has got the KV cache of `prompt` from another one and began its answer `took` after it was
     /// sent there.
     pub fn moved(&self, engine: &BackEndId, prompt: &Prompt, took: Duration) {
-        let mut index = self.shared.index.borrow_mut();
-        index.moved(engine, prompt, self.shared.clock.now());
-        index.model_mut().observe_move(prompt.tokens, took);
+        self.shared.index.borrow_mut().moved(engine, prompt, took, self.shared.clock.now());
         self.note_news();
     }
 
@@ -243,23 +239,6 @@
 pub struct ReadingGuard {
     readings: Readings,
     id: Option<ReadingId>,
-    sample: Option<ReadingSample>,
-}
-
-/// A reading that shows how fast engines read: one of an engine that had nothing else to read.
-struct ReadingSample {
-    stage: EngineStage,
-    tokens: u32,
-    began: Timestamp,
-}
-
-impl ReadingSample {
-    fn begin(index: &PromptIndex, engine: &BackEnd, prompt: &Prompt, began: Timestamp) -> Option<Self> {
-        let stage = engine.stage?;
-        let is_idle = index.backlog(&engine.id, stage, Urgency::Late, began) <= 0.0;
-        let tokens = prompt.tokens.saturating_sub(index.kept_tokens_of(&engine.id, prompt));
-        is_idle.then_some(ReadingSample { stage, tokens, began })
-    }
 }
 
 impl ReadingGuard {
@@ -273,9 +252,6 @@
             let now = self.readings.shared.clock.now();
             let mut index = self.readings.shared.index.borrow_mut();
             index.end(id, whole, now);
-            if let Some(sample) = self.sample.take().filter(|_| whole) {
-                index.model_mut().observe_reading(sample.stage, sample.tokens, now.since(sample.began));
-            }
             drop(index);
             self.readings.note_news();
         }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use havengate_core::relay::{Affinity, PlacementConfig, PlacementConfigError, SharedRetryBudgetConfig};
+use havengate_core::relay::{PlacementConfig, PlacementConfigError, SharedRetryBudgetConfig};
 use havengate_core::world::{Address, NodeName, ZoneName};
 use havengate_node::settings::{InvalidValue, LogLevel, TomlFileError, ValueCheck, parse_toml, read_toml};
 use serde::Deserialize;
@@ -38,7 +38,7 @@
     pub retry_budget: RetryBudgetSettings,
     /// What the placement of requests weighs.
     #[serde(default)]
-    pub placement: PlacementSettings,
+    pub placement: PlacementConfig,
     /// The least severe events that are logged.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -56,54 +56,6 @@
     pub window_seconds: f64,
 }
 
-/// What the placement of requests weighs; what is left out has its default.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct PlacementSettings {
-    /// Whether what engines keep of shared parts counts.
-    pub affinity: Option<bool>,
-    /// Whether engines take parts over from each other.
-    pub takes_parts_over: Option<bool>,
-    /// Whether decode engines read long prompts too.
-    pub decode_engines_read: Option<bool>,
-    /// How much more a millisecond of reading costs on a decode engine.
-    pub decode_interference: Option<f64>,
-    /// Requests that an engine in another zone must have fewer.
-    pub zone_advantage: Option<f64>,
-    /// Whether engines are told who goes first.
-    pub orders_by_urgency: Option<bool>,
-    /// Whether requests are refused that can't be answered in time.
-    pub refuses_early: Option<bool>,
-    /// The share of a target within which a prompt must be expected to be read.
-    pub target_share: Option<f64>,
-    /// The time still to read that counts like a request under way, in milliseconds.
-    pub backlog_per_request_milliseconds: Option<f64>,
-}
-
-impl PlacementSettings {
-    fn config(&self) -> PlacementConfig {
-        let default = PlacementConfig::default();
-        let affinity = match self.affinity {
-            Some(false) => Affinity::Nothing,
-            _ => default.affinity,
-        };
-        // A time that is none becomes zero, which the check refuses.
-        let backlog = |millis: f64| Duration::try_from_secs_f64(millis / 1e3).unwrap_or_default();
-        let backlog = self.backlog_per_request_milliseconds.map(backlog);
-        PlacementConfig {
-            affinity,
-            takes_parts_over: self.takes_parts_over.unwrap_or(default.takes_parts_over),
-            decode_engines_read: self.decode_engines_read.unwrap_or(default.decode_engines_read),
-            decode_interference: self.decode_interference.unwrap_or(default.decode_interference),
-            zone_advantage: self.zone_advantage.unwrap_or(default.zone_advantage),
-            orders_by_urgency: self.orders_by_urgency.unwrap_or(default.orders_by_urgency),
-            refuses_early: self.refuses_early.unwrap_or(default.refuses_early),
-            target_share: self.target_share.unwrap_or(default.target_share),
-            backlog_per_request: backlog.unwrap_or(default.backlog_per_request),
-        }
-    }
-}
-
 /// Why settings can't be used.
 #[derive(Clone, Debug, displaydoc::Display, thiserror::Error)]
 pub enum RelaySettingsError {
@@ -149,7 +101,7 @@
         check.reachable("notices_address", self.notices_address);
         check.reachable("store_address", self.store_address);
         check.finish().map_err(RelaySettingsError::Values)?;
-        self.placement().validate().map_err(RelaySettingsError::Placement)?;
+        self.placement.validate().map_err(RelaySettingsError::Placement)?;
         Ok(self)
     }
 
@@ -174,11 +126,6 @@
         Duration::from_secs_f64(self.stop_grace_seconds)
     }
 
-    /// What the placement of requests weighs.
-    pub fn placement(&self) -> PlacementConfig {
-        self.placement.config()
-    }
-
     /// The limits of repeats to one service.
     pub fn retry_budget(&self) -> SharedRetryBudgetConfig {
         SharedRetryBudgetConfig {
--- a/crates/relay/tests/readings.rs
+++ b/crates/relay/tests/readings.rs
@@ -31,8 +31,11 @@
         let metrics = RelayMetrics::new();
         let knowledge: SharedKnowledge = Arc::new(ArcSwap::from_pointee(Knowledge::nothing()));
         let readings = Readings::new(Arc::clone(&knowledge), Clock::start(), metrics.clone());
-        let address = free_address();
-        readings.exchange(address).await.expect("the address is free");
+        let mut address = free_address();
+        // Another process may take the port between the two.
+        while readings.exchange(address).await.is_err() {
+            address = free_address();
+        }
         Node { address, knowledge, metrics, readings }
     }
 
--- a/crates/relay/tests/settings.rs
+++ b/crates/relay/tests/settings.rs
@@ -1,9 +1,8 @@
 //! The settings of a node that relays.
 
 use std::path::Path;
-use std::time::Duration;
 
-use havengate_core::relay::{Affinity, PlacementConfig};
+use havengate_core::relay::PlacementConfig;
 use havengate_relay::settings::{RelaySettings, RelaySettingsError};
 
 const BASE: &str = r#"
@@ -28,7 +27,7 @@
 
 #[test]
 fn placement_that_is_not_set_has_its_defaults() {
-    assert_eq!(parse("").expect("the settings are right").placement(), PlacementConfig::default());
+    assert_eq!(parse("").expect("the settings are right").placement, PlacementConfig::default());
 }
 
 #[test]
@@ -37,7 +36,7 @@
                 orders_by_urgency = false\nrefuses_early = false\ndecode_interference = 2.5\nzone_advantage = 0\n\
                 target_share = 1.0\nbacklog_per_request_milliseconds = 40";
     let set = PlacementConfig {
-        affinity: Affinity::Nothing,
+        affinity: false,
         takes_parts_over: false,
         decode_engines_read: false,
         decode_interference: 2.5,
@@ -45,9 +44,9 @@
         orders_by_urgency: false,
         refuses_early: false,
         target_share: 1.0,
-        backlog_per_request: Duration::from_millis(40),
+        backlog_per_request_milliseconds: 40.0,
     };
-    assert_eq!(parse(text).expect("the settings are right").placement(), set);
+    assert_eq!(parse(text).expect("the settings are right").placement, set);
 }
 
 #[test]
