A request of a route without a target is never late

Change: PlacementConfig::in_time tells the time within which a prompt must be read, none where there is no target; the test fails where a target of zero is taken at its word.

--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -35,8 +35,8 @@
     Read {
         /// The prompt.
         prompt: &'a Prompt,
-        /// The time within which it has to be read to be in time.
-        in_time: Duration,
+        /// The time within which it has to be read to be in time; `None`: it is never late.
+        in_time: Option<Duration>,
         /// What is known of the reading of prompts.
         index: &'a PromptIndex,
         /// The time now.
@@ -157,10 +157,11 @@
 
 impl Readers<'_> {
     /// One that has the prompt read in time, or, when none can, the one that has it read first behind those that can be.
-    fn choose(&self, indexes: &[usize], in_time: Duration, random: &mut fastrand::Rng) -> Option<Placed> {
+    fn choose(&self, indexes: &[usize], in_time: Option<Duration>, random: &mut fastrand::Rng) -> Option<Placed> {
         let ranked = self.ranked(indexes, random);
         let placed = self.cheapest(&ranked, Urgency::InTime)?;
-        if self.config.orders_by_urgency && placed.reading > in_time {
+        let is_late = in_time.is_some_and(|in_time| placed.reading > in_time);
+        if self.config.orders_by_urgency && is_late {
             return self.cheapest(&ranked, Urgency::Late);
         }
         Some(placed)
--- a/crates/core/src/relay/placement_config.rs
+++ b/crates/core/src/relay/placement_config.rs
@@ -1,5 +1,7 @@
 //! What placement weighs, as operators set it: each mechanism can be switched off to see what it is worth.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 
 /// What placement weighs. What a settings file leaves out has its default.
@@ -51,6 +53,12 @@
 }
 
 impl PlacementConfig {
+    /// The time within which a prompt must be read to be in time, for a request with this `target` that has
+    /// `waited` so long; `None` for one without a target, which is never late.
+    pub fn in_time(&self, target: Duration, waited: Duration) -> Option<Duration> {
+        (!target.is_zero()).then(|| target.mul_f64(self.target_share).saturating_sub(waited))
+    }
+
     /// Checks that each value can be reckoned with.
     ///
     /// # Errors
--- a/crates/core/tests/relay_placement.rs
+++ b/crates/core/tests/relay_placement.rs
@@ -28,7 +28,10 @@
 const NOW: Timestamp = Timestamp::from_millis(10_000);
 
 /// A target that no reading misses.
-const ANY_TIME: Duration = Duration::from_secs(3_600);
+const ANY_TIME: Option<Duration> = Some(Duration::from_secs(3_600));
+
+/// A target that is missed already.
+const NO_TIME: Option<Duration> = Some(Duration::ZERO);
 
 fn index() -> PromptIndex {
     PromptIndex::new(PromptIndexConfig::default())
@@ -230,7 +233,7 @@
     let candidates = [candidate(&engines[0])];
     let mut index = index();
     let place_now = |index: &PromptIndex| {
-        let purpose = Purpose::Read { prompt: &prompt(1), in_time: Duration::ZERO, index, now: NOW };
+        let purpose = Purpose::Read { prompt: &prompt(1), in_time: NO_TIME, index, now: NOW };
         let random = &mut fastrand::Rng::with_seed(1);
         place(&candidates, &purpose, &PlacementConfig::default(), |_| false, random).expect("there is an engine")
     };
@@ -252,7 +255,7 @@
     let engines = prefill_engines(2);
     let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
     let mut index = index();
-    let place_within = |index: &PromptIndex, in_time: Duration, config: &PlacementConfig| {
+    let place_within = |index: &PromptIndex, in_time: Option<Duration>, config: &PlacementConfig| {
         let purpose = Purpose::Read { prompt: &prompt(1), in_time, index, now: NOW };
         let random = &mut fastrand::Rng::with_seed(1);
         place(&candidates, &purpose, config, |_| false, random).expect("there are engines")
@@ -260,13 +263,28 @@
     let default = PlacementConfig::default();
     let first = place_within(&index, ANY_TIME, &default);
     assert_eq!(first.urgency, Urgency::InTime);
-    assert_eq!(place_within(&index, Duration::ZERO, &default).urgency, Urgency::Late);
+    assert_eq!(place_within(&index, NO_TIME, &default).urgency, Urgency::Late);
     // What is late there is no hindrance to what can be in time, but is to what is late too.
     for key in 2..20 {
         index.begin(&engines[first.index], &prompt(key), Urgency::Late, NOW);
     }
     assert_eq!(place_within(&index, ANY_TIME, &default).index, first.index);
-    assert_ne!(place_within(&index, Duration::ZERO, &default).index, first.index);
+    assert_ne!(place_within(&index, NO_TIME, &default).index, first.index);
     let without_order = PlacementConfig { orders_by_urgency: false, ..default };
-    assert_eq!(place_within(&index, Duration::ZERO, &without_order).urgency, Urgency::InTime);
+    assert_eq!(place_within(&index, NO_TIME, &without_order).urgency, Urgency::InTime);
+}
+
+#[test]
+fn a_route_without_a_target_is_never_late() {
+    let config = PlacementConfig { target_share: 1.5, ..PlacementConfig::default() };
+    let second = Duration::from_secs(1);
+    assert_eq!(config.in_time(Duration::ZERO, second), None);
+    assert_eq!(config.in_time(2 * second, second), Some(2 * second));
+    assert_eq!(config.in_time(second, 3 * second), Some(Duration::ZERO), "what has waited longer is late");
+    let engines = prefill_engines(1);
+    let index = index();
+    let purpose = Purpose::Read { prompt: &prompt(1), in_time: None, index: &index, now: NOW };
+    let random = &mut fastrand::Rng::with_seed(1);
+    let placed = place(&[candidate(&engines[0])], &purpose, &config, |_| false, random);
+    assert_eq!(placed.expect("there is an engine").urgency, Urgency::InTime);
 }
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -334,8 +334,8 @@
     /// Chooses the engine that reads the prompt, and notes whether it can be in time.
     fn place_reading(&mut self, prompt: &Prompt) -> Option<(BackEnd, Placed)> {
         let (now, traffic) = (self.traffic.clock.now(), self.traffic);
-        let target = self.request.route.target_latency.mul_f64(traffic.placement().target_share);
-        let in_time = (self.request.arrived + target).since(now);
+        let waited = now.since(self.request.arrived);
+        let in_time = traffic.placement().in_time(self.request.route.target_latency, waited);
         let (back_end, placed) = traffic
             .readings
             .with_index(|index| self.place_expecting(&Purpose::Read { prompt, in_time, index, now }))?;
