--- a/crates/core/src/back_ends/directory.rs
+++ b/crates/core/src/back_ends/directory.rs
@@ -132,6 +132,11 @@
         self.entries.values()
     }
 
+    /// The entry of a back end.
+    pub fn get(&self, id: &BackEndId) -> Option<&DirectoryEntry> {
+        self.entries.get(id)
+    }
+
     /// The entries of `service`.
     pub fn of_service<'a, 'b>(
         &'a self,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod request;
 pub mod routing;
 pub mod simulation;
+pub mod stages;
 pub mod store;
 pub mod time;
 pub mod verdict;
--- a/crates/core/src/relay/engine_model.rs
+++ b/crates/core/src/relay/engine_model.rs
@@ -31,6 +31,13 @@
 /// What is believed of a move of a KV cache before any was seen, in milliseconds a thousand tokens.
 const MOVE_PRIOR: f64 = 1.0;
 
+/// The share of samples that lies below an estimate of the time for a short prompt: one that waited for others takes longer,
+/// and the engine's own time is what is asked for.
+const SHORT_PROMPT_QUANTILE: f64 = 0.3;
+
+/// What is believed of a short prompt before any was seen, in milliseconds.
+const SHORT_PROMPT_PRIOR: f64 = 20.0;
+
 /// A quantile of a stream of positive samples, held as one number that each sample moves a little.
 #[derive(Clone, Copy, Debug)]
 struct QuantileEstimate {
@@ -75,6 +82,7 @@
     prefill: QuantileEstimate,
     decode: QuantileEstimate,
     move_millis: QuantileEstimate,
+    short_prompt_millis: QuantileEstimate,
 }
 
 impl Default for EngineModel {
@@ -83,6 +91,7 @@
             prefill: QuantileEstimate::new(PREFILL_RATE_PRIOR, RATE_QUANTILE),
             decode: QuantileEstimate::new(DECODE_RATE_PRIOR, RATE_QUANTILE),
             move_millis: QuantileEstimate::new(MOVE_PRIOR, MOVE_QUANTILE),
+            short_prompt_millis: QuantileEstimate::new(SHORT_PROMPT_PRIOR, SHORT_PROMPT_QUANTILE),
         }
     }
 }
@@ -107,6 +116,21 @@
         }
     }
 
+    /// Notes that a decode engine took `took` from a short prompt to the first piece of its answer.
+    pub fn observe_short_prompt(&mut self, took: Duration) {
+        self.short_prompt_millis.observe(millis(took));
+    }
+
+    /// The tokens that a prefill engine reads in a millisecond.
+    pub fn prefill_rate(&self) -> Estimate {
+        shown(&self.prefill)
+    }
+
+    /// The milliseconds that a decode engine takes for a short prompt.
+    pub fn short_prompt(&self) -> Estimate {
+        shown(&self.short_prompt_millis)
+    }
+
     /// The milliseconds in which an engine of `stage` reads `tokens`.
     pub fn reading_millis(&self, stage: EngineStage, tokens: f64) -> f64 {
         tokens / self.rate(stage)
@@ -126,16 +150,20 @@
     }
 
     /// The estimates by name, for metrics and logs.
-    pub fn estimates(&self) -> [(&'static str, Estimate); 3] {
-        let shown = |estimate: &QuantileEstimate| Estimate { value: estimate.value(), samples: estimate.samples };
+    pub fn estimates(&self) -> [(&'static str, Estimate); 4] {
         [
             ("prefill_tokens_per_millisecond", shown(&self.prefill)),
             ("decode_tokens_per_millisecond", shown(&self.decode)),
             ("move_milliseconds_per_1000_tokens", shown(&self.move_millis)),
+            ("short_prompt_milliseconds", shown(&self.short_prompt_millis)),
         ]
     }
 }
 
+fn shown(estimate: &QuantileEstimate) -> Estimate {
+    Estimate { value: estimate.value(), samples: estimate.samples }
+}
+
 fn millis(duration: Duration) -> f64 {
     (duration.as_secs_f64() * 1e3).max(0.1)
 }
--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -42,6 +42,13 @@
         /// The time now.
         now: Timestamp,
     },
+    /// To have a short prompt read by a prefill engine that has nothing else to read.
+    ReadAside {
+        /// What is known of the reading of prompts.
+        index: &'a PromptIndex,
+        /// The time now.
+        now: Timestamp,
+    },
     /// To be answered by an engine.
     Decode {
         /// The zone of the engine that read the prompt, if another did.
@@ -58,7 +65,7 @@
         match self {
             Purpose::Application => back_end.stage.is_none(),
             Purpose::Read { .. } if config.decode_engines_read => back_end.stage.is_some(),
-            Purpose::Read { .. } => back_end.stage == Some(EngineStage::Prefill),
+            Purpose::Read { .. } | Purpose::ReadAside { .. } => back_end.stage == Some(EngineStage::Prefill),
             Purpose::Decode { .. } => back_end.stage == Some(EngineStage::Decode),
         }
     }
@@ -75,6 +82,8 @@
     pub waits: bool,
     /// Whether it is expected to be in time.
     pub urgency: Urgency,
+    /// The tokens of the prompt that have to be read there; 0 where nothing is read.
+    pub unread: u32,
 }
 
 impl Placed {
@@ -124,12 +133,20 @@
     config: &PlacementConfig,
     random: &mut fastrand::Rng,
 ) -> Option<Placed> {
-    let at_once = |index| Placed { index, reading: Duration::ZERO, waits: false, urgency: Urgency::InTime };
+    let at_once = |index| Placed { index, reading: Duration::ZERO, waits: false, urgency: Urgency::InTime, unread: 0 };
     match purpose {
         Purpose::Read { prompt, in_time, index, now } => {
             let readers = Readers { candidates, prompt, index, config, now: *now };
             readers.choose(indexes, *in_time, random)
         }
+        Purpose::ReadAside { index, now } => {
+            let is_idle = |candidate: &usize| {
+                let engine = &candidates[*candidate].back_end.id;
+                index.backlog(engine, EngineStage::Prefill, Urgency::Late, *now) <= 0.0
+            };
+            let idle: Vec<usize> = indexes.iter().copied().filter(is_idle).collect();
+            least(&idle, random, |candidate| f64::from(candidates[candidate].in_flight)).map(at_once)
+        }
         Purpose::Decode { near, index, now } => least(indexes, random, |candidate| {
             let Candidate { back_end, in_flight, .. } = candidates[candidate];
             let elsewhere = near.is_some_and(|zone| back_end.zone != *zone);
@@ -159,6 +176,9 @@
     /// One that has the prompt read in time, or, when none can, the one that has it read first behind those that can be.
     fn choose(&self, indexes: &[usize], in_time: Option<Duration>, random: &mut fastrand::Rng) -> Option<Placed> {
         let ranked = self.ranked(indexes, random);
+        if let Some(placed) = self.by_prefill(&ranked, in_time) {
+            return Some(placed);
+        }
         let placed = self.cheapest(&ranked, Urgency::InTime)?;
         let is_late = in_time.is_some_and(|in_time| placed.reading > in_time);
         if self.config.orders_by_urgency && is_late {
@@ -167,6 +187,15 @@
         Some(placed)
     }
 
+    /// The prefill engine that reads the prompt early enough for decode engines to be left out.
+    fn by_prefill(&self, ranked: &[usize], in_time: Option<Duration>) -> Option<Placed> {
+        let in_time = in_time.filter(|_| self.config.prefill_suffices_share > 0.0)?;
+        let is_prefill = |index: &usize| self.candidates[*index].back_end.stage == Some(EngineStage::Prefill);
+        let prefill: Vec<usize> = ranked.iter().copied().filter(is_prefill).collect();
+        let suffices = in_time.mul_f64(self.config.prefill_suffices_share / self.config.target_share.max(0.01));
+        self.cheapest(&prefill, Urgency::InTime).filter(|placed| placed.reading <= suffices)
+    }
+
     /// All nodes rank the engines alike, so that a part that nobody has read yet is read once.
     fn ranked(&self, indexes: &[usize], random: &mut fastrand::Rng) -> Vec<usize> {
         let address = |index: &usize| self.candidates[*index].back_end.address;
@@ -215,7 +244,7 @@
             EngineStage::Decode => 0.0,
         };
         let reading = Duration::from_secs_f64((reading + taking_over + handing_over) / 1e3);
-        Placed { index, reading, waits: backlog > 0.0, urgency }
+        Placed { index, reading, waits: backlog > 0.0, urgency, unread }
     }
 }
 
--- a/crates/core/src/relay/placement_config.rs
+++ b/crates/core/src/relay/placement_config.rs
@@ -14,6 +14,12 @@
     pub takes_parts_over: bool,
     /// Whether decode engines are candidates for reading long prompts.
     pub decode_engines_read: bool,
+    /// The share of its target within which a prompt must be expected to be read by a prefill engine, for decode engines
+    /// to be left out: reading there holds up all answers that run there. 0: they are never left out.
+    pub prefill_suffices_share: f64,
+    /// Whether short prompts are read by prefill engines that have nothing else to read, instead of between the answers of
+    /// the decode engine that answers them.
+    pub short_prompts_apart: bool,
     /// How much more a millisecond of reading costs on a decode engine: it holds up the answers that run there.
     pub decode_interference: f64,
     /// Requests that an engine in another zone must have fewer to be preferred to one in the prompt's zone: a KV cache
@@ -42,6 +48,8 @@
             affinity: true,
             takes_parts_over: true,
             decode_engines_read: true,
+            prefill_suffices_share: 0.0,
+            short_prompts_apart: false,
             decode_interference: 1.75,
             zone_advantage: 2.0,
             orders_by_urgency: true,
@@ -68,6 +76,9 @@
         if !within(self.decode_interference, 0.1) {
             return Err(PlacementConfigError("decode_interference: 0.1 to 1000"));
         }
+        if !within(self.prefill_suffices_share, 0.0) {
+            return Err(PlacementConfigError("prefill_suffices_share: 0 to 1000"));
+        }
         if !within(self.zone_advantage, 0.0) {
             return Err(PlacementConfigError("zone_advantage: 0 to 1000"));
         }
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -2,10 +2,35 @@
 
 use speedy::{Readable, Writable};
 
-use crate::back_ends::DirectoryNews;
+use crate::authority::Term;
+use crate::back_ends::{DirectoryNews, EngineStage};
 use crate::routing::{ConfigurationNumber, TrafficConfiguration};
+use crate::stages::DemandReport;
 use crate::store::Revision;
-use crate::world::Address;
+use crate::world::{Address, BackEndId};
+
+/// A datagram between nodes.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub enum PeerMessage {
+    /// What the sender has.
+    Digest(Digest),
+    /// What the sender's callers ask of engines, for the nodes that decide on stages.
+    Demand(DemandReport),
+    /// Engines that are about to change their stage.
+    Stages(StageNotice),
+}
+
+/// The engines that change their stage now, told by the holder of the lease to all nodes, again and again until they have
+/// changed: nothing new is to be sent there.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct StageNotice {
+    /// The sender's address for its peers.
+    pub sender: Address,
+    /// The term of the sender's lease; of two senders, the one with the lower term is wrong.
+    pub term: Term,
+    /// The engines and the stage that each is to serve.
+    pub engines: Vec<(BackEndId, EngineStage)>,
+}
 
 /// What a node has, sent to a few peers at a time in one datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -5,6 +5,6 @@
 mod peer_table;
 mod readers;
 
-pub use message::{Digest, KnowledgeAges, PeerAddresses, Pull, PullAnswer};
+pub use message::{Digest, KnowledgeAges, PeerAddresses, PeerMessage, Pull, PullAnswer, StageNotice};
 pub use peer_table::{PeerTable, PeerTableConfig};
 pub use readers::{Readers, ReadersConfig};
--- /dev/null
+++ b/crates/core/src/stages/lease.rs
@@ -0,0 +1,223 @@
+//! The lease that one node at a time holds to give orders to engines: an object of the store that changes hands by
+//! compare-and-set alone.
+//!
+//! No clock of another machine is trusted. A holder counts its time from the moment at which it *sent* a renewal that the
+//! store acknowledged; a candidate counts from the moment at which it *learned* of the revision that it saw last. The first
+//! lies before the store's write and the second after it, so with [`LeaseConfig::lapse`] above
+//! [`LeaseConfig::order_window`] by more than an order may take, two holders never order within
+//! [`LeaseConfig::hand_over`] of each other.
+//!
+//! A write whose answer was lost may still take effect, seconds later. It names the revision that it replaces, so it takes
+//! effect only while nobody else has written; and a process that finds itself named without having seen its own write
+//! acknowledged renews before it orders.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::authority::Term;
+use crate::store::Revision;
+use crate::time::Timestamp;
+use crate::world::NodeName;
+
+/// One life of a node's process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderId {
+    /// The node.
+    pub node: NodeName,
+    /// Tells the lives of the node's process apart.
+    pub life: u64,
+}
+
+/// What the store holds of the lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// Who holds it.
+    pub holder: HolderId,
+    /// Rises whenever the lease changes hands, also from one life of a node to the next. Engines refuse a lower one.
+    pub term: Term,
+    /// Counts the renewals of the term: a write that changes nothing would make no new revision.
+    pub renewal: u64,
+}
+
+/// The times of a [`Lease`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseConfig {
+    /// For how long after an acknowledged renewal was sent orders may be sent. Each batch of orders renews anew, so it
+    /// only has to cover one batch.
+    pub order_window: Duration,
+    /// The longest that an order may be on its way before it is given up.
+    pub order_time_limit: Duration,
+    /// The time that must lie between the orders of two holders, as the engines' owner asks for it.
+    pub hand_over: Duration,
+    /// Beyond the sum of the above: clocks that run apart, a store's answer that is on its way.
+    pub margin: Duration,
+}
+
+impl Default for LeaseConfig {
+    fn default() -> Self {
+        LeaseConfig {
+            order_window: Duration::from_millis(1_200),
+            order_time_limit: Duration::from_millis(800),
+            hand_over: Duration::from_secs(3),
+            margin: Duration::from_millis(1_000),
+        }
+    }
+}
+
+impl LeaseConfig {
+    /// How long a candidate must have known of the same revision before it takes the lease.
+    pub fn lapse(&self) -> Duration {
+        self.order_window + self.order_time_limit + self.hand_over + self.margin
+    }
+}
+
+/// A write of the lease, conditional on what it replaces.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseWrite {
+    /// The new content.
+    pub record: LeaseRecord,
+    /// The revision that it replaces; `None`: the object must not be there.
+    pub expected: Option<Revision>,
+}
+
+/// What a node that wants to order does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Read the object.
+    Read,
+    /// Write it.
+    Write(LeaseWrite),
+    /// Wait: another one holds it, and its lease may still be in force for so long.
+    Wait(Duration),
+    /// Order, under this term.
+    Order(Term),
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    record: Option<LeaseRecord>,
+    revision: Option<Revision>,
+    /// When this node first knew of the revision.
+    since: Timestamp,
+}
+
+/// One node's view of the lease.
+///
+/// Invariant: `confirmed` is set only while `seen` names this process as the holder, by its own acknowledged write.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    config: LeaseConfig,
+    own: HolderId,
+    seen: Option<Seen>,
+    /// When the last acknowledged renewal was sent.
+    confirmed: Option<Timestamp>,
+    /// Whether what was seen must be read again before anything is written.
+    doubtful: bool,
+    /// The highest term that this node has seen anywhere.
+    highest: Term,
+}
+
+impl Lease {
+    /// The view of a process that has not read the object yet.
+    pub fn new(config: LeaseConfig, own: HolderId) -> Self {
+        Lease { config, own, seen: None, confirmed: None, doubtful: false, highest: Term(0) }
+    }
+
+    /// What a node that wants to give orders at `now` does next.
+    pub fn step(&self, now: Timestamp) -> LeaseStep {
+        if let Some(term) = self.may_order(now) {
+            return LeaseStep::Order(term);
+        }
+        let Some(seen) = self.seen.as_ref().filter(|_| !self.doubtful) else {
+            return LeaseStep::Read;
+        };
+        let Some(record) = &seen.record else {
+            return LeaseStep::Write(LeaseWrite { record: self.record_of(self.next_term(), 0), expected: None });
+        };
+        if record.holder == self.own {
+            let refused = record.term < self.highest;
+            let (term, renewal) = if refused { (self.next_term(), 0) } else { (record.term, record.renewal + 1) };
+            return LeaseStep::Write(LeaseWrite { record: self.record_of(term, renewal), expected: seen.revision });
+        }
+        let known_for = now.since(seen.since);
+        if known_for < self.config.lapse() {
+            return LeaseStep::Wait(self.config.lapse() - known_for);
+        }
+        LeaseStep::Write(LeaseWrite { record: self.record_of(self.next_term(), 0), expected: seen.revision })
+    }
+
+    /// The term under which orders may be sent at `now`.
+    pub fn may_order(&self, now: Timestamp) -> Option<Term> {
+        let confirmed = self.confirmed.filter(|confirmed| now.since(*confirmed) < self.config.order_window)?;
+        debug_assert!(confirmed <= now);
+        let record = self.seen.as_ref()?.record.as_ref()?;
+        (record.term >= self.highest).then_some(record.term)
+    }
+
+    /// Takes in what a read has shown that was answered at `now`.
+    pub fn observe(&mut self, record: Option<LeaseRecord>, revision: Option<Revision>, now: Timestamp) {
+        self.doubtful = false;
+        let is_known = self.seen.as_ref().is_some_and(|seen| seen.revision == revision && seen.record == record);
+        if is_known {
+            return;
+        }
+        // Whatever it is, it is not the write that this process has seen acknowledged last.
+        self.confirmed = None;
+        if let Some(record) = &record {
+            self.highest = self.highest.max(record.term);
+        }
+        self.seen = Some(Seen { record, revision, since: now });
+    }
+
+    /// Notes that the store has acknowledged `write`, which was sent at `sent`, and the revision that it made.
+    pub fn written(&mut self, write: LeaseWrite, revision: Revision, sent: Timestamp, now: Timestamp) {
+        self.highest = self.highest.max(write.record.term);
+        self.seen = Some(Seen { record: Some(write.record), revision: Some(revision), since: now });
+        self.confirmed = Some(sent);
+        self.doubtful = false;
+    }
+
+    /// Notes that a write was refused since the object has changed, or that nobody knows whether it took effect; or that
+    /// an order had no answer. Nothing is ordered before the lease has been seen to hold anew.
+    pub fn doubt(&mut self) {
+        self.confirmed = None;
+        self.doubtful = true;
+    }
+
+    /// Notes that an engine has refused an order as one of a lower term than it has seen: this term is over.
+    pub fn fenced(&mut self, term: Term) {
+        self.highest = self.highest.max(Term(term.0.saturating_add(1)));
+        self.doubt();
+    }
+
+    /// The moment from which on nothing may be ordered any more unless the lease is renewed before.
+    pub fn order_until(&self) -> Option<Timestamp> {
+        self.confirmed.map(|confirmed| confirmed + self.config.order_window)
+    }
+
+    /// Who is believed to hold the lease.
+    pub fn holder(&self) -> Option<&HolderId> {
+        Some(&self.seen.as_ref()?.record.as_ref()?.holder)
+    }
+
+    /// The term that this process holds or held last; `None` when another one holds the lease.
+    pub fn term(&self) -> Option<Term> {
+        let record = self.seen.as_ref()?.record.as_ref()?;
+        (record.holder == self.own).then_some(record.term)
+    }
+
+    /// The times that this lease goes by.
+    pub fn config(&self) -> LeaseConfig {
+        self.config
+    }
+
+    fn next_term(&self) -> Term {
+        let seen = self.seen.as_ref().and_then(|seen| seen.record.as_ref()).map_or(Term(0), |record| record.term);
+        Term(seen.max(self.highest).0.saturating_add(1))
+    }
+
+    fn record_of(&self, term: Term, renewal: u64) -> LeaseRecord {
+        LeaseRecord { holder: self.own.clone(), term, renewal }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/stages_demand.rs
@@ -0,0 +1,118 @@
+//! What all nodes ask of engines, from reports that come late, twice, out of order or never.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use havengate_core::relay::EngineModel;
+use havengate_core::stages::{DemandCounters, DemandReport, DemandTable, DemandTableConfig};
+use havengate_core::time::Timestamp;
+use havengate_core::world::{Address, ServiceName};
+
+const START: Timestamp = Timestamp::from_millis(1_000);
+
+fn address(number: u8) -> Address {
+    Address(std::net::SocketAddr::from(([10, 0, 0, number], 8_000)))
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("model")
+}
+
+fn report(node: u8, life: u64, counters: &DemandCounters) -> DemandReport {
+    DemandReport::of(address(node), life, counters, &EngineModel::default())
+}
+
+fn table() -> DemandTable {
+    DemandTable::new(DemandTableConfig::default(), START)
+}
+
+/// The requests with short prompts that the table counts in the span that it ends.
+fn counted(table: &mut DemandTable, now: Timestamp) -> f64 {
+    table.tick(now);
+    let seconds = 1.0;
+    let per_request = table.short_prompt_millis(now) / 1e3;
+    table.take_loads().iter().map(|(_, load)| load.answering / per_request * seconds).sum()
+}
+
+#[test]
+fn reports_in_any_order_with_repeats_and_losses_never_count_a_request_twice() {
+    for seed in 0..200 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut table = table();
+        let mut sent: Vec<DemandReport> = Vec::new();
+        let mut real: BTreeMap<u8, (u64, DemandCounters, u64)> = BTreeMap::new();
+        let mut first = BTreeMap::new();
+        for _ in 0..60 {
+            let node = random.u8(1..5);
+            let (life, counters, total) = real.entry(node).or_insert((1, DemandCounters::default(), 0));
+            let requests = random.u64(..5);
+            (0..requests).for_each(|_| counters.record_short_prompt(&service()));
+            *total += requests;
+            let report = report(node, *life, counters);
+            first.entry(node).or_insert(*total);
+            sent.push(report);
+        }
+        // The first report of each node comes first: what was counted before is no demand of now.
+        for node in 1..5_u8 {
+            if let Some(report) = sent.iter().find(|report| report.sender == address(node)) {
+                table.receive(report.clone(), START);
+            }
+        }
+        let mut arriving = sent.clone();
+        arriving.extend(sent.iter().filter(|_| random.bool()).cloned());
+        random.shuffle(&mut arriving);
+        let lost = random.usize(..20);
+        arriving.truncate(arriving.len() - lost);
+        for report in arriving {
+            table.receive(report, START);
+        }
+        let real: u64 = real.iter().map(|(node, (_, _, total))| total - first[node]).sum();
+        let counted = counted(&mut table, START + Duration::from_secs(1));
+        assert!(counted <= real as f64 + 1e-6, "seed {seed}: {counted} counted of {real}");
+    }
+}
+
+#[test]
+fn the_last_report_of_each_node_tells_all_whatever_was_lost_before() {
+    let mut table = table();
+    let mut counters = DemandCounters::default();
+    table.receive(report(1, 1, &counters), START);
+    (0..30).for_each(|_| counters.record_short_prompt(&service()));
+    table.receive(report(1, 1, &counters), START);
+    assert!((counted(&mut table, START + Duration::from_secs(1)) - 30.0).abs() < 1e-6);
+}
+
+#[test]
+fn a_node_that_was_restarted_counts_anew() {
+    let mut table = table();
+    let mut counters = DemandCounters::default();
+    (0..30).for_each(|_| counters.record_short_prompt(&service()));
+    table.receive(report(1, 1, &counters), START);
+    let mut counters = DemandCounters::default();
+    (0..4).for_each(|_| counters.record_short_prompt(&service()));
+    assert!(table.receive(report(1, 2, &counters), START));
+    assert!((counted(&mut table, START + Duration::from_secs(1)) - 4.0).abs() < 1e-6);
+}
+
+#[test]
+fn a_report_that_was_overtaken_is_not_taken_in() {
+    let mut table = table();
+    let old = DemandCounters::default();
+    let mut new = DemandCounters::default();
+    new.record_long_prompt(&service(), 5_000);
+    table.receive(report(1, 1, &new), START);
+    assert!(!table.receive(report(1, 1, &old), START));
+}
+
+#[test]
+fn a_span_without_requests_is_told_as_one_without_load() {
+    let mut table = table();
+    let mut counters = DemandCounters::default();
+    table.receive(report(1, 1, &counters), START);
+    counters.record_long_prompt(&service(), 5_000);
+    table.receive(report(1, 1, &counters), START);
+    table.tick(START + Duration::from_secs(1));
+    assert!(table.take_loads()[0].1.reading > 0.0);
+    table.tick(START + Duration::from_secs(2));
+    assert_eq!(table.take_loads()[0].1.reading, 0.0);
+}
--- /dev/null
+++ b/crates/core/tests/stages_lease.rs
@@ -0,0 +1,287 @@
+//! The lease that orders to engines need, over a store and machines that fail: histories of concurrent runs are checked.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use havengate_core::authority::Term;
+use havengate_core::stages::{HolderId, Lease, LeaseConfig, LeaseRecord, LeaseStep, LeaseWrite};
+use havengate_core::store::Revision;
+use havengate_core::time::Timestamp;
+use havengate_core::world::NodeName;
+
+const TICK: Duration = Duration::from_millis(50);
+const RUN: Duration = Duration::from_secs(120);
+
+#[derive(Default)]
+struct Store {
+    record: Option<LeaseRecord>,
+    revision: u64,
+}
+
+impl Store {
+    /// Applies a write if its condition holds.
+    fn apply(&mut self, write: &LeaseWrite) -> Option<Revision> {
+        let present = self.record.is_some().then_some(Revision(self.revision));
+        if write.expected != present {
+            return None;
+        }
+        self.revision += 1;
+        self.record = Some(write.record.clone());
+        Some(Revision(self.revision))
+    }
+}
+
+/// A call whose answer is on its way, or whose effect is.
+enum InFlight {
+    /// A read that was answered with this.
+    Read { record: Option<LeaseRecord>, revision: Option<Revision> },
+    /// A write that was answered.
+    Written { write: LeaseWrite, revision: Option<Revision>, sent: Timestamp },
+    /// A call without an answer.
+    Lost,
+}
+
+struct Node {
+    id: HolderId,
+    lease: Lease,
+    /// What the node's own clock shows beside the true time.
+    origin: Duration,
+    call: Option<(u64, InFlight)>,
+    frozen_until: u64,
+    wants: bool,
+}
+
+impl Node {
+    fn new(number: u64, life: u64, origin: Duration) -> Self {
+        let id = HolderId { node: NodeName::new(format!("node-{number}")), life };
+        Node { lease: lease(id.clone()), id, origin, call: None, frozen_until: 0, wants: true }
+    }
+
+    fn clock(&self, tick: u64) -> Timestamp {
+        Timestamp::ZERO + self.origin + TICK * tick as u32
+    }
+}
+
+fn config() -> LeaseConfig {
+    LeaseConfig::default()
+}
+
+fn lease(id: HolderId) -> Lease {
+    Lease::new(config(), id)
+}
+
+struct Order {
+    tick: u64,
+    holder: HolderId,
+    term: Term,
+}
+
+/// Runs some nodes that all want to order, over a store that loses answers, applies writes late and is down for a while.
+fn run(seed: u64, nodes_count: u64) -> Vec<Order> {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut store = Store::default();
+    let mut late: Vec<(u64, LeaseWrite)> = Vec::new();
+    let mut orders = Vec::new();
+    let mut nodes: Vec<Node> = (0..nodes_count)
+        .map(|number| Node::new(number, seed + number, Duration::from_millis(random.u64(..90_000))))
+        .collect();
+    let down_from = random.u64(200..1_500);
+    for tick in 0..(RUN.as_millis() / TICK.as_millis()) as u64 {
+        let is_down = (down_from..down_from + 160).contains(&tick);
+        late.retain(|(due, write)| {
+            if *due <= tick {
+                store.apply(write);
+            }
+            *due > tick
+        });
+        for (number, node) in nodes.iter_mut().enumerate() {
+            if random.u32(..2_000) == 0 {
+                node.frozen_until = tick + random.u64(1..300);
+            }
+            if random.u32(..3_000) == 0 {
+                *node = Node::new(number as u64, random.u64(..), node.origin);
+            }
+            if node.frozen_until > tick {
+                continue;
+            }
+            node.wants = if random.u32(..60) == 0 { !node.wants } else { node.wants };
+            step(node, tick, &mut store, is_down, &mut late, &mut random, &mut orders);
+        }
+    }
+    orders
+}
+
+fn step(
+    node: &mut Node,
+    tick: u64,
+    store: &mut Store,
+    is_down: bool,
+    late: &mut Vec<(u64, LeaseWrite)>,
+    random: &mut fastrand::Rng,
+    orders: &mut Vec<Order>,
+) {
+    let now = node.clock(tick);
+    if let Some((due, _)) = &node.call {
+        if *due > tick {
+            return;
+        }
+        match node.call.take().map(|(_, call)| call) {
+            Some(InFlight::Read { record, revision }) => node.lease.observe(record, revision, now),
+            Some(InFlight::Written { write, revision: Some(revision), sent }) => {
+                node.lease.written(write, revision, sent, now);
+            }
+            Some(InFlight::Written { revision: None, .. } | InFlight::Lost) => node.lease.doubt(),
+            None => {}
+        }
+    }
+    if !node.wants {
+        return;
+    }
+    let answered_at = tick + random.u64(1..12);
+    match node.lease.step(now) {
+        LeaseStep::Order(term) => {
+            orders.push(Order { tick, holder: node.id.clone(), term });
+            if random.u32(..40) == 0 {
+                node.lease.doubt();
+            }
+            if random.u32(..400) == 0 {
+                node.lease.fenced(term);
+            }
+        }
+        LeaseStep::Wait(_) => {}
+        LeaseStep::Read if is_down => node.call = Some((answered_at, InFlight::Lost)),
+        LeaseStep::Read => {
+            let revision = store.record.is_some().then_some(Revision(store.revision));
+            node.call = Some((answered_at, InFlight::Read { record: store.record.clone(), revision }));
+        }
+        LeaseStep::Write(write) => {
+            let call = match random.u32(..10) {
+                // Nobody knows: it takes effect never, or seconds later.
+                0 => InFlight::Lost,
+                1 => {
+                    late.push((tick + random.u64(1..240), write));
+                    InFlight::Lost
+                }
+                // It takes effect, and the answer is lost.
+                2 if !is_down => {
+                    store.apply(&write);
+                    InFlight::Lost
+                }
+                _ if is_down => InFlight::Lost,
+                _ => InFlight::Written { revision: store.apply(&write), write, sent: now },
+            };
+            node.call = Some((answered_at, call));
+        }
+    }
+}
+
+#[test]
+fn two_holders_never_order_within_the_hand_over_of_each_other() {
+    for seed in 0..300 {
+        let orders = run(seed, 2 + seed % 4);
+        for pair in orders.windows(2).filter(|pair| pair[0].holder != pair[1].holder) {
+            let between = TICK * (pair[1].tick - pair[0].tick) as u32;
+            assert!(between >= config().hand_over, "seed {seed}: two holders ordered {between:?} apart");
+        }
+    }
+}
+
+#[test]
+fn a_term_has_one_holder_and_terms_only_rise() {
+    for seed in 300..600 {
+        let orders = run(seed, 2 + seed % 4);
+        let mut holders: BTreeMap<Term, HolderId> = BTreeMap::new();
+        let mut highest = Term(0);
+        for order in orders {
+            let holder = holders.entry(order.term).or_insert(order.holder.clone());
+            assert_eq!(*holder, order.holder, "seed {seed}: two holders of {:?}", order.term);
+            assert!(order.term >= highest, "seed {seed}: {:?} after {highest:?}", order.term);
+            highest = order.term;
+        }
+    }
+}
+
+#[test]
+fn in_the_end_somebody_orders_in_spite_of_lost_answers() {
+    for seed in 600..640 {
+        let orders = run(seed, 3);
+        let last = orders.last().map_or(0, |order| order.tick);
+        assert!(last > 1_500, "seed {seed}: the last order was given at tick {last}");
+    }
+}
+
+fn record(node: &str, life: u64, term: u64, renewal: u64) -> LeaseRecord {
+    LeaseRecord { holder: HolderId { node: NodeName::new(node), life }, term: Term(term), renewal }
+}
+
+fn own() -> Lease {
+    lease(HolderId { node: NodeName::new("own"), life: 7 })
+}
+
+const NOW: Timestamp = Timestamp::from_millis(100_000);
+
+#[test]
+fn an_earlier_life_of_the_same_node_is_another_holder() {
+    let mut lease = own();
+    lease.observe(Some(record("own", 6, 3, 4)), Some(Revision(9)), NOW);
+    assert!(matches!(lease.step(NOW), LeaseStep::Wait(_)));
+    let LeaseStep::Write(write) = lease.step(NOW + config().lapse()) else {
+        panic!("the lease has lapsed");
+    };
+    assert_eq!((write.record.term, write.expected), (Term(4), Some(Revision(9))));
+}
+
+#[test]
+fn a_process_that_finds_itself_named_renews_before_it_orders() {
+    let mut lease = own();
+    lease.observe(Some(record("own", 7, 3, 0)), Some(Revision(9)), NOW);
+    assert_eq!(lease.may_order(NOW), None);
+    let LeaseStep::Write(write) = lease.step(NOW) else {
+        panic!("nothing but a renewal is possible");
+    };
+    assert_eq!((write.record.term, write.record.renewal), (Term(3), 1));
+    lease.written(write, Revision(10), NOW, NOW + Duration::from_millis(4));
+    assert_eq!(lease.may_order(NOW + Duration::from_millis(4)), Some(Term(3)));
+}
+
+#[test]
+fn the_window_of_orders_runs_from_the_moment_at_which_the_renewal_was_sent() {
+    let mut lease = own();
+    lease.observe(None, None, NOW);
+    let LeaseStep::Write(write) = lease.step(NOW) else {
+        panic!("nobody holds it");
+    };
+    let late = config().order_window;
+    lease.written(write, Revision(1), NOW, NOW + late);
+    assert_eq!(lease.may_order(NOW + late), None);
+}
+
+#[test]
+fn a_term_that_an_engine_refused_is_not_used_again() {
+    let mut lease = own();
+    lease.observe(None, None, NOW);
+    let LeaseStep::Write(write) = lease.step(NOW) else {
+        panic!("nobody holds it");
+    };
+    lease.written(write.clone(), Revision(1), NOW, NOW);
+    lease.fenced(write.record.term);
+    assert_eq!(lease.step(NOW), LeaseStep::Read);
+    lease.observe(Some(write.record.clone()), Some(Revision(1)), NOW);
+    let LeaseStep::Write(next) = lease.step(NOW) else {
+        panic!("its own lease may be written at once");
+    };
+    assert!(next.record.term > write.record.term);
+}
+
+#[test]
+fn another_holder_that_is_seen_ends_the_authority_at_once() {
+    let mut lease = own();
+    lease.observe(None, None, NOW);
+    let LeaseStep::Write(write) = lease.step(NOW) else {
+        panic!("nobody holds it");
+    };
+    lease.written(write, Revision(1), NOW, NOW);
+    assert!(lease.may_order(NOW).is_some());
+    lease.observe(Some(record("other", 1, 2, 0)), Some(Revision(2)), NOW);
+    assert_eq!((lease.may_order(NOW), lease.term()), (None, None));
+}
--- a/crates/relay/src/callers/candidates.rs
+++ b/crates/relay/src/callers/candidates.rs
@@ -1,6 +1,6 @@
 //! The back ends that a request may be sent to, as this node sees them now.
 
-use havengate_core::back_ends::BackEnd;
+use havengate_core::back_ends::{BackEnd, Usability};
 use havengate_core::relay::{Candidate, Placed, Purpose, place};
 use havengate_core::time::Timestamp;
 use havengate_core::world::{BackEndId, ServiceName};
@@ -37,7 +37,11 @@
             let id = &entry.back_end.id;
             Candidate {
                 back_end: &entry.back_end,
-                usability: entry.usability(now),
+                usability: match entry.usability(now) {
+                    // It refuses what it can't run before it changes, so it is a last resort.
+                    Usability::Usable if knowledge.is_changing(&entry.back_end, now) => Usability::LastResort,
+                    usability => usability,
+                },
                 healthy: traffic.loads.admits(id, now),
                 connectable: traffic.pool.open(id) < connections_maximum || traffic.pool.resting(id) > 0,
                 in_flight: traffic.loads.in_flight(id),
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -177,12 +177,22 @@
     /// Decides where a long prompt is read, and has it read there if that is a prefill engine.
     async fn plan_reading(&mut self) -> ReadingPlan {
         let Some(prompt) = self.request.long_prompt().cloned() else {
+            if self.request.head.prompt.is_some() {
+                let model = self.traffic.readings.model();
+                self.traffic.demand.record_short_prompt(&self.request.service, model);
+                return self.read_aside().await;
+            }
             return ReadingPlan::WhereAnswered;
         };
+        let mut is_first = true;
         while self.exchange.may_prefill() {
             let Some((back_end, placed)) = self.place_reading(&prompt) else {
                 break;
             };
+            if std::mem::take(&mut is_first) {
+                let model = self.traffic.readings.model();
+                self.traffic.demand.record_long_prompt(&self.request.service, placed.unread, model);
+            }
             let left = self.request.ends_at.since(self.traffic.clock.now());
             if self.traffic.placement().refuses_early && placed.is_hopeless(left) {
                 return ReadingPlan::Nowhere;
@@ -194,25 +204,51 @@
                 record.prefill_back_end = Some(back_end.id.clone());
             }
             let reading = self.traffic.readings.begin(&back_end, &prompt, self.request.urgency);
-            let result = self.prefill(&back_end).await;
-            reading.end(result.is_ok());
-            match result {
-                Ok(handle) => {
-                    self.exchange.after_prefill(None);
-                    let source = CacheSource { address: back_end.address, handle };
-                    return ReadingPlan::Elsewhere { source, zone: back_end.zone };
-                }
-                Err(outcome) => {
-                    self.exchange.after_prefill(Some(outcome));
-                    let request = self.request.head.id_text();
-                    log::info!(event = "prefill_failed", request, back_end:% = back_end.id, outcome:? = outcome; "");
-                    self.tried.push(back_end.id);
-                }
+            let plan = self.read_at(back_end).await;
+            reading.end(plan.is_some());
+            if let Some(plan) = plan {
+                return plan;
             }
         }
         ReadingPlan::WhereAnswered
     }
 
+    /// Has a short prompt read by a prefill engine that has nothing else to read, if there is one; else it is read where
+    /// it is answered.
+    async fn read_aside(&mut self) -> ReadingPlan {
+        let traffic = self.traffic;
+        if !traffic.placement().short_prompts_apart || !self.exchange.may_prefill() {
+            return ReadingPlan::WhereAnswered;
+        }
+        let now = traffic.clock.now();
+        let engine = traffic.readings.with_index(|index| self.place(&Purpose::ReadAside { index, now }));
+        let Some(engine) = engine else {
+            return ReadingPlan::WhereAnswered;
+        };
+        if let Some(record) = &mut self.record {
+            record.prefill_back_end = Some(engine.id.clone());
+        }
+        self.read_at(engine).await.unwrap_or(ReadingPlan::WhereAnswered)
+    }
+
+    /// Has the prompt read by a prefill engine; `None` when it is not read there.
+    async fn read_at(&mut self, engine: BackEnd) -> Option<ReadingPlan> {
+        match self.prefill(&engine).await {
+            Ok(handle) => {
+                self.exchange.after_prefill(None);
+                let source = CacheSource { address: engine.address, handle };
+                Some(ReadingPlan::Elsewhere { source, zone: engine.zone })
+            }
+            Err(outcome) => {
+                self.exchange.after_prefill(Some(outcome));
+                let request = self.request.head.id_text();
+                log::info!(event = "prefill_failed", request, back_end:% = engine.id, outcome:? = outcome; "");
+                self.tried.push(engine.id);
+                None
+            }
+        }
+    }
+
     async fn prefill(&self, back_end: &BackEnd) -> Result<String, SendOutcome> {
         let answer = send_noted(self.traffic, &self.request, back_end, &SendStage::Prefill, self.ends_at)
             .await
@@ -231,7 +267,7 @@
     async fn attempt(&mut self, back_end: &BackEnd, plan: &ReadingPlan) -> Attempt {
         let traffic = self.traffic;
         let Some(prompt) = self.request.long_prompt().cloned() else {
-            return self.attempt_stage(back_end, &SendStage::Whole).await;
+            return self.attempt_short(back_end, plan).await;
         };
         if let ReadingPlan::Elsewhere { source, .. } = plan {
             let began = traffic.clock.now();
@@ -247,6 +283,19 @@
         attempt
     }
 
+    /// Sends a request without a long prompt, and notes how long an engine takes to begin its answer.
+    async fn attempt_short(&mut self, back_end: &BackEnd, plan: &ReadingPlan) -> Attempt {
+        if let ReadingPlan::Elsewhere { source, .. } = plan {
+            return self.attempt_stage(back_end, &SendStage::Decode(source.clone())).await;
+        }
+        let began = self.traffic.clock.now();
+        let attempt = self.attempt_stage(back_end, &SendStage::Whole).await;
+        if back_end.stage.is_some() && matches!(attempt, Attempt::Answered(_)) {
+            self.traffic.readings.observe_short_prompt(self.traffic.clock.now().since(began));
+        }
+        attempt
+    }
+
     async fn attempt_stage(&mut self, back_end: &BackEnd, stage: &SendStage) -> Attempt {
         if let Some(record) = &mut self.record {
             record.back_end = Some(back_end.id.clone());
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -11,6 +11,8 @@
 use havengate_node::clock::Clock;
 
 use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits};
+use crate::control::SharedWithTraffic;
+use crate::demand::SharedDemand;
 use crate::knowledge::SharedKnowledge;
 use crate::metrics::RelayMetrics;
 use crate::readings::Readings;
@@ -21,6 +23,8 @@
     pub protocol: P,
     /// What the control thread knows.
     pub knowledge: SharedKnowledge,
+    /// What this node's callers ask of engines.
+    pub demand: SharedDemand,
     /// The node's clock.
     pub clock: Clock,
     /// Connections to back ends.
@@ -46,12 +50,11 @@
     /// What a node shares that has just started.
     pub fn new(
         protocol: P,
-        knowledge: SharedKnowledge,
-        clock: Clock,
+        shared: SharedWithTraffic,
         budget_config: SharedRetryBudgetConfig,
         placement: PlacementConfig,
-        metrics: RelayMetrics,
     ) -> Self {
+        let SharedWithTraffic { knowledge, demand, clock, metrics } = shared;
         Traffic {
             protocol,
             clock,
@@ -60,6 +63,7 @@
             readings: Readings::new(Arc::clone(&knowledge), clock, metrics.clone()),
             placement: Cell::new(placement),
             knowledge,
+            demand,
             metrics,
             active: ActiveRequests::default(),
             leaving: Cell::new(false),
--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -1,20 +1,22 @@
 //! Takes in what the store and the peers tell, and publishes it. Versions and revisions only rise.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use havengate_core::back_ends::{Directory, DirectoryChanges, DirectoryListing, DirectoryNews};
+use havengate_core::authority::Term;
+use havengate_core::back_ends::{Directory, DirectoryChanges, DirectoryListing, DirectoryNews, EngineStage};
 use havengate_core::replication::{KnowledgeAges, Pull, PullAnswer};
 use havengate_core::routing::TrafficConfiguration;
 use havengate_core::store::Revision;
 use havengate_core::time::Timestamp;
-use havengate_core::world::Address;
+use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
 use tokio::sync::watch;
 
-use crate::knowledge::{ActiveConfiguration, Knowledge, SharedKnowledge};
+use crate::knowledge::{ActiveConfiguration, AnnouncedChange, Knowledge, SharedKnowledge};
 use crate::metrics::RelayMetrics;
 
 /// Where a piece of knowledge came from, for logs.
@@ -40,6 +42,8 @@
 pub struct Learner {
     directory: Rc<RefCell<Directory>>,
     configuration_confirmed_at: Rc<Cell<Option<Timestamp>>>,
+    /// The highest term under which changes of stages were announced.
+    stages_term: Rc<Cell<Term>>,
     knowledge: SharedKnowledge,
     /// Counts what was learned, for those that wait for it. A mere confirmation is no news: readers that feed each other
     /// would tell it for ever.
@@ -54,6 +58,7 @@
         Learner {
             directory: Rc::default(),
             configuration_confirmed_at: Rc::default(),
+            stages_term: Rc::default(),
             knowledge,
             news: Rc::new(watch::Sender::new(0)),
             clock,
@@ -186,6 +191,24 @@
         self.publish(Knowledge { nodes, peers: Arc::new(peers), is_reader, ..(*knowledge).clone() });
     }
 
+    /// Takes in which engines are about to change their stage, unless a holder with a higher term has told since.
+    pub fn note_changing(&self, engines: Vec<(BackEndId, EngineStage)>, term: Term) -> bool {
+        if term < self.stages_term.get() {
+            return false;
+        }
+        self.stages_term.set(term);
+        let knowledge = self.knowledge.load_full();
+        let heard_at = self.clock.now();
+        let announced = engines.into_iter().map(|(engine, to)| (engine, AnnouncedChange { to, heard_at }));
+        let changing: BTreeMap<BackEndId, AnnouncedChange> = announced.collect();
+        if !changing.keys().eq(knowledge.changing.keys()) {
+            let engines: Vec<&str> = changing.keys().map(BackEndId::as_str).collect();
+            log::info!(event = "stages_announced", engines = engines.join(","), term = term.0; "");
+        }
+        self.publish(Knowledge { changing: Arc::new(changing), ..(*knowledge).clone() });
+        true
+    }
+
     /// What a peer that has `pull` lacks.
     pub fn answer(&self, pull: Pull) -> PullAnswer {
         let now = self.clock.now();
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -5,8 +5,10 @@
 mod learner;
 mod peers;
 mod reader_role;
+mod stages;
 mod thread;
 
 pub use learner::Learner;
 pub use peers::{PeerExchange, PeersError};
-pub use thread::{ControlHandle, ControlSettings, spawn};
+pub use stages::{StageLeaseSettings, StageSettings};
+pub use thread::{ControlHandle, ControlSettings, SharedWithTraffic, spawn};
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use havengate_core::replication::{Digest, PeerAddresses, PeerTable, Pull, PullAnswer};
+use havengate_core::replication::{Digest, PeerAddresses, PeerMessage, PeerTable, Pull, PullAnswer};
+use havengate_core::stages::{DemandTable, DemandTableConfig};
+use havengate_core::time::Timestamp;
 use havengate_core::world::Address;
 use havengate_wire::{LENGTH_BYTES, WireError, decode, encode, frame_of, payload_length};
 use speedy::{LittleEndian, Readable, Writable};
@@ -58,6 +60,7 @@
     role: ReaderRole,
     learner: Learner,
     socket: Rc<UdpSocket>,
+    demand: Rc<RefCell<DemandTable>>,
     metrics: RelayMetrics,
 }
 
@@ -76,7 +79,9 @@
         let socket = UdpSocket::bind(own.control.0).await?;
         let listener = listen(own.control.0)?;
         let table = Rc::new(RefCell::new(table));
-        Ok((PeerExchange { own, table, role, learner, socket: Rc::new(socket), metrics }, listener))
+        let demand = DemandTable::new(DemandTableConfig::default(), learner.clock().now());
+        let demand = Rc::new(RefCell::new(demand));
+        Ok((PeerExchange { own, table, role, learner, socket: Rc::new(socket), demand, metrics }, listener))
     }
 
     /// Sends digests for ever, to `seeds` as well, and pulls what peers have newer.
@@ -98,15 +103,82 @@
         }
     }
 
-    /// Takes digests in for ever.
+    /// The other nodes that were heard of lately.
+    pub fn recent(&self, now: Timestamp) -> Vec<Address> {
+        self.table.borrow().recent(now)
+    }
+
+    /// What all nodes ask of engines, as their reports show it.
+    pub fn demand(&self) -> Rc<RefCell<DemandTable>> {
+        Rc::clone(&self.demand)
+    }
+
+    /// Sends `message` to each of `receivers`. One that can't be sent is like one that is lost.
+    pub async fn send_to(&self, message: &PeerMessage, receivers: &[Address]) {
+        let bytes = match encode(message) {
+            Ok(bytes) if bytes.len() <= DATAGRAM_MAXIMUM_BYTES => bytes,
+            Ok(bytes) => {
+                self.metrics.record_dropped_message("too_large");
+                log::warn!(event = "message_too_large", bytes = bytes.len(); "");
+                return;
+            }
+            Err(error) => {
+                log::error!(event = "message_unwritable", error:% = error; "");
+                return;
+            }
+        };
+        let mut sent = 0;
+        for receiver in receivers {
+            match self.socket.send_to(&bytes, receiver.0).await {
+                Ok(_) => sent += 1,
+                Err(_) => self.metrics.record_dropped_message("not_sent"),
+            }
+        }
+        let kind = match message {
+            PeerMessage::Digest(_) => NodeMessageKind::Digest,
+            PeerMessage::Demand(_) => NodeMessageKind::Demand,
+            PeerMessage::Stages(_) => NodeMessageKind::Stages,
+        };
+        self.metrics.record_node_messages(kind, sent, sent * (bytes.len() + DATAGRAM_OVERHEAD_BYTES));
+    }
+
+    fn take_in(&self, message: PeerMessage) {
+        let now = self.learner.clock().now();
+        match message {
+            PeerMessage::Digest(digest) => self.table.borrow_mut().receive(&digest, now),
+            PeerMessage::Demand(report) if !self.knows(report.sender, now) => {
+                self.metrics.record_dropped_message("unknown_sender");
+            }
+            PeerMessage::Demand(report) => {
+                if !self.demand.borrow_mut().receive(report, now) {
+                    self.metrics.record_dropped_message("overtaken");
+                }
+            }
+            PeerMessage::Stages(notice) if !self.knows(notice.sender, now) => {
+                self.metrics.record_dropped_message("unknown_sender");
+            }
+            PeerMessage::Stages(notice) => {
+                if !self.learner.note_changing(notice.engines, notice.term) {
+                    self.metrics.record_dropped_message("overtaken");
+                }
+            }
+        }
+    }
+
+    fn knows(&self, sender: Address, now: Timestamp) -> bool {
+        self.table.borrow().recent(now).contains(&sender)
+    }
+
+    /// Takes datagrams of peers in for ever.
     pub async fn receive(self) {
         let mut buffer = [0; DATAGRAM_MAXIMUM_BYTES];
         loop {
             let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
                 continue;
             };
-            if let Ok(digest) = decode::<Digest>(&buffer[..length]) {
-                self.table.borrow_mut().receive(&digest, self.learner.clock().now());
+            match decode::<PeerMessage>(&buffer[..length]) {
+                Ok(message) => self.take_in(message),
+                Err(_) => self.metrics.record_dropped_message("malformed"),
             }
         }
     }
@@ -141,15 +213,7 @@
             directory: self.learner.directory_changed_at(),
             peers,
         };
-        let Ok(bytes) = encode(&digest) else {
-            return;
-        };
-        let sent = receivers.len() * (bytes.len() + DATAGRAM_OVERHEAD_BYTES);
-        self.metrics.record_node_messages(NodeMessageKind::Digest, receivers.len(), sent);
-        for receiver in receivers {
-            // A datagram that can't be sent is like one that is lost.
-            let _ = self.socket.send_to(&bytes, receiver.0).await;
-        }
+        self.send_to(&PeerMessage::Digest(digest), &receivers).await;
     }
 
     async fn pull_if_behind(&self) {
--- /dev/null
+++ b/crates/relay/src/control/stages/mod.rs
@@ -0,0 +1,8 @@
+//! Stages: the node that decides tells engines to change between reading prompts and answering.
+
+mod engine_orders;
+mod settings;
+mod steering;
+
+pub use settings::{StageLeaseSettings, StageSettings};
+pub use steering::{Steering, SteeringParts};
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -5,7 +5,7 @@
 use std::thread;
 
 use havengate_core::replication::{PeerAddresses, PeerTable, PeerTableConfig, Readers, ReadersConfig};
-use havengate_core::world::Address;
+use havengate_core::world::{Address, NodeName};
 use havengate_node::clock::Clock;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
@@ -17,19 +17,38 @@
 use super::learner::Learner;
 use super::peers::PeerExchange;
 use super::reader_role::ReaderRole;
+use super::stages::{StageSettings, Steering, SteeringParts};
+use crate::demand::SharedDemand;
 use crate::knowledge::SharedKnowledge;
 use crate::metrics::RelayMetrics;
-use crate::protocol::ControlStore;
+use crate::protocol::{ControlStore, Protocol};
 
 /// What the control thread is given.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
+    /// The node's name.
+    pub node: NodeName,
     /// Where peers reach this node.
     pub peers_address: Address,
     /// Where this node takes notices of readings.
     pub notices_address: Address,
     /// Peers that are told of this node from the start; a reload may change them.
     pub seeds: watch::Receiver<Vec<Address>>,
+    /// How stages are decided; a reload may change it.
+    pub stages: watch::Receiver<StageSettings>,
+}
+
+/// What the control thread shares with the traffic thread.
+#[derive(Clone)]
+pub struct SharedWithTraffic {
+    /// What the control thread knows.
+    pub knowledge: SharedKnowledge,
+    /// What this node's callers ask of engines.
+    pub demand: SharedDemand,
+    /// The node's clock.
+    pub clock: Clock,
+    /// Counters.
+    pub metrics: RelayMetrics,
 }
 
 /// The running control thread. It ends with the process.
@@ -41,18 +60,18 @@
 ///
 /// # Errors
 /// When the thread or its runtime can't be started, or the address for peers can't be bound.
-pub fn spawn<S: ControlStore>(
+pub fn spawn<P: Protocol, S: ControlStore>(
     settings: ControlSettings,
+    protocol: P,
     store: S,
-    knowledge: SharedKnowledge,
-    clock: Clock,
-    metrics: RelayMetrics,
+    shared: SharedWithTraffic,
 ) -> io::Result<ControlHandle> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let (bound_sender, bound) = mpsc::sync_channel(1);
     let body = move || {
         let tasks = LocalSet::new();
         tasks.block_on(&runtime, async move {
+            let SharedWithTraffic { knowledge, demand, clock, metrics } = shared;
             let learner = Learner::new(knowledge, clock, metrics.clone());
             let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
             let role = ReaderRole::new(readers, clock);
@@ -60,6 +79,18 @@
                 Ok((peers, listener)) => {
                     // The start has been given up when nobody waits for this any more.
                     let _ = bound_sender.send(Ok(()));
+                    let parts = SteeringParts {
+                        node: settings.node.clone(),
+                        own: settings.peers_address,
+                        settings: settings.stages.clone(),
+                        protocol,
+                        store: store.clone(),
+                        demand,
+                        learner: learner.clone(),
+                        peers: peers.clone(),
+                        metrics: metrics.clone(),
+                    };
+                    tokio::task::spawn_local(Steering::new(parts).run());
                     run(settings, peers, listener, store, role, learner, metrics).await;
                 }
                 Err(error) => drop(bound_sender.send(Err(error))),
--- a/crates/relay/src/knowledge.rs
+++ b/crates/relay/src/knowledge.rs
@@ -1,13 +1,15 @@
 //! What the control thread knows, as one immutable value that the traffic thread reads without a lock.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use havengate_core::back_ends::Directory;
+use havengate_core::back_ends::{BackEnd, Directory, EngineStage};
 use havengate_core::replication::PeerTableConfig;
 use havengate_core::routing::{ConfigurationNumber, RouteTable, TrafficConfiguration};
 use havengate_core::time::Timestamp;
-use havengate_core::world::Address;
+use havengate_core::world::{Address, BackEndId};
 
 /// A configuration in force, with its routes ready to be looked up.
 #[derive(Debug)]
@@ -25,6 +27,19 @@
     }
 }
 
+/// An announced change that was not heard of for this time is regarded as over: its sender is gone, or the engine has
+/// changed. Some times the pause between two announcements, since a datagram may be lost.
+const CHANGE_FORGOTTEN: Duration = Duration::from_millis(2_500);
+
+/// A change of an engine's stage that was announced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnnouncedChange {
+    /// The stage that the engine is to serve.
+    pub to: EngineStage,
+    /// When it was last heard of.
+    pub heard_at: Timestamp,
+}
+
 /// What a node knows at one moment.
 #[derive(Clone, Debug)]
 pub struct Knowledge {
@@ -40,6 +55,8 @@
     pub peers: Arc<Vec<Address>>,
     /// Whether this node is one of the few that read the store for all.
     pub is_reader: bool,
+    /// Engines that are about to change their stage.
+    pub changing: Arc<BTreeMap<BackEndId, AnnouncedChange>>,
 }
 
 impl Knowledge {
@@ -52,6 +69,7 @@
             nodes: PeerTableConfig::default().nodes_assumed,
             peers: Arc::default(),
             is_reader: true,
+            changing: Arc::default(),
         }
     }
 
@@ -60,6 +78,13 @@
         self.configuration.as_ref().map(|active| active.configuration.version).unwrap_or_default()
     }
 
+    /// Whether nothing new is to be sent to `back_end` at `now`, since it is about to change its stage.
+    pub fn is_changing(&self, back_end: &BackEnd, now: Timestamp) -> bool {
+        let announced = self.changing.get(&back_end.id);
+        announced
+            .is_some_and(|change| back_end.stage != Some(change.to) && now.since(change.heard_at) < CHANGE_FORGOTTEN)
+    }
+
     /// Whether the node can serve: it has a configuration and knows the back ends.
     pub fn is_complete(&self) -> bool {
         self.configuration.is_some() && self.directory.is_known()
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -87,6 +87,10 @@
     Digest,
     /// Configuration and directory.
     Feed,
+    /// What callers ask of engines.
+    Demand,
+    /// Engines that change their stage.
+    Stages,
 }
 
 impl NodeMessageKind {
@@ -96,6 +100,8 @@
             NodeMessageKind::KeptParts => "kept_parts",
             NodeMessageKind::Digest => "digest",
             NodeMessageKind::Feed => "feed",
+            NodeMessageKind::Demand => "demand",
+            NodeMessageKind::Stages => "stages",
         }
     }
 }
@@ -114,6 +120,22 @@
     pub name: &'static str,
 }
 
+/// Labels of changes of engines' stages.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StageChangeLabels {
+    /// The stage that was to be served.
+    pub to: &'static str,
+    /// How the change ended.
+    pub outcome: &'static str,
+}
+
+/// Labels of orders to engines.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StageOrderLabel {
+    /// How the engine answered.
+    pub answer: &'static str,
+}
+
 /// Labels of messages that were dropped.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct DropLabel {
@@ -142,6 +164,9 @@
     repeats_left: Family<ServiceLabel, Gauge>,
     estimates: Family<EstimateLabel, Gauge<f64, AtomicU64>>,
     estimate_samples: Family<EstimateLabel, Gauge>,
+    stage_changes: Family<StageChangeLabels, Counter>,
+    stage_orders: Family<StageOrderLabel, Counter>,
+    stage_change_seconds: Counter<f64, AtomicU64>,
 }
 
 /// The metrics of a node. Copies share them.
@@ -173,6 +198,9 @@
             repeats_left: Family::default(),
             estimates: Family::default(),
             estimate_samples: Family::default(),
+            stage_changes: Family::default(),
+            stage_orders: Family::default(),
+            stage_change_seconds: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that ended, by how", metrics.ends.clone());
@@ -195,9 +223,30 @@
         registry.register("engine_estimate", "What is believed of engines", metrics.estimates.clone());
         let samples = metrics.estimate_samples.clone();
         registry.register("engine_estimate_samples", "What a belief rests on; 0: the prior", samples);
+        let changes = metrics.stage_changes.clone();
+        registry.register(
+            "stage_changes",
+            "Changes of engines' stages that this node decided, by how they ended",
+            changes,
+        );
+        let orders = metrics.stage_orders.clone();
+        registry.register("stage_orders", "Orders to engines, by how they were answered", orders);
+        let seconds = metrics.stage_change_seconds.clone();
+        registry.register("stage_change_seconds", "Engines' time from a change's announcement to its end", seconds);
         RelayMetrics { metrics: Arc::new(metrics) }
     }
 
+    /// Counts the end of a change of an engine's stage that took so long.
+    pub fn record_stage_change(&self, to: &'static str, outcome: &'static str, took: Duration) {
+        self.metrics.stage_changes.get_or_create(&StageChangeLabels { to, outcome }).inc();
+        self.metrics.stage_change_seconds.inc_by(took.as_secs_f64());
+    }
+
+    /// Counts an order to an engine.
+    pub fn record_stage_order(&self, answer: &'static str) {
+        self.metrics.stage_orders.get_or_create(&StageOrderLabel { answer }).inc();
+    }
+
     /// Counts the end of a request.
     pub fn record_end(
         &self,
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -25,7 +25,8 @@
 
 use crate::cache_survey::survey;
 use crate::callers::{CallerServer, LAST_CONNECTIONS_PATIENCE, ServerPhase, Traffic, listen};
-use crate::control::{ControlSettings, spawn};
+use crate::control::{ControlSettings, SharedWithTraffic, StageSettings, spawn};
+use crate::demand::SharedDemand;
 use crate::knowledge::{Knowledge, SharedKnowledge};
 use crate::metrics::{NodeMessageKind, NodeState, RelayMetrics};
 use crate::protocol::{ControlStore, Protocol};
@@ -60,20 +61,29 @@
     protocol: P,
     store: S,
 ) -> io::Result<()> {
+    let (stages, stages_receiver) = watch::channel(settings.stage_settings());
     let (seeds, seeds_receiver) = watch::channel(settings.seeds.clone());
     let clock = Clock::start();
     let metrics = RelayMetrics::new();
     let knowledge: SharedKnowledge = Arc::new(ArcSwap::from_pointee(Knowledge::nothing()));
+    let demand = SharedDemand::default();
     let control = ControlSettings {
+        node: settings.name.clone(),
         peers_address: settings.peers_address,
         notices_address: settings.notices_address,
         seeds: seeds_receiver,
+        stages: stages_receiver,
     };
-    let _control = spawn(control, store, Arc::clone(&knowledge), clock, metrics.clone())?;
-    let traffic =
-        Rc::new(Traffic::new(protocol, knowledge, clock, settings.retry_budget(), settings.placement, metrics));
+    let shared = SharedWithTraffic {
+        knowledge: Arc::clone(&knowledge),
+        demand: demand.clone(),
+        clock,
+        metrics: metrics.clone(),
+    };
+    let _control = spawn(control, protocol.clone(), store, shared.clone())?;
+    let traffic = Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement));
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    let mut node = RunningNode { settings, read_settings, seeds, traffic };
+    let mut node = RunningNode { settings, read_settings, seeds, stages, traffic };
     LocalSet::new().block_on(&runtime, node.serve())
 }
 
@@ -81,6 +91,7 @@
     settings: RelaySettings,
     read_settings: R,
     seeds: watch::Sender<Vec<Address>>,
+    stages: watch::Sender<StageSettings>,
     traffic: Rc<Traffic<P>>,
 }
 
@@ -98,9 +109,10 @@
         self.traffic.set_budget_config(read.retry_budget());
         self.traffic.set_placement(read.placement);
         self.seeds.send_replace(read.seeds.clone());
+        self.stages.send_replace(read.stage_settings());
         self.settings = read;
         let placement = self.traffic.placement();
-        log::info!(event = "reloaded", seeds = self.settings.seeds.len(), placement:? = placement, needs_restart; "");
+        log::info!(event = "reloaded", seeds = self.settings.seeds.len(), placement:? = placement, stages:? = self.settings.stages, needs_restart; "");
     }
 
     async fn serve(&mut self) -> io::Result<()> {
@@ -143,7 +155,7 @@
 
 /// Logs what the node believes of engines, and the bytes that it has sent to other nodes since its start.
 fn log_summary<P>(traffic: &Traffic<P>) {
-    let [prefill, decode, moving] = traffic.readings.with_index(|index| index.model().estimates());
+    let [prefill, decode, moving, short_prompt] = traffic.readings.with_index(|index| index.model().estimates());
     log::info!(
         event = "engines_believed",
         prefill_rate = prefill.1.value,
@@ -151,7 +163,9 @@
         decode_rate = decode.1.value,
         decode_samples = decode.1.samples,
         move_ms = moving.1.value,
-        move_samples = moving.1.samples;
+        move_samples = moving.1.samples,
+        short_prompt_ms = short_prompt.1.value,
+        short_prompt_samples = short_prompt.1.samples;
         ""
     );
     log::info!(
@@ -159,7 +173,9 @@
         readings = traffic.metrics.node_bytes(NodeMessageKind::Readings),
         kept_parts = traffic.metrics.node_bytes(NodeMessageKind::KeptParts),
         digests = traffic.metrics.node_bytes(NodeMessageKind::Digest),
-        feeds = traffic.metrics.node_bytes(NodeMessageKind::Feed);
+        feeds = traffic.metrics.node_bytes(NodeMessageKind::Feed),
+        demand = traffic.metrics.node_bytes(NodeMessageKind::Demand),
+        stages = traffic.metrics.node_bytes(NodeMessageKind::Stages);
         ""
     );
 }
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -5,11 +5,13 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use havengate_core::back_ends::{BackEnd, DirectoryChanges, DirectoryListing};
+use havengate_core::authority::Term;
+use havengate_core::back_ends::{BackEnd, DirectoryChanges, DirectoryListing, EngineStage};
 use havengate_core::relay::{Prompt, PromptPart, Urgency};
 use havengate_core::routing::TrafficConfiguration;
+use havengate_core::stages::{LeaseRecord, LeaseWrite, OrderAnswer};
 use havengate_core::store::Revision;
-use havengate_core::world::Address;
+use havengate_core::world::{Address, NodeName};
 use hyper::header::{HeaderMap, HeaderValue};
 
 /// What a caller's head says beside method, host and path.
@@ -93,8 +95,34 @@
     Foreign,
 }
 
+/// What an engine tells of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineReport {
+    /// The stage that it serves.
+    pub stage: EngineStage,
+    /// Whether an order is under way.
+    pub is_busy: bool,
+    /// The orders that it has taken in its life.
+    pub orders_taken: u64,
+}
+
+/// An order to an engine to serve a stage.
+#[derive(Clone, Copy, Debug)]
+pub struct StageOrderFacts<'a> {
+    /// The engine that is meant; no other may follow the order.
+    pub engine: &'a BackEnd,
+    /// The stage that it is to serve.
+    pub to: EngineStage,
+    /// The node that gives the order.
+    pub holder: &'a NodeName,
+    /// The term of its lease.
+    pub term: Term,
+    /// The orders that the engine has taken so far: it takes this one only as the next.
+    pub orders_taken: u64,
+}
+
 /// What callers and back ends speak.
-pub trait Protocol: 'static {
+pub trait Protocol: Clone + Send + 'static {
     /// Reads a caller's head.
     ///
     /// # Errors
@@ -113,6 +141,18 @@
     /// Reads what an engine's cache keeps out of its answer; `None` when that can't be understood.
     fn read_kept_parts(&self, body: &[u8]) -> Option<Vec<PromptPart>>;
 
+    /// The path at which an engine tells of itself.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads what an engine tells of itself; `None` when that can't be understood.
+    fn read_report(&self, body: &[u8]) -> Option<EngineReport>;
+
+    /// The request that carries an order; `None` when a value can't be put into it.
+    fn stage_order(&self, facts: &StageOrderFacts<'_>) -> Option<hyper::Request<RequestBody>>;
+
+    /// What the status of an engine's answer to an order means.
+    fn judge_order(&self, status: hyper::StatusCode) -> OrderAnswer;
+
     /// Reads the handle out of the answer to a prompt that was read.
     fn read_handle(&self, body: &[u8]) -> Option<String>;
 }
@@ -141,6 +181,24 @@
     pub configuration: Option<TrafficConfiguration>,
 }
 
+/// The lease as the store holds it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LeaseRead {
+    /// The content; `None` when there is no object.
+    pub record: Option<LeaseRecord>,
+    /// The object's revision.
+    pub revision: Option<Revision>,
+}
+
+/// How a conditional write ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteEnd {
+    /// It took effect and made this revision.
+    Written(Revision),
+    /// It did not and will not take effect: the object is another by now.
+    Conflict,
+}
+
 /// A session with the store: one connection, one call at a time.
 pub trait ControlStore: Clone + Send + 'static {
     /// Reads the whole directory.
@@ -156,6 +214,12 @@
     /// Reads the configuration.
     fn read_configuration(&mut self) -> impl Future<Output = Result<ConfigurationRead, StoreError>>;
 
+    /// Reads the lease that orders to engines need.
+    fn read_lease(&mut self) -> impl Future<Output = Result<LeaseRead, StoreError>>;
+
+    /// Writes the lease if it still is what the write replaces. Any error leaves open whether it takes effect.
+    fn write_lease(&mut self, write: &LeaseWrite) -> impl Future<Output = Result<WriteEnd, StoreError>>;
+
     /// Waits for a change of the configuration.
     fn watch_configuration(
         &mut self,
--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings.rs
@@ -7,8 +7,8 @@
 
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{
-    KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId, ReadingsMessage, TellingPace,
-    TellingPaceConfig, ToldPart, Urgency,
+    EngineModel, KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId, ReadingsMessage,
+    TellingPace, TellingPaceConfig, ToldPart, Urgency,
 };
 use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
@@ -185,6 +185,16 @@
         self.note_news();
     }
 
+    /// Notes that an engine took `took` from a short prompt to the first piece of its answer.
+    pub fn observe_short_prompt(&self, took: Duration) {
+        self.shared.index.borrow_mut().observe_short_prompt(took);
+    }
+
+    /// What is believed of the engines' speed.
+    pub fn model(&self) -> EngineModel {
+        *self.shared.index.borrow().model()
+    }
+
     /// Takes over what the knowledge says about engines.
     pub fn refresh(&self, cache_tokens: Option<u64>) {
         let knowledge = self.shared.knowledge.load_full();
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use havengate_core::relay::{PlacementConfig, PlacementConfigError, SharedRetryBudgetConfig};
+use havengate_core::stages::{StagePolicyConfig, StagePolicyConfigError};
 use havengate_core::world::{Address, NodeName, ZoneName};
 use havengate_node::settings::{InvalidValue, LogLevel, TomlFileError, ValueCheck, parse_toml, read_toml};
 use serde::Deserialize;
 
+use crate::control::{StageLeaseSettings, StageSettings};
+
 /// The settings of a node that relays, as its file holds them.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -39,6 +42,12 @@
     /// What the placement of requests weighs.
     #[serde(default)]
     pub placement: PlacementConfig,
+    /// How engines change between reading prompts and answering.
+    #[serde(default)]
+    pub stages: StagePolicyConfig,
+    /// The lease that orders to engines need.
+    #[serde(default)]
+    pub stage_lease: StageLeaseSettings,
     /// The least severe events that are logged.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -66,6 +75,8 @@
     Values(Vec<InvalidValue>),
     /// placement: {0}
     Placement(PlacementConfigError),
+    /// stages: {0}
+    Stages(StagePolicyConfigError),
 }
 
 const STOP_GRACE_SECONDS: std::ops::RangeInclusive<f64> = 1.0..=3_600.0;
@@ -100,8 +111,16 @@
         check.reachable("peers_address", self.peers_address);
         check.reachable("notices_address", self.notices_address);
         check.reachable("store_address", self.store_address);
+        let hand_over = self.stage_lease.hand_over_milliseconds;
+        check.in_range(
+            "stage_lease.hand_over_milliseconds",
+            hand_over,
+            StageLeaseSettings::HAND_OVER_MILLISECONDS,
+            |time| time,
+        );
         check.finish().map_err(RelaySettingsError::Values)?;
         self.placement.validate().map_err(RelaySettingsError::Placement)?;
+        self.stages.validate().map_err(RelaySettingsError::Stages)?;
         Ok(self)
     }
 
@@ -126,6 +145,11 @@
         Duration::from_secs_f64(self.stop_grace_seconds)
     }
 
+    /// What the control thread is told of stages.
+    pub fn stage_settings(&self) -> StageSettings {
+        StageSettings { policy: self.stages, lease: self.stage_lease }
+    }
+
     /// The limits of repeats to one service.
     pub fn retry_budget(&self) -> SharedRetryBudgetConfig {
         SharedRetryBudgetConfig {
--- a/crates/relay/tests/settings.rs
+++ b/crates/relay/tests/settings.rs
@@ -2,7 +2,11 @@
 
 use std::path::Path;
 
+use std::time::Duration;
+
 use havengate_core::relay::PlacementConfig;
+use havengate_core::stages::{StagePolicyConfig, StagePolicyName};
+use havengate_relay::control::StageLeaseSettings;
 use havengate_relay::settings::{RelaySettings, RelaySettingsError};
 
 const BASE: &str = r#"
@@ -33,12 +37,15 @@
 #[test]
 fn each_mechanism_of_placement_can_be_set() {
     let text = "[placement]\naffinity = false\ntakes_parts_over = false\ndecode_engines_read = false\n\
+                prefill_suffices_share = 0.5\nshort_prompts_apart = true\n\
                 orders_by_urgency = false\nrefuses_early = false\ndecode_interference = 2.5\nzone_advantage = 0\n\
                 target_share = 1.0\nbacklog_per_request_milliseconds = 40";
     let set = PlacementConfig {
         affinity: false,
         takes_parts_over: false,
         decode_engines_read: false,
+        prefill_suffices_share: 0.5,
+        short_prompts_apart: true,
         decode_interference: 2.5,
         zone_advantage: 0.0,
         orders_by_urgency: false,
@@ -53,6 +60,7 @@
 fn values_that_cannot_be_reckoned_with_and_unknown_keys_are_refused() {
     let wrong = [
         "decode_interference = 0",
+        "prefill_suffices_share = -1",
         "zone_advantage = -1",
         "zone_advantage = 1e9",
         "target_share = nan",
@@ -65,3 +73,24 @@
         assert!(parse(&format!("[placement]\n{line}")).is_err(), "{line}");
     }
 }
+
+#[test]
+fn stages_that_are_not_set_keep_as_they_are_and_wrong_values_are_refused() {
+    let settings = parse("").expect("the settings are right");
+    assert_eq!(settings.stages, StagePolicyConfig::default());
+    assert_eq!(settings.stage_lease, StageLeaseSettings::default());
+    let text = "[stages]\npolicy = \"fixed\"\nprefill_share = 0.4\n[stage_lease]\nhand_over_milliseconds = 2500";
+    let settings = parse(text).expect("the settings are right");
+    assert_eq!((settings.stages.policy, settings.stages.prefill_share), (StagePolicyName::Fixed, 0.4));
+    assert_eq!(settings.stage_settings().lease.lease().hand_over, Duration::from_millis(2_500));
+    let wrong = [
+        "[stages]\npolicy = \"guess\"",
+        "[stages]\nprefill_share = 2",
+        "[stages]\nunknown = 1",
+        "[stage_lease]\nhand_over_milliseconds = -1",
+        "[stage_lease]\nhand_over_milliseconds = 1e9",
+    ];
+    for text in wrong {
+        assert!(parse(text).is_err(), "{text}");
+    }
+}
