Several nodes' word on a back end that can't be reached; stages by what all nodes have seen

Ruled out: shorter connection limits, which lossy links would trip over. Change: a node tells all others at once of a back end that it could not reach; two nodes' word within 1.2 s makes the others pass it over, unless it has answered them since. A node that can't reach more than 16 tells nothing. A send that had no time left no longer counts against the back end.

Stages: demand is now the tokens to be read and the time of answers, the reading rate what all nodes have seen of engines with nothing else to read; both stages are to be used alike.

--- a/crates/core/src/relay/prompt_index.rs
+++ b/crates/core/src/relay/prompt_index.rs
@@ -103,11 +103,6 @@
         &self.model
     }
 
-    /// Notes that an engine took `took` from a short prompt to the first piece of its answer.
-    pub fn observe_short_prompt(&mut self, took: Duration) {
-        self.model.observe_short_prompt(took);
-    }
-
     /// Notes that `engine` begins to read `prompt` for this node.
     pub fn begin(&mut self, engine: &BackEnd, prompt: &Prompt, urgency: Urgency, now: Timestamp) -> ReadingId {
         let id = ReadingId(self.next);
--- a/crates/core/src/relay/readings_message.rs
+++ b/crates/core/src/relay/readings_message.rs
@@ -4,6 +4,7 @@
 
 use super::engine_tag::EngineTag;
 use super::prompt::PromptPart;
+use super::suspicions::UnreachableNotice;
 use crate::world::{Address, BackEndId};
 
 /// A message between nodes about the reading of prompts.
@@ -18,6 +19,8 @@
     },
     /// What one engine keeps, for a node that asked.
     Kept(KeptParts),
+    /// Back ends that the sender could not reach.
+    Unreachable(UnreachableNotice),
 }
 
 /// What a node believes that an engine keeps.
--- a/crates/core/src/stages/demand.rs
+++ b/crates/core/src/stages/demand.rs
@@ -10,34 +10,30 @@
 use speedy::{Readable, Writable};
 
 use super::policy::ServiceLoad;
-use crate::relay::EngineModel;
+use crate::relay::ReadingTotals;
 use crate::time::Timestamp;
 use crate::world::{Address, ServiceName};
 
 /// What a node's callers have asked of a service since the node's start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct ServiceDemand {
-    /// Tokens of long prompts that had to be read, beyond those that the engine kept.
+    /// Tokens of prompts that had to be read, beyond those that the engine kept.
     pub read_tokens: u64,
-    /// Requests with long prompts.
-    pub long_prompts: u64,
-    /// Requests whose prompts are read where they are answered.
-    pub short_prompts: u64,
+    /// The time that answers took to be generated, in milliseconds, added up over all of them.
+    pub answer_millis: u64,
 }
 
 impl ServiceDemand {
     fn since(self, earlier: ServiceDemand) -> Option<ServiceDemand> {
         Some(ServiceDemand {
             read_tokens: self.read_tokens.checked_sub(earlier.read_tokens)?,
-            long_prompts: self.long_prompts.checked_sub(earlier.long_prompts)?,
-            short_prompts: self.short_prompts.checked_sub(earlier.short_prompts)?,
+            answer_millis: self.answer_millis.checked_sub(earlier.answer_millis)?,
         })
     }
 
     fn add(&mut self, other: ServiceDemand) {
         self.read_tokens = self.read_tokens.saturating_add(other.read_tokens);
-        self.long_prompts = self.long_prompts.saturating_add(other.long_prompts);
-        self.short_prompts = self.short_prompts.saturating_add(other.short_prompts);
+        self.answer_millis = self.answer_millis.saturating_add(other.answer_millis);
     }
 }
 
@@ -48,26 +44,32 @@
 }
 
 impl DemandCounters {
-    /// Counts a request with a long prompt of which `unread` tokens have to be read.
-    pub fn record_long_prompt(&mut self, service: &ServiceName, unread: u32) {
-        let one = ServiceDemand { read_tokens: u64::from(unread), long_prompts: 1, short_prompts: 0 };
-        self.services.entry(service.clone()).or_default().add(one);
+    /// Counts a prompt of which `unread` tokens have to be read.
+    pub fn record_prompt(&mut self, service: &ServiceName, unread: u32) {
+        self.add(service, ServiceDemand { read_tokens: u64::from(unread), answer_millis: 0 });
     }
 
-    /// Counts a request whose prompt is read where it is answered.
-    pub fn record_short_prompt(&mut self, service: &ServiceName) {
-        let one = ServiceDemand { short_prompts: 1, ..ServiceDemand::default() };
-        self.services.entry(service.clone()).or_default().add(one);
+    /// Counts an answer that was generated in `took`.
+    pub fn record_answer(&mut self, service: &ServiceName, took: Duration) {
+        let answer_millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+        self.add(service, ServiceDemand { read_tokens: 0, answer_millis });
     }
 
     /// The counts by service.
     pub fn services(&self) -> Vec<(ServiceName, ServiceDemand)> {
         self.services.iter().map(|(service, demand)| (service.clone(), *demand)).collect()
     }
+
+    fn add(&mut self, service: &ServiceName, demand: ServiceDemand) {
+        match self.services.get_mut(service) {
+            Some(counted) => counted.add(demand),
+            None => drop(self.services.insert(service.clone(), demand)),
+        }
+    }
 }
 
 /// What a node tells the ones that decide on stages.
-#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct DemandReport {
     /// The sender's address for its peers; names the node.
     pub sender: Address,
@@ -75,27 +77,8 @@
     pub life: u64,
     /// What it has counted in this life.
     pub services: Vec<(ServiceName, ServiceDemand)>,
-    /// The tokens that prefill engines read in a millisecond, as the sender believes.
-    pub reading_rate: f64,
-    /// The milliseconds that a decode engine takes for a short prompt, as the sender believes.
-    pub short_prompt_millis: f64,
-    /// The samples that the two rest on.
-    pub samples: (u32, u32),
-}
-
-impl DemandReport {
-    /// The report of a node whose own counts and beliefs these are.
-    pub fn of(sender: Address, life: u64, counters: &DemandCounters, model: &EngineModel) -> Self {
-        let (rate, millis) = (model.prefill_rate(), model.short_prompt());
-        DemandReport {
-            sender,
-            life,
-            services: counters.services(),
-            reading_rate: rate.value,
-            short_prompt_millis: millis.value,
-            samples: (rate.samples, millis.samples),
-        }
-    }
+    /// What it has seen prefill engines read that had nothing else to read.
+    pub readings_alone: ReadingTotals,
 }
 
 /// Limits of a [`DemandTable`].
@@ -104,22 +87,13 @@
     /// Demand is summed up over spans of this length: as long as the pause between a node's reports, so that each span
     /// holds about one report of each.
     pub span: Duration,
-    /// A node that reported nothing for this time no longer counts for what is believed of engines.
-    pub silent: Duration,
     /// A node that reported nothing for this time is forgotten.
     pub forgotten: Duration,
-    /// The samples beyond which a node's belief weighs no more: one node must not decide alone.
-    pub samples_maximum: u32,
 }
 
 impl Default for DemandTableConfig {
     fn default() -> Self {
-        DemandTableConfig {
-            span: Duration::from_secs(1),
-            silent: Duration::from_secs(10),
-            forgotten: Duration::from_secs(120),
-            samples_maximum: 30,
-        }
+        DemandTableConfig { span: Duration::from_secs(1), forgotten: Duration::from_secs(120) }
     }
 }
 
@@ -127,8 +101,7 @@
 struct Reporter {
     life: u64,
     services: BTreeMap<ServiceName, ServiceDemand>,
-    reading_rate: (f64, u32),
-    short_prompt_millis: (f64, u32),
+    readings_alone: ReadingTotals,
     heard_at: Timestamp,
 }
 
@@ -144,12 +117,12 @@
     ended: VecDeque<(ServiceName, ServiceLoad)>,
 }
 
-/// What is believed of an engine's work on a short prompt before anything was reported, in milliseconds.
-const SHORT_PROMPT_MILLIS_PRIOR: f64 = 20.0;
-
 /// What is believed of prefill engines before anything was reported, in tokens a millisecond.
 const READING_RATE_PRIOR: f64 = 100.0;
 
+/// The time of reading that the prior counts for, in milliseconds.
+const PRIOR_MILLIS: f64 = 200.0;
+
 impl DemandTable {
     /// A table without reports.
     pub fn new(config: DemandTableConfig, now: Timestamp) -> Self {
@@ -178,13 +151,7 @@
         for (service, demand) in added {
             self.current.entry(service).or_default().add(demand);
         }
-        let reporter = Reporter {
-            life: report.life,
-            services,
-            reading_rate: (report.reading_rate, report.samples.0),
-            short_prompt_millis: (report.short_prompt_millis, report.samples.1),
-            heard_at: now,
-        };
+        let reporter = Reporter { life: report.life, services, readings_alone: report.readings_alone, heard_at: now };
         self.reporters.insert(report.sender, reporter);
         true
     }
@@ -197,13 +164,13 @@
         }
         let forgotten = self.config.forgotten;
         self.reporters.retain(|_, reporter| now.since(reporter.heard_at) < forgotten);
-        let (rate, short_millis) = (self.reading_rate(now), self.short_prompt_millis(now));
+        let rate = self.reading_rate();
         let seconds = length.as_secs_f64();
         // A service that nobody asked for in this span has no load, which is news as well.
         for (service, demand) in &mut self.current {
             let load = ServiceLoad {
                 reading: demand.read_tokens as f64 / seconds / (rate * 1e3),
-                answering: demand.short_prompts as f64 / seconds * short_millis / 1e3,
+                answering: demand.answer_millis as f64 / 1e3 / seconds,
             };
             self.ended.push_back((service.clone(), load));
             *demand = ServiceDemand::default();
@@ -221,25 +188,13 @@
         self.reporters.len()
     }
 
-    /// The tokens that a prefill engine reads in a millisecond, as all nodes together believe.
-    pub fn reading_rate(&self, now: Timestamp) -> f64 {
-        self.merged(now, READING_RATE_PRIOR, |reporter| reporter.reading_rate)
-    }
-
-    /// The milliseconds that a decode engine takes for a short prompt, as all nodes together believe.
-    pub fn short_prompt_millis(&self, now: Timestamp) -> f64 {
-        self.merged(now, SHORT_PROMPT_MILLIS_PRIOR, |reporter| reporter.short_prompt_millis)
-    }
-
-    /// The mean of what the nodes believe, on a logarithmic scale, by their samples.
-    fn merged(&self, now: Timestamp, prior: f64, belief: impl Fn(&Reporter) -> (f64, u32)) -> f64 {
-        let recent = self.reporters.values().filter(|reporter| now.since(reporter.heard_at) < self.config.silent);
-        let beliefs = recent.map(belief).filter(|(value, _)| value.is_finite() && *value > 0.0);
-        let (sum, weight) = beliefs.fold((0.0, 0.0), |(sum, weight), (value, samples)| {
-            let samples = f64::from(samples.min(self.config.samples_maximum));
-            (sum + samples * value.ln(), weight + samples)
-        });
-        if weight > 0.0 { (sum / weight).exp() } else { prior }
+    /// The tokens that a prefill engine reads in a millisecond, by what all nodes have seen.
+    pub fn reading_rate(&self) -> f64 {
+        let totals = self.reporters.values().map(|reporter| reporter.readings_alone);
+        let seen = totals
+            .fold((0.0, 0.0), |seen, totals| (seen.0 + totals.tokens as f64, seen.1 + totals.micros as f64 / 1e3));
+        // The prior fades: it weighs as much as a few prompts.
+        (PRIOR_MILLIS * READING_RATE_PRIOR + seen.0) / (PRIOR_MILLIS + seen.1)
     }
 }
 
--- a/crates/core/src/stages/policy.rs
+++ b/crates/core/src/stages/policy.rs
@@ -7,12 +7,12 @@
 use crate::time::Timestamp;
 use crate::world::ServiceName;
 
-/// The work that a service's requests make, as a number of engines that would be busy with it all the time.
+/// The work that a service's requests make.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServiceLoad {
-    /// Reading long prompts, on prefill engines.
+    /// The prefill engines that would be busy with reading its prompts all the time.
     pub reading: f64,
-    /// Reading and answering short prompts, on decode engines.
+    /// The answers that are generated at the same time.
     pub answering: f64,
 }
 
@@ -23,6 +23,8 @@
     pub prefill: usize,
     /// Decode engines.
     pub decode: usize,
+    /// The answers that a decode engine generates at the same time.
+    pub slots: u32,
 }
 
 /// How stages are decided.
@@ -49,9 +51,11 @@
     /// The part of their time that prefill engines may be busy at the load to be borne; the rest is for prompts that come
     /// together and for engines that are lost.
     pub reading_utilization: f64,
-    /// The same for decode engines and short prompts.
+    /// The part of their places that decode engines may have taken at the load to be borne. Far below 1: nodes place answers
+    /// without knowing of each other's, and answers on one engine slow each other down.
     pub answering_utilization: f64,
-    /// The share of a service's engines that each stage keeps whatever the load is.
+    /// The share of a service's engines that each stage keeps whatever the load is: the mix may swing faster than engines
+    /// change, and a fifth of the engines may be lost together.
     pub floor_share: f64,
     /// Loads of single spans are smoothed over this time, in seconds: longer than ripples.
     pub smoothing_seconds: f64,
@@ -72,11 +76,11 @@
             policy: StagePolicyName::None,
             prefill_share: 0.5,
             reading_utilization: 0.7,
-            answering_utilization: 0.7,
-            floor_share: 0.2,
+            answering_utilization: 0.3,
+            floor_share: 0.3,
             smoothing_seconds: 2.0,
             memory_seconds: 30.0,
-            change_minimum_share: 0.04,
+            change_minimum_share: 0.08,
         }
     }
 }
@@ -102,6 +106,9 @@
     }
 }
 
+/// Below this share of its engines' work, a service's load shows too little of its mix to decide on.
+const LOAD_MINIMUM_SHARE: f64 = 0.1;
+
 /// How many engines of a service are to read, and why.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StageDecision {
@@ -168,8 +175,7 @@
 
     /// How many engines of `service` are to read, when `counts` do and don't now; `None` when nothing is known or decided.
     ///
-    /// The number stays within what both stages need as long as there are engines enough for both, and is then as near to
-    /// the present one as that allows; else both stages lack alike.
+    /// Both stages are to be used alike, measured by what each may bear, within the floors.
     pub fn decide(&self, service: &ServiceName, counts: StageCounts) -> Option<StageDecision> {
         let engines = counts.prefill + counts.decode;
         let least = (self.config.floor_share * engines as f64).ceil().max(1.0) as usize;
@@ -186,22 +192,23 @@
             StagePolicyName::Follow => {
                 let borne = self.load_borne(service)?;
                 let reading_need = borne.reading / self.config.reading_utilization;
-                let answering_need = borne.answering / self.config.answering_utilization;
-                let wanted = self.wanted(engines, counts.prefill, reading_need, answering_need);
+                let places = f64::from(counts.slots.max(1)) * self.config.answering_utilization;
+                let answering_need = borne.answering / places;
+                if reading_need + answering_need < LOAD_MINIMUM_SHARE * engines as f64 {
+                    return None;
+                }
+                let wanted = self.wanted(counts, least, reading_need / (reading_need + answering_need));
                 Some(StageDecision { prefill: within_floors(wanted), reading_need, answering_need })
             }
         }
     }
 
-    fn wanted(&self, engines: usize, prefill: usize, reading_need: f64, answering_need: f64) -> usize {
-        let total = engines as f64;
-        let exact = if reading_need + answering_need <= total {
-            (prefill as f64).max(reading_need).min(total - answering_need)
-        } else {
-            total * reading_need / (reading_need + answering_need)
-        };
-        let wanted = exact.round().clamp(0.0, total) as usize;
-        let change = wanted.abs_diff(prefill) as f64;
-        if change < (self.config.change_minimum_share * total).max(1.0) { prefill } else { wanted }
+    fn wanted(&self, counts: StageCounts, least: usize, reading_share: f64) -> usize {
+        let engines = counts.prefill + counts.decode;
+        let wanted = (engines as f64 * reading_share).round() as usize;
+        let wanted = wanted.clamp(least, engines - least);
+        let change = wanted.abs_diff(counts.prefill) as f64;
+        let is_small = change < (self.config.change_minimum_share * engines as f64).max(1.0);
+        if is_small { counts.prefill } else { wanted }
     }
 }
--- a/crates/core/tests/relay_placement.rs
+++ b/crates/core/tests/relay_placement.rs
@@ -288,3 +288,51 @@
     let placed = place(&[candidate(&engines[0])], &purpose, &config, |_| false, random);
     assert_eq!(placed.expect("there is an engine").urgency, Urgency::InTime);
 }
+
+#[test]
+fn decode_engines_are_left_out_while_a_prefill_engine_reads_early_enough() {
+    let (reader, answerer) = (back_end(1, Some(EngineStage::Prefill)), back_end(2, Some(EngineStage::Decode)));
+    let candidates = [candidate(&reader), candidate(&answerer)];
+    let mut index = index();
+    // The prefill engine has 300 ms to read, so the idle decode engine is the faster one.
+    index.begin(&reader, &Prompt { tokens: 30_000, output_tokens_maximum: 1, parts: Vec::new() }, Urgency::InTime, NOW);
+    let prompt = Prompt { tokens: 3_000, output_tokens_maximum: 1, parts: Vec::new() };
+    let chosen = |share: f64, in_time_millis: u64| {
+        let config = PlacementConfig { prefill_suffices_share: share, target_share: 1.0, ..PlacementConfig::default() };
+        let in_time = Some(Duration::from_millis(in_time_millis));
+        let purpose = Purpose::Read { prompt: &prompt, in_time, index: &index, now: NOW };
+        let random = &mut fastrand::Rng::with_seed(1);
+        place(&candidates, &purpose, &config, |_| false, random).expect("there is a candidate").index
+    };
+    assert_eq!(chosen(0.0, 1_000), 1);
+    assert_eq!(chosen(0.5, 1_000), 0, "330 ms are within half of the target");
+    assert_eq!(chosen(0.5, 500), 1, "330 ms are not within 250");
+}
+
+#[test]
+fn a_short_prompt_is_read_aside_only_where_nothing_else_is_read() {
+    let engines = [
+        back_end(1, Some(EngineStage::Prefill)),
+        back_end(2, Some(EngineStage::Prefill)),
+        back_end(3, Some(EngineStage::Decode)),
+    ];
+    let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
+    let mut index = index();
+    index.begin(&engines[0], &prompt(1), Urgency::InTime, NOW);
+    for seed in 0..50 {
+        let chosen = placed(&candidates, &Purpose::ReadAside { index: &index, now: NOW }, seed);
+        assert_eq!(chosen, Some(engines[1].id.to_string()));
+    }
+    index.begin(&engines[1], &prompt(2), Urgency::Late, NOW);
+    assert_eq!(placed(&candidates, &Purpose::ReadAside { index: &index, now: NOW }, 1), None);
+}
+
+#[test]
+fn short_prompts_are_spread_over_all_idle_prefill_engines() {
+    let engines = prefill_engines(8);
+    let candidates: Vec<Candidate<'_>> = engines.iter().map(candidate).collect();
+    let index = index();
+    let chosen = |seed| placed(&candidates, &Purpose::ReadAside { index: &index, now: NOW }, seed);
+    let distinct: std::collections::BTreeSet<_> = (0..200).map(chosen).collect();
+    assert_eq!(distinct.len(), 8);
+}
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -1,5 +1,7 @@
 //! One send of a request to one back end, up to the head of its answer.
 
+use std::error::Error;
+use std::io;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -51,8 +53,12 @@
 /// Why there is no answer.
 #[derive(Clone, Debug, displaydoc::Display, thiserror::Error)]
 pub enum SendFailure {
+    /// no time left to send it
+    NoTime,
     /// not sent: {0}
     NotSent(String),
+    /// not a sign of the back end: {0}
+    Silent(String),
     /// no answer: {0}
     Lost(String),
     /// no answer in time
@@ -62,7 +68,8 @@
 /// Sends a request to `back_end` and waits for the head of the answer.
 ///
 /// # Errors
-/// When there is no answer; only [`SendFailure::NotSent`] proves that the back end has not seen the request.
+/// When there is no answer; only [`SendFailure::NotSent`] and [`SendFailure::NoTime`] prove that the back end has not seen
+/// the request.
 pub async fn send<P: Protocol>(
     protocol: &P,
     pool: &ConnectionPool,
@@ -79,8 +86,13 @@
         Err(_) => return Err(SendFailure::TimedOut),
         Ok(Err(mut error)) => {
             let unsent = error.take_message().is_some();
-            let text = error.into_error().to_string();
-            return Err(if unsent { SendFailure::NotSent(text) } else { SendFailure::Lost(text) });
+            let error = error.into_error();
+            let text = error.to_string();
+            return Err(match unsent {
+                true => SendFailure::NotSent(text),
+                false if is_unacknowledged(&error) => SendFailure::Silent(text),
+                false => SendFailure::Lost(text),
+            });
         }
         Ok(Ok(response)) => response,
     };
@@ -102,7 +114,7 @@
     *outgoing.headers_mut() = request.headers.clone();
     let deadline = request.ends_at.saturating_duration_since(Instant::now());
     if deadline.is_zero() {
-        return Err(SendFailure::NotSent("the deadline has passed".to_owned()));
+        return Err(SendFailure::NoTime);
     }
     let facts =
         SendFacts { back_end, deadline, stage: request.stage, keeper: request.keeper, urgency: request.urgency };
@@ -110,6 +122,12 @@
     Ok(outgoing)
 }
 
+/// Whether a connection failed since its other end acknowledged nothing any more: a machine without power, or behind a cut.
+fn is_unacknowledged(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    cause.is_some_and(|cause| cause.kind() == io::ErrorKind::TimedOut)
+}
+
 fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
     let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
--- a/crates/relay/src/callers/candidates.rs
+++ b/crates/relay/src/callers/candidates.rs
@@ -42,7 +42,7 @@
                     Usability::Usable if knowledge.is_changing(&entry.back_end, now) => Usability::LastResort,
                     usability => usability,
                 },
-                healthy: traffic.loads.admits(id, now),
+                healthy: traffic.loads.admits(id, now) && !traffic.readings.is_suspected(id, now),
                 connectable: traffic.pool.open(id) < connections_maximum || traffic.pool.resting(id) > 0,
                 in_flight: traffic.loads.in_flight(id),
             }
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -177,12 +177,7 @@
     /// Decides where a long prompt is read, and has it read there if that is a prefill engine.
     async fn plan_reading(&mut self) -> ReadingPlan {
         let Some(prompt) = self.request.long_prompt().cloned() else {
-            if self.request.head.prompt.is_some() {
-                let model = self.traffic.readings.model();
-                self.traffic.demand.record_short_prompt(&self.request.service, model);
-                return self.read_aside().await;
-            }
-            return ReadingPlan::WhereAnswered;
+            return self.plan_short_reading().await;
         };
         let mut is_first = true;
         while self.exchange.may_prefill() {
@@ -190,8 +185,7 @@
                 break;
             };
             if std::mem::take(&mut is_first) {
-                let model = self.traffic.readings.model();
-                self.traffic.demand.record_long_prompt(&self.request.service, placed.unread, model);
+                self.traffic.demand.record_prompt(&self.request.service, placed.unread);
             }
             let left = self.request.ends_at.since(self.traffic.clock.now());
             if self.traffic.placement().refuses_early && placed.is_hopeless(left) {
@@ -206,6 +200,7 @@
             let reading = self.traffic.readings.begin(&back_end, &prompt, self.request.urgency);
             let plan = self.read_at(back_end).await;
             reading.end(plan.is_some());
+            self.traffic.demand.set_readings_alone(self.traffic.readings.model().readings_alone());
             if let Some(plan) = plan {
                 return plan;
             }
@@ -215,9 +210,13 @@
 
     /// Has a short prompt read by a prefill engine that has nothing else to read, if there is one; else it is read where
     /// it is answered.
-    async fn read_aside(&mut self) -> ReadingPlan {
+    async fn plan_short_reading(&mut self) -> ReadingPlan {
         let traffic = self.traffic;
-        if !traffic.placement().short_prompts_apart || !self.exchange.may_prefill() {
+        let Some(tokens) = self.request.head.prompt.as_ref().map(|prompt| prompt.tokens) else {
+            return ReadingPlan::WhereAnswered;
+        };
+        traffic.demand.record_prompt(&self.request.service, tokens);
+        if !traffic.placement().short_prompts_apart {
             return ReadingPlan::WhereAnswered;
         }
         let now = traffic.clock.now();
@@ -267,7 +266,11 @@
     async fn attempt(&mut self, back_end: &BackEnd, plan: &ReadingPlan) -> Attempt {
         let traffic = self.traffic;
         let Some(prompt) = self.request.long_prompt().cloned() else {
-            return self.attempt_short(back_end, plan).await;
+            let stage = match plan {
+                ReadingPlan::Elsewhere { source, .. } => SendStage::Decode(source.clone()),
+                _ => SendStage::Whole,
+            };
+            return self.attempt_stage(back_end, &stage).await;
         };
         if let ReadingPlan::Elsewhere { source, .. } = plan {
             let began = traffic.clock.now();
@@ -283,25 +286,12 @@
         attempt
     }
 
-    /// Sends a request without a long prompt, and notes how long an engine takes to begin its answer.
-    async fn attempt_short(&mut self, back_end: &BackEnd, plan: &ReadingPlan) -> Attempt {
-        if let ReadingPlan::Elsewhere { source, .. } = plan {
-            return self.attempt_stage(back_end, &SendStage::Decode(source.clone())).await;
-        }
-        let began = self.traffic.clock.now();
-        let attempt = self.attempt_stage(back_end, &SendStage::Whole).await;
-        if back_end.stage.is_some() && matches!(attempt, Attempt::Answered(_)) {
-            self.traffic.readings.observe_short_prompt(self.traffic.clock.now().since(began));
-        }
-        attempt
-    }
-
     async fn attempt_stage(&mut self, back_end: &BackEnd, stage: &SendStage) -> Attempt {
         if let Some(record) = &mut self.record {
             record.back_end = Some(back_end.id.clone());
         }
         let answer = match send_noted(self.traffic, &self.request, back_end, stage, self.ends_at).await {
-            Err(SendFailure::NotSent(_)) => return Attempt::Ended(SendOutcome::NotSent, None),
+            Err(SendFailure::NoTime | SendFailure::NotSent(_)) => return Attempt::Ended(SendOutcome::NotSent, None),
             Err(failure) => {
                 self.exchange.record_sent();
                 return match failure {
@@ -353,6 +343,7 @@
             Ok(Ok(first)) => first,
         };
         self.traffic.loads.succeeded(&back_end.id);
+        self.traffic.readings.note_answer(&back_end.id);
         let Some(mut record) = self.record.take() else {
             return Attempt::Ended(SendOutcome::Lost, None);
         };
@@ -368,6 +359,9 @@
         match plan {
             ReadingPlan::Nowhere => None,
             ReadingPlan::There(back_end) => Some(back_end.clone()),
+            // The KV cache of a short prompt is moved in no time; all of them would crowd on the engines of a zone with
+            // many prefill engines and few others.
+            ReadingPlan::Elsewhere { .. } if self.request.long_prompt().is_none() => self.place_decode(None),
             ReadingPlan::Elsewhere { zone, .. } => self.place_decode(Some(zone)),
             ReadingPlan::WhereAnswered if self.request.head.prompt.is_some() => self.place_decode(None),
             ReadingPlan::WhereAnswered => self.place(&Purpose::Application),
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -9,8 +9,12 @@
 
 use super::traffic::{ActiveRequest, Traffic};
 use crate::back_ends::InFlight;
+use crate::demand::SharedDemand;
 use crate::metrics::RelayMetrics;
 
+/// The time that an answer takes a place of an engine before its first piece comes: a step or two and the way to here.
+const FIRST_TOKEN: Duration = Duration::from_millis(10);
+
 /// How a request ended, as logs and metrics name it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestEnd {
@@ -78,6 +82,7 @@
     /// Counts it as under way at its back end.
     pub in_flight: Option<InFlight>,
     clock: Clock,
+    demand: SharedDemand,
     metrics: RelayMetrics,
     active: Option<ActiveRequest>,
 }
@@ -102,6 +107,7 @@
             longest_pause: None,
             in_flight: None,
             clock: traffic.clock,
+            demand: traffic.demand.clone(),
             metrics: traffic.metrics.clone(),
             active: Some(traffic.active.begin()),
         }
@@ -122,6 +128,9 @@
         self.in_flight = None;
         let took = self.clock.now().since(self.arrived);
         let first = self.first_piece.map(|first_piece| first_piece.since(self.arrived));
+        if let (Some(first_piece), Some(service)) = (self.first_piece, &self.service) {
+            self.demand.record_answer(service, self.clock.now().since(first_piece) + FIRST_TOKEN);
+        }
         let route = self.route.as_ref().map_or("", RouteName::as_str);
         self.metrics.record_end(route, end.code(), cause, took, first);
         log::log!(
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -85,7 +85,11 @@
     let now = traffic.clock.now();
     let cause = failure.to_string();
     match failure {
-        SendFailure::NotSent(_) => traffic.loads.unreachable(&back_end.id, now, &cause),
+        SendFailure::NoTime => {}
+        SendFailure::NotSent(_) | SendFailure::Silent(_) => {
+            traffic.loads.unreachable(&back_end.id, now, &cause);
+            traffic.readings.note_unreachable(&back_end.id);
+        }
         // A back end that broke off may be in order. One that is gone shows at the next connection, which costs nothing.
         SendFailure::TimedOut | SendFailure::Lost(_) => traffic.loads.failed(&back_end.id, now),
     }
@@ -120,8 +124,8 @@
 /// What the lack of an answer means for the request.
 pub fn outcome_of_failure(failure: &SendFailure) -> SendOutcome {
     match failure {
-        SendFailure::NotSent(_) => SendOutcome::NotSent,
-        SendFailure::Lost(_) | SendFailure::TimedOut => SendOutcome::Lost,
+        SendFailure::NoTime | SendFailure::NotSent(_) => SendOutcome::NotSent,
+        SendFailure::Silent(_) | SendFailure::Lost(_) | SendFailure::TimedOut => SendOutcome::Lost,
     }
 }
 
@@ -143,6 +147,7 @@
     lease.give_back();
     if judgement == AnswerHead::Proper {
         traffic.loads.succeeded(&back_end.id);
+        traffic.readings.note_answer(&back_end.id);
     }
     Some((parts, collected.to_bytes()))
 }
@@ -177,7 +182,9 @@
             AnswerHead::WrongBackEnd => "wrong_back_end",
             AnswerHead::Foreign => "foreign",
         },
+        Err(SendFailure::NoTime) => "no_time",
         Err(SendFailure::NotSent(_)) => "not_sent",
+        Err(SendFailure::Silent(_)) => "silent",
         Err(SendFailure::Lost(_)) => "lost",
         Err(SendFailure::TimedOut) => "timed_out",
     }
--- a/crates/relay/src/control/stages/steering.rs
+++ b/crates/relay/src/control/stages/steering.rs
@@ -251,9 +251,9 @@
         };
         let mut wanted = Vec::new();
         for service in &active.configuration.services {
-            let engines = staged_engines(knowledge, &service.name, now);
+            let (engines, slots) = staged_engines(knowledge, &service.name, now);
             let prefill = self.changes.prefill_after(&service.name, &engines);
-            let counts = StageCounts { prefill, decode: engines.len() - prefill };
+            let counts = StageCounts { prefill, decode: engines.len() - prefill, slots };
             let Some(decision) = self.policy.decide(&service.name, counts) else {
                 continue;
             };
@@ -285,8 +285,7 @@
             wanted = decision.prefill,
             reading_need = decision.reading_need,
             answering_need = decision.answering_need,
-            reading_rate = table.reading_rate(self.now()),
-            short_prompt_ms = table.short_prompt_millis(self.now()),
+            reading_rate = table.reading_rate(),
             reporters = table.reporters();
             ""
         );
@@ -430,14 +429,16 @@
     }
 }
 
-/// The engines of `service` that may be used and serve a stage.
-fn staged_engines(knowledge: &Knowledge, service: &ServiceName, now: Timestamp) -> Vec<StagedEngine> {
-    let usable = knowledge.directory.of_service(service).filter(|entry| entry.usability(now) == Usability::Usable);
+/// The engines of `service` that may be used and serve a stage, and the answers that each generates at the same time.
+fn staged_engines(knowledge: &Knowledge, service: &ServiceName, now: Timestamp) -> (Vec<StagedEngine>, u32) {
+    let entries = || knowledge.directory.of_service(service);
+    let slots = entries().map(|entry| entry.back_end.slots).min().unwrap_or(1);
+    let usable = entries().filter(|entry| entry.usability(now) == Usability::Usable);
     let staged = |back_end: &BackEnd| {
         let stage = back_end.stage?;
         Some(StagedEngine { id: back_end.id.clone(), zone: back_end.zone.clone(), stage })
     };
-    usable.filter_map(|entry| staged(&entry.back_end)).collect()
+    (usable.filter_map(|entry| staged(&entry.back_end)).collect(), slots)
 }
 
 fn code_of_stage(stage: EngineStage) -> &'static str {
--- a/crates/relay/src/demand.rs
+++ b/crates/relay/src/demand.rs
@@ -1,15 +1,16 @@
 //! What this node's own callers ask of engines: counted by the traffic thread, read by the control thread.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use havengate_core::relay::EngineModel;
+use havengate_core::relay::ReadingTotals;
 use havengate_core::stages::{DemandCounters, DemandReport};
 use havengate_core::world::{Address, ServiceName};
 
 #[derive(Debug, Default)]
 struct OwnDemand {
     counters: DemandCounters,
-    model: EngineModel,
+    readings_alone: ReadingTotals,
 }
 
 /// This node's own demand. Copies share it; neither thread holds it for longer than it takes to add or copy numbers.
@@ -19,24 +20,25 @@
 }
 
 impl SharedDemand {
-    /// Counts a request with a long prompt of which `unread` tokens have to be read.
-    pub fn record_long_prompt(&self, service: &ServiceName, unread: u32, model: EngineModel) {
-        let mut own = self.lock();
-        own.counters.record_long_prompt(service, unread);
-        own.model = model;
+    /// Counts a prompt of which `unread` tokens have to be read.
+    pub fn record_prompt(&self, service: &ServiceName, unread: u32) {
+        self.lock().counters.record_prompt(service, unread);
     }
 
-    /// Counts a request whose prompt is read where it is answered.
-    pub fn record_short_prompt(&self, service: &ServiceName, model: EngineModel) {
-        let mut own = self.lock();
-        own.counters.record_short_prompt(service);
-        own.model = model;
+    /// Counts an answer that was generated in `took`.
+    pub fn record_answer(&self, service: &ServiceName, took: Duration) {
+        self.lock().counters.record_answer(service, took);
+    }
+
+    /// Sets what was seen of engines that had nothing else to read.
+    pub fn set_readings_alone(&self, totals: ReadingTotals) {
+        self.lock().readings_alone = totals;
     }
 
     /// What the nodes that decide on stages are told.
     pub fn report(&self, sender: Address, life: u64) -> DemandReport {
         let own = self.lock();
-        DemandReport::of(sender, life, &own.counters, &own.model)
+        DemandReport { sender, life, services: own.counters.services(), readings_alone: own.readings_alone }
     }
 
     fn lock(&self) -> MutexGuard<'_, OwnDemand> {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -91,6 +91,8 @@
     Demand,
     /// Engines that change their stage.
     Stages,
+    /// Back ends that could not be reached.
+    Unreachable,
 }
 
 impl NodeMessageKind {
@@ -102,6 +104,7 @@
             NodeMessageKind::Feed => "feed",
             NodeMessageKind::Demand => "demand",
             NodeMessageKind::Stages => "stages",
+            NodeMessageKind::Unreachable => "unreachable",
         }
     }
 }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -155,7 +155,7 @@
 
 /// Logs what the node believes of engines, and the bytes that it has sent to other nodes since its start.
 fn log_summary<P>(traffic: &Traffic<P>) {
-    let [prefill, decode, moving, short_prompt] = traffic.readings.with_index(|index| index.model().estimates());
+    let [prefill, decode, moving] = traffic.readings.with_index(|index| index.model().estimates());
     log::info!(
         event = "engines_believed",
         prefill_rate = prefill.1.value,
@@ -163,9 +163,7 @@
         decode_rate = decode.1.value,
         decode_samples = decode.1.samples,
         move_ms = moving.1.value,
-        move_samples = moving.1.samples,
-        short_prompt_ms = short_prompt.1.value,
-        short_prompt_samples = short_prompt.1.samples;
+        move_samples = moving.1.samples;
         ""
     );
     log::info!(
@@ -175,7 +173,8 @@
         digests = traffic.metrics.node_bytes(NodeMessageKind::Digest),
         feeds = traffic.metrics.node_bytes(NodeMessageKind::Feed),
         demand = traffic.metrics.node_bytes(NodeMessageKind::Demand),
-        stages = traffic.metrics.node_bytes(NodeMessageKind::Stages);
+        stages = traffic.metrics.node_bytes(NodeMessageKind::Stages),
+        unreachable = traffic.metrics.node_bytes(NodeMessageKind::Unreachable);
         ""
     );
 }
--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings.rs
@@ -3,13 +3,15 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{
-    EngineModel, KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId, ReadingsMessage,
-    TellingPace, TellingPaceConfig, ToldPart, Urgency,
+    EngineModel, EngineTag, KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId, ReadingsMessage,
+    Suspicions, TellingPace, TellingPaceConfig, ToldPart, UnreachableNotice, Urgency,
 };
+use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
 use havengate_wire::{decode, encode};
@@ -51,8 +53,14 @@
     has_news: Cell<bool>,
     /// Wakes the task that tells peers.
     news: Notify,
+    suspicions: RefCell<Suspicions>,
+    /// Wakes the task that tells peers of back ends that could not be reached.
+    unreachable: Notify,
 }
 
+/// The pause between two notices of back ends that could not be reached.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(200);
+
 /// How long a finished reading waits at most to be told once more.
 const REPEAT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -62,7 +70,20 @@
         let index = RefCell::new(PromptIndex::new(PromptIndexConfig::default()));
         let (socket, sequence) = (RefCell::default(), Cell::new(0));
         let (has_news, news) = (Cell::new(false), Notify::new());
-        Readings { shared: Rc::new(Shared { index, knowledge, clock, socket, sequence, metrics, has_news, news }) }
+        Readings {
+            shared: Rc::new(Shared {
+                index,
+                knowledge,
+                clock,
+                socket,
+                sequence,
+                metrics,
+                has_news,
+                news,
+                suspicions: RefCell::default(),
+                unreachable: Notify::new(),
+            }),
+        }
     }
 
     /// Takes notices at `address` from now on, and sends them from there.
@@ -73,6 +94,7 @@
         let socket = Rc::new(UdpSocket::bind(address.0).await?);
         *self.shared.socket.borrow_mut() = Some((address, Rc::clone(&socket)));
         tokio::task::spawn_local(self.clone().tell_at_pace(TellingPaceConfig::default()));
+        tokio::task::spawn_local(self.clone().tell_unreachable());
         let readings = self.clone();
         tokio::task::spawn_local(async move {
             let mut buffer = [0; MESSAGE_MAXIMUM_BYTES];
@@ -100,6 +122,10 @@
                     self.shared.metrics.record_dropped_message("overtaken");
                 }
             }
+            ReadingsMessage::Unreachable(notice) if !self.shared.knowledge.load().peers.contains(&notice.sender) => {
+                self.shared.metrics.record_dropped_message("unknown_sender");
+            }
+            ReadingsMessage::Unreachable(notice) => self.shared.suspicions.borrow_mut().receive(&notice, now),
             ReadingsMessage::AskKept { sender } => {
                 let knowledge = self.shared.knowledge.load_full();
                 let engines = knowledge.directory.entries().map(|entry| &entry.back_end.id);
@@ -185,9 +211,38 @@
         self.note_news();
     }
 
-    /// Notes that an engine took `took` from a short prompt to the first piece of its answer.
-    pub fn observe_short_prompt(&self, took: Duration) {
-        self.shared.index.borrow_mut().observe_short_prompt(took);
+    /// Notes that `back_end` could not be reached; peers are told at once.
+    pub fn note_unreachable(&self, back_end: &BackEndId) {
+        let now = self.shared.clock.now();
+        self.shared.suspicions.borrow_mut().note_unreachable(back_end.into(), now);
+        self.shared.unreachable.notify_one();
+    }
+
+    /// Notes that `back_end` has answered.
+    pub fn note_answer(&self, back_end: &BackEndId) {
+        self.shared.suspicions.borrow_mut().note_answer(back_end.into(), self.shared.clock.now());
+    }
+
+    /// Whether several nodes could not reach `back_end` a moment ago.
+    pub fn is_suspected(&self, back_end: &BackEndId, now: Timestamp) -> bool {
+        self.shared.suspicions.borrow().is_suspected(EngineTag::from(back_end), now)
+    }
+
+    /// Tells peers for ever of back ends that could not be reached.
+    async fn tell_unreachable(self) {
+        loop {
+            self.shared.unreachable.notified().await;
+            let now = self.shared.clock.now();
+            let back_ends = self.shared.suspicions.borrow().told(now);
+            let sender = self.shared.socket.borrow().as_ref().map(|(sender, _)| *sender);
+            let Some(sender) = sender.filter(|_| !back_ends.is_empty()) else {
+                continue;
+            };
+            let peers = Arc::clone(&self.shared.knowledge.load().peers);
+            let notice = ReadingsMessage::Unreachable(UnreachableNotice { sender, back_ends });
+            self.send(&notice, NodeMessageKind::Unreachable, &peers).await;
+            sleep(UNREACHABLE_PAUSE).await;
+        }
     }
 
     /// What is believed of the engines' speed.
@@ -198,6 +253,7 @@
     /// Takes over what the knowledge says about engines.
     pub fn refresh(&self, cache_tokens: Option<u64>) {
         let knowledge = self.shared.knowledge.load_full();
+        self.shared.suspicions.borrow_mut().tidy(self.shared.clock.now());
         let mut index = self.shared.index.borrow_mut();
         let present = knowledge.directory.entries().map(|entry| &entry.back_end.id);
         index.retain_engines(present, self.shared.clock.now());
