Stages follow the load; short prompts are read apart, read prompts go first, failed readings are paid for

Short prompts go apart only while that is fast (ShortReading). - The floors of the stages did not hold where the wanted change was small: found by the policy's property.

Another number must be wanted for 3 s before engines change.

--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -62,12 +62,15 @@
     unsent: u32,
     may_have_run: bool,
     prefilled: bool,
+    /// Whether an engine has answered that it failed to read the prompt: it has not taken it up, so the next send is a
+    /// repeat.
+    failed_to_read: bool,
 }
 
 impl Exchange {
     /// A request that has just arrived.
     pub fn new(rules: ExchangeRules) -> Self {
-        Exchange { rules, sends: 0, unsent: 0, may_have_run: false, prefilled: false }
+        Exchange { rules, sends: 0, unsent: 0, may_have_run: false, prefilled: false, failed_to_read: false }
     }
 
     /// Whether a back end may be running the request, or have run it.
@@ -87,7 +90,8 @@
 
     /// Notes how reading the prompt at a prefill engine ended; `None` when it handed out a handle. Reading is no run.
     ///
-    /// The first reading that an engine takes up is free; one that it declines counts like a send.
+    /// The first reading that an engine takes up is free. One that it declines counts like a send. One that it answers with
+    /// a failure was not taken up either: what is sent next is a repeat, though no further run.
     pub fn after_prefill(&mut self, failure: Option<SendOutcome>) {
         match failure {
             Some(SendOutcome::NotSent) => self.unsent += 1,
@@ -95,7 +99,11 @@
                 self.sends += 1;
                 self.prefilled = true;
             }
-            Some(SendOutcome::Failed | SendOutcome::Lost) | None => self.prefilled = true,
+            Some(SendOutcome::Failed) => {
+                self.failed_to_read = true;
+                self.prefilled = true;
+            }
+            Some(SendOutcome::Lost) | None => self.prefilled = true,
         }
     }
 
@@ -110,7 +118,8 @@
         if self.unsent > UNSENT_MAXIMUM || self.sends >= self.rules.attempts_maximum.max(1) {
             return Err(self.give_up(NotRunReason::NoEngine, MayHaveRun::EngineFailed));
         }
-        if self.sends > 0 && !budget.try_repeat(now) {
+        let is_repeat = self.sends > 0 || self.failed_to_read;
+        if is_repeat && !budget.try_repeat(now) {
             return Err(self.give_up(NotRunReason::NoEngine, MayHaveRun::EngineFailed));
         }
         Ok(())
--- a/crates/core/src/stages/lease.rs
+++ b/crates/core/src/stages/lease.rs
@@ -201,6 +201,11 @@
         Some(&self.seen.as_ref()?.record.as_ref()?.holder)
     }
 
+    /// Whether nobody has ever held the lease; `None` until it has been read.
+    pub fn is_unclaimed(&self) -> Option<bool> {
+        self.seen.as_ref().map(|seen| seen.record.is_none())
+    }
+
     /// The term that this process holds or held last; `None` when another one holds the lease.
     pub fn term(&self) -> Option<Term> {
         let record = self.seen.as_ref()?.record.as_ref()?;
--- a/crates/core/src/stages/policy.rs
+++ b/crates/core/src/stages/policy.rs
@@ -32,11 +32,11 @@
 #[serde(rename_all = "snake_case")]
 pub enum StagePolicyName {
     /// Engines keep the stage that they have; no order is given.
-    #[default]
     None,
     /// A fixed share of the engines reads.
     Fixed,
     /// The share follows the load.
+    #[default]
     Follow,
 }
 
@@ -46,13 +46,14 @@
 pub struct StagePolicyConfig {
     /// How stages are decided.
     pub policy: StagePolicyName,
-    /// The share of a service's engines that reads under the policy `fixed`.
+    /// The share of a service's engines that reads under the policy `fixed`, and under `follow` in a system that starts for
+    /// the first time, until a load was seen.
     pub prefill_share: f64,
     /// The part of their time that prefill engines may be busy at the load to be borne; the rest is for prompts that come
     /// together and for engines that are lost.
     pub reading_utilization: f64,
-    /// The part of their places that decode engines may have taken at the load to be borne. Far below 1: nodes place answers
-    /// without knowing of each other's, and answers on one engine slow each other down.
+    /// The part of their places that decode engines may have taken at the load to be borne. Below 1: nodes place answers
+    /// without knowing of each other's.
     pub answering_utilization: f64,
     /// The share of a service's engines that each stage keeps whatever the load is: the mix may swing faster than engines
     /// change, and a fifth of the engines may be lost together.
@@ -64,6 +65,9 @@
     /// The share of a service's engines by which the wanted number must differ from the one that there is, for engines to
     /// change.
     pub change_minimum_share: f64,
+    /// Another number must be wanted for so long, in seconds, before engines change: about what a change costs. Engines that
+    /// crash are often back sooner.
+    pub dwell_seconds: f64,
 }
 
 /// a value of the stages' settings is out of its range: {0}
@@ -73,14 +77,15 @@
 impl Default for StagePolicyConfig {
     fn default() -> Self {
         StagePolicyConfig {
-            policy: StagePolicyName::None,
-            prefill_share: 0.5,
+            policy: StagePolicyName::Follow,
+            prefill_share: 0.65,
             reading_utilization: 0.7,
-            answering_utilization: 0.3,
-            floor_share: 0.3,
+            answering_utilization: 0.6,
+            floor_share: 0.35,
             smoothing_seconds: 2.0,
-            memory_seconds: 30.0,
-            change_minimum_share: 0.08,
+            memory_seconds: 120.0,
+            change_minimum_share: 0.1,
+            dwell_seconds: 3.0,
         }
     }
 }
@@ -100,6 +105,7 @@
             (within(self.smoothing_seconds, 0.0, 600.0), "smoothing_seconds: 0 to 600"),
             (within(self.memory_seconds, 1.0, 86_400.0), "memory_seconds: 1 to 86400"),
             (within(self.change_minimum_share, 0.0, 1.0), "change_minimum_share: 0 to 1"),
+            (within(self.dwell_seconds, 0.0, 600.0), "dwell_seconds: 0 to 600"),
         ];
         let wrong = checks.iter().find(|(holds, _)| !holds);
         wrong.map_or(Ok(()), |(_, message)| Err(StagePolicyConfigError(message)))
@@ -174,31 +180,35 @@
     }
 
     /// How many engines of `service` are to read, when `counts` do and don't now; `None` when nothing is known or decided.
+    /// `is_first` tells that nobody has decided before in this system.
     ///
     /// Both stages are to be used alike, measured by what each may bear, within the floors.
-    pub fn decide(&self, service: &ServiceName, counts: StageCounts) -> Option<StageDecision> {
+    pub fn decide(&self, service: &ServiceName, counts: StageCounts, is_first: bool) -> Option<StageDecision> {
         let engines = counts.prefill + counts.decode;
         let least = (self.config.floor_share * engines as f64).ceil().max(1.0) as usize;
         if engines < 2 || 2 * least > engines {
             return None;
         }
-        let within_floors = |wanted: usize| wanted.clamp(least, engines - least);
+        let planned = || {
+            let wanted = (self.config.prefill_share * engines as f64).round() as usize;
+            let prefill = wanted.clamp(least, engines - least);
+            StageDecision { prefill, reading_need: 0.0, answering_need: 0.0 }
+        };
         match self.config.policy {
             StagePolicyName::None => None,
-            StagePolicyName::Fixed => {
-                let wanted = (self.config.prefill_share * engines as f64).round() as usize;
-                Some(StageDecision { prefill: within_floors(wanted), reading_need: 0.0, answering_need: 0.0 })
-            }
+            StagePolicyName::Fixed => Some(planned()),
             StagePolicyName::Follow => {
-                let borne = self.load_borne(service)?;
+                let Some(borne) = self.load_borne(service) else {
+                    return is_first.then(planned);
+                };
                 let reading_need = borne.reading / self.config.reading_utilization;
                 let places = f64::from(counts.slots.max(1)) * self.config.answering_utilization;
                 let answering_need = borne.answering / places;
                 if reading_need + answering_need < LOAD_MINIMUM_SHARE * engines as f64 {
-                    return None;
+                    return is_first.then(planned);
                 }
                 let wanted = self.wanted(counts, least, reading_need / (reading_need + answering_need));
-                Some(StageDecision { prefill: within_floors(wanted), reading_need, answering_need })
+                Some(StageDecision { prefill: wanted, reading_need, answering_need })
             }
         }
     }
@@ -209,6 +219,7 @@
         let wanted = wanted.clamp(least, engines - least);
         let change = wanted.abs_diff(counts.prefill) as f64;
         let is_small = change < (self.config.change_minimum_share * engines as f64).max(1.0);
-        if is_small { counts.prefill } else { wanted }
+        let floors_hold = (least..=engines - least).contains(&counts.prefill);
+        if is_small && floors_hold { counts.prefill } else { wanted }
     }
 }
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -216,7 +216,9 @@
             return ReadingPlan::WhereAnswered;
         };
         traffic.demand.record_prompt(&self.request.service, tokens);
-        if !traffic.placement().short_prompts_apart {
+        let target = self.request.route.target_latency;
+        let prefers = |random: &mut fastrand::Rng| traffic.short_reading.get().prefers_apart(target, random);
+        if !traffic.placement().short_prompts_apart || !traffic.with_random(prefers) {
             return ReadingPlan::WhereAnswered;
         }
         let now = traffic.clock.now();
@@ -270,6 +272,7 @@
                 ReadingPlan::Elsewhere { source, .. } => SendStage::Decode(source.clone()),
                 _ => SendStage::Whole,
             };
+            let _timer = back_end.stage.map(|_| traffic.time_short_prompt(matches!(stage, SendStage::Decode(_))));
             return self.attempt_stage(back_end, &stage).await;
         };
         if let ReadingPlan::Elsewhere { source, .. } = plan {
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use havengate_core::back_ends::{BackEnd, Usability};
-use havengate_core::relay::SendOutcome;
+use havengate_core::relay::{SendOutcome, Urgency};
 use havengate_core::world::Address;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -41,7 +41,7 @@
         head: &request.head,
         stage,
         keeper: keeper_for(traffic, request, back_end, stage),
-        urgency: urgency_for(traffic, request, back_end),
+        urgency: urgency_for(traffic, request, back_end, stage),
         ends_at,
     };
     let in_flight = traffic.loads.begin(&back_end.id, traffic.clock.now());
@@ -76,9 +76,23 @@
 }
 
 /// Who goes first at `back_end`: engines are told, applications have no such order.
-fn urgency_for<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd) -> Option<EngineUrgency> {
+///
+/// A prompt that was read already goes before all others, also when it is late: little is left to do for it, and behind
+/// prompts that are read and in time it would wait until its caller has gone, and its reading be for nothing.
+fn urgency_for<P>(
+    traffic: &Traffic<P>,
+    request: &CallerRequest,
+    back_end: &BackEnd,
+    stage: &SendStage,
+) -> Option<EngineUrgency> {
     let told = traffic.placement().orders_by_urgency && back_end.stage.is_some();
-    told.then_some(EngineUrgency { urgency: request.urgency, rank: request.route.priority })
+    let urgency = match stage {
+        SendStage::Decode(_) => EngineUrgency { urgency: Urgency::InTime, rank: 0 },
+        SendStage::Whole | SendStage::Prefill => {
+            EngineUrgency { urgency: request.urgency, rank: request.route.priority }
+        }
+    };
+    told.then_some(urgency)
 }
 
 fn note_failure<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd, failure: &SendFailure) {
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -5,8 +5,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use havengate_core::relay::{BudgetShare, PlacementConfig, SharedRetryBudget, SharedRetryBudgetConfig};
+use havengate_core::relay::{BudgetShare, PlacementConfig, SharedRetryBudget, SharedRetryBudgetConfig, ShortReading};
 use havengate_core::routing::SplitTurns;
+use havengate_core::time::Timestamp;
 use havengate_core::world::ServiceName;
 use havengate_node::clock::Clock;
 
@@ -33,6 +34,8 @@
     pub loads: BackEndLoads,
     /// The prompts that are read now, and where shared parts are kept.
     pub readings: Readings,
+    /// How long short prompts took, by where they were read.
+    pub short_reading: Cell<ShortReading>,
     /// Counters and histograms.
     pub metrics: RelayMetrics,
     /// Requests that are open now.
@@ -61,6 +64,7 @@
             pool: ConnectionPool::new(PoolLimits::default()),
             loads: BackEndLoads::default(),
             readings: Readings::new(Arc::clone(&knowledge), clock, metrics.clone()),
+            short_reading: Cell::default(),
             placement: Cell::new(placement),
             knowledge,
             demand,
@@ -109,6 +113,11 @@
         budgets.iter().map(|(service, budget)| (service.clone(), budget.left(now))).collect()
     }
 
+    /// Times a request with a short prompt from now until its answer begins, or until it is given up.
+    pub fn time_short_prompt(&self, apart: bool) -> ShortPromptTimer<'_, P> {
+        ShortPromptTimer { traffic: self, apart, began: self.clock.now() }
+    }
+
     /// Calls `choose` with the turns of split routes.
     pub fn with_splits<T>(&self, choose: impl FnOnce(&mut SplitTurns) -> T) -> T {
         choose(&mut self.splits.borrow_mut())
@@ -120,6 +129,21 @@
     }
 }
 
+/// Notes how long a request with a short prompt took when it is dropped: a caller that hung up has waited as well.
+pub struct ShortPromptTimer<'t, P> {
+    traffic: &'t Traffic<P>,
+    apart: bool,
+    began: Timestamp,
+}
+
+impl<P> Drop for ShortPromptTimer<'_, P> {
+    fn drop(&mut self) {
+        let mut short_reading = self.traffic.short_reading.get();
+        short_reading.observe(self.apart, self.traffic.clock.now().since(self.began));
+        self.traffic.short_reading.set(short_reading);
+    }
+}
+
 /// Counts the requests that are open. Copies share the count.
 #[derive(Clone, Debug, Default)]
 pub struct ActiveRequests {
--- a/crates/relay/src/control/stages/steering.rs
+++ b/crates/relay/src/control/stages/steering.rs
@@ -1,6 +1,7 @@
 //! The task that steers stages: every node reports its demand, one decides, announces and orders.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use havengate_core::replication::{PeerMessage, StageNotice};
 use havengate_core::stages::{
     ChangeEnd, ChangesConfig, DemandReport, DemandTable, HolderId, Lease, LeaseStep, LeaseWrite, OrderAnswer,
-    StageChanges, StageCounts, StageDecision, StageOrder, StagePolicy, StagedEngine, deciders,
+    StageChanges, StageCounts, StageDecision, StageOrder, StagePolicy, StagePolicyName, StagedEngine, deciders,
 };
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId, NodeName, ServiceName};
@@ -96,8 +97,12 @@
     store_pause: Duration,
     store_again: Timestamp,
     decides: bool,
+    /// Whether nobody has decided before in this system; `None` until the lease was read.
+    is_first: Option<bool>,
     /// The decision that was logged last, by service.
     decided: Vec<(ServiceName, StageDecision)>,
+    /// Since when another number of prefill engines was wanted, by service.
+    wanted_since: BTreeMap<ServiceName, Timestamp>,
 }
 
 impl<P: Protocol, S: ControlStore> Steering<P, S> {
@@ -132,7 +137,9 @@
             store_pause: STORE_PAUSE_MINIMUM,
             store_again: now,
             decides: false,
+            is_first: None,
             decided: Vec::new(),
+            wanted_since: BTreeMap::new(),
         }
     }
 
@@ -162,6 +169,9 @@
         if !decides {
             return;
         }
+        if self.is_first.is_none() && !self.learn_whether_first(now).await {
+            return;
+        }
         let wanted = self.decide(&knowledge);
         let is_due = !self.changes.due(now).is_empty();
         if wanted.is_empty() && !is_due {
@@ -199,6 +209,7 @@
             }
             self.lease.doubt();
             self.decided.clear();
+            self.wanted_since.clear();
         }
     }
 
@@ -254,11 +265,18 @@
             let (engines, slots) = staged_engines(knowledge, &service.name, now);
             let prefill = self.changes.prefill_after(&service.name, &engines);
             let counts = StageCounts { prefill, decode: engines.len() - prefill, slots };
-            let Some(decision) = self.policy.decide(&service.name, counts) else {
+            let is_first = self.is_first == Some(true);
+            let Some(decision) = self.policy.decide(&service.name, counts, is_first) else {
+                self.wanted_since.remove(&service.name);
                 continue;
             };
             self.log_decision(&service.name, counts, decision);
-            if decision.prefill != prefill {
+            if decision.prefill == prefill {
+                self.wanted_since.remove(&service.name);
+                continue;
+            }
+            let since = *self.wanted_since.entry(service.name.clone()).or_insert(now);
+            if now.since(since).as_secs_f64() >= self.policy.config().dwell_seconds {
                 wanted.push((service.name.clone(), engines, decision.prefill));
             }
         }
@@ -291,6 +309,19 @@
         );
     }
 
+    /// Reads the lease once, to learn whether anybody has held it before; whether that is known now. A system without a
+    /// policy needs no lease.
+    async fn learn_whether_first(&mut self, now: Timestamp) -> bool {
+        if self.policy.config().policy == StagePolicyName::None || now < self.store_again {
+            return false;
+        }
+        if self.lease.is_unclaimed().is_none() {
+            self.read_lease().await;
+        }
+        self.is_first = self.lease.is_unclaimed();
+        self.is_first.is_some()
+    }
+
     /// The term under which this node may order now; takes one step towards it where it has none.
     async fn authority(&mut self, now: Timestamp) -> Option<Term> {
         if now < self.store_again {
