--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -62,8 +62,8 @@
     unsent: u32,
     may_have_run: bool,
     prefilled: bool,
-    /// Whether an engine has answered that it failed to read the prompt: it has not taken it up, so the next send is a
-    /// repeat.
+    /// Whether an engine failed to read the prompt, with an answer or without one: it may not have taken it up, so the next
+    /// send counts as a repeat.
     failed_to_read: bool,
 }
 
@@ -90,8 +90,8 @@
 
     /// Notes how reading the prompt at a prefill engine ended; `None` when it handed out a handle. Reading is no run.
     ///
-    /// The first reading that an engine takes up is free. One that it declines counts like a send. One that it answers with
-    /// a failure was not taken up either: what is sent next is a repeat, though no further run.
+    /// The first reading that an engine takes up is free. One that it declines counts like a send. One that fails,
+    /// or has no answer, may not have been taken up: what is sent next counts as a repeat, though no further run.
     pub fn after_prefill(&mut self, failure: Option<SendOutcome>) {
         match failure {
             Some(SendOutcome::NotSent) => self.unsent += 1,
@@ -99,11 +99,11 @@
                 self.sends += 1;
                 self.prefilled = true;
             }
-            Some(SendOutcome::Failed) => {
+            Some(SendOutcome::Failed | SendOutcome::Lost) => {
                 self.failed_to_read = true;
                 self.prefilled = true;
             }
-            Some(SendOutcome::Lost) | None => self.prefilled = true,
+            None => self.prefilled = true,
         }
     }
 
--- a/crates/core/tests/relay_exchange.rs
+++ b/crates/core/tests/relay_exchange.rs
@@ -98,19 +98,17 @@
     let mut declined = exchange(RequestKind::Once, 1);
     declined.after_prefill(Some(SendOutcome::Declined));
     assert_eq!(declined.begin_send(&mut budget(9.0), NOW), Err(NextStep::Refuse(NotRunReason::NoEngine)));
-    let mut lost = exchange(RequestKind::Once, 1);
-    lost.after_prefill(Some(SendOutcome::Lost));
-    assert!(!lost.may_prefill() && !lost.may_have_run(), "reading a prompt is no run");
-    assert_eq!(lost.begin_send(&mut budget(0.0), NOW), Ok(()));
 }
 
 #[test]
 fn what_follows_a_failure_to_read_the_prompt_is_a_repeat_but_no_second_attempt() {
-    let mut failed = exchange(RequestKind::Once, 1);
-    failed.after_prefill(Some(SendOutcome::Failed));
-    assert!(!failed.may_have_run(), "reading a prompt is no run");
-    assert_eq!(failed.begin_send(&mut budget(0.0), NOW), Err(NextStep::Refuse(NotRunReason::NoEngine)));
-    assert_eq!(failed.begin_send(&mut budget(1.0), NOW), Ok(()));
+    for outcome in [SendOutcome::Failed, SendOutcome::Lost] {
+        let mut failed = exchange(RequestKind::Once, 1);
+        failed.after_prefill(Some(outcome));
+        assert!(!failed.may_prefill() && !failed.may_have_run(), "reading a prompt is no run");
+        assert_eq!(failed.begin_send(&mut budget(0.0), NOW), Err(NextStep::Refuse(NotRunReason::NoEngine)));
+        assert_eq!(failed.begin_send(&mut budget(1.0), NOW), Ok(()));
+    }
 }
 
 /// Drives one request through random outcomes and checks the invariants at each step.
