Moves of KV caches are estimated by small steps again

Cause: what a move takes is seen from the send to the first token, waiting at the decode engine included.

--- a/crates/core/src/relay/engine_model.rs
+++ b/crates/core/src/relay/engine_model.rs
@@ -21,9 +21,6 @@
 /// How far a sample moves an estimate that has seen many: engines change slowly.
 const LAST_STEP: f64 = 0.04;
 
-/// The same for moves: links turn slow and fast again within seconds.
-const LAST_MOVE_STEP: f64 = 0.25;
-
 /// Shorter readings show the way to the engine rather than its rate.
 const SAMPLE_MINIMUM_TOKENS: u32 = 1_000;
 
@@ -41,13 +38,12 @@
 struct QuantileEstimate {
     logarithm: f64,
     quantile: f64,
-    last_step: f64,
     samples: u32,
 }
 
 impl QuantileEstimate {
-    fn new(prior: f64, quantile: f64, last_step: f64) -> Self {
-        QuantileEstimate { logarithm: prior.ln(), quantile, last_step, samples: 0 }
+    fn new(prior: f64, quantile: f64) -> Self {
+        QuantileEstimate { logarithm: prior.ln(), quantile, samples: 0 }
     }
 
     fn value(&self) -> f64 {
@@ -60,7 +56,7 @@
             return;
         }
         self.samples = self.samples.saturating_add(1);
-        let step = (FIRST_STEP / f64::from(self.samples).sqrt()).max(self.last_step);
+        let step = (FIRST_STEP / f64::from(self.samples).sqrt()).max(LAST_STEP);
         let direction = if sample.ln() > self.logarithm { self.quantile } else { self.quantile - 1.0 };
         self.logarithm += step * direction;
     }
@@ -104,9 +100,9 @@
 impl Default for EngineModel {
     fn default() -> Self {
         EngineModel {
-            prefill: QuantileEstimate::new(PREFILL_RATE_PRIOR, RATE_QUANTILE, LAST_STEP),
-            decode: QuantileEstimate::new(DECODE_RATE_PRIOR, RATE_QUANTILE, LAST_STEP),
-            move_millis: QuantileEstimate::new(MOVE_PRIOR, MOVE_QUANTILE, LAST_MOVE_STEP),
+            prefill: QuantileEstimate::new(PREFILL_RATE_PRIOR, RATE_QUANTILE),
+            decode: QuantileEstimate::new(DECODE_RATE_PRIOR, RATE_QUANTILE),
+            move_millis: QuantileEstimate::new(MOVE_PRIOR, MOVE_QUANTILE),
             readings_alone: ReadingTotals::default(),
         }
     }
