--- a/crates/core/src/stages/changes.rs
+++ b/crates/core/src/stages/changes.rs
@@ -15,14 +15,16 @@
     pub emptying: Duration,
     /// The share of a service's engines that may be out of service for a change at once; at least one.
     pub at_once_share: f64,
-    /// A change that could not be ordered within this time of its announcement, since there was no authority for it, is
-    /// called off: nothing is sent to the engine meanwhile.
+    /// The engines of all services together that may be out of service at once: as many as one announcement can name.
+    pub at_once_maximum: usize,
+    /// A change of which no order has left within this time of its announcement, since there was no authority for it or no
+    /// way to the engine, is called off: nothing is sent to the engine meanwhile.
     pub call_off: Duration,
     /// An order that was not taken, or whose fate is not known, is looked into again after this time.
     pub retry_pause: Duration,
     /// A change that is not seen to be done after this time is given up. Longer than an order may be late.
     pub give_up: Duration,
-    /// An engine whose change was given up is left alone for this time.
+    /// An engine whose change was given up, or to which there was no way, is left alone for this time.
     pub rest: Duration,
 }
 
@@ -32,6 +34,7 @@
             emptying: Duration::from_millis(400),
             call_off: Duration::from_secs(3),
             at_once_share: 0.2,
+            at_once_maximum: 40,
             retry_pause: Duration::from_millis(1_500),
             give_up: Duration::from_secs(20),
             rest: Duration::from_secs(20),
@@ -84,9 +87,9 @@
 enum ChangeState {
     /// Announced; nothing was ordered yet.
     Emptying,
-    /// The order is on its way.
+    /// The order is about to leave, or on its way.
     Ordered,
-    /// The order was not taken, or nobody knows.
+    /// The order did not leave, was not taken, or nobody knows.
     Open { since: Timestamp },
     /// The engine is changing.
     Accepted,
@@ -104,10 +107,17 @@
     /// When it was announced.
     pub began: Timestamp,
     state: ChangeState,
-    /// Whether an order may have reached the engine: then only the same one may follow.
+    /// Whether an order has left: then only the same one may follow.
     ordered: bool,
 }
 
+impl StageChange {
+    /// Whether an order may have reached the engine, or may do so any moment.
+    fn may_have_been_ordered(&self) -> bool {
+        self.ordered || self.state == ChangeState::Ordered
+    }
+}
+
 /// How a change ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ChangeEnd {
@@ -173,8 +183,9 @@
         missing -= self.call_off(service, to, missing);
         let open = self.open.values().filter(|change| change.service == *service).count();
         let at_once = ((engines.len() as f64 * self.config.at_once_share) as usize).max(1);
+        let free = at_once.saturating_sub(open).min(self.config.at_once_maximum.saturating_sub(self.open.len()));
         let mut begun = Vec::new();
-        for _ in 0..missing.min(at_once.saturating_sub(open)) {
+        for _ in 0..missing.min(free) {
             let Some(engine) = self.next_to_change(engines, to) else {
                 break;
             };
@@ -194,7 +205,8 @@
 
     /// Calls off up to `most` changes of `service` that lead away from `to` and for which nothing was ordered.
     fn call_off(&mut self, service: &ServiceName, to: EngineStage, most: usize) -> usize {
-        let against = |change: &&StageChange| change.service == *service && change.to != to && !change.ordered;
+        let against =
+            |change: &&StageChange| change.service == *service && change.to != to && !change.may_have_been_ordered();
         let engines: Vec<BackEndId> =
             self.open.values().filter(against).take(most).map(|change| change.engine.clone()).collect();
         for engine in &engines {
@@ -229,7 +241,7 @@
             let end = match stage_of(&change.engine) {
                 None => Some(ChangeEnd::EngineGone),
                 Some(stage) if stage == change.to => Some(ChangeEnd::Done),
-                Some(_) if !change.ordered && now.since(change.began) >= self.config.call_off => {
+                Some(_) if !change.may_have_been_ordered() && now.since(change.began) >= self.config.call_off => {
                     Some(ChangeEnd::CalledOff)
                 }
                 Some(_) if now.since(change.began) >= self.config.give_up => Some(ChangeEnd::GivenUp),
@@ -239,7 +251,8 @@
         }
         for (change, end) in &ended {
             self.open.remove(&change.engine);
-            if *end == ChangeEnd::GivenUp {
+            let tried_in_vain = matches!(change.state, ChangeState::Open { .. });
+            if *end == ChangeEnd::GivenUp || (*end == ChangeEnd::CalledOff && tried_in_vain) {
                 self.resting.insert(change.engine.clone(), now + self.config.rest);
             }
         }
@@ -257,11 +270,10 @@
         due.map(|change| StageOrder { engine: change.engine.clone(), to: change.to }).collect()
     }
 
-    /// Notes that the order to `engine` is about to be sent. From here on it may come to pass.
+    /// Notes that the order to `engine` is about to be sent. Until the answer says otherwise it may come to pass.
     pub fn ordered(&mut self, engine: &BackEndId) {
         if let Some(change) = self.open.get_mut(engine) {
             change.state = ChangeState::Ordered;
-            change.ordered = true;
         }
     }
 
@@ -270,6 +282,7 @@
         let Some(change) = self.open.get_mut(engine) else {
             return;
         };
+        change.ordered |= answer != OrderAnswer::NotSent;
         match answer {
             OrderAnswer::Accepted | OrderAnswer::Holds => change.state = ChangeState::Accepted,
             OrderAnswer::Busy | OrderAnswer::Fenced | OrderAnswer::NotSent | OrderAnswer::Unknown => {
--- a/crates/core/src/stages/demand.rs
+++ b/crates/core/src/stages/demand.rs
@@ -61,10 +61,7 @@
     }
 
     fn add(&mut self, service: &ServiceName, demand: ServiceDemand) {
-        match self.services.get_mut(service) {
-            Some(counted) => counted.add(demand),
-            None => drop(self.services.insert(service.clone(), demand)),
-        }
+        self.services.entry(service.clone()).or_default().add(demand);
     }
 }
 
@@ -100,6 +97,8 @@
 #[derive(Clone, Debug)]
 struct Reporter {
     life: u64,
+    /// The life before, of which a report may still be on its way.
+    former_life: Option<u64>,
     services: BTreeMap<ServiceName, ServiceDemand>,
     readings_alone: ReadingTotals,
     heard_at: Timestamp,
@@ -139,6 +138,11 @@
     pub fn receive(&mut self, report: DemandReport, now: Timestamp) -> bool {
         let services: BTreeMap<ServiceName, ServiceDemand> = report.services.into_iter().collect();
         let known = self.reporters.get(&report.sender);
+        if known.is_some_and(|known| known.former_life == Some(report.life)) {
+            return false;
+        }
+        let former_life =
+            known.and_then(|known| if known.life == report.life { known.former_life } else { Some(known.life) });
         let added = match known {
             // What it has counted before it was first heard of is no demand of now.
             None => Some(Vec::new()),
@@ -151,7 +155,8 @@
         for (service, demand) in added {
             self.current.entry(service).or_default().add(demand);
         }
-        let reporter = Reporter { life: report.life, services, readings_alone: report.readings_alone, heard_at: now };
+        let DemandReport { life, readings_alone, .. } = report;
+        let reporter = Reporter { life, former_life, services, readings_alone, heard_at: now };
         self.reporters.insert(report.sender, reporter);
         true
     }
--- a/crates/core/tests/stages_changes.rs
+++ b/crates/core/tests/stages_changes.rs
@@ -135,6 +135,45 @@
     assert_eq!(ended[0].1, ChangeEnd::CalledOff);
 }
 
+#[test]
+fn an_engine_that_no_order_reaches_is_let_go_soon_and_left_alone_for_a_while() {
+    let mut changes = changes();
+    let engines = engines(2, 1);
+    let begun = changes.plan(&service(), &engines, 2, START);
+    changes.ordered(&begun[0].engine);
+    changes.answered(&begun[0].engine, OrderAnswer::NotSent, emptied());
+    let late = START + ChangesConfig::default().call_off;
+    let ended = changes.observe(|_| Some(EngineStage::Decode), late);
+    assert_eq!(ended.iter().map(|(_, end)| end.clone()).collect::<Vec<_>>(), [ChangeEnd::CalledOff]);
+    assert!(changes.plan(&service(), &engines, 2, late).is_empty());
+    let rested = late + ChangesConfig::default().rest;
+    assert_eq!(changes.plan(&service(), &engines, 2, rested).len(), 1);
+}
+
+#[test]
+fn an_order_that_may_have_reached_an_engine_is_not_called_off_when_the_next_one_does_not_leave() {
+    let mut changes = changes();
+    let begun = changes.plan(&service(), &engines(2, 1), 2, START);
+    for answer in [OrderAnswer::Unknown, OrderAnswer::NotSent] {
+        changes.ordered(&begun[0].engine);
+        changes.answered(&begun[0].engine, answer, emptied());
+    }
+    let late = START + ChangesConfig::default().call_off;
+    assert!(changes.observe(|_| Some(EngineStage::Decode), late).is_empty());
+}
+
+#[test]
+fn no_more_engines_change_at_once_than_all_nodes_can_be_told_of_however_large_the_fleet() {
+    let mut changes = changes();
+    let most = ChangesConfig::default().at_once_maximum;
+    let engines = engines(4_100, 1_400);
+    assert_eq!(changes.plan(&service(), &engines, 2_600, START).len(), most);
+    let other = ServiceName::new("another model");
+    assert!(changes.plan(&other, &[], 0, START).is_empty());
+    assert!(changes.plan(&other, &self::engines(50, 10)[..40], 30, START).is_empty());
+    assert_eq!(changes.open().count(), most);
+}
+
 /// An engine that follows an order only when it expects the number of orders that the engine has taken.
 struct Engine {
     stage: EngineStage,
--- a/crates/core/tests/stages_demand.rs
+++ b/crates/core/tests/stages_demand.rs
@@ -99,6 +99,21 @@
     assert!((counted(&mut table, START + SECOND) - 4.0).abs() < 1e-6);
 }
 
+#[test]
+fn a_report_of_a_former_life_that_comes_late_adds_nothing() {
+    let mut table = table();
+    let counted_so_far = |answers: u32| {
+        let mut counters = DemandCounters::default();
+        (0..answers).for_each(|_| counters.record_answer(&service(), SECOND));
+        counters
+    };
+    table.receive(report(1, 1, &counted_so_far(30)), START);
+    assert!(table.receive(report(1, 2, &counted_so_far(4)), START));
+    assert!(!table.receive(report(1, 1, &counted_so_far(31)), START));
+    assert!(table.receive(report(1, 2, &counted_so_far(5)), START));
+    assert!((counted(&mut table, START + SECOND) - 5.0).abs() < 1e-6);
+}
+
 #[test]
 fn a_report_that_was_overtaken_is_not_taken_in() {
     let mut table = table();
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -57,7 +57,7 @@
     NoTime,
     /// not sent: {0}
     NotSent(String),
-    /// not a sign of the back end: {0}
+    /// not a sign from the back end: {0}
     Silent(String),
     /// no answer: {0}
     Lost(String),
@@ -65,6 +65,18 @@
     TimedOut,
 }
 
+impl SendFailure {
+    /// Whether other nodes are to be told, for a send of this stage: the back end can't be reached, or has broken off its own
+    /// work on a prompt. An answer that was lost, or did not come in time, may say as much of the link or of the load.
+    pub fn is_worth_a_warning(&self, stage: &SendStage) -> bool {
+        match self {
+            SendFailure::NotSent(_) | SendFailure::Silent(_) => true,
+            SendFailure::Lost(_) => matches!(stage, SendStage::Prefill),
+            SendFailure::NoTime | SendFailure::TimedOut => false,
+        }
+    }
+}
+
 /// Sends a request to `back_end` and waits for the head of the answer.
 ///
 /// # Errors
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -242,10 +242,6 @@
             }
             Err(outcome) => {
                 self.exchange.after_prefill(Some(outcome));
-                if matches!(outcome, SendOutcome::Failed | SendOutcome::Lost) {
-                    // Reading is the engine's own work, so its failure is the engine's, and other nodes are warned.
-                    self.traffic.readings.note_unreachable(&engine.id);
-                }
                 let request = self.request.head.id_text();
                 log::info!(event = "prefill_failed", request, back_end:% = engine.id, outcome:? = outcome; "");
                 self.tried.push(engine.id);
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -47,8 +47,8 @@
     let in_flight = traffic.loads.begin(&back_end.id, traffic.clock.now());
     let result = send(&traffic.protocol, &traffic.pool, back_end, &sent, in_flight).await;
     match &result {
-        Ok(answer) => note_judgement(traffic, request, back_end, answer.judgement),
-        Err(failure) => note_failure(traffic, request, back_end, failure),
+        Ok(answer) => note_judgement(traffic, request, back_end, stage, answer.judgement),
+        Err(failure) => note_failure(traffic, request, back_end, stage, failure),
     }
     traffic.metrics.record_send(request.service.as_str(), label_of(&result));
     result
@@ -95,15 +95,21 @@
     told.then_some(urgency)
 }
 
-fn note_failure<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd, failure: &SendFailure) {
+fn note_failure<P>(
+    traffic: &Traffic<P>,
+    request: &CallerRequest,
+    back_end: &BackEnd,
+    stage: &SendStage,
+    failure: &SendFailure,
+) {
     let now = traffic.clock.now();
     let cause = failure.to_string();
+    if failure.is_worth_a_warning(stage) {
+        traffic.readings.note_unreachable(&back_end.id);
+    }
     match failure {
         SendFailure::NoTime => {}
-        SendFailure::NotSent(_) | SendFailure::Silent(_) => {
-            traffic.loads.unreachable(&back_end.id, now, &cause);
-            traffic.readings.note_unreachable(&back_end.id);
-        }
+        SendFailure::NotSent(_) | SendFailure::Silent(_) => traffic.loads.unreachable(&back_end.id, now, &cause),
         // A back end that broke off may be in order. One that is gone shows at the next connection, which costs nothing.
         SendFailure::TimedOut | SendFailure::Lost(_) => traffic.loads.failed(&back_end.id, now),
     }
@@ -111,12 +117,24 @@
     log::warn!(event = "send_failed", request, back_end:% = back_end.id, address:% = back_end.address, cause; "");
 }
 
-fn note_judgement<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd, judgement: AnswerHead) {
+fn note_judgement<P>(
+    traffic: &Traffic<P>,
+    request: &CallerRequest,
+    back_end: &BackEnd,
+    stage: &SendStage,
+    judgement: AnswerHead,
+) {
     let now = traffic.clock.now();
     match judgement {
         // Whether the answer is whole is not known yet.
         AnswerHead::Proper => return,
-        AnswerHead::Failure | AnswerHead::Foreign => traffic.loads.failed(&back_end.id, now),
+        AnswerHead::Failure | AnswerHead::Foreign => {
+            traffic.loads.failed(&back_end.id, now);
+            if matches!(stage, SendStage::Prefill) {
+                // Reading is the engine's own work, so its failure is the engine's.
+                traffic.readings.note_unreachable(&back_end.id);
+            }
+        }
         // A back end without room is in order, and its load is known by what is under way there.
         AnswerHead::Declined => {}
         AnswerHead::WrongBackEnd => traffic.loads.unreachable(&back_end.id, now, "another_back_end"),
