One way to send a datagram, to call an engine and to tell milliseconds; the steering of stages in three files

Found by reading the change once more: what it had written a second time, or had made long. - Readings and the exchange of peers each encoded, measured, sent and counted datagrams: Datagrams does it for both, and counts one that can't be written too. - The survey of caches and the orders each made a call over a leased connection: Lease::call, and one request to read at an engine, which now names its host in the survey as well. - Whole milliseconds were worked out in seven places: time::whole_millis. The words of stages, answers and ends of changes in logs stand with their types. Ruled out: tags in place of names in announcements; a log line without the engine's name helps nobody.

--- a/crates/core/src/back_ends/back_end.rs
+++ b/crates/core/src/back_ends/back_end.rs
@@ -23,6 +23,16 @@
     Decode,
 }
 
+impl EngineStage {
+    /// The word in logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            EngineStage::Prefill => "prefill",
+            EngineStage::Decode => "decode",
+        }
+    }
+}
+
 /// One life of a back end.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
 pub struct BackEnd {
--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -189,10 +189,9 @@
 
     /// The prefill engine that reads the prompt early enough for decode engines to be left out.
     fn by_prefill(&self, ranked: &[usize], in_time: Option<Duration>) -> Option<Placed> {
-        let in_time = in_time.filter(|_| self.config.prefill_suffices_share > 0.0)?;
+        let suffices = self.config.prefill_suffices_within(in_time)?;
         let is_prefill = |index: &usize| self.candidates[*index].back_end.stage == Some(EngineStage::Prefill);
         let prefill: Vec<usize> = ranked.iter().copied().filter(is_prefill).collect();
-        let suffices = in_time.mul_f64(self.config.prefill_suffices_share / self.config.target_share.max(0.01));
         self.cheapest(&prefill, Urgency::InTime).filter(|placed| placed.reading <= suffices)
     }
 
--- a/crates/core/src/relay/placement_config.rs
+++ b/crates/core/src/relay/placement_config.rs
@@ -38,6 +38,9 @@
     pub backlog_per_request_milliseconds: f64,
 }
 
+/// A target's share that is divided by is no smaller.
+const TARGET_SHARE_MINIMUM: f64 = 0.01;
+
 /// a placement value is out of its range: {0}
 #[derive(Clone, Debug, displaydoc::Display, PartialEq, Eq, thiserror::Error)]
 pub struct PlacementConfigError(pub &'static str);
@@ -67,6 +70,13 @@
         (!target.is_zero()).then(|| target.mul_f64(self.target_share).saturating_sub(waited))
     }
 
+    /// The time within which a prefill engine must be expected to read a prompt that has to be read `in_time`, for decode
+    /// engines to be left out; `None` where they are never left out.
+    pub fn prefill_suffices_within(&self, in_time: Option<Duration>) -> Option<Duration> {
+        let share = self.prefill_suffices_share / self.target_share.max(TARGET_SHARE_MINIMUM);
+        in_time.filter(|_| share > 0.0).map(|in_time| in_time.mul_f64(share))
+    }
+
     /// Checks that each value can be reckoned with.
     ///
     /// # Errors
--- a/crates/core/src/stages/changes.rs
+++ b/crates/core/src/stages/changes.rs
@@ -15,7 +15,8 @@
     pub emptying: Duration,
     /// The share of a service's engines that may be out of service for a change at once; at least one.
     pub at_once_share: f64,
-    /// The engines of all services together that may be out of service at once: as many as one announcement can name.
+    /// The engines of all services together that may be out of service at once: as many as one announcement can name,
+    /// with names of 30 bytes.
     pub at_once_maximum: usize,
     /// A change of which no order has left within this time of its announcement, since there was no authority for it or no
     /// way to the engine, is called off: nothing is sent to the engine meanwhile.
@@ -34,7 +35,7 @@
             emptying: Duration::from_millis(400),
             call_off: Duration::from_secs(3),
             at_once_share: 0.2,
-            at_once_maximum: 40,
+            at_once_maximum: 32,
             retry_pause: Duration::from_millis(1_500),
             give_up: Duration::from_secs(20),
             rest: Duration::from_secs(20),
@@ -74,6 +75,22 @@
     Unknown,
 }
 
+impl OrderAnswer {
+    /// The word in logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            OrderAnswer::Accepted => "accepted",
+            OrderAnswer::Holds => "holds",
+            OrderAnswer::Busy => "busy",
+            OrderAnswer::Fenced => "fenced",
+            OrderAnswer::AnotherEngine => "another_engine",
+            OrderAnswer::NotUnderstood => "not_understood",
+            OrderAnswer::NotSent => "not_sent",
+            OrderAnswer::Unknown => "unknown",
+        }
+    }
+}
+
 /// An order that is due.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StageOrder {
@@ -131,6 +148,18 @@
     CalledOff,
 }
 
+impl ChangeEnd {
+    /// The word in logs and metrics.
+    pub fn code(&self) -> &'static str {
+        match self {
+            ChangeEnd::Done => "done",
+            ChangeEnd::EngineGone => "engine_gone",
+            ChangeEnd::GivenUp => "given_up",
+            ChangeEnd::CalledOff => "called_off",
+        }
+    }
+}
+
 /// The engines that change now.
 ///
 /// Invariants: an engine is in one change at most; once an order may have reached it, that change is never turned into
--- a/crates/core/src/stages/demand.rs
+++ b/crates/core/src/stages/demand.rs
@@ -11,7 +11,7 @@
 
 use super::policy::ServiceLoad;
 use crate::relay::ReadingTotals;
-use crate::time::Timestamp;
+use crate::time::{Timestamp, whole_millis};
 use crate::world::{Address, ServiceName};
 
 /// What a node's callers have asked of a service since the node's start.
@@ -51,8 +51,7 @@
 
     /// Counts an answer that was generated in `took`.
     pub fn record_answer(&mut self, service: &ServiceName, took: Duration) {
-        let answer_millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
-        self.add(service, ServiceDemand { read_tokens: 0, answer_millis });
+        self.add(service, ServiceDemand { read_tokens: 0, answer_millis: whole_millis(took) });
     }
 
     /// The counts by service.
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -6,6 +6,11 @@
 use serde::{Deserialize, Serialize};
 use speedy::{Readable, Writable};
 
+/// The whole milliseconds of a duration, for logs and messages.
+pub fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// A point of monotonic time, in microseconds since an origin that each process (or simulation) chooses for itself.
 ///
 /// Timestamps of two processes must not be compared: messages carry durations instead.
--- a/crates/relay/src/cache_survey.rs
+++ b/crates/relay/src/cache_survey.rs
@@ -6,15 +6,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use havengate_core::back_ends::{BackEnd, Usability};
 use havengate_core::relay::PromptPart;
-use http_body_util::{BodyExt, Limited};
-use hyper::{Method, Request, StatusCode};
+use havengate_core::time::whole_millis;
+use hyper::StatusCode;
 use tokio::time::{sleep, timeout};
 
+use crate::back_ends::reading;
 use crate::callers::Traffic;
-use crate::protocol::{Protocol, RequestBody};
+use crate::protocol::Protocol;
 
 /// The pause between two tries: time for peers to be heard of, to answer, and to learn it themselves.
 const TRY_PAUSE: Duration = Duration::from_millis(700);
@@ -61,24 +61,19 @@
             traffic.readings.engine_keeps(&engine.id, kept);
         }
     }
-    let took_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let took_ms = whole_millis(began.elapsed());
     log::info!(event = "kept_parts_learned", source = "engines", asked, parts, took_ms; "");
 }
 
 /// What `engine` keeps of long prompts' shared parts; `None` when it does not tell.
 async fn list<P: Protocol>(traffic: &Traffic<P>, engine: &BackEnd) -> Option<Vec<PromptPart>> {
-    let mut lease = traffic.pool.lease(engine).await.ok()?;
-    let mut request = Request::new(RequestBody::new(Bytes::new()));
-    *request.method_mut() = Method::GET;
-    *request.uri_mut() = traffic.protocol.kept_parts_path().parse().ok()?;
-    let answer = lease.sender()?.send_request(request).await.ok()?;
-    let status = answer.status();
-    let body = Limited::new(answer.into_body(), LIST_MAXIMUM_BYTES).collect().await.ok()?;
-    lease.give_back();
+    let connection = traffic.pool.lease(engine).await.ok()?;
+    let request = reading(engine, traffic.protocol.kept_parts_path())?;
+    let (status, body) = connection.call(request, LIST_MAXIMUM_BYTES).await?;
     if status != StatusCode::OK {
         return None;
     }
-    let mut parts = traffic.protocol.read_kept_parts(&body.to_bytes())?;
+    let mut parts = traffic.protocol.read_kept_parts(&body)?;
     parts.retain(|part| part.tokens >= PART_MINIMUM_TOKENS);
     Some(parts)
 }
--- a/crates/relay/src/control/follower.rs
+++ b/crates/relay/src/control/follower.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use havengate_core::store::Revision;
+use havengate_core::time::whole_millis;
 use tokio::time::sleep;
 
 use super::learner::{Learner, Source};
@@ -58,7 +59,7 @@
     fn note_standing_in(&mut self, stands_in: bool, age: Option<Duration>) {
         if stands_in != self.stands_in {
             self.stands_in = stands_in;
-            let age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+            let age_ms = age.map(whole_millis);
             log::info!(event = "store_asked_as_stale", call = self.call, asks = stands_in, age_ms:? = age_ms; "");
         }
     }
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -10,24 +10,22 @@
 use havengate_core::stages::{DemandTable, DemandTableConfig};
 use havengate_core::time::Timestamp;
 use havengate_core::world::Address;
-use havengate_wire::{LENGTH_BYTES, WireError, decode, encode, frame_of, payload_length};
+use havengate_wire::{LENGTH_BYTES, WireError, decode, frame_of, payload_length};
 use speedy::{LittleEndian, Readable, Writable};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::learner::Learner;
 use super::reader_role::ReaderRole;
 use crate::callers::listen;
-use crate::metrics::{DATAGRAM_OVERHEAD_BYTES, NodeMessageKind, RelayMetrics};
+use crate::datagrams::Datagrams;
+use crate::metrics::{NodeMessageKind, RelayMetrics};
 
 /// How often a digest is sent. News reaches all of ten nodes in two or three rounds.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Digests are a few hundred bytes; anything larger is none.
-const DATAGRAM_MAXIMUM_BYTES: usize = 1_400;
-
 /// A directory that the store has confirmed within this time needs no peer.
 const DIRECTORY_FRESH: Duration = Duration::from_millis(500);
 
@@ -59,7 +57,7 @@
     table: Rc<RefCell<PeerTable>>,
     role: ReaderRole,
     learner: Learner,
-    socket: Rc<UdpSocket>,
+    datagrams: Datagrams,
     demand: Rc<RefCell<DemandTable>>,
     metrics: RelayMetrics,
 }
@@ -76,12 +74,12 @@
         learner: Learner,
         metrics: RelayMetrics,
     ) -> io::Result<(Self, TcpListener)> {
-        let socket = UdpSocket::bind(own.control.0).await?;
+        let datagrams = Datagrams::bind(own.control, metrics.clone()).await?;
         let listener = listen(own.control.0)?;
         let table = Rc::new(RefCell::new(table));
         let demand = DemandTable::new(DemandTableConfig::default(), learner.clock().now());
         let demand = Rc::new(RefCell::new(demand));
-        Ok((PeerExchange { own, table, role, learner, socket: Rc::new(socket), demand, metrics }, listener))
+        Ok((PeerExchange { own, table, role, learner, datagrams, demand, metrics }, listener))
     }
 
     /// Sends digests for ever, to `seeds` as well, and pulls what peers have newer.
@@ -115,31 +113,12 @@
 
     /// Sends `message` to each of `receivers`. One that can't be sent is like one that is lost.
     pub async fn send_to(&self, message: &PeerMessage, receivers: &[Address]) {
-        let bytes = match encode(message) {
-            Ok(bytes) if bytes.len() <= DATAGRAM_MAXIMUM_BYTES => bytes,
-            Ok(bytes) => {
-                self.metrics.record_dropped_message("too_large");
-                log::warn!(event = "message_too_large", bytes = bytes.len(); "");
-                return;
-            }
-            Err(error) => {
-                log::error!(event = "message_unwritable", error:% = error; "");
-                return;
-            }
-        };
-        let mut sent = 0;
-        for receiver in receivers {
-            match self.socket.send_to(&bytes, receiver.0).await {
-                Ok(_) => sent += 1,
-                Err(_) => self.metrics.record_dropped_message("not_sent"),
-            }
-        }
         let kind = match message {
             PeerMessage::Digest(_) => NodeMessageKind::Digest,
             PeerMessage::Demand(_) => NodeMessageKind::Demand,
             PeerMessage::Stages(_) => NodeMessageKind::Stages,
         };
-        self.metrics.record_node_messages(kind, sent, sent * (bytes.len() + DATAGRAM_OVERHEAD_BYTES));
+        self.datagrams.send(message, kind, receivers).await;
     }
 
     fn take_in(&self, message: PeerMessage) {
@@ -171,15 +150,8 @@
 
     /// Takes datagrams of peers in for ever.
     pub async fn receive(self) {
-        let mut buffer = [0; DATAGRAM_MAXIMUM_BYTES];
         loop {
-            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
-                continue;
-            };
-            match decode::<PeerMessage>(&buffer[..length]) {
-                Ok(message) => self.take_in(message),
-                Err(_) => self.metrics.record_dropped_message("malformed"),
-            }
+            self.take_in(self.datagrams.receive().await);
         }
     }
 
--- a/crates/relay/src/control/stages/engine_orders.rs
+++ b/crates/relay/src/control/stages/engine_orders.rs
@@ -8,13 +8,11 @@
 use havengate_core::time::Timestamp;
 use havengate_core::world::NodeName;
 use havengate_node::clock::Clock;
-use http_body_util::{BodyExt, Limited};
-use hyper::header::{HOST, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::StatusCode;
 use tokio::time::timeout;
 
-use crate::back_ends::{ConnectionPool, Lease as ConnectionLease};
-use crate::protocol::{EngineReport, Protocol, RequestBody, StageOrderFacts};
+use crate::back_ends::{ConnectionPool, address_to, reading};
+use crate::protocol::{EngineReport, Protocol, StageOrderFacts};
 
 /// The longest that an engine may take to tell of itself: a few hundred bytes, of which it has a copy.
 const REPORT_TIME_LIMIT: Duration = Duration::from_millis(400);
@@ -73,7 +71,11 @@
             term: order.term,
             orders_taken: report.orders_taken,
         };
-        let Some(request) = self.protocol.stage_order(&facts) else {
+        let request = self.protocol.stage_order(&facts).and_then(|mut request| {
+            address_to(&order.engine, &mut request)?;
+            Some(request)
+        });
+        let Some(request) = request else {
             return OrderAnswer::NotUnderstood;
         };
         let Ok(connection) = self.pool.lease(&order.engine).await else {
@@ -83,7 +85,7 @@
         if self.clock.now() >= order.until {
             return OrderAnswer::NotSent;
         }
-        match timeout(order.time_limit, call(connection, &order.engine, request)).await {
+        match timeout(order.time_limit, connection.call(request, ANSWER_MAXIMUM_BYTES)).await {
             Ok(Some((status, _))) => self.protocol.judge_order(status),
             Ok(None) | Err(_) => OrderAnswer::Unknown,
         }
@@ -91,27 +93,11 @@
 
     async fn report(&self, engine: &BackEnd) -> Option<EngineReport> {
         let connection = self.pool.lease(engine).await.ok()?;
-        let mut request = Request::new(RequestBody::default());
-        *request.method_mut() = Method::GET;
-        *request.uri_mut() = self.protocol.report_path().parse().ok()?;
-        let (status, body) = call(connection, engine, request).await?;
+        let request = reading(engine, self.protocol.report_path())?;
+        let (status, body) = connection.call(request, ANSWER_MAXIMUM_BYTES).await?;
         if status != StatusCode::OK {
             return None;
         }
         self.protocol.read_report(&body)
     }
 }
-
-async fn call(
-    mut connection: ConnectionLease,
-    engine: &BackEnd,
-    mut request: Request<RequestBody>,
-) -> Option<(StatusCode, bytes::Bytes)> {
-    let host = HeaderValue::from_str(&engine.address.to_string()).ok()?;
-    request.headers_mut().insert(HOST, host);
-    let answer: Response<_> = connection.sender()?.send_request(request).await.ok()?;
-    let status = answer.status();
-    let body = Limited::new(answer.into_body(), ANSWER_MAXIMUM_BYTES).collect().await.ok()?;
-    connection.give_back();
-    Some((status, body.to_bytes()))
-}
--- /dev/null
+++ b/crates/relay/src/control/stages/lease_keeper.rs
@@ -0,0 +1,135 @@
+//! The lease that orders need, with the calls to the store that keep it.
+
+use std::time::Duration;
+
+use havengate_core::authority::Term;
+use havengate_core::stages::{Lease, LeaseStep, LeaseWrite, OrderAnswer};
+use havengate_core::time::{Timestamp, whole_millis};
+use havengate_node::clock::Clock;
+
+use crate::metrics::RelayMetrics;
+use crate::protocol::{ControlStore, StoreError, WriteEnd};
+
+/// The pause after a call to the store failed, doubled with each failure up to the maximum.
+const STORE_PAUSE_MINIMUM: Duration = Duration::from_millis(400);
+const STORE_PAUSE_MAXIMUM: Duration = Duration::from_secs(4);
+
+/// The calls that one attempt makes at most: a read, and the write that it leads to.
+const CALLS_MAXIMUM: usize = 2;
+
+/// This node's part in the lease. Nothing is read or written unless something is to be ordered.
+pub struct LeaseKeeper<S> {
+    lease: Lease,
+    store: S,
+    clock: Clock,
+    metrics: RelayMetrics,
+    pause: Duration,
+    again_at: Timestamp,
+}
+
+impl<S: ControlStore> LeaseKeeper<S> {
+    /// The part of a node that has not read the lease yet.
+    pub fn new(lease: Lease, store: S, clock: Clock, metrics: RelayMetrics) -> Self {
+        LeaseKeeper { lease, store, clock, metrics, pause: STORE_PAUSE_MINIMUM, again_at: clock.now() }
+    }
+
+    /// The term under which this node may order now; takes a step towards it where it has none.
+    pub async fn authority(&mut self) -> Option<Term> {
+        if self.pauses() {
+            return None;
+        }
+        for _ in 0..CALLS_MAXIMUM {
+            match self.lease.step(self.clock.now()) {
+                LeaseStep::Order(term) => return Some(term),
+                LeaseStep::Wait(_) => return None,
+                LeaseStep::Read => self.read().await?,
+                LeaseStep::Write(write) => self.write(write).await?,
+            }
+        }
+        self.lease.may_order(self.clock.now())
+    }
+
+    /// Whether nobody has ever held the lease; `None` while that can't be read.
+    pub async fn is_unclaimed(&mut self) -> Option<bool> {
+        if self.lease.is_unclaimed().is_none() && !self.pauses() {
+            self.read().await?;
+        }
+        self.lease.is_unclaimed()
+    }
+
+    /// The term that this node holds or held last; `None` when another one holds the lease.
+    pub fn term(&self) -> Option<Term> {
+        self.lease.term()
+    }
+
+    /// The moment from which on nothing may be ordered any more unless the lease is renewed before.
+    pub fn order_until(&self) -> Option<Timestamp> {
+        self.lease.order_until()
+    }
+
+    /// The longest that an order may be on its way.
+    pub fn order_time_limit(&self) -> Duration {
+        self.lease.config().order_time_limit
+    }
+
+    /// Takes in how an order that was given under `term` was answered.
+    pub fn answered(&mut self, term: Term, answer: OrderAnswer) {
+        match answer {
+            OrderAnswer::Fenced => self.lease.fenced(term),
+            OrderAnswer::Unknown => self.lease.doubt(),
+            _ => {}
+        }
+    }
+
+    /// Orders nothing before the lease has been read and renewed.
+    pub fn doubt(&mut self) {
+        self.lease.doubt();
+    }
+
+    fn pauses(&self) -> bool {
+        self.clock.now() < self.again_at
+    }
+
+    async fn read(&mut self) -> Option<()> {
+        match self.store.read_lease().await {
+            Ok(read) => {
+                self.metrics.record_store_call("lease_read", "ok");
+                self.lease.observe(read.record, read.revision, self.clock.now());
+                Some(())
+            }
+            Err(error) => self.failed("lease_read", &error),
+        }
+    }
+
+    async fn write(&mut self, write: LeaseWrite) -> Option<()> {
+        let sent = self.clock.now();
+        match self.store.write_lease(&write).await {
+            Ok(WriteEnd::Written(revision)) => {
+                self.metrics.record_store_call("lease_write", "ok");
+                if write.record.renewal == 0 {
+                    let (term, from_another) = (write.record.term.0, write.expected.is_some());
+                    log::info!(event = "stages_lease_taken", term, from_another; "");
+                }
+                self.pause = STORE_PAUSE_MINIMUM;
+                self.lease.written(write, revision, sent, self.clock.now());
+                Some(())
+            }
+            Ok(WriteEnd::Conflict) => {
+                self.metrics.record_store_call("lease_write", "conflict");
+                log::info!(event = "stages_lease_conflict", term = write.record.term.0; "");
+                self.lease.doubt();
+                None
+            }
+            Err(error) => self.failed("lease_write", &error),
+        }
+    }
+
+    fn failed(&mut self, call: &'static str, error: &StoreError) -> Option<()> {
+        self.metrics.record_store_call(call, "failed");
+        self.lease.doubt();
+        log::warn!(event = "stages_lease_unknown", call, error:% = error, pause_ms = whole_millis(self.pause); "");
+        self.again_at = self.clock.now() + self.pause.mul_f64(0.5 + fastrand::f64());
+        self.pause = (2 * self.pause).min(STORE_PAUSE_MAXIMUM);
+        None
+    }
+}
--- a/crates/relay/src/control/stages/mod.rs
+++ b/crates/relay/src/control/stages/mod.rs
@@ -1,6 +1,8 @@
 //! Stages: the node that decides tells engines to change between reading prompts and answering.
 
+mod decisions;
 mod engine_orders;
+mod lease_keeper;
 mod settings;
 mod steering;
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod cache_survey;
 pub mod callers;
 pub mod control;
+pub mod datagrams;
 pub mod demand;
 pub mod knowledge;
 pub mod metrics;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -14,9 +14,6 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-/// The bytes that a datagram takes beside what is in it.
-pub const DATAGRAM_OVERHEAD_BYTES: usize = 28;
-
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
 
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use havengate_core::time::whole_millis;
 use havengate_core::world::Address;
 use havengate_node::clock::Clock;
 use http_body_util::Full;
@@ -194,7 +195,7 @@
     }
     // The last bytes of the last answer leave with the next turn of the connections' tasks.
     sleep(STOP_POLL).await;
-    let took_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let took_ms = whole_millis(began.elapsed());
     log::info!(event = "stopped", open_requests = traffic.active.count(), took_ms; "");
 }
 
--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings.rs
@@ -9,21 +9,17 @@
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{
     EngineModel, EngineTag, KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId, ReadingsMessage,
-    Suspicions, TellingPace, TellingPaceConfig, ToldPart, UnreachableNotice, Urgency,
+    ReadingsNotice, Suspicions, TellingPace, TellingPaceConfig, ToldPart, UnreachableNotice, Urgency,
 };
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
-use havengate_wire::{decode, encode};
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use crate::datagrams::Datagrams;
 use crate::knowledge::SharedKnowledge;
-use crate::metrics::{DATAGRAM_OVERHEAD_BYTES, NodeMessageKind, RelayMetrics};
-
-/// A message of more bytes would be split on its way. Notices are cut to fit; what one engine keeps is told in part.
-const MESSAGE_MAXIMUM_BYTES: usize = 1_400;
+use crate::metrics::{NodeMessageKind, RelayMetrics};
 
 /// The peers that are told of each reading: all, up to the size that is designed for. Long prompts are few, and a node
 /// that doesn't hear of a reading sends the next prompt behind it.
@@ -46,7 +42,8 @@
     index: RefCell<PromptIndex>,
     knowledge: SharedKnowledge,
     clock: Clock,
-    socket: RefCell<Option<(Address, Rc<UdpSocket>)>>,
+    /// Where this node takes notices and sends its own, once it takes part in the exchange.
+    exchange: RefCell<Option<(Address, Datagrams)>>,
     sequence: Cell<u64>,
     metrics: RelayMetrics,
     /// Whether open readings have changed since peers were told.
@@ -68,18 +65,16 @@
     /// Readings that are not exchanged with peers yet.
     pub fn new(knowledge: SharedKnowledge, clock: Clock, metrics: RelayMetrics) -> Self {
         let index = RefCell::new(PromptIndex::new(PromptIndexConfig::default()));
-        let (socket, sequence) = (RefCell::default(), Cell::new(0));
-        let (has_news, news) = (Cell::new(false), Notify::new());
         Readings {
             shared: Rc::new(Shared {
                 index,
                 knowledge,
                 clock,
-                socket,
-                sequence,
+                exchange: RefCell::default(),
+                sequence: Cell::new(0),
                 metrics,
-                has_news,
-                news,
+                has_news: Cell::new(false),
+                news: Notify::new(),
                 suspicions: RefCell::default(),
                 unreachable: Notify::new(),
             }),
@@ -91,21 +86,14 @@
     /// # Errors
     /// When the address can't be bound.
     pub async fn exchange(&self, address: Address) -> io::Result<()> {
-        let socket = Rc::new(UdpSocket::bind(address.0).await?);
-        *self.shared.socket.borrow_mut() = Some((address, Rc::clone(&socket)));
+        let datagrams = Datagrams::bind(address, self.shared.metrics.clone()).await?;
+        *self.shared.exchange.borrow_mut() = Some((address, datagrams.clone()));
         tokio::task::spawn_local(self.clone().tell_at_pace(TellingPaceConfig::default()));
         tokio::task::spawn_local(self.clone().tell_unreachable());
         let readings = self.clone();
         tokio::task::spawn_local(async move {
-            let mut buffer = [0; MESSAGE_MAXIMUM_BYTES];
             loop {
-                let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
-                    continue;
-                };
-                match decode::<ReadingsMessage>(&buffer[..length]) {
-                    Ok(message) => readings.receive(message).await,
-                    Err(_) => readings.shared.metrics.record_dropped_message("malformed"),
-                }
+                readings.receive(datagrams.receive().await).await;
             }
         });
         Ok(())
@@ -114,7 +102,10 @@
     async fn receive(&self, message: ReadingsMessage) {
         let now = self.shared.clock.now();
         match message {
-            ReadingsMessage::Notice(notice) if !self.shared.knowledge.load().peers.contains(&notice.sender) => {
+            ReadingsMessage::Notice(ReadingsNotice { sender, .. })
+            | ReadingsMessage::Unreachable(UnreachableNotice { sender, .. })
+                if !self.shared.knowledge.load().peers.contains(&sender) =>
+            {
                 self.shared.metrics.record_dropped_message("unknown_sender");
             }
             ReadingsMessage::Notice(notice) => {
@@ -122,9 +113,6 @@
                     self.shared.metrics.record_dropped_message("overtaken");
                 }
             }
-            ReadingsMessage::Unreachable(notice) if !self.shared.knowledge.load().peers.contains(&notice.sender) => {
-                self.shared.metrics.record_dropped_message("unknown_sender");
-            }
             ReadingsMessage::Unreachable(notice) => self.shared.suspicions.borrow_mut().receive(&notice, now),
             ReadingsMessage::AskKept { sender } => {
                 let knowledge = self.shared.knowledge.load_full();
@@ -144,7 +132,7 @@
 
     /// Asks a few peers what engines keep.
     pub async fn ask_kept(&self) {
-        let Some((sender, _)) = *self.shared.socket.borrow() else {
+        let Some(sender) = self.sender() else {
             return;
         };
         let mut peers = (*self.shared.knowledge.load().peers).clone();
@@ -165,28 +153,18 @@
         self.shared.index.borrow_mut().adopt_kept(kept, self.shared.clock.now());
     }
 
-    /// Sends a message and returns the bytes that went out. One that can't be sent is like one that is lost: later ones
-    /// make up for it.
+    /// Sends a message and returns the bytes that went out; none before the node takes part in the exchange.
     async fn send(&self, message: &ReadingsMessage, kind: NodeMessageKind, receivers: &[Address]) -> usize {
-        let socket = self.shared.socket.borrow().as_ref().map(|(_, socket)| Rc::clone(socket));
-        let (Some(socket), Ok(bytes)) = (socket, encode(message)) else {
-            return 0;
-        };
-        if bytes.len() > MESSAGE_MAXIMUM_BYTES {
-            self.shared.metrics.record_dropped_message("too_large");
-            log::warn!(event = "message_too_large", bytes = bytes.len(); "");
-            return 0;
-        }
-        let mut told = 0;
-        for receiver in receivers {
-            match socket.send_to(&bytes, receiver.0).await {
-                Ok(_) => told += 1,
-                Err(_) => self.shared.metrics.record_dropped_message("not_sent"),
-            }
+        let datagrams = self.shared.exchange.borrow().as_ref().map(|(_, datagrams)| datagrams.clone());
+        match datagrams {
+            Some(datagrams) => datagrams.send(message, kind, receivers).await,
+            None => 0,
         }
-        let sent = (bytes.len() + DATAGRAM_OVERHEAD_BYTES) * told;
-        self.shared.metrics.record_node_messages(kind, told, sent);
-        sent
+    }
+
+    /// Where this node takes notices, which names it; `None` before it takes part in the exchange.
+    fn sender(&self) -> Option<Address> {
+        self.shared.exchange.borrow().as_ref().map(|(sender, _)| *sender)
     }
 
     /// Calls `read` with what is known.
@@ -234,8 +212,7 @@
             self.shared.unreachable.notified().await;
             let now = self.shared.clock.now();
             let back_ends = self.shared.suspicions.borrow().told(now);
-            let sender = self.shared.socket.borrow().as_ref().map(|(sender, _)| *sender);
-            let Some(sender) = sender.filter(|_| !back_ends.is_empty()) else {
+            let Some(sender) = self.sender().filter(|_| !back_ends.is_empty()) else {
                 continue;
             };
             let peers = Arc::clone(&self.shared.knowledge.load().peers);
@@ -289,12 +266,12 @@
 
     async fn tell_peers(&self) -> usize {
         self.shared.has_news.set(false);
-        let Some((address, _)) = *self.shared.socket.borrow() else {
+        let Some(sender) = self.sender() else {
             return 0;
         };
         let sequence = self.shared.sequence.get() + 1;
         self.shared.sequence.set(sequence);
-        let notice = self.shared.index.borrow_mut().notice(address, sequence, self.shared.clock.now());
+        let notice = self.shared.index.borrow_mut().notice(sender, sequence, self.shared.clock.now());
         let knowledge = self.shared.knowledge.load_full();
         let receivers = &knowledge.peers[..knowledge.peers.len().min(PEERS_TOLD_MAXIMUM)];
         self.send(&ReadingsMessage::Notice(notice), NodeMessageKind::Readings, receivers).await
