Repeats are told: paid ones of each request, and a cause of its own when the budget is spent

Cause: logs and counters could not tell the incident's hypotheses apart: which sends were readings, which repeats were paid for, and which requests ended because the budget was spent ('no_engine' stood for that too). Change: request_ended has repeats; sends_total has the stage; repeats_total; the cause retry_budget_spent, for refusals and for requests that may have run. No decision changes.

--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -59,6 +59,7 @@
 pub struct Exchange {
     rules: ExchangeRules,
     sends: u32,
+    repeats: u32,
     unsent: u32,
     may_have_run: bool,
     prefilled: bool,
@@ -70,7 +71,15 @@
 impl Exchange {
     /// A request that has just arrived.
     pub fn new(rules: ExchangeRules) -> Self {
-        Exchange { rules, sends: 0, unsent: 0, may_have_run: false, prefilled: false, failed_to_read: false }
+        Exchange {
+            rules,
+            sends: 0,
+            repeats: 0,
+            unsent: 0,
+            may_have_run: false,
+            prefilled: false,
+            failed_to_read: false,
+        }
     }
 
     /// Whether a back end may be running the request, or have run it.
@@ -83,6 +92,11 @@
         self.sends
     }
 
+    /// Repeats that were taken out of the shared budget.
+    pub fn repeats(&self) -> u32 {
+        self.repeats
+    }
+
     /// Whether the prompt may be read by a prefill engine of its own: only as the very first send.
     pub fn may_prefill(&self) -> bool {
         self.sends == 0 && !self.prefilled
@@ -111,7 +125,7 @@
     ///
     /// # Errors
     /// The request's end, when it may not be sent any more.
-    pub fn begin_send(&self, budget: &mut SharedRetryBudget, now: Timestamp) -> Result<(), NextStep> {
+    pub fn begin_send(&mut self, budget: &mut SharedRetryBudget, now: Timestamp) -> Result<(), NextStep> {
         if self.rules.ends_at.since(now) < USEFUL_TIME_MINIMUM {
             return Err(self.give_up(NotRunReason::DeadlineUnreachable, MayHaveRun::DeadlinePassed));
         }
@@ -119,8 +133,11 @@
             return Err(self.give_up(NotRunReason::NoEngine, MayHaveRun::EngineFailed));
         }
         let is_repeat = self.sends > 0 || self.failed_to_read;
-        if is_repeat && !budget.try_repeat(now) {
-            return Err(self.give_up(NotRunReason::NoEngine, MayHaveRun::EngineFailed));
+        if is_repeat {
+            if !budget.try_repeat(now) {
+                return Err(self.give_up(NotRunReason::RetryBudgetSpent, MayHaveRun::RetryBudgetSpent));
+            }
+            self.repeats += 1;
         }
         Ok(())
     }
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -85,6 +85,8 @@
     KeyUnclaimable,
     /// the caller hung up before the request was started
     CallerGone,
+    /// too many requests are repeated already
+    RetryBudgetSpent,
 }
 
 impl NotRunReason {
@@ -107,6 +109,7 @@
             NotRunReason::KeyInProgress => "key_in_progress",
             NotRunReason::KeyUnclaimable => "key_unclaimable",
             NotRunReason::CallerGone => "caller_gone",
+            NotRunReason::RetryBudgetSpent => "retry_budget_spent",
         }
     }
 
@@ -120,6 +123,7 @@
                 | NotRunReason::NoEngine
                 | NotRunReason::DispatcherUnreachable
                 | NotRunReason::NotOwner
+                | NotRunReason::RetryBudgetSpent
         )
     }
 }
@@ -140,6 +144,8 @@
     CallerGone,
     /// an earlier request with the same idempotency key may have run
     KeyUsed,
+    /// an engine failed, and too many requests are repeated already to send it again
+    RetryBudgetSpent,
 }
 
 impl MayHaveRun {
@@ -152,6 +158,7 @@
             MayHaveRun::DeadlinePassed => "deadline_passed",
             MayHaveRun::CallerGone => "caller_gone",
             MayHaveRun::KeyUsed => "key_used",
+            MayHaveRun::RetryBudgetSpent => "retry_budget_spent",
         }
     }
 }
--- a/crates/core/tests/relay_exchange.rs
+++ b/crates/core/tests/relay_exchange.rs
@@ -55,10 +55,10 @@
 fn what_cant_be_sent_again_is_refused_only_while_it_has_not_run() {
     let mut declined = exchange(RequestKind::Repeatable, 2);
     sent(&mut declined, SendOutcome::Declined);
-    assert_eq!(declined.begin_send(&mut budget(0.0), NOW), Err(NextStep::Refuse(NotRunReason::NoEngine)));
+    assert_eq!(declined.begin_send(&mut budget(0.0), NOW), Err(NextStep::Refuse(NotRunReason::RetryBudgetSpent)));
     let mut lost = exchange(RequestKind::Repeatable, 2);
     sent(&mut lost, SendOutcome::Lost);
-    assert_eq!(lost.begin_send(&mut budget(0.0), NOW), Err(NextStep::Fail(MayHaveRun::EngineFailed)));
+    assert_eq!(lost.begin_send(&mut budget(0.0), NOW), Err(NextStep::Fail(MayHaveRun::RetryBudgetSpent)));
 }
 
 #[test]
@@ -84,7 +84,7 @@
 
 #[test]
 fn with_no_useful_time_left_the_end_is_final() {
-    let exchange = Exchange::new(ExchangeRules { kind: RequestKind::Once, attempts_maximum: 1, ends_at: NOW });
+    let mut exchange = Exchange::new(ExchangeRules { kind: RequestKind::Once, attempts_maximum: 1, ends_at: NOW });
     let end = exchange.begin_send(&mut budget(1.0), NOW);
     assert_eq!(end, Err(NextStep::Refuse(NotRunReason::DeadlineUnreachable)));
 }
@@ -106,7 +106,7 @@
         let mut failed = exchange(RequestKind::Once, 1);
         failed.after_prefill(Some(outcome));
         assert!(!failed.may_prefill() && !failed.may_have_run(), "reading a prompt is no run");
-        assert_eq!(failed.begin_send(&mut budget(0.0), NOW), Err(NextStep::Refuse(NotRunReason::NoEngine)));
+        assert_eq!(failed.begin_send(&mut budget(0.0), NOW), Err(NextStep::Refuse(NotRunReason::RetryBudgetSpent)));
         assert_eq!(failed.begin_send(&mut budget(1.0), NOW), Ok(()));
     }
 }
--- a/crates/node/src/callers/error.rs
+++ b/crates/node/src/callers/error.rs
@@ -156,7 +156,8 @@
         | NotRunReason::DispatcherUnreachable
         | NotRunReason::KeyUnclaimable
         | NotRunReason::NotOwner
-        | NotRunReason::CallerGone => StatusCode::SERVICE_UNAVAILABLE,
+        | NotRunReason::CallerGone
+        | NotRunReason::RetryBudgetSpent => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
@@ -164,9 +165,11 @@
     match reason {
         MayHaveRun::KeyUsed => StatusCode::CONFLICT,
         MayHaveRun::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
-        MayHaveRun::AnswerCut | MayHaveRun::EngineFailed | MayHaveRun::DispatcherLost | MayHaveRun::CallerGone => {
-            StatusCode::BAD_GATEWAY
-        }
+        MayHaveRun::AnswerCut
+        | MayHaveRun::EngineFailed
+        | MayHaveRun::DispatcherLost
+        | MayHaveRun::CallerGone
+        | MayHaveRun::RetryBudgetSpent => StatusCode::BAD_GATEWAY,
     }
 }
 
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -130,9 +130,9 @@
             };
             // Only a send that has somewhere to go is taken out of the budget.
             let now = self.traffic.clock.now();
-            let exchange = &self.exchange;
-            if let Err(end) = self.traffic.with_budget(&self.request.service, |budget| exchange.begin_send(budget, now))
-            {
+            let exchange = &mut self.exchange;
+            let begun = self.traffic.with_budget(&self.request.service, |budget| exchange.begin_send(budget, now));
+            if let Err(end) = begun {
                 return self.end(end, None);
             }
             let (next, answer) = match self.attempt(&back_end, &plan).await {
@@ -170,6 +170,7 @@
     fn finish(&mut self, outcome: RequestEnd, cause: &'static str) {
         if let Some(mut record) = self.record.take() {
             record.sends = self.exchange.sends();
+            record.repeats = self.exchange.repeats();
             record.finish(outcome, cause);
         }
     }
@@ -351,6 +352,7 @@
             return Attempt::Ended(SendOutcome::Lost, None);
         };
         record.sends = self.exchange.sends();
+        record.repeats = self.exchange.repeats();
         record.first_piece = Some(self.traffic.clock.now());
         record.in_flight = Some(in_flight);
         let time_limit = Box::pin(sleep_until(self.ends_at.into()));
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -63,6 +63,8 @@
     pub prefill_back_end: Option<BackEndId>,
     /// Sends that left the node.
     pub sends: u32,
+    /// Repeats that were taken out of the shared budget.
+    pub repeats: u32,
     /// The version of the configuration that decided its route.
     pub configuration: u64,
     /// The age of the directory when it was placed.
@@ -97,6 +99,7 @@
             back_end: None,
             prefill_back_end: None,
             sends: 0,
+            repeats: 0,
             configuration: 0,
             directory_age: None,
             expected_reading: None,
@@ -132,6 +135,9 @@
             self.demand.record_answer(service, self.clock.now().since(first_piece) + FIRST_TOKEN);
         }
         let route = self.route.as_ref().map_or("", RouteName::as_str);
+        if let (Some(service), 1..) = (&self.service, self.repeats) {
+            self.metrics.record_repeats(service, self.repeats);
+        }
         self.metrics.record_end(route, end.code(), cause, took, first);
         log::log!(
             level_of(end),
@@ -144,6 +150,7 @@
             back_end = self.back_end.as_ref().map_or("", BackEndId::as_str),
             prefill = self.prefill_back_end.as_ref().map_or("", BackEndId::as_str),
             sends = self.sends,
+            repeats = self.repeats,
             took_ms = millis(Some(took)),
             first_ms = millis(first),
             pause_ms = millis(self.longest_pause),
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -50,7 +50,7 @@
         Ok(answer) => note_judgement(traffic, request, back_end, stage, answer.judgement),
         Err(failure) => note_failure(traffic, request, back_end, stage, failure),
     }
-    traffic.metrics.record_send(request.service.as_str(), label_of(&result));
+    traffic.metrics.record_send(request.service.as_str(), stage_label(stage), label_of(&result));
     result
 }
 
@@ -205,6 +205,13 @@
     Ok(None)
 }
 
+fn stage_label(stage: &SendStage) -> &'static str {
+    match stage {
+        SendStage::Prefill => "reading",
+        SendStage::Decode(_) | SendStage::Whole => "answer",
+    }
+}
+
 fn label_of(result: &Result<AnswerInProgress, SendFailure>) -> &'static str {
     match result {
         Ok(answer) => match answer.judgement {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -33,6 +33,8 @@
 pub struct SendLabels {
     /// The service.
     pub service: String,
+    /// What was sent: a prompt to be read, or a request to be answered.
+    pub stage: &'static str,
     /// How the send ended.
     pub outcome: &'static str,
 }
@@ -149,6 +151,7 @@
     registry: Registry,
     ends: Family<EndLabels, Counter>,
     sends: Family<SendLabels, Counter>,
+    repeats: Family<ServiceLabel, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     node_messages: Family<MessageLabel, Counter>,
     node_bytes: Family<MessageLabel, Counter>,
@@ -183,6 +186,7 @@
             registry: Registry::with_prefix("havengate"),
             ends: Family::default(),
             sends: Family::default(),
+            repeats: Family::default(),
             store_calls: Family::default(),
             node_messages: Family::default(),
             node_bytes: Family::default(),
@@ -205,6 +209,11 @@
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that ended, by how", metrics.ends.clone());
         registry.register("sends", "Sends to back ends, by how they ended", metrics.sends.clone());
+        registry.register(
+            "repeats",
+            "Repeats that the budget paid for, of requests that ended",
+            metrics.repeats.clone(),
+        );
         registry.register("store_calls", "Calls to the store, by how they ended", metrics.store_calls.clone());
         registry.register("node_messages", "Messages sent to other nodes, by kind", metrics.node_messages.clone());
         registry.register("node_bytes", "Bytes sent to other nodes, by kind", metrics.node_bytes.clone());
@@ -266,8 +275,14 @@
     }
 
     /// Counts a send to a back end.
-    pub fn record_send(&self, service: &str, outcome: &'static str) {
-        self.metrics.sends.get_or_create(&SendLabels { service: service.to_owned(), outcome }).inc();
+    pub fn record_send(&self, service: &str, stage: &'static str, outcome: &'static str) {
+        self.metrics.sends.get_or_create(&SendLabels { service: service.to_owned(), stage, outcome }).inc();
+    }
+
+    /// Counts the repeats that the budget paid for one request.
+    pub fn record_repeats(&self, service: &ServiceName, repeats: u32) {
+        let label = ServiceLabel { service: service.to_string() };
+        self.metrics.repeats.get_or_create(&label).inc_by(u64::from(repeats));
     }
 
     /// Counts a call to the store.
