Each node's repeats are weighed by two windows together, so that all nodes' add up to the budget

Cause: a count at the nodes that is not the one at the engines. Second, found here: each node took the window of its own with the most requests; the sum over nodes is more than any one window of all nodes has when callers go over from some nodes to others. Ruled out: the window's arithmetic at a single node (a burst, a pause and a second burst stays within it), nodes that know of few others (the slack is 172 of 2,260), sends that ended as 'not sent' (none in the seconds of the excess). Change: repeats in a window are paid by half of the requests in it and in the window before it. A mean adds up; the larger of both does not. Where the former budget could be spent all at once, half of it can now.

--- a/crates/core/src/relay/retry_budget.rs
+++ b/crates/core/src/relay/retry_budget.rs
@@ -39,8 +39,11 @@
 
 /// What one node may spend on repeats to one service.
 ///
-/// Invariant: in every span of the window's length, this node's repeats are at most `ratio` times its requests in that
-/// span plus its part of the slack. Summed over the nodes, that is the shared budget.
+/// Invariant: in every span of the window's length, this node's repeats are at most `ratio` times the mean of its requests
+/// in that span and in the one before it, plus its part of the slack. A mean with fixed weights adds up over
+/// nodes: together they stay within `ratio` times the larger of the two spans' requests, plus the slack. The larger one at
+/// each node by itself would not: where callers go over from some nodes to others, each counts its own best span, and the
+/// sum is up to twice that of any one span.
 #[derive(Clone, Debug)]
 pub struct SharedRetryBudget {
     config: SharedRetryBudgetConfig,
@@ -72,7 +75,7 @@
     /// Takes one repeat out of the budget; `false` when it is used up.
     #[must_use]
     pub fn try_repeat(&mut self, now: Timestamp) -> bool {
-        let allowed = f64::from(self.repeats(now)) + 1.0 <= self.allowance(now);
+        let allowed = self.left(now) >= 1.0;
         if allowed {
             self.slice(now).repeats += 1;
         }
@@ -80,41 +83,27 @@
     }
 
     /// Repeats that are left at `now`, with fractions.
-    pub fn left(&self, now: Timestamp) -> f64 {
-        (self.allowance(now) - f64::from(self.repeats(now))).max(0.0)
-    }
-
-    /// What may be spent in the window that ends now.
     ///
-    /// A repeat counts in every window that it lies in, also those that end later. Each of them is weighed against the
-    /// requests of that window, of the one before it or of the one half a window before it, whichever has the most. So
-    /// only as many requests count as every window with this repeat in it can still show.
-    fn allowance(&self, now: Timestamp) -> f64 {
-        let window = self.window_slices();
-        let end = slice_number(now) + 1;
-        let shown = (0..=window / 2).map(|passed| {
-            let late = self.requests(end.saturating_sub(window - passed), end);
-            let early_end = end.saturating_sub(window / 2 - passed);
-            late.max(self.requests(early_end.saturating_sub(window), early_end))
-        });
+    /// A repeat counts in every window that it lies in, also in those that end later. The budget has to hold in each of them
+    /// even if nothing more is asked.
+    pub fn left(&self, now: Timestamp) -> f64 {
+        let counts = CountsByAge::new(&self.slices, slice_number(now), self.slices_kept());
         let part = self.config.slack * PART_OF_SLACK / f64::from(self.share.nodes.max(1));
-        self.config.ratio * f64::from(shown.min().unwrap_or(0)) + part
-    }
-
-    /// Requests in the slices from `first` up to, but without, `end`.
-    fn requests(&self, first: u64, end: u64) -> u32 {
-        let counted = self.slices.iter().filter(|slice| (first..end).contains(&slice.number));
-        counted.map(|slice| slice.requests).sum()
+        let window = self.window_slices();
+        let left_in = |later: usize| {
+            let paid = self.config.ratio * counts.requests_in_mean(window, later);
+            paid + part - counts.repeats_in(window, later)
+        };
+        (0..=window).map(left_in).fold(f64::INFINITY, f64::min).max(0.0)
     }
 
-    /// Repeats in the window that ends now; one slice more, since its oldest may lie in the window in part.
-    fn repeats(&self, now: Timestamp) -> u32 {
-        let oldest = (slice_number(now) + 1).saturating_sub(self.window_slices() + 1);
-        self.slices.iter().filter(|slice| slice.number >= oldest).map(|slice| slice.repeats).sum()
+    fn window_slices(&self) -> usize {
+        usize::try_from(self.config.window.as_micros() / SLICE.as_micros()).unwrap_or(usize::MAX)
     }
 
-    fn window_slices(&self) -> u64 {
-        (self.config.window.as_micros() / SLICE.as_micros()) as u64
+    /// The slices that a window which has not ended yet, or the one before it, may lie in.
+    fn slices_kept(&self) -> usize {
+        2 * self.window_slices()
     }
 
     fn slice(&mut self, now: Timestamp) -> &mut Slice {
@@ -122,7 +111,7 @@
         if self.slices.back().is_none_or(|slice| slice.number < number) {
             self.slices.push_back(Slice { number, requests: 0, repeats: 0 });
         }
-        let kept = 2 * self.window_slices();
+        let kept = self.slices_kept() as u64;
         while self.slices.front().is_some_and(|slice| slice.number + kept < number) {
             self.slices.pop_front();
         }
@@ -131,6 +120,42 @@
     }
 }
 
+/// Requests and repeats summed over the newest slices: entry `n` is the sum of the `n` newest ones.
+struct CountsByAge {
+    requests: Vec<u32>,
+    repeats: Vec<u32>,
+}
+
+impl CountsByAge {
+    fn new(slices: &VecDeque<Slice>, current: u64, kept: usize) -> Self {
+        let mut requests = vec![0; kept + 1];
+        let mut repeats = vec![0; kept + 1];
+        for slice in slices {
+            let age = usize::try_from(current.saturating_sub(slice.number)).unwrap_or(usize::MAX);
+            if age < kept {
+                requests[age + 1] += slice.requests;
+                repeats[age + 1] += slice.repeats;
+            }
+        }
+        for newest in 1..=kept {
+            requests[newest] += requests[newest - 1];
+            repeats[newest] += repeats[newest - 1];
+        }
+        CountsByAge { requests, repeats }
+    }
+
+    /// Repeats in a window that ends `later` slices from now. Its first slice may lie in it in part, and counts.
+    fn repeats_in(&self, window: usize, later: usize) -> f64 {
+        f64::from(self.repeats[window - later + 1])
+    }
+
+    /// The mean of the requests in a window that ends `later` slices from now and in the one before it, as far as they
+    /// are known. The first slice of the two may lie in them in part, and doesn't count.
+    fn requests_in_mean(&self, window: usize, later: usize) -> f64 {
+        f64::from(self.requests[2 * window - later]) / 2.0
+    }
+}
+
 fn slice_number(now: Timestamp) -> u64 {
     now.as_micros() / SLICE.as_micros() as u64
 }
--- a/crates/core/tests/relay_exchange.rs
+++ b/crates/core/tests/relay_exchange.rs
@@ -151,3 +151,38 @@
         arbtest::arbtest(invariants_hold).seed(seed << 32 | 0x100);
     }
 }
+
+/// Users saw repeats pile up beyond what is allowed. Engines that broke off their work on prompts had seen these requests,
+/// and counted the next send as a repeat; the node had called the reading free and paid for one repeat less. This drives a
+/// request through random outcomes of its reading and its sends, and counts arrivals as engines do: all but the first, and
+/// but for the first reading that an engine takes up.
+fn engines_count_no_more_repeats_than_were_paid(choices: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    let kind = KINDS[choices.choose_index(KINDS.len())?];
+    let mut budget = budget(f64::from(choices.int_in_range(0..=3_u32)?));
+    let mut exchange = exchange(kind, choices.int_in_range(1..=4_u32)?);
+    let mut arrivals = 0_u32;
+    let reads = choices.ratio(3, 4_u8)?;
+    while reads && exchange.may_prefill() {
+        let failure =
+            if choices.ratio(1, 3_u8)? { None } else { Some(OUTCOMES[choices.choose_index(OUTCOMES.len())?]) };
+        exchange.after_prefill(failure);
+        arrivals += u32::from(failure.is_some_and(|failure| failure != SendOutcome::NotSent));
+    }
+    while exchange.begin_send(&mut budget, NOW).is_ok() {
+        let outcome = OUTCOMES[choices.choose_index(OUTCOMES.len())?];
+        arrivals += u32::from(outcome != SendOutcome::NotSent);
+        if sent(&mut exchange, outcome) != NextStep::SendAgain {
+            break;
+        }
+    }
+    let repeats = arrivals.saturating_sub(1);
+    assert!(repeats <= exchange.repeats(), "engines count {repeats} repeats, {} were paid", exchange.repeats());
+    Ok(())
+}
+
+#[test]
+fn every_repeat_that_engines_count_was_paid_for() {
+    for seed in 1..=500_u64 {
+        arbtest::arbtest(engines_count_no_more_repeats_than_were_paid).seed(seed << 32 | 0x200);
+    }
+}
