Broken runs are told: the request's content, and whether the back end has ended

Cause: when one engine after the other ended, logs could not tell whether one and the same request was under way at each of them: a request is known by its caller's identity for one attempt, which is new for each copy. Nor whether an engine that broke a run off had ended or lives.

Change, of sight only: a request's content has a name (a hash of method, host, target, the caller's credentials and body), which request_ended tells. Where a back end breaks a run off, the node looks 10 ms later whether it still listens, once for all runs of the moment, and logs run_broken with its fate; havengate_broken_runs_total counts them. The connection that is opened for it replaces the broken one and is kept for the next request. Where nothing is sent nothing changes.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions about one opaque request: where it is sent, whether it is sent again, and how it ends.
 
+mod content;
 mod engine_cache;
 mod engine_model;
 mod engine_tag;
@@ -17,6 +18,7 @@
 mod telling_pace;
 mod urgency;
 
+pub use content::ContentId;
 pub use engine_model::{EngineModel, Estimate, ReadingTotals};
 pub use engine_tag::EngineTag;
 pub use exchange::{Exchange, ExchangeRules, NextStep, SendOutcome};
--- a/crates/relay/src/back_ends/mod.rs
+++ b/crates/relay/src/back_ends/mod.rs
@@ -8,4 +8,4 @@
 pub use load::{BackEndLoads, InFlight};
 pub use own_call::{address_to, reading};
 pub use pool::{ConnectError, ConnectionPool, Lease, PoolLimits};
-pub use send::{AnswerInProgress, SendFailure, Sent, send};
+pub use send::{AnswerInProgress, SendFailure, Sent, is_unacknowledged, send};
--- a/crates/relay/src/back_ends/pool.rs
+++ b/crates/relay/src/back_ends/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -53,6 +54,18 @@
     TimedOut,
     /// the connection was refused: {0}
     Refused(String),
+    /// the connection failed: {0}
+    Failed(String),
+}
+
+impl ConnectError {
+    /// What a failure to connect proves: a refusal comes from a live machine on which nothing listens any more.
+    fn of(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => ConnectError::Refused(error.to_string()),
+            _ => ConnectError::Failed(error.to_string()),
+        }
+    }
 }
 
 struct Connection {
@@ -112,6 +125,16 @@
         Ok(Lease { connection: Some(connection), pool, id: back_end.id.clone(), rest: self.limits.rest_default })
     }
 
+    /// Opens a new connection to `back_end` to see whether it still listens, and keeps it for the next request.
+    ///
+    /// # Errors
+    /// When no connection comes up.
+    pub async fn check(&self, back_end: &BackEnd) -> Result<(), ConnectError> {
+        let connection = self.connect(back_end).await?;
+        self.put_back(&back_end.id, connection, self.limits.rest_default);
+        Ok(())
+    }
+
     fn take_resting(&self, id: &BackEndId) -> Option<Connection> {
         let mut connections = self.connections.borrow_mut();
         let resting = &mut connections.get_mut(id)?.resting;
@@ -130,7 +153,7 @@
         let connecting = TcpStream::connect(back_end.address.0);
         let stream = match timeout(self.limits.connect_time_limit, connecting).await {
             Err(_) => return Err(ConnectError::TimedOut),
-            Ok(Err(error)) => return Err(ConnectError::Refused(error.to_string())),
+            Ok(Err(error)) => return Err(ConnectError::of(&error)),
             Ok(Ok(stream)) => stream,
         };
         // Events of a stream are small and must not wait for each other.
@@ -139,7 +162,7 @@
         let handshake = Builder::new()
             .max_buf_size(self.limits.head_maximum_bytes)
             .handshake::<_, RequestBody>(TokioIo::new(stream));
-        let (sender, connection) = handshake.await.map_err(|error| ConnectError::Refused(error.to_string()))?;
+        let (sender, connection) = handshake.await.map_err(|error| ConnectError::Failed(error.to_string()))?;
         let task = tokio::task::spawn_local(async move {
             let _open = opening;
             // The request that the connection carries is told of its failure; an idle one may end as it likes.
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -14,6 +14,7 @@
 
 use super::load::InFlight;
 use super::pool::{ConnectionPool, Lease};
+use crate::broken_runs::Run;
 use crate::protocol::{AnswerHead, EngineUrgency, Protocol, RequestBody, RequestHead, SendFacts, SendStage};
 
 /// A request as it is sent on.
@@ -48,6 +49,8 @@
     pub lease: Lease,
     /// Counts the request as under way.
     pub in_flight: InFlight,
+    /// The request's run at the back end.
+    pub run: Run,
 }
 
 /// Why there is no answer.
@@ -88,6 +91,7 @@
     back_end: &BackEnd,
     request: &Sent<'_>,
     in_flight: InFlight,
+    run: Run,
 ) -> Result<AnswerInProgress, SendFailure> {
     let mut lease = pool.lease(back_end).await.map_err(|error| SendFailure::NotSent(error.to_string()))?;
     let outgoing = assemble(protocol, back_end, request)?;
@@ -112,7 +116,7 @@
         lease.allow_rest(seconds);
     }
     let judgement = protocol.judge(&request.head.id, answer.status(), answer.headers());
-    Ok(AnswerInProgress { response: answer, judgement, lease, in_flight })
+    Ok(AnswerInProgress { response: answer, judgement, lease, in_flight, run })
 }
 
 fn assemble<P: Protocol>(
@@ -135,7 +139,7 @@
 }
 
 /// Whether a connection failed since its other end acknowledged nothing any more: a machine without power, or behind a cut.
-fn is_unacknowledged(error: &hyper::Error) -> bool {
+pub fn is_unacknowledged(error: &hyper::Error) -> bool {
     let cause = error.source().and_then(|source| source.downcast_ref::<io::Error>());
     cause.is_some_and(|cause| cause.kind() == io::ErrorKind::TimedOut)
 }
--- /dev/null
+++ b/crates/relay/src/broken_runs.rs
@@ -0,0 +1,143 @@
+//! Runs of requests that back ends broke off, and whether those back ends have ended.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use havengate_core::back_ends::BackEnd;
+use havengate_core::relay::ContentId;
+use havengate_core::time::{Timestamp, whole_millis};
+use havengate_core::world::BackEndId;
+use havengate_node::clock::Clock;
+use tokio::time::sleep;
+
+use crate::back_ends::{ConnectError, ConnectionPool};
+use crate::metrics::RelayMetrics;
+
+/// A process that ends closes its connections and its listener one after the other; a look in between would find it alive.
+const CHECK_DELAY: Duration = Duration::from_millis(10);
+
+/// What has become of a back end that broke a run off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackEndFate {
+    /// Nothing listens at its address any more.
+    Ended,
+    /// It takes connections as before.
+    Lives,
+    /// Its machine can't be reached, so nobody knows.
+    Unknown,
+}
+
+impl BackEndFate {
+    /// The word in logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            BackEndFate::Ended => "ended",
+            BackEndFate::Lives => "lives",
+            BackEndFate::Unknown => "unknown",
+        }
+    }
+}
+
+/// The runs that back ends broke off. Copies share them.
+#[derive(Clone)]
+pub struct BrokenRuns {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    pool: ConnectionPool,
+    clock: Clock,
+    metrics: RelayMetrics,
+    /// The runs that each back end broke off whose fate is being looked into.
+    open: RefCell<HashMap<BackEndId, Vec<BrokenRun>>>,
+}
+
+struct BrokenRun {
+    request: String,
+    content: ContentId,
+    is_reading: bool,
+    sent_at: Timestamp,
+    broken_at: Timestamp,
+}
+
+impl BrokenRuns {
+    /// No run was broken off yet.
+    pub fn new(pool: ConnectionPool, clock: Clock, metrics: RelayMetrics) -> Self {
+        BrokenRuns { shared: Rc::new(Shared { pool, clock, metrics, open: RefCell::default() }) }
+    }
+
+    /// Notes that `request` is about to be sent to `back_end`, to be run or only to have its prompt read.
+    pub fn begin(&self, back_end: &BackEnd, content: ContentId, request: &str, is_reading: bool) -> Run {
+        let sent_at = self.shared.clock.now();
+        let begun = BegunRun { back_end: back_end.clone(), content, request: request.to_owned(), is_reading, sent_at };
+        Run { runs: self.clone(), begun: Rc::new(begun) }
+    }
+
+    /// Notes that a run was broken off, and looks once for all of one moment whether the back end has ended.
+    fn broke_off(&self, run: &BegunRun) {
+        let broken_at = self.shared.clock.now();
+        let broken = BrokenRun {
+            request: run.request.clone(),
+            content: run.content,
+            is_reading: run.is_reading,
+            sent_at: run.sent_at,
+            broken_at,
+        };
+        let mut open = self.shared.open.borrow_mut();
+        let is_looked_into = open.contains_key(&run.back_end.id);
+        open.entry(run.back_end.id.clone()).or_default().push(broken);
+        if !is_looked_into {
+            tokio::task::spawn_local(self.clone().look_into(run.back_end.clone()));
+        }
+    }
+
+    async fn look_into(self, back_end: BackEnd) {
+        sleep(CHECK_DELAY).await;
+        let fate = match self.shared.pool.check(&back_end).await {
+            Ok(()) => BackEndFate::Lives,
+            Err(ConnectError::Refused(_)) => BackEndFate::Ended,
+            Err(ConnectError::TimedOut | ConnectError::Failed(_)) => BackEndFate::Unknown,
+        };
+        let runs = self.shared.open.borrow_mut().remove(&back_end.id).unwrap_or_default();
+        self.shared.metrics.record_broken_runs(fate.code(), runs.len());
+        for run in &runs {
+            let (request, content) = (run.request.as_str(), run.content);
+            let ran_ms = whole_millis(run.broken_at.since(run.sent_at));
+            log::warn!(
+                event = "run_broken",
+                request,
+                content:% = content,
+                back_end:% = back_end.id,
+                fate = fate.code(),
+                is_reading = run.is_reading,
+                ran_ms;
+                ""
+            );
+        }
+    }
+}
+
+/// A request's run at a back end. Copies are of the same run.
+#[derive(Clone)]
+pub struct Run {
+    runs: BrokenRuns,
+    begun: Rc<BegunRun>,
+}
+
+struct BegunRun {
+    back_end: BackEnd,
+    content: ContentId,
+    request: String,
+    /// Whether only the prompt is read.
+    is_reading: bool,
+    sent_at: Timestamp,
+}
+
+impl Run {
+    /// Notes that the back end broke the run off.
+    pub fn broke_off(&self) {
+        self.runs.broke_off(&self.begun);
+    }
+}
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use havengate_core::back_ends::{BackEnd, EngineStage};
-use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Placed, Prompt, Purpose, SendOutcome, Urgency};
+use havengate_core::relay::{
+    ContentId, Exchange, ExchangeRules, NextStep, Placed, Prompt, Purpose, SendOutcome, Urgency,
+};
 use havengate_core::routing::Route;
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{MayHaveRun, NotRunReason};
@@ -23,7 +25,7 @@
 use super::send_step::{discard, first_piece, outcome_of_failure, outcome_of_head, read_whole, send_noted};
 use super::stream_body::StreamBody;
 use super::traffic::{LateReadingTimer, Traffic};
-use crate::back_ends::{AnswerInProgress, SendFailure};
+use crate::back_ends::{AnswerInProgress, SendFailure, is_unacknowledged};
 use crate::protocol::{AnswerHead, CacheSource, Protocol, RequestHead, SendStage};
 
 /// Prompts of this many tokens and more are worth a choice of the engine that reads them; shorter ones take less time on
@@ -42,6 +44,8 @@
     pub body: Bytes,
     /// What the head says.
     pub head: RequestHead,
+    /// What it asks, the same for each copy of it.
+    pub content: ContentId,
     /// The route.
     pub route: Arc<Route>,
     /// The service that the request goes to.
@@ -366,11 +370,14 @@
 
     /// Waits for the first piece of a stream and passes the rest on as it comes.
     async fn pass_on(&mut self, back_end: &BackEnd, answer: AnswerInProgress) -> Attempt {
-        let AnswerInProgress { response, lease, in_flight, .. } = answer;
+        let AnswerInProgress { response, lease, in_flight, run, .. } = answer;
         let (parts, mut body) = response.into_parts();
         let first = match timeout_at(self.ends_at.into(), first_piece(&mut body)).await {
             Err(_) => return Attempt::TimedOut,
-            Ok(Err(_)) => {
+            Ok(Err(error)) => {
+                if !is_unacknowledged(&error) {
+                    run.broke_off();
+                }
                 self.traffic.loads.failed(&back_end.id, self.traffic.clock.now());
                 return Attempt::Ended(SendOutcome::Lost, None);
             }
@@ -384,7 +391,7 @@
         record.first_piece = Some(self.traffic.clock.now());
         record.in_flight = Some(in_flight);
         let time_limit = Box::pin(sleep_until(self.ends_at.into()));
-        let body = StreamBody::new(first, body, lease, time_limit, record);
+        let body = StreamBody::new(first, body, lease, time_limit, record, run);
         Attempt::Answered(passed_on(parts, RelayBody::Stream(Box::new(body))))
     }
 
--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use havengate_core::relay::Urgency;
+use havengate_core::relay::{ContentId, Urgency};
 use havengate_core::routing::{CallerLimits, Route};
 use havengate_core::verdict::NotRunReason;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONNECTION, COOKIE, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use tokio::time::timeout;
@@ -59,8 +59,11 @@
     let service = traffic.with_splits(|turns| turns.next(&route).cloned());
     let service = service.ok_or_else(|| OwnAnswer::refusal(NotRunReason::NoEngine))?;
     record.service = Some(service.clone());
+    let content = content_of(&parts, &body);
+    record.content = Some(content);
     strip_request(&mut parts.headers);
     Ok(CallerRequest {
+        content,
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
@@ -94,6 +97,20 @@
     route.cloned().ok_or_else(|| OwnAnswer::rejection(StatusCode::NOT_FOUND, "no_route"))
 }
 
+/// What a request asks: what its copies have in common. Beside method, host, target and body that is what tells the caller,
+/// since the same words may mean another thing for another one. What a caller sets anew for each copy stays out.
+fn content_of(parts: &Parts, body: &Bytes) -> ContentId {
+    let header = |name: HeaderName| parts.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
+    ContentId::of([
+        parts.method.as_str().as_bytes(),
+        header(HOST),
+        parts.uri.to_string().as_bytes(),
+        header(AUTHORIZATION),
+        header(COOKIE),
+        body,
+    ])
+}
+
 async fn read_body(body: Incoming, limits: &CallerLimits, limit: Duration) -> Result<Bytes, OwnAnswer> {
     let too_large = || OwnAnswer::rejection(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
     if body.size_hint().lower() > limits.body_maximum_bytes {
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use havengate_core::relay::Urgency;
+use havengate_core::relay::{ContentId, Urgency};
 use havengate_core::time::Timestamp;
 use havengate_core::world::{BackEndId, RouteName, ServiceName};
 use havengate_node::clock::Clock;
@@ -53,6 +53,8 @@
 pub struct RequestRecord {
     /// The request's identity.
     pub request: String,
+    /// What it asks, the same for each copy of it; `None` until it was read whole.
+    pub content: Option<ContentId>,
     /// Its route.
     pub route: Option<RouteName>,
     /// The service that it went to.
@@ -96,6 +98,7 @@
     pub fn begin<P>(traffic: &Traffic<P>) -> Self {
         RequestRecord {
             request: String::new(),
+            content: None,
             route: None,
             service: None,
             back_end: None,
@@ -146,6 +149,7 @@
             level_of(end),
             event = "request_ended",
             request = self.request.as_str(),
+            content = self.content.map(|content| content.to_string()).unwrap_or_default(),
             outcome = end.code(),
             cause,
             route,
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -13,7 +13,7 @@
 
 use super::exchange_driver::CallerRequest;
 use super::traffic::Traffic;
-use crate::back_ends::{AnswerInProgress, SendFailure, Sent, send};
+use crate::back_ends::{AnswerInProgress, SendFailure, Sent, is_unacknowledged, send};
 use crate::protocol::{AnswerHead, EngineUrgency, Protocol, SendStage};
 
 /// The largest answer that is held until it is whole.
@@ -45,7 +45,12 @@
         ends_at,
     };
     let in_flight = traffic.loads.begin(&back_end.id, traffic.clock.now());
-    let result = send(&traffic.protocol, &traffic.pool, back_end, &sent, in_flight).await;
+    let is_reading = matches!(stage, SendStage::Prefill);
+    let run = traffic.broken_runs.begin(back_end, request.content, request.head.id_text(), is_reading);
+    let result = send(&traffic.protocol, &traffic.pool, back_end, &sent, in_flight, run.clone()).await;
+    if let Err(SendFailure::Lost(_)) = &result {
+        run.broke_off();
+    }
     match &result {
         Ok(answer) => note_judgement(traffic, request, back_end, stage, answer.judgement),
         Err(failure) => note_failure(traffic, request, back_end, stage, failure),
@@ -168,10 +173,14 @@
     answer: AnswerInProgress,
     ends_at: Instant,
 ) -> Option<(Parts, Bytes)> {
-    let AnswerInProgress { response, judgement, lease, in_flight } = answer;
+    let AnswerInProgress { response, judgement, lease, in_flight, run } = answer;
     let (parts, body) = response.into_parts();
     let collected = timeout_at(ends_at.into(), Limited::new(body, HELD_ANSWER_MAXIMUM_BYTES).collect()).await;
     drop(in_flight);
+    let is_break = |error: &hyper::Error| !is_unacknowledged(error);
+    if matches!(&collected, Ok(Err(error)) if error.downcast_ref().is_some_and(is_break)) {
+        run.broke_off();
+    }
     let Ok(Ok(collected)) = collected else {
         traffic.loads.failed(&back_end.id, traffic.clock.now());
         return None;
--- a/crates/relay/src/callers/stream_body.rs
+++ b/crates/relay/src/callers/stream_body.rs
@@ -10,7 +10,8 @@
 use tokio::time::Sleep;
 
 use super::record::{RequestEnd, RequestRecord};
-use crate::back_ends::Lease;
+use crate::back_ends::{Lease, is_unacknowledged};
+use crate::broken_runs::Run;
 
 /// The rest of an answer, tied to the connection that it comes over.
 ///
@@ -23,6 +24,7 @@
     lease: Option<Lease>,
     time_limit: Pin<Box<Sleep>>,
     record: RequestRecord,
+    run: Run,
 }
 
 impl StreamBody {
@@ -33,8 +35,9 @@
         lease: Lease,
         time_limit: Pin<Box<Sleep>>,
         record: RequestRecord,
+        run: Run,
     ) -> Self {
-        StreamBody { first, incoming, lease: Some(lease), time_limit, record }
+        StreamBody { first, incoming, lease: Some(lease), time_limit, record, run }
     }
 
     fn ended(&mut self) {
@@ -71,7 +74,12 @@
                 }
                 // Trailers concern the back end's connection only.
                 Poll::Ready(Some(Ok(_))) => {}
-                Poll::Ready(Some(Err(_))) => return body.cut("back_end_broke_off"),
+                Poll::Ready(Some(Err(error))) => {
+                    if !is_unacknowledged(&error) {
+                        body.run.broke_off();
+                    }
+                    return body.cut("back_end_broke_off");
+                }
                 Poll::Ready(None) => {
                     body.ended();
                     return Poll::Ready(None);
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -15,6 +15,7 @@
 use havengate_node::clock::Clock;
 
 use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits};
+use crate::broken_runs::BrokenRuns;
 use crate::control::SharedWithTraffic;
 use crate::demand::SharedDemand;
 use crate::knowledge::SharedKnowledge;
@@ -35,6 +36,8 @@
     pub pool: ConnectionPool,
     /// What is under way at back ends, and how they answer.
     pub loads: BackEndLoads,
+    /// Runs that back ends broke off.
+    pub broken_runs: BrokenRuns,
     /// The prompts that are read now, and where shared parts are kept.
     pub readings: Readings,
     /// How long short prompts took, by where they were read.
@@ -63,10 +66,12 @@
         placement: PlacementConfig,
     ) -> Self {
         let SharedWithTraffic { knowledge, demand, clock, metrics } = shared;
+        let pool = ConnectionPool::new(PoolLimits::default());
         Traffic {
             protocol,
             clock,
-            pool: ConnectionPool::new(PoolLimits::default()),
+            broken_runs: BrokenRuns::new(pool.clone(), clock, metrics.clone()),
+            pool,
             loads: BackEndLoads::default(),
             readings: Readings::new(Arc::clone(&knowledge), clock, metrics.clone()),
             short_reading: Cell::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! and publishes what it knows as one immutable value.
 
 pub mod back_ends;
+pub mod broken_runs;
 mod cache_survey;
 pub mod callers;
 pub mod control;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -70,6 +70,13 @@
     pub late_stretch: f64,
 }
 
+/// Labels of a run that a back end broke off.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BrokenRunLabel {
+    /// What has become of the back end.
+    pub back_end: &'static str,
+}
+
 /// Labels of a latency.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteLabel {
@@ -154,6 +161,7 @@
     ends: Family<EndLabels, Counter>,
     sends: Family<SendLabels, Counter>,
     repeats: Family<ServiceLabel, Counter>,
+    broken_runs: Family<BrokenRunLabel, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     node_messages: Family<MessageLabel, Counter>,
     node_bytes: Family<MessageLabel, Counter>,
@@ -190,6 +198,7 @@
             ends: Family::default(),
             sends: Family::default(),
             repeats: Family::default(),
+            broken_runs: Family::default(),
             store_calls: Family::default(),
             node_messages: Family::default(),
             node_bytes: Family::default(),
@@ -218,6 +227,11 @@
             "Repeats that the budget paid for, of requests that ended",
             metrics.repeats.clone(),
         );
+        registry.register(
+            "broken_runs",
+            "Runs that back ends broke off, by what has become of the back end",
+            metrics.broken_runs.clone(),
+        );
         registry.register("store_calls", "Calls to the store, by how they ended", metrics.store_calls.clone());
         registry.register("node_messages", "Messages sent to other nodes, by kind", metrics.node_messages.clone());
         registry.register("node_bytes", "Bytes sent to other nodes, by kind", metrics.node_bytes.clone());
@@ -291,6 +305,11 @@
         self.metrics.repeats.get_or_create(&label).inc_by(u64::from(repeats));
     }
 
+    /// Counts runs that one back end broke off, and what has become of it.
+    pub fn record_broken_runs(&self, back_end: &'static str, runs: usize) {
+        self.metrics.broken_runs.get_or_create(&BrokenRunLabel { back_end }).inc_by(runs as u64);
+    }
+
     /// Counts a call to the store.
     pub fn record_store_call(&self, call: &'static str, outcome: &'static str) {
         self.metrics.store_calls.get_or_create(&StoreLabels { call, outcome }).inc();
