A request under which three engines ended is sent to none, at any node

Cause: attempts are limited for each copy of a request, and nothing was kept from one copy to the next, nor told from one node to the other. A request that ends each engine that begins to run it was sent on by every node that its caller asked, two engines for each copy.

Change: - Where an engine broke a run off and has ended, the node keeps which contents ran there and tells all nodes, twice. An end is put down to one request only, the one with most ends, so that what ran beside it stays free; of two with equally many neither is blocked before the next end tells. Engines that fall together count once. Runs that were broken off by engines that live, or whose machine can't be reached, are held against nobody. - Three ends block a content for 2 min, doubled by each further end up to an hour. A copy that has not been sent is refused as not run, with that time to come back; one under way when it is blocked ends as may have run. One whole answer clears it at all nodes. - A request under which an engine ended before waits for the fate of the next one (50 ms at most) before it is repeated. - A node that starts is told what is blocked when it asks what engines keep. - Bounds: 512 ends of 64 contents, forgotten after 2 h; 40 pairs a datagram.

--- /dev/null
+++ b/crates/core/src/relay/engine_ends.rs
@@ -0,0 +1,334 @@
+//! Engines that ended while they ran requests, as all nodes have seen them, and the requests that are blocked for it.
+//!
+//! A request may end each engine that begins to run it. Its caller sends it again, to any node, and each copy would end some
+//! engines more, with all that runs there. Attempts are limited for each copy, so only what is kept of its content from
+//! one copy to the next, at all nodes, puts an end to it.
+//!
+//! What is kept is bounded, and lapses: a request that was blocked may be tried again after a time that doubles with
+//! each further end, and one that is answered whole is cleared at all nodes.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+use super::blame::{BlameRules, Blamed, EngineEnd, blame};
+use super::content::ContentId;
+use super::ends_message::{EndsNotice, ServedContent, ToldEnd, ToldRun};
+use super::engine_tag::EngineTag;
+use crate::time::Timestamp;
+use crate::world::Address;
+
+/// Limits of [`EngineEnds`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineEndsConfig {
+    /// When ends count against a request, and how many block it. One or two may be chance: an engine ends, and a
+    /// request that was repeated meets the next end. Its moment is longer than nodes differ in when they notice an end.
+    pub rules: BlameRules,
+    /// How long a request is blocked after the last end, when it has come to the number that blocks it.
+    pub first_block: Duration,
+    /// The longest block; each further end doubles it up to this.
+    pub longest_block: Duration,
+    /// How long an end counts. Longer than the longest block, so that a request that is tried again is not new.
+    pub kept: Duration,
+    /// The ends that are kept; the oldest go first.
+    pub ends_maximum: usize,
+    /// The requests that are kept for one end: more than an engine runs at a time.
+    pub contents_maximum: usize,
+    /// The pairs of an end and a request that wait to be told; the oldest go first.
+    pub untold_maximum: usize,
+    /// The pairs that one notice tells, so that it fits into a datagram.
+    pub told_maximum: usize,
+    /// How often each is told, against loss.
+    pub tells: u32,
+}
+
+impl Default for EngineEndsConfig {
+    fn default() -> Self {
+        EngineEndsConfig {
+            rules: BlameRules { least: 3, one_moment: Duration::from_millis(50) },
+            first_block: Duration::from_secs(120),
+            longest_block: Duration::from_secs(3_600),
+            kept: Duration::from_secs(7_200),
+            ends_maximum: 512,
+            contents_maximum: 64,
+            untold_maximum: 512,
+            told_maximum: 40,
+            tells: 2,
+        }
+    }
+}
+
+/// A request that an engine ran when it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedRun {
+    /// The request.
+    pub content: ContentId,
+    /// When it was sent there.
+    pub sent_at: Timestamp,
+}
+
+/// Something that peers are still to be told of.
+#[derive(Clone, Copy, Debug)]
+struct Untold {
+    news: News,
+    tells: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum News {
+    Ended { engine: EngineTag, run: EndedRun, at: Timestamp },
+    Served { content: ContentId, at: Timestamp },
+}
+
+/// Engines that ended, and the requests that are blocked for it.
+#[derive(Clone, Debug)]
+pub struct EngineEnds {
+    config: EngineEndsConfig,
+    /// Oldest first, as they were learned.
+    ends: VecDeque<(EngineTag, EngineEnd)>,
+    /// In how many of `ends` a request is.
+    counts: HashMap<ContentId, usize>,
+    blamed: BTreeMap<ContentId, Blamed>,
+    untold: VecDeque<Untold>,
+}
+
+impl Default for EngineEnds {
+    fn default() -> Self {
+        EngineEnds::new(EngineEndsConfig::default())
+    }
+}
+
+impl EngineEnds {
+    /// No engine has ended.
+    pub fn new(config: EngineEndsConfig) -> Self {
+        EngineEnds {
+            config,
+            ends: VecDeque::new(),
+            counts: HashMap::new(),
+            blamed: BTreeMap::new(),
+            untold: VecDeque::new(),
+        }
+    }
+
+    /// Notes that `engine` ended at `at` while it did `runs` for this node. Returns the requests that are blocked from now on.
+    pub fn note_ended(&mut self, engine: EngineTag, runs: &[EndedRun], at: Timestamp) -> Vec<Blamed> {
+        let tells = self.config.tells;
+        for run in runs {
+            self.untold.push_back(Untold { news: News::Ended { engine, run: *run, at }, tells });
+        }
+        self.bound_untold();
+        self.insert(engine, at, runs);
+        self.find_blamed(runs.iter().map(|run| run.content))
+    }
+
+    /// Takes in what a peer tells. Returns the requests that are blocked from now on.
+    pub fn receive(&mut self, notice: &EndsNotice, now: Timestamp) -> Vec<Blamed> {
+        let mut contents = Vec::new();
+        for end in &notice.ends {
+            let at = now - Duration::from_micros(end.age_micros);
+            let run = |told: &ToldRun| EndedRun {
+                content: told.content,
+                sent_at: at - Duration::from_micros(u64::from(told.ran_micros)),
+            };
+            let runs: Vec<EndedRun> = end.runs.iter().map(run).collect();
+            self.insert(end.engine, at, &runs);
+            contents.extend(runs.iter().map(|run| run.content));
+        }
+        for served in &notice.served {
+            self.clear(served.content, now - Duration::from_micros(served.age_micros));
+        }
+        self.find_blamed(contents)
+    }
+
+    /// Notes that a request was answered whole: it doesn't end its engines, so it only ran beside one that does, or on engines
+    /// that ended for another reason. Whether engines had ended under it.
+    pub fn note_served(&mut self, content: ContentId, now: Timestamp) -> bool {
+        let was_suspect = self.clear(content, now);
+        if was_suspect {
+            self.untold.push_back(Untold { news: News::Served { content, at: now }, tells: self.config.tells });
+            self.bound_untold();
+        }
+        was_suspect
+    }
+
+    /// Whether an engine has ended under a request.
+    pub fn is_suspect(&self, content: ContentId) -> bool {
+        self.counts.contains_key(&content)
+    }
+
+    /// Until when a request is blocked; `None` when it isn't.
+    pub fn blocked_until(&self, content: ContentId, now: Timestamp) -> Option<Timestamp> {
+        let until = self.block_end(self.blamed.get(&content)?);
+        (now < until).then_some(until)
+    }
+
+    /// The requests that are blocked at `now`.
+    pub fn blocked(&self, now: Timestamp) -> usize {
+        self.blamed.values().filter(|blamed| now < self.block_end(blamed)).count()
+    }
+
+    /// What peers are to be told next; `None` when there is nothing.
+    pub fn notice(&mut self, sender: Address, now: Timestamp) -> Option<EndsNotice> {
+        let mut notice = EndsNotice { sender, ends: Vec::new(), served: Vec::new() };
+        let told = self.untold.len().min(self.config.told_maximum);
+        for untold in self.untold.drain(..told).collect::<Vec<_>>() {
+            match untold.news {
+                News::Ended { engine, run, at } => add_run(&mut notice.ends, engine, run, at, now),
+                News::Served { content, at } => {
+                    notice.served.push(ServedContent { content, age_micros: age(at, now) });
+                }
+            }
+            if untold.tells > 1 {
+                self.untold.push_back(Untold { tells: untold.tells - 1, ..untold });
+            }
+        }
+        (told > 0).then_some(notice)
+    }
+
+    /// Whether peers are still to be told of something.
+    pub fn has_untold(&self) -> bool {
+        !self.untold.is_empty()
+    }
+
+    /// The requests that are blamed, and the ends that they are blamed for, for a node that has just started: as many as one
+    /// notice tells, those with the last ends first.
+    pub fn known_blame(&self, sender: Address, now: Timestamp) -> Option<EndsNotice> {
+        let mut blamed: Vec<&Blamed> = self.blamed.values().collect();
+        blamed.sort_by_key(|blamed| std::cmp::Reverse(blamed.last));
+        let mut ends = Vec::new();
+        let mut left = self.config.told_maximum;
+        for Blamed { content, .. } in blamed {
+            let of_content = |(engine, end): &(EngineTag, EngineEnd)| {
+                let sent_at = *end.runs.get(content)?;
+                Some((*engine, EndedRun { content: *content, sent_at }, end.at))
+            };
+            for (engine, run, at) in self.ends.iter().filter_map(of_content).take(left) {
+                add_run(&mut ends, engine, run, at, now);
+                left -= 1;
+            }
+        }
+        (!ends.is_empty()).then(|| EndsNotice { sender, ends, served: Vec::new() })
+    }
+
+    /// Forgets what no longer counts.
+    pub fn tidy(&mut self, now: Timestamp) {
+        let kept = self.config.kept;
+        while self.ends.front().is_some_and(|(_, end)| now.since(end.at) >= kept) {
+            self.forget_oldest();
+        }
+    }
+
+    /// The ends that are kept.
+    pub fn len(&self) -> usize {
+        self.ends.len()
+    }
+
+    /// Whether no end is kept.
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
+    fn insert(&mut self, engine: EngineTag, at: Timestamp, runs: &[EndedRun]) {
+        let index = match self.ends.iter().rposition(|(known, _)| *known == engine) {
+            Some(index) => index,
+            None => {
+                if self.ends.len() >= self.config.ends_maximum {
+                    self.forget_oldest();
+                }
+                self.ends.push_back((engine, EngineEnd { at, runs: BTreeMap::new() }));
+                self.ends.len() - 1
+            }
+        };
+        let (_, end) = &mut self.ends[index];
+        // Whoever noticed first is nearest to the truth.
+        end.at = end.at.min(at);
+        for EndedRun { content, sent_at } in runs {
+            let is_known = end.runs.contains_key(content);
+            if !is_known && end.runs.len() < self.config.contents_maximum {
+                end.runs.insert(*content, *sent_at);
+                *self.counts.entry(*content).or_default() += 1;
+            }
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((_, end)) = self.ends.pop_front() {
+            end.runs.keys().for_each(|content| self.discount(*content));
+        }
+    }
+
+    /// Takes a request out of all ends up to `until`; whether it was in any.
+    fn clear(&mut self, content: ContentId, until: Timestamp) -> bool {
+        let mut cleared = 0;
+        for (_, end) in self.ends.iter_mut().filter(|(_, end)| end.at <= until) {
+            cleared += usize::from(end.runs.remove(&content).is_some());
+        }
+        (0..cleared).for_each(|_| self.discount(content));
+        if cleared > 0 {
+            self.find_blamed([content]);
+        }
+        cleared > 0
+    }
+
+    fn discount(&mut self, content: ContentId) {
+        let Some(count) = self.counts.get_mut(&content) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.counts.remove(&content);
+            self.blamed.remove(&content);
+        }
+    }
+
+    /// Puts the ends down to requests anew where that may have changed by what is known of `contents`. Returns those that are
+    /// blamed now and weren't before.
+    fn find_blamed(&mut self, contents: impl IntoIterator<Item = ContentId>) -> Vec<Blamed> {
+        let concerns = |content: ContentId| self.blamed.contains_key(&content) || self.may_be_blamed(&content);
+        if !contents.into_iter().any(concerns) {
+            return Vec::new();
+        }
+        let blamed = blame(&self.ends_that_may_count(), &self.config.rules);
+        let blamed = blamed.into_iter().map(|blamed| (blamed.content, blamed)).collect();
+        let before = std::mem::replace(&mut self.blamed, blamed);
+        self.blamed.values().filter(|blamed| !before.contains_key(&blamed.content)).copied().collect()
+    }
+
+    fn may_be_blamed(&self, content: &ContentId) -> bool {
+        self.counts.get(content).is_some_and(|count| *count >= self.config.rules.least)
+    }
+
+    /// The ends in the order of time, without the requests that can't be blamed.
+    fn ends_that_may_count(&self) -> Vec<EngineEnd> {
+        let of_suspects = |(_, end): &(EngineTag, EngineEnd)| {
+            let runs = end.runs.iter().filter(|(content, _)| self.may_be_blamed(content));
+            EngineEnd { at: end.at, runs: runs.map(|(content, sent_at)| (*content, *sent_at)).collect() }
+        };
+        let mut ends: Vec<EngineEnd> = self.ends.iter().map(of_suspects).collect();
+        ends.sort_by_key(|end| end.at);
+        ends
+    }
+
+    fn block_end(&self, blamed: &Blamed) -> Timestamp {
+        let further = blamed.ends.saturating_sub(self.config.rules.least);
+        let doubled = u32::try_from(further).ok().and_then(|further| 2_u32.checked_pow(further)).unwrap_or(u32::MAX);
+        blamed.last + self.config.first_block.saturating_mul(doubled).min(self.config.longest_block)
+    }
+
+    fn bound_untold(&mut self) {
+        let beyond = self.untold.len().saturating_sub(self.config.untold_maximum);
+        self.untold.drain(..beyond);
+    }
+}
+
+fn add_run(ends: &mut Vec<ToldEnd>, engine: EngineTag, run: EndedRun, at: Timestamp, now: Timestamp) {
+    let ran_micros = u32::try_from(at.since(run.sent_at).as_micros()).unwrap_or(u32::MAX);
+    let told = ToldRun { content: run.content, ran_micros };
+    match ends.iter_mut().find(|end| end.engine == engine) {
+        Some(end) => end.runs.push(told),
+        None => ends.push(ToldEnd { engine, age_micros: age(at, now), runs: vec![told] }),
+    }
+}
+
+fn age(at: Timestamp, now: Timestamp) -> u64 {
+    u64::try_from(now.since(at).as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -1,7 +1,10 @@
 //! Decisions about one opaque request: where it is sent, whether it is sent again, and how it ends.
 
+mod blame;
 mod content;
+mod ends_message;
 mod engine_cache;
+mod engine_ends;
 mod engine_model;
 mod engine_tag;
 mod exchange;
@@ -18,7 +21,10 @@
 mod telling_pace;
 mod urgency;
 
+pub use blame::{BlameRules, Blamed, EngineEnd, blame};
 pub use content::ContentId;
+pub use ends_message::{EndsNotice, ServedContent, ToldEnd, ToldRun};
+pub use engine_ends::{EndedRun, EngineEnds, EngineEndsConfig};
 pub use engine_model::{EngineModel, Estimate, ReadingTotals};
 pub use engine_tag::EngineTag;
 pub use exchange::{Exchange, ExchangeRules, NextStep, SendOutcome};
--- a/crates/core/src/relay/readings_message.rs
+++ b/crates/core/src/relay/readings_message.rs
@@ -2,6 +2,7 @@
 
 use speedy::{Readable, Writable};
 
+use super::ends_message::EndsNotice;
 use super::engine_tag::EngineTag;
 use super::prompt::PromptPart;
 use super::suspicions::UnreachableNotice;
@@ -21,6 +22,8 @@
     Kept(KeptParts),
     /// Back ends that the sender could not reach.
     Unreachable(UnreachableNotice),
+    /// Engines that ended while they ran requests for the sender.
+    Ends(EndsNotice),
 }
 
 /// What a node believes that an engine keeps.
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -87,6 +87,8 @@
     CallerGone,
     /// too many requests are repeated already
     RetryBudgetSpent,
+    /// the engines that ran the request so far have ended under it
+    EndsEngines,
 }
 
 impl NotRunReason {
@@ -110,6 +112,7 @@
             NotRunReason::KeyUnclaimable => "key_unclaimable",
             NotRunReason::CallerGone => "caller_gone",
             NotRunReason::RetryBudgetSpent => "retry_budget_spent",
+            NotRunReason::EndsEngines => "ends_engines",
         }
     }
 
@@ -146,6 +149,8 @@
     KeyUsed,
     /// an engine failed, and too many requests are repeated already to send it again
     RetryBudgetSpent,
+    /// the engines that ran the request have ended under it
+    EndsEngines,
 }
 
 impl MayHaveRun {
@@ -159,6 +164,7 @@
             MayHaveRun::CallerGone => "caller_gone",
             MayHaveRun::KeyUsed => "key_used",
             MayHaveRun::RetryBudgetSpent => "retry_budget_spent",
+            MayHaveRun::EndsEngines => "ends_engines",
         }
     }
 }
--- a/crates/node/src/callers/error.rs
+++ b/crates/node/src/callers/error.rs
@@ -157,7 +157,8 @@
         | NotRunReason::KeyUnclaimable
         | NotRunReason::NotOwner
         | NotRunReason::CallerGone
-        | NotRunReason::RetryBudgetSpent => StatusCode::SERVICE_UNAVAILABLE,
+        | NotRunReason::RetryBudgetSpent
+        | NotRunReason::EndsEngines => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
@@ -169,7 +170,8 @@
         | MayHaveRun::EngineFailed
         | MayHaveRun::DispatcherLost
         | MayHaveRun::CallerGone
-        | MayHaveRun::RetryBudgetSpent => StatusCode::BAD_GATEWAY,
+        | MayHaveRun::RetryBudgetSpent
+        | MayHaveRun::EndsEngines => StatusCode::BAD_GATEWAY,
     }
 }
 
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,6 +1,6 @@
 //! The process's monotonic clock, as the core's timestamps.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use havengate_core::time::Timestamp;
 
@@ -8,17 +8,24 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
+    /// The time at the origin.
+    at_origin: Timestamp,
 }
 
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Clock { origin: Instant::now() }
+        Clock { origin: Instant::now(), at_origin: Timestamp::ZERO }
+    }
+
+    /// A clock that starts now and can also tell moments up to `past` before its start: what others saw then is told as an
+    /// age, and has to have a time here.
+    pub fn start_with_past(past: Duration) -> Self {
+        Clock { origin: Instant::now(), at_origin: Timestamp::ZERO + past }
     }
 
     /// The time now.
     pub fn now(&self) -> Timestamp {
-        let micros = self.origin.elapsed().as_micros();
-        Timestamp::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+        self.at_origin + self.origin.elapsed()
     }
 }
--- a/crates/relay/src/broken_runs.rs
+++ b/crates/relay/src/broken_runs.rs
@@ -6,18 +6,23 @@
 use std::time::Duration;
 
 use havengate_core::back_ends::BackEnd;
-use havengate_core::relay::ContentId;
+use havengate_core::relay::{ContentId, EndedRun};
 use havengate_core::time::{Timestamp, whole_millis};
 use havengate_core::world::BackEndId;
 use havengate_node::clock::Clock;
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 
 use crate::back_ends::{ConnectError, ConnectionPool};
+use crate::engine_ends::SharedEngineEnds;
 use crate::metrics::RelayMetrics;
 
 /// A process that ends closes its connections and its listener one after the other; a look in between would find it alive.
 const CHECK_DELAY: Duration = Duration::from_millis(10);
 
+/// A request under which an engine has ended before waits no longer than this for the fate of the next one before it is sent on.
+const FATE_PATIENCE: Duration = Duration::from_millis(50);
+
 /// What has become of a back end that broke a run off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackEndFate {
@@ -48,8 +53,11 @@
 
 struct Shared {
     pool: ConnectionPool,
+    ends: SharedEngineEnds,
     clock: Clock,
     metrics: RelayMetrics,
+    /// Wakes whoever waits for a fate.
+    settled: Notify,
     /// The runs that each back end broke off whose fate is being looked into.
     open: RefCell<HashMap<BackEndId, Vec<BrokenRun>>>,
 }
@@ -64,8 +72,9 @@
 
 impl BrokenRuns {
     /// No run was broken off yet.
-    pub fn new(pool: ConnectionPool, clock: Clock, metrics: RelayMetrics) -> Self {
-        BrokenRuns { shared: Rc::new(Shared { pool, clock, metrics, open: RefCell::default() }) }
+    pub fn new(pool: ConnectionPool, ends: SharedEngineEnds, clock: Clock, metrics: RelayMetrics) -> Self {
+        let (settled, open) = (Notify::new(), RefCell::default());
+        BrokenRuns { shared: Rc::new(Shared { pool, ends, clock, metrics, settled, open }) }
     }
 
     /// Notes that `request` is about to be sent to `back_end`, to be run or only to have its prompt read.
@@ -93,6 +102,28 @@
         }
     }
 
+    /// Notes what ran at a back end when it ended. What was sent there later never began to run.
+    fn note_ended(&self, back_end: &BackEndId, runs: &[BrokenRun]) {
+        let Some(ended_at) = runs.iter().map(|run| run.broken_at).min() else {
+            return;
+        };
+        let ran = runs.iter().filter(|run| run.sent_at < ended_at);
+        let ran: Vec<EndedRun> = ran.map(|run| EndedRun { content: run.content, sent_at: run.sent_at }).collect();
+        self.shared.ends.note_ended(back_end, &ran, ended_at);
+    }
+
+    /// Waits until it is known whether `back_end`, which broke a run off, has ended; not for long.
+    pub async fn wait_for_fate(&self, back_end: &BackEndId) {
+        let is_open = || self.shared.open.borrow().contains_key(back_end);
+        let settled = async {
+            while is_open() {
+                self.shared.settled.notified().await;
+            }
+        };
+        // What is not known by then is not waited for.
+        let _ = timeout(FATE_PATIENCE, settled).await;
+    }
+
     async fn look_into(self, back_end: BackEnd) {
         sleep(CHECK_DELAY).await;
         let fate = match self.shared.pool.check(&back_end).await {
@@ -102,6 +133,10 @@
         };
         let runs = self.shared.open.borrow_mut().remove(&back_end.id).unwrap_or_default();
         self.shared.metrics.record_broken_runs(fate.code(), runs.len());
+        if fate == BackEndFate::Ended {
+            self.note_ended(&back_end.id, &runs);
+        }
+        self.shared.settled.notify_waiters();
         for run in &runs {
             let (request, content) = (run.request.as_str(), run.content);
             let ran_ms = whole_millis(run.broken_at.since(run.sent_at));
@@ -140,4 +175,11 @@
     pub fn broke_off(&self) {
         self.runs.broke_off(&self.begun);
     }
+
+    /// Notes that the whole answer has come.
+    pub fn completed(&self) {
+        if !self.begun.is_reading {
+            self.runs.shared.ends.note_served(self.begun.content);
+        }
+    }
 }
--- a/crates/relay/src/callers/answer.rs
+++ b/crates/relay/src/callers/answer.rs
@@ -76,6 +76,11 @@
         OwnAnswer { status: StatusCode::SERVICE_UNAVAILABLE, cause: reason.code(), retry_after: Some(retry_after) }
     }
 
+    /// The same, for a request that is of no use before `wait` is over.
+    pub fn refusal_for(reason: NotRunReason, wait: Duration) -> Self {
+        OwnAnswer { retry_after: Some(wait), ..OwnAnswer::refusal(reason) }
+    }
+
     /// The outcome of the request is not known.
     pub fn failure(reason: MayHaveRun) -> Self {
         let status = match reason {
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -77,12 +77,16 @@
         ends_at: request.ends_at,
     };
     let now = traffic.clock.now();
-    traffic.with_budget(&request.service, |budget| budget.record_request(now));
     let ends_at = Instant::now() + request.ends_at.since(now);
     let exchange = Exchange::new(rules);
-    Driver { traffic, request, ends_at, exchange, record: Some(record), tried: Vec::new(), late_reading: None }
-        .run()
-        .await
+    let mut driver =
+        Driver { traffic, request, ends_at, exchange, record: Some(record), tried: Vec::new(), late_reading: None };
+    if let Some(end) = driver.end_of_blocked() {
+        return driver.end(end, None);
+    }
+    let service = &driver.request.service;
+    traffic.with_budget(service, |budget| budget.record_request(now));
+    driver.run().await
 }
 
 struct Driver<'a, P> {
@@ -128,6 +132,9 @@
     async fn run(&mut self) -> Response<RelayBody> {
         let mut plan = self.plan_reading().await;
         loop {
+            if let Some(end) = self.end_of_blocked() {
+                return self.end(end, None);
+            }
             let Some(back_end) = self.place_answer(&plan) else {
                 let reason = match plan {
                     ReadingPlan::Nowhere => NotRunReason::DeadlineUnreachable,
@@ -152,6 +159,7 @@
             if next != NextStep::SendAgain {
                 return self.end(next, answer);
             }
+            self.wait_for_fate(&back_end.id).await;
             if self.exchange.sends() > 0 || matches!(plan, ReadingPlan::There(_)) {
                 // A handle is taken only once, and may be gone with its engine: the next engine reads the prompt itself.
                 plan = ReadingPlan::WhereAnswered;
@@ -169,13 +177,35 @@
                 }
                 None => (RequestEnd::MayHaveRun, OwnAnswer::failure(MayHaveRun::EngineFailed)),
             },
-            NextStep::Refuse(reason) => (RequestEnd::Refused, OwnAnswer::refusal(reason)),
+            NextStep::Refuse(reason) => (RequestEnd::Refused, self.refusal(reason)),
             NextStep::Fail(reason) => (RequestEnd::MayHaveRun, OwnAnswer::failure(reason)),
         };
         self.finish(outcome, own.cause);
         own.response()
     }
 
+    fn refusal(&self, reason: NotRunReason) -> OwnAnswer {
+        match self.traffic.readings.engine_ends().blocked_for(self.request.content) {
+            Some(wait) if reason == NotRunReason::EndsEngines => OwnAnswer::refusal_for(reason, wait),
+            _ => OwnAnswer::refusal(reason),
+        }
+    }
+
+    /// The request's end where engines have ended under it, at any node: it would end the next one too, with all that runs
+    /// there. Without this, each copy of such a request ended as many engines as its route allows attempts.
+    fn end_of_blocked(&self) -> Option<NextStep> {
+        self.traffic.readings.engine_ends().blocked_for(self.request.content)?;
+        Some(self.exchange.give_up(NotRunReason::EndsEngines, MayHaveRun::EndsEngines))
+    }
+
+    /// A request under which engines have ended before is not sent on before it is known whether this one has ended too. All
+    /// others go on at once.
+    async fn wait_for_fate(&self, back_end: &BackEndId) {
+        if self.traffic.readings.engine_ends().is_suspect(self.request.content) {
+            self.traffic.broken_runs.wait_for_fate(back_end).await;
+        }
+    }
+
     fn finish(&mut self, outcome: RequestEnd, cause: &'static str) {
         if let Some(mut record) = self.record.take() {
             record.finish(outcome, cause);
@@ -273,6 +303,7 @@
                 self.note_sends();
                 let request = self.request.head.id_text();
                 log::info!(event = "prefill_failed", request, back_end:% = engine.id, outcome:? = outcome; "");
+                self.wait_for_fate(&engine.id).await;
                 self.tried.push(engine.id);
                 None
             }
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -189,6 +189,7 @@
     if judgement == AnswerHead::Proper {
         traffic.loads.succeeded(&back_end.id);
         traffic.readings.note_answer(&back_end.id);
+        run.completed();
     }
     Some((parts, collected.to_bytes()))
 }
--- a/crates/relay/src/callers/stream_body.rs
+++ b/crates/relay/src/callers/stream_body.rs
@@ -44,6 +44,7 @@
         if let Some(lease) = self.lease.take() {
             lease.give_back();
         }
+        self.run.completed();
         self.record.finish(RequestEnd::Completed, "");
     }
 
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -67,13 +67,15 @@
     ) -> Self {
         let SharedWithTraffic { knowledge, demand, clock, metrics } = shared;
         let pool = ConnectionPool::new(PoolLimits::default());
+        let readings = Readings::new(Arc::clone(&knowledge), clock, metrics.clone());
+        let engine_ends = readings.engine_ends().clone();
         Traffic {
             protocol,
             clock,
-            broken_runs: BrokenRuns::new(pool.clone(), clock, metrics.clone()),
+            broken_runs: BrokenRuns::new(pool.clone(), engine_ends, clock, metrics.clone()),
             pool,
             loads: BackEndLoads::default(),
-            readings: Readings::new(Arc::clone(&knowledge), clock, metrics.clone()),
+            readings,
             short_reading: Cell::default(),
             late_readings: RefCell::default(),
             placement: Cell::new(placement),
--- /dev/null
+++ b/crates/relay/src/engine_ends.rs
@@ -0,0 +1,106 @@
+//! Engines that ended while they ran requests, as the traffic thread keeps and logs them.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use havengate_core::relay::{Blamed, ContentId, EndedRun, EndsNotice, EngineEnds};
+use havengate_core::time::{Timestamp, whole_millis};
+use havengate_core::world::{Address, BackEndId};
+use havengate_node::clock::Clock;
+use tokio::sync::Notify;
+
+use crate::metrics::RelayMetrics;
+
+/// The engines that ended, as all nodes have seen them. Copies share them.
+#[derive(Clone)]
+pub struct SharedEngineEnds {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    ends: RefCell<EngineEnds>,
+    clock: Clock,
+    metrics: RelayMetrics,
+    /// Wakes the task that tells peers.
+    news: Notify,
+}
+
+impl SharedEngineEnds {
+    /// No engine has ended.
+    pub fn new(clock: Clock, metrics: RelayMetrics) -> Self {
+        SharedEngineEnds { shared: Rc::new(Shared { ends: RefCell::default(), clock, metrics, news: Notify::new() }) }
+    }
+
+    /// Notes that `back_end` ended at `at` while it did `runs` for this node; peers are told.
+    pub fn note_ended(&self, back_end: &BackEndId, runs: &[EndedRun], at: Timestamp) {
+        let age_ms = whole_millis(self.shared.clock.now().since(at));
+        log::warn!(event = "engine_ended", back_end:% = back_end, runs = runs.len(), age_ms; "");
+        let blamed = self.shared.ends.borrow_mut().note_ended(back_end.into(), runs, at);
+        self.note_blamed(&blamed, "own_run");
+        self.shared.news.notify_one();
+    }
+
+    /// Takes in what a peer tells.
+    pub fn receive(&self, notice: &EndsNotice) {
+        let blamed = self.shared.ends.borrow_mut().receive(notice, self.shared.clock.now());
+        self.note_blamed(&blamed, "peer");
+    }
+
+    /// Notes that a request was answered whole; peers are told if an engine had ended under it.
+    pub fn note_served(&self, content: ContentId) {
+        if self.shared.ends.borrow_mut().note_served(content, self.shared.clock.now()) {
+            log::info!(event = "suspect_served", content:% = content; "");
+            self.shared.metrics.record_suspect("served");
+            self.shared.news.notify_one();
+        }
+    }
+
+    /// Whether an engine has ended under a request.
+    pub fn is_suspect(&self, content: ContentId) -> bool {
+        self.shared.ends.borrow().is_suspect(content)
+    }
+
+    /// For how long a request is sent to no engine, since engines ended under it; `None` when it may be sent.
+    pub fn blocked_for(&self, content: ContentId) -> Option<Duration> {
+        let now = self.shared.clock.now();
+        let until = self.shared.ends.borrow().blocked_until(content, now)?;
+        Some(until.since(now))
+    }
+
+    /// How many requests are sent to no engine now.
+    pub fn blocked(&self) -> usize {
+        self.shared.ends.borrow().blocked(self.shared.clock.now())
+    }
+
+    /// Waits until peers are to be told of something.
+    pub async fn wait_for_news(&self) {
+        while !self.shared.ends.borrow().has_untold() {
+            self.shared.news.notified().await;
+        }
+    }
+
+    /// What peers are to be told next.
+    pub fn notice(&self, sender: Address) -> Option<EndsNotice> {
+        self.shared.ends.borrow_mut().notice(sender, self.shared.clock.now())
+    }
+
+    /// What a node that has just started is told.
+    pub fn known_blame(&self, sender: Address) -> Option<EndsNotice> {
+        self.shared.ends.borrow().known_blame(sender, self.shared.clock.now())
+    }
+
+    /// Forgets what no longer counts.
+    pub fn tidy(&self) {
+        self.shared.ends.borrow_mut().tidy(self.shared.clock.now());
+    }
+
+    fn note_blamed(&self, blamed: &[Blamed], source: &'static str) {
+        for Blamed { content, ends, last } in blamed {
+            let block_ms = self.blocked_for(*content).map_or(0, whole_millis);
+            let last_end_age_ms = whole_millis(self.shared.clock.now().since(*last));
+            log::warn!(event = "content_blocked", content:% = content, ends, last_end_age_ms, block_ms, source; "");
+            self.shared.metrics.record_suspect("blocked");
+        }
+    }
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -68,6 +68,8 @@
     pub repeats_left: Vec<(ServiceName, f64)>,
     /// By how much more than expected late prompts take to be read.
     pub late_stretch: f64,
+    /// Requests that are sent to no engine, since engines ended under them.
+    pub blocked_contents: usize,
 }
 
 /// Labels of a run that a back end broke off.
@@ -77,6 +79,13 @@
     pub back_end: &'static str,
 }
 
+/// Labels of a request under which engines ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SuspectLabel {
+    /// What became of it.
+    pub outcome: &'static str,
+}
+
 /// Labels of a latency.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteLabel {
@@ -101,6 +110,8 @@
     Stages,
     /// Back ends that could not be reached.
     Unreachable,
+    /// Engines that ended while they ran requests.
+    Ends,
 }
 
 impl NodeMessageKind {
@@ -113,6 +124,7 @@
             NodeMessageKind::Demand => "demand",
             NodeMessageKind::Stages => "stages",
             NodeMessageKind::Unreachable => "unreachable",
+            NodeMessageKind::Ends => "ends",
         }
     }
 }
@@ -162,6 +174,8 @@
     sends: Family<SendLabels, Counter>,
     repeats: Family<ServiceLabel, Counter>,
     broken_runs: Family<BrokenRunLabel, Counter>,
+    suspects: Family<SuspectLabel, Counter>,
+    blocked: Gauge,
     store_calls: Family<StoreLabels, Counter>,
     node_messages: Family<MessageLabel, Counter>,
     node_bytes: Family<MessageLabel, Counter>,
@@ -199,6 +213,8 @@
             sends: Family::default(),
             repeats: Family::default(),
             broken_runs: Family::default(),
+            suspects: Family::default(),
+            blocked: Gauge::default(),
             store_calls: Family::default(),
             node_messages: Family::default(),
             node_bytes: Family::default(),
@@ -232,6 +248,16 @@
             "Runs that back ends broke off, by what has become of the back end",
             metrics.broken_runs.clone(),
         );
+        registry.register(
+            "suspects",
+            "Requests under which engines ended, by what became of them here",
+            metrics.suspects.clone(),
+        );
+        registry.register(
+            "blocked_contents",
+            "Requests that are sent to no engine, since engines ended under them",
+            metrics.blocked.clone(),
+        );
         registry.register("store_calls", "Calls to the store, by how they ended", metrics.store_calls.clone());
         registry.register("node_messages", "Messages sent to other nodes, by kind", metrics.node_messages.clone());
         registry.register("node_bytes", "Bytes sent to other nodes, by kind", metrics.node_bytes.clone());
@@ -310,6 +336,11 @@
         self.metrics.broken_runs.get_or_create(&BrokenRunLabel { back_end }).inc_by(runs as u64);
     }
 
+    /// Counts a request under which engines ended, and what became of it.
+    pub fn record_suspect(&self, outcome: &'static str) {
+        self.metrics.suspects.get_or_create(&SuspectLabel { outcome }).inc();
+    }
+
     /// Counts a call to the store.
     pub fn record_store_call(&self, call: &'static str, outcome: &'static str) {
         self.metrics.store_calls.get_or_create(&StoreLabels { call, outcome }).inc();
@@ -347,6 +378,7 @@
         let age = state.directory_age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
         self.metrics.directory_age_millis.set(age);
         self.metrics.late_stretch.set(state.late_stretch);
+        self.metrics.blocked.set(i64::try_from(state.blocked_contents).unwrap_or(i64::MAX));
         for (service, left) in &state.repeats_left {
             let label = ServiceLabel { service: service.to_string() };
             self.metrics.repeats_left.get_or_create(&label).set(*left as i64);
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -52,6 +52,9 @@
 /// A peer that asks for readiness or metrics gets this time.
 const SIDE_REQUEST_TIME_LIMIT: Duration = Duration::from_secs(5);
 
+/// How long before its start a node can still tell when something happened: longer than peers tell of anything.
+const PAST_TOLD: Duration = Duration::from_secs(24 * 3_600);
+
 /// Runs a node until it is told to stop and the stop has ended. `read_settings` reads the settings anew for a reload.
 ///
 /// # Errors
@@ -64,7 +67,7 @@
 ) -> io::Result<()> {
     let (stages, stages_receiver) = watch::channel(settings.stage_settings());
     let (seeds, seeds_receiver) = watch::channel(settings.seeds.clone());
-    let clock = Clock::start();
+    let clock = Clock::start_with_past(PAST_TOLD);
     let metrics = RelayMetrics::new();
     let knowledge: SharedKnowledge = Arc::new(ArcSwap::from_pointee(Knowledge::nothing()));
     let demand = SharedDemand::default();
@@ -175,7 +178,8 @@
         feeds = traffic.metrics.node_bytes(NodeMessageKind::Feed),
         demand = traffic.metrics.node_bytes(NodeMessageKind::Demand),
         stages = traffic.metrics.node_bytes(NodeMessageKind::Stages),
-        unreachable = traffic.metrics.node_bytes(NodeMessageKind::Unreachable);
+        unreachable = traffic.metrics.node_bytes(NodeMessageKind::Unreachable),
+        ends = traffic.metrics.node_bytes(NodeMessageKind::Ends);
         ""
     );
 }
@@ -220,6 +224,7 @@
         directory_age: confirmed_at.map(|confirmed_at| now.since(confirmed_at)),
         repeats_left: traffic.repeats_left(),
         late_stretch: traffic.late_stretch(),
+        blocked_contents: traffic.readings.engine_ends().blocked(),
     });
     match traffic.metrics.encode() {
         Ok(text) => Response::new(Full::new(Bytes::from(text))),
--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings.rs
@@ -8,8 +8,8 @@
 
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{
-    EngineModel, EngineTag, KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId, ReadingsMessage,
-    ReadingsNotice, Suspicions, TellingPace, TellingPaceConfig, ToldPart, UnreachableNotice, Urgency,
+    EndsNotice, EngineModel, EngineTag, KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId,
+    ReadingsMessage, ReadingsNotice, Suspicions, TellingPace, TellingPaceConfig, ToldPart, UnreachableNotice, Urgency,
 };
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId};
@@ -18,6 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::datagrams::Datagrams;
+use crate::engine_ends::SharedEngineEnds;
 use crate::knowledge::SharedKnowledge;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
 
@@ -53,11 +54,15 @@
     suspicions: RefCell<Suspicions>,
     /// Wakes the task that tells peers of back ends that could not be reached.
     unreachable: Notify,
+    engine_ends: SharedEngineEnds,
 }
 
 /// The pause between two notices of back ends that could not be reached.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(200);
 
+/// The pause between two notices of engines that ended: what happens meanwhile is told together.
+const ENDS_PAUSE: Duration = Duration::from_millis(100);
+
 /// How long a finished reading waits at most to be told once more.
 const REPEAT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -72,11 +77,12 @@
                 clock,
                 exchange: RefCell::default(),
                 sequence: Cell::new(0),
-                metrics,
+                metrics: metrics.clone(),
                 has_news: Cell::new(false),
                 news: Notify::new(),
                 suspicions: RefCell::default(),
                 unreachable: Notify::new(),
+                engine_ends: SharedEngineEnds::new(clock, metrics),
             }),
         }
     }
@@ -90,6 +96,7 @@
         *self.shared.exchange.borrow_mut() = Some((address, datagrams.clone()));
         tokio::task::spawn_local(self.clone().tell_at_pace(TellingPaceConfig::default()));
         tokio::task::spawn_local(self.clone().tell_unreachable());
+        tokio::task::spawn_local(self.clone().tell_ends());
         let readings = self.clone();
         tokio::task::spawn_local(async move {
             loop {
@@ -104,6 +111,7 @@
         match message {
             ReadingsMessage::Notice(ReadingsNotice { sender, .. })
             | ReadingsMessage::Unreachable(UnreachableNotice { sender, .. })
+            | ReadingsMessage::Ends(EndsNotice { sender, .. })
                 if !self.shared.knowledge.load().peers.contains(&sender) =>
             {
                 self.shared.metrics.record_dropped_message("unknown_sender");
@@ -114,7 +122,9 @@
                 }
             }
             ReadingsMessage::Unreachable(notice) => self.shared.suspicions.borrow_mut().receive(&notice, now),
+            ReadingsMessage::Ends(notice) => self.shared.engine_ends.receive(&notice),
             ReadingsMessage::AskKept { sender } => {
+                self.tell_blame(sender).await;
                 let knowledge = self.shared.knowledge.load_full();
                 let engines = knowledge.directory.entries().map(|entry| &entry.back_end.id);
                 let kept: Vec<KeptParts> = self.shared.index.borrow().kept_parts(engines, KEPT_PARTS_TOLD).collect();
@@ -222,6 +232,31 @@
         }
     }
 
+    /// The engines that ended while they ran requests.
+    pub fn engine_ends(&self) -> &SharedEngineEnds {
+        &self.shared.engine_ends
+    }
+
+    /// Tells peers for ever of engines that ended while they ran requests.
+    async fn tell_ends(self) {
+        loop {
+            self.shared.engine_ends.wait_for_news().await;
+            if let Some(notice) = self.sender().and_then(|sender| self.shared.engine_ends.notice(sender)) {
+                let peers = Arc::clone(&self.shared.knowledge.load().peers);
+                self.send(&ReadingsMessage::Ends(notice), NodeMessageKind::Ends, &peers).await;
+            }
+            sleep(ENDS_PAUSE).await;
+        }
+    }
+
+    /// Tells a node that has just started which requests engines have ended under.
+    async fn tell_blame(&self, receiver: Address) {
+        let notice = self.sender().and_then(|sender| self.shared.engine_ends.known_blame(sender));
+        if let Some(notice) = notice {
+            self.send(&ReadingsMessage::Ends(notice), NodeMessageKind::Ends, &[receiver]).await;
+        }
+    }
+
     /// What is believed of the engines' speed.
     pub fn model(&self) -> EngineModel {
         *self.shared.index.borrow().model()
@@ -231,6 +266,7 @@
     pub fn refresh(&self, cache_tokens: Option<u64>) {
         let knowledge = self.shared.knowledge.load_full();
         self.shared.suspicions.borrow_mut().tidy(self.shared.clock.now());
+        self.shared.engine_ends.tidy();
         let mut index = self.shared.index.borrow_mut();
         let present = knowledge.directory.entries().map(|entry| &entry.back_end.id);
         index.retain_engines(present, self.shared.clock.now());
