Blocked requests are told again and again, and what was cleared stays cleared

Cause: an end is told twice within 0.1 s. A node that was cut off, stood still or had a full buffer then would never hear of it, and send each copy of a blocked request on; by itself it would need three ends of its own.

Change: each node tells two peers a second of what is blocked, while something is: a node hears of it from some six in 3 s. A peer that was out of reach when a request was answered whole may go on telling of the ends before, so what was cleared is remembered (256 requests) and the peer is told so.

--- a/crates/core/src/relay/engine_ends.rs
+++ b/crates/core/src/relay/engine_ends.rs
@@ -33,6 +33,8 @@
     pub ends_maximum: usize,
     /// The requests that are kept for one end: more than an engine runs at a time.
     pub contents_maximum: usize,
+    /// The requests that are remembered as cleared; the oldest go first.
+    pub cleared_maximum: usize,
     /// The pairs of an end and a request that wait to be told; the oldest go first.
     pub untold_maximum: usize,
     /// The pairs that one notice tells, so that it fits into a datagram.
@@ -50,6 +52,7 @@
             kept: Duration::from_secs(7_200),
             ends_maximum: 512,
             contents_maximum: 64,
+            cleared_maximum: 256,
             untold_maximum: 512,
             told_maximum: 40,
             tells: 2,
@@ -88,6 +91,9 @@
     /// In how many of `ends` a request is.
     counts: HashMap<ContentId, usize>,
     blamed: BTreeMap<ContentId, Blamed>,
+    /// Requests that were answered whole after engines had ended under them, and when; oldest first. A peer that did not hear of
+    /// it may go on telling of the ends before.
+    cleared: VecDeque<(ContentId, Timestamp)>,
     untold: VecDeque<Untold>,
 }
 
@@ -105,6 +111,7 @@
             ends: VecDeque::new(),
             counts: HashMap::new(),
             blamed: BTreeMap::new(),
+            cleared: VecDeque::new(),
             untold: VecDeque::new(),
         }
     }
@@ -130,11 +137,15 @@
                 sent_at: at - Duration::from_micros(u64::from(told.ran_micros)),
             };
             let runs: Vec<EndedRun> = end.runs.iter().map(run).collect();
+            self.tell_cleared_again(&runs, at);
             self.insert(end.engine, at, &runs);
             contents.extend(runs.iter().map(|run| run.content));
         }
         for served in &notice.served {
-            self.clear(served.content, now - Duration::from_micros(served.age_micros));
+            let served_at = now - Duration::from_micros(served.age_micros);
+            if self.clear(served.content, served_at) {
+                self.remember_cleared(served.content, served_at);
+            }
         }
         self.find_blamed(contents)
     }
@@ -144,8 +155,8 @@
     pub fn note_served(&mut self, content: ContentId, now: Timestamp) -> bool {
         let was_suspect = self.clear(content, now);
         if was_suspect {
-            self.untold.push_back(Untold { news: News::Served { content, at: now }, tells: self.config.tells });
-            self.bound_untold();
+            self.remember_cleared(content, now);
+            self.tell_served(content, now);
         }
         was_suspect
     }
@@ -189,8 +200,8 @@
         !self.untold.is_empty()
     }
 
-    /// The requests that are blamed, and the ends that they are blamed for, for a node that has just started: as many as one
-    /// notice tells, those with the last ends first.
+    /// The requests that are blamed, and the ends that they are blamed for, for a node that has just started or was out of reach:
+    /// as many as one notice tells, those with the last ends first.
     pub fn known_blame(&self, sender: Address, now: Timestamp) -> Option<EndsNotice> {
         let mut blamed: Vec<&Blamed> = self.blamed.values().collect();
         blamed.sort_by_key(|blamed| std::cmp::Reverse(blamed.last));
@@ -215,6 +226,7 @@
         while self.ends.front().is_some_and(|(_, end)| now.since(end.at) >= kept) {
             self.forget_oldest();
         }
+        self.cleared.retain(|(_, at)| now.since(*at) < kept);
     }
 
     /// The ends that are kept.
@@ -238,12 +250,15 @@
                 self.ends.len() - 1
             }
         };
+        let cleared = &self.cleared;
+        let was_cleared =
+            |content: &ContentId, at| cleared.iter().any(|(other, cleared_at)| other == content && at <= *cleared_at);
         let (_, end) = &mut self.ends[index];
         // Whoever noticed first is nearest to the truth.
         end.at = end.at.min(at);
         for EndedRun { content, sent_at } in runs {
             let is_known = end.runs.contains_key(content);
-            if !is_known && end.runs.len() < self.config.contents_maximum {
+            if !is_known && !was_cleared(content, end.at) && end.runs.len() < self.config.contents_maximum {
                 end.runs.insert(*content, *sent_at);
                 *self.counts.entry(*content).or_default() += 1;
             }
@@ -269,6 +284,33 @@
         cleared > 0
     }
 
+    fn remember_cleared(&mut self, content: ContentId, at: Timestamp) {
+        self.cleared.retain(|(other, _)| *other != content);
+        if self.cleared.len() >= self.config.cleared_maximum {
+            self.cleared.pop_front();
+        }
+        self.cleared.push_back((content, at));
+    }
+
+    /// A peer that blames a request for an end before its whole answer has not heard of that answer.
+    fn tell_cleared_again(&mut self, runs: &[EndedRun], end_at: Timestamp) {
+        let is_waiting = |content: ContentId| {
+            let tells_of =
+                |untold: &Untold| matches!(untold.news, News::Served { content: told, .. } if told == content);
+            self.untold.iter().any(tells_of)
+        };
+        let is_blamed_wrongly = |(content, at): &&(ContentId, Timestamp)| {
+            end_at <= *at && runs.iter().any(|run| run.content == *content) && !is_waiting(*content)
+        };
+        let again: Vec<(ContentId, Timestamp)> = self.cleared.iter().filter(is_blamed_wrongly).copied().collect();
+        again.into_iter().for_each(|(content, at)| self.tell_served(content, at));
+    }
+
+    fn tell_served(&mut self, content: ContentId, at: Timestamp) {
+        self.untold.push_back(Untold { news: News::Served { content, at }, tells: self.config.tells });
+        self.bound_untold();
+    }
+
     fn discount(&mut self, content: ContentId) {
         let Some(count) = self.counts.get_mut(&content) else {
             return;
--- a/crates/core/tests/relay_engine_ends.rs
+++ b/crates/core/tests/relay_engine_ends.rs
@@ -193,6 +193,21 @@
     }
 }
 
+#[test]
+fn a_peer_that_goes_on_telling_of_what_was_cleared_convinces_nobody_and_is_told() {
+    let (mut here, mut there) = (EngineEnds::default(), EngineEnds::default());
+    let last = end_in_turn(&mut here, &[&["popular"][..]; 2]);
+    end_in_turn(&mut there, &[&["popular"][..]; 3]);
+    let now = last + 2 * SECOND;
+    here.note_served(content("popular"), now);
+    while here.notice(node(1), now).is_some() {}
+    let later = now + SECOND;
+    here.receive(&there.known_blame(node(2), later).expect("it is blamed there"), later);
+    assert!(!here.is_suspect(content("popular")));
+    there.receive(&here.notice(node(1), later).expect("the peer is told again"), later);
+    assert!(!there.is_suspect(content("popular")));
+}
+
 #[test]
 fn an_answer_does_not_clear_ends_that_came_after_it() {
     let mut ends = EngineEnds::default();
--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings.rs
@@ -63,6 +63,10 @@
 /// The pause between two notices of engines that ended: what happens meanwhile is told together.
 const ENDS_PAUSE: Duration = Duration::from_millis(100);
 
+/// How often each node tells a few peers which requests are blocked, and how many: in 3 s a node hears of it from some six.
+const BLAME_PAUSE: Duration = Duration::from_secs(1);
+const BLAME_PEERS: usize = 2;
+
 /// How long a finished reading waits at most to be told once more.
 const REPEAT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -97,6 +101,7 @@
         tokio::task::spawn_local(self.clone().tell_at_pace(TellingPaceConfig::default()));
         tokio::task::spawn_local(self.clone().tell_unreachable());
         tokio::task::spawn_local(self.clone().tell_ends());
+        tokio::task::spawn_local(self.clone().tell_blame_again());
         let readings = self.clone();
         tokio::task::spawn_local(async move {
             loop {
@@ -145,10 +150,8 @@
         let Some(sender) = self.sender() else {
             return;
         };
-        let mut peers = (*self.shared.knowledge.load().peers).clone();
-        fastrand::shuffle(&mut peers);
-        peers.truncate(PEERS_ASKED);
-        self.send(&ReadingsMessage::AskKept { sender }, NodeMessageKind::KeptParts, &peers).await;
+        self.send(&ReadingsMessage::AskKept { sender }, NodeMessageKind::KeptParts, &self.some_peers(PEERS_ASKED))
+            .await;
     }
 
     /// Whether anything is known of what engines keep.
@@ -249,7 +252,26 @@
         }
     }
 
-    /// Tells a node that has just started which requests engines have ended under.
+    /// Tells a few peers for ever which requests engines have ended under: one that was cut off, or stood still, when that was
+    /// told would send each of them on.
+    async fn tell_blame_again(self) {
+        loop {
+            sleep(BLAME_PAUSE).await;
+            for peer in self.some_peers(BLAME_PEERS) {
+                self.tell_blame(peer).await;
+            }
+        }
+    }
+
+    /// Peers that are told or asked something that need not reach all.
+    fn some_peers(&self, count: usize) -> Vec<Address> {
+        let mut peers = (*self.shared.knowledge.load().peers).clone();
+        fastrand::shuffle(&mut peers);
+        peers.truncate(count);
+        peers
+    }
+
+    /// Tells a node which requests engines have ended under.
     async fn tell_blame(&self, receiver: Address) {
         let notice = self.sender().and_then(|sender| self.shared.engine_ends.known_blame(sender));
         if let Some(notice) = notice {
