The process's clock counts the time in which its machine was suspended

Cause: a machine may be suspended for seconds, which the steady clock does not count. A node that woke up believed leases, what the store had confirmed, and callers' deadlines to have as much time left as before; all others had counted on.

The deadline that a back end is told goes by it too. Timers stay on the steady clock: they fire late by the suspension, and what they guard is judged by the clock.

That a suspended machine wakes up with what it holds lapsed is not shown: nothing here can suspend one.

--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -6,7 +6,9 @@
 
 use bytes::Bytes;
 use havengate_core::back_ends::BackEnd;
+use havengate_core::time::Timestamp;
 use havengate_core::world::Address;
+use havengate_node::clock::Clock;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, Uri};
@@ -35,8 +37,12 @@
     pub keeper: Option<Address>,
     /// Who goes first at the back end.
     pub urgency: Option<EngineUrgency>,
-    /// When the answer must have come.
+    /// When the answer must have come, as timers go by it.
     pub ends_at: Instant,
+    /// The same as the back end is told: counted with the time in which the machine was suspended.
+    pub deadline_at: Timestamp,
+    /// What `deadline_at` is read on.
+    pub clock: Clock,
 }
 
 /// An answer whose head has come.
@@ -128,7 +134,7 @@
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.target.clone();
     *outgoing.headers_mut() = request.headers.clone();
-    let deadline = request.ends_at.saturating_duration_since(Instant::now());
+    let deadline = request.deadline_at.since(request.clock.now());
     if deadline.is_zero() {
         return Err(SendFailure::NoTime);
     }
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -43,6 +43,8 @@
         keeper: keeper_for(traffic, request, back_end, stage),
         urgency: urgency_for(traffic, request, back_end, stage),
         ends_at,
+        deadline_at: request.ends_at,
+        clock: traffic.clock,
     };
     let in_flight = traffic.loads.begin(&back_end.id, traffic.clock.now());
     let is_reading = matches!(stage, SendStage::Prefill);
