Blocked requests are kept in the store, where they outlast all nodes

Cause: nodes tell each other of what is blocked.

Change: the node of any of a request's ends writes one object for it (kind havengate-blocks, called like the content) and removes it when a whole answer clears the request; each node lists the kind once at its start. Ends are kept as ages and the writer's time of day. A record older than 2 h is removed by whoever reads it. Calls that fail are tried 16 times, at pauses up to 4 s.

Ruled out: one object for all (every write a compare-and-set against the others); a watch (peers tell what is new).

--- a/crates/core/src/relay/content.rs
+++ b/crates/core/src/relay/content.rs
@@ -1,6 +1,7 @@
 //! What a request asks, under one short name, whoever sends it and however often.
 
 use std::fmt;
+use std::str::FromStr;
 
 use speedy::{Readable, Writable};
 use xxhash_rust::xxh3::Xxh3;
@@ -26,6 +27,19 @@
     }
 }
 
+/// {0:?} is no content's name
+#[derive(Clone, Debug, displaydoc::Display, PartialEq, Eq, thiserror::Error)]
+pub struct NoContentId(pub String);
+
+impl FromStr for ContentId {
+    type Err = NoContentId;
+
+    /// Reads the name as it is displayed.
+    fn from_str(text: &str) -> Result<Self, NoContentId> {
+        u64::from_str_radix(text, 16).map(ContentId).map_err(|_| NoContentId(text.to_owned()))
+    }
+}
+
 impl fmt::Display for ContentId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
--- a/crates/core/src/relay/engine_ends.rs
+++ b/crates/core/src/relay/engine_ends.rs
@@ -161,6 +161,11 @@
         was_suspect
     }
 
+    /// Whether engines' ends are put down to a request, also when its block has lapsed.
+    pub fn is_blamed(&self, content: ContentId) -> bool {
+        self.blamed.contains_key(&content)
+    }
+
     /// Whether an engine has ended under a request.
     pub fn is_suspect(&self, content: ContentId) -> bool {
         self.counts.contains_key(&content)
@@ -195,6 +200,14 @@
         (told > 0).then_some(notice)
     }
 
+    /// The ends that a request is blamed for, to be kept where they outlast all nodes; `None` when it isn't blamed.
+    pub fn blamed_ends(&self, content: ContentId, now: Timestamp) -> Option<Vec<ToldEnd>> {
+        self.blamed.get(&content)?;
+        let mut ends = Vec::new();
+        self.add_ends_of(content, self.config.told_maximum, now, &mut ends);
+        Some(ends)
+    }
+
     /// Whether peers are still to be told of something.
     pub fn has_untold(&self) -> bool {
         !self.untold.is_empty()
@@ -208,18 +221,21 @@
         let mut ends = Vec::new();
         let mut left = self.config.told_maximum;
         for Blamed { content, .. } in blamed {
-            let of_content = |(engine, end): &(EngineTag, EngineEnd)| {
-                let sent_at = *end.runs.get(content)?;
-                Some((*engine, EndedRun { content: *content, sent_at }, end.at))
-            };
-            for (engine, run, at) in self.ends.iter().filter_map(of_content).take(left) {
-                add_run(&mut ends, engine, run, at, now);
-                left -= 1;
-            }
+            left -= self.add_ends_of(*content, left, now, &mut ends);
         }
         (!ends.is_empty()).then(|| EndsNotice { sender, ends, served: Vec::new() })
     }
 
+    /// Adds up to `most` ends under a request to `told`; returns how many there were.
+    fn add_ends_of(&self, content: ContentId, most: usize, now: Timestamp, told: &mut Vec<ToldEnd>) -> usize {
+        let of_content = |(engine, end): &(EngineTag, EngineEnd)| {
+            let sent_at = *end.runs.get(&content)?;
+            Some((*engine, EndedRun { content, sent_at }, end.at))
+        };
+        let ends = self.ends.iter().filter_map(of_content).take(most);
+        ends.map(|(engine, run, at)| add_run(told, engine, run, at, now)).count()
+    }
+
     /// Forgets what no longer counts.
     pub fn tidy(&mut self, now: Timestamp) {
         let kept = self.config.kept;
--- a/crates/core/src/relay/engine_tag.rs
+++ b/crates/core/src/relay/engine_tag.rs
@@ -12,6 +12,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
 pub struct EngineTag(u32);
 
+impl EngineTag {
+    /// The tag with this number.
+    pub fn from_number(number: u32) -> Self {
+        EngineTag(number)
+    }
+
+    /// The tag as a number, for what is kept outside the process.
+    pub fn number(self) -> u32 {
+        self.0
+    }
+}
+
 impl From<&BackEndId> for EngineTag {
     fn from(id: &BackEndId) -> Self {
         EngineTag(xxh3_64(id.as_str().as_bytes()) as u32)
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -22,7 +22,7 @@
 mod urgency;
 
 pub use blame::{BlameRules, Blamed, EngineEnd, blame};
-pub use content::ContentId;
+pub use content::{ContentId, NoContentId};
 pub use ends_message::{EndsNotice, ServedContent, ToldEnd, ToldRun};
 pub use engine_ends::{EndedRun, EngineEnds, EngineEndsConfig};
 pub use engine_model::{EngineModel, Estimate, ReadingTotals};
--- /dev/null
+++ b/crates/relay/src/control/block_keeper.rs
@@ -0,0 +1,130 @@
+//! Blocked requests in the store, where they outlast all nodes.
+//!
+//! Nodes tell each other of what is blocked. When all of them end at once nobody knows any more, and a request that ends
+//! engines would end as many again as it took to find it out.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use havengate_core::relay::{ContentId, EndsNotice, ToldEnd};
+use havengate_core::time::whole_millis;
+use havengate_core::world::Address;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::metrics::RelayMetrics;
+use crate::protocol::{BlockRecord, ControlStore, StoreError};
+
+/// What waits to be written at most; more is dropped, and only told to peers.
+const NEWS_MAXIMUM: usize = 64;
+
+/// The pause after a call to the store failed, doubled with each failure up to the maximum.
+const PAUSE_MINIMUM: Duration = Duration::from_millis(400);
+const PAUSE_MAXIMUM: Duration = Duration::from_secs(4);
+
+/// How often a call is tried: some minute, longer than the store is away on an ordinary day.
+const TRIES: u32 = 16;
+
+/// A record that is older is of no use to anybody: whoever still knows of the request keeps it by itself.
+const RECORD_KEPT: Duration = Duration::from_secs(7_200);
+
+/// What the traffic thread has learned of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BlockNews {
+    /// It is blocked from now on.
+    Blocked {
+        /// The request.
+        content: ContentId,
+        /// The engines that ended under it.
+        ends: Vec<ToldEnd>,
+    },
+    /// It was blocked, and was answered whole.
+    Cleared(ContentId),
+}
+
+/// The traffic thread's end of the way to the store.
+pub struct BlockNewsSender {
+    /// Takes what is to be written.
+    pub news: mpsc::Sender<BlockNews>,
+    /// Hands out what was read at the start.
+    pub kept: mpsc::Receiver<EndsNotice>,
+}
+
+/// The control thread's end.
+pub struct BlockNewsReceiver {
+    news: mpsc::Receiver<BlockNews>,
+    kept: mpsc::Sender<EndsNotice>,
+}
+
+/// The way between the traffic thread and the store.
+pub fn block_news() -> (BlockNewsSender, BlockNewsReceiver) {
+    let (news_sender, news) = mpsc::channel(NEWS_MAXIMUM);
+    let (kept_sender, kept) = mpsc::channel(NEWS_MAXIMUM);
+    (BlockNewsSender { news: news_sender, kept }, BlockNewsReceiver { news, kept: kept_sender })
+}
+
+/// Reads what is blocked once, at the start, then writes for ever what this node finds out.
+pub async fn keep_blocks<S: ControlStore>(
+    mut store: S,
+    mut link: BlockNewsReceiver,
+    own: Address,
+    metrics: RelayMetrics,
+) {
+    let listed = persist(&metrics, "blocks_read", async || store.list_blocks().await).await;
+    for record in listed.unwrap_or_default() {
+        let age = Duration::from_millis(unix_millis().saturating_sub(record.written_millis));
+        if age >= RECORD_KEPT {
+            persist(&metrics, "block_remove", async || store.remove_block(record.content).await).await;
+            continue;
+        }
+        log::info!(event = "block_read", content:% = record.content, age_ms = whole_millis(age); "");
+        // The process is ending when nobody takes it.
+        let _ = link.kept.send(notice_of(record, age, own)).await;
+    }
+    while let Some(news) = link.news.recv().await {
+        match news {
+            BlockNews::Blocked { content, ends } => {
+                let record = BlockRecord { content, written_millis: unix_millis(), ends };
+                persist(&metrics, "block_write", async || store.keep_block(&record).await).await;
+            }
+            BlockNews::Cleared(content) => {
+                persist(&metrics, "block_remove", async || store.remove_block(content).await).await;
+            }
+        }
+    }
+}
+
+/// Makes a call until it succeeds, or has been tried often enough.
+async fn persist<T>(
+    metrics: &RelayMetrics,
+    call: &'static str,
+    mut make: impl AsyncFnMut() -> Result<T, StoreError>,
+) -> Option<T> {
+    let mut pause = PAUSE_MINIMUM;
+    for _ in 0..TRIES {
+        match make().await {
+            Ok(answer) => {
+                metrics.record_store_call(call, "ok");
+                return Some(answer);
+            }
+            Err(error) => {
+                metrics.record_store_call(call, "failed");
+                log::warn!(event = "block_store_failed", call, error:% = error, pause_ms = whole_millis(pause); "");
+                sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+                pause = (2 * pause).min(PAUSE_MAXIMUM);
+            }
+        }
+    }
+    None
+}
+
+/// What a record tells, as a peer would tell it now.
+fn notice_of(record: BlockRecord, age: Duration, sender: Address) -> EndsNotice {
+    let age_micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+    let older = |end: ToldEnd| ToldEnd { age_micros: end.age_micros.saturating_add(age_micros), ..end };
+    EndsNotice { sender, ends: record.ends.into_iter().map(older).collect(), served: Vec::new() }
+}
+
+/// The time of day. A few seconds more or less make a block as much longer or shorter.
+fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, whole_millis)
+}
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread: it follows the store and the peers, and publishes what it knows.
 
+mod block_keeper;
 mod feed;
 mod follower;
 mod learner;
@@ -8,6 +9,7 @@
 mod stages;
 mod thread;
 
+pub use block_keeper::{BlockNews, BlockNewsReceiver, BlockNewsSender, block_news};
 pub use learner::Learner;
 pub use peers::{PeerExchange, PeersError};
 pub use stages::{StageLeaseSettings, StageSettings};
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+use super::block_keeper::{BlockNewsReceiver, keep_blocks};
 use super::feed::learn_from_feed;
 use super::follower::{follow_configuration, follow_directory};
 use super::learner::Learner;
@@ -65,6 +66,7 @@
     protocol: P,
     store: S,
     shared: SharedWithTraffic,
+    blocks: BlockNewsReceiver,
 ) -> io::Result<ControlHandle> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let (bound_sender, bound) = mpsc::sync_channel(1);
@@ -91,6 +93,8 @@
                         metrics: metrics.clone(),
                     };
                     tokio::task::spawn_local(Steering::new(parts).run());
+                    let own = settings.notices_address;
+                    tokio::task::spawn_local(keep_blocks(store.clone(), blocks, own, metrics.clone()));
                     run(settings, peers, listener, store, role, learner, metrics).await;
                 }
                 Err(error) => drop(bound_sender.send(Err(error))),
--- a/crates/relay/src/engine_ends.rs
+++ b/crates/relay/src/engine_ends.rs
@@ -1,6 +1,7 @@
 //! Engines that ended while they ran requests, as the traffic thread keeps and logs them.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,8 +9,9 @@
 use havengate_core::time::{Timestamp, whole_millis};
 use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
+use crate::control::{BlockNews, BlockNewsSender};
 use crate::metrics::RelayMetrics;
 
 /// The engines that ended, as all nodes have seen them. Copies share them.
@@ -24,18 +26,35 @@
     metrics: RelayMetrics,
     /// Wakes the task that tells peers.
     news: Notify,
+    /// Requests that ran at an engine for this node when it ended; the newest of them.
+    own: RefCell<VecDeque<ContentId>>,
+    /// Takes what the store is to keep, once the node is at work.
+    store: RefCell<Option<mpsc::Sender<BlockNews>>>,
 }
 
+/// Requests that are remembered as the node's own. The node of any of a request's ends writes it to the store.
+const OWN_MAXIMUM: usize = 256;
+
 impl SharedEngineEnds {
     /// No engine has ended.
     pub fn new(clock: Clock, metrics: RelayMetrics) -> Self {
-        SharedEngineEnds { shared: Rc::new(Shared { ends: RefCell::default(), clock, metrics, news: Notify::new() }) }
+        SharedEngineEnds {
+            shared: Rc::new(Shared {
+                ends: RefCell::default(),
+                clock,
+                metrics,
+                news: Notify::new(),
+                own: RefCell::default(),
+                store: RefCell::default(),
+            }),
+        }
     }
 
     /// Notes that `back_end` ended at `at` while it did `runs` for this node; peers are told.
     pub fn note_ended(&self, back_end: &BackEndId, runs: &[EndedRun], at: Timestamp) {
         let age_ms = whole_millis(self.shared.clock.now().since(at));
         log::warn!(event = "engine_ended", back_end:% = back_end, runs = runs.len(), age_ms; "");
+        self.remember_own(runs);
         let blamed = self.shared.ends.borrow_mut().note_ended(back_end.into(), runs, at);
         self.note_blamed(&blamed, "own_run");
         self.shared.news.notify_one();
@@ -49,7 +68,11 @@
 
     /// Notes that a request was answered whole; peers are told if an engine had ended under it.
     pub fn note_served(&self, content: ContentId) {
+        let was_blamed = self.shared.ends.borrow().is_blamed(content);
         if self.shared.ends.borrow_mut().note_served(content, self.shared.clock.now()) {
+            if was_blamed {
+                self.tell_store(BlockNews::Cleared(content));
+            }
             log::info!(event = "suspect_served", content:% = content; "");
             self.shared.metrics.record_suspect("served");
             self.shared.news.notify_one();
@@ -95,12 +118,40 @@
         self.shared.ends.borrow_mut().tidy(self.shared.clock.now());
     }
 
+    /// Takes in for ever what the store has kept, and has it keep what this node finds out.
+    pub async fn keep_in_store(self, mut link: BlockNewsSender) {
+        *self.shared.store.borrow_mut() = Some(link.news);
+        while let Some(notice) = link.kept.recv().await {
+            let blamed = self.shared.ends.borrow_mut().receive(&notice, self.shared.clock.now());
+            self.note_blamed(&blamed, "store");
+        }
+    }
+
+    fn remember_own(&self, runs: &[EndedRun]) {
+        let mut own = self.shared.own.borrow_mut();
+        own.extend(runs.iter().map(|run| run.content));
+        let beyond = own.len().saturating_sub(OWN_MAXIMUM);
+        own.drain(..beyond);
+    }
+
+    fn tell_store(&self, news: BlockNews) {
+        let store = self.shared.store.borrow();
+        if let Some(Err(error)) = store.as_ref().map(|store| store.try_send(news)) {
+            log::warn!(event = "block_not_kept", error:% = error; "");
+        }
+    }
+
     fn note_blamed(&self, blamed: &[Blamed], source: &'static str) {
         for Blamed { content, ends, last } in blamed {
             let block_ms = self.blocked_for(*content).map_or(0, whole_millis);
             let last_end_age_ms = whole_millis(self.shared.clock.now().since(*last));
             log::warn!(event = "content_blocked", content:% = content, ends, last_end_age_ms, block_ms, source; "");
             self.shared.metrics.record_suspect("blocked");
+            let is_own = self.shared.own.borrow().contains(content);
+            let ends = self.shared.ends.borrow().blamed_ends(*content, self.shared.clock.now());
+            if let (true, Some(ends)) = (is_own, ends) {
+                self.tell_store(BlockNews::Blocked { content: *content, ends });
+            }
         }
     }
 }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -26,7 +26,7 @@
 
 use crate::cache_survey::survey;
 use crate::callers::{CallerServer, LAST_CONNECTIONS_PATIENCE, ServerPhase, Traffic, listen};
-use crate::control::{ControlSettings, SharedWithTraffic, StageSettings, spawn};
+use crate::control::{BlockNewsSender, ControlSettings, SharedWithTraffic, StageSettings, block_news, spawn};
 use crate::demand::SharedDemand;
 use crate::knowledge::{Knowledge, SharedKnowledge};
 use crate::metrics::{NodeMessageKind, NodeState, RelayMetrics};
@@ -84,11 +84,12 @@
         clock,
         metrics: metrics.clone(),
     };
-    let _control = spawn(control, protocol.clone(), store, shared.clone())?;
+    let (blocks, blocks_receiver) = block_news();
+    let _control = spawn(control, protocol.clone(), store, shared.clone(), blocks_receiver)?;
     let traffic = Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement));
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let mut node = RunningNode { settings, read_settings, seeds, stages, traffic };
-    LocalSet::new().block_on(&runtime, node.serve())
+    LocalSet::new().block_on(&runtime, node.serve(blocks))
 }
 
 struct RunningNode<P, R> {
@@ -119,12 +120,13 @@
         log::info!(event = "reloaded", seeds = self.settings.seeds.len(), placement:? = placement, stages:? = self.settings.stages, needs_restart; "");
     }
 
-    async fn serve(&mut self) -> io::Result<()> {
+    async fn serve(&mut self, blocks: BlockNewsSender) -> io::Result<()> {
         let (settings, traffic) = (self.settings.clone(), Rc::clone(&self.traffic));
         let mut stop_signal = signal(SignalKind::terminate())?;
         let mut reload_signal = signal(SignalKind::hangup())?;
         let server = CallerServer::bind(settings.callers_address.0)?;
         traffic.readings.exchange(settings.notices_address).await?;
+        tokio::task::spawn_local(traffic.readings.engine_ends().clone().keep_in_store(blocks));
         tokio::task::spawn_local(survey(Rc::clone(&traffic)));
         serve_side(settings.readiness_address, Rc::clone(&traffic), readiness::<P>)?;
         if let Some(address) = settings.metrics_address {
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -7,7 +7,7 @@
 use displaydoc::Display;
 use havengate_core::authority::Term;
 use havengate_core::back_ends::{BackEnd, DirectoryChanges, DirectoryListing, EngineStage};
-use havengate_core::relay::{Prompt, PromptPart, Urgency};
+use havengate_core::relay::{ContentId, Prompt, PromptPart, ToldEnd, Urgency};
 use havengate_core::routing::TrafficConfiguration;
 use havengate_core::stages::{LeaseRecord, LeaseWrite, OrderAnswer};
 use havengate_core::store::Revision;
@@ -190,6 +190,17 @@
     pub revision: Option<Revision>,
 }
 
+/// A request that is blocked, as the store keeps it for nodes that start when no other knows of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BlockRecord {
+    /// The request.
+    pub content: ContentId,
+    /// When it was written, in milliseconds since 1970 by the writer's time of day.
+    pub written_millis: u64,
+    /// The engines that ended under it; their ages are those at the time of writing.
+    pub ends: Vec<ToldEnd>,
+}
+
 /// How a conditional write ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteEnd {
@@ -220,6 +231,15 @@
     /// Writes the lease if it still is what the write replaces. Any error leaves open whether it takes effect.
     fn write_lease(&mut self, write: &LeaseWrite) -> impl Future<Output = Result<WriteEnd, StoreError>>;
 
+    /// Reads all requests that are blocked, as they were written.
+    fn list_blocks(&mut self) -> impl Future<Output = Result<Vec<BlockRecord>, StoreError>>;
+
+    /// Keeps a request that is blocked; does nothing where it is kept already.
+    fn keep_block(&mut self, record: &BlockRecord) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Removes a request that is no longer blocked, if it is kept.
+    fn remove_block(&mut self, content: ContentId) -> impl Future<Output = Result<(), StoreError>>;
+
     /// Waits for a change of the configuration.
     fn watch_configuration(
         &mut self,
