Changes of stage stop when orders end one engine after the other

Cause: the same as that of requests that end their engines, found by looking for it elsewhere: each change is limited by itself, and an engine that is gone makes room for the next one. An order that ends its engine would go through the whole fleet, at up to a fifth of it at a time.

Ruled out: a limit in the lease (another holder would go on just so, and does: a new holder begins to count anew).

--- a/crates/core/src/stages/changes.rs
+++ b/crates/core/src/stages/changes.rs
@@ -1,8 +1,9 @@
 //! Engines that change their stage: announced, emptied, ordered, and seen to have changed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::ordered_ends::{OrderedEnds, OrderedEndsConfig};
 use crate::back_ends::EngineStage;
 use crate::time::Timestamp;
 use crate::world::{BackEndId, ServiceName, ZoneName};
@@ -25,6 +26,8 @@
     pub retry_pause: Duration,
     /// A change that is not seen to be done after this time is given up. Longer than an order may be late.
     pub give_up: Duration,
+    /// When changes stop since engines end by their orders.
+    pub ordered_ends: OrderedEndsConfig,
     /// An engine whose change was given up, or to which there was no way, is left alone for this time.
     pub rest: Duration,
 }
@@ -38,6 +41,7 @@
             at_once_maximum: 32,
             retry_pause: Duration::from_millis(1_500),
             give_up: Duration::from_secs(20),
+            ordered_ends: OrderedEndsConfig::default(),
             rest: Duration::from_secs(20),
         }
     }
@@ -169,12 +173,14 @@
     config: ChangesConfig,
     open: BTreeMap<BackEndId, StageChange>,
     resting: BTreeMap<BackEndId, Timestamp>,
+    ordered_ends: OrderedEnds,
 }
 
 impl StageChanges {
     /// No engine changes.
     pub fn new(config: ChangesConfig) -> Self {
-        StageChanges { config, open: BTreeMap::new(), resting: BTreeMap::new() }
+        let ordered_ends = OrderedEnds::new(config.ordered_ends);
+        StageChanges { config, open: BTreeMap::new(), resting: BTreeMap::new(), ordered_ends }
     }
 
     /// The changes that are open.
@@ -210,6 +216,9 @@
         let to = if prefill > after { EngineStage::Prefill } else { EngineStage::Decode };
         let mut missing = prefill.abs_diff(after);
         missing -= self.call_off(service, to, missing);
+        if !self.ordered_ends.pause(service, now).is_zero() {
+            return Vec::new();
+        }
         let open = self.open.values().filter(|change| change.service == *service).count();
         let at_once = ((engines.len() as f64 * self.config.at_once_share) as usize).max(1);
         let free = at_once.saturating_sub(open).min(self.config.at_once_maximum.saturating_sub(self.open.len()));
@@ -278,6 +287,7 @@
             };
             ended.extend(end.map(|end| (change.clone(), end)));
         }
+        self.note_ordered_ends(&ended, now);
         for (change, end) in &ended {
             self.open.remove(&change.engine);
             let tried_in_vain = matches!(change.state, ChangeState::Open { .. });
@@ -288,6 +298,24 @@
         ended
     }
 
+    fn note_ordered_ends(&mut self, ended: &[(StageChange, ChangeEnd)], now: Timestamp) {
+        let services = |which: ChangeEnd| {
+            let ordered = ended.iter().filter(move |(change, end)| *end == which && change.may_have_been_ordered());
+            ordered.map(|(change, _)| change.service.clone()).collect::<BTreeSet<ServiceName>>()
+        };
+        for service in services(ChangeEnd::EngineGone) {
+            self.ordered_ends.note_gone(&service, now);
+        }
+        for service in services(ChangeEnd::Done) {
+            self.ordered_ends.note_done(&service);
+        }
+    }
+
+    /// For how long no change of `service` begins, since engines ended by their orders; zero when one may.
+    pub fn pause(&self, service: &ServiceName, now: Timestamp) -> Duration {
+        self.ordered_ends.pause(service, now)
+    }
+
     /// The orders that are due.
     pub fn due(&self, now: Timestamp) -> Vec<StageOrder> {
         let is_due = |change: &&StageChange| match change.state {
--- a/crates/core/src/stages/mod.rs
+++ b/crates/core/src/stages/mod.rs
@@ -7,11 +7,13 @@
 mod changes;
 mod demand;
 mod lease;
+mod ordered_ends;
 mod policy;
 
 pub use changes::{ChangeEnd, ChangesConfig, OrderAnswer, StageChange, StageChanges, StageOrder, StagedEngine};
 pub use demand::{DemandCounters, DemandReport, DemandTable, DemandTableConfig, ServiceDemand};
 pub use lease::{HolderId, Lease, LeaseConfig, LeaseRecord, LeaseStep, LeaseWrite};
+pub use ordered_ends::{OrderedEnds, OrderedEndsConfig};
 pub use policy::{
     ServiceLoad, StageCounts, StageDecision, StagePolicy, StagePolicyConfig, StagePolicyConfigError, StagePolicyName,
 };
--- a/crates/core/tests/stages_changes.rs
+++ b/crates/core/tests/stages_changes.rs
@@ -126,6 +126,57 @@
     assert_eq!(changes.observe(stage_of, late)[0].1, ChangeEnd::GivenUp);
 }
 
+/// Begins one change, orders it, and lets its engine end by it. Whether a change began.
+fn one_more_engine_ends(changes: &mut StageChanges, engines: &mut Vec<StagedEngine>, now: Timestamp) -> bool {
+    let Some(order) = changes.plan(&service(), engines, 4, now).pop() else {
+        return false;
+    };
+    changes.ordered(&order.engine);
+    changes.answered(&order.engine, OrderAnswer::Accepted, now);
+    engines.retain(|engine| engine.id != order.engine);
+    assert_eq!(changes.observe(|_| None, now)[0].1, ChangeEnd::EngineGone);
+    true
+}
+
+/// An order that ends its engine went through the fleet: each change was limited by itself, and the engine that was gone made
+/// room for the next one. The same cause as that of requests which end their engines; found by looking for it here.
+#[test]
+fn orders_that_end_one_engine_after_the_other_stop() {
+    let mut changes = changes();
+    let mut engines = engines(10, 3);
+    let mut now = START;
+    for _ in 0..3 {
+        assert!(one_more_engine_ends(&mut changes, &mut engines, now));
+        now = now + Duration::from_secs(2);
+    }
+    assert!(!one_more_engine_ends(&mut changes, &mut engines, now));
+    let pause = ChangesConfig::default().ordered_ends.first_pause;
+    now = now + pause;
+    assert!(one_more_engine_ends(&mut changes, &mut engines, now), "a pause lapses");
+    assert!(!one_more_engine_ends(&mut changes, &mut engines, now + pause), "the next one is longer");
+    assert!(!changes.pause(&service(), now + pause).is_zero());
+    assert!(changes.pause(&ServiceName::new("another"), now).is_zero());
+}
+
+#[test]
+fn a_change_that_succeeds_or_engines_that_are_gone_at_once_stop_nothing() {
+    let mut changes = changes();
+    let mut engines = engines(40, 3);
+    for round in 0..3 {
+        let now = START + Duration::from_secs(10) * round;
+        assert!(one_more_engine_ends(&mut changes, &mut engines, now));
+        assert!(one_more_engine_ends(&mut changes, &mut engines, now));
+        let order = changes.plan(&service(), &engines, 4, now).pop().expect("a change begins");
+        changes.ordered(&order.engine);
+        changes.observe(|_| Some(EngineStage::Prefill), now);
+    }
+    let begun = changes.plan(&service(), &engines, 6, START);
+    assert!(begun.len() > 2);
+    begun.iter().for_each(|order| changes.ordered(&order.engine));
+    assert_eq!(changes.observe(|_| None, START).len(), begun.len());
+    assert!(changes.pause(&service(), START).is_zero(), "they count once");
+}
+
 #[test]
 fn a_change_without_authority_is_called_off_soon() {
     let mut changes = changes();
--- a/crates/relay/src/control/stages/steering.rs
+++ b/crates/relay/src/control/stages/steering.rs
@@ -5,7 +5,9 @@
 use havengate_core::authority::Term;
 use havengate_core::back_ends::{EngineStage, Usability};
 use havengate_core::replication::{PeerMessage, StageNotice};
-use havengate_core::stages::{ChangesConfig, HolderId, Lease, OrderAnswer, StageChanges, StageOrder, deciders};
+use havengate_core::stages::{
+    ChangeEnd, ChangesConfig, HolderId, Lease, OrderAnswer, StageChanges, StageOrder, deciders,
+};
 use havengate_core::time::{Timestamp, whole_millis};
 use havengate_core::world::{Address, BackEndId, NodeName};
 use tokio::sync::watch;
@@ -214,6 +216,11 @@
             self.metrics.record_stage_change(to, outcome, took);
             let took_ms = whole_millis(took);
             log::info!(event = "stage_change_ended", back_end:% = change.engine, to, outcome, took_ms; "");
+            let pause = self.changes.pause(&change.service, now);
+            if end == ChangeEnd::EngineGone && !pause.is_zero() {
+                let pause_ms = whole_millis(pause);
+                log::warn!(event = "stages_paused", service:% = change.service, cause = "engines_end_by_orders", pause_ms; "");
+            }
             self.announce_soon = ANNOUNCED_AT_ONCE;
         }
     }
