--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -1,69 +1,26 @@
 //! Drives one request: places it, sends it, and acts on the outcome until there is an answer.
 
-use std::sync::Arc;
 use std::time::Instant;
 
-use bytes::Bytes;
-use havengate_core::back_ends::{BackEnd, EngineStage};
-use havengate_core::relay::{
-    ContentId, Exchange, ExchangeRules, NextStep, Placed, Prompt, Purpose, SendOutcome, Urgency,
-};
-use havengate_core::routing::Route;
-use havengate_core::time::Timestamp;
+use havengate_core::back_ends::BackEnd;
+use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Placed, Purpose, SendOutcome};
 use havengate_core::verdict::{MayHaveRun, NotRunReason};
-use havengate_core::world::{BackEndId, ServiceName, ZoneName};
+use havengate_core::world::{BackEndId, ZoneName};
 use http_body_util::Full;
-use hyper::header::HeaderMap;
+use hyper::Response;
 use hyper::http::response::Parts;
-use hyper::{Method, Response, Uri};
 use tokio::time::{sleep_until, timeout_at};
 
 use super::answer::{OwnAnswer, RelayBody};
+use super::caller_request::CallerRequest;
 use super::candidates::choose_back_end;
 use super::headers::strip_answer;
 use super::record::{RequestEnd, RequestRecord};
-use super::send_step::{discard, first_piece, outcome_of_failure, outcome_of_head, read_whole, send_noted};
+use super::send_step::{discard, first_piece, outcome_of_head, read_whole, send_noted};
 use super::stream_body::StreamBody;
 use super::traffic::{LateReadingTimer, Traffic};
 use crate::back_ends::{AnswerInProgress, SendFailure, is_unacknowledged};
-use crate::protocol::{AnswerHead, CacheSource, Protocol, RequestHead, SendStage};
-
-/// Prompts of this many tokens and more are worth a choice of the engine that reads them; shorter ones take less time on
-/// the engine that answers them than the move of their KV cache.
-const LONG_PROMPT_TOKENS: u32 = 2_000;
-
-/// A caller's request, read whole.
-pub struct CallerRequest {
-    /// The method.
-    pub method: Method,
-    /// Path and query.
-    pub target: Uri,
-    /// The headers that travel.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-    /// What the head says.
-    pub head: RequestHead,
-    /// What it asks, the same for each copy of it.
-    pub content: ContentId,
-    /// The route.
-    pub route: Arc<Route>,
-    /// The service that the request goes to.
-    pub service: ServiceName,
-    /// When it arrived.
-    pub arrived: Timestamp,
-    /// When the request must have ended.
-    pub ends_at: Timestamp,
-    /// Whether it can be in time, as it was last expected.
-    pub urgency: Urgency,
-}
-
-impl CallerRequest {
-    /// The prompt, if it is worth a choice of the engine that reads it.
-    pub fn long_prompt(&self) -> Option<&Prompt> {
-        self.head.prompt.as_ref().filter(|prompt| prompt.tokens >= LONG_PROMPT_TOKENS)
-    }
-}
+use crate::protocol::{AnswerHead, CacheSource, Protocol, SendStage};
 
 /// Sends `request` until there is an answer for its caller.
 pub async fn drive<P: Protocol>(
@@ -89,20 +46,21 @@
     driver.run().await
 }
 
-struct Driver<'a, P> {
-    traffic: &'a Traffic<P>,
-    request: CallerRequest,
-    ends_at: Instant,
-    exchange: Exchange,
+/// A request on its way to its answer.
+pub(super) struct Driver<'a, P> {
+    pub(super) traffic: &'a Traffic<P>,
+    pub(super) request: CallerRequest,
+    pub(super) ends_at: Instant,
+    pub(super) exchange: Exchange,
     /// Taken when the record goes along with an answer that is passed on as it comes.
-    record: Option<RequestRecord>,
-    tried: Vec<BackEndId>,
+    pub(super) record: Option<RequestRecord>,
+    pub(super) tried: Vec<BackEndId>,
     /// Runs while a late prompt waits to be read.
-    late_reading: Option<LateReadingTimer<'a, P>>,
+    pub(super) late_reading: Option<LateReadingTimer<'a, P>>,
 }
 
 /// Where a request's prompt is read.
-enum ReadingPlan {
+pub(super) enum ReadingPlan {
     /// By no engine before the request's end.
     Nowhere,
     /// By the engine that answers, whichever it is.
@@ -200,7 +158,7 @@
 
     /// A request under which engines have ended before is not sent on before it is known whether this one has ended too. All
     /// others go on at once.
-    async fn wait_for_fate(&self, back_end: &BackEndId) {
+    pub(super) async fn wait_for_fate(&self, back_end: &BackEndId) {
         if self.traffic.readings.engine_ends().is_suspect(self.request.content) {
             self.traffic.broken_runs.wait_for_fate(back_end).await;
         }
@@ -212,117 +170,20 @@
         }
     }
 
-    /// Decides where a long prompt is read, and has it read there if that is a prefill engine.
-    async fn plan_reading(&mut self) -> ReadingPlan {
-        let Some(prompt) = self.request.long_prompt().cloned() else {
-            return self.plan_short_reading().await;
-        };
-        let mut is_first = true;
-        while self.exchange.may_prefill() {
-            let Some((back_end, placed)) = self.place_reading(&prompt) else {
-                break;
-            };
-            if std::mem::take(&mut is_first) {
-                self.traffic.demand.record_prompt(&self.request.service, placed.unread);
-            }
-            let left = self.request.ends_at.since(self.traffic.clock.now());
-            let late_stretch = (placed.urgency == Urgency::Late).then(|| self.traffic.late_stretch());
-            if let Some(record) = &mut self.record {
-                record.late_stretch = late_stretch;
-            }
-            if self.traffic.placement().refuses_early && placed.is_hopeless(left, late_stretch) {
-                return ReadingPlan::Nowhere;
-            }
-            self.late_reading = late_stretch.map(|_| self.traffic.time_late_reading(placed.reading));
-            if back_end.stage != Some(EngineStage::Prefill) {
-                return ReadingPlan::There(back_end);
-            }
-            if let Some(record) = &mut self.record {
-                record.prefill_back_end = Some(back_end.id.clone());
-            }
-            let reading = self.traffic.readings.begin(&back_end, &prompt, self.request.urgency);
-            let plan = self.read_at(back_end).await;
-            reading.end(plan.is_some());
-            self.traffic.demand.set_readings_alone(self.traffic.readings.model().readings_alone());
-            if let Some(plan) = plan {
-                self.note_prompt_read();
-                return plan;
-            }
-        }
-        ReadingPlan::WhereAnswered
-    }
-
     /// Keeps the record up to date: a caller that hangs up ends the request wherever it is.
-    fn note_sends(&mut self) {
+    pub(super) fn note_sends(&mut self) {
         if let Some(record) = &mut self.record {
             record.sends = self.exchange.sends();
             record.repeats = self.exchange.repeats();
         }
     }
 
-    fn note_prompt_read(&mut self) {
+    pub(super) fn note_prompt_read(&mut self) {
         if let Some(timer) = self.late_reading.take() {
             timer.end();
         }
     }
 
-    /// Has a short prompt read by a prefill engine that has nothing else to read, if there is one; else it is read where
-    /// it is answered.
-    async fn plan_short_reading(&mut self) -> ReadingPlan {
-        let traffic = self.traffic;
-        let Some(tokens) = self.request.head.prompt.as_ref().map(|prompt| prompt.tokens) else {
-            return ReadingPlan::WhereAnswered;
-        };
-        traffic.demand.record_prompt(&self.request.service, tokens);
-        let target = self.request.route.target_latency;
-        let prefers = |random: &mut fastrand::Rng| traffic.short_reading.get().prefers_apart(target, random);
-        if !traffic.placement().short_prompts_apart || !traffic.with_random(prefers) {
-            return ReadingPlan::WhereAnswered;
-        }
-        let now = traffic.clock.now();
-        let engine = traffic.readings.with_index(|index| self.place(&Purpose::ReadAside { index, now }));
-        let Some(engine) = engine else {
-            return ReadingPlan::WhereAnswered;
-        };
-        if let Some(record) = &mut self.record {
-            record.prefill_back_end = Some(engine.id.clone());
-        }
-        self.read_at(engine).await.unwrap_or(ReadingPlan::WhereAnswered)
-    }
-
-    /// Has the prompt read by a prefill engine; `None` when it is not read there.
-    async fn read_at(&mut self, engine: BackEnd) -> Option<ReadingPlan> {
-        match self.prefill(&engine).await {
-            Ok(handle) => {
-                self.exchange.after_prefill(None);
-                let source = CacheSource { address: engine.address, handle };
-                Some(ReadingPlan::Elsewhere { source, zone: engine.zone })
-            }
-            Err(outcome) => {
-                self.exchange.after_prefill(Some(outcome));
-                self.note_sends();
-                let request = self.request.head.id_text();
-                log::info!(event = "prefill_failed", request, back_end:% = engine.id, outcome:? = outcome; "");
-                self.wait_for_fate(&engine.id).await;
-                self.tried.push(engine.id);
-                None
-            }
-        }
-    }
-
-    async fn prefill(&self, back_end: &BackEnd) -> Result<String, SendOutcome> {
-        let answer = send_noted(self.traffic, &self.request, back_end, &SendStage::Prefill, self.ends_at)
-            .await
-            .map_err(|failure| outcome_of_failure(&failure))?;
-        if let Some(outcome) = outcome_of_head(answer.judgement) {
-            discard(answer, self.ends_at).await;
-            return Err(outcome);
-        }
-        let whole = read_whole(self.traffic, back_end, answer, self.ends_at).await;
-        let (_, body) = whole.ok_or(SendOutcome::Lost)?;
-        self.traffic.protocol.read_handle(&body).ok_or(SendOutcome::Lost)
-    }
-
     /// Sends the request to `back_end` for its answer. A long prompt that is read there, or whose KV cache is moved
     /// there, is noted until the answer begins.
     async fn attempt(&mut self, back_end: &BackEnd, plan: &ReadingPlan) -> Attempt {
@@ -445,27 +306,11 @@
         traffic.readings.with_index(|index| self.place(&Purpose::Decode { near, index, now }))
     }
 
-    /// Chooses the engine that reads the prompt, and notes whether it can be in time.
-    fn place_reading(&mut self, prompt: &Prompt) -> Option<(BackEnd, Placed)> {
-        let (now, traffic) = (self.traffic.clock.now(), self.traffic);
-        let waited = now.since(self.request.arrived);
-        let in_time = traffic.placement().in_time(self.request.route.target_latency, waited);
-        let (back_end, placed) = traffic
-            .readings
-            .with_index(|index| self.place_expecting(&Purpose::Read { prompt, in_time, index, now }))?;
-        self.request.urgency = placed.urgency;
-        if let Some(record) = &mut self.record {
-            record.expected_reading = Some(placed.reading);
-            record.urgency = Some(placed.urgency);
-        }
-        Some((back_end, placed))
-    }
-
-    fn place(&mut self, purpose: &Purpose<'_>) -> Option<BackEnd> {
+    pub(super) fn place(&mut self, purpose: &Purpose<'_>) -> Option<BackEnd> {
         self.place_expecting(purpose).map(|(back_end, _)| back_end)
     }
 
-    fn place_expecting(&mut self, purpose: &Purpose<'_>) -> Option<(BackEnd, Placed)> {
+    pub(super) fn place_expecting(&mut self, purpose: &Purpose<'_>) -> Option<(BackEnd, Placed)> {
         let knowledge = self.traffic.knowledge.load_full();
         let now = self.traffic.clock.now();
         if let Some(record) = &mut self.record {
--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -16,7 +16,8 @@
 use tokio::time::timeout;
 
 use super::answer::{OwnAnswer, RelayBody};
-use super::exchange_driver::{CallerRequest, drive};
+use super::caller_request::CallerRequest;
+use super::exchange_driver::drive;
 use super::headers::strip_request;
 use super::record::{RequestEnd, RequestRecord};
 use super::traffic::Traffic;
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -1,10 +1,12 @@
 //! The side towards callers: their connections, and each request from its head to the end of its answer.
 
 mod answer;
+mod caller_request;
 mod candidates;
 mod exchange_driver;
 mod handler;
 mod headers;
+mod reading_step;
 mod record;
 mod send_step;
 mod server;
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -11,7 +11,7 @@
 use hyper::http::response::Parts;
 use tokio::time::timeout_at;
 
-use super::exchange_driver::CallerRequest;
+use super::caller_request::CallerRequest;
 use super::traffic::Traffic;
 use crate::back_ends::{AnswerInProgress, SendFailure, Sent, is_unacknowledged, send};
 use crate::protocol::{AnswerHead, EngineUrgency, Protocol, SendStage};
