What one request is cleared of is weighed anew for the others

Two requests that ran at the same three ends are both left alone, rightly, since the next end tells. When one of them was answered whole, only the other one was left, but nothing was weighed anew before the next engine had ended: the weighing was asked for the cleared request alone, which no longer concerned it. And what was found blamed on that way was dropped, neither logged nor kept in the store.

Change: every change of the ends weighs them anew, in one place; what is blamed then is returned by each of them, logged with its source, and kept. The shortcut by content is gone: without a request that has three ends nothing is weighed.

--- a/crates/core/src/relay/engine_ends.rs
+++ b/crates/core/src/relay/engine_ends.rs
@@ -124,12 +124,11 @@
         }
         self.bound_untold();
         self.insert(engine, at, runs);
-        self.find_blamed(runs.iter().map(|run| run.content))
+        self.weigh_anew()
     }
 
     /// Takes in what a peer tells. Returns the requests that are blocked from now on.
     pub fn receive(&mut self, notice: &EndsNotice, now: Timestamp) -> Vec<Blamed> {
-        let mut contents = Vec::new();
         for end in &notice.ends {
             let at = now - Duration::from_micros(end.age_micros);
             let run = |told: &ToldRun| EndedRun {
@@ -139,7 +138,6 @@
             let runs: Vec<EndedRun> = end.runs.iter().map(run).collect();
             self.tell_cleared_again(&runs, at);
             self.insert(end.engine, at, &runs);
-            contents.extend(runs.iter().map(|run| run.content));
         }
         for served in &notice.served {
             let served_at = now - Duration::from_micros(served.age_micros);
@@ -147,18 +145,19 @@
                 self.remember_cleared(served.content, served_at);
             }
         }
-        self.find_blamed(contents)
+        self.weigh_anew()
     }
 
     /// Notes that a request was answered whole: it doesn't end its engines, so it only ran beside one that does, or on engines
-    /// that ended for another reason. Whether engines had ended under it.
-    pub fn note_served(&mut self, content: ContentId, now: Timestamp) -> bool {
-        let was_suspect = self.clear(content, now);
-        if was_suspect {
-            self.remember_cleared(content, now);
-            self.tell_served(content, now);
+    /// that ended for another reason. Returns the requests that are blocked from now on, since the ends are now put down to them;
+    /// `None` when no engine had ended under it.
+    pub fn note_served(&mut self, content: ContentId, now: Timestamp) -> Option<Vec<Blamed>> {
+        if !self.clear(content, now) {
+            return None;
         }
-        was_suspect
+        self.remember_cleared(content, now);
+        self.tell_served(content, now);
+        Some(self.weigh_anew())
     }
 
     /// Whether engines' ends are put down to a request, also when its block has lapsed.
@@ -236,13 +235,15 @@
         ends.map(|(engine, run, at)| add_run(told, engine, run, at, now)).count()
     }
 
-    /// Forgets what no longer counts.
-    pub fn tidy(&mut self, now: Timestamp) {
+    /// Forgets what no longer counts. Returns the requests that are blocked from now on, since what is left is put down to them.
+    pub fn tidy(&mut self, now: Timestamp) -> Vec<Blamed> {
         let kept = self.config.kept;
+        let before = self.ends.len();
         while self.ends.front().is_some_and(|(_, end)| now.since(end.at) >= kept) {
             self.forget_oldest();
         }
         self.cleared.retain(|(_, at)| now.since(*at) < kept);
+        if self.ends.len() < before { self.weigh_anew() } else { Vec::new() }
     }
 
     /// The ends that are kept.
@@ -294,9 +295,6 @@
             cleared += usize::from(end.runs.remove(&content).is_some());
         }
         (0..cleared).for_each(|_| self.discount(content));
-        if cleared > 0 {
-            self.find_blamed([content]);
-        }
         cleared > 0
     }
 
@@ -334,18 +332,18 @@
         *count -= 1;
         if *count == 0 {
             self.counts.remove(&content);
-            self.blamed.remove(&content);
         }
     }
 
-    /// Puts the ends down to requests anew where that may have changed by what is known of `contents`. Returns those that are
-    /// blamed now and weren't before.
-    fn find_blamed(&mut self, contents: impl IntoIterator<Item = ContentId>) -> Vec<Blamed> {
-        let concerns = |content: ContentId| self.blamed.contains_key(&content) || self.may_be_blamed(&content);
-        if !contents.into_iter().any(concerns) {
-            return Vec::new();
-        }
-        let blamed = blame(&self.ends_that_may_count(), &self.config.rules);
+    /// Puts the ends down to requests anew, after any of them has changed: what one request is cleared of may decide for another
+    /// one. Returns those that are blamed now and weren't before.
+    fn weigh_anew(&mut self) -> Vec<Blamed> {
+        let ends = if self.counts.keys().any(|content| self.may_be_blamed(content)) {
+            self.ends_that_may_count()
+        } else {
+            Vec::new()
+        };
+        let blamed = blame(&ends, &self.config.rules);
         let blamed = blamed.into_iter().map(|blamed| (blamed.content, blamed)).collect();
         let before = std::mem::replace(&mut self.blamed, blamed);
         self.blamed.values().filter(|blamed| !before.contains_key(&blamed.content)).copied().collect()
--- a/crates/core/tests/relay_engine_ends.rs
+++ b/crates/core/tests/relay_engine_ends.rs
@@ -138,6 +138,19 @@
     assert!(!is_blocked(&ends, "one", last + SECOND));
 }
 
+/// A bystander that ran beside the culprit at all three ends left both undecided, rightly. Once it was answered whole only one was left,
+/// and nothing was weighed anew before the next engine had ended. The evidence: this test, on the code as it was.
+#[test]
+fn a_whole_answer_of_one_of_two_that_always_ran_together_leaves_the_other_one_to_blame() {
+    let mut ends = EngineEnds::default();
+    let last = end_in_turn(&mut ends, &[&["culprit", "beside"][..]; 3]);
+    assert!(!is_blocked(&ends, "culprit", last));
+    let blamed = ends.note_served(content("beside"), last).expect("it was a suspect");
+    assert_eq!(blamed.iter().map(|blamed| blamed.content).collect::<Vec<_>>(), [content("culprit")]);
+    assert!(is_blocked(&ends, "culprit", last));
+    assert!(!ends.is_suspect(content("beside")));
+}
+
 #[test]
 fn two_that_run_together_for_ever_are_both_blocked_in_the_end() {
     let mut ends = EngineEnds::default();
@@ -183,8 +196,8 @@
     }
     let served_at = NOW + 3 * SECOND;
     while here.notice(node(1), served_at).is_some() {}
-    assert!(here.note_served(content("asked by many"), served_at));
-    assert!(!here.note_served(content("asked by many"), served_at), "there is nothing left to clear");
+    assert!(here.note_served(content("asked by many"), served_at).is_some());
+    assert!(here.note_served(content("asked by many"), served_at).is_none(), "there is nothing left to clear");
     there.receive(&here.notice(node(1), served_at).expect("peers are told"), served_at);
     for ends in [&mut here, &mut there] {
         assert!(!ends.is_suspect(content("asked by many")));
@@ -282,7 +295,9 @@
             match input.int_in_range(0..=3_u8)? {
                 0 => drop(end(&mut ends, engine(number), &names, now)),
                 1 => drop(ends.receive(&ended(1, engine(number), 5, &names), now)),
-                2 => names.iter().for_each(|name| assert!(!ends.note_served(*name, now) || !ends.is_suspect(*name))),
+                2 => names
+                    .iter()
+                    .for_each(|name| assert!(ends.note_served(*name, now).is_none() || !ends.is_suspect(*name))),
                 _ => drop(ends.notice(node(1), now)),
             }
             assert!(ends.len() <= 20);
--- a/crates/relay/src/engine_ends.rs
+++ b/crates/relay/src/engine_ends.rs
@@ -69,10 +69,12 @@
     /// Notes that a request was answered whole; peers are told if an engine had ended under it.
     pub fn note_served(&self, content: ContentId) {
         let was_blamed = self.shared.ends.borrow().is_blamed(content);
-        if self.shared.ends.borrow_mut().note_served(content, self.shared.clock.now()) {
+        let served = self.shared.ends.borrow_mut().note_served(content, self.shared.clock.now());
+        if let Some(blamed) = served {
             if was_blamed {
                 self.tell_store(BlockNews::Cleared(content));
             }
+            self.note_blamed(&blamed, "another_served");
             log::info!(event = "suspect_served", content:% = content; "");
             self.shared.metrics.record_suspect("served");
             self.shared.news.notify_one();
@@ -96,9 +98,14 @@
         self.shared.ends.borrow().blocked(self.shared.clock.now())
     }
 
+    /// Whether peers are still to be told of something.
+    pub fn has_untold(&self) -> bool {
+        self.shared.ends.borrow().has_untold()
+    }
+
     /// Waits until peers are to be told of something.
     pub async fn wait_for_news(&self) {
-        while !self.shared.ends.borrow().has_untold() {
+        while !self.has_untold() {
             self.shared.news.notified().await;
         }
     }
@@ -115,7 +122,8 @@
 
     /// Forgets what no longer counts.
     pub fn tidy(&self) {
-        self.shared.ends.borrow_mut().tidy(self.shared.clock.now());
+        let blamed = self.shared.ends.borrow_mut().tidy(self.shared.clock.now());
+        self.note_blamed(&blamed, "another_forgotten");
     }
 
     /// Takes in for ever what the store has kept, and has it keep what this node finds out.
