A peer that missed a whole answer is told at once when it goes on blaming

Cause: a node that is told of ends which it has cleared queued its answer and did not wake the task that sends it, so the answer went with the next news, if any came. A peer that had lost both datagrams of the answer blocked the request until its block lapsed.

Change: whatever a peer or the store tells wakes the task, which looks itself whether there is something to tell; both ways in go through one function.

--- a/crates/relay/src/engine_ends.rs
+++ b/crates/relay/src/engine_ends.rs
@@ -62,8 +62,14 @@
 
     /// Takes in what a peer tells.
     pub fn receive(&self, notice: &EndsNotice) {
+        self.take_in(notice, "peer");
+    }
+
+    fn take_in(&self, notice: &EndsNotice, source: &'static str) {
         let blamed = self.shared.ends.borrow_mut().receive(notice, self.shared.clock.now());
-        self.note_blamed(&blamed, "peer");
+        self.note_blamed(&blamed, source);
+        // The sender may not have heard of an answer that cleared what it tells of.
+        self.shared.news.notify_one();
     }
 
     /// Notes that a request was answered whole; peers are told if an engine had ended under it.
@@ -130,8 +136,7 @@
     pub async fn keep_in_store(self, mut link: BlockNewsSender) {
         *self.shared.store.borrow_mut() = Some(link.news);
         while let Some(notice) = link.kept.recv().await {
-            let blamed = self.shared.ends.borrow_mut().receive(&notice, self.shared.clock.now());
-            self.note_blamed(&blamed, "store");
+            self.take_in(&notice, "store");
         }
     }
 
--- a/crates/relay/tests/readings.rs
+++ b/crates/relay/tests/readings.rs
@@ -6,8 +6,8 @@
 
 use arc_swap::ArcSwap;
 use havengate_core::back_ends::{BackEnd, BackEndState, EngineStage};
-use havengate_core::relay::{Prompt, PromptPart, Urgency};
-use havengate_core::world::Address;
+use havengate_core::relay::{ContentId, EndedRun, Prompt, PromptPart, Urgency};
+use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
 use havengate_relay::knowledge::{Knowledge, SharedKnowledge};
 use havengate_relay::metrics::RelayMetrics;
@@ -141,3 +141,34 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// A node that had cleared a request and heard a peer blame it for the ends before queued its answer, and did not wake the task that
+/// sends it: the peer went on blocking the request. The evidence: this test, on the code as it was.
+#[tokio::test]
+async fn a_peer_that_missed_a_whole_answer_is_told_when_it_goes_on_blaming() {
+    let test = async {
+        let (here, there) = (Node::start().await, Node::start().await);
+        let popular = ContentId::of([&b"asked by many"[..]]);
+        let ends = |node: &Node, engines: u32| {
+            for number in 0..engines {
+                let sent_at = node.clock.now();
+                let runs = [EndedRun { content: popular, sent_at }];
+                let engine = BackEndId::new(format!("ended-{number}"));
+                node.readings.engine_ends().note_ended(&engine, &runs, node.clock.now());
+            }
+        };
+        ends(&here, 1);
+        ends(&there, 3);
+        // Ends are told as ages, which a message on its way makes longer: the answer has to come clearly later.
+        sleep(20 * POLL).await;
+        here.readings.engine_ends().note_served(popular);
+        assert_eq!(there.readings.engine_ends().blocked(), 1);
+        // Both have told all that they had, to nobody, before they know of each other.
+        until(|| !here.readings.engine_ends().has_untold() && !there.readings.engine_ends().has_untold()).await;
+        here.knows(&[&there]);
+        there.knows(&[&here]);
+        until(|| there.readings.engine_ends().blocked() == 0).await;
+        assert!(!here.readings.engine_ends().is_suspect(popular));
+    };
+    LocalSet::new().run_until(test).await;
+}
