One way to double a time, one time limit for a send, no clock read for requests that nothing is held against

Read as a newcomer: a time that doubles up to a longest one was written three times in this change (blocks, pauses of stages, pauses between calls to the store); a send carried its limit twice, on the timers' clock and on the process's, with the clock beside it; and each request read the clock two or three times to find that it is not blocked.

Change: time::doubled; a send's limit is one time on the process's clock, from which the wait and what the back end is told follow; the lookup comes before the clock. Behaviour as before, but for a send that begins after a suspension: its wait is as short as what the back end is told.

--- a/crates/core/src/relay/engine_ends.rs
+++ b/crates/core/src/relay/engine_ends.rs
@@ -14,7 +14,7 @@
 use super::content::ContentId;
 use super::ends_message::{EndsNotice, ServedContent, ToldEnd, ToldRun};
 use super::engine_tag::EngineTag;
-use crate::time::Timestamp;
+use crate::time::{Timestamp, doubled};
 use crate::world::Address;
 
 /// Limits of [`EngineEnds`].
@@ -365,9 +365,8 @@
     }
 
     fn block_end(&self, blamed: &Blamed) -> Timestamp {
-        let further = blamed.ends.saturating_sub(self.config.rules.least);
-        let doubled = u32::try_from(further).ok().and_then(|further| 2_u32.checked_pow(further)).unwrap_or(u32::MAX);
-        blamed.last + self.config.first_block.saturating_mul(doubled).min(self.config.longest_block)
+        let further = u32::try_from(blamed.ends.saturating_sub(self.config.rules.least)).unwrap_or(u32::MAX);
+        blamed.last + doubled(self.config.first_block, further, self.config.longest_block)
     }
 
     fn bound_untold(&mut self) {
--- a/crates/core/src/stages/ordered_ends.rs
+++ b/crates/core/src/stages/ordered_ends.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::time::Timestamp;
+use crate::time::{Timestamp, doubled};
 use crate::world::ServiceName;
 
 /// Limits of [`OrderedEnds`].
@@ -61,8 +61,7 @@
         let Some(further) = row.count.checked_sub(self.config.ends_until_paused) else {
             return;
         };
-        let doubled = 2_u32.checked_pow(further).unwrap_or(u32::MAX);
-        row.paused_until = now + self.config.first_pause.saturating_mul(doubled).min(self.config.longest_pause);
+        row.paused_until = now + doubled(self.config.first_pause, further, self.config.longest_pause);
     }
 
     /// For how long no change of the service begins; zero when one may.
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -11,6 +11,12 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// `first`, doubled `times` times, but no longer than `longest`.
+pub fn doubled(first: Duration, times: u32, longest: Duration) -> Duration {
+    let factor = 2_u32.checked_pow(times).unwrap_or(u32::MAX);
+    first.saturating_mul(factor).min(longest)
+}
+
 /// A point of monotonic time, in microseconds since an origin that each process (or simulation) chooses for itself.
 ///
 /// Timestamps of two processes must not be compared: messages carry durations instead.
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -2,7 +2,7 @@
 
 use std::error::Error;
 use std::io;
-use std::time::Instant;
+use std::time::Duration;
 
 use bytes::Bytes;
 use havengate_core::back_ends::BackEnd;
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, Uri};
-use tokio::time::timeout_at;
+use tokio::time::timeout;
 
 use super::load::InFlight;
 use super::pool::{ConnectionPool, Lease};
@@ -37,14 +37,19 @@
     pub keeper: Option<Address>,
     /// Who goes first at the back end.
     pub urgency: Option<EngineUrgency>,
-    /// When the answer must have come, as timers go by it.
-    pub ends_at: Instant,
-    /// The same as the back end is told: counted with the time in which the machine was suspended.
-    pub deadline_at: Timestamp,
-    /// What `deadline_at` is read on.
+    /// When the answer must have come.
+    pub ends_at: Timestamp,
+    /// What `ends_at` is read on.
     pub clock: Clock,
 }
 
+impl Sent<'_> {
+    /// How long the answer may still take.
+    fn time_left(&self) -> Duration {
+        self.ends_at.since(self.clock.now())
+    }
+}
+
 /// An answer whose head has come.
 pub struct AnswerInProgress {
     /// The head and the body as it comes.
@@ -104,7 +109,7 @@
     let Some(sender) = lease.sender() else {
         return Err(SendFailure::NotSent("the connection is gone".to_owned()));
     };
-    let answer = match timeout_at(request.ends_at.into(), sender.try_send_request(outgoing)).await {
+    let answer = match timeout(request.time_left(), sender.try_send_request(outgoing)).await {
         Err(_) => return Err(SendFailure::TimedOut),
         Ok(Err(mut error)) => {
             let unsent = error.take_message().is_some();
@@ -134,7 +139,7 @@
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.target.clone();
     *outgoing.headers_mut() = request.headers.clone();
-    let deadline = request.deadline_at.since(request.clock.now());
+    let deadline = request.time_left();
     if deadline.is_zero() {
         return Err(SendFailure::NoTime);
     }
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -218,7 +218,7 @@
         if let Some(record) = &mut self.record {
             record.back_end = Some(back_end.id.clone());
         }
-        let answer = match send_noted(self.traffic, &self.request, back_end, stage, self.ends_at).await {
+        let answer = match send_noted(self.traffic, &self.request, back_end, stage).await {
             Err(SendFailure::NoTime | SendFailure::NotSent(_)) => return Attempt::Ended(SendOutcome::NotSent, None),
             Err(failure) => {
                 self.exchange.record_sent();
--- a/crates/relay/src/callers/reading_step.rs
+++ b/crates/relay/src/callers/reading_step.rs
@@ -93,7 +93,7 @@
     }
 
     async fn prefill(&self, back_end: &BackEnd) -> Result<String, SendOutcome> {
-        let answer = send_noted(self.traffic, &self.request, back_end, &SendStage::Prefill, self.ends_at)
+        let answer = send_noted(self.traffic, &self.request, back_end, &SendStage::Prefill)
             .await
             .map_err(|failure| outcome_of_failure(&failure))?;
         if let Some(outcome) = outcome_of_head(answer.judgement) {
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -31,7 +31,6 @@
     request: &CallerRequest,
     back_end: &BackEnd,
     stage: &SendStage,
-    ends_at: Instant,
 ) -> Result<AnswerInProgress, SendFailure> {
     let sent = Sent {
         method: &request.method,
@@ -42,8 +41,7 @@
         stage,
         keeper: keeper_for(traffic, request, back_end, stage),
         urgency: urgency_for(traffic, request, back_end, stage),
-        ends_at,
-        deadline_at: request.ends_at,
+        ends_at: request.ends_at,
         clock: traffic.clock,
     };
     let in_flight = traffic.loads.begin(&back_end.id, traffic.clock.now());
--- a/crates/relay/src/control/block_keeper.rs
+++ b/crates/relay/src/control/block_keeper.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use havengate_core::relay::{ContentId, EndsNotice, ToldEnd};
-use havengate_core::time::whole_millis;
+use havengate_core::time::{doubled, whole_millis};
 use havengate_core::world::Address;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -99,8 +99,7 @@
     call: &'static str,
     mut make: impl AsyncFnMut() -> Result<T, StoreError>,
 ) -> Option<T> {
-    let mut pause = PAUSE_MINIMUM;
-    for _ in 0..TRIES {
+    for tries in 0..TRIES {
         match make().await {
             Ok(answer) => {
                 metrics.record_store_call(call, "ok");
@@ -108,9 +107,9 @@
             }
             Err(error) => {
                 metrics.record_store_call(call, "failed");
+                let pause = doubled(PAUSE_MINIMUM, tries, PAUSE_MAXIMUM);
                 log::warn!(event = "block_store_failed", call, error:% = error, pause_ms = whole_millis(pause); "");
                 sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
-                pause = (2 * pause).min(PAUSE_MAXIMUM);
             }
         }
     }
--- a/crates/relay/src/engine_ends.rs
+++ b/crates/relay/src/engine_ends.rs
@@ -94,9 +94,13 @@
 
     /// For how long a request is sent to no engine, since engines ended under it; `None` when it may be sent.
     pub fn blocked_for(&self, content: ContentId) -> Option<Duration> {
+        let ends = self.shared.ends.borrow();
+        if !ends.is_blamed(content) {
+            // Nearly all requests, more than once each: no clock is read for them.
+            return None;
+        }
         let now = self.shared.clock.now();
-        let until = self.shared.ends.borrow().blocked_until(content, now)?;
-        Some(until.since(now))
+        Some(ends.blocked_until(content, now)?.since(now))
     }
 
     /// How many requests are sent to no engine now.
