--- a/crates/relay/src/broken_runs.rs
+++ b/crates/relay/src/broken_runs.rs
@@ -63,10 +63,7 @@
 }
 
 struct BrokenRun {
-    request: String,
-    content: ContentId,
-    is_reading: bool,
-    sent_at: Timestamp,
+    run: Rc<BegunRun>,
     broken_at: Timestamp,
 }
 
@@ -85,15 +82,8 @@
     }
 
     /// Notes that a run was broken off, and looks once for all of one moment whether the back end has ended.
-    fn broke_off(&self, run: &BegunRun) {
-        let broken_at = self.shared.clock.now();
-        let broken = BrokenRun {
-            request: run.request.clone(),
-            content: run.content,
-            is_reading: run.is_reading,
-            sent_at: run.sent_at,
-            broken_at,
-        };
+    fn broke_off(&self, run: &Rc<BegunRun>) {
+        let broken = BrokenRun { run: Rc::clone(run), broken_at: self.shared.clock.now() };
         let mut open = self.shared.open.borrow_mut();
         let is_looked_into = open.contains_key(&run.back_end.id);
         open.entry(run.back_end.id.clone()).or_default().push(broken);
@@ -107,7 +97,7 @@
         let Some(ended_at) = runs.iter().map(|run| run.broken_at).min() else {
             return;
         };
-        let ran = runs.iter().filter(|run| run.sent_at < ended_at);
+        let ran = runs.iter().map(|broken| &broken.run).filter(|run| run.sent_at < ended_at);
         let ran: Vec<EndedRun> = ran.map(|run| EndedRun { content: run.content, sent_at: run.sent_at }).collect();
         self.shared.ends.note_ended(back_end, &ran, ended_at);
     }
@@ -137,9 +127,9 @@
             self.note_ended(&back_end.id, &runs);
         }
         self.shared.settled.notify_waiters();
-        for run in &runs {
+        for BrokenRun { run, broken_at } in &runs {
             let (request, content) = (run.request.as_str(), run.content);
-            let ran_ms = whole_millis(run.broken_at.since(run.sent_at));
+            let ran_ms = whole_millis(broken_at.since(run.sent_at));
             log::warn!(
                 event = "run_broken",
                 request,
--- a/crates/relay/src/control/block_keeper.rs
+++ b/crates/relay/src/control/block_keeper.rs
@@ -42,7 +42,7 @@
 }
 
 /// The traffic thread's end of the way to the store.
-pub struct BlockNewsSender {
+pub struct BlockStoreLink {
     /// Takes what is to be written.
     pub news: mpsc::Sender<BlockNews>,
     /// Hands out what was read at the start.
@@ -50,22 +50,22 @@
 }
 
 /// The control thread's end.
-pub struct BlockNewsReceiver {
+pub struct BlockKeeperLink {
     news: mpsc::Receiver<BlockNews>,
     kept: mpsc::Sender<EndsNotice>,
 }
 
 /// The way between the traffic thread and the store.
-pub fn block_news() -> (BlockNewsSender, BlockNewsReceiver) {
+pub fn block_links() -> (BlockStoreLink, BlockKeeperLink) {
     let (news_sender, news) = mpsc::channel(NEWS_MAXIMUM);
     let (kept_sender, kept) = mpsc::channel(NEWS_MAXIMUM);
-    (BlockNewsSender { news: news_sender, kept }, BlockNewsReceiver { news, kept: kept_sender })
+    (BlockStoreLink { news: news_sender, kept }, BlockKeeperLink { news, kept: kept_sender })
 }
 
 /// Reads what is blocked once, at the start, then writes for ever what this node finds out.
 pub async fn keep_blocks<S: ControlStore>(
     mut store: S,
-    mut link: BlockNewsReceiver,
+    mut link: BlockKeeperLink,
     own: Address,
     metrics: RelayMetrics,
 ) {
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -9,7 +9,7 @@
 mod stages;
 mod thread;
 
-pub use block_keeper::{BlockNews, BlockNewsReceiver, BlockNewsSender, block_news};
+pub use block_keeper::{BlockKeeperLink, BlockNews, BlockStoreLink, block_links};
 pub use learner::Learner;
 pub use peers::{PeerExchange, PeersError};
 pub use stages::{StageLeaseSettings, StageSettings};
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-use super::block_keeper::{BlockNewsReceiver, keep_blocks};
+use super::block_keeper::{BlockKeeperLink, keep_blocks};
 use super::feed::learn_from_feed;
 use super::follower::{follow_configuration, follow_directory};
 use super::learner::Learner;
@@ -66,7 +66,7 @@
     protocol: P,
     store: S,
     shared: SharedWithTraffic,
-    blocks: BlockNewsReceiver,
+    blocks: BlockKeeperLink,
 ) -> io::Result<ControlHandle> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let (bound_sender, bound) = mpsc::sync_channel(1);
--- a/crates/relay/src/engine_ends.rs
+++ b/crates/relay/src/engine_ends.rs
@@ -11,7 +11,7 @@
 use havengate_node::clock::Clock;
 use tokio::sync::{Notify, mpsc};
 
-use crate::control::{BlockNews, BlockNewsSender};
+use crate::control::{BlockNews, BlockStoreLink};
 use crate::metrics::RelayMetrics;
 
 /// The engines that ended, as all nodes have seen them. Copies share them.
@@ -137,7 +137,7 @@
     }
 
     /// Takes in for ever what the store has kept, and has it keep what this node finds out.
-    pub async fn keep_in_store(self, mut link: BlockNewsSender) {
+    pub async fn keep_in_store(self, mut link: BlockStoreLink) {
         *self.shared.store.borrow_mut() = Some(link.news);
         while let Some(notice) = link.kept.recv().await {
             self.take_in(&notice, "store");
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -26,7 +26,7 @@
 
 use crate::cache_survey::survey;
 use crate::callers::{CallerServer, LAST_CONNECTIONS_PATIENCE, ServerPhase, Traffic, listen};
-use crate::control::{BlockNewsSender, ControlSettings, SharedWithTraffic, StageSettings, block_news, spawn};
+use crate::control::{BlockStoreLink, ControlSettings, SharedWithTraffic, StageSettings, block_links, spawn};
 use crate::demand::SharedDemand;
 use crate::knowledge::{Knowledge, SharedKnowledge};
 use crate::metrics::{NodeMessageKind, NodeState, RelayMetrics};
@@ -84,7 +84,7 @@
         clock,
         metrics: metrics.clone(),
     };
-    let (blocks, blocks_receiver) = block_news();
+    let (blocks, blocks_receiver) = block_links();
     let _control = spawn(control, protocol.clone(), store, shared.clone(), blocks_receiver)?;
     let traffic = Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement));
     let runtime = Builder::new_current_thread().enable_all().build()?;
@@ -120,7 +120,7 @@
         log::info!(event = "reloaded", seeds = self.settings.seeds.len(), placement:? = placement, stages:? = self.settings.stages, needs_restart; "");
     }
 
-    async fn serve(&mut self, blocks: BlockNewsSender) -> io::Result<()> {
+    async fn serve(&mut self, blocks: BlockStoreLink) -> io::Result<()> {
         let (settings, traffic) = (self.settings.clone(), Rc::clone(&self.traffic));
         let mut stop_signal = signal(SignalKind::terminate())?;
         let mut reload_signal = signal(SignalKind::hangup())?;
