Keys: a request reaches its engine under its tenant's name, or is turned away

Ruled out: a check at the engine's end alone (an unknown key would wait for a place first). The key ends at the node where the configuration has tenants; the engine gets the tenant's name, whose priority goes before the route's. A tenant that can't be used costs no other its service. Without tenants nothing changes. Tests: routing_tenants, dialect (property over all twelve names), documents, keys (nodes as processes, one cut off from the store).

--- a/crates/core/src/routing/configuration.rs
+++ b/crates/core/src/routing/configuration.rs
@@ -6,6 +6,7 @@
 use speedy::{Readable, Writable};
 
 use super::route::Route;
+use super::tenant::TenantAccess;
 use crate::world::ServiceName;
 
 /// Orders the traffic configurations: a higher one is newer. Versions may leave gaps.
@@ -59,6 +60,8 @@
     pub services: Vec<ServiceDescription>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// Who may ask; `None`: whoever wants to, without a key.
+    pub tenants: Option<Vec<TenantAccess>>,
 }
 
 impl TrafficConfiguration {
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -5,8 +5,10 @@
 mod route;
 mod split;
 mod table;
+mod tenant;
 
 pub use configuration::{CallerLimits, ConfigurationNumber, EngineTraits, ServiceDescription, TrafficConfiguration};
 pub use route::{RequestKind, Route, WeightedService};
 pub use split::SplitTurns;
 pub use table::RouteTable;
+pub use tenant::{KeyDigest, KeyTable, NotAdmitted, PresentedKey, TenantAccess};
--- a/crates/core/src/routing/route.rs
+++ b/crates/core/src/routing/route.rs
@@ -63,6 +63,8 @@
     pub attempts_maximum: u32,
     /// The rank among routes; 0 is the most urgent.
     pub priority: u8,
+    /// Whether its requests need no key, also where others do.
+    pub is_public: bool,
     /// The services that share the requests; never empty.
     pub services: Vec<WeightedService>,
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -24,7 +24,7 @@
         route("b.example", "/", &[1]),
     ];
     let version = ConfigurationNumber(1);
-    RouteTable::new(&TrafficConfiguration { version, routes, services: Vec::new(), limits: LIMITS })
+    RouteTable::new(&TrafficConfiguration { version, routes, services: Vec::new(), limits: LIMITS, tenants: None })
 }
 
 fn prefix_of(host: &str, path: &str) -> Option<String> {
--- a/crates/core/tests/support/relay_fixture.rs
+++ b/crates/core/tests/support/relay_fixture.rs
@@ -38,6 +38,7 @@
         target_pause: None,
         attempts_maximum: 2,
         priority: 1,
+        is_public: false,
         services: weights.iter().enumerate().map(service).collect(),
     }
 }
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use havengate_core::back_ends::BackEnd;
 use havengate_core::time::Timestamp;
-use havengate_core::world::Address;
+use havengate_core::world::{Address, TenantName};
 use havengate_node::clock::Clock;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -37,6 +37,8 @@
     pub keeper: Option<Address>,
     /// Who goes first at the back end.
     pub urgency: Option<EngineUrgency>,
+    /// Whose request it is.
+    pub tenant: Option<&'a TenantName>,
     /// When the answer must have come.
     pub ends_at: Timestamp,
     /// What `ends_at` is read on.
@@ -143,8 +145,14 @@
     if deadline.is_zero() {
         return Err(SendFailure::NoTime);
     }
-    let facts =
-        SendFacts { back_end, deadline, stage: request.stage, keeper: request.keeper, urgency: request.urgency };
+    let facts = SendFacts {
+        back_end,
+        deadline,
+        stage: request.stage,
+        keeper: request.keeper,
+        urgency: request.urgency,
+        tenant: request.tenant,
+    };
     protocol.dress(outgoing.headers_mut(), &facts);
     Ok(outgoing)
 }
--- a/crates/relay/src/callers/answer.rs
+++ b/crates/relay/src/callers/answer.rs
@@ -9,7 +9,7 @@
 use havengate_core::verdict::{MayHaveRun, NotRunReason};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 
 use super::stream_body::StreamBody;
@@ -101,6 +101,9 @@
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if self.status == StatusCode::UNAUTHORIZED {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
         if let Some(retry_after) = self.retry_after {
             let seconds = format!("{:.3}", retry_after.as_secs_f64());
             if let Ok(value) = HeaderValue::try_from(seconds) {
--- a/crates/relay/src/callers/caller_request.rs
+++ b/crates/relay/src/callers/caller_request.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use havengate_core::relay::{ContentId, Prompt, Urgency};
-use havengate_core::routing::Route;
+use havengate_core::routing::{Route, TenantAccess};
 use havengate_core::time::Timestamp;
 use havengate_core::world::ServiceName;
 use hyper::header::HeaderMap;
@@ -32,6 +32,8 @@
     pub content: ContentId,
     /// The route.
     pub route: Arc<Route>,
+    /// Whose request it is, by its key; `None`: nobody's in particular.
+    pub tenant: Option<Arc<TenantAccess>>,
     /// The service that the request goes to.
     pub service: ServiceName,
     /// When it arrived.
@@ -43,6 +45,11 @@
 }
 
 impl CallerRequest {
+    /// The rank among requests alike: the tenant's, else the route's; 0 is the most urgent.
+    pub fn rank(&self) -> u8 {
+        self.tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(self.route.priority)
+    }
+
     /// The prompt, if it is worth a choice of the engine that reads it.
     pub fn long_prompt(&self) -> Option<&Prompt> {
         self.head.prompt.as_ref().filter(|prompt| prompt.tokens >= LONG_PROMPT_TOKENS)
--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -6,8 +6,9 @@
 
 use bytes::Bytes;
 use havengate_core::relay::{ContentId, Urgency};
-use havengate_core::routing::{CallerLimits, Route};
+use havengate_core::routing::{CallerLimits, Route, TenantAccess};
 use havengate_core::verdict::NotRunReason;
+use havengate_core::world::TenantName;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{AUTHORIZATION, CONNECTION, COOKIE, HOST, HeaderMap, HeaderName, HeaderValue};
@@ -55,12 +56,14 @@
     let route = find_route(active, &parts)?;
     record.route = Some(route.name.clone());
     let head = read_head(traffic, &parts.headers, record)?;
+    let tenant = admit(traffic, active, &route, &mut parts.headers)?;
+    record.tenant = tenant.as_ref().map(|tenant| tenant.name.clone());
     let limit = head.deadline.map_or(route.time_limit, |deadline| deadline.min(route.time_limit));
     let body = read_body(body, &active.configuration.limits, limit).await?;
     let service = traffic.with_splits(|turns| turns.next(&route).cloned());
     let service = service.ok_or_else(|| OwnAnswer::refusal(NotRunReason::NoEngine))?;
     record.service = Some(service.clone());
-    let content = content_of(&parts, &body);
+    let content = content_of(&parts, record.tenant.as_ref(), &body);
     record.content = Some(content);
     strip_request(&mut parts.headers);
     Ok(CallerRequest {
@@ -71,6 +74,7 @@
         body,
         head,
         route,
+        tenant,
         service,
         arrived: record.arrived,
         ends_at: record.arrived + limit,
@@ -98,15 +102,29 @@
     route.cloned().ok_or_else(|| OwnAnswer::rejection(StatusCode::NOT_FOUND, "no_route"))
 }
 
+/// Finds out whose request it is. Where the configuration has tenants, the key ends here, also on public routes.
+fn admit<P: Protocol>(
+    traffic: &Traffic<P>,
+    active: &ActiveConfiguration,
+    route: &Route,
+    headers: &mut HeaderMap,
+) -> Result<Option<Arc<TenantAccess>>, OwnAnswer> {
+    let Some(keys) = &active.keys else {
+        return Ok(None);
+    };
+    let presented = traffic.protocol.take_key(headers);
+    keys.admit(route, presented).map_err(|refusal| OwnAnswer::rejection(StatusCode::UNAUTHORIZED, refusal.code()))
+}
+
 /// What a request asks: what its copies have in common. Beside method, host, target and body that is what tells the caller,
 /// since the same words may mean another thing for another one. What a caller sets anew for each copy stays out.
-fn content_of(parts: &Parts, body: &Bytes) -> ContentId {
+fn content_of(parts: &Parts, tenant: Option<&TenantName>, body: &Bytes) -> ContentId {
     let header = |name: HeaderName| parts.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
     ContentId::of([
         parts.method.as_str().as_bytes(),
         header(HOST),
         parts.uri.to_string().as_bytes(),
-        header(AUTHORIZATION),
+        tenant.map_or(header(AUTHORIZATION), |tenant| tenant.as_str().as_bytes()),
         header(COOKIE),
         body,
     ])
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -4,7 +4,7 @@
 
 use havengate_core::relay::{ContentId, Urgency};
 use havengate_core::time::Timestamp;
-use havengate_core::world::{BackEndId, RouteName, ServiceName};
+use havengate_core::world::{BackEndId, RouteName, ServiceName, TenantName};
 use havengate_node::clock::Clock;
 
 use super::traffic::{ActiveRequest, Traffic};
@@ -57,6 +57,8 @@
     pub content: Option<ContentId>,
     /// Its route.
     pub route: Option<RouteName>,
+    /// Whose it is.
+    pub tenant: Option<TenantName>,
     /// The service that it went to.
     pub service: Option<ServiceName>,
     /// The back end that it was sent to last.
@@ -100,6 +102,7 @@
             request: String::new(),
             content: None,
             route: None,
+            tenant: None,
             service: None,
             back_end: None,
             prefill_back_end: None,
@@ -153,6 +156,7 @@
             outcome = end.code(),
             cause,
             route,
+            tenant = self.tenant.as_ref().map_or("", TenantName::as_str),
             service = self.service.as_ref().map_or("", ServiceName::as_str),
             back_end = self.back_end.as_ref().map_or("", BackEndId::as_str),
             prefill = self.prefill_back_end.as_ref().map_or("", BackEndId::as_str),
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -41,6 +41,7 @@
         stage,
         keeper: keeper_for(traffic, request, back_end, stage),
         urgency: urgency_for(traffic, request, back_end, stage),
+        tenant: request.tenant.as_ref().map(|tenant| &tenant.name),
         ends_at: request.ends_at,
         clock: traffic.clock,
     };
@@ -93,9 +94,7 @@
     let told = traffic.placement().orders_by_urgency && back_end.stage.is_some();
     let urgency = match stage {
         SendStage::Decode(_) => EngineUrgency { urgency: Urgency::InTime, rank: 0 },
-        SendStage::Whole | SendStage::Prefill => {
-            EngineUrgency { urgency: request.urgency, rank: request.route.priority }
-        }
+        SendStage::Whole | SendStage::Prefill => EngineUrgency { urgency: request.urgency, rank: request.rank() },
     };
     told.then_some(urgency)
 }
--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -9,7 +9,7 @@
 use havengate_core::authority::Term;
 use havengate_core::back_ends::{Directory, DirectoryChanges, DirectoryListing, DirectoryNews, EngineStage};
 use havengate_core::replication::{KnowledgeAges, Pull, PullAnswer};
-use havengate_core::routing::TrafficConfiguration;
+use havengate_core::routing::{KeyTable, TrafficConfiguration};
 use havengate_core::store::Revision;
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId};
@@ -127,10 +127,14 @@
             version = configuration.version.0,
             before = knowledge.configuration_number().0,
             routes = configuration.routes.len(),
+            tenants:? = configuration.tenants.as_ref().map(Vec::len),
             source = source.code();
             ""
         );
         let active = Arc::new(ActiveConfiguration::new(configuration));
+        for tenant in active.keys.iter().flat_map(KeyTable::clashing) {
+            log::warn!(event = "key_of_two_tenants", tenant:% = tenant, consequence = "it is the other one's"; "");
+        }
         self.publish(Knowledge { configuration: Some(active), ..(*knowledge).clone() });
         self.tell_news();
     }
--- a/crates/relay/src/knowledge.rs
+++ b/crates/relay/src/knowledge.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use havengate_core::back_ends::{BackEnd, Directory, EngineStage};
 use havengate_core::replication::PeerTableConfig;
-use havengate_core::routing::{ConfigurationNumber, RouteTable, TrafficConfiguration};
+use havengate_core::routing::{ConfigurationNumber, KeyTable, RouteTable, TrafficConfiguration};
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId};
 
@@ -18,12 +18,18 @@
     pub configuration: TrafficConfiguration,
     /// Its routes.
     pub routes: RouteTable,
+    /// Its tenants by their keys; `None` where nobody needs a key.
+    pub keys: Option<KeyTable>,
 }
 
 impl ActiveConfiguration {
     /// Makes `configuration` ready for use.
     pub fn new(configuration: TrafficConfiguration) -> Self {
-        ActiveConfiguration { routes: RouteTable::new(&configuration), configuration }
+        ActiveConfiguration {
+            routes: RouteTable::new(&configuration),
+            keys: KeyTable::new(&configuration),
+            configuration,
+        }
     }
 }
 
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -8,10 +8,10 @@
 use havengate_core::authority::Term;
 use havengate_core::back_ends::{BackEnd, DirectoryChanges, DirectoryListing, EngineStage};
 use havengate_core::relay::{ContentId, Prompt, PromptPart, ToldEnd, Urgency};
-use havengate_core::routing::TrafficConfiguration;
+use havengate_core::routing::{PresentedKey, TrafficConfiguration};
 use havengate_core::stages::{LeaseRecord, LeaseWrite, OrderAnswer};
 use havengate_core::store::Revision;
-use havengate_core::world::{Address, NodeName};
+use havengate_core::world::{Address, NodeName, TenantName};
 use hyper::header::{HeaderMap, HeaderValue};
 
 /// What a caller's head says beside method, host and path.
@@ -69,6 +69,8 @@
     pub keeper: Option<Address>,
     /// Who goes first; `None` where the back end is not told.
     pub urgency: Option<EngineUrgency>,
+    /// Whose request it is; `None`: nobody's in particular.
+    pub tenant: Option<&'a TenantName>,
 }
 
 /// Who goes first at an engine.
@@ -76,7 +78,7 @@
 pub struct EngineUrgency {
     /// Whether the request can be in time; those that can go before all others.
     pub urgency: Urgency,
-    /// The route's rank among requests alike; 0 is the most urgent.
+    /// The rank among requests alike, by the tenant's or else the route's priority; 0 is the most urgent.
     pub rank: u8,
 }
 
@@ -129,6 +131,9 @@
     /// When a part of it can't be understood.
     fn read_head(&self, headers: &HeaderMap) -> Result<RequestHead, MalformedHead>;
 
+    /// Takes a caller's key out of its headers, so that it goes nowhere from here.
+    fn take_key(&self, headers: &mut HeaderMap) -> PresentedKey;
+
     /// Makes a caller's headers those of a request to a back end. Headers that concern only one connection are gone.
     fn dress(&self, headers: &mut HeaderMap, facts: &SendFacts<'_>);
 
