--- a/crates/core/src/back_ends/back_end.rs
+++ b/crates/core/src/back_ends/back_end.rs
@@ -50,4 +50,7 @@
     pub state: BackEndState,
     /// The stage that it serves; `None` for plain applications.
     pub stage: Option<EngineStage>,
+    /// Whether it may be taken away, with all like it in its zone.
+    #[serde(default)]
+    pub preemptible: bool,
 }
--- a/crates/core/src/duties/mod.rs
+++ b/crates/core/src/duties/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod candidates;
+pub mod fleet;
 mod lease;
 mod true_time;
 pub mod usage;
--- a/crates/core/src/duties/usage/window.rs
+++ b/crates/core/src/duties/usage/window.rs
@@ -43,7 +43,7 @@
 
 /// The part of the time until a window is due in which its counts may still come in. They come within a second of its end,
 /// or of the next one where a message is lost; the rest of the time is for a holder that ends, and for a store that is away.
-const SETTLING_SHARE: f64 = 0.25;
+const SETTLING_SHARE: f64 = 0.15;
 
 impl UsageConfig {
     /// Checks that each value can be reckoned with.
--- a/crates/core/src/routing/configuration.rs
+++ b/crates/core/src/routing/configuration.rs
@@ -7,7 +7,7 @@
 
 use super::route::Route;
 use super::tenant::TenantAccess;
-use crate::world::ServiceName;
+use crate::world::{ServiceName, ZoneName};
 
 /// Orders the traffic configurations: a higher one is newer. Versions may leave gaps.
 #[derive(
@@ -38,6 +38,43 @@
     pub cache_tokens: u64,
 }
 
+/// What an engine costs for a time, in thousandths of what one costs that stays, in a zone without a price of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Readable, Writable, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Price(pub u32);
+
+impl Price {
+    /// The price of an engine that stays.
+    pub const WHOLE: Price = Price(1_000);
+
+    /// The price as a share of [`Price::WHOLE`].
+    pub fn as_share(self) -> f64 {
+        f64::from(self.0) / f64::from(Price::WHOLE.0)
+    }
+}
+
+/// Within which limits the number of a service's engines may be ordered, and what they cost.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
+pub struct FleetLimits {
+    /// The fewest engines in a zone, of both kinds together.
+    pub minimum: u32,
+    /// The most engines in a zone, of both kinds together.
+    pub maximum: u32,
+    /// The time until an engine serves that was ordered.
+    pub boot_time: Duration,
+    /// The price of an engine that may be taken away, in a zone without a price of its own.
+    pub preemptible_price: Price,
+    /// The price of an engine that stays, by zone: the zones in which engines may be ordered.
+    pub zone_prices: Vec<(ZoneName, Price)>,
+}
+
+impl FleetLimits {
+    /// The zones in which engines may be ordered.
+    pub fn zones(&self) -> Vec<&ZoneName> {
+        self.zone_prices.iter().map(|(zone, _)| zone).collect()
+    }
+}
+
 /// A service as the configuration describes it.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
 pub struct ServiceDescription {
@@ -47,6 +84,8 @@
     pub connections_maximum: u32,
     /// What its engines have in common; `None` when its back ends are plain applications.
     pub engines: Option<EngineTraits>,
+    /// Within which limits the number of its engines may be ordered; `None`: not at all.
+    pub fleet: Option<FleetLimits>,
 }
 
 /// Everything that the operator may change about the traffic.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -7,7 +7,9 @@
 mod table;
 mod tenant;
 
-pub use configuration::{CallerLimits, ConfigurationNumber, EngineTraits, ServiceDescription, TrafficConfiguration};
+pub use configuration::{
+    CallerLimits, ConfigurationNumber, EngineTraits, FleetLimits, Price, ServiceDescription, TrafficConfiguration,
+};
 pub use route::{RequestKind, Route, WeightedService};
 pub use split::SplitTurns;
 pub use table::RouteTable;
--- a/crates/core/src/stages/demand.rs
+++ b/crates/core/src/stages/demand.rs
@@ -111,6 +111,7 @@
     /// What was added in the span that runs now.
     current: BTreeMap<ServiceName, ServiceDemand>,
     span_began: Timestamp,
+    last_demand: Option<Timestamp>,
     /// Loads of spans that have ended and were not taken yet.
     ended: VecDeque<(ServiceName, ServiceLoad)>,
 }
@@ -129,6 +130,7 @@
             reporters: BTreeMap::new(),
             current: BTreeMap::new(),
             span_began: now,
+            last_demand: None,
             ended: VecDeque::new(),
         }
     }
@@ -152,6 +154,9 @@
             return false;
         };
         for (service, demand) in added {
+            if demand != ServiceDemand::default() {
+                self.last_demand = Some(now);
+            }
             self.current.entry(service).or_default().add(demand);
         }
         let DemandReport { life, readings_alone, .. } = report;
@@ -192,6 +197,11 @@
         self.reporters.get(&sender).map(|reporter| reporter.heard_at)
     }
 
+    /// When anybody has last asked for anything.
+    pub fn last_demand(&self) -> Option<Timestamp> {
+        self.last_demand
+    }
+
     /// The nodes that report.
     pub fn reporters(&self) -> usize {
         self.reporters.len()
--- a/crates/core/tests/duties_usage.rs
+++ b/crates/core/tests/duties_usage.rs
@@ -60,7 +60,9 @@
         let mut table = UsageTable::default();
         let mut order: Vec<&UsageCountsMessage> = messages.iter().chain(&messages).collect();
         random.shuffle(&mut order);
-        order.iter().for_each(|message| drop(table.receive(message)));
+        for message in order {
+            table.receive(message);
+        }
         let totals = table.totals(WindowNumber(FIRST));
         assert_eq!(totals, BTreeMap::from([("press".into(), 10), ("school".into(), 1)]));
     }
@@ -82,7 +84,7 @@
     let (mut counts, mut telling) = (UsageCounts::default(), UsageTelling::default());
     let window = WindowNumber(FIRST);
     counts.record(window, &"press".into());
-    let mut due = |telling: &mut UsageTelling, counts: &UsageCounts, candidate, seconds| {
+    let due = |telling: &mut UsageTelling, counts: &UsageCounts, candidate, seconds| {
         telling.due(address(candidate), counts, &CONFIG, at(seconds))
     };
     assert_eq!(due(&mut telling, &counts, 1, 1.0), [window]);
@@ -132,7 +134,9 @@
         let (due, late) = std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
         self.late = late;
         let due: Vec<(f64, LedgerWrite)> = due;
-        due.iter().for_each(|(_, write)| drop(self.apply(write)));
+        for (_, write) in &due {
+            self.apply(write);
+        }
     }
 }
 
@@ -251,7 +255,9 @@
         UsageStep::Write(write) if random.f64() < trouble => {
             // No answer: done, not done, or done some seconds later.
             match random.u8(..3) {
-                0 => drop(store.apply(&write)),
+                0 => {
+                    store.apply(&write);
+                }
                 1 => store.late.push((now + random.f64() * 12.0, write)),
                 _ => {}
             }
--- a/crates/core/tests/support/relay_fixture.rs
+++ b/crates/core/tests/support/relay_fixture.rs
@@ -18,6 +18,7 @@
         slots: 8,
         state: BackEndState::Ready,
         stage,
+        preemptible: false,
     }
 }
 
--- a/crates/relay/src/control/duties/holder.rs
+++ b/crates/relay/src/control/duties/holder.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::fleet_duty::{FleetDuty, FleetDutyParts};
 use super::lease_keeper::LeaseKeeper;
 use super::settings::DutySettings;
 use super::usage_duty::{UsageDuty, UsageDutyParts};
@@ -25,6 +26,9 @@
 /// A node does no duty for this time after its start: it has to hear of its peers, who may be at it.
 const SETTLING: Duration = Duration::from_secs(3);
 
+/// Requests are under way while demand was reported within this time: some times the pause between reports.
+const DEMAND_RECENT: Duration = Duration::from_secs(5);
+
 /// What the task is given.
 pub struct DutyParts<P, S, D> {
     /// The node's name.
@@ -59,6 +63,7 @@
     watch: HolderWatch,
     steering: Steering<P>,
     usage: Option<UsageDuty<S, D>>,
+    fleet: Option<FleetDuty<S, D>>,
     learner: Learner,
     peers: PeerExchange,
     started: Timestamp,
@@ -74,6 +79,16 @@
         let initial = *settings.borrow();
         let life = fastrand::u64(..);
         let lease = Lease::new(initial.lease.lease(), HolderId { node: node.clone(), life });
+        let fleet = receiver.clone().map(|receiver| {
+            FleetDuty::new(FleetDutyParts {
+                node: node.clone(),
+                store: store.clone(),
+                receiver,
+                policy: initial.fleet,
+                clock,
+                metrics: metrics.clone(),
+            })
+        });
         let usage = receiver.map(|receiver| {
             UsageDuty::new(UsageDutyParts {
                 node: node.clone(),
@@ -93,7 +108,7 @@
             life,
             policy: initial.stages,
             protocol,
-            demand,
+            demand: demand.clone(),
             learner: learner.clone(),
             peers: peers.clone(),
             metrics: metrics.clone(),
@@ -105,6 +120,7 @@
             watch: HolderWatch::new(HolderWatchConfig::default(), own),
             steering,
             usage,
+            fleet,
             learner,
             peers,
             started: clock.now(),
@@ -121,6 +137,9 @@
             if self.settings.has_changed().unwrap_or(false) {
                 let settings = *self.settings.borrow_and_update();
                 self.steering.set_config(settings.stages);
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.set_config(settings.fleet);
+                }
             }
             self.step().await;
         }
@@ -141,9 +160,19 @@
         if !acts {
             return;
         }
+        let last_demand = self.peers.demand().borrow().last_demand();
+        let is_serving = last_demand.is_some_and(|last| now.since(last) < DEMAND_RECENT);
+        let fleet_due = match &mut self.fleet {
+            Some(fleet) => fleet.due(&knowledge, is_serving).await,
+            None => Vec::new(),
+        };
+        let is_open = self.fleet.as_ref().is_some_and(FleetDuty::has_refused);
         let usage_config = usage_config.filter(|config| self.usage.as_ref().is_some_and(|usage| usage.is_due(config)));
-        let is_needed = stages_wanted.is_needed() || usage_config.is_some();
+        let is_needed = stages_wanted.is_needed() || usage_config.is_some() || !fleet_due.is_empty() || is_open;
         let term = if is_needed { self.lease.authority().await } else { None };
+        if let (Some(term), Some(fleet)) = (term, &mut self.fleet) {
+            fleet.act(&mut self.lease, term, fleet_due).await;
+        }
         self.steering.act(&knowledge, stages_wanted, term, &mut self.lease).await;
         if let (Some(term), Some(usage), Some(config)) = (term, &mut self.usage, &usage_config) {
             usage.act(&mut self.lease, term, config).await;
@@ -169,6 +198,9 @@
             if let Some(usage) = &mut self.usage {
                 usage.hand_over();
             }
+            if let Some(fleet) = &mut self.fleet {
+                fleet.hand_over();
+            }
             self.lease.doubt();
         }
     }
--- a/crates/relay/src/control/duties/mod.rs
+++ b/crates/relay/src/control/duties/mod.rs
@@ -1,5 +1,6 @@
 //! Duties: what one node does for all, under a lease in the store.
 
+mod fleet_duty;
 mod holder;
 mod lease_keeper;
 mod pacing;
--- a/crates/relay/src/control/duties/pacing.rs
+++ b/crates/relay/src/control/duties/pacing.rs
@@ -6,7 +6,7 @@
 
 /// The pause after a first failure, doubled with each further one up to the maximum.
 const PAUSE_MINIMUM: Duration = Duration::from_millis(400);
-const PAUSE_MAXIMUM: Duration = Duration::from_secs(4);
+const PAUSE_MAXIMUM: Duration = Duration::from_secs(1);
 
 /// When a call that failed is made again.
 #[derive(Clone, Copy, Debug)]
--- a/crates/relay/src/control/duties/settings.rs
+++ b/crates/relay/src/control/duties/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use havengate_core::duties::LeaseConfig;
+use havengate_core::duties::fleet::FleetPolicyConfig;
 use havengate_core::duties::usage::UsageConfig;
 use havengate_core::stages::StagePolicyConfig;
 use serde::Deserialize;
@@ -17,6 +18,8 @@
     pub stages: StagePolicyConfig,
     /// How usage is reported; `None`: not at all.
     pub usage: Option<UsageConfig>,
+    /// How the number of engines is decided.
+    pub fleet: FleetPolicyConfig,
 }
 
 /// What `[duty_lease]` in the settings holds.
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -7,13 +7,14 @@
 use displaydoc::Display;
 use havengate_core::authority::Term;
 use havengate_core::back_ends::{BackEnd, DirectoryChanges, DirectoryListing, EngineStage};
+use havengate_core::duties::fleet::{FleetBaseline, FleetOrder};
 use havengate_core::duties::usage::{LedgerWrite, UsageLedger, UsageReport};
 use havengate_core::duties::{DutyAnswer, LeaseRecord, LeaseWrite};
 use havengate_core::relay::{ContentId, Prompt, PromptPart, ToldEnd, Urgency};
 use havengate_core::routing::{PresentedKey, TrafficConfiguration};
 use havengate_core::stages::OrderAnswer;
 use havengate_core::store::Revision;
-use havengate_core::world::{Address, NodeName, TenantName};
+use havengate_core::world::{Address, NodeName, ServiceName, TenantName};
 use hyper::header::{HeaderMap, HeaderValue};
 
 /// What a caller's head says beside method, host and path.
@@ -253,6 +254,19 @@
     /// Keeps reports of usage if the ledger still is what the write replaces. Any error leaves open whether it takes effect.
     fn write_usage(&mut self, write: &LedgerWrite) -> impl Future<Output = Result<WriteEnd, StoreError>>;
 
+    /// Reads what a service was sized for before any of its engines was ordered; `None`: that is not kept.
+    fn read_baseline(
+        &mut self,
+        service: &ServiceName,
+    ) -> impl Future<Output = Result<Option<FleetBaseline>, StoreError>>;
+
+    /// Keeps what a service was sized for, unless that is kept already. Any error leaves open whether it takes effect.
+    fn keep_baseline(
+        &mut self,
+        service: &ServiceName,
+        baseline: FleetBaseline,
+    ) -> impl Future<Output = Result<WriteEnd, StoreError>>;
+
     /// Reads all requests that are blocked, as they were written.
     fn list_blocks(&mut self) -> impl Future<Output = Result<Vec<BlockRecord>, StoreError>>;
 
@@ -285,6 +299,9 @@
 pub trait DutyReceiver: Clone + Send + 'static {
     /// Tells what tenants have used in a window.
     fn report_usage(&mut self, right: &DutyRight<'_>, report: &UsageReport) -> impl Future<Output = DutyAnswer>;
+
+    /// Orders how many engines a service is to have in a zone. A conflict may also mean that there are none to be had.
+    fn order_fleet(&mut self, right: &DutyRight<'_>, order: &FleetOrder) -> impl Future<Output = DutyAnswer>;
 }
 
 /// A request's body, read whole.
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use havengate_core::duties::fleet::{FleetPolicyConfig, FleetPolicyConfigError};
 use havengate_core::duties::usage::{UsageConfig, UsageConfigError};
 use havengate_core::relay::{PlacementConfig, PlacementConfigError, SharedRetryBudgetConfig};
 use havengate_core::stages::{StagePolicyConfig, StagePolicyConfigError};
@@ -55,6 +56,9 @@
     /// How usage is reported; `None`: not at all.
     #[serde(default)]
     pub usage: Option<UsageConfig>,
+    /// How the number of engines is decided.
+    #[serde(default)]
+    pub fleet: FleetPolicyConfig,
     /// The least severe events that are logged.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -84,6 +88,8 @@
     Placement(PlacementConfigError),
     /// stages: {0}
     Stages(StagePolicyConfigError),
+    /// fleet: {0}
+    Fleet(FleetPolicyConfigError),
     /// usage: {0}
     Usage(UsageConfigError),
 }
@@ -133,6 +139,7 @@
         check.finish().map_err(RelaySettingsError::Values)?;
         self.placement.validate().map_err(RelaySettingsError::Placement)?;
         self.stages.validate().map_err(RelaySettingsError::Stages)?;
+        self.fleet.validate().map_err(RelaySettingsError::Fleet)?;
         self.usage.map_or(Ok(()), |usage| usage.validate()).map_err(RelaySettingsError::Usage)?;
         Ok(self)
     }
@@ -160,7 +167,7 @@
 
     /// What the control thread is told of duties.
     pub fn duty_settings(&self) -> DutySettings {
-        DutySettings { lease: self.duty_lease, stages: self.stages, usage: self.usage }
+        DutySettings { lease: self.duty_lease, stages: self.stages, usage: self.usage, fleet: self.fleet }
     }
 
     /// The limits of repeats to one service.
--- a/crates/relay/tests/readings.rs
+++ b/crates/relay/tests/readings.rs
@@ -70,6 +70,7 @@
         slots: 8,
         state: BackEndState::Ready,
         stage: Some(EngineStage::Prefill),
+        preemptible: false,
     }
 }
 
