--- a/crates/core/src/duties/fleet/policy.rs
+++ b/crates/core/src/duties/fleet/policy.rs
@@ -95,7 +95,7 @@
             policy: FleetPolicyName::Hedged,
             on_demand_per_zone: 0,
             preemptible_per_zone: 0,
-            on_demand_share: 0.2,
+            on_demand_share: 0.1,
             left_share: 1.6,
         }
     }
--- a/crates/relay/src/callers/reading_step.rs
+++ b/crates/relay/src/callers/reading_step.rs
@@ -77,6 +77,10 @@
         match self.prefill(&engine).await {
             Ok(handle) => {
                 self.exchange.after_prefill(None);
+                let now = self.traffic.clock.now();
+                if let Some(record) = &mut self.record {
+                    record.read_after = Some(now.since(record.arrived));
+                }
                 let source = CacheSource { address: engine.address, handle };
                 Some(ReadingPlan::Elsewhere { source, zone: engine.zone })
             }
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -75,6 +75,8 @@
     pub directory_age: Option<Duration>,
     /// How long its prompt was expected to be read.
     pub expected_reading: Option<Duration>,
+    /// How long after its arrival its prompt was read by an engine that does not answer it.
+    pub read_after: Option<Duration>,
     /// Whether it could be in time, as it was expected.
     pub urgency: Option<Urgency>,
     /// By how much more than expected late prompts took when it was placed; `None` where it was not late.
@@ -111,6 +113,7 @@
             configuration: 0,
             directory_age: None,
             expected_reading: None,
+            read_after: None,
             urgency: None,
             late_stretch: None,
             arrived: traffic.clock.now(),
@@ -166,6 +169,7 @@
             first_ms = millis(first),
             pause_ms = millis(self.longest_pause),
             expected_reading_ms = millis(self.expected_reading),
+            read_ms = millis(self.read_after),
             late = self.urgency == Some(Urgency::Late),
             late_stretch = self.late_stretch.unwrap_or(-1.0),
             configuration = self.configuration,
