--- a/crates/core/src/duties/fleet/policy.rs
+++ b/crates/core/src/duties/fleet/policy.rs
@@ -163,8 +163,10 @@
         let preemptible = (wanted_left / f64::from(zones - 1)).ceil().max(0.0);
         let plan = within(ZoneFleet { on_demand: on_demand as u32, preemptible: preemptible as u32 }, limits);
         let price = f64::from(plan.on_demand) + f64::from(plan.preemptible) * limits.preemptible_price.as_share();
-        // Ordering is to cost less than leaving it: the rest is a gain in engines.
-        (price * f64::from(zones) <= size).then_some(plan)
+        let left = plan.on_demand * zones + plan.preemptible * (zones - 1);
+        // Ordering is to cost less than leaving it, and a loss is to leave what the service was sized for: the limits may
+        // allow fewer engines than that takes.
+        (price * f64::from(zones) <= size && left >= baseline.engines).then_some(plan)
     }
 }
 
