--- a/crates/core/tests/duties_fleet.rs
+++ b/crates/core/tests/duties_fleet.rs
@@ -204,12 +204,12 @@
     let due = |orders: &FleetOrders, now| orders.due(&"model".into(), &wanted, &BTreeMap::new(), BOOT, false, now);
     for (renewed_under, is_scarce) in [(TERM, true), (Term(9), false)] {
         let mut orders = FleetOrders::new(FleetOrdersConfig::default());
-        assert_eq!(due(&orders, now), [refused.clone()]);
+        assert_eq!(due(&orders, now), std::slice::from_ref(&refused));
         orders.answered(&refused, TERM, DutyAnswer::Conflict, now);
         assert!(orders.has_refused() && due(&orders, now).is_empty(), "it is not known yet what it means");
         assert_eq!(orders.renewed(renewed_under, now).len(), usize::from(is_scarce));
         assert_eq!(due(&orders, now).is_empty(), is_scarce);
-        assert_eq!(due(&orders, now + Duration::from_secs(3)), [refused.clone()]);
+        assert_eq!(due(&orders, now + Duration::from_secs(3)), std::slice::from_ref(&refused));
     }
 }
 
