--- a/crates/core/src/duties/lease.rs
+++ b/crates/core/src/duties/lease.rs
@@ -140,9 +140,9 @@
             let (term, renewal) = if refused { (self.next_term(), 0) } else { (record.term, record.renewal + 1) };
             return LeaseStep::Write(LeaseWrite { record: self.record_of(term, renewal), expected: seen.revision });
         }
-        let known_for = now.since(seen.since);
-        if known_for < self.config.lapse() {
-            return LeaseStep::Wait(self.config.lapse() - known_for);
+        let (known_for, lapse) = (now.since(seen.since), self.lapse_of(record));
+        if known_for < lapse {
+            return LeaseStep::Wait(lapse - known_for);
         }
         LeaseStep::Write(LeaseWrite { record: self.record_of(self.next_term(), 0), expected: seen.revision })
     }
@@ -217,6 +217,14 @@
         self.config
     }
 
+    /// How long a record of another process must have been known.
+    ///
+    /// A former process of this node has ended: two can't listen at the node's addresses. Only what it has sent may still be
+    /// on its way. Waiting as for another node, a holder that was killed and came back at once did nothing for ten seconds.
+    fn lapse_of(&self, record: &LeaseRecord) -> Duration {
+        if record.holder.node == self.own.node { self.config.order_time_limit } else { self.config.lapse() }
+    }
+
     fn next_term(&self) -> Term {
         let seen = self.seen.as_ref().and_then(|seen| seen.record.as_ref()).map_or(Term(0), |record| record.term);
         Term(seen.max(self.highest).0.saturating_add(1))
