--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -86,6 +86,8 @@
 pub struct KnowledgeAges {
     /// Of the configuration; `None`: never.
     pub configuration_millis: Option<u32>,
+    /// How long ago the configuration was shown to be the newest, where nothing on its way counts; `None`: never.
+    pub configuration_shown_millis: Option<u32>,
     /// Of the directory; `None`: never.
     pub directory_millis: Option<u32>,
 }
--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -113,6 +113,9 @@
         return Ok(None);
     };
     let presented = traffic.protocol.take_key(headers);
+    if !route.is_public && !traffic.may_go_by_keys() {
+        return Err(OwnAnswer::refusal(NotRunReason::NodeSuspended));
+    }
     keys.admit(route, presented).map_err(|refusal| OwnAnswer::rejection(StatusCode::UNAUTHORIZED, refusal.code()))
 }
 
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -18,7 +18,7 @@
 use crate::broken_runs::BrokenRuns;
 use crate::control::SharedWithTraffic;
 use crate::demand::SharedDemand;
-use crate::knowledge::SharedKnowledge;
+use crate::knowledge::{SharedKnowledge, SharedMoment};
 use crate::metrics::RelayMetrics;
 use crate::readings::Readings;
 use crate::usage::SharedUsage;
@@ -33,6 +33,10 @@
     pub demand: SharedDemand,
     /// What this node's callers have used.
     pub usage: SharedUsage,
+    /// When the configuration in force was last shown to be the newest.
+    configuration_shown: SharedMoment,
+    /// The longest that a key may go on being taken after it was taken away; `None`: no node is bound to it.
+    revocation: Cell<Option<Duration>>,
     /// The node's clock.
     pub clock: Clock,
     /// Connections to back ends.
@@ -68,7 +72,7 @@
         budget_config: SharedRetryBudgetConfig,
         placement: PlacementConfig,
     ) -> Self {
-        let SharedWithTraffic { knowledge, demand, usage, clock, metrics } = shared;
+        let SharedWithTraffic { knowledge, demand, usage, configuration_shown, clock, metrics } = shared;
         let pool = ConnectionPool::new(PoolLimits::default());
         let readings = Readings::new(Arc::clone(&knowledge), clock, metrics.clone());
         let engine_ends = readings.engine_ends().clone();
@@ -85,6 +89,8 @@
             knowledge,
             demand,
             usage,
+            configuration_shown,
+            revocation: Cell::default(),
             metrics,
             active: ActiveRequests::default(),
             leaving: Cell::new(false),
@@ -123,6 +129,17 @@
         self.placement.set(placement);
     }
 
+    /// Binds the node to refuse what needs a key while it can't show that its keys are newer than this.
+    pub fn set_revocation(&self, revocation: Option<Duration>) {
+        self.revocation.set(revocation);
+    }
+
+    /// Whether keys may be gone by: the node is not bound to show that they are new, or can.
+    pub fn may_go_by_keys(&self) -> bool {
+        let is_new = |limit| self.configuration_shown.get().is_some_and(|at| self.clock.now().since(at) < limit);
+        self.revocation.get().is_none_or(is_new)
+    }
+
     /// The repeats that are left for each service.
     pub fn repeats_left(&self) -> Vec<(ServiceName, f64)> {
         let now = self.clock.now();
--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -54,13 +54,14 @@
         // The first answer comes at once and shows whether the reader knows anything.
         let wait = if is_first { Duration::ZERO } else { FEED_WAIT };
         let pull = learner.pull(wait);
+        let asked_at = learner.clock().now();
         let exchange = async {
             write_message(&mut stream, &pull).await?;
             read_message::<PullAnswer>(&mut stream).await
         };
         let answer = timeout(wait + ANSWER_TIME_LIMIT, exchange).await.map_err(|_| PeersError::TooSlow)??;
         let confirmed_at = learner.moment_of(answer.ages.directory_millis);
-        learner.learn(answer);
+        learner.learn(answer, asked_at);
         if role.is_stale(confirmed_at) {
             // Another reader may know more; when none is better, this one tells as soon as it has the store again.
             role.suspend(reader);
--- a/crates/relay/src/control/follower.rs
+++ b/crates/relay/src/control/follower.rs
@@ -163,6 +163,7 @@
             sleep(IDLE_PAUSE).await;
         }
         access.note_standing_in(!role.is_reader(), learner.age_of(learner.configuration_confirmed_at()));
+        let asked_at = learner.clock().now();
         let result = match after {
             None => store.read_configuration().await,
             Some(revision) => store.watch_configuration(revision, WATCH_WAIT).await,
@@ -173,6 +174,7 @@
                 learner.adopt_configuration(configuration, Source::Store);
             }
             learner.confirm_configuration(learner.clock().now());
+            learner.show_configuration(asked_at);
         });
         let maximum = back_off_maximum(&role, learner.knowledge().configuration.is_some());
         if settle(result, after.is_none(), &mut access, maximum).await {
--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -16,7 +16,7 @@
 use havengate_node::clock::Clock;
 use tokio::sync::watch;
 
-use crate::knowledge::{ActiveConfiguration, AnnouncedChange, Knowledge, SharedKnowledge};
+use crate::knowledge::{ActiveConfiguration, AnnouncedChange, Knowledge, SharedKnowledge, SharedMoment};
 use crate::metrics::RelayMetrics;
 
 /// Where a piece of knowledge came from, for logs.
@@ -45,6 +45,7 @@
     /// The highest term under which changes of stages were announced.
     stages_term: Rc<Cell<Term>>,
     knowledge: SharedKnowledge,
+    configuration_shown: SharedMoment,
     /// Counts what was learned, for those that wait for it. A mere confirmation is no news: readers that feed each other
     /// would tell it for ever.
     news: Rc<watch::Sender<u64>>,
@@ -54,12 +55,18 @@
 
 impl Learner {
     /// A learner that publishes to `knowledge`.
-    pub fn new(knowledge: SharedKnowledge, clock: Clock, metrics: RelayMetrics) -> Self {
+    pub fn new(
+        knowledge: SharedKnowledge,
+        configuration_shown: SharedMoment,
+        clock: Clock,
+        metrics: RelayMetrics,
+    ) -> Self {
         Learner {
             directory: Rc::default(),
             configuration_confirmed_at: Rc::default(),
             stages_term: Rc::default(),
             knowledge,
+            configuration_shown,
             news: Rc::new(watch::Sender::new(0)),
             clock,
             metrics,
@@ -146,6 +153,13 @@
         }
     }
 
+    /// Notes that no configuration newer than the one in force was there at a moment that is no earlier than `shown_at`.
+    pub fn show_configuration(&self, shown_at: Timestamp) {
+        if self.knowledge.load().configuration.is_some() {
+            self.configuration_shown.advance(shown_at);
+        }
+    }
+
     /// Replaces the directory by a listing that is not older, and was right at `confirmed_at`.
     pub fn adopt_listing(&self, listing: DirectoryListing, confirmed_at: Timestamp, source: Source) {
         let back_ends = listing.back_ends.len();
@@ -167,14 +181,19 @@
         }
     }
 
-    /// Takes in what a peer told.
-    pub fn learn(&self, answer: PullAnswer) {
+    /// Takes in what a peer told that was asked at `asked_at`.
+    pub fn learn(&self, answer: PullAnswer, asked_at: Timestamp) {
+        let shown_age = answer.ages.configuration_shown_millis;
         if let Some(configuration) = answer.configuration {
             self.adopt_configuration(configuration, Source::Peer);
         }
         if let Some(confirmed_at) = self.moment_of(answer.ages.configuration_millis) {
             self.confirm_configuration(confirmed_at);
         }
+        if let Some(millis) = shown_age {
+            // The answer was made after it was asked for, and holds whatever the peer has that is newer.
+            self.show_configuration(asked_at - Duration::from_millis(u64::from(millis)));
+        }
         let Some(confirmed_at) = self.moment_of(answer.ages.directory_millis) else {
             return;
         };
@@ -226,6 +245,7 @@
             directory: self.directory.borrow().news_since(pull.directory),
             ages: KnowledgeAges {
                 configuration_millis: age(self.configuration_confirmed_at.get()),
+                configuration_shown_millis: age(self.configuration_shown.get()),
                 directory_millis: age(knowledge.directory_confirmed_at),
             },
         }
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -229,7 +229,7 @@
             return;
         };
         match self.pull(peer, pull).await {
-            Ok(answer) => self.learner.learn(answer),
+            Ok(answer) => self.learner.learn(answer, now),
             Err(error) => log::warn!(event = "pull_failed", peer:% = peer, error:% = error; ""),
         }
     }
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -20,7 +20,7 @@
 use super::peers::PeerExchange;
 use super::reader_role::ReaderRole;
 use crate::demand::SharedDemand;
-use crate::knowledge::SharedKnowledge;
+use crate::knowledge::{SharedKnowledge, SharedMoment};
 use crate::metrics::RelayMetrics;
 use crate::protocol::{ControlStore, DutyReceiver, Protocol};
 use crate::usage::SharedUsage;
@@ -49,6 +49,8 @@
     pub demand: SharedDemand,
     /// What this node's callers have used.
     pub usage: SharedUsage,
+    /// When the configuration in force was last shown to be the newest.
+    pub configuration_shown: SharedMoment,
     /// The node's clock.
     pub clock: Clock,
     /// Counters.
@@ -84,9 +86,9 @@
     let body = move || {
         let tasks = LocalSet::new();
         tasks.block_on(&runtime, async move {
-            let SharedWithTraffic { knowledge, demand, usage, clock, metrics } = shared;
+            let SharedWithTraffic { knowledge, demand, usage, configuration_shown, clock, metrics } = shared;
             let Platform { store, receiver } = platform;
-            let learner = Learner::new(knowledge, clock, metrics.clone());
+            let learner = Learner::new(knowledge, configuration_shown, clock, metrics.clone());
             let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
             let role = ReaderRole::new(readers, clock);
             match bind(&settings, role.clone(), learner.clone(), metrics.clone()).await {
--- a/crates/relay/src/knowledge.rs
+++ b/crates/relay/src/knowledge.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -97,5 +98,27 @@
     }
 }
 
+/// The moment at which the configuration in force was last shown to be the newest, shared between the two threads.
+///
+/// Unlike other ages it is never too young: what was on its way counts as if nothing had been known meanwhile.
+#[derive(Clone, Debug, Default)]
+pub struct SharedMoment {
+    /// In microseconds of the process's clock; 0: never.
+    micros: Arc<AtomicU64>,
+}
+
+impl SharedMoment {
+    /// The moment; `None`: it never was.
+    pub fn get(&self) -> Option<Timestamp> {
+        let micros = self.micros.load(Ordering::Relaxed);
+        (micros > 0).then(|| Timestamp::from_micros(micros))
+    }
+
+    /// Moves the moment to `to`, unless it is later already.
+    pub fn advance(&self, to: Timestamp) {
+        self.micros.fetch_max(to.as_micros(), Ordering::Relaxed);
+    }
+}
+
 /// What is known, shared between the two threads.
 pub type SharedKnowledge = Arc<ArcSwap<Knowledge>>;
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -28,7 +28,7 @@
 use crate::callers::{CallerServer, LAST_CONNECTIONS_PATIENCE, ServerPhase, Traffic, listen};
 use crate::control::{BlockStoreLink, ControlSettings, DutySettings, Platform, SharedWithTraffic, block_links, spawn};
 use crate::demand::SharedDemand;
-use crate::knowledge::{Knowledge, SharedKnowledge};
+use crate::knowledge::{Knowledge, SharedKnowledge, SharedMoment};
 use crate::metrics::{NodeMessageKind, NodeState, RelayMetrics};
 use crate::protocol::{ControlStore, DutyReceiver, Protocol};
 use crate::settings::{RelaySettings, RelaySettingsError};
@@ -84,12 +84,14 @@
         knowledge: Arc::clone(&knowledge),
         demand: demand.clone(),
         usage: usage.clone(),
+        configuration_shown: SharedMoment::default(),
         clock,
         metrics: metrics.clone(),
     };
     let (blocks, blocks_receiver) = block_links();
     let _control = spawn(control, protocol.clone(), platform, shared.clone(), blocks_receiver)?;
     let traffic = Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement));
+    traffic.set_revocation(settings.keys.revocation());
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let mut node = RunningNode { settings, read_settings, seeds, duties, traffic };
     LocalSet::new().block_on(&runtime, node.serve(blocks))
@@ -119,6 +121,7 @@
         self.seeds.send_replace(read.seeds.clone());
         self.duties.send_replace(read.duty_settings());
         self.traffic.usage.set_config(read.usage);
+        self.traffic.set_revocation(read.keys.revocation());
         self.settings = read;
         let placement = self.traffic.placement();
         log::info!(event = "reloaded", seeds = self.settings.seeds.len(), placement:? = placement, stages:? = self.settings.stages, needs_restart; "");
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -56,6 +56,9 @@
     /// How usage is reported; `None`: not at all.
     #[serde(default)]
     pub usage: Option<UsageConfig>,
+    /// What holds of tenants' keys.
+    #[serde(default)]
+    pub keys: KeySettings,
     /// How the number of engines is decided.
     #[serde(default)]
     pub fleet: FleetPolicyConfig,
@@ -76,6 +79,23 @@
     pub window_seconds: f64,
 }
 
+/// What holds of tenants' keys.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KeySettings {
+    /// A node that can't show that its configuration is newer than this refuses what needs a key, in milliseconds; without it,
+    /// it goes by what it has.
+    #[serde(default)]
+    pub revocation_milliseconds: Option<f64>,
+}
+
+impl KeySettings {
+    /// The time within which a key that was taken away must not be taken any more, if nodes are bound to it.
+    pub fn revocation(&self) -> Option<Duration> {
+        self.revocation_milliseconds.map(|milliseconds| Duration::from_secs_f64(milliseconds / 1e3))
+    }
+}
+
 /// Why settings can't be used.
 #[derive(Clone, Debug, displaydoc::Display, thiserror::Error)]
 pub enum RelaySettingsError {
@@ -95,6 +115,7 @@
 }
 
 const STOP_GRACE_SECONDS: std::ops::RangeInclusive<f64> = 1.0..=3_600.0;
+const REVOCATION_MILLISECONDS: std::ops::RangeInclusive<f64> = 1.0..=86_400_000.0;
 const WINDOW_SECONDS: std::ops::RangeInclusive<f64> = 1.0..=600.0;
 
 impl RelaySettings {
@@ -136,6 +157,9 @@
             DutyLeaseSettings::HAND_OVER_MILLISECONDS,
             |time| time,
         );
+        if let Some(revocation) = self.keys.revocation_milliseconds {
+            check.in_range("keys.revocation_milliseconds", revocation, REVOCATION_MILLISECONDS, |time| time);
+        }
         check.finish().map_err(RelaySettingsError::Values)?;
         self.placement.validate().map_err(RelaySettingsError::Placement)?;
         self.stages.validate().map_err(RelaySettingsError::Stages)?;
