Logs tell how much of a message had passed when it was given up

Cause: 'the peer took too long' and 'no answer in time' look the same for a peer that is silent and for a message that is larger than its limit allows; the hypotheses of the incident differ in just this. Ruled out: metrics alone, which give bytes a second but not whose.

--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -5,11 +5,11 @@
 use havengate_core::replication::PullAnswer;
 use havengate_core::world::Address;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::learner::Learner;
-use super::peers::{PeersError, read_message, write_message};
 use super::reader_role::ReaderRole;
+use super::transfer::{PeersError, Progress, read_message, write_message};
 
 /// The longest that a reader waits for news before it answers, and so confirms what this node knows.
 const FEED_WAIT: Duration = Duration::from_millis(400);
@@ -47,7 +47,7 @@
 
 async fn follow(reader: Address, slot: usize, role: &ReaderRole, learner: &Learner) -> Result<(), PeersError> {
     let connecting = timeout(CONNECT_TIME_LIMIT, TcpStream::connect(reader.0)).await;
-    let mut stream = connecting.map_err(|_| PeersError::TooSlow)??;
+    let mut stream = connecting.map_err(|_| PeersError::TooSlow(Progress::default()))??;
     stream.set_nodelay(true)?;
     let mut is_first = true;
     while role.feed(slot) == Some(reader) {
@@ -55,11 +55,9 @@
         let wait = if is_first { Duration::ZERO } else { FEED_WAIT };
         let pull = learner.pull(wait);
         let asked_at = learner.clock().now();
-        let exchange = async {
-            write_message(&mut stream, &pull).await?;
-            read_message::<PullAnswer>(&mut stream).await
-        };
-        let answer = timeout(wait + ANSWER_TIME_LIMIT, exchange).await.map_err(|_| PeersError::TooSlow)??;
+        let until = Instant::now() + wait + ANSWER_TIME_LIMIT;
+        write_message(&mut stream, &pull, until).await?;
+        let answer: PullAnswer = read_message(&mut stream, until).await?;
         let confirmed_at = learner.moment_of(answer.ages.directory_millis);
         learner.learn(answer, asked_at);
         if role.is_stale(confirmed_at) {
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -9,9 +9,11 @@
 mod reader_role;
 mod stages;
 mod thread;
+mod transfer;
 
 pub use block_keeper::{BlockKeeperLink, BlockNews, BlockStoreLink, block_links};
 pub use duties::{DutyLeaseSettings, DutySettings};
 pub use learner::Learner;
-pub use peers::{PeerExchange, PeersError};
+pub use peers::PeerExchange;
 pub use thread::{ControlHandle, ControlSettings, Platform, SharedWithTraffic, spawn};
+pub use transfer::{PeersError, Progress};
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -12,15 +12,13 @@
 use havengate_core::stages::{DemandTable, DemandTableConfig};
 use havengate_core::time::Timestamp;
 use havengate_core::world::Address;
-use havengate_wire::{LENGTH_BYTES, WireError, decode, frame_of, payload_length};
-use speedy::{LittleEndian, Readable, Writable};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
 
 use super::learner::Learner;
 use super::reader_role::ReaderRole;
+use super::transfer::{PeersError, Progress, read_message, write_message};
 use crate::callers::listen;
 use crate::datagrams::Datagrams;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
@@ -41,17 +39,6 @@
 /// A fed peer that asks nothing for this time is gone. It asks again as soon as it is answered.
 const ASK_PATIENCE: Duration = Duration::from_secs(4);
 
-/// What goes wrong between nodes.
-#[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum PeersError {
-    /// the connection failed: {0}
-    Connection(#[from] io::Error),
-    /// the message is none: {0}
-    Message(#[from] WireError),
-    /// the peer took too long
-    TooSlow,
-}
-
 /// The exchange with other nodes. Copies share it.
 #[derive(Clone)]
 pub struct PeerExchange {
@@ -235,12 +222,11 @@
     }
 
     async fn pull(&self, peer: Address, pull: Pull) -> Result<PullAnswer, PeersError> {
-        let exchange = async {
-            let mut stream = TcpStream::connect(peer.0).await?;
-            write_message(&mut stream, &pull).await?;
-            read_message::<PullAnswer>(&mut stream).await
-        };
-        timeout(PULL_TIME_LIMIT, exchange).await.map_err(|_| PeersError::TooSlow)?
+        let until = Instant::now() + PULL_TIME_LIMIT;
+        let connecting = timeout_at(until, TcpStream::connect(peer.0)).await;
+        let mut stream = connecting.map_err(|_| PeersError::TooSlow(Progress::default()))??;
+        write_message(&mut stream, &pull, until).await?;
+        read_message(&mut stream, until).await
     }
 }
 
@@ -249,7 +235,7 @@
     stream.set_nodelay(true)?;
     let mut news = learner.news();
     loop {
-        let pull = timeout(ASK_PATIENCE, read_message::<Pull>(stream)).await.map_err(|_| PeersError::TooSlow)??;
+        let pull: Pull = read_message(stream, Instant::now() + ASK_PATIENCE).await?;
         if pull.wait_millis > 0 {
             let wait = Duration::from_millis(u64::from(pull.wait_millis));
             // What the last answer told has been seen; the sender lives as long as the learner.
@@ -257,33 +243,7 @@
         }
         news.mark_unchanged();
         let answer = learner.answer(pull);
-        let written = timeout(PULL_TIME_LIMIT, write_message(stream, &answer)).await;
-        let bytes = written.map_err(|_| PeersError::TooSlow)??;
+        let bytes = write_message(stream, &answer, Instant::now() + PULL_TIME_LIMIT).await?;
         metrics.record_node_messages(NodeMessageKind::Feed, 1, bytes);
     }
 }
-
-/// Writes a message as one frame and returns its bytes.
-///
-/// # Errors
-/// When the connection fails.
-pub async fn write_message<M: Writable<LittleEndian>>(
-    stream: &mut TcpStream,
-    message: &M,
-) -> Result<usize, PeersError> {
-    let frame = frame_of(message)?;
-    stream.write_all(&frame).await?;
-    Ok(frame.len())
-}
-
-/// Reads one frame with a message.
-///
-/// # Errors
-/// When the connection fails, or the frame holds no such message.
-pub async fn read_message<M: for<'a> Readable<'a, LittleEndian>>(stream: &mut TcpStream) -> Result<M, PeersError> {
-    let mut length = [0; LENGTH_BYTES];
-    stream.read_exact(&mut length).await?;
-    let mut payload = vec![0; payload_length(length)?];
-    stream.read_exact(&mut payload).await?;
-    Ok(decode(&payload)?)
-}
