Configurations reach nodes on narrow links: changes in place of all, one copy at a time, limits on silence

Cause: each change was told by the whole configuration, over both feeds, pulls and the store at once, and each way gave a message a limit for all of it and began anew at zero. Ruled out: processors (10 % at most), the store (no call refused), nodes that didn't hear of the version (355 pulls had begun). Change: changes of a configuration by item, packed, with a fingerprint of the result; feeds and digests tell the version, one fetch at a time brings it; limits are until the first byte and for silence; ages count from when an answer was made; a configuration is confirmed by a watch, not read anew; a pull no longer holds digests up.

--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -1,13 +1,17 @@
 //! What nodes tell each other.
 
+use std::time::Duration;
+
 use speedy::{Readable, Writable};
 
+use super::configuration_news::PackedNews;
 use crate::authority::Term;
 use crate::back_ends::{DirectoryNews, EngineStage};
 use crate::duties::usage::UsageCountsMessage;
-use crate::routing::{ConfigurationNumber, TrafficConfiguration};
+use crate::routing::ConfigurationNumber;
 use crate::stages::DemandReport;
 use crate::store::Revision;
+use crate::time::Timestamp;
 use crate::world::{Address, BackEndId};
 
 /// A datagram between nodes.
@@ -62,8 +66,9 @@
 /// Asks for what is newer than the asker's own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct Pull {
-    /// The configuration in force at the asker.
-    pub configuration: ConfigurationNumber,
+    /// The configuration that news of it are to lead on from: the one in force at the asker, or 0 to be told all. `None`: the
+    /// asker wants none now. News may be large, so a node has them sent over one connection at a time.
+    pub configuration: Option<ConfigurationNumber>,
     /// The revision of the asker's directory.
     pub directory: Revision,
     /// How long the answer may wait until there is something new, in milliseconds.
@@ -73,12 +78,26 @@
 /// What is newer than the asker's own.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct PullAnswer {
-    /// A newer configuration.
-    pub configuration: Option<TrafficConfiguration>,
+    /// The configuration in force at the sender; 0 when it has none.
+    pub newest: ConfigurationNumber,
+    /// A revision of the store at which that configuration was the newest; `None`: not known.
+    pub newest_at: Option<Revision>,
+    /// What leads to it, in order, where the asker wanted it.
+    pub configuration: Vec<PackedNews>,
     /// What leads to a newer directory.
     pub directory: Option<DirectoryNews>,
-    /// How long ago the store confirmed what the sender has.
+    /// How long ago the store had confirmed what the sender has, when it made the answer.
     pub ages: KnowledgeAges,
+    /// How long the sender had waited for news when it made the answer, in milliseconds.
+    pub waited_millis: u32,
+}
+
+impl PullAnswer {
+    /// A moment at which the sender had not yet made the answer, for one that was asked for at `asked_at`: its ages count back
+    /// from there, so that the time an answer was on its way makes nothing younger.
+    pub fn made_after(&self, asked_at: Timestamp) -> Timestamp {
+        asked_at + Duration::from_millis(u64::from(self.waited_millis))
+    }
 }
 
 /// How long ago the store has confirmed what a node has, directly or by way of others, in milliseconds.
--- a/crates/core/src/replication/peer_table.rs
+++ b/crates/core/src/replication/peer_table.rs
@@ -141,16 +141,17 @@
         (receivers, named)
     }
 
-    /// A peer that has a newer configuration, or a newer directory where that is asked for.
+    /// A peer that has a newer configuration or a newer directory, whichever is asked for.
     pub fn ahead(
         &self,
-        configuration: ConfigurationNumber,
+        configuration: Option<ConfigurationNumber>,
         directory: Option<Revision>,
         now: Timestamp,
         random: &mut fastrand::Rng,
     ) -> Option<Address> {
         let is_ahead = |peer: &Peer| {
-            peer.configuration > configuration || directory.is_some_and(|revision| peer.directory > revision)
+            configuration.is_some_and(|version| peer.configuration > version)
+                || directory.is_some_and(|revision| peer.directory > revision)
         };
         let ahead: Vec<Address> = self.fresh(now).filter(|address| is_ahead(&self.peers[address])).collect();
         (!ahead.is_empty()).then(|| ahead[random.usize(..ahead.len())])
--- a/crates/core/src/routing/route.rs
+++ b/crates/core/src/routing/route.rs
@@ -8,7 +8,7 @@
 use crate::world::{RouteName, ServiceName};
 
 /// What may be done with a request when its outcome is in doubt, and what its answer looks like.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Readable, Writable, Serialize, Deserialize)]
 pub enum RequestKind {
     /// May run more than once; the answer is whole or nothing.
     Repeatable,
@@ -34,7 +34,7 @@
 }
 
 /// A service's part of a route's requests.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Readable, Writable, Serialize, Deserialize)]
 pub struct WeightedService {
     /// The service.
     pub service: ServiceName,
@@ -43,7 +43,7 @@
 }
 
 /// What holds for the requests of one host below one path prefix.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Readable, Writable, Serialize, Deserialize)]
 pub struct Route {
     /// The route's name, for logs and metrics.
     pub name: RouteName,
--- a/crates/core/src/routing/tenant.rs
+++ b/crates/core/src/routing/tenant.rs
@@ -37,7 +37,7 @@
 }
 
 /// A tenant as the configuration of the traffic has it.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Readable, Writable, Serialize, Deserialize)]
 pub struct TenantAccess {
     /// The tenant.
     pub name: TenantName,
--- a/crates/core/tests/replication.rs
+++ b/crates/core/tests/replication.rs
@@ -63,7 +63,7 @@
     table.receive(&digest(2, 5, 40, &[]), START);
     table.receive(&digest(3, 7, 30, &[]), START);
     let ahead = |configuration, directory: Option<u64>| {
-        table.ahead(ConfigurationNumber(configuration), directory.map(Revision), START, &mut random())
+        table.ahead(Some(ConfigurationNumber(configuration)), directory.map(Revision), START, &mut random())
     };
     assert_eq!(ahead(6, None), Some(address(3)));
     assert_eq!(ahead(7, None), None, "a directory that is fresh is not asked for");
@@ -76,7 +76,7 @@
     let mut table = table(1, &[]);
     let config = PeerTableConfig::default();
     table.receive(&digest(2, 5, 40, &[]), START);
-    assert_eq!(table.ahead(ConfigurationNumber(1), None, START + config.fresh, &mut random()), None);
+    assert_eq!(table.ahead(Some(ConfigurationNumber(1)), None, START + config.fresh, &mut random()), None);
     let (silent, forgotten) = (START + config.settling, START + config.forgotten);
     table.tick(silent);
     assert_eq!(table.nodes(silent), 2, "it may have spent of what is shared");
--- /dev/null
+++ b/crates/core/tests/replication_configuration.rs
@@ -0,0 +1,146 @@
+//! What nodes tell each other of the configuration leads to the configuration itself, and to nothing else.
+
+mod support {
+    pub mod relay_fixture;
+}
+
+use std::time::Duration;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use havengate_core::replication::{
+    ConfigurationChanges, ConfigurationHistory, ConfigurationNews, ListChanges, PackedNews, UnusableNews,
+};
+use havengate_core::routing::{
+    CallerLimits, ConfigurationNumber, KeyDigest, Route, TenantAccess, TrafficConfiguration,
+};
+use havengate_core::world::TenantName;
+use speedy::{Readable, Writable};
+use support::relay_fixture::route;
+
+const LIMITS: CallerLimits = CallerLimits {
+    head_maximum_bytes: 16_384,
+    body_maximum_bytes: 1_000,
+    head_time_limit: Duration::from_secs(3),
+    idle_time_limit: Duration::from_secs(15),
+};
+
+fn numbered_route(number: u8) -> Route {
+    route("app.example", &format!("/{number}/"), &[1, u32::from(number)])
+}
+
+fn tenant(number: u8) -> TenantAccess {
+    let keys = vec![KeyDigest::of(&[number])];
+    TenantAccess { name: TenantName::new(format!("tenant-{number}")), keys, priority: None }
+}
+
+fn configuration(version: u64, routes: &[u8], tenants: Option<&[u8]>) -> TrafficConfiguration {
+    TrafficConfiguration {
+        version: ConfigurationNumber(version),
+        routes: routes.iter().copied().map(numbered_route).collect(),
+        services: Vec::new(),
+        limits: LIMITS,
+        tenants: tenants.map(|tenants| tenants.iter().copied().map(tenant).collect()),
+    }
+}
+
+fn changes(base: &TrafficConfiguration, target: &TrafficConfiguration) -> ConfigurationNews {
+    ConfigurationNews::Changes(ConfigurationChanges::between(base, target).expect("it can be fingerprinted"))
+}
+
+fn any_configuration(version: u64, random: &mut Unstructured<'_>) -> Result<TrafficConfiguration> {
+    let routes: Vec<u8> = random.arbitrary()?;
+    let tenants: Option<Vec<u8>> = random.arbitrary()?;
+    Ok(configuration(version, &routes, tenants.as_deref()))
+}
+
+#[test]
+fn changes_lead_from_any_configuration_to_any_other() {
+    let property = |random: &mut Unstructured<'_>| {
+        let (base, target) = (any_configuration(3, random)?, any_configuration(7, random)?);
+        let sent = changes(&base, &target).write_to_vec().expect("it can be written");
+        let news = ConfigurationNews::read_from_buffer(&sent).expect("it can be read");
+        assert_eq!(news.apply(Some(&base)), Ok(target));
+        Ok(())
+    };
+    for start in 1..=200 {
+        arbtest(property).seed(start << 32 | 200);
+    }
+}
+
+#[test]
+fn changes_of_another_configuration_are_not_followed() {
+    let base = configuration(3, &[1, 2, 3], None);
+    let target = configuration(4, &[1, 2, 3, 4], None);
+    let news = || changes(&base, &target);
+    assert_eq!(news().apply(None), Err(UnusableNews::AnotherBase));
+    let older = configuration(2, &[1, 2, 3], None);
+    assert_eq!(news().apply(Some(&older)), Err(UnusableNews::AnotherBase));
+    let namesake = configuration(3, &[1, 2, 5], None);
+    assert_eq!(news().apply(Some(&namesake)), Err(UnusableNews::AnotherResult));
+    let shorter = configuration(3, &[1], None);
+    assert_eq!(news().apply(Some(&shorter)), Err(UnusableNews::AnotherBase));
+    assert_eq!(news().apply(Some(&base)), Ok(target));
+}
+
+#[test]
+fn a_list_is_told_by_what_is_new_in_it() {
+    let base: Vec<u32> = (0..4_000).collect();
+    let mut target = base.clone();
+    target.splice(1_000..1_001, [9_001, 9_002]);
+    let changes = ListChanges::between(&base, &target);
+    assert!(changes.write_to_vec().expect("it can be written").len() < 100);
+    assert_eq!(changes.apply(&base), Some(target));
+}
+
+#[test]
+fn arbitrary_bytes_are_no_news_and_no_panic() {
+    let base = configuration(3, &[1, 2, 3], Some(&[1]));
+    let property = |random: &mut Unstructured<'_>| {
+        let bytes: Vec<u8> = random.arbitrary()?;
+        if let Ok(ConfigurationNews::Changes(changes)) = ConfigurationNews::read_from_buffer(&bytes) {
+            // Whatever they are, they were not made for this configuration.
+            assert!(ConfigurationNews::Changes(changes).apply(Some(&base)).is_err());
+        }
+        Ok(())
+    };
+    for start in 1..=200 {
+        arbtest(property).seed(start << 32 | 400);
+    }
+}
+
+fn step(version: u64, bytes: usize) -> PackedNews {
+    PackedNews { version: ConfigurationNumber(version), bytes: vec![0; bytes] }
+}
+
+fn versions_since(history: &ConfigurationHistory, version: u64) -> Option<Vec<u64>> {
+    let steps = history.since(ConfigurationNumber(version))?;
+    Some(steps.iter().map(|step| step.version.0).collect())
+}
+
+#[test]
+fn a_node_that_is_some_steps_behind_is_told_just_these() {
+    let mut history = ConfigurationHistory::default();
+    for (base, version) in [(3, 5), (5, 6), (6, 9)] {
+        history.push(ConfigurationNumber(base), step(version, 10));
+    }
+    assert_eq!(versions_since(&history, 3), Some(vec![5, 6, 9]));
+    assert_eq!(versions_since(&history, 6), Some(vec![9]));
+    assert_eq!(versions_since(&history, 4), None, "that one was never in force here");
+    assert_eq!(versions_since(&history, 9), None);
+    history.push(ConfigurationNumber(11), step(12, 10));
+    assert_eq!(versions_since(&history, 6), None, "the way from 9 to 11 is not known");
+    assert_eq!(versions_since(&history, 11), Some(vec![12]));
+}
+
+#[test]
+fn the_kept_steps_are_bounded() {
+    let mut many = ConfigurationHistory::default();
+    (0..100).for_each(|version| many.push(ConfigurationNumber(version), step(version + 1, 1)));
+    assert_eq!(versions_since(&many, 67), None);
+    assert_eq!(versions_since(&many, 68).map(|steps| steps.len()), Some(32));
+    let mut large = ConfigurationHistory::default();
+    (0..10).for_each(|version| large.push(ConfigurationNumber(version), step(version + 1, 40 * 1024)));
+    assert_eq!(versions_since(&large, 8).map(|steps| steps.len()), Some(2));
+    assert_eq!(versions_since(&large, 7), None);
+}
--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -5,16 +5,17 @@
 use havengate_core::replication::PullAnswer;
 use havengate_core::world::Address;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
+use super::fetcher::ConfigurationFetcher;
 use super::learner::Learner;
 use super::reader_role::ReaderRole;
-use super::transfer::{PeersError, Progress, read_message, write_message};
+use super::transfer::{Patience, PeersError, Progress, read_message, write_message};
 
 /// The longest that a reader waits for news before it answers, and so confirms what this node knows.
 const FEED_WAIT: Duration = Duration::from_millis(400);
 
-/// How long an answer may be on its way beyond the wait.
+/// How long the first byte of an answer may be on its way beyond the wait.
 const ANSWER_TIME_LIMIT: Duration = Duration::from_millis(500);
 
 /// The longest that a connection to a reader may take to come up.
@@ -27,13 +28,13 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Learns for ever from the reader in the place `slot` of this node's feeds, whichever that is.
-pub async fn learn_from_feed(slot: usize, role: ReaderRole, learner: Learner) {
+pub async fn learn_from_feed(slot: usize, role: ReaderRole, learner: Learner, fetcher: ConfigurationFetcher) {
     loop {
         let Some(reader) = role.feed(slot) else {
             sleep(CHOICE_PAUSE).await;
             continue;
         };
-        match follow(reader, slot, &role, &learner).await {
+        match follow(reader, slot, &role, &learner, &fetcher).await {
             // Another reader is to feed this node from now on.
             Ok(()) => {}
             Err(error) => {
@@ -45,7 +46,13 @@
     }
 }
 
-async fn follow(reader: Address, slot: usize, role: &ReaderRole, learner: &Learner) -> Result<(), PeersError> {
+async fn follow(
+    reader: Address,
+    slot: usize,
+    role: &ReaderRole,
+    learner: &Learner,
+    fetcher: &ConfigurationFetcher,
+) -> Result<(), PeersError> {
     let connecting = timeout(CONNECT_TIME_LIMIT, TcpStream::connect(reader.0)).await;
     let mut stream = connecting.map_err(|_| PeersError::TooSlow(Progress::default()))??;
     stream.set_nodelay(true)?;
@@ -53,12 +60,12 @@
     while role.feed(slot) == Some(reader) {
         // The first answer comes at once and shows whether the reader knows anything.
         let wait = if is_first { Duration::ZERO } else { FEED_WAIT };
-        let pull = learner.pull(wait);
         let asked_at = learner.clock().now();
-        let until = Instant::now() + wait + ANSWER_TIME_LIMIT;
-        write_message(&mut stream, &pull, until).await?;
-        let answer: PullAnswer = read_message(&mut stream, until).await?;
-        let confirmed_at = learner.moment_of(answer.ages.directory_millis);
+        let patience = Patience::with(wait + ANSWER_TIME_LIMIT);
+        write_message(&mut stream, &learner.pull_of_directory(wait), patience).await?;
+        let answer: PullAnswer = read_message(&mut stream, patience).await?;
+        let confirmed_at = learner.confirmed_at(&answer, asked_at, answer.ages.directory_millis);
+        fetcher.note_configuration_of(reader, answer.newest);
         learner.learn(answer, asked_at);
         if role.is_stale(confirmed_at) {
             // Another reader may know more; when none is better, this one tells as soon as it has the store again.
--- a/crates/relay/src/control/follower.rs
+++ b/crates/relay/src/control/follower.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use havengate_core::store::Revision;
 use havengate_core::time::whole_millis;
 use tokio::time::sleep;
 
@@ -155,31 +154,32 @@
     metrics: RelayMetrics,
 ) {
     let mut access = StoreAccess::new("configuration", metrics);
-    let mut after: Option<Revision> = None;
+    let mut needs_reading = false;
     loop {
         while !role.reads(learner.configuration_confirmed_at()) {
-            after = None;
             access.note_standing_in(false, None);
             sleep(IDLE_PAUSE).await;
         }
         access.note_standing_in(!role.is_reader(), learner.age_of(learner.configuration_confirmed_at()));
         let asked_at = learner.clock().now();
+        // What peers have told meanwhile counts: a node that only wants it confirmed is not sent all of it.
+        let after = learner.configuration_at().filter(|_| !needs_reading);
         let result = match after {
             None => store.read_configuration().await,
             Some(revision) => store.watch_configuration(revision, WATCH_WAIT).await,
         };
         let result = result.map(|read| {
-            after = Some(read.revision);
+            // A configuration may have been on its way for long.
+            let confirmed_at = if read.configuration.is_some() { asked_at } else { learner.clock().now() };
             if let Some(configuration) = read.configuration {
-                learner.adopt_configuration(configuration, Source::Store);
+                learner.adopt_configuration(configuration);
             }
-            learner.confirm_configuration(learner.clock().now());
+            learner.note_configuration_at(read.revision);
+            learner.confirm_configuration(confirmed_at);
             learner.show_configuration(asked_at);
         });
         let maximum = back_off_maximum(&role, learner.knowledge().configuration.is_some());
-        if settle(result, after.is_none(), &mut access, maximum).await {
-            after = None;
-        }
+        needs_reading = settle(result, needs_reading, &mut access, maximum).await;
     }
 }
 
--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -8,12 +8,15 @@
 
 use havengate_core::authority::Term;
 use havengate_core::back_ends::{Directory, DirectoryChanges, DirectoryListing, DirectoryNews, EngineStage};
-use havengate_core::replication::{KnowledgeAges, Pull, PullAnswer};
-use havengate_core::routing::{KeyTable, TrafficConfiguration};
+use havengate_core::replication::{
+    ConfigurationChanges, ConfigurationHistory, ConfigurationNews, KnowledgeAges, PackedNews, Pull, PullAnswer,
+};
+use havengate_core::routing::{ConfigurationNumber, KeyTable, TrafficConfiguration};
 use havengate_core::store::Revision;
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
+use havengate_wire::{pack, unpack};
 use tokio::sync::watch;
 
 use crate::knowledge::{ActiveConfiguration, AnnouncedChange, Knowledge, SharedKnowledge, SharedMoment};
@@ -42,6 +45,9 @@
 pub struct Learner {
     directory: Rc<RefCell<Directory>>,
     configuration_confirmed_at: Rc<Cell<Option<Timestamp>>>,
+    /// A revision of the store at which the configuration in force was the newest.
+    configuration_at: Rc<Cell<Option<Revision>>>,
+    configuration_news: Rc<RefCell<TellableNews>>,
     /// The highest term under which changes of stages were announced.
     stages_term: Rc<Cell<Term>>,
     knowledge: SharedKnowledge,
@@ -53,6 +59,17 @@
     metrics: RelayMetrics,
 }
 
+/// What other nodes are told of the configuration.
+#[derive(Default)]
+struct TellableNews {
+    /// The last steps to the one in force.
+    history: ConfigurationHistory,
+    /// The one in force, whole, once somebody has asked for it.
+    whole: Option<PackedNews>,
+    /// Whether this node could not follow the steps that it was told, so that it has to be told all.
+    wants_whole: bool,
+}
+
 impl Learner {
     /// A learner that publishes to `knowledge`.
     pub fn new(
@@ -64,6 +81,8 @@
         Learner {
             directory: Rc::default(),
             configuration_confirmed_at: Rc::default(),
+            configuration_at: Rc::default(),
+            configuration_news: Rc::default(),
             stages_term: Rc::default(),
             knowledge,
             configuration_shown,
@@ -104,31 +123,90 @@
         confirmed_at.map(|confirmed_at| self.clock.now().since(confirmed_at))
     }
 
-    /// The moment that lies so many milliseconds back.
-    pub fn moment_of(&self, age_millis: Option<u32>) -> Option<Timestamp> {
-        age_millis.map(|millis| self.clock.now() - Duration::from_millis(u64::from(millis)))
+    /// The moment of which an answer of a peer that was asked at `asked_at` says that it is so many milliseconds back. It is
+    /// never taken for younger than it is, however long the answer was on its way.
+    pub fn confirmed_at(&self, answer: &PullAnswer, asked_at: Timestamp, age_millis: Option<u32>) -> Option<Timestamp> {
+        let made_after = answer.made_after(asked_at).min(self.clock.now());
+        age_millis.map(|millis| made_after - Duration::from_millis(u64::from(millis)))
     }
 
-    /// Asks a peer for what this node lacks; the answer may wait for news.
-    pub fn pull(&self, wait: Duration) -> Pull {
+    /// Asks a peer for what this node lacks of the directory; the answer may wait for news, of the configuration as well.
+    pub fn pull_of_directory(&self, wait: Duration) -> Pull {
         Pull {
-            configuration: self.knowledge.load().configuration_number(),
+            configuration: None,
             directory: self.directory_revision().unwrap_or_default(),
             wait_millis: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         }
     }
 
+    /// Asks a peer for what this node lacks, the configuration included.
+    pub fn pull_of_configuration(&self) -> Pull {
+        let wants_whole = self.configuration_news.borrow().wants_whole;
+        let own = self.knowledge.load().configuration_number();
+        let base = if wants_whole { ConfigurationNumber::default() } else { own };
+        Pull { configuration: Some(base), ..self.pull_of_directory(Duration::ZERO) }
+    }
+
+    /// A revision of the store at which the configuration in force was the newest: a watch may go on from there.
+    pub fn configuration_at(&self) -> Option<Revision> {
+        self.configuration_at.get()
+    }
+
+    /// Notes that the store had no newer configuration than the one in force at this revision.
+    pub fn note_configuration_at(&self, revision: Revision) {
+        self.configuration_at.set(self.configuration_at.get().max(Some(revision)));
+    }
+
     /// When the store, or by way of a peer, last confirmed the configuration.
     pub fn configuration_confirmed_at(&self) -> Option<Timestamp> {
         self.configuration_confirmed_at.get()
     }
 
-    /// Adopts a configuration if it is newer than the one in force.
-    pub fn adopt_configuration(&self, configuration: TrafficConfiguration, source: Source) {
+    /// Adopts a configuration that the store has told, if it is newer than the one in force.
+    pub fn adopt_configuration(&self, configuration: TrafficConfiguration) {
         let knowledge = self.knowledge.load_full();
-        if knowledge.configuration.is_some() && configuration.version <= knowledge.configuration_number() {
+        let base = knowledge.configuration.as_ref();
+        if base.is_some_and(|base| configuration.version <= base.configuration.version) {
             return;
         }
+        let news = base.and_then(|base| pack_changes(&base.configuration, &configuration));
+        self.put_in_force(configuration, news, Source::Store);
+    }
+
+    /// Adopts what a peer has told, if it is newer than the configuration in force.
+    fn adopt_news(&self, packed: PackedNews) {
+        let knowledge = self.knowledge.load_full();
+        let base = knowledge.configuration.as_ref().map(|active| &active.configuration);
+        if base.is_some_and(|base| packed.version <= base.version) {
+            return;
+        }
+        let unpacked = unpack::<ConfigurationNews>(&packed.bytes).map_err(|error| error.to_string());
+        let is_whole = matches!(unpacked, Ok(ConfigurationNews::Whole(_)));
+        match unpacked.and_then(|news| news.apply(base).map_err(|error| error.to_string())) {
+            Ok(configuration) => {
+                let bytes = packed.bytes.len();
+                log::debug!(event = "configuration_told", version = packed.version.0, bytes, whole = is_whole; "");
+                self.put_in_force(configuration, (!is_whole).then_some(packed), Source::Peer);
+            }
+            Err(error) => {
+                let base = knowledge.configuration_number().0;
+                log::warn!(event = "configuration_news_unusable", version = packed.version.0, base, error; "");
+                self.configuration_news.borrow_mut().wants_whole = true;
+            }
+        }
+    }
+
+    /// Puts a configuration in force that `news`, where there is any, leads to from the one before.
+    fn put_in_force(&self, configuration: TrafficConfiguration, news: Option<PackedNews>, source: Source) {
+        let knowledge = self.knowledge.load_full();
+        let mut tellable = self.configuration_news.borrow_mut();
+        tellable.whole = None;
+        tellable.wants_whole = false;
+        match news {
+            Some(news) => tellable.history.push(knowledge.configuration_number(), news),
+            None => tellable.history = ConfigurationHistory::default(),
+        }
+        drop(tellable);
         log::info!(
             event = "configuration_adopted",
             version = configuration.version.0,
@@ -183,18 +261,24 @@
 
     /// Takes in what a peer told that was asked at `asked_at`.
     pub fn learn(&self, answer: PullAnswer, asked_at: Timestamp) {
-        let shown_age = answer.ages.configuration_shown_millis;
-        if let Some(configuration) = answer.configuration {
-            self.adopt_configuration(configuration, Source::Peer);
+        let confirmed = |age_millis| self.confirmed_at(&answer, asked_at, age_millis);
+        let ages = answer.ages;
+        let (configuration, directory) = (confirmed(ages.configuration_millis), confirmed(ages.directory_millis));
+        let shown = ages.configuration_shown_millis;
+        for news in answer.configuration {
+            self.adopt_news(news);
         }
-        if let Some(confirmed_at) = self.moment_of(answer.ages.configuration_millis) {
-            self.confirm_configuration(confirmed_at);
+        let own = self.knowledge.load().configuration_number();
+        if own >= answer.newest {
+            // Whatever the peer has that is newer, this node has too.
+            configuration.into_iter().for_each(|confirmed_at| self.confirm_configuration(confirmed_at));
+            let shown = shown.map(|millis| asked_at - Duration::from_millis(u64::from(millis)));
+            shown.into_iter().for_each(|shown_at| self.show_configuration(shown_at));
         }
-        if let Some(millis) = shown_age {
-            // The answer was made after it was asked for, and holds whatever the peer has that is newer.
-            self.show_configuration(asked_at - Duration::from_millis(u64::from(millis)));
+        if own == answer.newest {
+            answer.newest_at.into_iter().for_each(|revision| self.note_configuration_at(revision));
         }
-        let Some(confirmed_at) = self.moment_of(answer.ages.directory_millis) else {
+        let Some(confirmed_at) = directory else {
             return;
         };
         match answer.directory {
@@ -232,22 +316,41 @@
         true
     }
 
-    /// What a peer that has `pull` lacks.
-    pub fn answer(&self, pull: Pull) -> PullAnswer {
+    /// The way from `base` to the configuration in force: the steps where they are kept, else all of it.
+    fn news_since(&self, base: ConfigurationNumber) -> Vec<PackedNews> {
+        let knowledge = self.knowledge.load();
+        let active = knowledge.configuration.as_ref().filter(|active| active.configuration.version > base);
+        let Some(active) = active else {
+            return Vec::new();
+        };
+        let mut tellable = self.configuration_news.borrow_mut();
+        if let Some(steps) = tellable.history.since(base) {
+            return steps;
+        }
+        if tellable.whole.is_none() {
+            tellable.whole = pack_whole(&active.configuration);
+        }
+        tellable.whole.clone().into_iter().collect()
+    }
+
+    /// What a peer that has `pull` lacks, when it has waited for news for `waited`.
+    pub fn answer(&self, pull: Pull, waited: Duration) -> PullAnswer {
         let now = self.clock.now();
         let age = |confirmed_at: Option<Timestamp>| {
             confirmed_at.map(|confirmed_at| u32::try_from(now.since(confirmed_at).as_millis() + 1).unwrap_or(u32::MAX))
         };
         let knowledge = self.knowledge.load();
-        let newer = knowledge.configuration.as_ref().filter(|active| active.configuration.version > pull.configuration);
         PullAnswer {
-            configuration: newer.map(|active| active.configuration.clone()),
+            newest: knowledge.configuration_number(),
+            newest_at: self.configuration_at.get(),
+            configuration: pull.configuration.map(|base| self.news_since(base)).unwrap_or_default(),
             directory: self.directory.borrow().news_since(pull.directory),
             ages: KnowledgeAges {
                 configuration_millis: age(self.configuration_confirmed_at.get()),
                 configuration_shown_millis: age(self.configuration_shown.get()),
                 directory_millis: age(knowledge.directory_confirmed_at),
             },
+            waited_millis: u32::try_from(waited.as_millis()).unwrap_or_default(),
         }
     }
 
@@ -273,3 +376,23 @@
         self.knowledge.store(Arc::new(knowledge));
     }
 }
+
+fn pack_changes(base: &TrafficConfiguration, target: &TrafficConfiguration) -> Option<PackedNews> {
+    let changes = ConfigurationChanges::between(base, target)?;
+    packed(target.version, &ConfigurationNews::Changes(changes))
+}
+
+fn pack_whole(configuration: &TrafficConfiguration) -> Option<PackedNews> {
+    packed(configuration.version, &ConfigurationNews::Whole(configuration.clone()))
+}
+
+/// News as they are sent; `None`, with a log line, where they can't be: peers then have to ask the store.
+fn packed(version: ConfigurationNumber, news: &ConfigurationNews) -> Option<PackedNews> {
+    match pack(news) {
+        Ok(bytes) => Some(PackedNews { version, bytes }),
+        Err(error) => {
+            log::error!(event = "configuration_not_packed", version = version.0, error:% = error; "");
+            None
+        }
+    }
+}
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod block_keeper;
 mod duties;
 mod feed;
+mod fetcher;
 mod follower;
 mod learner;
 mod peers;
@@ -16,4 +17,4 @@
 pub use learner::Learner;
 pub use peers::PeerExchange;
 pub use thread::{ControlHandle, ControlSettings, Platform, SharedWithTraffic, spawn};
-pub use transfer::{PeersError, Progress};
+pub use transfer::{Patience, PeersError, Progress, read_message, write_message};
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -1,6 +1,6 @@
 //! The exchange with other nodes: digests by datagram, pulls by connection.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
@@ -14,11 +14,12 @@
 use havengate_core::world::Address;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 
+use super::fetcher::ConfigurationFetcher;
 use super::learner::Learner;
 use super::reader_role::ReaderRole;
-use super::transfer::{PeersError, Progress, read_message, write_message};
+use super::transfer::{Patience, PeersError, Progress, read_message, write_message};
 use crate::callers::listen;
 use crate::datagrams::Datagrams;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
@@ -29,7 +30,7 @@
 /// A directory that the store has confirmed within this time needs no peer.
 const DIRECTORY_FRESH: Duration = Duration::from_millis(500);
 
-/// The longest that a pull may take.
+/// How long a peer may take to be reached and to begin its answer to a pull, and to begin to take an answer.
 const PULL_TIME_LIMIT: Duration = Duration::from_millis(600);
 
 /// Peers that are answered at the same time, most of them fed for long; more are closed. A reader feeds some 27 nodes at
@@ -46,6 +47,9 @@
     table: Rc<RefCell<PeerTable>>,
     role: ReaderRole,
     learner: Learner,
+    fetcher: ConfigurationFetcher,
+    /// Whether a pull of the directory is under way.
+    is_pulling: Rc<Cell<bool>>,
     datagrams: Datagrams,
     demand: Rc<RefCell<DemandTable>>,
     usage: Rc<RefCell<UsageTable>>,
@@ -72,7 +76,22 @@
         let demand = DemandTable::new(DemandTableConfig::default(), learner.clock().now());
         let demand = Rc::new(RefCell::new(demand));
         let (usage, usage_wanted) = (Rc::default(), Rc::default());
-        Ok((PeerExchange { own, table, role, learner, datagrams, demand, usage, usage_wanted, metrics }, listener))
+        let fetcher = ConfigurationFetcher::new(learner.clone());
+        let is_pulling = Rc::default();
+        let exchange = PeerExchange {
+            own,
+            table,
+            role,
+            learner,
+            fetcher,
+            is_pulling,
+            datagrams,
+            demand,
+            usage,
+            usage_wanted,
+            metrics,
+        };
+        Ok((exchange, listener))
     }
 
     /// Sends digests for ever, to `seeds` as well, and pulls what peers have newer.
@@ -90,10 +109,15 @@
             self.role.set_peers(self.table.borrow().recent(now));
             self.learner.set_peers(nodes, peers, self.role.is_reader());
             self.send_digests().await;
-            self.pull_if_behind().await;
+            self.pull_if_behind();
         }
     }
 
+    /// What fetches a newer configuration from other nodes.
+    pub fn fetcher(&self) -> ConfigurationFetcher {
+        self.fetcher.clone()
+    }
+
     /// The other nodes that were heard of lately.
     pub fn recent(&self, now: Timestamp) -> Vec<Address> {
         self.table.borrow().recent(now)
@@ -128,7 +152,10 @@
     fn take_in(&self, message: PeerMessage) {
         let now = self.learner.clock().now();
         match message {
-            PeerMessage::Digest(digest) => self.table.borrow_mut().receive(&digest, now),
+            PeerMessage::Digest(digest) => {
+                self.fetcher.note_configuration_of(digest.sender.control, digest.configuration);
+                self.table.borrow_mut().receive(&digest, now);
+            }
             PeerMessage::Demand(report) if !self.knows(report.sender, now) => {
                 self.metrics.record_dropped_message("unknown_sender");
             }
@@ -204,29 +231,36 @@
         self.send_to(&PeerMessage::Digest(digest), &receivers).await;
     }
 
-    async fn pull_if_behind(&self) {
+    /// Pulls a newer directory from a peer when the store has not confirmed this node's for some time. Digests go out meanwhile.
+    fn pull_if_behind(&self) {
         let now = self.learner.clock().now();
-        let knowledge = self.learner.knowledge();
-        let confirmed = knowledge.directory_confirmed_at;
-        let stale = confirmed.is_none_or(|confirmed_at| now.since(confirmed_at) > DIRECTORY_FRESH);
-        let pull = self.learner.pull(Duration::ZERO);
-        let directory = stale.then_some(pull.directory);
-        let ahead = self.table.borrow().ahead(pull.configuration, directory, now, &mut fastrand::Rng::new());
+        let confirmed = self.learner.knowledge().directory_confirmed_at;
+        let is_fresh = confirmed.is_some_and(|confirmed_at| now.since(confirmed_at) <= DIRECTORY_FRESH);
+        if is_fresh || self.is_pulling.get() {
+            return;
+        }
+        let own = self.learner.directory_revision().unwrap_or_default();
+        let ahead = self.table.borrow().ahead(None, Some(own), now, &mut fastrand::Rng::new());
         let Some(peer) = ahead else {
             return;
         };
-        match self.pull(peer, pull).await {
-            Ok(answer) => self.learner.learn(answer, now),
-            Err(error) => log::warn!(event = "pull_failed", peer:% = peer, error:% = error; ""),
-        }
+        self.is_pulling.set(true);
+        let exchange = self.clone();
+        tokio::task::spawn_local(async move {
+            match exchange.pull(peer).await {
+                Ok(answer) => exchange.learner.learn(answer, now),
+                Err(error) => log::warn!(event = "pull_failed", peer:% = peer, error:% = error; ""),
+            }
+            exchange.is_pulling.set(false);
+        });
     }
 
-    async fn pull(&self, peer: Address, pull: Pull) -> Result<PullAnswer, PeersError> {
-        let until = Instant::now() + PULL_TIME_LIMIT;
-        let connecting = timeout_at(until, TcpStream::connect(peer.0)).await;
+    async fn pull(&self, peer: Address) -> Result<PullAnswer, PeersError> {
+        let connecting = timeout(PULL_TIME_LIMIT, TcpStream::connect(peer.0)).await;
         let mut stream = connecting.map_err(|_| PeersError::TooSlow(Progress::default()))??;
-        write_message(&mut stream, &pull, until).await?;
-        read_message(&mut stream, until).await
+        let patience = Patience::with(PULL_TIME_LIMIT);
+        write_message(&mut stream, &self.learner.pull_of_directory(Duration::ZERO), patience).await?;
+        read_message(&mut stream, patience).await
     }
 }
 
@@ -235,15 +269,16 @@
     stream.set_nodelay(true)?;
     let mut news = learner.news();
     loop {
-        let pull: Pull = read_message(stream, Instant::now() + ASK_PATIENCE).await?;
+        let pull: Pull = read_message(stream, Patience::with(ASK_PATIENCE)).await?;
+        let asked_at = learner.clock().now();
         if pull.wait_millis > 0 {
             let wait = Duration::from_millis(u64::from(pull.wait_millis));
             // What the last answer told has been seen; the sender lives as long as the learner.
             let _ = timeout(wait, news.changed()).await;
         }
         news.mark_unchanged();
-        let answer = learner.answer(pull);
-        let bytes = write_message(stream, &answer, Instant::now() + PULL_TIME_LIMIT).await?;
+        let answer = learner.answer(pull, learner.clock().now().since(asked_at));
+        let bytes = write_message(stream, &answer, Patience::with(PULL_TIME_LIMIT)).await?;
         metrics.record_node_messages(NodeMessageKind::Feed, 1, bytes);
     }
 }
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -152,8 +152,9 @@
     tokio::task::spawn_local(follow_directory(store.clone(), role.clone(), learner.clone(), metrics.clone()));
     tokio::task::spawn_local(follow_configuration(store, role.clone(), learner.clone(), metrics));
     for slot in 0..ReadersConfig::default().feeds {
-        tokio::task::spawn_local(learn_from_feed(slot, role.clone(), learner.clone()));
+        tokio::task::spawn_local(learn_from_feed(slot, role.clone(), learner.clone(), peers.fetcher()));
     }
+    tokio::task::spawn_local(peers.fetcher().run());
     tokio::task::spawn_local(peers.clone().receive());
     tokio::task::spawn_local(peers.clone().answer_pulls(listener));
     peers.spread(settings.seeds).await;
--- a/crates/relay/src/control/transfer.rs
+++ b/crates/relay/src/control/transfer.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::time::Duration;
 
 use havengate_wire::{LENGTH_BYTES, WireError, decode, frame_of, payload_length};
 use speedy::{LittleEndian, Readable, Writable};
@@ -38,21 +39,67 @@
     }
 }
 
+/// How long a message may take. What has come of a large one is not thrown away because the link is narrow: as long as bytes
+/// pass, only the whole time ends it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// Until the first byte passes.
+    pub first: Duration,
+    /// Between two bytes.
+    pub silence: Duration,
+    /// For the whole message, so that a peer that trickles doesn't hold its place for ever.
+    pub whole: Duration,
+}
+
+impl Patience {
+    /// Patience with a peer that may take `first` before its first byte.
+    pub fn with(first: Duration) -> Self {
+        Patience { first, silence: SILENCE_LIMIT, whole: first + WHOLE_LIMIT }
+    }
+}
+
+/// The longest silence within a message: some times the 200 ms after which a lost packet is sent again at the earliest.
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
+
+/// The longest time of a whole message: a megabyte over a tenth of the narrowest link, 10 Mbit/s.
+const WHOLE_LIMIT: Duration = Duration::from_secs(8);
+
+/// The deadlines of one message.
+struct Deadlines {
+    patience: Patience,
+    whole: Instant,
+    next: Instant,
+}
+
+impl Deadlines {
+    fn new(patience: Patience) -> Self {
+        let now = Instant::now();
+        let whole = now + patience.whole;
+        Deadlines { patience, whole, next: (now + patience.first).min(whole) }
+    }
+
+    fn bytes_passed(&mut self) {
+        self.next = (Instant::now() + self.patience.silence).min(self.whole);
+    }
+}
+
 /// Writes a message as one frame and returns its bytes.
 ///
 /// # Errors
-/// When the connection fails, or the frame has not left by `until`.
+/// When the connection fails, or takes longer than `patience` allows.
 pub async fn write_message<M: Writable<LittleEndian>>(
     stream: &mut TcpStream,
     message: &M,
-    until: Instant,
+    patience: Patience,
 ) -> Result<usize, PeersError> {
     let frame = frame_of(message)?;
+    let mut deadlines = Deadlines::new(patience);
     let mut passed = 0;
     while passed < frame.len() {
         let progress = Progress { passed, whole: Some(frame.len()) };
-        let written = timeout_at(until, stream.write(&frame[passed..])).await;
+        let written = timeout_at(deadlines.next, stream.write(&frame[passed..])).await;
         passed += written.map_err(|_| PeersError::TooSlow(progress))??;
+        deadlines.bytes_passed();
     }
     Ok(frame.len())
 }
@@ -60,32 +107,34 @@
 /// Reads one frame with a message.
 ///
 /// # Errors
-/// When the connection fails, the frame holds no such message, or it is not whole by `until`.
+/// When the connection fails, the frame holds no such message, or it takes longer than `patience` allows.
 pub async fn read_message<M: for<'a> Readable<'a, LittleEndian>>(
     stream: &mut TcpStream,
-    until: Instant,
+    patience: Patience,
 ) -> Result<M, PeersError> {
+    let mut deadlines = Deadlines::new(patience);
     let mut length = [0; LENGTH_BYTES];
-    read_exactly(stream, &mut length, until, None).await?;
+    read_exactly(stream, &mut length, &mut deadlines, None).await?;
     let mut payload = vec![0; payload_length(length)?];
     let whole = payload.len();
-    read_exactly(stream, &mut payload, until, Some(whole)).await?;
+    read_exactly(stream, &mut payload, &mut deadlines, Some(whole)).await?;
     Ok(decode(&payload)?)
 }
 
 async fn read_exactly(
     stream: &mut TcpStream,
     bytes: &mut [u8],
-    until: Instant,
+    deadlines: &mut Deadlines,
     whole: Option<usize>,
 ) -> Result<(), PeersError> {
     let mut passed = 0;
     while passed < bytes.len() {
-        let read = timeout_at(until, stream.read(&mut bytes[passed..])).await;
+        let read = timeout_at(deadlines.next, stream.read(&mut bytes[passed..])).await;
         match read.map_err(|_| PeersError::TooSlow(Progress { passed, whole }))?? {
             0 => return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
             read => passed += read,
         }
+        deadlines.bytes_passed();
     }
     Ok(())
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 mod forward;
 mod frame;
 mod handshake;
+mod packing;
 mod peer;
 
 pub use codec::{WireError, decode, encode};
@@ -12,4 +13,5 @@
     FRAME_MAXIMUM_BYTES, LENGTH_BYTES, frame_of, payload_length, read_counted_frame, read_frame, write_frame,
 };
 pub use handshake::{Hello, PROTOCOL_VERSION, Purpose, read_hello, write_hello};
+pub use packing::{pack, unpack};
 pub use peer::PeerMessage;
