A life of a back end is its name and its start; an entry that another wrote names none and hides no other

Cause: a back end was its name alone, so one that starts again under its name was taken for its former life in some fifteen tables. A change of an entry that could not be understood was dropped, so that what it had named stayed in use; one object without metadata, or bytes that are no JSON, failed the whole list or watch for good. A spoiled lease, ledger or size stopped its duty for good. Ruled out: clearing each table on news of a new life (fifteen places to forget, and late news fall into the other life's row). No test has a handle of a former life, or a spoiled size.

--- a/crates/core/src/back_ends/back_end.rs
+++ b/crates/core/src/back_ends/back_end.rs
@@ -36,7 +36,7 @@
 /// One life of a back end.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
 pub struct BackEnd {
-    /// The identity of this life; each request that is sent names it, so that another process at the address refuses.
+    /// The identity of this life; each request that is sent names the back end, so that another one at the address refuses.
     pub id: BackEndId,
     /// The service that it belongs to.
     pub service: ServiceName,
--- a/crates/core/src/back_ends/directory.rs
+++ b/crates/core/src/back_ends/directory.rs
@@ -9,7 +9,7 @@
 use super::history::ChangeHistory;
 use crate::store::Revision;
 use crate::time::Timestamp;
-use crate::world::{BackEndId, ServiceName};
+use crate::world::{BackEndId, BackEndName, ServiceName};
 
 /// How long a back end that has just left, or vanished, may still be sent to when its service has no other.
 ///
@@ -17,6 +17,9 @@
 /// serving for at least two seconds. The time is well below those, since the news itself takes a while.
 pub const LAST_RESORT: Duration = Duration::from_millis(1_000);
 
+/// Spoiled entries that are remembered: another writer may leave any number of them.
+const SPOILED_MAXIMUM: usize = 1_000;
+
 /// The whole directory at one revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct DirectoryListing {
@@ -24,6 +27,8 @@
     pub revision: Revision,
     /// All back ends of that revision.
     pub back_ends: Vec<BackEnd>,
+    /// Entries that can't be understood.
+    pub spoiled: Vec<BackEndName>,
 }
 
 /// One change of the directory.
@@ -32,14 +37,16 @@
     /// The back end is new or has changed.
     Put(BackEnd),
     /// The back end's entry is gone.
-    Gone(BackEndId),
+    Gone(BackEndName),
+    /// The entry can't be understood: another writer has left it. It names no back end, whatever it named before.
+    Spoiled(BackEndName),
 }
 
 impl DirectoryChange {
-    fn id(&self) -> &BackEndId {
+    fn name(&self) -> &BackEndName {
         match self {
-            DirectoryChange::Put(back_end) => &back_end.id,
-            DirectoryChange::Gone(id) => id,
+            DirectoryChange::Put(back_end) => back_end.id.name(),
+            DirectoryChange::Gone(name) | DirectoryChange::Spoiled(name) => name,
         }
     }
 }
@@ -102,7 +109,10 @@
     /// The revision of the last change that was not only a confirmation.
     changed_at: Revision,
     known: bool,
-    entries: BTreeMap<BackEndId, DirectoryEntry>,
+    /// By name: a back end has one life at a time.
+    entries: BTreeMap<BackEndName, DirectoryEntry>,
+    /// Entries that were spoiled: who is told the whole directory must not take them for vanished a moment ago.
+    spoiled: BTreeSet<BackEndName>,
     history: ChangeHistory,
 }
 
@@ -132,9 +142,15 @@
         self.entries.values()
     }
 
-    /// The entry of a back end.
+    /// The entry of a back end, if this life is its present one.
     pub fn get(&self, id: &BackEndId) -> Option<&DirectoryEntry> {
-        self.entries.get(id)
+        self.entries.get(id.name()).filter(|entry| entry.back_end.id == *id)
+    }
+
+    /// The life that the back end of this name has here, where that is another one.
+    pub fn former_life(&self, id: &BackEndId) -> Option<&BackEndId> {
+        let entry = self.entries.get(id.name())?;
+        (entry.back_end.id != *id).then_some(&entry.back_end.id)
     }
 
     /// The entries of `service`.
@@ -152,18 +168,22 @@
         if listing.revision < self.revision {
             return false;
         }
-        if !self.known || listing != (DirectoryListing { revision: listing.revision, ..self.listing() }) {
+        let spoiled: BTreeSet<BackEndName> = listing.spoiled.into_iter().take(SPOILED_MAXIMUM).collect();
+        if !self.known || listing.back_ends != self.listing().back_ends || spoiled != self.spoiled {
             self.changed_at = listing.revision;
             self.history.restart(listing.revision);
         }
         self.known = true;
         self.revision = listing.revision;
-        let listed: Vec<BackEndId> = listing.back_ends.iter().map(|back_end| back_end.id.clone()).collect();
+        let listed: BTreeSet<BackEndName> =
+            listing.back_ends.iter().map(|back_end| back_end.id.name().clone()).collect();
+        self.entries.retain(|name, _| !spoiled.contains(name));
+        self.spoiled = spoiled;
         for back_end in listing.back_ends {
             self.put(back_end, now);
         }
-        for (id, entry) in &mut self.entries {
-            if !listed.contains(id) {
+        for (name, entry) in &mut self.entries {
+            if !listed.contains(name) {
                 entry.vanish(now);
             }
         }
@@ -194,11 +214,13 @@
         for change in news.changes {
             match change {
                 DirectoryChange::Put(back_end) => self.put(back_end, now),
-                DirectoryChange::Gone(id) => {
-                    if let Some(entry) = self.entries.get_mut(&id) {
+                DirectoryChange::Gone(name) => {
+                    self.spoiled.remove(&name);
+                    if let Some(entry) = self.entries.get_mut(&name) {
                         entry.vanish(now);
                     }
                 }
+                DirectoryChange::Spoiled(name) => self.spoil(&name),
             }
         }
         self.forget_unusable(now);
@@ -224,30 +246,46 @@
     /// The directory as a listing, for another node. What vanished is left out.
     pub fn listing(&self) -> DirectoryListing {
         let present = self.entries.values().filter(|entry| entry.listed);
-        DirectoryListing { revision: self.revision, back_ends: present.map(|entry| entry.back_end.clone()).collect() }
+        let back_ends = present.map(|entry| entry.back_end.clone()).collect();
+        DirectoryListing { revision: self.revision, back_ends, spoiled: self.spoiled.iter().cloned().collect() }
     }
 
     /// Which of `changes` are the last ones of their back ends: those before them decide nothing.
     fn last_changes(changes: &[DirectoryChange]) -> Vec<bool> {
         let mut seen = BTreeSet::new();
-        let mut last: Vec<bool> = changes.iter().rev().map(|change| seen.insert(change.id())).collect();
+        let mut last: Vec<bool> = changes.iter().rev().map(|change| seen.insert(change.name())).collect();
         last.reverse();
         last
     }
 
     fn is_new(&self, change: &DirectoryChange) -> bool {
-        let listed = self.entries.get(change.id()).filter(|entry| entry.listed);
+        let entry = self.entries.get(change.name());
+        let listed = entry.filter(|entry| entry.listed);
         match change {
             DirectoryChange::Put(back_end) => listed.is_none_or(|entry| entry.back_end != *back_end),
-            DirectoryChange::Gone(_) => listed.is_some(),
+            DirectoryChange::Gone(name) => listed.is_some() || self.spoiled.contains(name),
+            DirectoryChange::Spoiled(name) => {
+                entry.is_some() || (!self.spoiled.contains(name) && self.spoiled.len() < SPOILED_MAXIMUM)
+            }
         }
     }
 
     fn put(&mut self, back_end: BackEnd, now: Timestamp) {
         let draining = back_end.state == BackEndState::Draining;
-        let left_before = self.entries.get(&back_end.id).and_then(|entry| entry.left_at);
+        let name = back_end.id.name().clone();
+        self.spoiled.remove(&name);
+        // What a former life did, also that it left, is none of this one's.
+        let left_before = self.get(&back_end.id).and_then(|entry| entry.left_at);
         let left_at = draining.then(|| left_before.unwrap_or(now));
-        self.entries.insert(back_end.id.clone(), DirectoryEntry { back_end, left_at, listed: true });
+        self.entries.insert(name, DirectoryEntry { back_end, left_at, listed: true });
+    }
+
+    /// Takes the entry for none, at once: nothing says that the back end is still there for a moment.
+    fn spoil(&mut self, name: &BackEndName) {
+        self.entries.remove(name);
+        if self.spoiled.len() < SPOILED_MAXIMUM {
+            self.spoiled.insert(name.clone());
+        }
     }
 
     fn forget_unusable(&mut self, now: Timestamp) {
--- a/crates/core/src/duties/lease.rs
+++ b/crates/core/src/duties/lease.rs
@@ -133,7 +133,7 @@
             return LeaseStep::Read;
         };
         let Some(record) = &seen.record else {
-            return LeaseStep::Write(LeaseWrite { record: self.record_of(self.next_term(), 0), expected: None });
+            return self.take_without_record(seen, now);
         };
         if record.holder == self.own {
             let refused = record.term < self.highest;
@@ -147,6 +147,16 @@
         LeaseStep::Write(LeaseWrite { record: self.record_of(self.next_term(), 0), expected: seen.revision })
     }
 
+    /// Takes a lease that was never held; or one whose record another writer has spoiled, as soon as whoever held it has
+    /// ceased to order.
+    fn take_without_record(&self, seen: &Seen, now: Timestamp) -> LeaseStep {
+        let known_for = now.since(seen.since);
+        if seen.revision.is_some() && known_for < self.config.lapse() {
+            return LeaseStep::Wait(self.config.lapse() - known_for);
+        }
+        LeaseStep::Write(LeaseWrite { record: self.record_of(self.next_term(), 0), expected: seen.revision })
+    }
+
     /// The term under which orders may be sent at `now`.
     pub fn may_order(&self, now: Timestamp) -> Option<Term> {
         let confirmed = self.confirmed.filter(|confirmed| now.since(*confirmed) < self.config.order_window)?;
@@ -155,7 +165,8 @@
         (record.term >= self.highest).then_some(record.term)
     }
 
-    /// Takes in what a read has shown that was answered at `now`.
+    /// Takes in what a read has shown that was answered at `now`: no revision where there is no object, and a revision without
+    /// a record where the object is no lease.
     pub fn observe(&mut self, record: Option<LeaseRecord>, revision: Option<Revision>, now: Timestamp) {
         self.doubtful = false;
         let is_known = self.seen.as_ref().is_some_and(|seen| seen.revision == revision && seen.record == record);
@@ -167,6 +178,11 @@
         if let Some(record) = &record {
             self.highest = self.highest.max(record.term);
         }
+        if let (None, Some(revision)) = (&record, revision) {
+            // Nobody can tell the last term any more. Each term took a write, and the store's revision rises with each write, so
+            // none was above it.
+            self.highest = self.highest.max(Term(revision.0));
+        }
         self.seen = Some(Seen { record, revision, since: now });
     }
 
@@ -201,9 +217,14 @@
         Some(&self.seen.as_ref()?.record.as_ref()?.holder)
     }
 
+    /// The revision of an object that is no lease, where there is one in its place.
+    pub fn spoiled_at(&self) -> Option<Revision> {
+        self.seen.as_ref().filter(|seen| seen.record.is_none())?.revision
+    }
+
     /// Whether nobody has ever held the lease; `None` until it has been read.
     pub fn is_unclaimed(&self) -> Option<bool> {
-        self.seen.as_ref().map(|seen| seen.record.is_none())
+        self.seen.as_ref().map(|seen| seen.record.is_none() && seen.revision.is_none())
     }
 
     /// The term that this process holds or held last; `None` when another one holds the lease.
--- a/crates/core/src/duties/usage/ledger.rs
+++ b/crates/core/src/duties/usage/ledger.rs
@@ -69,6 +69,8 @@
     known: Option<Known>,
     /// Windows whose reports the receiver has taken from this process, or refused for good.
     settled: BTreeSet<WindowNumber>,
+    /// Windows before this one may have been reported by a ledger that is lost: reported again, they might differ.
+    begins_at: WindowNumber,
 }
 
 impl UsageReports {
@@ -85,7 +87,7 @@
         if let Some(report) = unsent {
             return UsageStep::Send(report.clone());
         }
-        let first_kept = config.first_kept(true_time);
+        let first_kept = config.first_kept(true_time).max(self.begins_at);
         let next = match known.ledger.newest() {
             Some(newest) => newest.next().max(first_kept),
             None => match table.first_window() {
@@ -110,6 +112,12 @@
         self.known = Some(Known { ledger, revision });
     }
 
+    /// Takes in that the ledger at `revision` is lost: whatever was reported before the window `first` stays as it is.
+    pub fn begin_anew(&mut self, revision: Option<Revision>, first: WindowNumber) {
+        self.begins_at = self.begins_at.max(first);
+        self.observe(UsageLedger::default(), revision);
+    }
+
     /// Notes that the store has acknowledged `write`, and the revision that it made.
     pub fn written(&mut self, write: LedgerWrite, revision: Revision) {
         self.observe(write.ledger, Some(revision));
--- a/crates/core/src/duties/usage/window.rs
+++ b/crates/core/src/duties/usage/window.rs
@@ -7,7 +7,9 @@
 use speedy::{Readable, Writable};
 
 /// Numbers the windows of true time: the one with number k begins k lengths of a window after the start of 1970.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct WindowNumber(pub u64);
 
@@ -76,6 +78,11 @@
         self.window_at(true_time.checked_sub(settling)?).0.checked_sub(1).map(WindowNumber)
     }
 
+    /// The first window of which no node can have sent a report yet at `true_time`, also one whose time of day is ahead.
+    pub fn first_unreported(&self, true_time: Duration) -> WindowNumber {
+        self.window_at(true_time).next()
+    }
+
     /// The first window that is still of interest at `true_time`.
     pub fn first_kept(&self, true_time: Duration) -> WindowNumber {
         WindowNumber(self.window_at(true_time).0.saturating_sub(WINDOWS_KEPT))
--- a/crates/core/src/relay/engine_tag.rs
+++ b/crates/core/src/relay/engine_tag.rs
@@ -1,11 +1,11 @@
 //! A short name of an engine, for messages and tables that name many engines.
 
 use speedy::{Readable, Writable};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::world::BackEndId;
 
-/// A back end's identity in four bytes, the same on every node: the low half of its id's hash.
+/// One life of a back end in four bytes, the same on every node: the low half of its identity's hash.
 ///
 /// Two of 4,100 engines share a tag once in 500 fleets; they would then share one backlog and one cache in what is
 /// believed, never a request.
@@ -26,6 +26,8 @@
 
 impl From<&BackEndId> for EngineTag {
     fn from(id: &BackEndId) -> Self {
-        EngineTag(xxh3_64(id.as_str().as_bytes()) as u32)
+        let name = id.as_str().as_bytes();
+        let hash = id.started().map_or_else(|| xxh3_64(name), |started| xxh3_64_with_seed(name, started.0));
+        EngineTag(hash as u32)
     }
 }
--- a/crates/core/src/world/mod.rs
+++ b/crates/core/src/world/mod.rs
@@ -1,6 +1,7 @@
 //! Objects that mirror the world: regions, zones, machines, links, engines, models, tenants, contracts.
 
 mod address;
+mod back_end_id;
 mod contract;
 mod engine;
 mod names;
@@ -8,10 +9,11 @@
 mod zone;
 
 pub use address::Address;
+pub use back_end_id::{BackEndId, StartMoment};
 pub use contract::{Contract, Tenant, TenantLimits};
 pub use engine::{Engine, EnginePerformance, EngineRole, Model, ModelVersion};
 pub use names::{
-    AdapterName, BackEndId, ContractName, EngineName, ModelName, NodeName, PolicyName, RegionName, RouteName,
+    AdapterName, BackEndName, ContractName, EngineName, ModelName, NodeName, PolicyName, RegionName, RouteName,
     ServiceName, TenantName, ZoneName,
 };
 pub use pool::{Pool, PoolId, PoolLayout, group_into_pools};
--- a/crates/core/src/world/names.rs
+++ b/crates/core/src/world/names.rs
@@ -81,8 +81,8 @@
     RouteName
 );
 name_type!(
-    /// One life of a back end: a back end that starts again, or another one at its address, has another identity.
-    BackEndId
+    /// A back end, the same in all its lives; another one at its address has another name.
+    BackEndName
 );
 name_type!(
     /// A node, as operators call the machine that it runs on.
--- a/crates/core/tests/back_ends.rs
+++ b/crates/core/tests/back_ends.rs
@@ -18,7 +18,7 @@
 
 fn listing(revision: u64, numbers: &[u8]) -> DirectoryListing {
     let back_ends = numbers.iter().map(|number| back_end(*number, None)).collect();
-    DirectoryListing { revision: Revision(revision), back_ends }
+    DirectoryListing { revision: Revision(revision), back_ends, spoiled: Vec::new() }
 }
 
 fn changes(revision: u64, changes: Vec<DirectoryChange>) -> DirectoryChanges {
@@ -61,12 +61,12 @@
 #[test]
 fn a_vanished_entry_is_a_last_resort_until_it_is_forgotten_or_comes_back() {
     let mut directory = directory_of(&[1, 2]);
-    directory.apply(changes(11, vec![DirectoryChange::Gone(back_end(1, None).id)]), START);
+    directory.apply(changes(11, vec![DirectoryChange::Gone(back_end(1, None).id.name().clone())]), START);
     assert_eq!(usability(&directory, 1, START), Some(Usability::LastResort));
     assert_eq!(directory.listing().back_ends, vec![back_end(2, None)], "peers are not told of it");
     directory.apply(changes(12, vec![DirectoryChange::Put(back_end(1, None))]), START);
     assert_eq!(usability(&directory, 1, START), Some(Usability::Usable));
-    directory.apply(changes(13, vec![DirectoryChange::Gone(back_end(1, None).id)]), START);
+    directory.apply(changes(13, vec![DirectoryChange::Gone(back_end(1, None).id.name().clone())]), START);
     directory.apply(changes(14, Vec::new()), START + LAST_RESORT);
     assert_eq!(usability(&directory, 1, START + LAST_RESORT), None);
 }
@@ -75,7 +75,7 @@
 fn a_draining_back_end_is_forgotten_once_it_has_vanished() {
     let mut directory = directory_of(&[1]);
     directory.apply(changes(11, vec![DirectoryChange::Put(draining(1))]), START);
-    directory.apply(changes(12, vec![DirectoryChange::Gone(back_end(1, None).id)]), START + LAST_RESORT);
+    directory.apply(changes(12, vec![DirectoryChange::Gone(back_end(1, None).id.name().clone())]), START + LAST_RESORT);
     assert_eq!(directory.entries().count(), 0);
 }
 
@@ -191,7 +191,7 @@
     let mut replica = directory.clone();
     directory.apply(changes(11, vec![DirectoryChange::Put(back_end(3, None))]), START);
     directory.apply(changes(12, Vec::new()), START);
-    directory.apply(changes(13, vec![DirectoryChange::Gone(back_end(1, None).id)]), START);
+    directory.apply(changes(13, vec![DirectoryChange::Gone(back_end(1, None).id.name().clone())]), START);
     let news = directory.news_since(replica.revision());
     assert!(matches!(&news, Some(DirectoryNews::Changes(news)) if news.changes.len() == 2), "{news:?}");
     led_by(news, &mut replica);
@@ -213,7 +213,8 @@
 #[test]
 fn what_says_nothing_new_is_no_change() {
     let mut directory = directory_of(&[1]);
-    let unchanged = vec![DirectoryChange::Put(back_end(1, None)), DirectoryChange::Gone(back_end(9, None).id)];
+    let unchanged =
+        vec![DirectoryChange::Put(back_end(1, None)), DirectoryChange::Gone(back_end(9, None).id.name().clone())];
     directory.apply(changes(11, unchanged), START);
     assert_eq!((directory.revision(), directory.changed_at()), (Revision(11), Revision(10)));
     let twice = vec![DirectoryChange::Put(draining(1)), DirectoryChange::Put(back_end(1, None))];
@@ -256,7 +257,7 @@
             let change = match u.int_in_range(0..=2)? {
                 0 => DirectoryChange::Put(back_end(number, None)),
                 1 => DirectoryChange::Put(draining(number)),
-                _ => DirectoryChange::Gone(back_end(number, None).id),
+                _ => DirectoryChange::Gone(back_end(number, None).id.name().clone()),
             };
             for (reader, behind) in readers.iter_mut().zip(&mut behind) {
                 behind.push((revision, change.clone()));
--- a/crates/relay/src/cache_survey.rs
+++ b/crates/relay/src/cache_survey.rs
@@ -73,7 +73,12 @@
     if status != StatusCode::OK {
         return None;
     }
-    let mut parts = traffic.protocol.read_kept_parts(&body)?;
+    let report = traffic.protocol.read_kept_parts(&body)?;
+    if !engine.id.may_be_life_of(report.started) {
+        log::info!(event = "engine_is_another_life", back_end:% = engine.id, told_by = "kept_parts"; "");
+        return None;
+    }
+    let mut parts = report.parts;
     parts.retain(|part| part.tokens >= PART_MINIMUM_TOKENS);
     Some(parts)
 }
--- a/crates/relay/src/control/duties/fleet_duty.rs
+++ b/crates/relay/src/control/duties/fleet_duty.rs
@@ -142,11 +142,15 @@
             Ok(kept) => kept,
             Err(error) => return self.failed("fleet_read", &error),
         };
-        let baseline = match kept {
+        let baseline = match kept.baseline {
             Some(baseline) => baseline,
             None => {
                 let baseline = FleetBaseline { engines };
-                match self.store.keep_baseline(service, baseline).await {
+                if kept.revision.is_some() {
+                    let consequence = "the service is sized for the engines that it has now";
+                    log::error!(event = "fleet_size_spoiled", service:% = service, engines, consequence; "");
+                }
+                match self.store.keep_baseline(service, baseline, kept.revision).await {
                     Ok(WriteEnd::Written(_)) => baseline,
                     // Another node has kept one meanwhile, which is read at the next step.
                     Ok(WriteEnd::Conflict) => return None,
@@ -154,7 +158,7 @@
                 }
             }
         };
-        log::info!(event = "fleet_size", service:% = service, engines = baseline.engines, is_kept = kept.is_some(); "");
+        log::info!(event = "fleet_size", service:% = service, engines = baseline.engines, is_kept = kept.baseline.is_some(); "");
         self.baselines.insert(service.clone(), baseline);
         Some(baseline)
     }
--- a/crates/relay/src/control/duties/lease_keeper.rs
+++ b/crates/relay/src/control/duties/lease_keeper.rs
@@ -86,7 +86,13 @@
         match self.store.read_lease().await {
             Ok(read) => {
                 self.metrics.record_store_call("lease_read", "ok");
+                let spoiled_before = self.lease.spoiled_at();
                 self.lease.observe(read.record, read.revision, self.clock.now());
+                let spoiled = self.lease.spoiled_at();
+                if spoiled.is_some() && spoiled != spoiled_before {
+                    let pause_ms = whole_millis(self.lease.config().lapse());
+                    log::warn!(event = "duty_lease_unknown", call = "lease_read", error = "the lease was spoiled", pause_ms; "");
+                }
                 Some(())
             }
             Err(error) => self.failed("lease_read", &error),
--- a/crates/relay/src/control/duties/usage_duty.rs
+++ b/crates/relay/src/control/duties/usage_duty.rs
@@ -12,6 +12,7 @@
     WindowNumber,
 };
 use havengate_core::replication::PeerMessage;
+use havengate_core::store::Revision;
 use havengate_core::time::{Timestamp, whole_millis};
 use havengate_core::world::{Address, NodeName, TenantName};
 use havengate_node::clock::Clock;
@@ -166,24 +167,34 @@
             }
             match self.next(config) {
                 UsageStep::Rest => return,
-                UsageStep::Read => self.read().await,
+                UsageStep::Read => self.read(config).await,
                 UsageStep::Write(write) => self.write(write).await,
                 UsageStep::Send(report) => self.send(lease, term, report, config).await,
             }
         }
     }
 
-    async fn read(&mut self) {
+    async fn read(&mut self, config: &UsageConfig) {
         match self.store.read_usage().await {
             Ok(read) => {
                 self.metrics.record_store_call("usage_read", "ok");
                 self.pacing.succeeded();
-                self.reports.observe(read.ledger, read.revision);
+                match read.ledger {
+                    Some(ledger) => self.reports.observe(ledger, read.revision),
+                    None => self.begin_anew(read.revision, config),
+                }
             }
             Err(error) => self.failed("usage_read", &error),
         }
     }
 
+    /// Goes on without the reports that another writer has spoiled.
+    fn begin_anew(&mut self, revision: Option<Revision>, config: &UsageConfig) {
+        let first = config.first_unreported(self.usage.true_time());
+        log::error!(event = "usage_begun_anew", first_window = first.0, consequence = "the windows before are not reported"; "");
+        self.reports.begin_anew(revision, first);
+    }
+
     async fn write(&mut self, write: LedgerWrite) {
         match self.store.write_usage(&write).await {
             Ok(WriteEnd::Written(revision)) => {
--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use havengate_core::authority::Term;
-use havengate_core::back_ends::{Directory, DirectoryChanges, DirectoryListing, DirectoryNews, EngineStage};
+use havengate_core::back_ends::{
+    BackEnd, Directory, DirectoryChange, DirectoryChanges, DirectoryListing, DirectoryNews, EngineStage,
+};
 use havengate_core::replication::{
     ConfigurationChanges, ConfigurationHistory, ConfigurationNews, KnowledgeAges, PackedNews, Pull, PullAnswer,
 };
@@ -242,8 +244,11 @@
     pub fn adopt_listing(&self, listing: DirectoryListing, confirmed_at: Timestamp, source: Source) {
         let back_ends = listing.back_ends.len();
         let revision = listing.revision.0;
+        let spoiled = listing.spoiled.len();
+        self.note_new_lives(listing.revision, &listing.back_ends);
         if self.directory.borrow_mut().adopt(listing, self.clock.now()) {
-            log::info!(event = "directory_adopted", revision, back_ends, source = source.code(); "");
+            log::info!(event = "directory_adopted", revision, back_ends, spoiled, source = source.code(); "");
+            self.metrics.record_spoiled_entries(spoiled);
             self.publish_directory(confirmed_at, true);
         }
     }
@@ -251,7 +256,15 @@
     /// Applies changes that lead to a directory which was right at `confirmed_at`.
     pub fn apply_changes(&self, changes: DirectoryChanges, confirmed_at: Timestamp, source: Source) {
         let (revision, count) = (changes.revision.0, changes.changes.len());
+        let put = changes.changes.iter().filter_map(|change| match change {
+            DirectoryChange::Put(back_end) => Some(back_end),
+            DirectoryChange::Gone(_) | DirectoryChange::Spoiled(_) => None,
+        });
+        self.note_new_lives(changes.revision, put);
+        let is_spoiled = |change: &&DirectoryChange| matches!(change, DirectoryChange::Spoiled(_));
+        let spoiled = changes.changes.iter().filter(is_spoiled).count();
         if self.directory.borrow_mut().apply(changes, self.clock.now()) {
+            self.metrics.record_spoiled_entries(spoiled);
             if count > 0 {
                 log::debug!(event = "directory_changed", revision, changes = count, source = source.code(); "");
             }
@@ -259,6 +272,23 @@
         }
     }
 
+    /// Tells of back ends that have started again under their name, in news that lead to `revision`.
+    fn note_new_lives<'b>(&self, revision: Revision, back_ends: impl IntoIterator<Item = &'b BackEnd>) {
+        let directory = self.directory.borrow();
+        if revision < directory.revision() {
+            return;
+        }
+        for back_end in back_ends {
+            let Some(former) = directory.former_life(&back_end.id) else {
+                continue;
+            };
+            self.metrics.record_new_life();
+            let millis = |id: &BackEndId| id.started().map(|started| started.0);
+            let (started, before) = (millis(&back_end.id), millis(former));
+            log::info!(event = "back_end_started_again", back_end:% = back_end.id, started:?, before:?; "");
+        }
+    }
+
     /// Takes in what a peer told that was asked at `asked_at`.
     pub fn learn(&self, answer: PullAnswer, asked_at: Timestamp) {
         let confirmed = |age_millis| self.confirmed_at(&answer, asked_at, age_millis);
--- a/crates/relay/src/control/stages/engine_orders.rs
+++ b/crates/relay/src/control/stages/engine_orders.rs
@@ -58,6 +58,11 @@
             // Nothing was ordered: an engine that does not tell of itself may be gone or cut off.
             Ok(None) | Err(_) => return OrderAnswer::NotSent,
         };
+        if !order.engine.id.may_be_life_of(report.started) {
+            // What was decided for a former life is decided anew for this one, once the directory shows it.
+            log::info!(event = "engine_is_another_life", back_end:% = order.engine.id, told_by = "report"; "");
+            return OrderAnswer::NotSent;
+        }
         if report.stage == order.to {
             return OrderAnswer::Holds;
         }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -188,6 +188,8 @@
     broken_runs: Family<BrokenRunLabel, Counter>,
     suspects: Family<SuspectLabel, Counter>,
     blocked: Gauge,
+    spoiled_entries: Counter,
+    new_lives: Counter,
     store_calls: Family<StoreLabels, Counter>,
     node_messages: Family<MessageLabel, Counter>,
     node_bytes: Family<MessageLabel, Counter>,
@@ -228,6 +230,8 @@
             broken_runs: Family::default(),
             suspects: Family::default(),
             blocked: Gauge::default(),
+            spoiled_entries: Counter::default(),
+            new_lives: Counter::default(),
             store_calls: Family::default(),
             node_messages: Family::default(),
             node_bytes: Family::default(),
@@ -272,6 +276,10 @@
             "Requests that are sent to no engine, since engines ended under them",
             metrics.blocked.clone(),
         );
+        let spoiled = metrics.spoiled_entries.clone();
+        registry.register("spoiled_entries", "Entries of back ends that name none, as they were told", spoiled);
+        let lives = metrics.new_lives.clone();
+        registry.register("new_lives", "Back ends that were seen to have started again under their name", lives);
         registry.register("store_calls", "Calls to the store, by how they ended", metrics.store_calls.clone());
         registry.register("node_messages", "Messages sent to other nodes, by kind", metrics.node_messages.clone());
         registry.register("node_bytes", "Bytes sent to other nodes, by kind", metrics.node_bytes.clone());
@@ -378,6 +386,16 @@
         self.metrics.node_bytes.get_or_create(&MessageLabel { kind: kind.code() }).get()
     }
 
+    /// Counts entries of back ends that name none.
+    pub fn record_spoiled_entries(&self, count: usize) {
+        self.metrics.spoiled_entries.inc_by(count as u64);
+    }
+
+    /// Counts a back end that has started again under its name.
+    pub fn record_new_life(&self) {
+        self.metrics.new_lives.inc();
+    }
+
     /// Counts a message between nodes that was dropped.
     pub fn record_dropped_message(&self, cause: &'static str) {
         self.metrics.dropped_messages.get_or_create(&DropLabel { cause }).inc();
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -14,7 +14,7 @@
 use havengate_core::routing::{PresentedKey, TrafficConfiguration};
 use havengate_core::stages::OrderAnswer;
 use havengate_core::store::Revision;
-use havengate_core::world::{Address, NodeName, ServiceName, TenantName};
+use havengate_core::world::{Address, NodeName, ServiceName, StartMoment, TenantName};
 use hyper::header::{HeaderMap, HeaderValue};
 
 /// What a caller's head says beside method, host and path.
@@ -103,6 +103,8 @@
 /// What an engine tells of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineReport {
+    /// When it started, if it says so.
+    pub started: Option<StartMoment>,
     /// The stage that it serves.
     pub stage: EngineStage,
     /// Whether an order is under way.
@@ -111,6 +113,15 @@
     pub orders_taken: u64,
 }
 
+/// What an engine tells of its cache.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CacheReport {
+    /// When the engine started, if it says so.
+    pub started: Option<StartMoment>,
+    /// The parts that it keeps.
+    pub parts: Vec<PromptPart>,
+}
+
 /// An order to an engine to serve a stage.
 #[derive(Clone, Copy, Debug)]
 pub struct StageOrderFacts<'a> {
@@ -147,7 +158,7 @@
     fn kept_parts_path(&self) -> &'static str;
 
     /// Reads what an engine's cache keeps out of its answer; `None` when that can't be understood.
-    fn read_kept_parts(&self, body: &[u8]) -> Option<Vec<PromptPart>>;
+    fn read_kept_parts(&self, body: &[u8]) -> Option<CacheReport>;
 
     /// The path at which an engine tells of itself.
     fn report_path(&self) -> &'static str;
@@ -192,17 +203,26 @@
 /// The lease as the store holds it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LeaseRead {
-    /// The content; `None` when there is no object.
+    /// The content; `None` when there is no object, or one that is no lease.
     pub record: Option<LeaseRecord>,
-    /// The object's revision.
+    /// The object's revision; `None` when there is no object.
     pub revision: Option<Revision>,
 }
 
 /// The reports of usage as the store holds them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LedgerRead {
-    /// The reports; none when there is no object.
-    pub ledger: UsageLedger,
+    /// The reports; none when there is no object, `None` when it holds no reports that can be read.
+    pub ledger: Option<UsageLedger>,
+    /// The object's revision; `None` when there is no object.
+    pub revision: Option<Revision>,
+}
+
+/// What a service was sized for, as the store holds it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BaselineRead {
+    /// The content; `None` when there is no object, or one that tells no size.
+    pub baseline: Option<FleetBaseline>,
     /// The object's revision; `None` when there is no object.
     pub revision: Option<Revision>,
 }
@@ -254,17 +274,16 @@
     /// Keeps reports of usage if the ledger still is what the write replaces. Any error leaves open whether it takes effect.
     fn write_usage(&mut self, write: &LedgerWrite) -> impl Future<Output = Result<WriteEnd, StoreError>>;
 
-    /// Reads what a service was sized for before any of its engines was ordered; `None`: that is not kept.
-    fn read_baseline(
-        &mut self,
-        service: &ServiceName,
-    ) -> impl Future<Output = Result<Option<FleetBaseline>, StoreError>>;
+    /// Reads what a service was sized for before any of its engines was ordered.
+    fn read_baseline(&mut self, service: &ServiceName) -> impl Future<Output = Result<BaselineRead, StoreError>>;
 
-    /// Keeps what a service was sized for, unless that is kept already. Any error leaves open whether it takes effect.
+    /// Keeps what a service was sized for, if what is kept is still what it was at the revision `expected`, or still not there.
+    /// Any error leaves open whether it takes effect.
     fn keep_baseline(
         &mut self,
         service: &ServiceName,
         baseline: FleetBaseline,
+        expected: Option<Revision>,
     ) -> impl Future<Output = Result<WriteEnd, StoreError>>;
 
     /// Reads all requests that are blocked, as they were written.
