--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -10,17 +10,16 @@
 use havengate_core::back_ends::{
     BackEnd, Directory, DirectoryChange, DirectoryChanges, DirectoryListing, DirectoryNews, EngineStage,
 };
-use havengate_core::replication::{
-    ConfigurationChanges, ConfigurationHistory, ConfigurationNews, KnowledgeAges, PackedNews, Pull, PullAnswer,
-};
+use havengate_core::replication::{ConfigurationNews, KnowledgeAges, PackedNews, Pull, PullAnswer};
 use havengate_core::routing::{ConfigurationNumber, KeyTable, TrafficConfiguration};
 use havengate_core::store::Revision;
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
-use havengate_wire::{pack, unpack};
+use havengate_wire::unpack;
 use tokio::sync::watch;
 
+use super::tellable_news::{TellableNews, pack_step};
 use crate::knowledge::{ActiveConfiguration, AnnouncedChange, Knowledge, SharedKnowledge, SharedMoment};
 use crate::metrics::RelayMetrics;
 
@@ -50,6 +49,8 @@
     /// A revision of the store at which the configuration in force was the newest.
     configuration_at: Rc<Cell<Option<Revision>>>,
     configuration_news: Rc<RefCell<TellableNews>>,
+    /// Whether this node could not follow the steps that it was told, so that it has to be told all.
+    wants_whole: Rc<Cell<bool>>,
     /// The highest term under which changes of stages were announced.
     stages_term: Rc<Cell<Term>>,
     knowledge: SharedKnowledge,
@@ -61,17 +62,6 @@
     metrics: RelayMetrics,
 }
 
-/// What other nodes are told of the configuration.
-#[derive(Default)]
-struct TellableNews {
-    /// The last steps to the one in force.
-    history: ConfigurationHistory,
-    /// The one in force, whole, once somebody has asked for it.
-    whole: Option<PackedNews>,
-    /// Whether this node could not follow the steps that it was told, so that it has to be told all.
-    wants_whole: bool,
-}
-
 impl Learner {
     /// A learner that publishes to `knowledge`.
     pub fn new(
@@ -85,6 +75,7 @@
             configuration_confirmed_at: Rc::default(),
             configuration_at: Rc::default(),
             configuration_news: Rc::default(),
+            wants_whole: Rc::default(),
             stages_term: Rc::default(),
             knowledge,
             configuration_shown,
@@ -143,9 +134,8 @@
 
     /// Asks a peer for what this node lacks, the configuration included.
     pub fn pull_of_configuration(&self) -> Pull {
-        let wants_whole = self.configuration_news.borrow().wants_whole;
         let own = self.knowledge.load().configuration_number();
-        let base = if wants_whole { ConfigurationNumber::default() } else { own };
+        let base = if self.wants_whole.get() { ConfigurationNumber::default() } else { own };
         Pull { configuration: Some(base), ..self.pull_of_directory(Duration::ZERO) }
     }
 
@@ -171,7 +161,7 @@
         if base.is_some_and(|base| configuration.version <= base.configuration.version) {
             return;
         }
-        let news = base.and_then(|base| pack_changes(&base.configuration, &configuration));
+        let news = base.and_then(|base| pack_step(&base.configuration, &configuration));
         self.put_in_force(configuration, news, Source::Store);
     }
 
@@ -193,7 +183,7 @@
             Err(error) => {
                 let base = knowledge.configuration_number().0;
                 log::warn!(event = "configuration_news_unusable", version = packed.version.0, base, error; "");
-                self.configuration_news.borrow_mut().wants_whole = true;
+                self.wants_whole.set(true);
             }
         }
     }
@@ -201,14 +191,8 @@
     /// Puts a configuration in force that `news`, where there is any, leads to from the one before.
     fn put_in_force(&self, configuration: TrafficConfiguration, news: Option<PackedNews>, source: Source) {
         let knowledge = self.knowledge.load_full();
-        let mut tellable = self.configuration_news.borrow_mut();
-        tellable.whole = None;
-        tellable.wants_whole = false;
-        match news {
-            Some(news) => tellable.history.push(knowledge.configuration_number(), news),
-            None => tellable.history = ConfigurationHistory::default(),
-        }
-        drop(tellable);
+        self.configuration_news.borrow_mut().stepped(knowledge.configuration_number(), news);
+        self.wants_whole.set(false);
         log::info!(
             event = "configuration_adopted",
             version = configuration.version.0,
@@ -349,18 +333,9 @@
     /// The way from `base` to the configuration in force: the steps where they are kept, else all of it.
     fn news_since(&self, base: ConfigurationNumber) -> Vec<PackedNews> {
         let knowledge = self.knowledge.load();
-        let active = knowledge.configuration.as_ref().filter(|active| active.configuration.version > base);
-        let Some(active) = active else {
-            return Vec::new();
-        };
-        let mut tellable = self.configuration_news.borrow_mut();
-        if let Some(steps) = tellable.history.since(base) {
-            return steps;
-        }
-        if tellable.whole.is_none() {
-            tellable.whole = pack_whole(&active.configuration);
-        }
-        tellable.whole.clone().into_iter().collect()
+        let told =
+            |active: &Arc<ActiveConfiguration>| self.configuration_news.borrow_mut().since(base, &active.configuration);
+        knowledge.configuration.as_ref().map(told).unwrap_or_default()
     }
 
     /// What a peer that has `pull` lacks, when it has waited for news for `waited`.
@@ -406,23 +381,3 @@
         self.knowledge.store(Arc::new(knowledge));
     }
 }
-
-fn pack_changes(base: &TrafficConfiguration, target: &TrafficConfiguration) -> Option<PackedNews> {
-    let changes = ConfigurationChanges::between(base, target)?;
-    packed(target.version, &ConfigurationNews::Changes(changes))
-}
-
-fn pack_whole(configuration: &TrafficConfiguration) -> Option<PackedNews> {
-    packed(configuration.version, &ConfigurationNews::Whole(configuration.clone()))
-}
-
-/// News as they are sent; `None`, with a log line, where they can't be: peers then have to ask the store.
-fn packed(version: ConfigurationNumber, news: &ConfigurationNews) -> Option<PackedNews> {
-    match pack(news) {
-        Ok(bytes) => Some(PackedNews { version, bytes }),
-        Err(error) => {
-            log::error!(event = "configuration_not_packed", version = version.0, error:% = error; "");
-            None
-        }
-    }
-}
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod reader_role;
 mod stages;
+mod tellable_news;
 mod thread;
 mod transfer;
 
--- /dev/null
+++ b/crates/relay/src/control/tellable_news.rs
@@ -0,0 +1,56 @@
+//! What other nodes are told of the configuration in force: packed once, however many ask.
+
+use havengate_core::replication::{ConfigurationChanges, ConfigurationHistory, ConfigurationNews, PackedNews};
+use havengate_core::routing::{ConfigurationNumber, TrafficConfiguration};
+use havengate_wire::pack;
+
+/// What other nodes are told of the configuration in force.
+#[derive(Default)]
+pub struct TellableNews {
+    /// The last steps to it.
+    history: ConfigurationHistory,
+    /// All of it, once somebody has asked for that.
+    whole: Option<PackedNews>,
+}
+
+impl TellableNews {
+    /// Notes that another configuration has come in force after `base`, by `news` where there are any.
+    pub fn stepped(&mut self, base: ConfigurationNumber, news: Option<PackedNews>) {
+        self.whole = None;
+        match news {
+            Some(news) => self.history.push(base, news),
+            None => self.history = ConfigurationHistory::default(),
+        }
+    }
+
+    /// The way from `base` to `configuration`, the one in force: the steps where they are kept, else all of it.
+    pub fn since(&mut self, base: ConfigurationNumber, configuration: &TrafficConfiguration) -> Vec<PackedNews> {
+        if configuration.version <= base {
+            return Vec::new();
+        }
+        if let Some(steps) = self.history.since(base) {
+            return steps;
+        }
+        if self.whole.is_none() {
+            self.whole = packed(configuration.version, &ConfigurationNews::Whole(configuration.clone()));
+        }
+        self.whole.clone().into_iter().collect()
+    }
+}
+
+/// The step from `base` to `target`; `None` where it can't be told: peers are told all of `target` then.
+pub fn pack_step(base: &TrafficConfiguration, target: &TrafficConfiguration) -> Option<PackedNews> {
+    let changes = ConfigurationChanges::between(base, target)?;
+    packed(target.version, &ConfigurationNews::Changes(changes))
+}
+
+/// News as they are sent; `None`, with a log line, where they can't be: peers then have to ask the store.
+fn packed(version: ConfigurationNumber, news: &ConfigurationNews) -> Option<PackedNews> {
+    match pack(news) {
+        Ok(bytes) => Some(PackedNews { version, bytes }),
+        Err(error) => {
+            log::error!(event = "configuration_not_packed", version = version.0, error:% = error; "");
+            None
+        }
+    }
+}
