--- a/crates/core/src/replication/configuration_news.rs
+++ b/crates/core/src/replication/configuration_news.rs
@@ -12,8 +12,8 @@
 /// Steps that a node keeps for others to follow. A node that is further behind is told all.
 const STEPS_MAXIMUM: usize = 32;
 
-/// The bytes of all kept steps. Packed, a configuration of 4,200 routes has as many, so that following more steps
-/// costs more than being told all.
+/// The bytes of all kept steps. Packed, a route takes some 14 bytes (19 KB for 1,400 routes with random names, 57 KB for 4,200):
+/// this is a configuration of 7,000 routes, and following more steps costs more than being told all.
 const STEPS_MAXIMUM_BYTES: usize = 96 * 1024;
 
 /// Why a node can't follow what it is told.
