--- a/crates/relay/src/control/transfer.rs
+++ b/crates/relay/src/control/transfer.rs
@@ -59,10 +59,10 @@
 }
 
 /// The longest silence within a message: some times the 200 ms after which a lost packet is sent again at the earliest.
-const SILENCE_LIMIT: Duration = Duration::from_secs(1);
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 
-/// The longest time of a whole message: a megabyte over a tenth of the narrowest link, 10 Mbit/s.
-const WHOLE_LIMIT: Duration = Duration::from_secs(8);
+/// The longest time of a whole message: a megabyte at 1 Mbit/s.
+pub const WHOLE_LIMIT: Duration = Duration::from_secs(8);
 
 /// The deadlines of one message.
 struct Deadlines {
