One way to connect to a peer and to ask it

Cause: feed, fetcher and pull each connected, wrote a pull and read the answer by copies of the same lines. Change: transfer::connect and transfer::ask, one CONNECT_TIME_LIMIT. A connection for one question sends it at once, as a feed's does. Behaviour: none changed else.

--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -2,15 +2,13 @@
 
 use std::time::Duration;
 
-use havengate_core::replication::PullAnswer;
 use havengate_core::world::Address;
-use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::fetcher::ConfigurationFetcher;
 use super::learner::Learner;
 use super::reader_role::ReaderRole;
-use super::transfer::{Patience, PeersError, Progress, read_message, write_message};
+use super::transfer::{CONNECT_TIME_LIMIT, Patience, PeersError, ask, connect};
 
 /// The longest that a reader waits for news before it answers, and so confirms what this node knows.
 const FEED_WAIT: Duration = Duration::from_millis(400);
@@ -18,9 +16,6 @@
 /// How long the first byte of an answer may be on its way beyond the wait.
 const ANSWER_TIME_LIMIT: Duration = Duration::from_millis(500);
 
-/// The longest that a connection to a reader may take to come up.
-const CONNECT_TIME_LIMIT: Duration = Duration::from_millis(300);
-
 /// How often a node looks for a reader that feeds it.
 const CHOICE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -53,17 +48,14 @@
     learner: &Learner,
     fetcher: &ConfigurationFetcher,
 ) -> Result<(), PeersError> {
-    let connecting = timeout(CONNECT_TIME_LIMIT, TcpStream::connect(reader.0)).await;
-    let mut stream = connecting.map_err(|_| PeersError::TooSlow(Progress::default()))??;
-    stream.set_nodelay(true)?;
+    let mut stream = connect(reader, CONNECT_TIME_LIMIT).await?;
     let mut is_first = true;
     while role.feed(slot) == Some(reader) {
         // The first answer comes at once and shows whether the reader knows anything.
         let wait = if is_first { Duration::ZERO } else { FEED_WAIT };
         let asked_at = learner.clock().now();
         let patience = Patience::with(wait + ANSWER_TIME_LIMIT);
-        write_message(&mut stream, &learner.pull_of_directory(wait), patience).await?;
-        let answer: PullAnswer = read_message(&mut stream, patience).await?;
+        let answer = ask(&mut stream, &learner.pull_of_directory(wait), patience).await?;
         let confirmed_at = learner.confirmed_at(&answer, asked_at, answer.ages.directory_millis);
         fetcher.note_configuration_of(reader, answer.newest);
         learner.learn(answer, asked_at);
--- a/crates/relay/src/control/fetcher.rs
+++ b/crates/relay/src/control/fetcher.rs
@@ -7,18 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use havengate_core::replication::PullAnswer;
 use havengate_core::routing::ConfigurationNumber;
 use havengate_core::world::Address;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::timeout;
 
 use super::learner::Learner;
-use super::transfer::{Patience, PeersError, Progress, read_message, write_message};
-
-/// The longest that a connection to a node may take to come up.
-const CONNECT_TIME_LIMIT: Duration = Duration::from_millis(300);
+use super::transfer::{CONNECT_TIME_LIMIT, Patience, PeersError, ask, connect};
 
 /// How long a node may take before its first byte: many ask it at the same moment, and its link may be narrow. Together with
 /// the time to connect it is less than the two seconds in which a change is to be in force.
@@ -70,12 +64,10 @@
     }
 
     async fn fetch_from(&self, peer: Address) -> Result<(), PeersError> {
-        let too_slow = |_| PeersError::TooSlow(Progress::default());
-        let mut stream = timeout(CONNECT_TIME_LIMIT, TcpStream::connect(peer.0)).await.map_err(too_slow)??;
+        let mut stream = connect(peer, CONNECT_TIME_LIMIT).await?;
         let asked_at = self.learner.clock().now();
         let patience = Patience::with(FIRST_BYTE_LIMIT);
-        write_message(&mut stream, &self.learner.pull_of_configuration(), patience).await?;
-        let answer: PullAnswer = read_message(&mut stream, patience).await?;
+        let answer = ask(&mut stream, &self.learner.pull_of_configuration(), patience).await?;
         // A peer that has less than it told, or whose news can't be used, isn't asked again before it tells anew.
         self.ahead.borrow_mut().remove(&peer);
         self.learner.learn(answer, asked_at);
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -19,7 +19,7 @@
 use super::fetcher::ConfigurationFetcher;
 use super::learner::Learner;
 use super::reader_role::ReaderRole;
-use super::transfer::{Patience, PeersError, Progress, read_message, write_message};
+use super::transfer::{Patience, PeersError, ask, connect, read_message, write_message};
 use crate::callers::listen;
 use crate::datagrams::Datagrams;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
@@ -256,11 +256,9 @@
     }
 
     async fn pull(&self, peer: Address) -> Result<PullAnswer, PeersError> {
-        let connecting = timeout(PULL_TIME_LIMIT, TcpStream::connect(peer.0)).await;
-        let mut stream = connecting.map_err(|_| PeersError::TooSlow(Progress::default()))??;
-        let patience = Patience::with(PULL_TIME_LIMIT);
-        write_message(&mut stream, &self.learner.pull_of_directory(Duration::ZERO), patience).await?;
-        read_message(&mut stream, patience).await
+        let mut stream = connect(peer, PULL_TIME_LIMIT).await?;
+        let pull = self.learner.pull_of_directory(Duration::ZERO);
+        ask(&mut stream, &pull, Patience::with(PULL_TIME_LIMIT)).await
     }
 }
 
--- a/crates/relay/src/control/transfer.rs
+++ b/crates/relay/src/control/transfer.rs
@@ -4,11 +4,13 @@
 use std::io;
 use std::time::Duration;
 
+use havengate_core::replication::{Pull, PullAnswer};
+use havengate_core::world::Address;
 use havengate_wire::{LENGTH_BYTES, WireError, decode, frame_of, payload_length};
 use speedy::{LittleEndian, Readable, Writable};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// What goes wrong between nodes.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
@@ -58,6 +60,9 @@
     }
 }
 
+/// The longest that a connection to a peer may take to come up.
+pub const CONNECT_TIME_LIMIT: Duration = Duration::from_millis(300);
+
 /// The longest silence within a message: some times the 200 ms after which a lost packet is sent again at the earliest.
 pub const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 
@@ -83,6 +88,26 @@
     }
 }
 
+/// A connection to the peer at `address`, which sends each message at once.
+///
+/// # Errors
+/// When it is refused, or has not come up within `limit`.
+pub async fn connect(address: Address, limit: Duration) -> Result<TcpStream, PeersError> {
+    let connecting = timeout(limit, TcpStream::connect(address.0)).await;
+    let stream = connecting.map_err(|_| PeersError::TooSlow(Progress::default()))??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Sends `pull` and reads the answer.
+///
+/// # Errors
+/// When the connection fails, or either takes longer than `patience` allows.
+pub async fn ask(stream: &mut TcpStream, pull: &Pull, patience: Patience) -> Result<PullAnswer, PeersError> {
+    write_message(stream, pull, patience).await?;
+    read_message(stream, patience).await
+}
+
 /// Writes a message as one frame and returns its bytes.
 ///
 /// # Errors
