--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -14,7 +14,7 @@
 use havengate_core::routing::{ConfigurationNumber, KeyTable, TrafficConfiguration};
 use havengate_core::store::Revision;
 use havengate_core::time::Timestamp;
-use havengate_core::world::{Address, BackEndId};
+use havengate_core::world::{Address, BackEndId, BackEndName};
 use havengate_node::clock::Clock;
 use havengate_wire::unpack;
 use tokio::sync::watch;
@@ -256,20 +256,23 @@
         }
     }
 
-    /// Tells of back ends that have started again under their name, in news that lead to `revision`.
+    /// Tells of back ends that have started again under their name, in news that lead to `revision`. The last news of each decide:
+    /// lives that were over before they were heard of, or that are told again, are none.
     fn note_new_lives<'b>(&self, revision: Revision, back_ends: impl IntoIterator<Item = &'b BackEnd>) {
         let directory = self.directory.borrow();
         if revision < directory.revision() {
             return;
         }
-        for back_end in back_ends {
-            let Some(former) = directory.former_life(&back_end.id) else {
+        let last: BTreeMap<&BackEndName, &BackEndId> =
+            back_ends.into_iter().map(|back_end| (back_end.id.name(), &back_end.id)).collect();
+        for id in last.into_values() {
+            let Some(former) = directory.former_life(id) else {
                 continue;
             };
             self.metrics.record_new_life();
             let millis = |id: &BackEndId| id.started().map(|started| started.0);
-            let (started, before) = (millis(&back_end.id), millis(former));
-            log::info!(event = "back_end_started_again", back_end:% = back_end.id, started:?, before:?; "");
+            let (started, before) = (millis(id), millis(former));
+            log::info!(event = "back_end_started_again", back_end:% = id, started:?, before:?; "");
         }
     }
 
@@ -285,12 +288,15 @@
         let own = self.knowledge.load().configuration_number();
         if own >= answer.newest {
             // Whatever the peer has that is newer, this node has too.
-            configuration.into_iter().for_each(|confirmed_at| self.confirm_configuration(confirmed_at));
-            let shown = shown.map(|millis| asked_at - Duration::from_millis(u64::from(millis)));
-            shown.into_iter().for_each(|shown_at| self.show_configuration(shown_at));
+            if let Some(confirmed_at) = configuration {
+                self.confirm_configuration(confirmed_at);
+            }
+            if let Some(millis) = shown {
+                self.show_configuration(asked_at - Duration::from_millis(u64::from(millis)));
+            }
         }
-        if own == answer.newest {
-            answer.newest_at.into_iter().for_each(|revision| self.note_configuration_at(revision));
+        if let Some(revision) = answer.newest_at.filter(|_| own == answer.newest) {
+            self.note_configuration_at(revision);
         }
         let Some(confirmed_at) = directory else {
             return;
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -15,7 +15,7 @@
 
 pub use block_keeper::{BlockKeeperLink, BlockNews, BlockStoreLink, block_links};
 pub use duties::{DutyLeaseSettings, DutySettings};
-pub use learner::Learner;
+pub use learner::{Learner, Source};
 pub use peers::PeerExchange;
 pub use thread::{ControlHandle, ControlSettings, Platform, SharedWithTraffic, spawn};
 pub use transfer::{Patience, PeersError, Progress, SILENCE_LIMIT, WHOLE_LIMIT, read_message, write_message};
--- /dev/null
+++ b/crates/relay/tests/learner.rs
@@ -0,0 +1,164 @@
+//! What one node takes in from another: steps of the configuration, ages, and lives of back ends.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use havengate_core::back_ends::{BackEnd, BackEndState, DirectoryChange, DirectoryChanges, DirectoryListing};
+use havengate_core::routing::{CallerLimits, ConfigurationNumber, TrafficConfiguration};
+use havengate_core::store::Revision;
+use havengate_core::world::{Address, BackEndId, BackEndName, StartMoment};
+use havengate_node::clock::Clock;
+use havengate_relay::control::{Learner, Source};
+use havengate_relay::knowledge::{Knowledge, SharedKnowledge, SharedMoment};
+use havengate_relay::metrics::RelayMetrics;
+
+struct Node {
+    learner: Learner,
+    knowledge: SharedKnowledge,
+    shown: SharedMoment,
+    metrics: RelayMetrics,
+}
+
+impl Node {
+    fn new() -> Self {
+        let (metrics, shown) = (RelayMetrics::new(), SharedMoment::default());
+        let knowledge: SharedKnowledge = Arc::new(ArcSwap::from_pointee(Knowledge::nothing()));
+        // Ages are subtracted from the clock, which must not end at its start.
+        let clock = Clock::start_with_past(Duration::from_secs(100));
+        let learner = Learner::new(Arc::clone(&knowledge), shown.clone(), clock, metrics.clone());
+        Node { learner, knowledge, shown, metrics }
+    }
+
+    fn version(&self) -> u64 {
+        self.knowledge.load().configuration_number().0
+    }
+
+    /// Asks `peer` for its configuration; returns how many pieces came.
+    fn fetch_from(&self, peer: &Node) -> usize {
+        let asked_at = self.learner.clock().now();
+        let answer = peer.learner.answer(self.learner.pull_of_configuration(), Duration::ZERO);
+        let pieces = answer.configuration.len();
+        self.learner.learn(answer, asked_at);
+        pieces
+    }
+
+    fn new_lives(&self) -> u64 {
+        let text = self.metrics.encode().expect("metrics are text");
+        let line = text.lines().find_map(|line| line.strip_prefix("havengate_new_lives_total "));
+        line.and_then(|count| count.parse().ok()).expect("lives are counted")
+    }
+}
+
+fn configuration(version: u64, head_maximum_bytes: u64) -> TrafficConfiguration {
+    let limits = CallerLimits {
+        head_maximum_bytes,
+        body_maximum_bytes: 1_000,
+        head_time_limit: Duration::from_secs(3),
+        idle_time_limit: Duration::from_secs(15),
+    };
+    let version = ConfigurationNumber(version);
+    TrafficConfiguration { version, routes: Vec::new(), services: Vec::new(), limits, tenants: None }
+}
+
+fn life(started: u64) -> BackEnd {
+    BackEnd {
+        id: BackEndId::of_life(BackEndName::new("engine-1"), Some(StartMoment(started))),
+        service: "model".into(),
+        address: Address(SocketAddr::from(([10, 0, 0, 1], 80))),
+        zone: "zone".into(),
+        slots: 8,
+        state: BackEndState::Ready,
+        stage: None,
+        preemptible: false,
+    }
+}
+
+#[test]
+fn a_node_follows_the_steps_of_another_and_tells_them_on() {
+    let (reader, second, third) = (Node::new(), Node::new(), Node::new());
+    reader.learner.adopt_configuration(configuration(3, 10));
+    assert_eq!(second.fetch_from(&reader), 1, "all of it");
+    assert_eq!(third.fetch_from(&second), 1);
+    for version in [5, 6, 9] {
+        reader.learner.adopt_configuration(configuration(version, 10 * version));
+    }
+    assert_eq!((second.fetch_from(&reader), second.version()), (3, 9));
+    assert_eq!((third.fetch_from(&second), third.version()), (3, 9), "the steps as they were told");
+    assert_eq!(third.knowledge.load().configuration.as_ref().map(|active| active.configuration.clone()), {
+        Some(configuration(9, 90))
+    });
+    assert_eq!(second.fetch_from(&reader), 0, "there is nothing newer");
+    assert_eq!((reader.fetch_from(&third), reader.version()), (0, 9));
+}
+
+#[test]
+fn a_node_that_cannot_follow_a_step_is_told_all_of_it_next() {
+    let (reader, other) = (Node::new(), Node::new());
+    reader.learner.adopt_configuration(configuration(3, 10));
+    // Another writer has given the same version to another configuration.
+    other.learner.adopt_configuration(TrafficConfiguration { tenants: Some(Vec::new()), ..configuration(3, 77) });
+    let mut second = configuration(4, 20);
+    second.tenants = Some(Vec::new());
+    reader.learner.adopt_configuration(second.clone());
+    let steps = reader.learner.answer(other.learner.pull_of_configuration(), Duration::ZERO);
+    assert_eq!(steps.configuration.len(), 1);
+    other.fetch_from(&reader);
+    other.fetch_from(&reader);
+    assert_eq!(other.knowledge.load().configuration.as_ref().map(|active| active.configuration.clone()), Some(second));
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let (ahead, behind) = (Node::new(), Node::new());
+    ahead.learner.adopt_configuration(configuration(9, 10));
+    behind.learner.adopt_configuration(configuration(5, 10));
+    assert_eq!((ahead.fetch_from(&behind), ahead.version()), (0, 9));
+    ahead.learner.adopt_configuration(configuration(8, 10));
+    assert_eq!(ahead.version(), 9);
+}
+
+#[test]
+fn what_a_peer_confirms_counts_only_for_one_that_has_what_the_peer_has() {
+    let (reader, second) = (Node::new(), Node::new());
+    reader.learner.adopt_configuration(configuration(3, 10));
+    reader.learner.note_configuration_at(Revision(40));
+    reader.learner.confirm_configuration(reader.learner.clock().now());
+    reader.learner.show_configuration(reader.learner.clock().now());
+    let asked_at = second.learner.clock().now();
+    let without_news = reader.learner.answer(second.learner.pull_of_directory(Duration::ZERO), Duration::ZERO);
+    second.learner.learn(without_news, asked_at);
+    assert_eq!((second.learner.configuration_confirmed_at(), second.shown.get()), (None, None));
+    assert_eq!(second.learner.configuration_at(), None);
+    second.fetch_from(&reader);
+    assert!(second.learner.configuration_confirmed_at().is_some() && second.shown.get().is_some());
+    assert_eq!(second.learner.configuration_at(), Some(Revision(40)));
+}
+
+#[test]
+fn the_way_of_an_answer_makes_nothing_younger() {
+    let (reader, second) = (Node::new(), Node::new());
+    reader.learner.adopt_listing(DirectoryListing::default(), reader.learner.clock().now(), Source::Store);
+    // The answer was asked for ten seconds ago, and made after half a second.
+    let asked_at = second.learner.clock().now() - Duration::from_secs(10);
+    let answer = reader.learner.answer(second.learner.pull_of_directory(Duration::ZERO), Duration::from_millis(500));
+    second.learner.learn(answer, asked_at);
+    let confirmed_at = second.knowledge.load().directory_confirmed_at.expect("it was confirmed");
+    assert!(confirmed_at <= asked_at + Duration::from_millis(500));
+}
+
+#[test]
+fn a_new_life_counts_once_though_its_news_come_again() {
+    let node = Node::new();
+    let listing = DirectoryListing { revision: Revision(10), back_ends: vec![life(1)], spoiled: Vec::new() };
+    let now = || node.learner.clock().now();
+    node.learner.adopt_listing(listing, now(), Source::Store);
+    let changes = vec![DirectoryChange::Put(life(2)), DirectoryChange::Put(life(3))];
+    let news = |revision| DirectoryChanges { revision: Revision(revision), changes: changes.clone() };
+    node.learner.apply_changes(news(12), now(), Source::Store);
+    assert_eq!(node.new_lives(), 1, "the life that had ended before it was heard of is none");
+    node.learner.apply_changes(news(12), now(), Source::Peer);
+    node.learner.apply_changes(news(13), now(), Source::Peer);
+    assert_eq!(node.new_lives(), 1);
+}
