Sight: what back ends say of themselves in answers is read, logged and counted

Cause looked for: requests that reach back ends which had said in their answers that they leave, or that they want rest. Logs could not tell a node that doesn't hear from one that hears and forgets: no line said what an answer told beside its outcome. Change: BackEndNotice (leaves, rest) is read in the dialect and kept in BackEndNotices; back_end_leaves and back_end_rests tell what a node heard, send_unwelcome each send against it, with counters. No decision goes by it yet. Ruled out: nothing yet.

--- a/crates/core/src/back_ends/directory.rs
+++ b/crates/core/src/back_ends/directory.rs
@@ -69,8 +69,8 @@
     Listing(DirectoryListing),
 }
 
-/// Whether a back end may be sent a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Whether a back end may be sent a request; of two, the greater one allows less.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Usability {
     /// It may.
     Usable,
--- a/crates/core/src/back_ends/mod.rs
+++ b/crates/core/src/back_ends/mod.rs
@@ -4,6 +4,7 @@
 mod directory;
 mod health;
 mod history;
+mod notices;
 
 pub use back_end::{BackEnd, BackEndState, EngineStage};
 pub use directory::{
@@ -11,3 +12,4 @@
     Usability,
 };
 pub use health::{BackEndHealth, HealthLimits};
+pub use notices::{BackEndNotice, BackEndNotices, HeardNotice, REST_MAXIMUM, Unwelcome};
--- /dev/null
+++ b/crates/core/src/back_ends/notices.rs
@@ -0,0 +1,128 @@
+//! What back ends say of themselves in their answers to a node, beside the outcome of the request.
+//!
+//! The directory tells that a back end leaves as well, but only once the store has taken that; an answer comes from the back
+//! end itself, also while the store is away. That it wants rest is said in answers alone, and to one node at a time.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use super::directory::{DirectoryEntry, LAST_RESORT, Usability};
+use crate::time::Timestamp;
+use crate::world::BackEndId;
+
+/// The longest rest that a back end is granted at one word. A value of any size may stand in an answer that went wrong, and
+/// a back end that means so long a time is asked once more after it.
+pub const REST_MAXIMUM: Duration = Duration::from_secs(3_600);
+
+/// Back ends that said that they leave and are remembered. Twice the back ends that a system is designed for: all of them may
+/// be replaced within hours, and one that left long ago is in no directory any more.
+const LEAVING_MAXIMUM: usize = 8_192;
+
+/// What an answer says of the back end that gave it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BackEndNotice {
+    /// It leaves: it finishes what it has and must get nothing new.
+    pub leaves: bool,
+    /// It wants nothing from this node for so long.
+    pub rest: Option<Duration>,
+}
+
+/// What a notice has changed in what the node believes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HeardNotice {
+    /// Whether it was not known before that the back end leaves.
+    pub leaves: bool,
+    /// How long the back end rests from now on, where that is longer than was known before.
+    pub rest: Option<Duration>,
+}
+
+/// Why nothing new may be sent to a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unwelcome {
+    /// It said so long ago that it leaves that it may end.
+    Leaves,
+    /// It asked for rest that is not over.
+    Rests,
+}
+
+impl Unwelcome {
+    /// The word in logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            Unwelcome::Leaves => "leaves",
+            Unwelcome::Rests => "rests",
+        }
+    }
+}
+
+/// What back ends have said of themselves, by their lives.
+#[derive(Clone, Debug, Default)]
+pub struct BackEndNotices {
+    /// When it was first heard that a life leaves. It is never taken back: nothing but a new life makes a back end stay.
+    leaving: BTreeMap<BackEndId, Timestamp>,
+    /// The keys of `leaving`, oldest first.
+    leaving_order: VecDeque<BackEndId>,
+    /// Until when a life wants nothing.
+    resting: BTreeMap<BackEndId, Timestamp>,
+}
+
+impl BackEndNotices {
+    /// Takes in what an answer said that came at `now`.
+    pub fn note(&mut self, id: &BackEndId, notice: BackEndNotice, now: Timestamp) -> HeardNotice {
+        let leaves = notice.leaves && self.note_leaving(id, now);
+        let rest = notice.rest.and_then(|rest| self.note_rest(id, rest.min(REST_MAXIMUM), now));
+        HeardNotice { leaves, rest }
+    }
+
+    /// Takes in that a back end said at `said_at` that it leaves; returns whether that was not known.
+    pub fn note_leaving(&mut self, id: &BackEndId, said_at: Timestamp) -> bool {
+        if self.leaving.contains_key(id) {
+            return false;
+        }
+        self.leaving.insert(id.clone(), said_at);
+        self.leaving_order.push_back(id.clone());
+        if self.leaving_order.len() > LEAVING_MAXIMUM
+            && let Some(oldest) = self.leaving_order.pop_front()
+        {
+            self.leaving.remove(&oldest);
+        }
+        true
+    }
+
+    /// The later end counts: each time of rest that was asked for holds to its end.
+    fn note_rest(&mut self, id: &BackEndId, rest: Duration, now: Timestamp) -> Option<Duration> {
+        self.resting.retain(|_, until| *until > now);
+        let until = now + rest;
+        if self.resting.get(id).is_some_and(|known| *known >= until) {
+            return None;
+        }
+        self.resting.insert(id.clone(), until);
+        Some(rest)
+    }
+
+    /// How long the back end still wants nothing from this node; `None` when it takes requests.
+    pub fn rest_left(&self, id: &BackEndId, now: Timestamp) -> Option<Duration> {
+        let until = self.resting.get(id)?;
+        (*until > now).then(|| until.since(now))
+    }
+
+    /// Whether a back end may be sent a request, by what the directory says of it and by what it said itself that it leaves. The
+    /// earlier of both words counts, and a directory that doesn't know of it yet, or knows less again, changes nothing.
+    pub fn usability(&self, entry: &DirectoryEntry, now: Timestamp) -> Usability {
+        let told = match self.leaving.get(&entry.back_end.id) {
+            None => Usability::Usable,
+            Some(said_at) if now.since(*said_at) < LAST_RESORT => Usability::LastResort,
+            Some(_) => Usability::Unusable,
+        };
+        entry.usability(now).max(told)
+    }
+
+    /// Why nothing new may be sent to a back end, by its own word; `None` when something may.
+    pub fn unwelcome(&self, id: &BackEndId, now: Timestamp) -> Option<Unwelcome> {
+        let has_left = self.leaving.get(id).is_some_and(|said_at| now.since(*said_at) >= LAST_RESORT);
+        if has_left {
+            return Some(Unwelcome::Leaves);
+        }
+        self.rest_left(id, now).map(|_| Unwelcome::Rests)
+    }
+}
--- a/crates/relay/src/back_ends/mod.rs
+++ b/crates/relay/src/back_ends/mod.rs
@@ -1,11 +1,13 @@
 //! The side towards back ends: connections that are kept, and one send of a request.
 
 mod load;
+mod notices;
 mod own_call;
 mod pool;
 mod send;
 
 pub use load::{BackEndLoads, InFlight};
+pub use notices::SharedNotices;
 pub use own_call::{address_to, reading};
 pub use pool::{ConnectError, ConnectionPool, Lease, PoolLimits};
 pub use send::{AnswerInProgress, SendFailure, Sent, is_unacknowledged, send};
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use havengate_core::back_ends::BackEnd;
+use havengate_core::back_ends::{BackEnd, BackEndNotice};
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, TenantName};
 use havengate_node::clock::Clock;
@@ -58,6 +58,8 @@
     pub response: Response<Incoming>,
     /// What the head proves.
     pub judgement: AnswerHead,
+    /// What it says of the back end itself.
+    pub notice: BackEndNotice,
     /// The connection that the body comes over.
     pub lease: Lease,
     /// Counts the request as under way.
@@ -129,7 +131,8 @@
         lease.allow_rest(seconds);
     }
     let judgement = protocol.judge(&request.head.id, answer.status(), answer.headers());
-    Ok(AnswerInProgress { response: answer, judgement, lease, in_flight, run })
+    let notice = protocol.read_notice(&request.head.id, answer.status(), answer.headers());
+    Ok(AnswerInProgress { response: answer, judgement, notice, lease, in_flight, run })
 }
 
 fn assemble<P: Protocol>(
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -3,8 +3,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use havengate_core::back_ends::{BackEnd, Usability};
+use havengate_core::back_ends::{BackEnd, BackEndNotice, Usability};
 use havengate_core::relay::{SendOutcome, Urgency};
+use havengate_core::time::whole_millis;
 use havengate_core::world::Address;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -45,6 +46,7 @@
         ends_at: request.ends_at,
         clock: traffic.clock,
     };
+    note_unwelcome(traffic, request, back_end);
     let in_flight = traffic.loads.begin(&back_end.id, traffic.clock.now());
     let is_reading = matches!(stage, SendStage::Prefill);
     let run = traffic.broken_runs.begin(back_end, request.content, request.head.id_text(), is_reading);
@@ -53,7 +55,10 @@
         run.broke_off();
     }
     match &result {
-        Ok(answer) => note_judgement(traffic, request, back_end, stage, answer.judgement),
+        Ok(answer) => {
+            note_notice(traffic, request, back_end, answer.notice);
+            note_judgement(traffic, request, back_end, stage, answer.judgement);
+        }
         Err(failure) => note_failure(traffic, request, back_end, stage, failure),
     }
     traffic.metrics.record_send(request.service.as_str(), stage_label(stage), label_of(&result));
@@ -99,6 +104,34 @@
     told.then_some(urgency)
 }
 
+/// Tells of a send that its back end's own word speaks against. There are none but those that were decided before it came.
+fn note_unwelcome<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd) {
+    let unwelcome = traffic.notices.lock().unwelcome(&back_end.id, traffic.clock.now());
+    if let Some(unwelcome) = unwelcome {
+        let (request, code) = (request.head.id_text(), unwelcome.code());
+        traffic.metrics.record_unwelcome_send(code);
+        log::warn!(event = "send_unwelcome", request, back_end:% = back_end.id, back_end_says = code; "");
+    }
+}
+
+/// Takes in what an answer says of the back end itself, and tells of what the node did not know before.
+fn note_notice<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEnd, notice: BackEndNotice) {
+    if notice == BackEndNotice::default() {
+        return;
+    }
+    let heard = traffic.notices.lock().note(&back_end.id, notice, traffic.clock.now());
+    let request = request.head.id_text();
+    if heard.leaves {
+        traffic.metrics.record_notice("leaves");
+        log::info!(event = "back_end_leaves", back_end:% = back_end.id, told_by = "answer", request; "");
+    }
+    if let Some(rest) = heard.rest {
+        traffic.metrics.record_notice("rests");
+        let rest_ms = whole_millis(rest);
+        log::info!(event = "back_end_rests", back_end:% = back_end.id, rest_ms, request; "");
+    }
+}
+
 fn note_failure<P>(
     traffic: &Traffic<P>,
     request: &CallerRequest,
@@ -172,7 +205,7 @@
     answer: AnswerInProgress,
     ends_at: Instant,
 ) -> Option<(Parts, Bytes)> {
-    let AnswerInProgress { response, judgement, lease, in_flight, run } = answer;
+    let AnswerInProgress { response, judgement, lease, in_flight, run, .. } = answer;
     let (parts, body) = response.into_parts();
     let collected = timeout_at(ends_at.into(), Limited::new(body, HELD_ANSWER_MAXIMUM_BYTES).collect()).await;
     drop(in_flight);
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -14,7 +14,7 @@
 use havengate_core::world::ServiceName;
 use havengate_node::clock::Clock;
 
-use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits};
+use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits, SharedNotices};
 use crate::broken_runs::BrokenRuns;
 use crate::control::SharedWithTraffic;
 use crate::demand::SharedDemand;
@@ -43,6 +43,8 @@
     pub pool: ConnectionPool,
     /// What is under way at back ends, and how they answer.
     pub loads: BackEndLoads,
+    /// What back ends have said of themselves in answers.
+    pub notices: SharedNotices,
     /// Runs that back ends broke off.
     pub broken_runs: BrokenRuns,
     /// The prompts that are read now, and where shared parts are kept.
@@ -72,7 +74,7 @@
         budget_config: SharedRetryBudgetConfig,
         placement: PlacementConfig,
     ) -> Self {
-        let SharedWithTraffic { knowledge, demand, usage, configuration_shown, clock, metrics } = shared;
+        let SharedWithTraffic { knowledge, demand, usage, configuration_shown, notices, clock, metrics } = shared;
         let pool = ConnectionPool::new(PoolLimits::default());
         let readings = Readings::new(Arc::clone(&knowledge), clock, metrics.clone());
         let engine_ends = readings.engine_ends().clone();
@@ -82,6 +84,7 @@
             broken_runs: BrokenRuns::new(pool.clone(), engine_ends, clock, metrics.clone()),
             pool,
             loads: BackEndLoads::default(),
+            notices,
             readings,
             short_reading: Cell::default(),
             late_readings: RefCell::default(),
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -19,6 +19,7 @@
 use super::learner::Learner;
 use super::peers::PeerExchange;
 use super::reader_role::ReaderRole;
+use crate::back_ends::SharedNotices;
 use crate::demand::SharedDemand;
 use crate::knowledge::{SharedKnowledge, SharedMoment};
 use crate::metrics::RelayMetrics;
@@ -51,6 +52,8 @@
     pub usage: SharedUsage,
     /// When the configuration in force was last shown to be the newest.
     pub configuration_shown: SharedMoment,
+    /// What back ends have said of themselves in answers.
+    pub notices: SharedNotices,
     /// The node's clock.
     pub clock: Clock,
     /// Counters.
@@ -86,7 +89,7 @@
     let body = move || {
         let tasks = LocalSet::new();
         tasks.block_on(&runtime, async move {
-            let SharedWithTraffic { knowledge, demand, usage, configuration_shown, clock, metrics } = shared;
+            let SharedWithTraffic { knowledge, demand, usage, configuration_shown, clock, metrics, .. } = shared;
             let Platform { store, receiver } = platform;
             let learner = Learner::new(knowledge, configuration_shown, clock, metrics.clone());
             let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -171,6 +171,13 @@
     pub answer: &'static str,
 }
 
+/// Labels of what back ends say of themselves in answers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct NoticeLabel {
+    /// What they say.
+    pub notice: &'static str,
+}
+
 /// Labels of messages that were dropped.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct DropLabel {
@@ -187,6 +194,8 @@
     repeats: Family<ServiceLabel, Counter>,
     broken_runs: Family<BrokenRunLabel, Counter>,
     suspects: Family<SuspectLabel, Counter>,
+    notices: Family<NoticeLabel, Counter>,
+    unwelcome_sends: Family<NoticeLabel, Counter>,
     blocked: Gauge,
     spoiled_entries: Counter,
     new_lives: Counter,
@@ -229,6 +238,8 @@
             repeats: Family::default(),
             broken_runs: Family::default(),
             suspects: Family::default(),
+            notices: Family::default(),
+            unwelcome_sends: Family::default(),
             blocked: Gauge::default(),
             spoiled_entries: Counter::default(),
             new_lives: Counter::default(),
@@ -271,6 +282,10 @@
             "Requests under which engines ended, by what became of them here",
             metrics.suspects.clone(),
         );
+        let notices = metrics.notices.clone();
+        registry.register("back_end_notices", "What back ends said of themselves and was not known before", notices);
+        let unwelcome = metrics.unwelcome_sends.clone();
+        registry.register("unwelcome_sends", "Sends that the back end's own word speaks against", unwelcome);
         registry.register(
             "blocked_contents",
             "Requests that are sent to no engine, since engines ended under them",
@@ -369,6 +384,16 @@
         self.metrics.suspects.get_or_create(&SuspectLabel { outcome }).inc();
     }
 
+    /// Counts something that a back end said of itself and that was not known before.
+    pub fn record_notice(&self, notice: &'static str) {
+        self.metrics.notices.get_or_create(&NoticeLabel { notice }).inc();
+    }
+
+    /// Counts a send that the back end's own word speaks against.
+    pub fn record_unwelcome_send(&self, notice: &'static str) {
+        self.metrics.unwelcome_sends.get_or_create(&NoticeLabel { notice }).inc();
+    }
+
     /// Counts a call to the store.
     pub fn record_store_call(&self, call: &'static str, outcome: &'static str) {
         self.metrics.store_calls.get_or_create(&StoreLabels { call, outcome }).inc();
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -24,6 +24,7 @@
 use tokio::task::LocalSet;
 use tokio::time::{interval, sleep};
 
+use crate::back_ends::SharedNotices;
 use crate::cache_survey::survey;
 use crate::callers::{CallerServer, LAST_CONNECTIONS_PATIENCE, ServerPhase, Traffic, listen};
 use crate::control::{BlockStoreLink, ControlSettings, DutySettings, Platform, SharedWithTraffic, block_links, spawn};
@@ -85,6 +86,7 @@
         demand: demand.clone(),
         usage: usage.clone(),
         configuration_shown: SharedMoment::default(),
+        notices: SharedNotices::default(),
         clock,
         metrics: metrics.clone(),
     };
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use havengate_core::authority::Term;
-use havengate_core::back_ends::{BackEnd, DirectoryChanges, DirectoryListing, EngineStage};
+use havengate_core::back_ends::{BackEnd, BackEndNotice, DirectoryChanges, DirectoryListing, EngineStage};
 use havengate_core::duties::fleet::{FleetBaseline, FleetOrder};
 use havengate_core::duties::usage::{LedgerWrite, UsageLedger, UsageReport};
 use havengate_core::duties::{DutyAnswer, LeaseRecord, LeaseWrite};
@@ -154,6 +154,9 @@
     /// Judges the head of an answer to the request called `id`.
     fn judge(&self, id: &HeaderValue, status: hyper::StatusCode, headers: &HeaderMap) -> AnswerHead;
 
+    /// What an answer to the request called `id` says of the back end that gave it; nothing where it is another one's.
+    fn read_notice(&self, id: &HeaderValue, status: hyper::StatusCode, headers: &HeaderMap) -> BackEndNotice;
+
     /// The path at which an engine tells what its cache keeps.
     fn kept_parts_path(&self) -> &'static str;
 
