A back end's own word counts: one that leaves, or rests, gets nothing

Cause: who leaves was known by the store alone, and who is loaded by the node's own requests under way. What an answer says of its back end was dropped, so nodes sent to a back end that left for as long as the store was away, and most of all to engines that turned everything away. Ruled out: a choice of need (sends=1, others free); a word that is heard and lost (it is in each answer and was read in none). Change: BackEndNotices decides with the directory, the earlier word counting; one that rests is no last resort. Where all rest, callers are refused at once with the time until the first takes requests (back_ends_rest). Orders of stages, the survey of caches and takers of parts heed it too.

--- a/crates/core/src/back_ends/notices.rs
+++ b/crates/core/src/back_ends/notices.rs
@@ -106,13 +106,17 @@
         (*until > now).then(|| until.since(now))
     }
 
-    /// Whether a back end may be sent a request, by what the directory says of it and by what it said itself that it leaves. The
-    /// earlier of both words counts, and a directory that doesn't know of it yet, or knows less again, changes nothing.
+    /// Whether a back end may be sent a request, by what the directory says of it and by its own word. The earlier of both counts: a
+    /// directory that hasn't heard of its leaving, or lists it anew, changes nothing. Before, nodes sent to a back end for as long as the
+    /// store was away that couldn't take its word.
+    ///
+    /// One that rests is no last resort either: what it would turn away costs a repeat that another one could serve. While four of twelve
+    /// engines rested, that cost one caller in four an answer.
     pub fn usability(&self, entry: &DirectoryEntry, now: Timestamp) -> Usability {
-        let told = match self.leaving.get(&entry.back_end.id) {
-            None => Usability::Usable,
-            Some(said_at) if now.since(*said_at) < LAST_RESORT => Usability::LastResort,
+        let told = match self.unwelcome(&entry.back_end.id, now) {
             Some(_) => Usability::Unusable,
+            None if self.leaving.contains_key(&entry.back_end.id) => Usability::LastResort,
+            None => Usability::Usable,
         };
         entry.usability(now).max(told)
     }
@@ -125,4 +129,19 @@
         }
         self.rest_left(id, now).map(|_| Unwelcome::Rests)
     }
+
+    /// When the first of these back ends takes requests again, where each of them that is usable otherwise rests; `None` where one
+    /// doesn't rest, or none is usable.
+    pub fn all_rest_for<'e>(
+        &self,
+        entries: impl Iterator<Item = &'e DirectoryEntry>,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let stays = |entry: &&DirectoryEntry| {
+            entry.usability(now) == Usability::Usable && !self.leaving.contains_key(&entry.back_end.id)
+        };
+        let rests: Option<Vec<Duration>> =
+            entries.filter(stays).map(|entry| self.rest_left(&entry.back_end.id, now)).collect();
+        rests?.into_iter().min()
+    }
 }
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -89,6 +89,8 @@
     RetryBudgetSpent,
     /// the engines that ran the request so far have ended under it
     EndsEngines,
+    /// all back ends that could take the request have asked for rest
+    BackEndsRest,
 }
 
 impl NotRunReason {
@@ -113,6 +115,7 @@
             NotRunReason::CallerGone => "caller_gone",
             NotRunReason::RetryBudgetSpent => "retry_budget_spent",
             NotRunReason::EndsEngines => "ends_engines",
+            NotRunReason::BackEndsRest => "back_ends_rest",
         }
     }
 
@@ -127,6 +130,7 @@
                 | NotRunReason::DispatcherUnreachable
                 | NotRunReason::NotOwner
                 | NotRunReason::RetryBudgetSpent
+                | NotRunReason::BackEndsRest
         )
     }
 }
--- a/crates/node/src/callers/error.rs
+++ b/crates/node/src/callers/error.rs
@@ -158,6 +158,7 @@
         | NotRunReason::NotOwner
         | NotRunReason::CallerGone
         | NotRunReason::RetryBudgetSpent
+        | NotRunReason::BackEndsRest
         | NotRunReason::EndsEngines => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/relay/src/cache_survey.rs
+++ b/crates/relay/src/cache_survey.rs
@@ -50,11 +50,13 @@
 async fn ask_engines<P: Protocol>(traffic: &Traffic<P>) {
     let began = Instant::now();
     let knowledge = traffic.knowledge.load_full();
-    let now = traffic.clock.now();
-    let usable = knowledge.directory.entries().filter(|entry| entry.usability(now) == Usability::Usable);
-    let engines = usable.map(|entry| &entry.back_end).filter(|back_end| back_end.stage.is_some());
+    let engines = knowledge.directory.entries().filter(|entry| entry.back_end.stage.is_some());
     let (mut asked, mut parts) = (0, 0);
-    for engine in engines {
+    for entry in engines {
+        if traffic.notices.lock().usability(entry, traffic.clock.now()) != Usability::Usable {
+            continue;
+        }
+        let engine = &entry.back_end;
         asked += 1;
         if let Ok(Some(kept)) = timeout(ENGINE_TIME_LIMIT, list(traffic, engine)).await {
             parts += kept.len();
--- a/crates/relay/src/callers/candidates.rs
+++ b/crates/relay/src/callers/candidates.rs
@@ -1,6 +1,8 @@
 //! The back ends that a request may be sent to, as this node sees them now.
 
-use havengate_core::back_ends::{BackEnd, Usability};
+use std::time::Duration;
+
+use havengate_core::back_ends::{BackEnd, DirectoryEntry, EngineStage, Usability};
 use havengate_core::relay::{Candidate, Placed, Purpose, place};
 use havengate_core::time::Timestamp;
 use havengate_core::world::{BackEndId, ServiceName};
@@ -32,12 +34,13 @@
 ) -> Vec<Candidate<'k>> {
     let connections_maximum = connections_maximum(knowledge, service);
     let entries = knowledge.directory.of_service(service);
+    let notices = traffic.notices.lock();
     entries
         .map(|entry| {
             let id = &entry.back_end.id;
             Candidate {
                 back_end: &entry.back_end,
-                usability: match entry.usability(now) {
+                usability: match notices.usability(entry, now) {
                     // It refuses what it can't run before it changes, so it is a last resort.
                     Usability::Usable if knowledge.is_changing(&entry.back_end, now) => Usability::LastResort,
                     usability => usability,
@@ -50,6 +53,14 @@
         .collect()
 }
 
+/// When the first back end that could answer takes requests again, where all of them have asked for rest; `None` otherwise.
+pub fn all_rest_for<P>(traffic: &Traffic<P>, service: &ServiceName) -> Option<Duration> {
+    let knowledge = traffic.knowledge.load();
+    let answers = |entry: &&DirectoryEntry| entry.back_end.stage != Some(EngineStage::Prefill);
+    let entries = knowledge.directory.of_service(service).filter(answers);
+    traffic.notices.lock().all_rest_for(entries, traffic.clock.now())
+}
+
 /// This node's part of the connections that a back end accepts from all nodes together.
 fn connections_maximum(knowledge: &Knowledge, service: &ServiceName) -> u32 {
     let description = knowledge.configuration.as_ref().and_then(|active| active.configuration.service(service));
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -14,7 +14,7 @@
 
 use super::answer::{OwnAnswer, RelayBody};
 use super::caller_request::CallerRequest;
-use super::candidates::choose_back_end;
+use super::candidates::{all_rest_for, choose_back_end};
 use super::headers::strip_answer;
 use super::record::{RequestEnd, RequestRecord};
 use super::send_step::{discard, first_piece, outcome_of_head, read_whole, send_noted};
@@ -95,11 +95,7 @@
                 return self.end(end, None);
             }
             let Some(back_end) = self.place_answer(&plan) else {
-                let reason = match plan {
-                    ReadingPlan::Nowhere => NotRunReason::DeadlineUnreachable,
-                    _ => NotRunReason::NoEngine,
-                };
-                let end = self.exchange.give_up(reason, MayHaveRun::EngineFailed);
+                let end = self.exchange.give_up(self.why_nowhere(&plan), MayHaveRun::EngineFailed);
                 return self.end(end, None);
             };
             // Only a send that has somewhere to go is taken out of the budget.
@@ -143,13 +139,26 @@
         own.response()
     }
 
-    fn refusal(&self, reason: NotRunReason) -> OwnAnswer {
-        match self.traffic.readings.engine_ends().blocked_for(self.request.content) {
-            Some(wait) if reason == NotRunReason::EndsEngines => OwnAnswer::refusal_for(reason, wait),
-            _ => OwnAnswer::refusal(reason),
+    /// Why there is no back end for the request.
+    fn why_nowhere(&self, plan: &ReadingPlan) -> NotRunReason {
+        match plan {
+            ReadingPlan::Nowhere => NotRunReason::DeadlineUnreachable,
+            _ if all_rest_for(self.traffic, &self.request.service).is_some() => NotRunReason::BackEndsRest,
+            _ => NotRunReason::NoEngine,
         }
     }
 
+    /// The refusal of a request that is of no use before a known moment names it: a caller that comes back earlier is refused again,
+    /// and many have a single try left.
+    fn refusal(&self, reason: NotRunReason) -> OwnAnswer {
+        let wait = match reason {
+            NotRunReason::EndsEngines => self.traffic.readings.engine_ends().blocked_for(self.request.content),
+            NotRunReason::BackEndsRest => all_rest_for(self.traffic, &self.request.service),
+            _ => None,
+        };
+        wait.map_or_else(|| OwnAnswer::refusal(reason), |wait| OwnAnswer::refusal_for(reason, wait))
+    }
+
     /// The request's end where engines have ended under it, at any node: it would end the next one too, with all that runs
     /// there. Without this, each copy of such a request ended as many engines as its route allows attempts.
     fn end_of_blocked(&self) -> Option<NextStep> {
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -78,10 +78,12 @@
     if !traffic.placement().takes_parts_over {
         return None;
     }
+    let notices = traffic.notices.lock();
     let usable = knowledge
         .directory
         .of_service(&request.service)
-        .filter(|entry| entry.usability(now) == Usability::Usable && traffic.loads.admits(&entry.back_end.id, now));
+        .filter(|entry| notices.usability(entry, now) == Usability::Usable)
+        .filter(|entry| traffic.loads.admits(&entry.back_end.id, now));
     let others = usable.map(|entry| &entry.back_end);
     traffic.readings.with_index(|index| index.keeper(&back_end.id, prompt, others).map(|keeper| keeper.address))
 }
--- a/crates/relay/src/control/duties/holder.rs
+++ b/crates/relay/src/control/duties/holder.rs
@@ -12,6 +12,7 @@
 use super::lease_keeper::LeaseKeeper;
 use super::settings::DutySettings;
 use super::usage_duty::{UsageDuty, UsageDutyParts};
+use crate::back_ends::SharedNotices;
 use crate::control::learner::Learner;
 use crate::control::peers::PeerExchange;
 use crate::control::stages::{Steering, SteeringParts};
@@ -47,6 +48,8 @@
     pub demand: SharedDemand,
     /// What this node's callers have used.
     pub usage: SharedUsage,
+    /// What back ends have said of themselves in answers.
+    pub notices: SharedNotices,
     /// What the node knows.
     pub learner: Learner,
     /// The exchange with peers.
@@ -73,8 +76,20 @@
 impl<P: Protocol, S: ControlStore, D: DutyReceiver> Duties<P, S, D> {
     /// The duties at a node that has just started.
     pub fn new(parts: DutyParts<P, S, D>) -> Self {
-        let DutyParts { node, own, settings, protocol, store, receiver, demand, usage, learner, peers, metrics } =
-            parts;
+        let DutyParts {
+            node,
+            own,
+            settings,
+            protocol,
+            store,
+            receiver,
+            demand,
+            usage,
+            notices,
+            learner,
+            peers,
+            metrics,
+        } = parts;
         let clock = learner.clock();
         let initial = *settings.borrow();
         let life = fastrand::u64(..);
@@ -109,6 +124,7 @@
             policy: initial.stages,
             protocol,
             demand: demand.clone(),
+            notices,
             learner: learner.clone(),
             peers: peers.clone(),
             metrics: metrics.clone(),
--- a/crates/relay/src/control/stages/steering.rs
+++ b/crates/relay/src/control/stages/steering.rs
@@ -12,7 +12,7 @@
 
 use super::decisions::{Decisions, WantedStages};
 use super::engine_orders::{EngineOrder, EngineOrders};
-use crate::back_ends::{ConnectionPool, PoolLimits};
+use crate::back_ends::{ConnectionPool, PoolLimits, SharedNotices};
 use crate::control::duties::LeaseKeeper;
 use crate::control::learner::Learner;
 use crate::control::peers::PeerExchange;
@@ -47,6 +47,8 @@
     pub protocol: P,
     /// What this node's callers ask for.
     pub demand: SharedDemand,
+    /// What back ends have said of themselves in answers.
+    pub notices: SharedNotices,
     /// What the node knows.
     pub learner: Learner,
     /// The exchange with peers.
@@ -76,6 +78,7 @@
     life: u64,
     orders: EngineOrders<P>,
     demand: SharedDemand,
+    notices: SharedNotices,
     learner: Learner,
     peers: PeerExchange,
     metrics: RelayMetrics,
@@ -91,7 +94,7 @@
 impl<P: Protocol> Steering<P> {
     /// The steering of a node that has just started.
     pub fn new(parts: SteeringParts<P>) -> Self {
-        let SteeringParts { node, own, life, policy, protocol, demand, learner, peers, metrics } = parts;
+        let SteeringParts { node, own, life, policy, protocol, demand, notices, learner, peers, metrics } = parts;
         let pool = ConnectionPool::new(PoolLimits::default());
         Steering {
             own,
@@ -99,6 +102,7 @@
             orders: EngineOrders { protocol, pool, holder: node, clock: learner.clock() },
             decisions: Decisions::new(peers.demand(), policy),
             demand,
+            notices,
             learner,
             peers,
             metrics,
@@ -253,6 +257,11 @@
             let Some(entry) = knowledge.directory.get(&engine) else {
                 continue;
             };
+            // An order is a call like any other: one that leaves, or rests, is asked when it takes requests again, or never.
+            if let Some(unwelcome) = self.notices.lock().unwelcome(&engine, self.now()) {
+                log::info!(event = "stage_order_waits", back_end:% = engine, back_end_says = unwelcome.code(); "");
+                continue;
+            }
             let order = EngineOrder { engine: entry.back_end.clone(), to, term, until, time_limit };
             self.changes.ordered(&engine);
             let orders = self.orders.clone();
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -89,7 +89,7 @@
     let body = move || {
         let tasks = LocalSet::new();
         tasks.block_on(&runtime, async move {
-            let SharedWithTraffic { knowledge, demand, usage, configuration_shown, clock, metrics, .. } = shared;
+            let SharedWithTraffic { knowledge, demand, usage, configuration_shown, notices, clock, metrics } = shared;
             let Platform { store, receiver } = platform;
             let learner = Learner::new(knowledge, configuration_shown, clock, metrics.clone());
             let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
@@ -107,6 +107,7 @@
                         receiver,
                         demand,
                         usage,
+                        notices,
                         learner: learner.clone(),
                         peers: peers.clone(),
                         metrics: metrics.clone(),
