--- a/crates/relay/src/readings.rs
+++ b/crates/relay/src/readings/mod.rs
@@ -1,35 +1,27 @@
 //! The prompts that engines read now, as this node and its peers see it.
 
+mod telling;
+
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{
-    EndsNotice, EngineModel, EngineTag, KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId,
-    ReadingsMessage, ReadingsNotice, Suspicions, TellingPace, TellingPaceConfig, ToldPart, UnreachableNotice, Urgency,
+    EngineModel, EngineTag, KeptParts, Prompt, PromptIndex, PromptIndexConfig, PromptPart, ReadingId, ReadingsMessage,
+    Suspicions, TellingPaceConfig, ToldPart, Urgency,
 };
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId};
 use havengate_node::clock::Clock;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
 
 use crate::datagrams::Datagrams;
 use crate::engine_ends::SharedEngineEnds;
 use crate::knowledge::SharedKnowledge;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
 
-/// The peers that are told of each reading: all, up to the size that is designed for. Long prompts are few, and a node
-/// that doesn't hear of a reading sends the next prompt behind it.
-const PEERS_TOLD_MAXIMUM: usize = 400;
-
-/// The parts of one engine that a node that has just started is told: a message of more bytes than fit would be lost, and
-/// an engine keeps some thirty parts of long prompts.
-const KEPT_PARTS_TOLD: usize = 50;
-
 /// The peers that are asked at a time; one of them may have just started too.
 const PEERS_ASKED: usize = 2;
 
@@ -57,19 +49,6 @@
     engine_ends: SharedEngineEnds,
 }
 
-/// The pause between two notices of back ends that could not be reached.
-const UNREACHABLE_PAUSE: Duration = Duration::from_millis(200);
-
-/// The pause between two notices of engines that ended: what happens meanwhile is told together.
-const ENDS_PAUSE: Duration = Duration::from_millis(100);
-
-/// How often each node tells a few peers which requests are blocked, and how many: in 3 s a node hears of it from some six.
-const BLAME_PAUSE: Duration = Duration::from_secs(1);
-const BLAME_PEERS: usize = 2;
-
-/// How long a finished reading waits at most to be told once more.
-const REPEAT_PAUSE: Duration = Duration::from_millis(200);
-
 impl Readings {
     /// Readings that are not exchanged with peers yet.
     pub fn new(knowledge: SharedKnowledge, clock: Clock, metrics: RelayMetrics) -> Self {
@@ -111,40 +90,6 @@
         Ok(())
     }
 
-    async fn receive(&self, message: ReadingsMessage) {
-        let now = self.shared.clock.now();
-        match message {
-            ReadingsMessage::Notice(ReadingsNotice { sender, .. })
-            | ReadingsMessage::Unreachable(UnreachableNotice { sender, .. })
-            | ReadingsMessage::Ends(EndsNotice { sender, .. })
-                if !self.shared.knowledge.load().peers.contains(&sender) =>
-            {
-                self.shared.metrics.record_dropped_message("unknown_sender");
-            }
-            ReadingsMessage::Notice(notice) => {
-                if !self.shared.index.borrow_mut().receive(notice, now) {
-                    self.shared.metrics.record_dropped_message("overtaken");
-                }
-            }
-            ReadingsMessage::Unreachable(notice) => self.shared.suspicions.borrow_mut().receive(&notice, now),
-            ReadingsMessage::Ends(notice) => self.shared.engine_ends.receive(&notice),
-            ReadingsMessage::AskKept { sender } => {
-                self.tell_blame(sender).await;
-                let knowledge = self.shared.knowledge.load_full();
-                let engines = knowledge.directory.entries().map(|entry| &entry.back_end.id);
-                let kept: Vec<KeptParts> = self.shared.index.borrow().kept_parts(engines, KEPT_PARTS_TOLD).collect();
-                for kept in kept {
-                    self.send(&ReadingsMessage::Kept(kept), NodeMessageKind::KeptParts, &[sender]).await;
-                }
-            }
-            ReadingsMessage::Kept(kept) => {
-                let (engine, parts) = (kept.engine.clone(), kept.parts.len());
-                log::debug!(event = "kept_parts_told", back_end:% = engine, parts; "");
-                self.shared.index.borrow_mut().adopt_kept(kept, now);
-            }
-        }
-    }
-
     /// Asks a few peers what engines keep.
     pub async fn ask_kept(&self) {
         let Some(sender) = self.sender() else {
@@ -219,66 +164,11 @@
         self.shared.suspicions.borrow().is_suspected(EngineTag::from(back_end), now)
     }
 
-    /// Tells peers for ever of back ends that could not be reached.
-    async fn tell_unreachable(self) {
-        loop {
-            self.shared.unreachable.notified().await;
-            let now = self.shared.clock.now();
-            let back_ends = self.shared.suspicions.borrow().told(now);
-            let Some(sender) = self.sender().filter(|_| !back_ends.is_empty()) else {
-                continue;
-            };
-            let peers = Arc::clone(&self.shared.knowledge.load().peers);
-            let notice = ReadingsMessage::Unreachable(UnreachableNotice { sender, back_ends });
-            self.send(&notice, NodeMessageKind::Unreachable, &peers).await;
-            sleep(UNREACHABLE_PAUSE).await;
-        }
-    }
-
     /// The engines that ended while they ran requests.
     pub fn engine_ends(&self) -> &SharedEngineEnds {
         &self.shared.engine_ends
     }
 
-    /// Tells peers for ever of engines that ended while they ran requests.
-    async fn tell_ends(self) {
-        loop {
-            self.shared.engine_ends.wait_for_news().await;
-            if let Some(notice) = self.sender().and_then(|sender| self.shared.engine_ends.notice(sender)) {
-                let peers = Arc::clone(&self.shared.knowledge.load().peers);
-                self.send(&ReadingsMessage::Ends(notice), NodeMessageKind::Ends, &peers).await;
-            }
-            sleep(ENDS_PAUSE).await;
-        }
-    }
-
-    /// Tells a few peers for ever which requests engines have ended under: one that was cut off, or stood still, when that was
-    /// told would send each of them on.
-    async fn tell_blame_again(self) {
-        loop {
-            sleep(BLAME_PAUSE).await;
-            for peer in self.some_peers(BLAME_PEERS) {
-                self.tell_blame(peer).await;
-            }
-        }
-    }
-
-    /// Peers that are told or asked something that need not reach all.
-    fn some_peers(&self, count: usize) -> Vec<Address> {
-        let mut peers = (*self.shared.knowledge.load().peers).clone();
-        fastrand::shuffle(&mut peers);
-        peers.truncate(count);
-        peers
-    }
-
-    /// Tells a node which requests engines have ended under.
-    async fn tell_blame(&self, receiver: Address) {
-        let notice = self.sender().and_then(|sender| self.shared.engine_ends.known_blame(sender));
-        if let Some(notice) = notice {
-            self.send(&ReadingsMessage::Ends(notice), NodeMessageKind::Ends, &[receiver]).await;
-        }
-    }
-
     /// What is believed of the engines' speed.
     pub fn model(&self) -> EngineModel {
         *self.shared.index.borrow().model()
@@ -297,43 +187,10 @@
         }
     }
 
-    /// Tells peers of news for ever: at once while that is cheap, else together and as often as the pace allows.
-    async fn tell_at_pace(self, config: TellingPaceConfig) {
-        let mut pace = TellingPace::new(config, self.shared.clock.now());
-        loop {
-            while !self.shared.has_news.get() && !self.shared.index.borrow().has_untold() {
-                self.shared.news.notified().await;
-            }
-            let wait = pace.wait(self.shared.clock.now());
-            if !wait.is_zero() {
-                sleep(wait).await;
-            }
-            let sent = self.tell_peers().await;
-            pace.spend(sent, self.shared.clock.now());
-            // What is told a second time, against loss, goes with later news or after a while.
-            if !self.shared.has_news.get() && self.shared.index.borrow().has_untold() {
-                let _ = timeout(REPEAT_PAUSE, self.shared.news.notified()).await;
-            }
-        }
-    }
-
     fn note_news(&self) {
         self.shared.has_news.set(true);
         self.shared.news.notify_one();
     }
-
-    async fn tell_peers(&self) -> usize {
-        self.shared.has_news.set(false);
-        let Some(sender) = self.sender() else {
-            return 0;
-        };
-        let sequence = self.shared.sequence.get() + 1;
-        self.shared.sequence.set(sequence);
-        let notice = self.shared.index.borrow_mut().notice(sender, sequence, self.shared.clock.now());
-        let knowledge = self.shared.knowledge.load_full();
-        let receivers = &knowledge.peers[..knowledge.peers.len().min(PEERS_TOLD_MAXIMUM)];
-        self.send(&ReadingsMessage::Notice(notice), NodeMessageKind::Readings, receivers).await
-    }
 }
 
 /// A prompt that is being read.
