An overload ends when its cause does: moves without the wait, fading

Cause: the sample of a move was the time until the moved prompt's answer began, the wait at the engine in it. Long prompts were then read where they are answered, which made that wait longer; and what was believed stayed for as long as nothing was moved. Metastable: the trigger is any overload of seconds. Ruled out: traffic, disruptions and orders of stages (the same in both states); the prefill engines (they took 23 ms where 361 were expected). Change: relay::moves takes the wait that short prompts show out of each sample, and fades to the prior by half in 3 s. QuantileEstimate has a file of its own.

--- a/crates/core/src/relay/engine_model.rs
+++ b/crates/core/src/relay/engine_model.rs
@@ -6,21 +6,15 @@
 
 use speedy::{Readable, Writable};
 
+use super::moves::Moves;
+use super::quantile_estimate::{Estimate, QuantileEstimate};
 use crate::back_ends::EngineStage;
+use crate::time::Timestamp;
 
 /// The share of samples that lies below an estimate of a reading rate. A reading that waited for others looks slow, and
 /// many do; one that looks too fast kept more than was known, which is rare.
 const RATE_QUANTILE: f64 = 0.7;
 
-/// The share of samples that lies below an estimate of a move.
-const MOVE_QUANTILE: f64 = 0.5;
-
-/// How far the first sample moves an estimate, as a factor's logarithm: the prior may be wrong by ten times.
-const FIRST_STEP: f64 = 0.7;
-
-/// How far a sample moves an estimate that has seen many: engines change slowly.
-const LAST_STEP: f64 = 0.04;
-
 /// Shorter readings show the way to the engine rather than its rate.
 const SAMPLE_MINIMUM_TOKENS: u32 = 1_000;
 
@@ -30,47 +24,6 @@
 /// What is believed of decode engines before any was seen: they read between the tokens of others, at half the pace.
 const DECODE_RATE_PRIOR: f64 = 50.0;
 
-/// What is believed of a move of a KV cache before any was seen, in milliseconds a thousand tokens.
-const MOVE_PRIOR: f64 = 1.0;
-
-/// A quantile of a stream of positive samples, held as one number that each sample moves a little.
-#[derive(Clone, Copy, Debug)]
-struct QuantileEstimate {
-    logarithm: f64,
-    quantile: f64,
-    samples: u32,
-}
-
-impl QuantileEstimate {
-    fn new(prior: f64, quantile: f64) -> Self {
-        QuantileEstimate { logarithm: prior.ln(), quantile, samples: 0 }
-    }
-
-    fn value(&self) -> f64 {
-        self.logarithm.exp()
-    }
-
-    /// Takes a sample in. However far off it is, it moves the estimate by one step at most.
-    fn observe(&mut self, sample: f64) {
-        if !sample.is_finite() || sample <= 0.0 {
-            return;
-        }
-        self.samples = self.samples.saturating_add(1);
-        let step = (FIRST_STEP / f64::from(self.samples).sqrt()).max(LAST_STEP);
-        let direction = if sample.ln() > self.logarithm { self.quantile } else { self.quantile - 1.0 };
-        self.logarithm += step * direction;
-    }
-}
-
-/// An estimate as metrics and logs show it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Estimate {
-    /// The value.
-    pub value: f64,
-    /// The samples that it rests on; 0: the prior.
-    pub samples: u32,
-}
-
 /// What prefill engines have read that had nothing else to read. Totals of several nodes can be added up, which estimates
 /// can't.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
@@ -93,7 +46,7 @@
 pub struct EngineModel {
     prefill: QuantileEstimate,
     decode: QuantileEstimate,
-    move_millis: QuantileEstimate,
+    moves: Moves,
     readings_alone: ReadingTotals,
 }
 
@@ -102,7 +55,7 @@
         EngineModel {
             prefill: QuantileEstimate::new(PREFILL_RATE_PRIOR, RATE_QUANTILE),
             decode: QuantileEstimate::new(DECODE_RATE_PRIOR, RATE_QUANTILE),
-            move_millis: QuantileEstimate::new(MOVE_PRIOR, MOVE_QUANTILE),
+            moves: Moves::default(),
             readings_alone: ReadingTotals::default(),
         }
     }
@@ -124,10 +77,15 @@
         }
     }
 
+    /// Notes that an engine began an answer `took` after it was sent there, for which no long prompt was moved or read.
+    pub fn observe_wait(&mut self, took: Duration, now: Timestamp) {
+        self.moves.observe_wait(took, now);
+    }
+
     /// Notes that an engine took `took` to get a KV cache of `tokens` and to begin its answer.
-    pub fn observe_move(&mut self, tokens: u32, took: Duration) {
+    pub fn observe_move(&mut self, tokens: u32, took: Duration, now: Timestamp) {
         if tokens >= SAMPLE_MINIMUM_TOKENS {
-            self.move_millis.observe(1e3 * millis(took) / f64::from(tokens));
+            self.moves.observe(tokens, took, now);
         }
     }
 
@@ -150,24 +108,20 @@
     }
 
     /// The milliseconds that the move of a KV cache of `tokens` takes.
-    pub fn move_millis(&self, tokens: f64) -> f64 {
-        self.move_millis.value() * tokens / 1e3
+    pub fn move_millis(&self, tokens: f64, now: Timestamp) -> f64 {
+        self.moves.millis(tokens, now)
     }
 
     /// The estimates by name, for metrics and logs.
-    pub fn estimates(&self) -> [(&'static str, Estimate); 3] {
+    pub fn estimates(&self, now: Timestamp) -> [(&'static str, Estimate); 3] {
         [
-            ("prefill_tokens_per_millisecond", shown(&self.prefill)),
-            ("decode_tokens_per_millisecond", shown(&self.decode)),
-            ("move_milliseconds_per_1000_tokens", shown(&self.move_millis)),
+            ("prefill_tokens_per_millisecond", self.prefill.shown()),
+            ("decode_tokens_per_millisecond", self.decode.shown()),
+            ("move_milliseconds_per_1000_tokens", self.moves.shown(now)),
         ]
     }
 }
 
-fn shown(estimate: &QuantileEstimate) -> Estimate {
-    Estimate { value: estimate.value(), samples: estimate.samples }
-}
-
 fn millis(duration: Duration) -> f64 {
     (duration.as_secs_f64() * 1e3).max(0.1)
 }
--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -137,7 +137,8 @@
     let at_once = |index| Placed { index, reading: Duration::ZERO, waits: false, urgency: Urgency::InTime, unread: 0 };
     match purpose {
         Purpose::Read { prompt, in_time, index, now } => {
-            let readers = Readers { candidates, prompt, index, config, now: *now };
+            let move_millis_a_token = index.model().move_millis(1.0, *now);
+            let readers = Readers { candidates, prompt, index, config, move_millis_a_token, now: *now };
             readers.choose(indexes, *in_time, random)
         }
         Purpose::ReadAside { index, now } => {
@@ -170,6 +171,8 @@
     prompt: &'a Prompt,
     index: &'a PromptIndex,
     config: &'a PlacementConfig,
+    /// What is believed of moves, the same for all candidates.
+    move_millis_a_token: f64,
     now: Timestamp,
 }
 
@@ -238,9 +241,9 @@
         let unread = self.prompt.tokens.saturating_sub(kept + taken_over);
         let backlog = self.index.backlog(&back_end.id, stage, urgency, self.now);
         let reading = model.reading_millis(stage, backlog + f64::from(unread));
-        let taking_over = model.move_millis(f64::from(taken_over));
+        let taking_over = self.move_millis_a_token * f64::from(taken_over);
         let handing_over = match stage {
-            EngineStage::Prefill => model.move_millis(f64::from(self.prompt.tokens)),
+            EngineStage::Prefill => self.move_millis_a_token * f64::from(self.prompt.tokens),
             EngineStage::Decode => 0.0,
         };
         let reading = Duration::from_secs_f64((reading + taking_over + handing_over) / 1e3);
--- a/crates/core/src/relay/prompt_index.rs
+++ b/crates/core/src/relay/prompt_index.rs
@@ -135,10 +135,15 @@
     /// Notes that `engine` has got the KV cache of `prompt` from another one, and keeps its shared parts from now on. It
     /// began its answer `took` after it was sent there.
     pub fn moved(&mut self, engine: &BackEndId, prompt: &Prompt, took: Duration, now: Timestamp) {
-        self.model.observe_move(prompt.tokens, took);
+        self.model.observe_move(prompt.tokens, took, now);
         self.finish(engine.into(), prompt.shared_parts().to_vec(), prompt.tokens, now);
     }
 
+    /// Notes that an engine began an answer `took` after it was sent there, for which no long prompt was moved or read.
+    pub fn waited(&mut self, took: Duration, now: Timestamp) {
+        self.model.observe_wait(took, now);
+    }
+
     fn finish(&mut self, engine: EngineTag, shared_parts: Vec<PromptPart>, tokens: u32, now: Timestamp) {
         if shared_parts.is_empty() {
             return;
--- a/crates/core/tests/support/engine_world.rs
+++ b/crates/core/tests/support/engine_world.rs
@@ -155,7 +155,11 @@
 
     /// What the first node believes of engines, for a test's complaint.
     pub fn believed(&self) -> String {
-        let named = self.nodes[0].index.model().estimates().map(|(name, belief)| format!("{name}={:.1}", belief.value));
+        let named = self.nodes[0]
+            .index
+            .model()
+            .estimates(self.now())
+            .map(|(name, belief)| format!("{name}={:.1}", belief.value));
         named.join(" ")
     }
 
@@ -233,7 +237,10 @@
                 match (is_long, was_moved) {
                     (true, true) => node.index.moved(&self.engines[engine].back_end.id, &prompt, took, now),
                     (true, false) => {}
-                    (false, apart) => node.short_reading.observe(apart, took),
+                    (false, apart) => {
+                        node.short_reading.observe(apart, took);
+                        node.index.waited(took, now);
+                    }
                 }
                 self.note_outcome(arrived, Some(micros(self.now - arrived)));
             }
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -204,7 +204,12 @@
                 _ => SendStage::Whole,
             };
             let _timer = back_end.stage.map(|_| traffic.time_short_prompt(matches!(stage, SendStage::Decode(_))));
-            return self.attempt_stage(back_end, &stage).await;
+            let began = traffic.clock.now();
+            let attempt = self.attempt_stage(back_end, &stage).await;
+            if matches!(attempt, Attempt::Answered(_)) && back_end.stage.is_some() {
+                traffic.readings.waited(traffic.clock.now().since(began));
+            }
+            return attempt;
         };
         if let ReadingPlan::Elsewhere { source, .. } = plan {
             let began = traffic.clock.now();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use havengate_core::relay::EngineModel;
+use havengate_core::time::Timestamp;
 use havengate_core::world::ServiceName;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -452,8 +453,8 @@
     }
 
     /// Sets what is believed of engines.
-    pub fn set_estimates(&self, model: &EngineModel) {
-        for (name, estimate) in model.estimates() {
+    pub fn set_estimates(&self, model: &EngineModel, now: Timestamp) {
+        for (name, estimate) in model.estimates(now) {
             let label = EstimateLabel { name };
             self.metrics.estimates.get_or_create(&label).set(estimate.value);
             self.metrics.estimate_samples.get_or_create(&label).set(i64::from(estimate.samples));
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -170,7 +170,7 @@
 
 /// Logs what the node believes of engines, and the bytes that it has sent to other nodes since its start.
 fn log_summary<P>(traffic: &Traffic<P>) {
-    let [prefill, decode, moving] = traffic.readings.with_index(|index| index.model().estimates());
+    let [prefill, decode, moving] = traffic.readings.with_index(|index| index.model().estimates(traffic.clock.now()));
     log::info!(
         event = "engines_believed",
         prefill_rate = prefill.1.value,
@@ -230,7 +230,7 @@
 fn metrics_text<P>(traffic: &Traffic<P>) -> SideAnswer {
     let now = traffic.clock.now();
     let confirmed_at = traffic.knowledge.load().directory_confirmed_at;
-    traffic.readings.with_index(|index| traffic.metrics.set_estimates(index.model()));
+    traffic.readings.with_index(|index| traffic.metrics.set_estimates(index.model(), now));
     traffic.metrics.set_state(&NodeState {
         open_requests: traffic.active.count(),
         connections: traffic.pool.open_in_all(),
--- a/crates/relay/src/readings/mod.rs
+++ b/crates/relay/src/readings/mod.rs
@@ -158,6 +158,11 @@
         self.note_news();
     }
 
+    /// Notes that an engine began an answer `took` after it was sent there, for which no long prompt was moved or read.
+    pub fn waited(&self, took: Duration) {
+        self.shared.index.borrow_mut().waited(took, self.shared.clock.now());
+    }
+
     /// Notes that `back_end` could not be reached; peers are told at once.
     pub fn note_unreachable(&self, back_end: &BackEndId) {
         let now = self.shared.clock.now();
