--- a/crates/core/src/relay/moves.rs
+++ b/crates/core/src/relay/moves.rs
@@ -2,9 +2,9 @@
 //!
 //! A node sees only when the answer of a moved prompt begins. The engine's queue and step are in that time, and they grow with what is read
 //! there, which is what nodes choose when moves look slow. So the wait is taken out of each sample, and what is believed fades back to the prior. With
-//! neither, an overload of seconds outlived its cause, by chance in about half of the plays of one day (worth 0.45 or 0.72); with both it did so
-//! in none of 21 (0.67 to 0.74). The median of the last nine moves, which follows within five, did worse (0.55 to 0.73, three of ten below 0.66): the wait that is
-//! taken out is a mean, and single moves wait for longer.
+//! neither, an overload of seconds outlived its cause in about half of the plays of one day, by chance: answers earned 0.45 or 0.72 of what all of them in time would have. With
+//! both they earned 0.67 to 0.74 in each of 21 plays. The median of the last nine moves, which follows within five, earned 0.55 to 0.73 in ten: the wait that is taken out is a
+//! mean, and single moves wait for longer.
 
 use std::time::Duration;
 
