--- a/crates/core/src/back_ends/notices.rs
+++ b/crates/core/src/back_ends/notices.rs
@@ -160,8 +160,8 @@
     /// directory that hasn't heard of its leaving, or lists it anew, changes nothing. Before, nodes sent to a back end for as long as the
     /// store was away that couldn't take its word.
     ///
-    /// One that rests is no last resort either: what it would turn away costs a repeat that another one could serve. While four of twelve
-    /// engines rested, that cost one caller in four an answer.
+    /// One that rests is no last resort either: what it would turn away costs a repeat that another one could serve. While a third of the
+    /// engines turned all requests away, one caller in four was refused, most of them for want of a repeat.
     pub fn usability(&self, entry: &DirectoryEntry, now: Timestamp) -> Usability {
         let told = match self.unwelcome(&entry.back_end.id, now) {
             Some(_) => Usability::Unusable,
--- a/crates/core/tests/support/engine_world.rs
+++ b/crates/core/tests/support/engine_world.rs
@@ -11,7 +11,7 @@
 use havengate_core::time::Timestamp;
 use havengate_core::world::Address;
 
-use super::world_engine::{CACHE_TOKENS, Caller, Engine, Event, micros};
+use super::world_engine::{CACHE_TOKENS, Caller, Engine, Event};
 
 /// The time between two looks at the world, and between two notices of a node, in microseconds.
 const TICK: u64 = 500;
@@ -233,7 +233,7 @@
                 if let Some(reading) = reading {
                     node.index.end(reading, true, now);
                 }
-                let took = micros(self.now - sent);
+                let took = Duration::from_micros(self.now - sent);
                 match (is_long, was_moved) {
                     (true, true) => node.index.moved(&self.engines[engine].back_end.id, &prompt, took, now),
                     (true, false) => {}
@@ -242,7 +242,7 @@
                         node.index.waited(took, now);
                     }
                 }
-                self.note_outcome(arrived, Some(micros(self.now - arrived)));
+                self.note_outcome(arrived, Some(Duration::from_micros(self.now - arrived)));
             }
         }
     }
--- a/crates/core/tests/support/world_engine.rs
+++ b/crates/core/tests/support/world_engine.rs
@@ -4,7 +4,6 @@
 //! they have between two tokens, at half the pace; a step takes longer the more answers run and the more pieces are read in it.
 
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use havengate_core::back_ends::{BackEnd, EngineStage};
 use havengate_core::relay::{Prompt, ReadingId};
@@ -191,8 +190,3 @@
         events
     }
 }
-
-/// A moment of the world as a span of time.
-pub fn micros(micros: u64) -> Duration {
-    Duration::from_micros(micros)
-}
