Tenant limits and regions: design page and interfaces

Design page for limits of tenants over all nodes and for fleets over several regions, and the types that its parts share: limits and their messages (core::quota), Topology, LocationNotice, the settings tables tenant_limits and zone_regions.

The new messages are new kinds at the end of PeerNotice and PeerMessage. Nodes don't handle them yet: they drop and count them. TrafficConfiguration carries the limits in a field that the codec between nodes skips, so its layout is that of the previous release (wire_layout).

A previous release refuses a settings file with unknown keys, so the new tables are passed in the environment variable HAVENGATE_ADDED_SETTINGS and read behind the file.

The test of unknown kinds now asks for kinds that are still unknown: 9 for PeerNotice, 8 for PeerMessage.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod plan;
 pub mod policy;
 pub mod prompt;
+pub mod quota;
 pub mod relay;
 pub mod replication;
 pub mod request;
--- /dev/null
+++ b/crates/core/src/quota/mod.rs
@@ -0,0 +1,10 @@
+//! Rate limits of tenants over all nodes.
+//!
+//! Each limited tenant has a home node, which keeps the tenant's token bucket. The other nodes request tokens from it
+//! before they send the tenant's requests to back ends.
+
+mod limit;
+mod message;
+
+pub use limit::{LimitUnit, TenantLimit, TenantLimitTable};
+pub use message::{NamedLimit, QuotaAnswer, QuotaGrant, QuotaRequest, TenantLimitNotice, TenantLimitQuery};
--- a/crates/core/src/relay/peer_notice.rs
+++ b/crates/core/src/relay/peer_notice.rs
@@ -7,6 +7,7 @@
 use super::suspicions::UnreachableNotice;
 use super::termination_notice::TerminationNotice;
 use crate::back_ends::{DrainNotice, LimitNotice};
+use crate::quota::{QuotaGrant, QuotaRequest};
 use crate::world::{Address, BackEndId};
 
 /// A message between nodes about prefills and engines.
@@ -29,6 +30,10 @@
     Drains(DrainNotice),
     /// Rate limits that overloaded back ends announced.
     Limits(LimitNotice),
+    /// A request for units of a tenant's limit.
+    QuotaRequest(QuotaRequest),
+    /// The answer to a request for units of a tenant's limit.
+    QuotaGrant(QuotaGrant),
 }
 
 /// The parts that a node estimates to be in an engine's cache.
--- a/crates/core/src/replication/configuration_update.rs
+++ b/crates/core/src/replication/configuration_update.rs
@@ -89,6 +89,7 @@
             services: self.services,
             limits: self.limits,
             tenants: tenants.transpose()?,
+            tenant_limits: None,
         };
         if fingerprint(&result) == Some(self.fingerprint) { Ok(result) } else { Err(InvalidUpdate::ResultMismatch) }
     }
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -8,11 +8,12 @@
 use crate::authority::Term;
 use crate::back_ends::{DirectoryUpdate, EngineStage};
 use crate::duties::usage::UsageCountsMessage;
+use crate::quota::{TenantLimitNotice, TenantLimitQuery};
 use crate::routing::ConfigurationNumber;
 use crate::stages::DemandReport;
 use crate::store::Position;
 use crate::time::Timestamp;
-use crate::world::{Address, BackEndId};
+use crate::world::{Address, BackEndId, ZoneName};
 
 /// A datagram between nodes.
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
@@ -27,6 +28,21 @@
     Usage(UsageCountsMessage),
     /// The candidate at this address has just started and requests all usage counts that its peers keep.
     UsageWanted(Address),
+    /// A query for the limits of the sender's configuration.
+    TenantLimitsWanted(TenantLimitQuery),
+    /// A part of the limits of a configuration.
+    TenantLimits(TenantLimitNotice),
+    /// The zones of nodes.
+    Locations(LocationNotice),
+}
+
+/// The zones of some nodes, as the sender knows them, so that nodes know which peers are near.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct LocationNotice {
+    /// The address at which peers reach the sender.
+    pub sender: Address,
+    /// The address where each node receives notices, and its zone.
+    pub locations: Vec<(Address, ZoneName)>,
 }
 
 /// The engines that are changing their stage. The holder of the lease announces them to all nodes repeatedly until the
--- a/crates/core/src/routing/configuration.rs
+++ b/crates/core/src/routing/configuration.rs
@@ -7,6 +7,7 @@
 
 use super::route::Route;
 use super::tenant::TenantAccess;
+use crate::quota::TenantLimitTable;
 use crate::world::{ServiceName, ZoneName};
 
 /// Orders the traffic configurations: a higher one is newer. Versions may leave gaps.
@@ -101,6 +102,11 @@
     pub limits: CallerLimits,
     /// The tenants that may send requests; `None`: any caller may, without a key.
     pub tenants: Option<Vec<TenantAccess>>,
+    /// The limits of the tenants; `None`: not known. Nodes send them to each other apart from the configuration, whose
+    /// layout stays as previous releases know it.
+    #[speedy(skip)]
+    #[serde(skip)]
+    pub tenant_limits: Option<TenantLimitTable>,
 }
 
 impl TrafficConfiguration {
--- a/crates/core/src/world/mod.rs
+++ b/crates/core/src/world/mod.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod names;
 mod pool;
+mod topology;
 mod zone;
 
 pub use address::Address;
@@ -17,4 +18,5 @@
     ServiceName, TenantName, ZoneName,
 };
 pub use pool::{Pool, PoolId, PoolLayout, group_into_pools};
+pub use topology::{Distance, Topology};
 pub use zone::{Link, Machine, Zone};
--- a/crates/core/tests/replication_configuration.rs
+++ b/crates/core/tests/replication_configuration.rs
@@ -41,6 +41,7 @@
         services: Vec::new(),
         limits: LIMITS,
         tenants: tenants.map(|tenants| tenants.iter().copied().map(tenant).collect()),
+        tenant_limits: None,
     }
 }
 
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -24,7 +24,15 @@
         route("b.example", "/", &[1]),
     ];
     let version = ConfigurationNumber(1);
-    RouteTable::new(&TrafficConfiguration { version, routes, services: Vec::new(), limits: LIMITS, tenants: None })
+    let configuration = TrafficConfiguration {
+        version,
+        routes,
+        services: Vec::new(),
+        limits: LIMITS,
+        tenants: None,
+        tenant_limits: None,
+    };
+    RouteTable::new(&configuration)
 }
 
 fn prefix_of(host: &str, path: &str) -> Option<String> {
--- a/crates/core/tests/routing_tenants.rs
+++ b/crates/core/tests/routing_tenants.rs
@@ -22,7 +22,14 @@
 
 fn configuration(tenants: Option<Vec<TenantAccess>>) -> TrafficConfiguration {
     let version = ConfigurationNumber(1);
-    TrafficConfiguration { version, routes: Vec::new(), services: Vec::new(), limits: LIMITS, tenants }
+    TrafficConfiguration {
+        version,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: LIMITS,
+        tenants,
+        tenant_limits: None,
+    }
 }
 
 fn tenant(name: &str, keys: &[&str]) -> TenantAccess {
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -17,4 +17,4 @@
 pub use limits::{Deadlines, Limits};
 pub use log_settings::{LogLevel, LogSettings, UnknownLogLevel};
 pub use node_settings::Settings;
-pub use toml_file::{TomlFileError, parse_toml, read_toml};
+pub use toml_file::{TomlFileError, parse_toml, read_toml, read_toml_text};
--- a/crates/node/src/settings/toml_file.rs
+++ b/crates/node/src/settings/toml_file.rs
@@ -35,9 +35,16 @@
 /// # Errors
 /// When the file can't be read, isn't TOML, or holds unknown keys or values of the wrong type.
 pub fn read_toml<T: DeserializeOwned>(path: &Path) -> Result<T, TomlFileError> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| TomlFileError::Unreadable { path: path.to_owned(), reason: error.to_string() })?;
-    parse_toml(path, &text)
+    parse_toml(path, &read_toml_text(path)?)
+}
+
+/// The text of the file at `path`.
+///
+/// # Errors
+/// When the file can't be read.
+pub fn read_toml_text(path: &Path) -> Result<String, TomlFileError> {
+    std::fs::read_to_string(path)
+        .map_err(|error| TomlFileError::Unreadable { path: path.to_owned(), reason: error.to_string() })
 }
 
 /// Parses `text` as a `T`; `path` only names the source in errors.
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -147,6 +147,8 @@
             PeerMessage::Demand(_) => NodeMessageKind::Demand,
             PeerMessage::Stages(_) => NodeMessageKind::Stages,
             PeerMessage::Usage(_) | PeerMessage::UsageWanted(_) => NodeMessageKind::Usage,
+            PeerMessage::TenantLimitsWanted(_) | PeerMessage::TenantLimits(_) => NodeMessageKind::TenantLimits,
+            PeerMessage::Locations(_) => NodeMessageKind::Locations,
         };
         self.datagrams.send(message, kind, receivers).await;
     }
@@ -179,6 +181,9 @@
             PeerMessage::UsageWanted(sender) => {
                 self.usage_wanted.borrow_mut().insert(sender);
             }
+            PeerMessage::TenantLimitsWanted(_) | PeerMessage::TenantLimits(_) | PeerMessage::Locations(_) => {
+                self.metrics.record_dropped_message("not_enabled");
+            }
             PeerMessage::Stages(notice) if !self.is_recent(notice.sender, now) => {
                 self.metrics.record_dropped_message("unknown_sender");
             }
--- a/crates/relay/src/metrics/labels.rs
+++ b/crates/relay/src/metrics/labels.rs
@@ -86,6 +86,12 @@
     Draining,
     /// Rate limits of overloaded back ends.
     Limits,
+    /// The limits of tenants.
+    TenantLimits,
+    /// Requests and grants of units of tenants' limits.
+    Quotas,
+    /// The zones of nodes.
+    Locations,
 }
 
 impl NodeMessageKind {
@@ -102,6 +108,9 @@
             NodeMessageKind::Terminations => "ends",
             NodeMessageKind::Draining => "leaving",
             NodeMessageKind::Limits => "limits",
+            NodeMessageKind::TenantLimits => "tenant_limits",
+            NodeMessageKind::Quotas => "quotas",
+            NodeMessageKind::Locations => "locations",
         }
     }
 }
--- a/crates/relay/src/peer_notices/announcements.rs
+++ b/crates/relay/src/peer_notices/announcements.rs
@@ -70,6 +70,9 @@
             PeerNotice::Terminations(notice) => self.shared.engine_terminations.receive(&notice),
             PeerNotice::Drains(notice) => self.apply_drain_notice(&notice),
             PeerNotice::Limits(notice) => self.apply_limit_notice(notice),
+            PeerNotice::QuotaRequest(_) | PeerNotice::QuotaGrant(_) => {
+                self.shared.metrics.record_dropped_message("not_enabled");
+            }
             PeerNotice::RequestCachedParts { sender } => {
                 self.send_attributions(sender).await;
                 let draining = self.shared.notices.lock().newest(now);
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -26,6 +26,8 @@
     pub deadline: Option<Duration>,
     /// The prompt's shape, for requests to model engines.
     pub prompt: Option<Prompt>,
+    /// The tokens that the caller states: prompt and longest output together; `None` when it states none.
+    pub token_count: Option<u64>,
 }
 
 impl RequestHead {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a relaying node.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 
@@ -7,8 +8,10 @@
 use havengate_core::duties::usage::{UsageConfig, UsageConfigError};
 use havengate_core::relay::{PlacementConfig, PlacementConfigError, SharedRetryBudgetConfig};
 use havengate_core::stages::{StagePolicyConfig, StagePolicyConfigError};
-use havengate_core::world::{Address, NodeName, ZoneName};
-use havengate_node::settings::{InvalidValue, LogLevel, TomlFileError, ValueCheck, parse_toml, read_toml};
+use havengate_core::world::{Address, NodeName, RegionName, Topology, ZoneName};
+use havengate_node::settings::{
+    InvalidValue, LogLevel, TomlFileError, ValueCheck, parse_toml, read_toml, read_toml_text,
+};
 use serde::Deserialize;
 
 use crate::control::{DutyLeaseSettings, DutySettings};
@@ -62,6 +65,12 @@
     /// How the number of engines is decided.
     #[serde(default)]
     pub fleet: FleetPolicyConfig,
+    /// How tenants' limits are enforced; `None`: limits in the configuration are not enforced.
+    #[serde(default)]
+    pub tenant_limits: Option<TenantLimitSettings>,
+    /// The region of each zone; empty: distance between zones is not considered.
+    #[serde(default)]
+    pub zone_regions: BTreeMap<ZoneName, RegionName>,
     /// The lowest severity that is logged.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -97,6 +106,11 @@
     }
 }
 
+/// How tenants' limits are enforced.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TenantLimitSettings {}
+
 /// Why settings can't be used.
 #[derive(Clone, Debug, displaydoc::Display, thiserror::Error)]
 pub enum RelaySettingsError {
@@ -128,6 +142,16 @@
         read_toml::<RelaySettings>(path)?.checked()
     }
 
+    /// Reads and checks the settings file at `path`, with the TOML tables in `added` behind its end. A previous release
+    /// refuses a file with keys that it doesn't know, so tables of a new release are passed apart from the file.
+    ///
+    /// # Errors
+    /// As [`RelaySettings::load`].
+    pub fn load_with(path: &Path, added: &str) -> Result<Self, RelaySettingsError> {
+        let text = read_toml_text(path)?;
+        RelaySettings::parse(path, &format!("{text}\n{added}"))
+    }
+
     /// Parses and checks settings; `path` only names the source in errors.
     ///
     /// # Errors
@@ -169,6 +193,11 @@
         Ok(self)
     }
 
+    /// The regions of the zones, seen from this node's zone.
+    pub fn topology(&self) -> Topology {
+        Topology::new(self.zone.clone(), self.zone_regions.clone())
+    }
+
     /// Whether the name, the zone and all listed addresses are equal to those of `other`.
     pub fn has_same_name_and_addresses(&self, other: &RelaySettings) -> bool {
         let identity = |settings: &RelaySettings| {
--- a/crates/relay/tests/learner.rs
+++ b/crates/relay/tests/learner.rs
@@ -59,7 +59,14 @@
         idle_time_limit: Duration::from_secs(15),
     };
     let version = ConfigurationNumber(version);
-    TrafficConfiguration { version, routes: Vec::new(), services: Vec::new(), limits, tenants: None }
+    TrafficConfiguration {
+        version,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits,
+        tenants: None,
+        tenant_limits: None,
+    }
 }
 
 fn incarnation(started: u64) -> BackEnd {
--- a/crates/relay/tests/wire_layout.rs
+++ b/crates/relay/tests/wire_layout.rs
@@ -93,7 +93,7 @@
     for sample in samples() {
         let is_known = decode::<PeerNoticeBeforeLimits>(&sample.bytes).is_ok();
         match sample.name {
-            "readings.limits" => assert!(!is_known),
+            "readings.limits" | "readings.quota_request" | "readings.quota_grant" => assert!(!is_known),
             name if name.starts_with("readings.") => assert!(is_known, "{name}"),
             _ => {}
         }
@@ -103,12 +103,12 @@
 /// The first four bytes of a message are its kind. Unknown kinds represent messages of a later build.
 #[test]
 fn unknown_kinds_truncated_messages_and_noise_are_rejected() {
-    let unknown_kinds = [7_u32, 255, u32::MAX];
-    for kind in unknown_kinds {
-        let mut bytes = kind.to_le_bytes().to_vec();
-        bytes.extend([0; 60]);
-        assert!(decode::<PeerNotice>(&bytes).is_err(), "readings, kind {kind}");
-        assert!(decode::<PeerMessage>(&bytes).is_err(), "peer, kind {kind}");
+    let message_of_kind = |kind: u32| [kind.to_le_bytes().to_vec(), vec![0; 60]].concat();
+    for kind in [9, 255, u32::MAX] {
+        assert!(decode::<PeerNotice>(&message_of_kind(kind)).is_err(), "readings, kind {kind}");
+    }
+    for kind in [8, 255, u32::MAX] {
+        assert!(decode::<PeerMessage>(&message_of_kind(kind)).is_err(), "peer, kind {kind}");
     }
     for sample in samples() {
         let truncated = &sample.bytes[..sample.bytes.len() - 1];
--- a/crates/relay/tests/wire_samples/mod.rs
+++ b/crates/relay/tests/wire_samples/mod.rs
@@ -6,13 +6,16 @@
     DrainNotice, DrainingBackEnd, EngineStage, LimitNotice, RequestRate,
 };
 use havengate_core::duties::usage::{UsageCountsMessage, WindowNumber};
+use havengate_core::quota::{
+    LimitUnit, NamedLimit, QuotaAnswer, QuotaGrant, QuotaRequest, TenantLimit, TenantLimitNotice, TenantLimitQuery,
+};
 use havengate_core::relay::{
     AnnouncedPart, AnsweredContent, CachedParts, ContentId, EngineTag, FinishedPrefill, OpenPrefills, PeerNotice,
     PrefillNotice, PrefillTotals, PromptPart, ReportedRun, ReportedTermination, TerminationNotice, UnreachableNotice,
 };
 use havengate_core::replication::{
-    ConfigurationChanges, ConfigurationUpdate, Digest, KnowledgeAges, PackedUpdate, PeerAddresses, PeerMessage, Pull,
-    PullAnswer, StageNotice,
+    ConfigurationChanges, ConfigurationUpdate, Digest, KnowledgeAges, LocationNotice, PackedUpdate, PeerAddresses,
+    PeerMessage, Pull, PullAnswer, StageNotice,
 };
 use havengate_core::routing::{
     CallerLimits, ConfigurationNumber, EngineTraits, FleetLimits, KeyDigest, Price, RequestKind, Route,
@@ -57,6 +60,9 @@
         sample("peer.stages", PeerMessage::Stages(stages())),
         sample("peer.usage", PeerMessage::Usage(usage())),
         sample("peer.usage_wanted", PeerMessage::UsageWanted(address(1))),
+        sample("peer.tenant_limits_wanted", PeerMessage::TenantLimitsWanted(tenant_limit_query())),
+        sample("peer.tenant_limits", PeerMessage::TenantLimits(tenant_limits())),
+        sample("peer.locations", PeerMessage::Locations(locations())),
         sample("pull.all", Pull { configuration: Some(ConfigurationNumber(0)), ..pull() }),
         sample("pull.directory", pull()),
         sample("answer.nothing", PullAnswer::default()),
@@ -102,9 +108,36 @@
             "readings.limits",
             PeerNotice::Limits(LimitNotice { sender, limits: vec![limit(RequestRate::per_second(3.3)), limit(None)] }),
         ),
+        sample("readings.quota_request", PeerNotice::QuotaRequest(quota_request(sender))),
+        sample("readings.quota_grant", PeerNotice::QuotaGrant(quota_grant(sender))),
     ]
 }
 
+fn quota_request(sender: Address) -> QuotaRequest {
+    let tenant = TenantName::from("school");
+    QuotaRequest { sender, sequence: 91, tenant, needed: 17_000, wanted: 40_000, returned: 250 }
+}
+
+fn quota_grant(sender: Address) -> QuotaGrant {
+    let answer = QuotaAnswer::Exhausted { retry_after_millis: 180 };
+    QuotaGrant { sender, sequence: 91, tenant: TenantName::from("school"), answer }
+}
+
+fn tenant_limit_query() -> TenantLimitQuery {
+    TenantLimitQuery { sender: address(1), version: ConfigurationNumber(9) }
+}
+
+fn tenant_limits() -> TenantLimitNotice {
+    let unit = LimitUnit::Tokens { default_cost: 200 };
+    let limit = TenantLimit { per_second: 47_000, burst: 94_000, unit };
+    let limits = vec![NamedLimit { tenant: TenantName::from("school"), limit }];
+    TenantLimitNotice { sender: address(1), version: ConfigurationNumber(9), part: 0, parts: 2, limits }
+}
+
+fn locations() -> LocationNotice {
+    LocationNotice { sender: address(1), locations: vec![(address(2), ZoneName::from("north-a"))] }
+}
+
 fn address(number: u8) -> Address {
     Address(SocketAddr::from(([10, 0, 0, number], 7_000)))
 }
@@ -259,6 +292,7 @@
             idle_time_limit: Duration::from_secs(15),
         },
         tenants: Some(vec![tenant]),
+        tenant_limits: None,
     }
 }
 
