--- a/crates/core/tests/duties_lease.rs
+++ b/crates/core/tests/duties_lease.rs
@@ -209,6 +209,41 @@
     }
 }
 
+/// When each order arrives. A process sends one at a time: the next one once the previous one was answered, or was
+/// withdrawn at its time limit. Orders that it would have sent meanwhile are left out.
+fn arrivals(orders: Vec<Order>, random: &mut fastrand::Rng) -> Vec<(Duration, Order)> {
+    let limit = config().order_time_limit;
+    let mut busy_until: Vec<(HolderId, Duration)> = Vec::new();
+    let mut arrivals = Vec::new();
+    for order in orders {
+        let sent = TICK * order.tick as u32;
+        if busy_until.iter().any(|(holder, until)| *holder == order.holder && sent < *until) {
+            continue;
+        }
+        let arrived = sent + limit.mul_f64(random.f64());
+        let ended = if random.u32(..10) == 0 { sent + limit } else { arrived };
+        busy_until.retain(|(holder, _)| *holder != order.holder);
+        busy_until.push((order.holder.clone(), ended));
+        arrivals.push((arrived, order));
+    }
+    arrivals.sort_by_key(|(arrived, _)| *arrived);
+    arrivals
+}
+
+#[test]
+fn a_receiver_that_checks_no_terms_sees_no_lower_term_and_no_alternating_nodes() {
+    for seed in 700..900 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        for pair in arrivals(run(seed, 2 + seed % 4), &mut random).windows(2) {
+            let [(earlier, first), (later, second)] = pair else { continue };
+            assert!(first.term <= second.term, "seed {seed}: {:?} arrived after {:?}", second.term, first.term);
+            let elapsed = *later - *earlier;
+            let is_one_node = first.holder.node == second.holder.node;
+            assert!(is_one_node || elapsed >= config().hand_over, "seed {seed}: two nodes acted {elapsed:?} apart");
+        }
+    }
+}
+
 #[test]
 fn orders_continue_despite_lost_answers() {
     for seed in 600..640 {
