Add the interfaces of tenants' limits in the nodes

Other parts of the tenant limits need to see the limits in the control thread's knowledge and the share of the nodes that a home may grant for. Knowledge::tenant_limits with its version, FleetReach and SharedFleetReach are there; they are not filled yet.

--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -74,7 +74,8 @@
         budget_config: SharedRetryBudgetConfig,
         placement: PlacementConfig,
     ) -> Self {
-        let SharedWithTraffic { knowledge, demand, usage, configuration_current_at, notices, clock, metrics } = shared;
+        let SharedWithTraffic { knowledge, demand, usage, configuration_current_at, notices, clock, metrics, .. } =
+            shared;
         let pool = ConnectionPool::new(PoolLimits::default());
         let peer_notices = PeerNotices::new(Arc::clone(&knowledge), notices.clone(), clock, metrics.clone());
         let engine_terminations = peer_notices.engine_terminations().clone();
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -21,6 +21,7 @@
 use super::reader_role::ReaderRole;
 use crate::back_ends::SharedNotices;
 use crate::demand::SharedDemand;
+use crate::fleet_reach::SharedFleetReach;
 use crate::knowledge::{SharedKnowledge, SharedTimestamp};
 use crate::metrics::RelayMetrics;
 use crate::protocol::{ControlStore, DutyReceiver, Protocol};
@@ -54,6 +55,8 @@
     pub configuration_current_at: SharedTimestamp,
     /// The announcements of back ends in their answers.
     pub notices: SharedNotices,
+    /// For how many of the nodes this one may grant.
+    pub fleet_reach: SharedFleetReach,
     /// The node's clock.
     pub clock: Clock,
     /// The metrics.
@@ -89,8 +92,9 @@
     let body = move || {
         let tasks = LocalSet::new();
         tasks.block_on(&runtime, async move {
-            let SharedWithTraffic { knowledge, demand, usage, configuration_current_at, notices, clock, metrics } =
-                shared;
+            let SharedWithTraffic {
+                knowledge, demand, usage, configuration_current_at, notices, clock, metrics, ..
+            } = shared;
             let Platform { store, receiver } = platform;
             let learner = Learner::new(knowledge, configuration_current_at, clock, metrics.clone());
             let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
--- a/crates/relay/src/knowledge.rs
+++ b/crates/relay/src/knowledge.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use havengate_core::back_ends::{BackEnd, Directory, EngineStage};
+use havengate_core::quota::TenantLimitTable;
 use havengate_core::replication::PeerTableConfig;
 use havengate_core::routing::{ConfigurationNumber, KeyTable, RouteTable, TrafficConfiguration};
 use havengate_core::time::Timestamp;
@@ -64,6 +65,11 @@
     pub is_reader: bool,
     /// Engines that are about to change their stage.
     pub changing: Arc<BTreeMap<BackEndId, AnnouncedChange>>,
+    /// The limits of the tenants; `None` until the node has learned a configuration's limits, or when its settings don't
+    /// enforce limits.
+    pub tenant_limits: Option<Arc<TenantLimitTable>>,
+    /// The configuration that `tenant_limits` belongs to; it may be older than the one in force.
+    pub tenant_limits_version: ConfigurationNumber,
 }
 
 impl Knowledge {
@@ -77,6 +83,8 @@
             peers: Arc::default(),
             is_reader: true,
             changing: Arc::default(),
+            tenant_limits: None,
+            tenant_limits_version: ConfigurationNumber::default(),
         }
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod datagrams;
 pub mod demand;
 pub mod engine_terminations;
+pub mod fleet_reach;
 pub mod knowledge;
 pub mod metrics;
 pub mod peer_notices;
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -29,6 +29,7 @@
 use crate::callers::{CallerServer, LAST_CONNECTIONS_GRACE, ServerPhase, Traffic, listen};
 use crate::control::{BlockStoreLink, ControlSettings, DutySettings, Platform, SharedWithTraffic, block_links, spawn};
 use crate::demand::SharedDemand;
+use crate::fleet_reach::SharedFleetReach;
 use crate::knowledge::{Knowledge, SharedKnowledge, SharedTimestamp};
 use crate::metrics::{NodeMessageKind, NodeState, RelayMetrics};
 use crate::protocol::{ControlStore, DutyReceiver, Protocol};
@@ -91,6 +92,7 @@
         usage: usage.clone(),
         configuration_current_at: SharedTimestamp::default(),
         notices: SharedNotices::default(),
+        fleet_reach: SharedFleetReach::new(clock.now()),
         clock,
         metrics: metrics.clone(),
     };
