FleetReach: for what share of the nodes a home may grant

With a partition, the homes of a tenant on both sides would together grant twice its limit. FleetReach counts the digests that arrive: with less than half of the normal number for 1 s, a node is isolated and grants nothing for 12 s; then it grants the share of the nodes that it sees of those seen within 66 minutes. A node that has seen no peer since its start although its seeds name others, and one whose control thread has not run for 2 s, grant nothing.

Tests: simulated fleets with the real peer tables (cut-off node, partitions of any sizes, healthy fleets), jittered half of the digests, restart, suspension, a partition of an hour.

--- a/crates/core/src/quota/fleet_reach.rs
+++ b/crates/core/src/quota/fleet_reach.rs
@@ -1,21 +1,163 @@
-//! For what share of the nodes a node may grant, while it may be partitioned from some of them.
+//! For what share of the nodes a home may grant, so that the homes on both sides of a partition together don't grant
+//! more than the limit.
 
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::window_peak::WindowPeak;
 use crate::time::Timestamp;
 
-/// Tells a node for what share of all nodes it may grant.
+/// The time in which arriving digests are counted.
+const COUNTING_WINDOW: Duration = Duration::from_secs(2);
+
+/// Digests from each of at most [`SENDERS_MAXIMUM`] peers in the counting window, below which there is a shortage: half
+/// of what normally arrives with digests every 200 ms.
+const SHORTAGE_PER_SENDER: u32 = 5;
+
+/// As [`SHORTAGE_PER_SENDER`], for the end of the isolation. It is higher, because the count varies at random: with a
+/// quarter of the digests, it would otherwise reach the lower mark every few seconds.
+const RECOVERY_PER_SENDER: u32 = 6;
+
+/// Each digest is sent to this number of peers, so a node receives digests at the rate of this many senders, however
+/// many nodes there are.
+const SENDERS_MAXIMUM: u32 = 3;
+
+/// A shortage that lasts this long is an isolation. A node that is cut off falls below half after 1 s and is isolated
+/// after 2 s. A shorter shortage is usually chance: without this time, nodes that receive everything would be isolated
+/// for 0.1 % of the time.
+const SHORTAGE_CONFIRMATION: Duration = Duration::from_secs(1);
+
+/// How long an isolated node grants nothing. By then the nodes on the other side no longer count it as seen, which
+/// takes 10 s since they or their peers last heard from it.
+const ISOLATION_HOLD: Duration = Duration::from_secs(12);
+
+/// How long the number of peers counts towards the share after it was seen: an hour, which is how long partitions
+/// occasionally last, with a margin for clocks that are 5 % fast.
+const PEAK_WINDOW: Duration = Duration::from_secs(66 * 60);
+
+/// A number of peers that was not updated for this time is outdated: the control thread updates it every 200 ms, unless
+/// the process was suspended.
+const PEERS_VALIDITY: Duration = Duration::from_secs(2);
+
+/// Tells a node whether it is cut off from others, and for what share of the nodes it may grant.
 #[derive(Clone, Debug)]
 pub struct FleetReach {
-    started_at: Timestamp,
+    /// The arrivals of the latest digests, no more than are needed to detect a recovery.
+    arrivals: VecDeque<Timestamp>,
+    /// When the first digest arrived; `None`: no peer was seen since the start.
+    first_arrival: Option<Timestamp>,
+    /// Whether the seeds name other nodes; assumed until the number of peers is first set.
+    seeds_name_others: bool,
+    /// The peers seen recently, and when this number was set.
+    peers: u32,
+    peers_set_at: Timestamp,
+    /// The most peers during the time of an isolation. The number of digests to expect must not fall with the peers
+    /// that an isolated node no longer sees.
+    expected_peers: WindowPeak,
+    most_peers: WindowPeak,
+    shortage_since: Option<Timestamp>,
+    isolated_since: Option<Timestamp>,
 }
 
 impl FleetReach {
     /// The reach of a node that starts at `now`.
     pub fn new(now: Timestamp) -> Self {
-        FleetReach { started_at: now }
+        FleetReach {
+            arrivals: VecDeque::new(),
+            first_arrival: None,
+            seeds_name_others: true,
+            peers: 0,
+            peers_set_at: now,
+            expected_peers: WindowPeak::new(ISOLATION_HOLD),
+            most_peers: WindowPeak::new(PEAK_WINDOW),
+            shortage_since: None,
+            isolated_since: None,
+        }
+    }
+
+    /// Records that a digest of a peer has arrived.
+    pub fn record_digest(&mut self, now: Timestamp) {
+        self.settle(now);
+        self.first_arrival.get_or_insert(now);
+        self.arrivals.push_back(now);
+        let kept = (SENDERS_MAXIMUM * RECOVERY_PER_SENDER) as usize;
+        while self.arrivals.len() > kept {
+            self.arrivals.pop_front();
+        }
+        self.recover(now);
+    }
+
+    /// Sets the number of peers seen recently, and whether the seeds name other nodes than this one.
+    pub fn set_peers(&mut self, peers: usize, seeds_name_others: bool, now: Timestamp) {
+        self.settle(now);
+        self.peers = u32::try_from(peers).unwrap_or(u32::MAX);
+        self.peers_set_at = now;
+        self.seeds_name_others = seeds_name_others;
+        self.expected_peers.record(self.peers, now);
+        self.most_peers.record(self.peers, now);
+        self.recover(now);
+    }
+
+    /// Whether so few digests arrive that this node is cut off from most others.
+    pub fn is_isolated(&self, now: Timestamp) -> bool {
+        self.isolation_start(now).is_some()
     }
 
     /// The share of all nodes that this node may grant for at `now`, from 0 to 1.
     pub fn grant_share(&self, now: Timestamp) -> f64 {
-        if now < self.started_at { 0.0 } else { 1.0 }
+        let has_seen_none = self.first_arrival.is_none() && self.seeds_name_others;
+        let is_outdated = now.since(self.peers_set_at) > PEERS_VALIDITY;
+        let is_held = self.isolation_start(now).is_some_and(|start| now.since(start) < ISOLATION_HOLD);
+        if has_seen_none || is_outdated || is_held {
+            return 0.0;
+        }
+        (f64::from(self.peers) + 1.0) / (f64::from(self.most_peers.get()) + 1.0)
+    }
+
+    /// Digests in the counting window when each of the expected senders contributes `per_sender`.
+    fn expected(&self, per_sender: u32) -> usize {
+        (self.expected_peers.get().min(SENDERS_MAXIMUM) * per_sender) as usize
+    }
+
+    /// The digests that arrived in the counting window; a number beyond the arrivals that are kept is not counted.
+    fn count(&self, now: Timestamp) -> usize {
+        self.arrivals.iter().rev().take_while(|at| now.since(**at) < COUNTING_WINDOW).count()
+    }
+
+    /// Since when there has been a shortage of digests at `now`; `None`: there is none.
+    fn shortage_start(&self, now: Timestamp) -> Option<Timestamp> {
+        let start = || {
+            let needed = self.expected(SHORTAGE_PER_SENDER).checked_sub(1)?;
+            // The count fell below the needed one when the first of the latest that many digests left the window.
+            let first_needed = self.arrivals.iter().rev().nth(needed).copied().or(self.first_arrival)?;
+            let start = first_needed + COUNTING_WINDOW;
+            (start <= now).then_some(start)
+        };
+        self.shortage_since.or_else(start)
+    }
+
+    fn isolation_start(&self, now: Timestamp) -> Option<Timestamp> {
+        let start = || {
+            let start = self.shortage_start(now)? + SHORTAGE_CONFIRMATION;
+            (start <= now).then_some(start)
+        };
+        self.isolated_since.or_else(start)
+    }
+
+    /// Stores what has begun by `now`, before a change that `shortage_start` depends on.
+    fn settle(&mut self, now: Timestamp) {
+        self.isolated_since = self.isolation_start(now);
+        self.shortage_since = self.shortage_start(now);
+    }
+
+    /// Ends the shortage and the isolation if enough digests have arrived.
+    fn recover(&mut self, now: Timestamp) {
+        let count = self.count(now);
+        if count >= self.expected(SHORTAGE_PER_SENDER) {
+            self.shortage_since = None;
+        }
+        if count >= self.expected(RECOVERY_PER_SENDER) {
+            self.isolated_since = None;
+        }
     }
 }
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -6,6 +6,7 @@
 mod fleet_reach;
 mod limit;
 mod message;
+mod window_peak;
 
 pub use fleet_reach::FleetReach;
 pub use limit::{LimitUnit, TenantLimit, TenantLimitTable};
--- /dev/null
+++ b/crates/core/tests/quota_fleet_reach.rs
@@ -0,0 +1,250 @@
+//! For what share of the nodes a home may grant while nodes are partitioned, slow, suspended or restarted.
+
+use std::time::Duration;
+
+use havengate_core::quota::FleetReach;
+use havengate_core::replication::{Digest, PeerAddresses, PeerTable, PeerTableConfig};
+use havengate_core::routing::ConfigurationNumber;
+use havengate_core::store::Position;
+use havengate_core::time::Timestamp;
+use havengate_core::world::Address;
+
+const START: Timestamp = Timestamp::from_millis(10_000_000);
+const DIGEST_INTERVAL_MILLIS: u64 = 200;
+
+/// When both sides of a partition have lowered their shares: peers that were cut off are listed for up to 2 s by others
+/// and count as seen for 10 s from then on. Two rounds are added for the delay of digests.
+const SHARES_LOWERED_SECONDS: f64 = 12.0 + 2.0 * DIGEST_INTERVAL_MILLIS as f64 / 1e3;
+
+fn after_seconds(seconds: f64) -> Timestamp {
+    START + Duration::from_secs_f64(seconds)
+}
+
+fn for_seeds(test: fn(&mut arbtest::arbitrary::Unstructured<'_>) -> arbtest::arbitrary::Result<()>) {
+    for seed in 1..=40_u64 {
+        arbtest::arbtest(test).seed(seed << 32 | 0x800);
+    }
+}
+
+struct Node {
+    control: Address,
+    table: PeerTable,
+    reach: FleetReach,
+}
+
+/// Nodes that exchange digests as real ones do.
+struct Fleet {
+    nodes: Vec<Node>,
+    random: fastrand::Rng,
+    now: Timestamp,
+    /// The nodes before this one are partitioned from the others.
+    cut_before: usize,
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64) -> Self {
+        let address = |index: usize| Address(([10, 0, 0, index as u8], 8_000).into());
+        let node = |index| Node {
+            control: address(index),
+            table: PeerTable::new(PeerTableConfig::default(), address(index), vec![address(0), address(1)], START),
+            reach: FleetReach::new(START),
+        };
+        let nodes = (0..count).map(node).collect();
+        Fleet { nodes, random: fastrand::Rng::with_seed(seed), now: START, cut_before: 0 }
+    }
+
+    /// Runs rounds of digests until `seconds` after the start, and calls `check` after each message and each round.
+    fn run_until(&mut self, seconds: f64, mut check: impl FnMut(&Fleet)) {
+        while self.now < after_seconds(seconds) {
+            let pause = Duration::from_millis(DIGEST_INTERVAL_MILLIS) / self.nodes.len() as u32;
+            for sender in 0..self.nodes.len() {
+                self.now = self.now + pause;
+                self.send_digest(sender);
+                check(self);
+            }
+        }
+    }
+
+    fn send_digest(&mut self, sender: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[sender];
+        node.table.tick(now);
+        node.reach.set_peers(node.table.recent(now).len(), true, now);
+        let (receivers, peers) = node.table.next_digest(now, &mut self.random);
+        let sent_by = PeerAddresses { control: node.control, notices: node.control };
+        let configuration = ConfigurationNumber::default();
+        let digest = Digest { sender: sent_by, configuration, directory: Position::default(), peers };
+        for (index, receiver) in self.nodes.iter_mut().enumerate() {
+            let is_reachable = (index < self.cut_before) == (sender < self.cut_before);
+            if is_reachable && receivers.contains(&receiver.control) {
+                receiver.table.receive(&digest, now);
+                receiver.reach.record_digest(now);
+            }
+        }
+    }
+
+    fn share(&self, node: usize) -> f64 {
+        self.nodes[node].reach.grant_share(self.now)
+    }
+
+    /// The largest share of any of these nodes: each of them may be the home of some tenant.
+    fn largest_share(&self, nodes: std::ops::Range<usize>) -> f64 {
+        nodes.map(|node| self.share(node)).fold(0.0, f64::max)
+    }
+
+    fn seconds(&self) -> f64 {
+        self.now.since(START).as_secs_f64()
+    }
+}
+
+fn node_alone_grants_its_share_after_12_s(
+    random: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<()> {
+    let (count, seed) = (random.int_in_range(2..=12_usize)?, random.arbitrary()?);
+    let mut fleet = Fleet::new(count, seed);
+    fleet.run_until(20.0, |_| {});
+    fleet.cut_before = 1;
+    fleet.run_until(23.0, |_| {});
+    fleet.run_until(32.0, |fleet| assert_eq!(fleet.share(0), 0.0, "after {} s", fleet.seconds()));
+    fleet.run_until(36.0, |_| {});
+    let share = 1.0 / count as f64;
+    fleet.run_until(60.0, |fleet| assert_eq!(fleet.share(0), share, "after {} s", fleet.seconds()));
+    Ok(())
+}
+
+/// Failure: a home that is cut off goes on granting all of its tenants' limits, next to the new home on the other side.
+#[test]
+fn a_node_alone_grants_nothing_for_12_s_and_then_its_share() {
+    for_seeds(node_alone_grants_its_share_after_12_s);
+}
+
+fn sides_grant_for_no_more_than_all_nodes(
+    random: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<()> {
+    let count = random.int_in_range(2..=14_usize)?;
+    let (small, seed) = (random.int_in_range(1..=count / 2)?, random.arbitrary()?);
+    let mut fleet = Fleet::new(count, seed);
+    fleet.run_until(20.0, |_| {});
+    fleet.cut_before = small;
+    fleet.run_until(24.0, |_| {});
+    fleet.run_until(32.0, |fleet| {
+        // A larger side may receive as many digests as a slow node does.
+        if 4 * small <= count {
+            assert_eq!(fleet.largest_share(0..small), 0.0, "{small} of {count}, after {} s", fleet.seconds());
+        }
+    });
+    fleet.run_until(20.0 + SHARES_LOWERED_SECONDS, |_| {});
+    fleet.run_until(90.0, |fleet| {
+        let granted = fleet.largest_share(0..small) + fleet.largest_share(small..count);
+        assert!(granted < 1.0 + 1e-9, "{granted} at {small} of {count}, after {} s", fleet.seconds());
+    });
+    let expected = |side: usize| side as f64 / count as f64;
+    let shares = (fleet.largest_share(0..small), fleet.largest_share(small..count));
+    assert_eq!(shares, (expected(small), expected(count - small)), "each side grants its share");
+    Ok(())
+}
+
+/// Failure: the homes of a tenant on the two sides of a partition together grant more than its limit.
+#[test]
+fn both_sides_of_a_partition_never_grant_for_more_than_all_nodes_once_12_s_have_passed() {
+    for_seeds(sides_grant_for_no_more_than_all_nodes);
+}
+
+fn reached_nodes_are_rarely_isolated(
+    random: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<()> {
+    let (count, seed) = (random.int_in_range(1..=14_usize)?, random.arbitrary()?);
+    let mut fleet = Fleet::new(count, seed);
+    fleet.run_until(2.0, |_| {});
+    let (mut isolated, mut checks) = (0, 0);
+    fleet.run_until(60.0, |fleet| {
+        checks += count;
+        isolated += (0..count).filter(|node| fleet.nodes[*node].reach.is_isolated(fleet.now)).count();
+        assert!(fleet.nodes.iter().all(|node| node.reach.is_isolated(fleet.now) || count == 1 || {
+            node.reach.grant_share(fleet.now) == 1.0
+        }));
+    });
+    assert!(isolated * 1_000 <= checks, "{isolated} of {checks}");
+    Ok(())
+}
+
+/// Failure: a node that receives everything refuses its tenants because few digests arrived by chance, or because it
+/// has just started.
+#[test]
+fn nodes_that_reach_each_other_are_not_isolated() {
+    for_seeds(reached_nodes_are_rarely_isolated);
+}
+
+fn half_of_the_digests_suffice(random: &mut arbtest::arbitrary::Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    let senders = random.int_in_range(1..=3_usize)?;
+    // Every second of five digests per second from each sender, each up to 100 ms late.
+    let interval = Duration::from_millis(400) / senders as u32;
+    let mut reach = FleetReach::new(START);
+    let mut due = START;
+    for _ in 0..500 {
+        let arrival = due + Duration::from_millis(random.int_in_range(0..=100_u64)?);
+        assert!(!reach.is_isolated(arrival));
+        reach.record_digest(arrival);
+        reach.set_peers(senders, true, arrival);
+        assert_eq!(reach.grant_share(arrival), 1.0);
+        due = due + interval;
+    }
+    Ok(())
+}
+
+/// Failure: a slow node whose link or processor loses half of the digests refuses the tenants whose home it is.
+#[test]
+fn a_slow_node_that_receives_half_of_the_digests_is_not_isolated() {
+    for_seeds(half_of_the_digests_suffice);
+}
+
+/// Failure: a home that restarts while it is cut off forgets that there were other nodes, and grants everything.
+#[test]
+fn a_restarted_isolated_node_grants_nothing() {
+    let mut reach = FleetReach::new(START);
+    for tenths in 0..600_u64 {
+        let now = START + Duration::from_millis(100 * tenths);
+        assert_eq!(reach.grant_share(now), 0.0);
+        reach.set_peers(0, true, now);
+        assert_eq!(reach.grant_share(now), 0.0);
+    }
+}
+
+/// Failure: a deployment of a single node admits no request of a tenant with a limit.
+#[test]
+fn a_node_whose_seeds_name_no_other_grants_everything() {
+    let mut reach = FleetReach::new(START);
+    assert_eq!(reach.grant_share(START), 0.0, "the seeds are not known yet");
+    reach.set_peers(0, false, START);
+    assert_eq!(reach.grant_share(START), 1.0);
+}
+
+/// Failure: a process that was suspended goes on granting with the numbers of the time before, while another node has
+/// become home.
+#[test]
+fn a_suspended_node_grants_nothing_until_it_has_counted_its_peers_again() {
+    let mut fleet = Fleet::new(8, 5);
+    fleet.run_until(20.0, |_| {});
+    let mut reach = fleet.nodes[3].reach.clone();
+    let resumed_at = fleet.now + Duration::from_secs(20);
+    assert_eq!(reach.grant_share(resumed_at), 0.0);
+    reach.set_peers(0, true, resumed_at);
+    assert_eq!(reach.grant_share(resumed_at), 1.0 / 8.0);
+}
+
+/// Failure: a partition of an hour ends the shares early, because the side that was cut off is forgotten.
+#[test]
+fn shares_hold_for_a_partition_of_an_hour_and_end_later() {
+    let mut reach = FleetReach::new(START);
+    let mut share_after = |peers: usize, seconds: u64| {
+        let now = START + Duration::from_secs(seconds);
+        reach.record_digest(now);
+        reach.set_peers(peers, true, now);
+        (f64::from(peers as u32) + 1.0) / reach.grant_share(now).max(f64::MIN_POSITIVE)
+    };
+    share_after(9, 1);
+    // Few digests arrive here, so the node counts as isolated; the share is that of the time after the hold.
+    let nodes: Vec<f64> = (1..=75).map(|minute| share_after(4, 60 * minute).round()).collect();
+    assert!(nodes[1..63].iter().all(|nodes| *nodes == 10.0), "{nodes:?}");
+    assert_eq!(nodes[70], 5.0, "after more than an hour, the nodes are taken to be gone");
+}
