Nodes get tenants' limits from each other and know their reach

The configuration that nodes send each other carries no limits, so only nodes that read the store knew them. Old, malformed, repeated and unknown parts are dropped and counted. Without [tenant_limits], nothing is sent, kept or handled.

Digests and the number of recent peers update SharedFleetReach, which the traffic thread reads.

--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -6,8 +6,10 @@
 mod fleet_reach;
 mod limit;
 mod message;
+mod table_exchange;
 mod window_peak;
 
 pub use fleet_reach::FleetReach;
 pub use limit::{LimitUnit, TenantLimit, TenantLimitTable};
 pub use message::{NamedLimit, QuotaAnswer, QuotaGrant, QuotaRequest, TenantLimitNotice, TenantLimitQuery};
+pub use table_exchange::{DroppedPart, LimitTableAssembly, split_into_notices};
--- a/crates/relay/src/control/follower.rs
+++ b/crates/relay/src/control/follower.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use super::learner::{Learner, Source};
+use super::limit_exchange::LimitExchange;
 use super::reader_role::ReaderRole;
 use crate::metrics::RelayMetrics;
 use crate::protocol::{ControlStore, StoreError};
@@ -201,21 +202,27 @@
     mut store: S,
     role: ReaderRole,
     learner: Learner,
+    limits: LimitExchange,
     metrics: RelayMetrics,
 ) {
     let mut access = StoreAccess::new("configuration", metrics);
     let mut eras = learner.eras();
     let mut needs_read = false;
     loop {
-        while !role.must_read(learner.configuration_confirmed_at()) {
+        while !role.must_read(learner.configuration_confirmed_at()) && !limits.must_read_store() {
             access.record_asking_as_stale(false, None);
             sleep(IDLE_PAUSE).await;
         }
-        access.record_asking_as_stale(!role.is_reader(), learner.age_of(learner.configuration_confirmed_at()));
+        let asks_as_stale = !role.is_reader() && role.must_read(learner.configuration_confirmed_at());
+        access.record_asking_as_stale(asks_as_stale, learner.age_of(learner.configuration_confirmed_at()));
+        let needs_limits = limits.must_read_store();
+        if needs_limits {
+            limits.report_store_read();
+        }
         let asked_at = learner.clock().now();
         // The position includes updates received from peers meanwhile, so a node that only needs a confirmation is not
         // sent the full configuration.
-        let after = learner.configuration_position().filter(|_| !needs_read);
+        let after = learner.configuration_position().filter(|_| !needs_read && !needs_limits);
         let result = match after {
             None => store.read_configuration().await,
             Some(position) => tokio::select! {
@@ -235,6 +242,9 @@
             learner.set_configuration_position(read.position);
             learner.confirm_configuration(confirmed_at);
             learner.mark_configuration_current(asked_at);
+            if after.is_none() {
+                limits.record_store_read();
+            }
         });
         let maximum = back_off_maximum(&role, learner.knowledge().configuration.is_some());
         needs_read = finish_call(result, needs_read, &mut access, maximum).await;
--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -35,7 +35,7 @@
 }
 
 impl Source {
-    fn code(self) -> &'static str {
+    pub(super) fn code(self) -> &'static str {
         match self {
             Source::Store => "store",
             Source::Peer => "peer",
@@ -63,6 +63,8 @@
     updates: Rc<watch::Sender<u64>>,
     clock: Clock,
     metrics: RelayMetrics,
+    /// Whether this node enforces tenants' limits; otherwise those in configurations are ignored.
+    enforces_tenant_limits: bool,
 }
 
 impl Learner {
@@ -86,9 +88,20 @@
             updates: Rc::new(watch::Sender::new(0)),
             clock,
             metrics,
+            enforces_tenant_limits: false,
         }
     }
 
+    /// Keeps the limits of tenants, for a node that enforces them.
+    pub fn with_tenant_limits(self) -> Self {
+        Learner { enforces_tenant_limits: true, ..self }
+    }
+
+    /// Whether this node enforces tenants' limits.
+    pub fn enforces_tenant_limits(&self) -> bool {
+        self.enforces_tenant_limits
+    }
+
     /// The node's clock.
     pub fn clock(&self) -> Clock {
         self.clock
@@ -191,6 +204,10 @@
         let knowledge = self.knowledge.load_full();
         let base = knowledge.configuration.as_ref();
         if base.is_some_and(|base| configuration.version <= base.configuration.version) {
+            // A node that got this configuration from a peer has it without the limits.
+            if let Some(limits) = configuration.tenant_limits {
+                self.adopt_tenant_limits(configuration.version, limits, Source::Store);
+            }
             return;
         }
         let update = base.and_then(|base| pack_changes(&base.configuration, &configuration));
@@ -221,8 +238,9 @@
     }
 
     /// Activates a configuration; `update` leads to it from the previous one, if there is such an update.
-    fn activate(&self, configuration: TrafficConfiguration, update: Option<PackedUpdate>, source: Source) {
+    fn activate(&self, mut configuration: TrafficConfiguration, update: Option<PackedUpdate>, source: Source) {
         let knowledge = self.knowledge.load_full();
+        let tenant_limits = configuration.tenant_limits.take();
         self.configuration_updates.borrow_mut().record_activation(knowledge.configuration_number(), update);
         self.needs_full_configuration.set(false);
         log::info!(
@@ -238,7 +256,8 @@
         for tenant in active.keys.iter().flat_map(KeyTable::clashing) {
             log::warn!(event = "key_of_two_tenants", tenant:% = tenant, consequence = "the other tenant owns it"; "");
         }
-        self.publish(Knowledge { configuration: Some(active), ..(*knowledge).clone() });
+        let knowledge = Knowledge { configuration: Some(active), ..(*knowledge).clone() };
+        self.publish(self.with_activated_limits(knowledge, tenant_limits));
         self.notify_update();
     }
 
@@ -520,7 +539,7 @@
         self.updates.send_modify(|count| *count += 1);
     }
 
-    fn publish(&self, knowledge: Knowledge) {
+    pub(super) fn publish(&self, knowledge: Knowledge) {
         let configuration = knowledge.configuration_number().0;
         self.metrics.set_knowledge(configuration, knowledge.directory.position(), knowledge.nodes);
         self.knowledge.store(Arc::new(knowledge));
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -7,16 +7,19 @@
 mod fetcher;
 mod follower;
 mod learner;
+mod limit_exchange;
 mod observed_eras;
 mod peers;
 mod reader_role;
 mod stages;
+mod tenant_limits;
 mod thread;
 mod transfer;
 
 pub use block_keeper::{BlockKeeperLink, BlockStoreLink, BlockUpdate, block_links};
 pub use duties::{DutyLeaseSettings, DutySettings};
 pub use learner::{Learner, Source};
+pub use limit_exchange::LimitExchange;
 pub use peers::PeerExchange;
 pub use thread::{ControlHandle, ControlSettings, Platform, SharedWithTraffic, spawn};
 pub use transfer::{
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use havengate_core::duties::usage::UsageTable;
+use havengate_core::quota::TenantLimitQuery;
 use havengate_core::replication::{Digest, PeerAddresses, PeerMessage, PeerTable, Pull, PullAnswer};
 use havengate_core::stages::{DemandTable, DemandTableConfig};
 use havengate_core::time::Timestamp;
@@ -18,10 +19,12 @@
 
 use super::fetcher::ConfigurationFetcher;
 use super::learner::Learner;
+use super::limit_exchange::LimitExchange;
 use super::reader_role::ReaderRole;
 use super::transfer::{PeersError, TransferTimeouts, ask, connect, read_message, write_message};
 use crate::callers::listen;
 use crate::datagrams::Datagrams;
+use crate::fleet_reach::SharedFleetReach;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
 
 /// How often a digest is sent. An update reaches all of ten nodes in two or three rounds.
@@ -57,6 +60,8 @@
     usage: Rc<RefCell<UsageTable>>,
     /// Candidates that have asked for all counts since the last `take_usage_wanted`.
     usage_wanted: Rc<RefCell<BTreeSet<Address>>>,
+    limits: LimitExchange,
+    fleet_reach: SharedFleetReach,
     metrics: RelayMetrics,
 }
 
@@ -70,6 +75,7 @@
         table: PeerTable,
         role: ReaderRole,
         learner: Learner,
+        fleet_reach: SharedFleetReach,
         metrics: RelayMetrics,
     ) -> io::Result<(Self, TcpListener)> {
         let datagrams = Datagrams::bind(own.control, metrics.clone()).await?;
@@ -80,6 +86,7 @@
         let (usage, usage_wanted) = (Rc::default(), Rc::default());
         let fetcher = ConfigurationFetcher::new(learner.clone());
         let pull_in_progress = Rc::default();
+        let limits = LimitExchange::new(own.control, learner.clone(), metrics.clone());
         let exchange = PeerExchange {
             own,
             table,
@@ -91,6 +98,8 @@
             demand,
             usage,
             usage_wanted,
+            limits,
+            fleet_reach,
             metrics,
         };
         Ok((exchange, listener))
@@ -109,8 +118,10 @@
             self.table.borrow_mut().tick(now);
             let (nodes, peers) = (self.table.borrow().nodes(now), self.table.borrow().notice_addresses(now));
             self.role.set_peers(self.table.borrow().recent(now));
+            self.update_reach(&seeds.borrow(), now);
             self.learner.set_peers(nodes, peers, self.role.is_reader());
             self.send_digests().await;
+            self.request_limits().await;
             self.pull_if_behind();
         }
     }
@@ -120,6 +131,11 @@
         self.fetcher.clone()
     }
 
+    /// The exchange of tenants' limits.
+    pub fn limits(&self) -> LimitExchange {
+        self.limits.clone()
+    }
+
     /// The other nodes that were heard from recently.
     pub fn recent(&self, now: Timestamp) -> Vec<Address> {
         self.table.borrow().recent(now)
@@ -160,6 +176,7 @@
                 self.fetcher.record_configuration_of(digest.sender.control, digest.configuration);
                 self.learner.record_peer_position(digest.sender.control, digest.directory);
                 self.table.borrow_mut().receive(&digest, now);
+                self.fleet_reach.record_digest(now);
             }
             PeerMessage::Demand(report) if !self.is_recent(report.sender, now) => {
                 self.metrics.record_dropped_message("unknown_sender");
@@ -181,9 +198,20 @@
             PeerMessage::UsageWanted(sender) => {
                 self.usage_wanted.borrow_mut().insert(sender);
             }
-            PeerMessage::TenantLimitsWanted(_) | PeerMessage::TenantLimits(_) | PeerMessage::Locations(_) => {
+            PeerMessage::TenantLimitsWanted(_) | PeerMessage::TenantLimits(_)
+                if !self.learner.enforces_tenant_limits() =>
+            {
                 self.metrics.record_dropped_message("not_enabled");
             }
+            PeerMessage::TenantLimitsWanted(query) if !self.is_recent(query.sender, now) => {
+                self.metrics.record_dropped_message("unknown_sender");
+            }
+            PeerMessage::TenantLimitsWanted(query) => self.answer_limits(query),
+            PeerMessage::TenantLimits(notice) if !self.is_recent(notice.sender, now) => {
+                self.metrics.record_dropped_message("unknown_sender");
+            }
+            PeerMessage::TenantLimits(notice) => self.limits.receive(notice),
+            PeerMessage::Locations(_) => self.metrics.record_dropped_message("not_enabled"),
             PeerMessage::Stages(notice) if !self.is_recent(notice.sender, now) => {
                 self.metrics.record_dropped_message("unknown_sender");
             }
@@ -239,6 +267,40 @@
         self.send_to(&PeerMessage::Digest(digest), &receivers).await;
     }
 
+    /// Tells the traffic thread how many peers were seen recently.
+    fn update_reach(&self, seeds: &[Address], now: Timestamp) {
+        let seeds_name_others = seeds.iter().any(|seed| *seed != self.own.control);
+        let recent = self.table.borrow().recent(now).len();
+        let change = self.fleet_reach.set_peers(recent, seeds_name_others, now);
+        if let Some(isolated) = change.filter(|_| self.learner.enforces_tenant_limits()) {
+            log::warn!(event = "reach_changed", isolated, peers = recent; "");
+        }
+    }
+
+    /// Asks a random peer for the limits of the configuration in force while they are missing.
+    async fn request_limits(&self) {
+        let Some(query) = self.limits.query() else {
+            return;
+        };
+        let recent = self.recent(self.learner.clock().now());
+        let peer = fastrand::choice(recent);
+        self.send_to(&PeerMessage::TenantLimitsWanted(query), peer.as_slice()).await;
+    }
+
+    /// Sends the limits that a peer asks for, in a task of its own, so that receiving goes on.
+    fn answer_limits(&self, query: TenantLimitQuery) {
+        let notices = self.limits.answer(&query);
+        if notices.is_empty() {
+            return;
+        }
+        let exchange = self.clone();
+        tokio::task::spawn_local(async move {
+            for notice in notices {
+                exchange.send_to(&PeerMessage::TenantLimits(notice), &[query.sender]).await;
+            }
+        });
+    }
+
     /// Starts a pull of a newer directory from a peer when this node's has not been confirmed for some time. It runs in
     /// a task of its own, so that digests go on meanwhile.
     fn pull_if_behind(&self) {
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -25,6 +25,7 @@
 use crate::knowledge::{SharedKnowledge, SharedTimestamp};
 use crate::metrics::RelayMetrics;
 use crate::protocol::{ControlStore, DutyReceiver, Protocol};
+use crate::settings::TenantLimitSettings;
 use crate::usage::SharedUsage;
 
 /// The settings of the control thread.
@@ -40,6 +41,8 @@
     pub seeds: watch::Receiver<Vec<Address>>,
     /// The settings of the duties; a reload may change them.
     pub duties: watch::Receiver<DutySettings>,
+    /// How tenants' limits are enforced; `None`: they are neither enforced nor exchanged.
+    pub tenant_limits: Option<TenantLimitSettings>,
 }
 
 /// The state that the control thread shares with the traffic thread.
@@ -93,13 +96,22 @@
         let tasks = LocalSet::new();
         tasks.block_on(&runtime, async move {
             let SharedWithTraffic {
-                knowledge, demand, usage, configuration_current_at, notices, clock, metrics, ..
+                knowledge,
+                demand,
+                usage,
+                configuration_current_at,
+                notices,
+                fleet_reach,
+                clock,
+                metrics,
             } = shared;
             let Platform { store, receiver } = platform;
             let learner = Learner::new(knowledge, configuration_current_at, clock, metrics.clone());
+            let enforces_limits = settings.tenant_limits.is_some();
+            let learner = if enforces_limits { learner.with_tenant_limits() } else { learner };
             let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
             let role = ReaderRole::new(readers, clock);
-            match bind(&settings, role.clone(), learner.clone(), metrics.clone()).await {
+            match bind(&settings, role.clone(), learner.clone(), fleet_reach, metrics.clone()).await {
                 Ok((peers, listener)) => {
                     // The receiver is dropped only if the start was abandoned.
                     let _ = bound_sender.send(Ok(()));
@@ -144,12 +156,13 @@
     settings: &ControlSettings,
     role: ReaderRole,
     learner: Learner,
+    fleet_reach: SharedFleetReach,
     metrics: RelayMetrics,
 ) -> io::Result<(PeerExchange, TcpListener)> {
     let seeds = settings.seeds.borrow().clone();
     let table = PeerTable::new(PeerTableConfig::default(), settings.peers_address, seeds, learner.clock().now());
     let own = PeerAddresses { control: settings.peers_address, notices: settings.notices_address };
-    let bound = PeerExchange::bind(own, table, role, learner, metrics).await;
+    let bound = PeerExchange::bind(own, table, role, learner, fleet_reach, metrics).await;
     bound.map_err(|error| {
         io::Error::new(error.kind(), format!("peers_address {} can't be bound: {error}", settings.peers_address))
     })
@@ -165,7 +178,7 @@
     metrics: RelayMetrics,
 ) {
     tokio::task::spawn_local(follow_directory(store.clone(), role.clone(), learner.clone(), metrics.clone()));
-    tokio::task::spawn_local(follow_configuration(store, role.clone(), learner.clone(), metrics));
+    tokio::task::spawn_local(follow_configuration(store, role.clone(), learner.clone(), peers.limits(), metrics));
     for slot in 0..ReadersConfig::default().feeds_per_node {
         tokio::task::spawn_local(learn_from_feed(slot, role.clone(), learner.clone(), peers.fetcher()));
     }
--- a/crates/relay/src/fleet_reach.rs
+++ b/crates/relay/src/fleet_reach.rs
@@ -8,22 +8,51 @@
 /// A [`FleetReach`] that the control thread updates and the traffic thread reads. Clones share the state.
 #[derive(Clone, Debug)]
 pub struct SharedFleetReach {
-    reach: Arc<Mutex<FleetReach>>,
+    state: Arc<Mutex<ReportedReach>>,
+}
+
+#[derive(Debug)]
+struct ReportedReach {
+    reach: FleetReach,
+    /// Whether the node was isolated when its peers were last counted.
+    was_isolated: bool,
 }
 
 impl SharedFleetReach {
     /// The reach of a node that starts at `now`.
     pub fn new(now: Timestamp) -> Self {
-        SharedFleetReach { reach: Arc::new(Mutex::new(FleetReach::new(now))) }
+        let state = ReportedReach { reach: FleetReach::new(now), was_isolated: false };
+        SharedFleetReach { state: Arc::new(Mutex::new(state)) }
     }
 
     /// The share of all nodes that this node may grant for at `now`, from 0 to 1.
     pub fn grant_share(&self, now: Timestamp) -> f64 {
-        self.with(|reach| reach.grant_share(now))
+        self.with(|state| state.reach.grant_share(now))
+    }
+
+    /// Whether this node is cut off from most others at `now`.
+    pub fn is_isolated(&self, now: Timestamp) -> bool {
+        self.with(|state| state.reach.is_isolated(now))
+    }
+
+    /// Records that a digest of a peer has arrived.
+    pub fn record_digest(&self, now: Timestamp) {
+        self.with(|state| state.reach.record_digest(now));
+    }
+
+    /// Sets the number of peers seen recently, and whether the seeds name other nodes. Returns whether the node is
+    /// isolated now, if that has changed since the last call.
+    pub fn set_peers(&self, peers: usize, seeds_name_others: bool, now: Timestamp) -> Option<bool> {
+        self.with(|state| {
+            state.reach.set_peers(peers, seeds_name_others, now);
+            let isolated = state.reach.is_isolated(now);
+            let was_isolated = std::mem::replace(&mut state.was_isolated, isolated);
+            (isolated != was_isolated).then_some(isolated)
+        })
     }
 
-    /// Calls `use_reach` with the reach. The lock is held only for this call.
-    pub(crate) fn with<R>(&self, use_reach: impl FnOnce(&mut FleetReach) -> R) -> R {
-        use_reach(&mut self.reach.lock().unwrap_or_else(PoisonError::into_inner))
+    /// The lock is held only for short calculations, so the threads hardly wait for each other.
+    fn with<R>(&self, use_state: impl FnOnce(&mut ReportedReach) -> R) -> R {
+        use_state(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -85,6 +85,7 @@
         notices_address: settings.notices_address,
         seeds: seeds_receiver,
         duties: duties_receiver,
+        tenant_limits: settings.tenant_limits,
     };
     let shared = SharedWithTraffic {
         knowledge: Arc::clone(&knowledge),
--- a/crates/relay/tests/settings.rs
+++ b/crates/relay/tests/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of a relaying node.
 
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use std::time::Duration;
 
@@ -29,6 +30,46 @@
     RelaySettings::parse(Path::new("settings.toml"), &format!("{BASE}\n{section}"))
 }
 
+/// The settings file with these settings of the environment.
+fn parse_with_added(added: &str) -> Result<RelaySettings, RelaySettingsError> {
+    static FILES: AtomicUsize = AtomicUsize::new(0);
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("havengate-settings-{}-{number}.toml", std::process::id()));
+    std::fs::write(&path, BASE).expect("the file can be written");
+    let settings = RelaySettings::load_with(&path, added);
+    std::fs::remove_file(&path).expect("the file can be removed");
+    settings
+}
+
+/// Failure: a node ignores the tables that are passed apart from its file, or refuses to start with them.
+#[test]
+fn added_tables_are_read_behind_the_file() {
+    let settings = parse_with_added("").expect("the settings are valid");
+    assert!(settings.tenant_limits.is_none() && settings.zone_regions.is_empty());
+    let added = "\n[tenant_limits]\n[zone_regions]\n\"zone-1\" = \"east\"\nzone-2 = \"west\"\n";
+    let settings = parse_with_added(added).expect("the settings are valid");
+    assert!(settings.tenant_limits.is_some());
+    assert_eq!((settings.zone_regions.len(), settings.topology().spans_regions()), (2, true));
+    assert_eq!(settings.retry_budget.window_seconds, 10.0, "the file still applies");
+}
+
+/// Failure: a misspelt added key is ignored, so that limits are silently not enforced.
+#[test]
+fn unknown_added_keys_and_tables_are_refused_with_their_names() {
+    let cases = [
+        ("[tenant_limits]\nburst_factor = 2\n", "burst_factor"),
+        ("[tenant_limit]\n", "tenant_limit"),
+        // Without a table of its own, a key would belong to the last table of the file.
+        ("enforce_limits = true\n", "enforce_limits"),
+        ("[zone_regions]\nzone-1 = 7\n", "zone-1"),
+        ("[retry_budget]\nratio = 0.1\n", "retry_budget"),
+    ];
+    for (added, name) in cases {
+        let error = parse_with_added(added).expect_err("the settings are invalid").to_string();
+        assert!(error.contains(name), "{error} does not name {name}");
+    }
+}
+
 #[test]
 fn missing_placement_settings_use_the_defaults() {
     assert_eq!(parse("").expect("the settings are valid").placement, PlacementConfig::default());
