--- a/crates/relay/src/control/tenant_limits.rs
+++ b/crates/relay/src/control/learner/tenant_limits.rs
@@ -6,7 +6,7 @@
 use havengate_core::quota::TenantLimitTable;
 use havengate_core::routing::ConfigurationNumber;
 
-use super::learner::{Learner, Source};
+use super::{Learner, Source};
 use crate::knowledge::Knowledge;
 
 impl Learner {
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -12,7 +12,6 @@
 mod peers;
 mod reader_role;
 mod stages;
-mod tenant_limits;
 mod thread;
 mod transfer;
 
