--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -3,8 +3,14 @@
 //! Each limited tenant has a home node, which keeps the tenant's token bucket. The other nodes request tokens from it
 //! before they send the tenant's requests to back ends.
 
+mod admission;
+mod config;
 mod limit;
 mod message;
+mod tenant_quotas;
 
+pub use admission::{Admission, OutgoingQuotaMessage, Permit, QuotaContent, TenantQuotaStatus};
+pub use config::QuotaConfig;
 pub use limit::{LimitUnit, TenantLimit, TenantLimitTable};
 pub use message::{NamedLimit, QuotaAnswer, QuotaGrant, QuotaRequest, TenantLimitNotice, TenantLimitQuery};
+pub use tenant_quotas::TenantQuotas;
