Tenant limits: request and grant units, take over as home

Each limited tenant has a home, the first node by rendezvous hashing, whose bucket grants units to the nodes that ask.

--- /dev/null
+++ b/crates/core/src/quota/home.rs
@@ -0,0 +1,265 @@
+//! The granting side: decides whether this node acts as home of a tenant, and grants units while it does.
+
+use std::collections::BTreeMap;
+
+use super::config::QuotaConfig;
+use super::grant_bucket::GrantBucket;
+use super::limit::TenantLimit;
+use super::message::{QuotaAnswer, QuotaRequest};
+use super::ranking::Rankings;
+use crate::time::Timestamp;
+use crate::world::{Address, TenantName};
+
+/// What a home must know of a tenant.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TenantContext<'a> {
+    /// The address of this node.
+    pub own: Address,
+    /// The candidates for the tenant's home, the first-ranked one first.
+    pub ranking: &'a [Address],
+    /// The tenant's limit.
+    pub limit: &'a TenantLimit,
+}
+
+impl TenantContext<'_> {
+    /// How many nodes are ranked before this one; `None` if this node is no candidate.
+    fn own_rank(&self) -> Option<usize> {
+        self.ranking.iter().position(|node| *node == self.own)
+    }
+}
+
+/// Grants the units of the tenants whose home this node is.
+#[derive(Debug)]
+pub(super) struct QuotaHome {
+    config: QuotaConfig,
+    /// The share of each limit that this node may grant.
+    share: f64,
+    tenants: BTreeMap<TenantName, HomeTenant>,
+    polled_at: Timestamp,
+}
+
+#[derive(Debug)]
+struct HomeTenant {
+    role: Role,
+    /// The latest probes to the nodes ranked before this one.
+    probe: Option<Probe>,
+    /// Whether no node is ranked before this one, as of the latest poll.
+    is_first: bool,
+}
+
+#[derive(Debug)]
+enum Role {
+    /// Nobody has asked, or nothing may be granted.
+    Idle,
+    /// Waits whether a node ranked before this one answers its probe.
+    Probing { since: Timestamp },
+    /// A node ranked before this one has answered.
+    Deferring { until: Timestamp },
+    /// Grants units.
+    Acting { since: Timestamp, bucket: Box<GrantBucket> },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    sequence: u64,
+    sent_at: Timestamp,
+}
+
+impl QuotaHome {
+    /// A home that grants nothing before [`QuotaHome::set_share`].
+    pub fn new(config: QuotaConfig, now: Timestamp) -> Self {
+        QuotaHome { config, share: 0.0, tenants: BTreeMap::new(), polled_at: now }
+    }
+
+    /// Sets the share of each limit that this node may grant, from 0 to 1.
+    pub fn set_share(&mut self, share: f64) {
+        self.share = if share.is_finite() { share.clamp(0.0, 1.0) } else { 0.0 };
+        if self.share == 0.0 {
+            self.tenants.clear();
+        }
+    }
+
+    /// Forgets the tenants for which `is_limited` is false.
+    pub fn retain(&mut self, is_limited: impl Fn(&TenantName) -> bool) {
+        self.tenants.retain(|tenant, _| is_limited(tenant));
+    }
+
+    /// Answers a request for units or a probe. `None`: the request is older than the latest one of its sender, or it is a
+    /// probe and this node may grant nothing, so that the prober takes over.
+    pub fn answer(
+        &mut self,
+        request: &QuotaRequest,
+        context: TenantContext<'_>,
+        now: Timestamp,
+    ) -> Option<QuotaAnswer> {
+        self.begin_anew_after_stall(now);
+        let is_probe = request.needed == 0 && request.wanted == 0 && request.returned == 0;
+        if self.share == 0.0 {
+            return (!is_probe).then_some(QuotaAnswer::NotHome);
+        }
+        let state = self.tenants.entry(request.tenant.clone()).or_insert_with(HomeTenant::new);
+        state.advance(context, is_probe, &self.config, now);
+        let Role::Acting { since, bucket } = &mut state.role else { return Some(QuotaAnswer::NotHome) };
+        if is_probe {
+            return Some(QuotaAnswer::Granted { units: 0 });
+        }
+        set_bucket_limit(bucket, *since, context.limit, self.share, &self.config, now);
+        bucket.answer(request, &self.config, now)
+    }
+
+    /// The probes to send now, as pairs of receiver and request.
+    pub(super) fn poll(
+        &mut self,
+        rankings: &mut Rankings,
+        sequence: &mut u64,
+        now: Timestamp,
+    ) -> Vec<(Address, QuotaRequest)> {
+        self.begin_anew_after_stall(now);
+        let own = rankings.own();
+        let mut probes = Vec::new();
+        for (tenant, state) in &mut self.tenants {
+            let Some(due) = state.probe_due(&self.config, now) else { continue };
+            if due > now {
+                continue;
+            }
+            let before = rankings.of(tenant).iter().take_while(|node| **node != own);
+            let sequence = state.next_probe(sequence, now);
+            let sent = probes.len();
+            probes.extend(before.map(|node| (*node, probe_request(own, sequence, tenant))));
+            state.is_first = probes.len() == sent;
+        }
+        probes
+    }
+
+    /// To be called after a change of the peers: other nodes may be ranked before this one now.
+    pub fn peers_changed(&mut self) {
+        for state in self.tenants.values_mut() {
+            state.is_first = false;
+            state.probe = state.probe.filter(|_| !state.is_acting());
+        }
+    }
+
+    /// When [`QuotaHome::poll`] must be called again at the latest.
+    pub fn next_poll(&self) -> Option<Timestamp> {
+        let probes = self.tenants.values().filter_map(|state| state.probe_due(&self.config, self.polled_at));
+        let is_acting = self.tenants.values().any(HomeTenant::is_acting);
+        let heartbeat = is_acting.then(|| self.polled_at + self.config.stall_limit / 3);
+        probes.chain(heartbeat).min()
+    }
+
+    /// Whether `sequence` is that of the latest probe for `tenant`.
+    pub fn awaits_probe_answer(&self, tenant: &TenantName, sequence: u64) -> bool {
+        let probe = self.tenants.get(tenant).and_then(|state| state.probe);
+        probe.is_some_and(|probe| probe.sequence == sequence)
+    }
+
+    /// Handles the answer of a node ranked before this one to the latest probe: that node is the home.
+    pub fn receive_probe_answer(&mut self, tenant: &TenantName, now: Timestamp) {
+        if let Some(state) = self.tenants.get_mut(tenant) {
+            state.probe = None;
+            state.role = Role::Deferring { until: now + self.config.probe_interval };
+        }
+    }
+
+    /// Whether this node grants units of `tenant`.
+    pub fn is_acting(&self, tenant: &TenantName) -> bool {
+        self.tenants.get(tenant).is_some_and(HomeTenant::is_acting)
+    }
+
+    /// The balance of the tenant's bucket at the latest request, while this node acts as home.
+    pub fn balance(&self, tenant: &TenantName) -> Option<f64> {
+        match &self.tenants.get(tenant)?.role {
+            Role::Acting { bucket, .. } => Some(bucket.balance()),
+            _ => None,
+        }
+    }
+
+    /// A process that was stopped for a while doesn't know whether another node has taken over, and its buckets would be
+    /// full.
+    fn begin_anew_after_stall(&mut self, now: Timestamp) {
+        if now.since(self.polled_at) >= self.config.stall_limit {
+            self.tenants.clear();
+        }
+        self.polled_at = now.max(self.polled_at);
+    }
+}
+
+impl HomeTenant {
+    fn new() -> Self {
+        HomeTenant { role: Role::Idle, probe: None, is_first: false }
+    }
+
+    fn is_acting(&self) -> bool {
+        matches!(self.role, Role::Acting { .. })
+    }
+
+    /// Advances the role when a node has asked; a probe of another node starts no probes here.
+    fn advance(&mut self, context: TenantContext<'_>, is_probe: bool, config: &QuotaConfig, now: Timestamp) {
+        let Some(rank) = context.own_rank() else {
+            self.role = Role::Idle;
+            return;
+        };
+        if rank == 0 {
+            if !self.is_acting() {
+                self.act(now);
+            }
+            return;
+        }
+        match self.role {
+            Role::Idle if !is_probe => self.role = Role::Probing { since: now },
+            Role::Deferring { until } if until <= now && !is_probe => self.role = Role::Probing { since: now },
+            Role::Probing { since } if now.since(since) >= config.stall_limit => {
+                self.probe = None;
+                self.role = Role::Probing { since: now };
+            }
+            Role::Probing { since } if now.since(since) >= config.takeover_probe => self.act(now),
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, now: Timestamp) {
+        self.role = Role::Acting { since: now, bucket: Box::new(GrantBucket::new(now)) };
+    }
+
+    /// When the nodes ranked before this one are to be probed next; `now` for the first probe.
+    fn probe_due(&self, config: &QuotaConfig, now: Timestamp) -> Option<Timestamp> {
+        let interval = match self.role {
+            Role::Probing { .. } => config.repeat_after,
+            Role::Acting { .. } if !self.is_first => config.probe_interval,
+            _ => return None,
+        };
+        Some(self.probe.map_or(now, |probe| probe.sent_at + interval))
+    }
+
+    /// The sequence number of the next probe. A repeated probe keeps it, so that a late answer to the first one counts.
+    fn next_probe(&mut self, sequence: &mut u64, now: Timestamp) -> u64 {
+        let number = match (&self.role, self.probe) {
+            (Role::Probing { .. }, Some(probe)) => probe.sequence,
+            _ => {
+                *sequence += 1;
+                *sequence
+            }
+        };
+        self.probe = Some(Probe { sequence: number, sent_at: now });
+        number
+    }
+}
+
+/// A request that only asks whether the receiver acts as home.
+pub(super) fn probe_request(sender: Address, sequence: u64, tenant: &TenantName) -> QuotaRequest {
+    QuotaRequest { sender, sequence, tenant: tenant.clone(), needed: 0, wanted: 0, returned: 0 }
+}
+
+fn set_bucket_limit(
+    bucket: &mut GrantBucket,
+    acting_since: Timestamp,
+    limit: &TenantLimit,
+    share: f64,
+    config: &QuotaConfig,
+    now: Timestamp,
+) {
+    let is_warming_up = now.since(acting_since) < config.warm_up;
+    let warm_up_rate = if is_warming_up { config.warm_up_rate } else { 1.0 };
+    let rate = limit.per_second as f64 * share * config.rate_margin * warm_up_rate;
+    bucket.set_limit(rate, limit.burst as f64 * share, now);
+}
--- a/crates/core/src/quota/message.rs
+++ b/crates/core/src/quota/message.rs
@@ -16,11 +16,12 @@
     pub sequence: u64,
     /// The tenant.
     pub tenant: TenantName,
-    /// The units of the first request that waits; 0 when none waits.
+    /// The units of the requests that wait, at least of the first one, and those that the sender has used without a
+    /// grant. They are granted together or not at all. 0 when there are none.
     pub needed: u64,
     /// The units that the sender expects to use soon, including `needed`.
     pub wanted: u64,
-    /// Units of earlier grants that the sender returns unused.
+    /// Units of earlier grants that the sender returns unused: all that it holds.
     pub returned: u64,
 }
 
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -5,8 +5,14 @@
 
 mod admission;
 mod config;
+mod demand;
+mod grant_bucket;
+mod home;
 mod limit;
 mod message;
+mod ranking;
+mod suspensions;
+mod tenant_client;
 mod tenant_quotas;
 
 pub use admission::{Admission, OutgoingQuotaMessage, Permit, QuotaContent, TenantQuotaStatus};
