--- a/crates/core/src/quota/grant_bucket.rs
+++ b/crates/core/src/quota/grant_bucket.rs
@@ -1,7 +1,7 @@
 //! The token bucket of one tenant at its home, and what was granted to which node.
 //!
-//! The bucket and the units that were granted ahead of demand and may still be unused never exceed the burst together. So
-//! units that a node holds don't add to what the limit allows in a window.
+//! The bucket and the units that were granted ahead of demand and may still be unused never exceed the burst together.
+//! So units that a node holds don't add to what the limit allows in a window.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -90,8 +90,8 @@
         self.balance
     }
 
-    /// Answers a request for units; `None` if it is older than the latest one of its sender. A repeated request gets the
-    /// answer that it got before.
+    /// Answers a request for units; `None` if it is older than the latest one of its sender. A repeated request gets
+    /// the answer that it got before.
     pub(super) fn answer(
         &mut self,
         request: &QuotaRequest,
--- a/crates/core/src/quota/home.rs
+++ b/crates/core/src/quota/home.rs
@@ -94,8 +94,8 @@
         });
     }
 
-    /// Answers a request for units or a probe. `None`: the request is older than the latest one of its sender, or it is a
-    /// probe and this node may grant nothing, so that the prober takes over.
+    /// Answers a request for units or a probe. `None`: the request is older than the latest one of its sender, or it is
+    /// a probe and this node may grant nothing, so that the prober takes over.
     pub fn answer(
         &mut self,
         request: &QuotaRequest,
--- a/crates/core/src/quota/tenant_client.rs
+++ b/crates/core/src/quota/tenant_client.rs
@@ -1,5 +1,5 @@
-//! The requesting side of one tenant: the units that this node holds, the requests that wait, and the outstanding request
-//! to the home.
+//! The requesting side of one tenant: the units that this node holds, the requests that wait, and the outstanding
+//! request to the home.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/crates/core/tests/quota_simulation.rs
+++ b/crates/core/tests/quota_simulation.rs
@@ -1,5 +1,5 @@
-//! What all nodes together admit stays within a tenant's limit in every window, and the limit stays usable, despite lost
-//! and delayed messages, kills, partitions, drifting clocks and changed limits.
+//! What all nodes together admit stays within a tenant's limit in every window, and the limit stays usable, despite
+//! lost and delayed messages, kills, partitions, drifting clocks and changed limits.
 
 mod quota_support;
 
@@ -143,6 +143,19 @@
     }
 }
 
+#[test]
+fn the_limit_stays_usable_when_a_zone_fails() {
+    let mut world = world_in_use(1, NODES, LARGE_RATE, overload(LARGE_RATE));
+    let home = world.home();
+    (0..15).map(address).filter(|node| *node != home).for_each(|node| world.kill(node));
+    let failed_at = world.now;
+    world.run(Duration::from_secs(9));
+    let used = world.rate_since(failed_at) / LARGE_RATE as f64;
+    assert!(used > 0.9, "{used} of the limit used");
+    assert_eq!(world.homes(), [home], "nodes that are asked while they suspend others don't take over");
+    world.check_bound(Timestamp::ZERO, "failed zone");
+}
+
 #[test]
 fn a_surge_after_a_quiet_time_stays_within_the_bound() {
     for (seed, rate) in [(1, SMALL_RATE), (2, LARGE_RATE), (3, LARGE_RATE)] {
