--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -5,12 +5,14 @@
 
 mod admission;
 mod config;
+mod fleet_reach;
 mod limit;
 mod message;
 mod tenant_quotas;
 
 pub use admission::{Admission, OutgoingQuotaMessage, Permit, QuotaContent, TenantQuotaStatus};
 pub use config::QuotaConfig;
+pub use fleet_reach::FleetReach;
 pub use limit::{LimitUnit, TenantLimit, TenantLimitTable};
 pub use message::{NamedLimit, QuotaAnswer, QuotaGrant, QuotaRequest, TenantLimitNotice, TenantLimitQuery};
 pub use tenant_quotas::TenantQuotas;
