Admit requests of limited tenants in the relay

Tenants' limits in a configuration had no effect: a node sent each request of a tenant to an engine, whatever ran at all nodes together.

The relay now owns TenantQuotas while the settings have [tenant_limits]; a reload switches it on and off. It exchanges QuotaRequest and QuotaGrant over the socket for notices, drops messages of unknown senders, and wakes requests that wait for units. A request of a limited tenant is admitted after its body is read, waits at most a quarter of its time, and is otherwise answered with 429, cause tenant_limit, and Retry-After. Its units are returned if no engine can have run it. A send after a run that may have happened is charged again; a prefill and the answer after it count once.

--- a/crates/relay/src/callers/answer.rs
+++ b/crates/relay/src/callers/answer.rs
@@ -73,7 +73,11 @@
             NotRunReason::NodeLeaving | NotRunReason::NodeSuspended => RETRY_AFTER_UNAVAILABLE,
             _ => RETRY_AFTER_BUSY,
         };
-        LocalAnswer { status: StatusCode::SERVICE_UNAVAILABLE, cause: reason.code(), retry_after: Some(retry_after) }
+        let status = match reason {
+            NotRunReason::TenantLimit => StatusCode::TOO_MANY_REQUESTS,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        LocalAnswer { status, cause: reason.code(), retry_after: Some(retry_after) }
     }
 
     /// Like `refusal`, for a request whose retry is refused again until `wait` has passed.
--- a/crates/relay/src/callers/caller_request.rs
+++ b/crates/relay/src/callers/caller_request.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Uri};
 
 use crate::protocol::RequestHead;
+use crate::quotas::QuotaPermit;
 
 /// The smallest prompt for which the engine that prefills it is chosen separately. The prefill of a shorter one on the
 /// engine that answers takes less time than moving its KV cache there.
@@ -34,6 +35,8 @@
     pub route: Arc<Route>,
     /// The tenant, by the request's key; `None` for an anonymous request.
     pub tenant: Option<Arc<TenantAccess>>,
+    /// The units of the tenant's limit that it was admitted with; `None` if there is no limit.
+    pub permit: Option<QuotaPermit>,
     /// The service that the request goes to.
     pub service: ServiceName,
     /// When it arrived.
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -113,9 +113,13 @@
             if let Err(step) = begun {
                 return self.respond(step, None);
             }
+            self.begin_run();
             let (next, answer) = match self.attempt(&back_end, &plan).await {
                 Attempt::Answered(answer) => return answer,
-                Attempt::Ended(outcome, answer) => (self.exchange.after_send(outcome), answer),
+                Attempt::Ended(outcome, answer) => {
+                    self.end_run(outcome);
+                    (self.exchange.after_send(outcome), answer)
+                }
                 Attempt::TimedOut => (NextStep::Fail(MayHaveRun::DeadlinePassed), None),
             };
             if next != NextStep::SendAgain {
@@ -191,6 +195,20 @@
         }
     }
 
+    /// Counts the send that is about to begin against the tenant's limit.
+    pub(super) fn begin_run(&mut self) {
+        if let Some(permit) = &mut self.request.permit {
+            permit.begin_send();
+        }
+    }
+
+    /// Takes back what `begin_run` counted if the request did not run.
+    pub(super) fn end_run(&mut self, outcome: SendOutcome) {
+        if let (Some(permit), SendOutcome::NotSent | SendOutcome::Declined) = (&mut self.request.permit, outcome) {
+            permit.send_declined();
+        }
+    }
+
     /// Keeps the counts of the record current: a caller may hang up, which ends the request, at any time.
     pub(super) fn update_record(&mut self) {
         if let Some(record) = &mut self.record {
--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -24,6 +24,10 @@
 use super::traffic::Traffic;
 use crate::knowledge::ActiveConfiguration;
 use crate::protocol::{Protocol, RequestHead};
+use crate::quotas::QuotaPermit;
+
+/// A request waits at most this part of its time for units of its tenant's limit.
+const ADMISSION_WAIT_DIVISOR: u32 = 4;
 
 /// Answers one request.
 pub async fn handle<P: Protocol>(traffic: Rc<Traffic<P>>, request: Request<Incoming>) -> Response<RelayBody> {
@@ -65,6 +69,7 @@
     record.service = Some(service.clone());
     let content = content_id(&parts, record.tenant.as_ref(), &body);
     record.content = Some(content);
+    let permit = admit(traffic, tenant.as_deref(), &head, time_limit).await?;
     strip_request(&mut parts.headers);
     Ok(CallerRequest {
         content,
@@ -75,6 +80,7 @@
         head,
         route,
         tenant,
+        permit,
         service,
         arrived: record.arrived,
         ends_at: record.arrived + time_limit,
@@ -120,6 +126,21 @@
     keys.admit(route, presented).map_err(|refusal| LocalAnswer::rejection(StatusCode::UNAUTHORIZED, refusal.code()))
 }
 
+/// Admits a request within its tenant's limit; `None` if there is no limit.
+async fn admit<P>(
+    traffic: &Traffic<P>,
+    tenant: Option<&TenantAccess>,
+    head: &RequestHead,
+    time_limit: Duration,
+) -> Result<Option<QuotaPermit>, LocalAnswer> {
+    let Some(tenant) = tenant else {
+        return Ok(None);
+    };
+    let wait_maximum = time_limit / ADMISSION_WAIT_DIVISOR;
+    let admission = traffic.quotas.admit(&tenant.name, head.token_count, wait_maximum, head.id_text()).await;
+    admission.map_err(|refusal| LocalAnswer::refusal_for(NotRunReason::TenantLimit, refusal.retry_after))
+}
+
 /// The id of a request's content, which all its copies share. It covers method, host, target, body and what identifies
 /// the caller, since the same text may mean something else for another caller. Headers that a caller sets again for
 /// each copy are left out.
--- a/crates/relay/src/callers/prefill_step.rs
+++ b/crates/relay/src/callers/prefill_step.rs
@@ -73,9 +73,13 @@
 
     /// Lets a prefill engine prefill the prompt; `None` if that fails.
     async fn try_prefill(&mut self, engine: BackEnd) -> Option<PrefillPlan> {
+        self.begin_run();
         match self.send_prefill(&engine).await {
             Ok(handle) => {
                 self.exchange.after_prefill(None);
+                if let Some(permit) = &mut self.request.permit {
+                    permit.prefill_completed();
+                }
                 let now = self.traffic.clock.now();
                 if let Some(record) = &mut self.record {
                     record.prefilled_after = Some(now.since(record.arrived));
@@ -85,6 +89,7 @@
             }
             Err(outcome) => {
                 self.exchange.after_prefill(Some(outcome));
+                self.end_run(outcome);
                 self.update_record();
                 let request = self.request.head.id_text();
                 log::info!(event = "prefill_failed", request, back_end:% = engine.id, outcome:? = outcome; "");
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -21,6 +21,7 @@
 use crate::knowledge::{SharedKnowledge, SharedTimestamp};
 use crate::metrics::RelayMetrics;
 use crate::peer_notices::PeerNotices;
+use crate::quotas::Quotas;
 use crate::usage::SharedUsage;
 
 /// The state that all requests of a node share.
@@ -49,6 +50,8 @@
     pub broken_runs: BrokenRuns,
     /// The prefills in progress, and the engines that cache shared prompt parts.
     pub peer_notices: PeerNotices,
+    /// The limits of tenants.
+    pub quotas: Quotas,
     /// How long requests with short prompts took, by where the prompt was prefilled.
     pub short_prefill: Cell<ShortPrefill>,
     /// The late prompts that wait for their prefill.
@@ -74,11 +77,20 @@
         budget_config: SharedRetryBudgetConfig,
         placement: PlacementConfig,
     ) -> Self {
-        let SharedWithTraffic { knowledge, demand, usage, configuration_current_at, notices, clock, metrics, .. } =
-            shared;
+        let SharedWithTraffic {
+            knowledge,
+            demand,
+            usage,
+            configuration_current_at,
+            notices,
+            fleet_reach,
+            clock,
+            metrics,
+        } = shared;
         let pool = ConnectionPool::new(PoolLimits::default());
         let peer_notices = PeerNotices::new(Arc::clone(&knowledge), notices.clone(), clock, metrics.clone());
         let engine_terminations = peer_notices.engine_terminations().clone();
+        let quotas = Quotas::new(Arc::clone(&knowledge), fleet_reach, clock, metrics.clone());
         Traffic {
             protocol,
             clock,
@@ -87,6 +99,7 @@
             loads: BackEndLoads::default(),
             notices,
             peer_notices,
+            quotas,
             short_prefill: Cell::default(),
             late_prefills: RefCell::default(),
             placement: Cell::new(placement),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod peer_notices;
 pub mod process;
 pub mod protocol;
+pub mod quotas;
 pub mod settings;
 pub mod usage;
--- a/crates/relay/src/metrics/labels.rs
+++ b/crates/relay/src/metrics/labels.rs
@@ -40,6 +40,22 @@
     pub service: String,
 }
 
+/// Labels of the limit of a tenant.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TenantLabel {
+    /// The tenant.
+    pub tenant: String,
+}
+
+/// Labels of requests of a tenant with a limit.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TenantRequestLabels {
+    /// The tenant.
+    pub tenant: String,
+    /// Whether the limit allowed them.
+    pub outcome: &'static str,
+}
+
 /// Labels of a run that a back end interrupted.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct BrokenRunLabel {
--- a/crates/relay/src/metrics/mod.rs
+++ b/crates/relay/src/metrics/mod.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of a relaying node.
 
 mod labels;
+mod tenants;
 
 use std::fmt;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
     BrokenRunLabel, DropLabel, DutyLabels, EndLabels, EstimateLabel, MessageLabel, NoticeLabel, RouteLabel, SendLabels,
     ServiceLabel, SourceLabel, StageChangeLabels, StageOrderLabel, StoreLabels, SuspectLabel,
 };
+use self::tenants::TenantLimitMetrics;
 use crate::process::VERSION;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -83,6 +85,7 @@
     stage_orders: Family<StageOrderLabel, Counter>,
     duty_calls: Family<DutyLabels, Counter>,
     stage_change_seconds: Counter<f64, AtomicU64>,
+    tenant_limits: TenantLimitMetrics,
 }
 
 /// The metrics of a node. Clones share them.
@@ -130,6 +133,7 @@
             stage_orders: Family::default(),
             duty_calls: Family::default(),
             stage_change_seconds: Counter::default(),
+            tenant_limits: TenantLimitMetrics::new(),
         };
         let registry = &mut metrics.registry;
         registry.register("build", "The build that runs", Info::new([("version", VERSION)]));
@@ -207,6 +211,7 @@
         registry.register("duty_calls", "Calls of duties, by how they were answered", metrics.duty_calls.clone());
         let seconds = metrics.stage_change_seconds.clone();
         registry.register("stage_change_seconds", "Engines' time from a change's announcement to its end", seconds);
+        metrics.tenant_limits.register(registry);
         RelayMetrics { metrics: Arc::new(metrics) }
     }
 
--- a/crates/relay/src/peer_notices/announcements.rs
+++ b/crates/relay/src/peer_notices/announcements.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use havengate_core::back_ends::{DrainNotice, DrainingBackEnd, LimitNotice};
+use havengate_core::quota::{QuotaGrant, QuotaRequest};
 use havengate_core::relay::{
     AnnouncementPace, AnnouncementPaceConfig, CachedParts, PeerNotice, PrefillNotice, TerminationNotice,
     UnreachableNotice,
@@ -57,6 +58,8 @@
             | PeerNotice::Terminations(TerminationNotice { sender, .. })
             | PeerNotice::Drains(DrainNotice { sender, .. })
             | PeerNotice::Limits(LimitNotice { sender, .. })
+            | PeerNotice::QuotaRequest(QuotaRequest { sender, .. })
+            | PeerNotice::QuotaGrant(QuotaGrant { sender, .. })
                 if !self.shared.knowledge.load().peers.contains(&sender) =>
             {
                 self.shared.metrics.record_dropped_message("unknown_sender");
@@ -70,9 +73,8 @@
             PeerNotice::Terminations(notice) => self.shared.engine_terminations.receive(&notice),
             PeerNotice::Drains(notice) => self.apply_drain_notice(&notice),
             PeerNotice::Limits(notice) => self.apply_limit_notice(notice),
-            PeerNotice::QuotaRequest(_) | PeerNotice::QuotaGrant(_) => {
-                self.shared.metrics.record_dropped_message("not_enabled");
-            }
+            PeerNotice::QuotaRequest(request) => self.receive_quota_request(&request),
+            PeerNotice::QuotaGrant(grant) => self.receive_quota_grant(&grant),
             PeerNotice::RequestCachedParts { sender } => {
                 self.send_attributions(sender).await;
                 let draining = self.shared.notices.lock().newest(now);
--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -3,8 +3,9 @@
 mod announcements;
 mod limits;
 mod pending;
+mod quotas;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +26,7 @@
 use crate::engine_terminations::SharedEngineTerminations;
 use crate::knowledge::SharedKnowledge;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
+use crate::quotas::Quotas;
 
 /// The peers asked for cached parts at a time: more than one, since a peer may have just started too.
 const QUERIED_PEERS: usize = 2;
@@ -57,6 +59,8 @@
     pending_drains: PendingAnnouncements,
     /// Back ends that reported a rate limit, or its end, to this node and are not announced to peers yet.
     pending_limits: PendingAnnouncements,
+    /// The limits of tenants, once their messages are exchanged.
+    quotas: OnceCell<Quotas>,
 }
 
 impl PeerNotices {
@@ -79,6 +83,7 @@
                 notices,
                 pending_drains: PendingAnnouncements::default(),
                 pending_limits: PendingAnnouncements::default(),
+                quotas: OnceCell::new(),
             }),
         }
     }
@@ -143,7 +148,7 @@
 
     /// The address at which this node receives notices, which identifies it; `None` before it takes part in the
     /// exchange.
-    fn sender(&self) -> Option<Address> {
+    pub fn sender(&self) -> Option<Address> {
         self.shared.exchange.borrow().as_ref().map(|(sender, _)| *sender)
     }
 
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -132,16 +132,27 @@
         self.traffic.usage.set_config(read.usage);
         self.traffic.set_revocation_limit(read.keys.revocation());
         self.settings = read;
+        self.enforce_tenant_limits();
         let placement = self.traffic.placement();
         log::info!(event = "reloaded", seeds = self.settings.seeds.len(), placement:? = placement, stages:? = self.settings.stages, needs_restart; "");
     }
 
+    /// Enforces the limits of tenants, or ceases to, as the settings say.
+    fn enforce_tenant_limits(&self) {
+        match (self.settings.quota_config(), self.traffic.peer_notices.sender()) {
+            (Some(config), Some(own)) => self.traffic.quotas.enforce(config, own),
+            _ => self.traffic.quotas.suspend(),
+        }
+    }
+
     async fn serve(&mut self, blocks: BlockStoreLink) -> io::Result<()> {
         let (settings, traffic) = (self.settings.clone(), Rc::clone(&self.traffic));
         let mut stop_signal = signal(SignalKind::terminate())?;
         let mut reload_signal = signal(SignalKind::hangup())?;
         let server = CallerServer::bind(settings.callers_address.0)?;
         traffic.peer_notices.exchange(settings.notices_address).await?;
+        traffic.peer_notices.exchange_quotas(&traffic.quotas);
+        self.enforce_tenant_limits();
         tokio::task::spawn_local(traffic.peer_notices.engine_terminations().clone().sync_with_store(blocks));
         tokio::task::spawn_local(survey(Rc::clone(&traffic)));
         serve_status(settings.readiness_address, Rc::clone(&traffic), readiness::<P>)?;
@@ -177,7 +188,8 @@
         .refresh(services.filter_map(|service| service.engines).map(|engines| engines.cache_tokens).min());
 }
 
-/// Logs the estimates of engines, and the bytes that the node has sent to other nodes since its start.
+/// Logs the estimates of engines, the bytes that the node has sent to other nodes since its start, and the limits of
+/// tenants.
 fn log_summary<P>(traffic: &Traffic<P>) {
     let [prefill, decode, moving] =
         traffic.peer_notices.with_index(|index| index.model().estimates(traffic.clock.now()));
@@ -203,9 +215,12 @@
         unreachable = traffic.metrics.node_bytes(NodeMessageKind::Unreachable),
         ends = traffic.metrics.node_bytes(NodeMessageKind::Terminations),
         leaving = traffic.metrics.node_bytes(NodeMessageKind::Draining),
-        limits = traffic.metrics.node_bytes(NodeMessageKind::Limits);
+        limits = traffic.metrics.node_bytes(NodeMessageKind::Limits),
+        tenant_limits = traffic.metrics.node_bytes(NodeMessageKind::TenantLimits),
+        quotas = traffic.metrics.node_bytes(NodeMessageKind::Quotas);
         ""
     );
+    traffic.quotas.log_summary();
 }
 
 /// Runs a planned stop: reports not ready at once, then stops accepting connections, then waits for all open requests
@@ -243,6 +258,7 @@
     let now = traffic.clock.now();
     let confirmed_at = traffic.knowledge.load().directory_confirmed_at;
     traffic.peer_notices.with_index(|index| traffic.metrics.set_estimates(index.model(), now));
+    traffic.quotas.set_metrics();
     traffic.metrics.set_state(&NodeState {
         open_requests: traffic.active.count(),
         connections: traffic.pool.open_total(),
--- /dev/null
+++ b/crates/relay/src/quotas/admission.rs
@@ -0,0 +1,108 @@
+//! The admission of a limited tenant's request.
+
+use std::time::Duration;
+
+use havengate_core::quota::Admission;
+use havengate_core::time::{Timestamp, whole_millis};
+use havengate_core::world::TenantName;
+use tokio::time::timeout;
+
+use super::{QuotaPermit, Quotas};
+
+/// The longest time after which a waiting request asks again, also without a change: units may become available by time
+/// alone.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The shortest retry time of a request that was refused because its wait was over.
+const RETRY_AFTER_MINIMUM: Duration = Duration::from_millis(100);
+
+/// The range of the random factor that spreads these retry times.
+const RETRY_SPREAD: std::ops::Range<f64> = 0.5..1.5;
+
+/// A request that its tenant's limit does not allow now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaRefusal {
+    /// When a retry may be admitted.
+    pub retry_after: Duration,
+}
+
+impl Quotas {
+    /// Admits a request of `tenant`, after waiting for units for at most `wait_maximum`. Returns `None` if the tenant
+    /// has no limit. `request` names the request in the log.
+    ///
+    /// # Errors
+    /// When the limit does not allow the request.
+    pub async fn admit(
+        &self,
+        tenant: &TenantName,
+        token_count: Option<u64>,
+        wait_maximum: Duration,
+        request: &str,
+    ) -> Result<Option<QuotaPermit>, QuotaRefusal> {
+        if !self.has_limit(tenant) {
+            return Ok(None);
+        }
+        let asked_at = self.shared.clock.now();
+        loop {
+            let mut changed = std::pin::pin!(self.shared.changed.notified());
+            changed.as_mut().enable();
+            let admission = self.with_quotas(|quotas, now| quotas.try_admit(tenant, token_count, asked_at, now));
+            let waited = self.shared.clock.now().since(asked_at);
+            match admission {
+                None | Some(Admission::Unlimited) => return Ok(None),
+                Some(Admission::Admitted(permit)) => {
+                    self.shared.metrics.record_limited_request(tenant, "admitted", waited);
+                    return Ok(Some(QuotaPermit::new(self.clone(), permit)));
+                }
+                Some(Admission::Refused { retry_after }) => {
+                    return Err(self.refuse(tenant, token_count, asked_at, retry_after, request));
+                }
+                Some(Admission::Waiting) if waited >= wait_maximum => {
+                    let retry_after = self.refill_time(tenant, token_count);
+                    return Err(self.refuse(tenant, token_count, asked_at, retry_after, request));
+                }
+                Some(Admission::Waiting) => {
+                    // Without a change the request asks again after the interval.
+                    let _ = timeout(RECHECK_INTERVAL.min(wait_maximum - waited), changed).await;
+                }
+            }
+        }
+    }
+
+    /// Logs and counts a refusal.
+    fn refuse(
+        &self,
+        tenant: &TenantName,
+        token_count: Option<u64>,
+        asked_at: Timestamp,
+        retry_after: Duration,
+        request: &str,
+    ) -> QuotaRefusal {
+        let waited = self.shared.clock.now().since(asked_at);
+        self.shared.metrics.record_limited_request(tenant, "refused", waited);
+        let knowledge = self.shared.knowledge.load();
+        let limit = knowledge.tenant_limits.as_ref().and_then(|limits| limits.get(tenant));
+        log::info!(
+            event = "tenant_limit_refused",
+            request,
+            tenant:% = tenant,
+            cost = limit.map_or(0, |limit| limit.cost_of(token_count)),
+            per_second = limit.map_or(0, |limit| limit.per_second),
+            waited_ms = whole_millis(waited),
+            retry_after_ms = whole_millis(retry_after);
+            ""
+        );
+        QuotaRefusal { retry_after }
+    }
+
+    /// The time in which the tenant's limit refills what the request counts, spread so that callers don't return
+    /// together.
+    fn refill_time(&self, tenant: &TenantName, token_count: Option<u64>) -> Duration {
+        let knowledge = self.shared.knowledge.load();
+        let limit = knowledge.tenant_limits.as_ref().and_then(|limits| limits.get(tenant));
+        let seconds = limit.map_or(0.0, |limit| limit.cost_of(token_count) as f64 / limit.per_second.max(1) as f64);
+        let spread = RETRY_SPREAD.start + fastrand::f64() * (RETRY_SPREAD.end - RETRY_SPREAD.start);
+        let refill = Duration::try_from_secs_f64(seconds).unwrap_or(RETRY_AFTER_MINIMUM);
+        refill.max(RETRY_AFTER_MINIMUM).mul_f64(spread)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/quotas/home_changes.rs
@@ -0,0 +1,95 @@
+//! Log lines about the homes of limited tenants: when this node begins or ceases to act as home, and when it asks
+//! another node because the home does not answer.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use havengate_core::membership::rank_by_address;
+use havengate_core::quota::TenantQuotaStatus;
+use havengate_core::time::Timestamp;
+use havengate_core::world::{Address, TenantName};
+
+/// The shortest interval between two checks for changes.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The most lines of each check. A node that starts is the home of all tenants until it knows its peers.
+const LINES_MAXIMUM: usize = 20;
+
+/// What was last logged of a tenant's home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct LoggedHome {
+    is_home: bool,
+    /// The node that is asked.
+    asked: Address,
+    /// Whether it is asked instead of the home.
+    is_substitute: bool,
+}
+
+/// The homes of limited tenants, as the last check found them.
+pub(super) struct HomeChanges {
+    own: Address,
+    logged: BTreeMap<TenantName, LoggedHome>,
+    /// The peers at the last check.
+    peers: Vec<Address>,
+    checked_at: Option<Timestamp>,
+}
+
+impl HomeChanges {
+    /// Starts without tenants, for the node at `own`.
+    pub(super) fn new(own: Address) -> Self {
+        HomeChanges { own, logged: BTreeMap::new(), peers: Vec::new(), checked_at: None }
+    }
+
+    /// Whether the next check is due.
+    pub(super) fn is_due(&self, now: Timestamp) -> bool {
+        self.checked_at.is_none_or(|checked_at| now.since(checked_at) >= CHECK_INTERVAL)
+    }
+
+    /// Logs what has changed since the last check.
+    pub(super) fn log(&mut self, statuses: &[TenantQuotaStatus], peers: &[Address], now: Timestamp) {
+        self.checked_at = Some(now);
+        let has_same_peers = self.peers == peers;
+        if !has_same_peers {
+            self.peers = peers.to_vec();
+        }
+        let mut changes = 0;
+        let mut next = BTreeMap::new();
+        for status in statuses {
+            let before = self.logged.remove(&status.tenant);
+            // Ranking all nodes is too expensive to be repeated without need.
+            let unchanged = before.filter(|before| has_same_peers && before.asked == status.home);
+            let is_substitute = unchanged.map_or_else(|| self.is_substitute(status), |before| before.is_substitute);
+            let home = LoggedHome { is_home: status.is_home, asked: status.home, is_substitute };
+            changes += usize::from(log_change(&status.tenant, before, home, changes < LINES_MAXIMUM));
+            next.insert(status.tenant.clone(), home);
+        }
+        self.logged = next;
+        if changes > LINES_MAXIMUM {
+            log::info!(event = "tenant_homes_changed", untold = changes - LINES_MAXIMUM; "");
+        }
+    }
+
+    /// Whether another node than the tenant's home is asked.
+    fn is_substitute(&self, status: &TenantQuotaStatus) -> bool {
+        let nodes = self.peers.iter().copied().chain([self.own]);
+        let ranked = rank_by_address(status.tenant.as_str().as_bytes(), nodes, |address| *address);
+        ranked.first() != Some(&status.home)
+    }
+}
+
+/// Logs the change of a tenant's home, if there is one and `may_log` permits it; whether there is one.
+fn log_change(tenant: &TenantName, before: Option<LoggedHome>, home: LoggedHome, may_log: bool) -> bool {
+    let acts_otherwise = home.is_home != before.is_some_and(|before| before.is_home);
+    let substitute = |home: LoggedHome| home.is_substitute.then_some(home.asked);
+    let asks_otherwise = substitute(home) != before.and_then(substitute);
+    if acts_otherwise && may_log {
+        log::info!(event = "tenant_home", tenant:% = tenant, acts = home.is_home; "");
+    }
+    if asks_otherwise && may_log {
+        match substitute(home) {
+            Some(asked) => log::warn!(event = "tenant_home_suspended", tenant:% = tenant, asked:% = asked; ""),
+            None => log::info!(event = "tenant_home_resumed", tenant:% = tenant, home:% = home.asked; ""),
+        }
+    }
+    acts_otherwise || asks_otherwise
+}
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -6,6 +6,7 @@
 
 use havengate_core::duties::fleet::{FleetPolicyConfig, FleetPolicyConfigError};
 use havengate_core::duties::usage::{UsageConfig, UsageConfigError};
+use havengate_core::quota::QuotaConfig;
 use havengate_core::relay::{PlacementConfig, PlacementConfigError, SharedRetryBudgetConfig};
 use havengate_core::stages::{StagePolicyConfig, StagePolicyConfigError};
 use havengate_core::world::{Address, NodeName, RegionName, Topology, ZoneName};
@@ -111,6 +112,10 @@
 #[serde(default, deny_unknown_fields)]
 pub struct TenantLimitSettings {}
 
+/// After this time without an answer, a request for units is repeated where nodes are in several regions: twice the
+/// longest round trip between regions (60 ms) plus 60 ms.
+const QUOTA_REPEAT_BETWEEN_REGIONS: Duration = Duration::from_millis(180);
+
 /// Why settings can't be used.
 #[derive(Clone, Debug, displaydoc::Display, thiserror::Error)]
 pub enum RelaySettingsError {
@@ -198,6 +203,16 @@
         Topology::new(self.zone.clone(), self.zone_regions.clone())
     }
 
+    /// The timing of tenants' limits; `None` if they are not enforced.
+    pub fn quota_config(&self) -> Option<QuotaConfig> {
+        let TenantLimitSettings {} = self.tenant_limits?;
+        let config = QuotaConfig::default();
+        Some(match self.topology().spans_regions() {
+            true => QuotaConfig { repeat_after: QUOTA_REPEAT_BETWEEN_REGIONS, ..config },
+            false => config,
+        })
+    }
+
     /// Whether the name, the zone and all listed addresses are equal to those of `other`.
     pub fn has_same_name_and_addresses(&self, other: &RelaySettings) -> bool {
         let identity = |settings: &RelaySettings| {
