--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -90,7 +90,8 @@
         let pool = ConnectionPool::new(PoolLimits::default());
         let peer_notices = PeerNotices::new(Arc::clone(&knowledge), notices.clone(), clock, metrics.clone());
         let engine_terminations = peer_notices.engine_terminations().clone();
-        let quotas = Quotas::new(Arc::clone(&knowledge), fleet_reach, clock, metrics.clone());
+        let grant_share = move |now| fleet_reach.grant_share(now);
+        let quotas = Quotas::new(Arc::clone(&knowledge), grant_share, clock, metrics.clone());
         Traffic {
             protocol,
             clock,
--- a/crates/relay/src/quotas/mod.rs
+++ b/crates/relay/src/quotas/mod.rs
@@ -27,7 +27,6 @@
 use self::home_changes::HomeChanges;
 pub use self::permit::QuotaPermit;
 use self::summary::QuotaSummary;
-use crate::fleet_reach::SharedFleetReach;
 use crate::knowledge::SharedKnowledge;
 use crate::metrics::RelayMetrics;
 
@@ -49,7 +48,8 @@
     /// The number of times that enforcement was switched on.
     epoch: Cell<u64>,
     knowledge: SharedKnowledge,
-    reach: SharedFleetReach,
+    /// The share of all nodes that this node may grant for at a time.
+    grant_share: Box<dyn Fn(Timestamp) -> f64>,
     clock: Clock,
     metrics: RelayMetrics,
     /// Wakes requests that wait for units.
@@ -71,14 +71,19 @@
 }
 
 impl Quotas {
-    /// Limits that are not enforced yet.
-    pub fn new(knowledge: SharedKnowledge, reach: SharedFleetReach, clock: Clock, metrics: RelayMetrics) -> Self {
+    /// Limits that are not enforced yet. `grant_share` returns the share of all nodes that this node may grant for.
+    pub fn new(
+        knowledge: SharedKnowledge,
+        grant_share: impl Fn(Timestamp) -> f64 + 'static,
+        clock: Clock,
+        metrics: RelayMetrics,
+    ) -> Self {
         Quotas {
             shared: Rc::new(Shared {
                 enforcement: RefCell::default(),
                 epoch: Cell::default(),
                 knowledge,
-                reach,
+                grant_share: Box::new(grant_share),
                 clock,
                 metrics,
                 changed: Notify::new(),
@@ -229,7 +234,7 @@
             self.peers = Arc::clone(&knowledge.peers);
             self.quotas.set_peers(&self.peers, now);
         }
-        self.quotas.set_grant_share(shared.reach.grant_share(now));
+        self.quotas.set_grant_share((shared.grant_share)(now));
         let is_same = match (&self.limits, &knowledge.tenant_limits) {
             (Some(own), Some(known)) => Arc::ptr_eq(own, known),
             (own, known) => own.is_none() && known.is_none(),
