--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -15,6 +15,7 @@
 mod suspensions;
 mod tenant_client;
 mod tenant_quotas;
+mod window_peak;
 
 pub use admission::{Admission, OutgoingQuotaMessage, Permit, QuotaContent, TenantQuotaStatus};
 pub use config::QuotaConfig;
