Stop waiting for units when a caller hangs up

A request whose caller hung up, or whose time for waiting was over, stayed in the queue of its tenant for up to 1 s: units were requested for it, and later requests waited behind it. TenantQuotas::stop_waiting forgets it.

The first call of a request passes the same time as now and as waiting_since, by which TenantQuotas counts demand. Sequence numbers start at the wall clock's time, so that they increase across restarts.

--- a/crates/core/src/quota/tenant_client.rs
+++ b/crates/core/src/quota/tenant_client.rs
@@ -122,6 +122,11 @@
         Decision::Waiting
     }
 
+    /// Forgets a request that waits.
+    pub(super) fn stop_waiting(&mut self, cost: u64, waiting_since: Timestamp) {
+        self.waiting.remove(&(waiting_since, cost));
+    }
+
     fn refuse(&mut self, retry_after: Duration) -> Decision {
         self.refused += 1;
         Decision::Refused { retry_after }
--- a/crates/core/src/quota/tenant_quotas.rs
+++ b/crates/core/src/quota/tenant_quotas.rs
@@ -119,6 +119,15 @@
         }
     }
 
+    /// Forgets a request that waits and will not call [`TenantQuotas::try_admit`] again: its caller has hung up, or its
+    /// own time for waiting is over. Otherwise units would be requested and kept for it.
+    pub fn stop_waiting(&mut self, tenant: &TenantName, token_count: Option<u64>, waiting_since: Timestamp) {
+        let Some(limit) = self.limit_of(tenant) else { return };
+        if let Some(client) = self.clients.get_mut(tenant) {
+            client.stop_waiting(limit.cost_of(token_count), waiting_since);
+        }
+    }
+
     /// Returns the units of a request that certainly did not run.
     pub fn refund(&mut self, permit: &Permit, _now: Timestamp) {
         if self.limit_of(&permit.tenant).is_some() {
--- a/crates/relay/src/quotas/admission.rs
+++ b/crates/relay/src/quotas/admission.rs
@@ -42,24 +42,22 @@
         if !self.has_limit(tenant) {
             return Ok(None);
         }
-        let asked_at = self.shared.clock.now();
+        let mut waiting = WaitingRequest::new(self, tenant, token_count);
         loop {
             let mut changed = std::pin::pin!(self.shared.changed.notified());
             changed.as_mut().enable();
-            let admission = self.with_quotas(|quotas, now| quotas.try_admit(tenant, token_count, asked_at, now));
-            let waited = self.shared.clock.now().since(asked_at);
+            let admission = waiting.try_admit();
+            let waited = waiting.waited();
+            let refuse = |retry_after| Err(self.refuse(tenant, token_count, waited, retry_after, request));
             match admission {
                 None | Some(Admission::Unlimited) => return Ok(None),
                 Some(Admission::Admitted(permit)) => {
                     self.shared.metrics.record_limited_request(tenant, "admitted", waited);
                     return Ok(Some(QuotaPermit::new(self.clone(), permit)));
                 }
-                Some(Admission::Refused { retry_after }) => {
-                    return Err(self.refuse(tenant, token_count, asked_at, retry_after, request));
-                }
+                Some(Admission::Refused { retry_after }) => return refuse(retry_after),
                 Some(Admission::Waiting) if waited >= wait_maximum => {
-                    let retry_after = self.refill_time(tenant, token_count);
-                    return Err(self.refuse(tenant, token_count, asked_at, retry_after, request));
+                    return refuse(self.refill_time(tenant, token_count));
                 }
                 Some(Admission::Waiting) => {
                     // Without a change the request asks again after the interval.
@@ -74,11 +72,10 @@
         &self,
         tenant: &TenantName,
         token_count: Option<u64>,
-        asked_at: Timestamp,
+        waited: Duration,
         retry_after: Duration,
         request: &str,
     ) -> QuotaRefusal {
-        let waited = self.shared.clock.now().since(asked_at);
         self.shared.metrics.record_limited_request(tenant, "refused", waited);
         let knowledge = self.shared.knowledge.load();
         let limit = knowledge.tenant_limits.as_ref().and_then(|limits| limits.get(tenant));
@@ -106,3 +103,43 @@
         refill.max(RETRY_AFTER_MINIMUM).mul_f64(spread)
     }
 }
+
+/// A request that asks for units, from its first call until it is admitted, refused or dropped.
+struct WaitingRequest<'a> {
+    quotas: &'a Quotas,
+    tenant: &'a TenantName,
+    token_count: Option<u64>,
+    /// When it first asked; identifies it among the tenant's waiting requests.
+    since: Option<Timestamp>,
+    is_waiting: bool,
+}
+
+impl<'a> WaitingRequest<'a> {
+    fn new(quotas: &'a Quotas, tenant: &'a TenantName, token_count: Option<u64>) -> Self {
+        WaitingRequest { quotas, tenant, token_count, since: None, is_waiting: false }
+    }
+
+    /// Asks for units; `None` while limits are not enforced.
+    fn try_admit(&mut self) -> Option<Admission> {
+        let (tenant, token_count) = (self.tenant, self.token_count);
+        let since = &mut self.since;
+        let admission = self.quotas.with_quotas(|quotas, now| {
+            let since = *since.get_or_insert(now);
+            quotas.try_admit(tenant, token_count, since, now)
+        });
+        self.is_waiting = admission == Some(Admission::Waiting);
+        admission
+    }
+
+    fn waited(&self) -> Duration {
+        self.since.map_or(Duration::ZERO, |since| self.quotas.shared.clock.now().since(since))
+    }
+}
+
+impl Drop for WaitingRequest<'_> {
+    fn drop(&mut self) {
+        if let Some(since) = self.since.filter(|_| self.is_waiting) {
+            self.quotas.with_quotas(|quotas, _| quotas.stop_waiting(self.tenant, self.token_count, since));
+        }
+    }
+}
--- a/crates/relay/src/quotas/mod.rs
+++ b/crates/relay/src/quotas/mod.rs
@@ -12,7 +12,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use havengate_core::quota::{
     OutgoingQuotaMessage, QuotaConfig, QuotaGrant, QuotaRequest, TenantLimitTable, TenantQuotaStatus, TenantQuotas,
@@ -98,6 +98,7 @@
         if self.is_enforced() {
             return;
         }
+        let config = QuotaConfig { first_sequence: unix_micros(), ..config };
         let quotas = TenantQuotas::new(config, own, self.shared.clock.now());
         let enforcement = Enforcement {
             quotas,
@@ -252,3 +253,9 @@
         true
     }
 }
+
+/// Microseconds since 1970 by the wall clock. Sequence numbers start there, so that they increase across restarts.
+fn unix_micros() -> u64 {
+    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_1970.as_micros()).unwrap_or(u64::MAX)
+}
