Exchange tenants' limits from a reload that enables them on

A reload with [tenant_limits] enforced nothing: the control thread had read at its start whether to keep the limits of configurations, so the traffic thread had no table.

--- a/crates/relay/src/control/learner/mod.rs
+++ b/crates/relay/src/control/learner/mod.rs
@@ -66,7 +66,7 @@
     clock: Clock,
     metrics: RelayMetrics,
     /// Whether this node enforces tenants' limits; otherwise those in configurations are ignored.
-    enforces_tenant_limits: bool,
+    enforces_tenant_limits: watch::Receiver<bool>,
 }
 
 impl Learner {
@@ -90,18 +90,18 @@
             updates: Rc::new(watch::Sender::new(0)),
             clock,
             metrics,
-            enforces_tenant_limits: false,
+            enforces_tenant_limits: watch::channel(false).1,
         }
     }
 
-    /// Keeps the limits of tenants, for a node that enforces them.
-    pub fn with_tenant_limits(self) -> Self {
-        Learner { enforces_tenant_limits: true, ..self }
+    /// Keeps the limits of tenants while `enforced` is true.
+    pub fn with_tenant_limits(self, enforced: watch::Receiver<bool>) -> Self {
+        Learner { enforces_tenant_limits: enforced, ..self }
     }
 
     /// Whether this node enforces tenants' limits.
     pub fn enforces_tenant_limits(&self) -> bool {
-        self.enforces_tenant_limits
+        *self.enforces_tenant_limits.borrow()
     }
 
     /// The node's clock.
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -25,7 +25,6 @@
 use crate::knowledge::{SharedKnowledge, SharedTimestamp};
 use crate::metrics::RelayMetrics;
 use crate::protocol::{ControlStore, DutyReceiver, Protocol};
-use crate::settings::TenantLimitSettings;
 use crate::usage::SharedUsage;
 
 /// The settings of the control thread.
@@ -41,8 +40,8 @@
     pub seeds: watch::Receiver<Vec<Address>>,
     /// The settings of the duties; a reload may change them.
     pub duties: watch::Receiver<DutySettings>,
-    /// How tenants' limits are enforced; `None`: they are neither enforced nor exchanged.
-    pub tenant_limits: Option<TenantLimitSettings>,
+    /// Whether tenants' limits are enforced, else they are not exchanged either; a reload may change it.
+    pub enforces_tenant_limits: watch::Receiver<bool>,
 }
 
 /// The state that the control thread shares with the traffic thread.
@@ -106,9 +105,8 @@
                 metrics,
             } = shared;
             let Platform { store, receiver } = platform;
-            let learner = Learner::new(knowledge, configuration_current_at, clock, metrics.clone());
-            let enforces_limits = settings.tenant_limits.is_some();
-            let learner = if enforces_limits { learner.with_tenant_limits() } else { learner };
+            let learner = Learner::new(knowledge, configuration_current_at, clock, metrics.clone())
+                .with_tenant_limits(settings.enforces_tenant_limits.clone());
             let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
             let role = ReaderRole::new(readers, clock);
             match bind(&settings, role.clone(), learner.clone(), fleet_reach, metrics.clone()).await {
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -74,6 +74,7 @@
 ) -> io::Result<()> {
     let (duties, duties_receiver) = watch::channel(settings.duty_settings());
     let (seeds, seeds_receiver) = watch::channel(settings.seeds.clone());
+    let (enforces_limits, enforces_limits_receiver) = watch::channel(settings.tenant_limits.is_some());
     let clock = Clock::start_with_past(REPORTABLE_PAST);
     let metrics = RelayMetrics::new();
     let knowledge: SharedKnowledge = Arc::new(ArcSwap::from_pointee(Knowledge::nothing()));
@@ -85,7 +86,7 @@
         notices_address: settings.notices_address,
         seeds: seeds_receiver,
         duties: duties_receiver,
-        tenant_limits: settings.tenant_limits,
+        enforces_tenant_limits: enforces_limits_receiver,
     };
     let shared = SharedWithTraffic {
         knowledge: Arc::clone(&knowledge),
@@ -102,7 +103,7 @@
     let traffic = Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement));
     traffic.set_revocation_limit(settings.keys.revocation());
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    let mut node = RunningNode { settings, read_settings, seeds, duties, traffic };
+    let mut node = RunningNode { settings, read_settings, seeds, duties, enforces_limits, traffic };
     LocalSet::new().block_on(&runtime, node.serve(blocks))
 }
 
@@ -111,6 +112,7 @@
     read_settings: R,
     seeds: watch::Sender<Vec<Address>>,
     duties: watch::Sender<DutySettings>,
+    enforces_limits: watch::Sender<bool>,
     traffic: Rc<Traffic<P>>,
 }
 
@@ -140,6 +142,7 @@
 
     /// Enforces the limits of tenants, or ceases to, as the settings say.
     fn enforce_tenant_limits(&self) {
+        self.enforces_limits.send_replace(self.settings.tenant_limits.is_some());
         match (self.settings.quota_config(), self.traffic.peer_notices.sender()) {
             (Some(config), Some(own)) => self.traffic.quotas.enforce(config, own),
             _ => self.traffic.quotas.suspend(),
--- a/crates/relay/tests/limit_exchange.rs
+++ b/crates/relay/tests/limit_exchange.rs
@@ -24,7 +24,7 @@
         let (metrics, clock) = (RelayMetrics::new(), Clock::start_with_past(Duration::from_secs(100)));
         let knowledge: SharedKnowledge = Arc::new(ArcSwap::from_pointee(Knowledge::nothing()));
         let learner = Learner::new(Arc::clone(&knowledge), SharedTimestamp::default(), clock, metrics.clone());
-        let learner = if enforces_limits { learner.with_tenant_limits() } else { learner };
+        let learner = learner.with_tenant_limits(tokio::sync::watch::channel(enforces_limits).1);
         let limits = LimitExchange::new(address(last), learner.clone(), metrics.clone());
         Node { learner, limits, knowledge, metrics }
     }
