Count returned and charged units of limited tenants

The number of admitted requests says little about what a tenant's limit was used for when engines decline or break off. havengate_tenant_limit_requests_total has the outcomes returned and charged_again for it.

--- a/crates/relay/src/metrics/labels.rs
+++ b/crates/relay/src/metrics/labels.rs
@@ -52,7 +52,7 @@
 pub struct TenantRequestLabels {
     /// The tenant.
     pub tenant: String,
-    /// Whether the limit allowed them.
+    /// What happened to their units.
     pub outcome: &'static str,
 }
 
--- a/crates/relay/src/metrics/mod.rs
+++ b/crates/relay/src/metrics/mod.rs
@@ -25,6 +25,7 @@
     BrokenRunLabel, DropLabel, DutyLabels, EndLabels, EstimateLabel, MessageLabel, NoticeLabel, RouteLabel, SendLabels,
     ServiceLabel, SourceLabel, StageChangeLabels, StageOrderLabel, StoreLabels, SuspectLabel,
 };
+pub use self::tenants::QuotaOutcome;
 use self::tenants::TenantLimitMetrics;
 use crate::process::VERSION;
 
--- a/crates/relay/src/metrics/tenants.rs
+++ b/crates/relay/src/metrics/tenants.rs
@@ -1,5 +1,7 @@
 //! Metrics of tenants' limits. Their labels are the tenants that have a limit in the configuration.
 
+use std::time::Duration;
+
 use havengate_core::quota::TenantQuotaStatus;
 use havengate_core::world::TenantName;
 use prometheus_client::metrics::counter::Counter;
@@ -10,14 +12,37 @@
 
 use super::RelayMetrics;
 use super::labels::{TenantLabel, TenantRequestLabels};
-use std::time::Duration;
 
 /// Upper bounds of the histograms of waiting times, in seconds. A grant takes one round trip: about 1 ms within a region
 /// and 60 ms between regions.
 const WAIT_BUCKETS: [f64; 5] = [0.002, 0.01, 0.05, 0.15, 0.5];
 
-/// The outcomes of requests of a limited tenant.
-const OUTCOMES: [&str; 2] = ["admitted", "refused"];
+/// What happened to the units of a request of a limited tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuotaOutcome {
+    /// The limit allowed the request.
+    Admitted,
+    /// The limit did not allow it.
+    Refused,
+    /// It was admitted but did not run, or a later send did not, so its units were returned.
+    Returned,
+    /// It was sent again after it may have run, so its units were counted again.
+    ChargedAgain,
+}
+
+impl QuotaOutcome {
+    const ALL: [QuotaOutcome; 4] =
+        [QuotaOutcome::Admitted, QuotaOutcome::Refused, QuotaOutcome::Returned, QuotaOutcome::ChargedAgain];
+
+    fn code(self) -> &'static str {
+        match self {
+            QuotaOutcome::Admitted => "admitted",
+            QuotaOutcome::Refused => "refused",
+            QuotaOutcome::Returned => "returned",
+            QuotaOutcome::ChargedAgain => "charged_again",
+        }
+    }
+}
 
 pub(super) struct TenantLimitMetrics {
     requests: Family<TenantRequestLabels, Counter>,
@@ -42,7 +67,7 @@
     pub(super) fn register(&self, registry: &mut Registry) {
         registry.register(
             "tenant_limit_requests",
-            "Requests of tenants with a limit, by whether it allowed them",
+            "Requests of tenants with a limit, by what happened to their units",
             self.requests.clone(),
         );
         registry.register(
@@ -57,12 +82,16 @@
 }
 
 impl RelayMetrics {
-    /// Counts a request of a tenant with a limit, `admitted` or `refused`, and its waiting time.
-    pub fn record_limited_request(&self, tenant: &TenantName, outcome: &'static str, waited: Duration) {
-        let metrics = &self.metrics.tenant_limits;
-        let tenant = tenant.to_string();
-        metrics.requests.get_or_create(&TenantRequestLabels { tenant: tenant.clone(), outcome }).inc();
-        metrics.wait_seconds.get_or_create(&TenantLabel { tenant }).observe(waited.as_secs_f64());
+    /// Counts a request of a tenant with a limit.
+    pub fn record_limited_request(&self, tenant: &TenantName, outcome: QuotaOutcome) {
+        let labels = TenantRequestLabels { tenant: tenant.to_string(), outcome: outcome.code() };
+        self.metrics.tenant_limits.requests.get_or_create(&labels).inc();
+    }
+
+    /// Records how long a request waited for units of its tenant's limit.
+    pub fn record_limit_wait(&self, tenant: &TenantName, waited: Duration) {
+        let label = TenantLabel { tenant: tenant.to_string() };
+        self.metrics.tenant_limits.wait_seconds.get_or_create(&label).observe(waited.as_secs_f64());
     }
 
     /// Sets the gauges of each tenant with a limit.
@@ -81,8 +110,8 @@
     pub fn remove_limited_tenant(&self, tenant: &TenantName) {
         let metrics = &self.metrics.tenant_limits;
         let label = TenantLabel { tenant: tenant.to_string() };
-        for outcome in OUTCOMES {
-            metrics.requests.remove(&TenantRequestLabels { tenant: tenant.to_string(), outcome });
+        for outcome in QuotaOutcome::ALL {
+            metrics.requests.remove(&TenantRequestLabels { tenant: tenant.to_string(), outcome: outcome.code() });
         }
         metrics.wait_seconds.remove(&label);
         for gauges in [&metrics.per_second, &metrics.balance, &metrics.is_home] {
--- a/crates/relay/src/quotas/admission.rs
+++ b/crates/relay/src/quotas/admission.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout;
 
 use super::{QuotaPermit, Quotas};
+use crate::metrics::QuotaOutcome;
 
 /// The longest time after which a waiting request asks again, also without a change: units may become available by time
 /// alone.
@@ -52,7 +53,8 @@
             match admission {
                 None | Some(Admission::Unlimited) => return Ok(None),
                 Some(Admission::Admitted(permit)) => {
-                    self.shared.metrics.record_limited_request(tenant, "admitted", waited);
+                    self.shared.metrics.record_limited_request(tenant, QuotaOutcome::Admitted);
+                    self.shared.metrics.record_limit_wait(tenant, waited);
                     return Ok(Some(QuotaPermit::new(self.clone(), permit)));
                 }
                 Some(Admission::Refused { retry_after }) => return refuse(retry_after),
@@ -76,7 +78,8 @@
         retry_after: Duration,
         request: &str,
     ) -> QuotaRefusal {
-        self.shared.metrics.record_limited_request(tenant, "refused", waited);
+        self.shared.metrics.record_limited_request(tenant, QuotaOutcome::Refused);
+        self.shared.metrics.record_limit_wait(tenant, waited);
         let knowledge = self.shared.knowledge.load();
         let limit = knowledge.tenant_limits.as_ref().and_then(|limits| limits.get(tenant));
         log::info!(
--- a/crates/relay/src/quotas/permit.rs
+++ b/crates/relay/src/quotas/permit.rs
@@ -3,6 +3,7 @@
 use havengate_core::quota::Permit;
 
 use super::Quotas;
+use crate::metrics::QuotaOutcome;
 
 /// What has become of the request so far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +61,7 @@
     fn charge(&self) {
         if self.is_current() {
             self.quotas.with_quotas(|quotas, now| quotas.charge(&self.permit, now));
+            self.quotas.shared.metrics.record_limited_request(&self.permit.tenant, QuotaOutcome::ChargedAgain);
         }
     }
 
@@ -67,12 +69,13 @@
         if self.is_current() {
             self.quotas.with_quotas(|quotas, now| quotas.refund(&self.permit, now));
             self.quotas.shared.changed.notify_waiters();
+            self.quotas.shared.metrics.record_limited_request(&self.permit.tenant, QuotaOutcome::Returned);
         }
     }
 
-    /// Whether the units were granted since enforcement was switched on last.
+    /// Whether the units were granted since enforcement was switched on last, and the tenant still has a limit.
     fn is_current(&self) -> bool {
-        self.epoch == self.quotas.shared.epoch.get()
+        self.epoch == self.quotas.shared.epoch.get() && self.quotas.has_limit(&self.permit.tenant)
     }
 }
 
