--- a/crates/relay/src/quotas/home_changes.rs
+++ b/crates/relay/src/quotas/home_changes.rs
@@ -19,10 +19,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct LoggedHome {
     is_home: bool,
+    /// The node that ranks first.
+    first: Address,
     /// The node that is asked.
     asked: Address,
-    /// Whether it is asked instead of the home.
-    is_substitute: bool,
+}
+
+impl LoggedHome {
+    /// The node that is asked because the home does not answer.
+    fn substitute(self) -> Option<Address> {
+        (self.asked != self.first).then_some(self.asked)
+    }
 }
 
 /// The homes of limited tenants, as the last check found them.
@@ -58,8 +65,8 @@
             let before = self.logged.remove(&status.tenant);
             // Ranking all nodes is too expensive to be repeated without need.
             let unchanged = before.filter(|before| has_same_peers && before.asked == status.home);
-            let is_substitute = unchanged.map_or_else(|| self.is_substitute(status), |before| before.is_substitute);
-            let home = LoggedHome { is_home: status.is_home, asked: status.home, is_substitute };
+            let first = unchanged.map_or_else(|| self.first(status), |before| before.first);
+            let home = LoggedHome { is_home: status.is_home, first, asked: status.home };
             changes += usize::from(log_change(&status.tenant, before, home, changes < LINES_MAXIMUM));
             next.insert(status.tenant.clone(), home);
         }
@@ -69,26 +76,27 @@
         }
     }
 
-    /// Whether another node than the tenant's home is asked.
-    fn is_substitute(&self, status: &TenantQuotaStatus) -> bool {
+    /// The node that ranks first for the tenant.
+    fn first(&self, status: &TenantQuotaStatus) -> Address {
         let nodes = self.peers.iter().copied().chain([self.own]);
         let ranked = rank_by_address(status.tenant.as_str().as_bytes(), nodes, |address| *address);
-        ranked.first() != Some(&status.home)
+        ranked.first().copied().unwrap_or(self.own)
     }
 }
 
 /// Logs the change of a tenant's home, if there is one and `may_log` permits it; whether there is one.
 fn log_change(tenant: &TenantName, before: Option<LoggedHome>, home: LoggedHome, may_log: bool) -> bool {
     let acts_otherwise = home.is_home != before.is_some_and(|before| before.is_home);
-    let substitute = |home: LoggedHome| home.is_substitute.then_some(home.asked);
-    let asks_otherwise = substitute(home) != before.and_then(substitute);
+    let asks_otherwise = home.substitute() != before.and_then(LoggedHome::substitute);
     if acts_otherwise && may_log {
         log::info!(event = "tenant_home", tenant:% = tenant, acts = home.is_home; "");
     }
     if asks_otherwise && may_log {
-        match substitute(home) {
-            Some(asked) => log::warn!(event = "tenant_home_suspended", tenant:% = tenant, asked:% = asked; ""),
-            None => log::info!(event = "tenant_home_resumed", tenant:% = tenant, home:% = home.asked; ""),
+        match home.substitute() {
+            Some(asked) => {
+                log::warn!(event = "tenant_home_suspended", tenant:% = tenant, home:% = home.first, asked:% = asked; "");
+            }
+            None => log::info!(event = "tenant_home_resumed", tenant:% = tenant, home:% = home.first; ""),
         }
     }
     acts_otherwise || asks_otherwise
