Count requests for units that a home drops

Old requests and probes that get no answer were dropped without a count; answers were counted. Both count as overtaken in havengate_dropped_messages_total now.

--- a/crates/relay/src/peer_notices/quotas.rs
+++ b/crates/relay/src/peer_notices/quotas.rs
@@ -31,16 +31,18 @@
     }
 
     pub(super) fn receive_quota_request(&self, request: &QuotaRequest) {
-        match self.enforced_quotas() {
-            Some(quotas) => quotas.receive_request(request),
-            None => self.shared.metrics.record_dropped_message("not_enabled"),
-        }
+        self.count_if_dropped(self.enforced_quotas().map(|quotas| quotas.receive_request(request)));
     }
 
     pub(super) fn receive_quota_grant(&self, grant: &QuotaGrant) {
-        match self.enforced_quotas() {
-            Some(quotas) if quotas.receive_grant(grant) => {}
-            Some(_) => self.shared.metrics.record_dropped_message("overtaken"),
+        self.count_if_dropped(self.enforced_quotas().map(|quotas| quotas.receive_grant(grant)));
+    }
+
+    /// Counts a message that was not used; `None`: limits are not enforced.
+    fn count_if_dropped(&self, is_used: Option<bool>) {
+        match is_used {
+            Some(true) => {}
+            Some(false) => self.shared.metrics.record_dropped_message("overtaken"),
             None => self.shared.metrics.record_dropped_message("not_enabled"),
         }
     }
--- a/crates/relay/src/quotas/mod.rs
+++ b/crates/relay/src/quotas/mod.rs
@@ -131,9 +131,15 @@
         self.shared.enforcement.borrow().is_some()
     }
 
-    /// Handles a peer's request for units; the answer is sent with the next poll.
-    pub fn receive_request(&self, request: &QuotaRequest) {
-        self.with_quotas(|quotas, now| quotas.receive_request(request, now));
+    /// Handles a peer's request for units; the answer is sent with the next poll. `false` if the request is dropped
+    /// because it is older than another one of its sender, or this node may not answer it.
+    pub fn receive_request(&self, request: &QuotaRequest) -> bool {
+        let is_answered = self.with_quotas(|quotas, now| {
+            let dropped = quotas.dropped();
+            quotas.receive_request(request, now);
+            quotas.dropped() == dropped
+        });
+        is_answered.unwrap_or(false)
     }
 
     /// Handles a peer's answer to a request of this node; `false` if it is dropped because it is not awaited.
--- a/crates/relay/tests/quotas.rs
+++ b/crates/relay/tests/quotas.rs
@@ -144,10 +144,10 @@
         self.socket.send_to(&bytes, to.address.0).await.expect("loopback accepts datagrams");
     }
 
-    /// A request of this peer.
-    fn request(&self) -> PeerNotice {
+    /// A request of this peer with this number.
+    fn request(&self, sequence: u64) -> PeerNotice {
         let (sender, tenant) = (self.address, tenant());
-        PeerNotice::QuotaRequest(QuotaRequest { sender, sequence: 1, tenant, needed: 1, wanted: 1, returned: 0 })
+        PeerNotice::QuotaRequest(QuotaRequest { sender, sequence, tenant, needed: 1, wanted: 1, returned: 0 })
     }
 
     /// A grant of this peer, as the answer to the request with this number.
@@ -183,13 +183,13 @@
     }
 }
 
-/// A node and the home of its tenant.
-async fn start_with_home() -> (Node, Peer) {
+/// A node with a peer that is the tenant's home, or else the node itself is.
+async fn start_with_peer(peer_is_home: bool) -> (Node, Peer) {
     let node = Node::start_enforcing().await;
     loop {
         let peer = Peer::start().await;
         node.set_knowledge(&[peer.address], Some(PER_SECOND));
-        if node.quotas.statuses().iter().all(|status| status.home == peer.address) {
+        if node.quotas.statuses().iter().all(|status| (status.home == peer.address) == peer_is_home) {
             return (node, peer);
         }
     }
@@ -202,7 +202,7 @@
 #[tokio::test]
 async fn units_are_returned_when_the_request_certainly_did_not_run() {
     run(async {
-        let (node, mut home) = start_with_home().await;
+        let (node, mut home) = start_with_peer(true).await;
         let (permit, _) = home.admit(&node).await;
         drop(permit);
         assert_eq!(home.serve(&node).await, (0, COST), "it was never sent");
@@ -224,7 +224,7 @@
 #[tokio::test]
 async fn a_send_after_a_run_counts_again() {
     run(async {
-        let (node, mut home) = start_with_home().await;
+        let (node, mut home) = start_with_peer(true).await;
         let (mut permit, _) = home.admit(&node).await;
         permit.begin_send();
         permit.begin_send();
@@ -242,7 +242,7 @@
 #[tokio::test]
 async fn a_prefill_and_the_answer_after_it_count_once() {
     run(async {
-        let (node, mut home) = start_with_home().await;
+        let (node, mut home) = start_with_peer(true).await;
         let (mut permit, _) = home.admit(&node).await;
         permit.begin_send();
         permit.prefill_completed();
@@ -265,7 +265,7 @@
 #[tokio::test]
 async fn a_request_that_no_longer_waits_gets_no_units() {
     run(async {
-        let (node, mut home) = start_with_home().await;
+        let (node, mut home) = start_with_peer(true).await;
         let tenant = tenant();
         let waiting = node.quotas.admit(&tenant, Some(COST / 2), WAIT_MAXIMUM, "r");
         tokio::select! {
@@ -334,7 +334,7 @@
     run(async {
         let (node, peer) = (Node::start().await, Peer::start().await);
         node.set_knowledge(&[peer.address], Some(PER_SECOND));
-        peer.send(&node, &peer.request()).await;
+        peer.send(&node, &peer.request(1)).await;
         node.wait_for_drop("not_enabled").await;
     })
     .await;
@@ -360,3 +360,16 @@
     })
     .await;
 }
+
+/// A delayed request would be granted although its sender no longer waits for the answer.
+#[tokio::test]
+async fn a_request_that_was_overtaken_is_dropped() {
+    run(async {
+        let (node, peer) = start_with_peer(false).await;
+        for sequence in [2, 1] {
+            peer.send(&node, &peer.request(sequence)).await;
+        }
+        node.wait_for_drop("overtaken").await;
+    })
+    .await;
+}
