--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -12,6 +12,7 @@
 mod limit;
 mod message;
 mod ranking;
+mod round_trips;
 mod suspensions;
 mod table_exchange;
 mod tenant_client;
