--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -74,6 +74,7 @@
 ) -> io::Result<()> {
     let (duties, duties_receiver) = watch::channel(settings.duty_settings());
     let (seeds, seeds_receiver) = watch::channel(settings.seeds.clone());
+    let (enforces_limits, enforces_limits_receiver) = watch::channel(settings.tenant_limits.is_some());
     let clock = Clock::start_with_past(REPORTABLE_PAST);
     let metrics = RelayMetrics::new();
     let knowledge: SharedKnowledge = Arc::new(ArcSwap::from_pointee(Knowledge::nothing()));
@@ -85,7 +86,7 @@
         notices_address: settings.notices_address,
         seeds: seeds_receiver,
         duties: duties_receiver,
-        tenant_limits: settings.tenant_limits,
+        enforces_tenant_limits: enforces_limits_receiver,
     };
     let shared = SharedWithTraffic {
         knowledge: Arc::clone(&knowledge),
@@ -102,7 +103,7 @@
     let traffic = Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement));
     traffic.set_revocation_limit(settings.keys.revocation());
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    let mut node = RunningNode { settings, read_settings, seeds, duties, traffic };
+    let mut node = RunningNode { settings, read_settings, seeds, duties, enforces_limits, traffic };
     LocalSet::new().block_on(&runtime, node.serve(blocks))
 }
 
@@ -111,6 +112,7 @@
     read_settings: R,
     seeds: watch::Sender<Vec<Address>>,
     duties: watch::Sender<DutySettings>,
+    enforces_limits: watch::Sender<bool>,
     traffic: Rc<Traffic<P>>,
 }
 
@@ -133,16 +135,28 @@
         self.traffic.usage.set_config(read.usage);
         self.traffic.set_revocation_limit(read.keys.revocation());
         self.settings = read;
+        self.enforce_tenant_limits();
         let placement = self.traffic.placement();
         log::info!(event = "reloaded", seeds = self.settings.seeds.len(), placement:? = placement, stages:? = self.settings.stages, needs_restart; "");
     }
 
+    /// Enforces the limits of tenants, or ceases to, as the settings say.
+    fn enforce_tenant_limits(&self) {
+        self.enforces_limits.send_replace(self.settings.tenant_limits.is_some());
+        match (self.settings.quota_config(), self.traffic.peer_notices.sender()) {
+            (Some(config), Some(own)) => self.traffic.quotas.enforce(config, own),
+            _ => self.traffic.quotas.suspend(),
+        }
+    }
+
     async fn serve(&mut self, blocks: BlockStoreLink) -> io::Result<()> {
         let (settings, traffic) = (self.settings.clone(), Rc::clone(&self.traffic));
         let mut stop_signal = signal(SignalKind::terminate())?;
         let mut reload_signal = signal(SignalKind::hangup())?;
         let server = CallerServer::bind(settings.callers_address.0)?;
         traffic.peer_notices.exchange(settings.notices_address).await?;
+        traffic.peer_notices.exchange_quotas(&traffic.quotas);
+        self.enforce_tenant_limits();
         tokio::task::spawn_local(traffic.peer_notices.engine_terminations().clone().sync_with_store(blocks));
         tokio::task::spawn_local(survey(Rc::clone(&traffic)));
         serve_status(settings.readiness_address, Rc::clone(&traffic), readiness::<P>)?;
@@ -178,7 +192,8 @@
         .refresh(services.filter_map(|service| service.engines).map(|engines| engines.cache_tokens).min());
 }
 
-/// Logs the estimates of engines, and the bytes that the node has sent to other nodes since its start.
+/// Logs the estimates of engines, the bytes that the node has sent to other nodes since its start, and the limits of
+/// tenants.
 fn log_summary<P>(traffic: &Traffic<P>) {
     let [prefill, decode, moving] =
         traffic.peer_notices.with_index(|index| index.model().estimates(traffic.clock.now()));
@@ -204,9 +219,12 @@
         unreachable = traffic.metrics.node_bytes(NodeMessageKind::Unreachable),
         ends = traffic.metrics.node_bytes(NodeMessageKind::Terminations),
         leaving = traffic.metrics.node_bytes(NodeMessageKind::Draining),
-        limits = traffic.metrics.node_bytes(NodeMessageKind::Limits);
+        limits = traffic.metrics.node_bytes(NodeMessageKind::Limits),
+        tenant_limits = traffic.metrics.node_bytes(NodeMessageKind::TenantLimits),
+        quotas = traffic.metrics.node_bytes(NodeMessageKind::Quotas);
         ""
     );
+    traffic.quotas.log_summary();
 }
 
 /// Runs a planned stop: reports not ready at once, then stops accepting connections, then waits for all open requests
@@ -244,6 +262,7 @@
     let now = traffic.clock.now();
     let confirmed_at = traffic.knowledge.load().directory_confirmed_at;
     traffic.peer_notices.with_index(|index| traffic.metrics.set_estimates(index.model(), now));
+    traffic.quotas.set_metrics();
     traffic.metrics.set_state(&NodeState {
         open_requests: traffic.active.count(),
         connections: traffic.pool.open_total(),
