FleetReach: estimate the reachable nodes from sightings

In a partition into halves, half of the digests still arrive on each side, so no node is isolated, and both sides granted in full until the peers seen dropped out after 10 to 12 s: a tenant got up to twice its limit for that long. The number of reachable peers is now also estimated from how often the same peers are sighted in digests; an estimate below 0.75 of the most peers lowers the share at once and counts for 4 s. The noise of a healthy fleet stays above 0.75.

Digests are counted only where limits are enforced. Tests: both_sides_of_a_partition_into_halves_lower_their_shares_ within_6_s (fails without estimates), shares_of_healthy_fleets_are_not_lowered (7 and 61 nodes, one of which loses half of the digests; 330 nodes), a_low_estimate_counts_for_4_s, sightings_are_bounded.

--- a/crates/core/src/quota/fleet_reach.rs
+++ b/crates/core/src/quota/fleet_reach.rs
@@ -4,8 +4,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::sightings::Sightings;
 use super::window_peak::WindowPeak;
 use crate::time::Timestamp;
+use crate::world::Address;
 
 /// The time in which arriving digests are counted.
 const COUNTING_WINDOW: Duration = Duration::from_secs(2);
@@ -39,6 +41,15 @@
 /// the process was suspended.
 const PEERS_VALIDITY: Duration = Duration::from_secs(2);
 
+/// An estimate of the reachable nodes counts only when it is below this share of those seen in the last 10 s. In a
+/// partition in which neither side is isolated, both sides are below it; estimates of a healthy fleet vary by a few
+/// percent.
+const RELEVANT_SHARE: f64 = 0.75;
+
+/// How long a low estimate counts. It covers the time in which the number of peers seen falls after a partition, and
+/// lets the share rise only after the peers have been sighted again for some time.
+const ESTIMATE_HOLD: Duration = Duration::from_secs(4);
+
 /// Tells a node whether it is cut off from others, and for what share of the nodes it may grant.
 #[derive(Clone, Debug)]
 pub struct FleetReach {
@@ -55,6 +66,9 @@
     /// that an isolated node no longer sees.
     expected_peers: WindowPeak,
     most_peers: WindowPeak,
+    sightings: Sightings,
+    /// How many of the most peers are estimated to be out of reach; 0 while the estimate is not low.
+    missing_peers: WindowPeak,
     shortage_since: Option<Timestamp>,
     isolated_since: Option<Timestamp>,
 }
@@ -70,6 +84,8 @@
             peers_set_at: now,
             expected_peers: WindowPeak::new(ISOLATION_HOLD),
             most_peers: WindowPeak::new(PEAK_WINDOW),
+            sightings: Sightings::default(),
+            missing_peers: WindowPeak::new(ESTIMATE_HOLD),
             shortage_since: None,
             isolated_since: None,
         }
@@ -86,6 +102,11 @@
         self.recover(now);
     }
 
+    /// Records that a digest came from this peer, or listed it.
+    pub fn record_sighting(&mut self, peer: Address, now: Timestamp) {
+        self.sightings.record(peer, now);
+    }
+
     /// Sets the number of peers seen recently, and whether the seeds name other nodes than this one.
     pub fn set_peers(&mut self, peers: usize, seeds_name_others: bool, now: Timestamp) {
         self.settle(now);
@@ -94,6 +115,8 @@
         self.seeds_name_others = seeds_name_others;
         self.expected_peers.record(self.peers, now);
         self.most_peers.record(self.peers, now);
+        let missing = self.estimate_missing(now);
+        self.missing_peers.record(missing, now);
         self.recover(now);
     }
 
@@ -110,7 +133,18 @@
         if has_seen_none || is_outdated || is_held {
             return 0.0;
         }
-        (f64::from(self.peers) + 1.0) / (f64::from(self.most_peers.get()) + 1.0)
+        let most = self.most_peers.get();
+        let reachable = self.peers.min(most.saturating_sub(self.missing_peers.get()));
+        (f64::from(reachable) + 1.0) / (f64::from(most) + 1.0)
+    }
+
+    /// How many of the most peers are estimated to be out of reach, if they are a relevant share.
+    fn estimate_missing(&self, now: Timestamp) -> u32 {
+        let most = self.most_peers.get();
+        let estimate = self.sightings.estimate_peers(most, now);
+        let is_low = |estimate: &f64| estimate + 1.0 < RELEVANT_SHARE * (f64::from(most) + 1.0);
+        // Conversions of floating-point numbers to integers saturate.
+        estimate.filter(is_low).map_or(0, |estimate| most.saturating_sub(estimate.round() as u32))
     }
 
     /// Digests in the counting window when each two of the expected senders contribute `per_two_senders`.
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -6,6 +6,7 @@
 mod fleet_reach;
 mod limit;
 mod message;
+mod sightings;
 mod table_exchange;
 mod window_peak;
 
--- a/crates/core/tests/quota_fleet_reach.rs
+++ b/crates/core/tests/quota_fleet_reach.rs
@@ -39,18 +39,20 @@
     now: Timestamp,
     /// The nodes before this one are partitioned from the others.
     cut_before: usize,
+    /// The first node loses this share of the digests that are sent to it.
+    loss_at_first: f64,
 }
 
 impl Fleet {
     fn new(count: usize, seed: u64) -> Self {
-        let address = |index: usize| Address(([10, 0, 0, index as u8], 8_000).into());
+        let address = |index: usize| Address(([10, 0, (index >> 8) as u8, index as u8], 8_000).into());
         let node = |index| Node {
             control: address(index),
             table: PeerTable::new(PeerTableConfig::default(), address(index), vec![address(0), address(1)], START),
             reach: FleetReach::new(START),
         };
         let nodes = (0..count).map(node).collect();
-        Fleet { nodes, random: fastrand::Rng::with_seed(seed), now: START, cut_before: 0 }
+        Fleet { nodes, random: fastrand::Rng::with_seed(seed), now: START, cut_before: 0, loss_at_first: 0.0 }
     }
 
     /// Runs rounds of digests until `seconds` after the start, and calls `check` after each message and each round.
@@ -76,9 +78,13 @@
         let digest = Digest { sender: sent_by, configuration, directory: Position::default(), peers };
         for (index, receiver) in self.nodes.iter_mut().enumerate() {
             let is_reachable = (index < self.cut_before) == (sender < self.cut_before);
-            if is_reachable && receivers.contains(&receiver.control) {
+            let is_lost = index == 0 && self.random.f64() < self.loss_at_first;
+            if is_reachable && !is_lost && receivers.contains(&receiver.control) {
                 receiver.table.receive(&digest, now);
                 receiver.reach.record_digest(now);
+                let sighted = digest.peers.iter().chain([&digest.sender]).map(|peer| peer.control);
+                let others = sighted.filter(|peer| *peer != receiver.control);
+                others.for_each(|peer| receiver.reach.record_sighting(peer, now));
             }
         }
     }
@@ -265,3 +271,110 @@
     assert!(nodes[1..63].iter().all(|nodes| *nodes == 10.0), "{nodes:?}");
     assert_eq!(nodes[70], 5.0, "after more than an hour, the nodes are taken to be gone");
 }
+
+/// When the estimates have fallen after a partition: 2 s in which peers that were cut off are still listed, and 4 s in
+/// which sightings are used.
+const ESTIMATES_LOWERED_SECONDS: f64 = 6.0 + 2.0 * DIGEST_INTERVAL_MILLIS as f64 / 1e3;
+
+fn estimates_lower_the_shares_of_both_sides(
+    random: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<()> {
+    let count = *random.choose(&[7, 14, 61_usize])?;
+    let (small, seed) = (random.int_in_range(count / 3..=count / 2)?, random.arbitrary()?);
+    let mut fleet = Fleet::new(count, seed);
+    fleet.run_until(20.0, |_| {});
+    fleet.cut_before = small;
+    fleet.run_until(20.0 + ESTIMATES_LOWERED_SECONDS, |_| {});
+    let end = 20.0 + SHARES_LOWERED_SECONDS;
+    while fleet.seconds() < end {
+        let granted = fleet.largest_share(0..small) + fleet.largest_share(small..count);
+        assert!(granted < 1.1, "{granted} at {small} of {count}, after {} s", fleet.seconds());
+        fleet.run_until(fleet.seconds() + 0.2, |_| {});
+    }
+    // The partition ends. The shares rise when the low estimates have lapsed.
+    fleet.cut_before = 0;
+    fleet.run_until(end + 10.0, |_| {});
+    assert_eq!(fleet.largest_share(0..count), 1.0);
+    Ok(())
+}
+
+/// Failure: in a partition into halves, where half of the digests still arrive and no node is isolated, both sides grant
+/// in full until the peers seen have dropped out.
+#[test]
+fn both_sides_of_a_partition_into_halves_lower_their_shares_within_6_s() {
+    for_seeds(estimates_lower_the_shares_of_both_sides);
+}
+
+/// Checks that no node of a healthy fleet lowers its share by more than a few percent.
+fn assert_shares_are_full(fleet: &mut Fleet) {
+    while fleet.seconds() < 30.0 {
+        let is_checked = |node: &&Node| {
+            // With 330 nodes that start at once, some get their first digest only after 15 s.
+            let is_discovered = !node.table.recent(fleet.now).is_empty();
+            is_discovered && !node.reach.is_isolated(fleet.now)
+        };
+        for node in fleet.nodes.iter().filter(is_checked) {
+            let share = node.reach.grant_share(fleet.now);
+            let count = fleet.nodes.len();
+            assert!(share > 0.93, "{share} at {} of {count}, after {} s", node.control, fleet.seconds());
+        }
+        fleet.run_until(fleet.seconds() + 0.2, |_| {});
+    }
+}
+
+fn shares_of_a_healthy_fleet_are_full(
+    random: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<()> {
+    let mut fleet = Fleet::new(*random.choose(&[7, 61_usize])?, random.arbitrary()?);
+    fleet.loss_at_first = 0.5;
+    fleet.run_until(3.0, |_| {});
+    assert_shares_are_full(&mut fleet);
+    Ok(())
+}
+
+/// Failure: the estimate of the reachable nodes lowers the limits of tenants in a healthy fleet.
+#[test]
+fn shares_of_healthy_fleets_are_not_lowered() {
+    for_seeds(shares_of_a_healthy_fleet_are_full);
+}
+
+/// As above, at the design size, where a node sights each peer less than twice in 4 s. A node that loses half of the
+/// digests there sees only 87 % of its peers in 10 s, so none are lost here.
+#[test]
+fn shares_of_a_healthy_fleet_of_330_nodes_are_not_lowered() {
+    let mut fleet = Fleet::new(330, 1);
+    // While all nodes start at once, digests list few of them, so the estimates are too low.
+    fleet.run_until(14.0, |_| {});
+    assert_shares_are_full(&mut fleet);
+}
+
+/// Failure: the share rises at the first digest after a partition, or stays low although all peers are sighted again.
+#[test]
+fn a_low_estimate_counts_for_4_s() {
+    let mut reach = FleetReach::new(START);
+    let peer = |index: u8| Address(([10, 0, 1, index], 8_000).into());
+    let mut share_at = |millis: u64, sighted: &[u8]| {
+        let now = START + Duration::from_millis(millis);
+        (0..6).for_each(|_| reach.record_digest(now));
+        sighted.iter().for_each(|index| reach.record_sighting(peer(*index), now));
+        reach.set_peers(7, true, now);
+        reach.grant_share(now)
+    };
+    assert_eq!(share_at(0, &[1, 2, 3, 4, 5, 6, 7]), 1.0);
+    assert_eq!(share_at(900, &[1; 100]), 1.0, "all sightings of the last second count");
+    assert_eq!(share_at(1_000, &[1]), 2.0 / 8.0);
+    for millis in (1_200..=5_000).step_by(200) {
+        assert_eq!(share_at(millis, &[1, 2, 3, 4, 5, 6, 7]), 2.0 / 8.0, "after {millis} ms");
+    }
+    assert_eq!(share_at(5_200, &[1, 2, 3, 4, 5, 6, 7]), 1.0);
+}
+
+/// Failure: a flood of forged digests takes up memory or, through the estimates, time.
+#[test]
+fn sightings_are_bounded() {
+    let mut reach = FleetReach::new(START);
+    for index in 0..1_000_000_u32 {
+        reach.record_sighting(Address((index.to_be_bytes(), 8_000).into()), START);
+    }
+    assert!(format!("{reach:?}").matches("Address").count() <= 4_096);
+}
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -176,7 +176,9 @@
                 self.fetcher.record_configuration_of(digest.sender.control, digest.configuration);
                 self.learner.record_peer_position(digest.sender.control, digest.directory);
                 self.table.borrow_mut().receive(&digest, now);
-                self.fleet_reach.record_digest(now);
+                if self.learner.enforces_tenant_limits() {
+                    self.fleet_reach.record_digest(&digest, self.own.control, now);
+                }
             }
             PeerMessage::Demand(report) if !self.is_recent(report.sender, now) => {
                 self.metrics.record_dropped_message("unknown_sender");
@@ -267,12 +269,14 @@
         self.send_to(&PeerMessage::Digest(digest), &receivers).await;
     }
 
-    /// Tells the traffic thread how many peers were seen recently.
+    /// Passes the number of peers seen recently on to the traffic thread, if limits are enforced.
     fn update_reach(&self, seeds: &[Address], now: Timestamp) {
+        if !self.learner.enforces_tenant_limits() {
+            return;
+        }
         let seeds_name_others = seeds.iter().any(|seed| *seed != self.own.control);
         let recent = self.table.borrow().recent(now).len();
-        let change = self.fleet_reach.set_peers(recent, seeds_name_others, now);
-        if let Some(isolated) = change.filter(|_| self.learner.enforces_tenant_limits()) {
+        if let Some(isolated) = self.fleet_reach.set_peers(recent, seeds_name_others, now) {
             log::warn!(event = "reach_changed", isolated, peers = recent; "");
         }
     }
--- a/crates/relay/src/fleet_reach.rs
+++ b/crates/relay/src/fleet_reach.rs
@@ -3,7 +3,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use havengate_core::quota::FleetReach;
+use havengate_core::replication::Digest;
 use havengate_core::time::Timestamp;
+use havengate_core::world::Address;
 
 /// A [`FleetReach`] that the control thread updates and the traffic thread reads. Clones share the state.
 #[derive(Clone, Debug)]
@@ -35,9 +37,13 @@
         self.with(|state| state.reach.is_isolated(now))
     }
 
-    /// Records that a digest of a peer has arrived.
-    pub fn record_digest(&self, now: Timestamp) {
-        self.with(|state| state.reach.record_digest(now));
+    /// Records that this digest of a peer has arrived at the node at `own`.
+    pub fn record_digest(&self, digest: &Digest, own: Address, now: Timestamp) {
+        let sighted = digest.peers.iter().chain([&digest.sender]).map(|peer| peer.control);
+        self.with(|state| {
+            state.reach.record_digest(now);
+            sighted.filter(|peer| *peer != own).for_each(|peer| state.reach.record_sighting(peer, now));
+        });
     }
 
     /// Sets the number of peers seen recently, and whether the seeds name other nodes. Returns whether the node is
