--- a/crates/core/tests/quota_fleet_reach.rs
+++ b/crates/core/tests/quota_fleet_reach.rs
@@ -204,8 +204,8 @@
     for_seeds(half_of_the_digests_suffice);
 }
 
-/// Failure: of three nodes one dies, and each of the other two takes itself for cut off, because the digests of its only
-/// peer come a little less often than five times per second: clocks drift, and timers are late.
+/// Failure: of three nodes one dies, and each of the other two is isolated, because the digests of its only peer
+/// arrive a little less often than five times per second: clocks drift, and timers are late.
 #[test]
 fn a_node_that_loses_one_of_two_peers_is_not_isolated_despite_late_digests() {
     let mut reach = FleetReach::new(START);
--- a/crates/relay/src/control/learner/tenant_limits.rs
+++ b/crates/relay/src/control/learner/tenant_limits.rs
@@ -34,7 +34,7 @@
             }
             None => {
                 if knowledge.tenant_limits.is_none() {
-                    let consequence = "requests are admitted without limits until a peer or the store tells them";
+                    let consequence = "requests are admitted without limits until a peer or the store provides them";
                     log::warn!(event = "tenant_limits_unknown", version = version.0, consequence; "");
                 }
                 knowledge
--- a/crates/relay/src/control/limit_exchange.rs
+++ b/crates/relay/src/control/limit_exchange.rs
@@ -1,5 +1,5 @@
 //! The exchange of tenants' limits between nodes. The configuration that nodes send each other doesn't contain them,
-//! so that its layout stays as previous releases know it.
+//! so that its layout remains that of previous releases.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -15,11 +15,11 @@
 /// After this time without a part from any peer, the node reads the configuration from the store.
 const PEERS_TIME_LIMIT: Duration = Duration::from_secs(2);
 
-/// The longest random addition to [`PEERS_TIME_LIMIT`], so that not all nodes read the store when the first of them
-/// would do: its peers get the limits from it.
+/// The longest random addition to [`PEERS_TIME_LIMIT`]. The first node that reads the store sends the limits to its peers,
+/// so the others need not read it.
 const STORE_READ_JITTER: Duration = Duration::from_millis(500);
 
-/// Requests the limits of the configuration in force from other nodes, and tells them to others. Clones share the
+/// Requests the limits of the configuration in force from other nodes, and sends them to others. Clones share the
 /// state. If limits are not enforced, it requests and answers nothing.
 #[derive(Clone)]
 pub struct LimitExchange {
@@ -63,7 +63,7 @@
         }
     }
 
-    /// Whether peers have told nothing for so long that the limits must be read from the store.
+    /// Whether peers have sent nothing for so long that the limits must be read from the store.
     pub fn must_read_store(&self) -> bool {
         let now = self.learner.clock().now();
         let waiting_since = self.with_assembly(|assembly| assembly.waiting_since());
@@ -74,7 +74,7 @@
     pub fn report_store_read(&self) {
         let version = self.learner.knowledge().configuration_number();
         if self.reported.replace(version) != version {
-            log::warn!(event = "tenant_limits_asked_of_store", version = version.0, cause = "no peer told them"; "");
+            log::warn!(event = "tenant_limits_read_from_store", version = version.0, cause = "no peer sent them"; "");
         }
     }
 
--- a/crates/relay/tests/limit_exchange.rs
+++ b/crates/relay/tests/limit_exchange.rs
@@ -81,7 +81,7 @@
 
 /// Failure: a node whose peer sent it the configuration admits without limits, or passes none on.
 #[test]
-fn a_node_gets_the_limits_from_a_peer_and_tells_them_to_others() {
+fn a_node_gets_the_limits_from_a_peer_and_sends_them_to_others() {
     let (reader, second, third) = (Node::new(1, true), Node::new(2, true), Node::new(3, true));
     reader.learner.adopt_configuration(configuration(3, 70));
     assert_eq!((reader.rate(), reader.limits.query()), (Some((3, 70)), None));
@@ -133,7 +133,7 @@
 
 /// Failure: a deployment without enforced limits sends or keeps some.
 #[test]
-fn without_enforcement_nothing_is_asked_kept_or_told() {
+fn without_enforcement_nothing_is_requested_kept_or_sent() {
     let (reader, node) = (Node::new(1, false), Node::new(2, false));
     reader.learner.adopt_configuration(configuration(3, 70));
     node.fetch_configuration_from(&reader);
@@ -143,7 +143,7 @@
     assert!(reader.limits.answer(&query).is_empty());
 }
 
-/// Failure: a configuration without limits is taken for one whose limits are missing, and asked for without end.
+/// Failure: a configuration without limits is taken for one whose limits are missing, and they are requested endlessly.
 #[test]
 fn a_configuration_without_limits_is_complete() {
     let (reader, node) = (Node::new(1, true), Node::new(2, true));
