--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -13,6 +13,7 @@
 mod message;
 mod ranking;
 mod round_trips;
+mod sightings;
 mod suspensions;
 mod table_exchange;
 mod tenant_client;
