Placement: take the distance between zones and regions into account

Missing: placement treated engines 30 ms away like those in the next rack. Requests would cross regions at random, KV caches would be moved between regions at ten times the cost, and shared prompt parts would be processed anywhere.

Change: DistanceCost adds hops to what candidates are compared by, in two regions or more: requests in flight for applications, short prompts and decode, milliseconds for long prompts. The times that are compared with targets and deadlines contain only round trips and slower KV cache transfers. Parts cached in another region don't count. Load that spills over goes to one of several far engines whose costs are close. The prefill decision moves to a module of its own.

--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -2,14 +2,34 @@
 
 use std::time::Duration;
 
+use super::distance_cost::DistanceCost;
 use super::placement_config::PlacementConfig;
+use super::prefill_placement::PrefillPlacement;
 use super::prompt::Prompt;
 use super::prompt_index::PromptIndex;
 use super::urgency::Urgency;
 use crate::back_ends::{BackEnd, EngineStage, Usability};
-use crate::membership::rank_by_address;
 use crate::time::Timestamp;
-use crate::world::ZoneName;
+use crate::world::{Topology, ZoneName};
+
+/// Requests may go to an engine of another region that costs this much more than the cheapest one there, in requests in
+/// flight. Nodes don't know what others send to that region; if all chose the cheapest one, they would overload it.
+const SPILL_OVER_TOLERANCE_REQUESTS: f64 = 1.0;
+
+/// What placement depends on, apart from the request and the back ends.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementRules<'a> {
+    /// The settings.
+    pub config: &'a PlacementConfig,
+    /// The node's zone and the regions of the zones; `None`: distance is not considered.
+    pub topology: Option<&'a Topology>,
+}
+
+impl<'a> From<&'a PlacementConfig> for PlacementRules<'a> {
+    fn from(config: &'a PlacementConfig) -> Self {
+        PlacementRules { config, topology: None }
+    }
+}
 
 /// A back end as the node sees it when it places a request.
 #[derive(Clone, Copy, Debug)]
@@ -87,6 +107,16 @@
 }
 
 impl Placed {
+    fn without_prefill(index: usize) -> Self {
+        Placed {
+            index,
+            expected_time: Duration::ZERO,
+            has_backlog: false,
+            urgency: Urgency::InTime,
+            uncached_tokens: 0,
+        }
+    }
+
     /// Whether to refuse a request that must end within `left` instead of sending it. Late prompts take `late_stretch`
     /// times as long as expected.
     ///
@@ -101,172 +131,150 @@
 ///
 /// Usable and healthy back ends come first, then usable but failing ones (a request there is better than none), then
 /// those that began to drain recently. `avoid` is true for candidates that the request was already sent to.
-pub fn place(
+pub fn place<'a>(
     candidates: &[Candidate<'_>],
     purpose: &Purpose<'_>,
-    config: &PlacementConfig,
+    rules: impl Into<PlacementRules<'a>>,
     avoid: impl Fn(&BackEnd) -> bool,
     random: &mut fastrand::Rng,
 ) -> Option<Placed> {
+    let PlacementRules { config, topology } = rules.into();
+    let may_connect = |candidate: &Candidate<'_>| candidate.connectable && !avoid(candidate.back_end);
+    let placement = Placement { candidates, config, distance: DistanceCost::new(topology, config) };
     let eligible = || {
-        let is_eligible = |candidate: &Candidate<'_>| {
-            purpose.accepts(candidate.back_end, config) && candidate.connectable && !avoid(candidate.back_end)
-        };
+        let is_eligible =
+            |candidate: &Candidate<'_>| purpose.accepts(candidate.back_end, config) && may_connect(candidate);
         (0..candidates.len()).filter(move |index| is_eligible(&candidates[*index]))
     };
     let usable = |index: &usize| candidates[*index].usability == Usability::Usable;
     let healthy: Vec<usize> = eligible().filter(usable).filter(|index| candidates[*index].healthy).collect();
     if !healthy.is_empty() {
-        return choose(candidates, &healthy, purpose, config, random);
+        return placement.choose(&healthy, purpose, may_connect, random);
     }
     let failing: Vec<usize> = eligible().filter(usable).collect();
     if !failing.is_empty() {
-        return choose(candidates, &failing, purpose, config, random);
+        return placement.choose(&failing, purpose, may_connect, random);
     }
     let draining: Vec<usize> =
         eligible().filter(|index| candidates[*index].usability == Usability::LastResort).collect();
-    choose(candidates, &draining, purpose, config, random)
+    placement.choose(&draining, purpose, may_connect, random)
 }
 
-fn choose(
-    candidates: &[Candidate<'_>],
-    indexes: &[usize],
-    purpose: &Purpose<'_>,
-    config: &PlacementConfig,
-    random: &mut fastrand::Rng,
-) -> Option<Placed> {
-    let without_prefill = |index| Placed {
-        index,
-        expected_time: Duration::ZERO,
-        has_backlog: false,
-        urgency: Urgency::InTime,
-        uncached_tokens: 0,
-    };
-    match purpose {
-        Purpose::Prefill { prompt, in_time, index, now } => {
-            let move_millis_per_token = index.model().move_millis(1.0, *now);
-            let placement = PrefillPlacement { candidates, prompt, index, config, move_millis_per_token, now: *now };
-            placement.choose(indexes, *in_time, random)
-        }
-        Purpose::PrefillShort { index, now } => {
-            let is_idle = |candidate: &usize| {
-                let engine = &candidates[*candidate].back_end.id;
-                index.backlog(engine, EngineStage::Prefill, Urgency::Late, *now) <= 0.0
-            };
-            let idle: Vec<usize> = indexes.iter().copied().filter(is_idle).collect();
-            least(&idle, random, |candidate| f64::from(candidates[candidate].in_flight)).map(without_prefill)
-        }
-        Purpose::Decode { near, index, now } => least(indexes, random, |candidate| {
-            let Candidate { back_end, in_flight, .. } = candidates[candidate];
-            let is_other_zone = near.is_some_and(|zone| back_end.zone != *zone);
-            let backlog = index.backlog(&back_end.id, EngineStage::Decode, Urgency::Late, *now);
-            let backlog_millis = index.model().prefill_millis(EngineStage::Decode, backlog);
-            f64::from(in_flight)
-                + backlog_millis / config.backlog_per_request_milliseconds
-                + if is_other_zone { config.zone_advantage } else { 0.0 }
-        })
-        .map(without_prefill),
-        Purpose::Application => {
-            least(indexes, random, |candidate| f64::from(candidates[candidate].in_flight)).map(without_prefill)
-        }
-    }
-}
-
-/// Selects the engine that processes a prompt.
-struct PrefillPlacement<'a> {
+/// Selects among candidates that are equally usable.
+struct Placement<'a> {
     candidates: &'a [Candidate<'a>],
-    prompt: &'a Prompt,
-    index: &'a PromptIndex,
     config: &'a PlacementConfig,
-    /// The estimated time of a KV cache transfer per token, the same for all candidates.
-    move_millis_per_token: f64,
-    now: Timestamp,
+    distance: DistanceCost<'a>,
 }
 
-impl PrefillPlacement<'_> {
-    /// The cheapest candidate if it is in time. If it is late, the cheapest one for a prompt that queues behind those that
-    /// can be in time.
-    fn choose(&self, indexes: &[usize], in_time: Option<Duration>, random: &mut fastrand::Rng) -> Option<Placed> {
-        let ranked = self.ranked(indexes, random);
-        if let Some(placed) = self.on_prefill_engine(&ranked, in_time) {
-            return Some(placed);
-        }
-        let placed = self.cheapest(&ranked, Urgency::InTime)?;
-        let is_late = in_time.is_some_and(|in_time| placed.expected_time > in_time);
-        if self.config.orders_by_urgency && is_late {
-            return self.cheapest(&ranked, Urgency::Late);
-        }
-        Some(placed)
+impl Placement<'_> {
+    fn choose(
+        &self,
+        indexes: &[usize],
+        purpose: &Purpose<'_>,
+        may_connect: impl Fn(&Candidate<'_>) -> bool,
+        random: &mut fastrand::Rng,
+    ) -> Option<Placed> {
+        let chosen = match purpose {
+            Purpose::Prefill { prompt, in_time, index, now } => {
+                let placement = PrefillPlacement {
+                    candidates: self.candidates,
+                    prompt,
+                    index,
+                    config: self.config,
+                    distance: self.distance,
+                    decode_zones: self.decode_zones(may_connect),
+                    move_millis_per_token: index.model().move_millis(1.0, *now),
+                    now: *now,
+                };
+                return placement.choose(indexes, *in_time, random);
+            }
+            Purpose::PrefillShort { index, now } => self.short_prefill(indexes, index, *now, random),
+            Purpose::Decode { near, index, now } => self.decode(indexes, *near, index, *now, random),
+            Purpose::Application => self.least(indexes, random, |index| self.requests(index)),
+        };
+        chosen.map(Placed::without_prefill)
     }
 
-    /// The prefill engine that processes the prompt early enough to leave out decode engines.
-    fn on_prefill_engine(&self, ranked: &[usize], in_time: Option<Duration>) -> Option<Placed> {
-        let sufficient_time = self.config.prefill_suffices_within(in_time)?;
-        let is_prefill = |index: &usize| self.candidates[*index].back_end.stage == Some(EngineStage::Prefill);
-        let prefill_engines: Vec<usize> = ranked.iter().copied().filter(is_prefill).collect();
-        self.cheapest(&prefill_engines, Urgency::InTime).filter(|placed| placed.expected_time <= sufficient_time)
+    /// Selects an idle prefill engine for a short prompt. An engine of another region is never worth the round trip: the
+    /// decode engine that answers can prefill the prompt.
+    fn short_prefill(
+        &self,
+        indexes: &[usize],
+        index: &PromptIndex,
+        now: Timestamp,
+        random: &mut fastrand::Rng,
+    ) -> Option<usize> {
+        let is_idle = |candidate: &usize| {
+            let engine = &self.candidates[*candidate].back_end.id;
+            index.backlog(engine, EngineStage::Prefill, Urgency::Late, now) <= 0.0
+        };
+        let is_near = |candidate: &usize| !self.distance.is_other_region(self.zone(*candidate));
+        let idle: Vec<usize> = indexes.iter().copied().filter(is_near).filter(is_idle).collect();
+        self.least(&idle, random, |candidate| self.requests(candidate))
     }
 
-    /// Ranks the engines in the same order on all nodes, so that a part that no engine has cached yet is processed once.
-    fn ranked(&self, indexes: &[usize], random: &mut fastrand::Rng) -> Vec<usize> {
-        let address = |index: &usize| self.candidates[*index].back_end.address;
-        let key = self.prompt.deepest_shared_part().map_or_else(|| random.u64(..), |part| part.id);
-        rank_by_address(&key.to_be_bytes(), indexes.iter().copied(), address)
+    /// Selects the engine that answers. After a prefill in the zone `near`, engines of other regions are used only if there
+    /// is none in the region of that zone.
+    fn decode(
+        &self,
+        indexes: &[usize],
+        near: Option<&ZoneName>,
+        index: &PromptIndex,
+        now: Timestamp,
+        random: &mut fastrand::Rng,
+    ) -> Option<usize> {
+        let is_of_region = |candidate: &usize| {
+            near.is_none_or(|zone| self.distance.cache_scope(zone) == self.distance.cache_scope(self.zone(*candidate)))
+        };
+        let of_region: Vec<usize> = indexes.iter().copied().filter(is_of_region).collect();
+        // The zone of the prefill decides within its region, the zone of the node elsewhere.
+        let is_by_hop = near.is_none() || of_region.is_empty();
+        let eligible = if of_region.is_empty() { indexes } else { &of_region };
+        self.least(eligible, random, |candidate| {
+            let Candidate { back_end, in_flight, .. } = self.candidates[candidate];
+            let is_other_zone = near.is_some_and(|zone| back_end.zone != *zone);
+            let backlog = index.backlog(&back_end.id, EngineStage::Decode, Urgency::Late, now);
+            let backlog_millis = index.model().prefill_millis(EngineStage::Decode, backlog);
+            f64::from(in_flight)
+                + backlog_millis / self.config.backlog_per_request_milliseconds
+                + if is_other_zone { self.config.zone_advantage } else { 0.0 }
+                + if is_by_hop { self.distance.hop_requests(&back_end.zone) } else { 0.0 }
+        })
     }
 
-    /// The candidate with the least cost for a prompt of `urgency`; of equal ones, the first in rank.
-    fn cheapest(&self, ranked: &[usize], urgency: Urgency) -> Option<Placed> {
-        let cached_anywhere = ranked.iter().map(|index| self.cached(*index)).max().unwrap_or(0);
-        let expected = ranked.iter().map(|index| self.expected(*index, cached_anywhere, urgency));
-        expected.min_by_key(|placed| (self.cost_millis(placed) * 1e3) as u64)
+    /// The node's requests in flight to a candidate, and the cost of the distance.
+    fn requests(&self, index: usize) -> f64 {
+        f64::from(self.candidates[index].in_flight) + self.distance.hop_requests(self.zone(index))
     }
 
-    /// The tokens of the prompt that the engine has cached; 0 when affinity is switched off.
-    fn cached(&self, index: usize) -> u32 {
-        if self.config.affinity {
-            self.index.cached_tokens_of(&self.candidates[index].back_end.id, self.prompt)
-        } else {
-            0
-        }
+    /// The zones with a decode engine that can be used; empty in a single region, where they don't matter.
+    fn decode_zones(&self, may_connect: impl Fn(&Candidate<'_>) -> bool) -> Vec<&ZoneName> {
+        let is_decode = |candidate: &&Candidate<'_>| {
+            let is_usable = candidate.usability == Usability::Usable && candidate.healthy && may_connect(candidate);
+            is_usable && candidate.back_end.stage == Some(EngineStage::Decode)
+        };
+        let decode_engines = self.candidates.iter().filter(|_| self.distance.applies()).filter(is_decode);
+        let mut zones: Vec<&ZoneName> = decode_engines.map(|candidate| &candidate.back_end.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
     }
 
-    /// The cost in milliseconds: the time until the prompt is ready for its answer, weighted on decode engines for the
-    /// delay to other answers.
-    fn cost_millis(&self, placed: &Placed) -> f64 {
-        match self.candidates[placed.index].back_end.stage {
-            Some(EngineStage::Prefill) => millis(placed.expected_time),
-            _ => millis(placed.expected_time) * self.config.decode_interference,
-        }
+    fn zone(&self, index: usize) -> &ZoneName {
+        &self.candidates[index].back_end.zone
     }
 
-    /// The expected time until the prefill has ended and the KV cache is at the decode engine.
-    fn expected(&self, index: usize, cached_anywhere: u32, urgency: Urgency) -> Placed {
-        let back_end = self.candidates[index].back_end;
-        let stage = back_end.stage.unwrap_or(EngineStage::Decode);
-        let model = self.index.model();
-        let cached = self.cached(index);
-        let fetched = if self.config.takes_parts_over { cached_anywhere.saturating_sub(cached) } else { 0 };
-        let uncached_tokens = self.prompt.tokens.saturating_sub(cached + fetched);
-        let backlog = self.index.backlog(&back_end.id, stage, urgency, self.now);
-        let prefill_millis = model.prefill_millis(stage, backlog + f64::from(uncached_tokens));
-        let fetch_millis = self.move_millis_per_token * f64::from(fetched);
-        let handover_millis = match stage {
-            EngineStage::Prefill => self.move_millis_per_token * f64::from(self.prompt.tokens),
-            EngineStage::Decode => 0.0,
-        };
-        let expected_time = Duration::from_secs_f64((prefill_millis + fetch_millis + handover_millis) / 1e3);
-        Placed { index, expected_time, has_backlog: backlog > 0.0, urgency, uncached_tokens }
+    /// The index with the least cost. Ties are broken at random, so that nodes with equal views choose different
+    /// candidates; in other regions, engines whose costs are close count as ties.
+    fn least(&self, indexes: &[usize], random: &mut fastrand::Rng, cost: impl Fn(usize) -> f64) -> Option<usize> {
+        let costs: Vec<(usize, f64)> = indexes.iter().map(|index| (*index, cost(*index))).collect();
+        let (cheapest, minimum) = costs.iter().copied().min_by(|(_, one), (_, other)| one.total_cmp(other))?;
+        let is_far = |index: usize| self.distance.is_other_region(self.zone(index));
+        let spills_over = is_far(cheapest);
+        let maximum = minimum + if spills_over { SPILL_OVER_TOLERANCE_REQUESTS } else { 0.0 };
+        let is_tie = |(index, cost): &&(usize, f64)| *cost <= maximum && (*cost <= minimum || is_far(*index));
+        let best: Vec<usize> = costs.iter().filter(is_tie).map(|(index, _)| *index).collect();
+        Some(best[random.usize(..best.len())])
     }
 }
-
-fn millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1e3
-}
-
-/// The index with the least cost. Ties are broken at random, so that nodes with equal views choose different candidates.
-fn least(indexes: &[usize], random: &mut fastrand::Rng, cost: impl Fn(usize) -> f64) -> Option<usize> {
-    let costs: Vec<(usize, f64)> = indexes.iter().map(|index| (*index, cost(*index))).collect();
-    let minimum = costs.iter().map(|(_, cost)| *cost).min_by(f64::total_cmp)?;
-    let best: Vec<usize> = costs.iter().filter(|(_, cost)| *cost <= minimum).map(|(index, _)| *index).collect();
-    Some(best[random.usize(..best.len())])
-}
--- a/crates/core/src/relay/placement_config.rs
+++ b/crates/core/src/relay/placement_config.rs
@@ -36,11 +36,24 @@
     /// The prefill backlog of an engine, in milliseconds, that counts as one request in flight there: short prompts queue
     /// behind long ones.
     pub backlog_per_request_milliseconds: f64,
+    /// The cost of sending a long prompt to another zone of the region, in milliseconds of expected time. This and the
+    /// following three settings apply only to deployments in two regions or more.
+    pub zone_hop_milliseconds: f64,
+    /// The cost of sending a long prompt to another region, in milliseconds of expected time; includes the round trip.
+    pub region_hop_milliseconds: f64,
+    /// The cost of sending any other request to another zone of the region, in requests in flight.
+    pub zone_hop_requests: f64,
+    /// The cost of sending any other request to another region, in requests in flight.
+    pub region_hop_requests: f64,
 }
 
 /// The lower bound of `target_share` where it is a divisor.
 const TARGET_SHARE_MINIMUM: f64 = 0.01;
 
+/// The highest cost of a hop, in milliseconds or requests: with it, requests leave the region only when no engine there
+/// can be used.
+const HOP_MAXIMUM: f64 = 1e4;
+
 /// a placement setting is out of range: {0}
 #[derive(Clone, Debug, displaydoc::Display, PartialEq, Eq, thiserror::Error)]
 pub struct PlacementConfigError(pub &'static str);
@@ -59,6 +72,10 @@
             refuses_early: true,
             target_share: 1.5,
             backlog_per_request_milliseconds: 20.0,
+            zone_hop_milliseconds: 40.0,
+            region_hop_milliseconds: 130.0,
+            zone_hop_requests: 2.0,
+            region_hop_requests: 8.0,
         }
     }
 }
@@ -98,6 +115,19 @@
         if !(self.backlog_per_request_milliseconds.is_finite() && self.backlog_per_request_milliseconds > 0.0) {
             return Err(PlacementConfigError("backlog_per_request_milliseconds: more than 0"));
         }
+        let is_hop = |value: f64| value.is_finite() && (0.0..=HOP_MAXIMUM).contains(&value);
+        if !is_hop(self.zone_hop_milliseconds) {
+            return Err(PlacementConfigError("zone_hop_milliseconds: 0 to 10000"));
+        }
+        if !is_hop(self.region_hop_milliseconds) {
+            return Err(PlacementConfigError("region_hop_milliseconds: 0 to 10000"));
+        }
+        if !is_hop(self.zone_hop_requests) {
+            return Err(PlacementConfigError("zone_hop_requests: 0 to 10000"));
+        }
+        if !is_hop(self.region_hop_requests) {
+            return Err(PlacementConfigError("region_hop_requests: 0 to 10000"));
+        }
         Ok(())
     }
 }
--- a/crates/core/tests/relay_placement.rs
+++ b/crates/core/tests/relay_placement.rs
@@ -237,6 +237,10 @@
         PlacementConfig { target_share: f64::INFINITY, ..default },
         PlacementConfig { backlog_per_request_milliseconds: 0.0, ..default },
         PlacementConfig { backlog_per_request_milliseconds: f64::NAN, ..default },
+        PlacementConfig { zone_hop_milliseconds: -1.0, ..default },
+        PlacementConfig { region_hop_milliseconds: f64::NAN, ..default },
+        PlacementConfig { zone_hop_requests: f64::INFINITY, ..default },
+        PlacementConfig { region_hop_requests: 1e5, ..default },
     ];
     assert!(wrong.iter().all(|config| config.validate().is_err()));
 }
