Relay: place requests by the regions of the zones

Missing: the node knew the regions of the zones from its settings but didn't use them.

Change: Traffic keeps the topology, also after a reload, and gives it to placement; engines are told to fetch cached parts only from engines of their region.

Test: relay settings tests set each key and reject values out of range.

--- a/crates/relay/src/callers/candidates.rs
+++ b/crates/relay/src/callers/candidates.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use havengate_core::back_ends::{BackEnd, DirectoryEntry, EngineStage, Usability};
-use havengate_core::relay::{Candidate, Placed, Purpose, place};
+use havengate_core::relay::{Candidate, Placed, PlacementRules, Purpose, place};
 use havengate_core::time::Timestamp;
 use havengate_core::world::{BackEndId, ServiceName};
 
@@ -21,8 +21,9 @@
 ) -> Option<(BackEnd, Placed)> {
     let candidates = candidates(traffic, knowledge, service, traffic.clock.now());
     let avoid = |back_end: &BackEnd| tried.contains(&back_end.id);
-    let choose = |random: &mut fastrand::Rng| place(&candidates, purpose, &traffic.placement(), avoid, random);
-    let placed = traffic.with_random(choose)?;
+    let (config, topology) = (traffic.placement(), traffic.topology());
+    let rules = PlacementRules { config: &config, topology: Some(&topology) };
+    let placed = traffic.with_random(|random| place(&candidates, purpose, rules, avoid, random))?;
     Some((candidates[placed.index].back_end.clone(), placed))
 }
 
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use havengate_core::back_ends::{BackEnd, BackEndNotice, LimitChange, Usability};
-use havengate_core::relay::{SendOutcome, Urgency};
+use havengate_core::relay::{DistanceCost, SendOutcome, Urgency};
 use havengate_core::time::{Timestamp, whole_millis};
 use havengate_core::world::Address;
 use http_body_util::{BodyExt, Limited};
@@ -69,7 +69,8 @@
     result
 }
 
-/// The engine from which `back_end` may copy the cached part of a long prompt instead of prefilling it.
+/// The engine from which `back_end` may copy the cached part of a long prompt instead of prefilling it; none of another
+/// region.
 fn cache_peer_for<P>(
     traffic: &Traffic<P>,
     request: &CallerRequest,
@@ -79,15 +80,19 @@
     let prompt = request.long_prompt().filter(|_| !matches!(stage, SendStage::Decode(_)))?;
     let knowledge = traffic.knowledge.load();
     let now = traffic.clock.now();
-    if !traffic.placement().takes_parts_over {
+    let (config, topology) = (traffic.placement(), traffic.topology());
+    if !config.takes_parts_over {
         return None;
     }
+    let distance = DistanceCost::new(Some(&topology), &config);
+    let scope = distance.cache_scope(&back_end.zone);
     let notices = traffic.notices.lock();
     let usable = knowledge
         .directory
         .of_service(&request.service)
         .filter(|entry| notices.usability(entry, now) == Usability::Usable)
-        .filter(|entry| traffic.loads.admits(&entry.back_end.id, now));
+        .filter(|entry| traffic.loads.admits(&entry.back_end.id, now))
+        .filter(|entry| distance.cache_scope(&entry.back_end.zone) == scope);
     let others = usable.map(|entry| &entry.back_end);
     traffic.peer_notices.with_index(|index| index.cache_peer(&back_end.id, prompt, others).map(|peer| peer.address))
 }
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -11,7 +11,7 @@
 };
 use havengate_core::routing::SplitTurns;
 use havengate_core::time::Timestamp;
-use havengate_core::world::ServiceName;
+use havengate_core::world::{ServiceName, Topology};
 use havengate_node::clock::Clock;
 
 use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits, SharedNotices};
@@ -62,6 +62,7 @@
     budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     budget_config: Cell<SharedRetryBudgetConfig>,
     placement: Cell<PlacementConfig>,
+    topology: RefCell<Rc<Topology>>,
     splits: RefCell<SplitTurns>,
     random: RefCell<fastrand::Rng>,
 }
@@ -89,6 +90,7 @@
             short_prefill: Cell::default(),
             late_prefills: RefCell::default(),
             placement: Cell::new(placement),
+            topology: RefCell::default(),
             knowledge,
             demand,
             usage,
@@ -132,6 +134,16 @@
         self.placement.set(placement);
     }
 
+    /// The node's zone and the regions of the zones.
+    pub fn topology(&self) -> Rc<Topology> {
+        Rc::clone(&self.topology.borrow())
+    }
+
+    /// Changes the regions of the zones for requests that are placed from now on.
+    pub fn set_topology(&self, topology: Topology) {
+        *self.topology.borrow_mut() = Rc::new(topology);
+    }
+
     /// Sets the maximum age of the node's keys. Requests that need a key are refused while the node can't prove that
     /// its keys are newer.
     pub fn set_revocation_limit(&self, limit: Option<Duration>) {
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -97,6 +97,7 @@
     let (blocks, blocks_receiver) = block_links();
     let _control = spawn(control, protocol.clone(), platform, shared.clone(), blocks_receiver)?;
     let traffic = Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement));
+    traffic.set_topology(settings.topology());
     traffic.set_revocation_limit(settings.keys.revocation());
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let mut node = RunningNode { settings, read_settings, seeds, duties, traffic };
@@ -125,6 +126,7 @@
         let needs_restart = !read.has_same_name_and_addresses(&self.settings);
         self.traffic.set_budget_config(read.retry_budget());
         self.traffic.set_placement(read.placement);
+        self.traffic.set_topology(read.topology());
         self.seeds.send_replace(read.seeds.clone());
         self.duties.send_replace(read.duty_settings());
         self.traffic.usage.set_config(read.usage);
--- a/crates/relay/tests/settings.rs
+++ b/crates/relay/tests/settings.rs
@@ -39,7 +39,9 @@
     let text = "[placement]\naffinity = false\ntakes_parts_over = false\ndecode_engines_read = false\n\
                 prefill_suffices_share = 0.5\nshort_prompts_apart = true\n\
                 orders_by_urgency = false\nrefuses_early = false\ndecode_interference = 2.5\nzone_advantage = 0\n\
-                target_share = 1.0\nbacklog_per_request_milliseconds = 40";
+                target_share = 1.0\nbacklog_per_request_milliseconds = 40\n\
+                zone_hop_milliseconds = 10\nregion_hop_milliseconds = 200\nzone_hop_requests = 1\n\
+                region_hop_requests = 5.5";
     let expected = PlacementConfig {
         affinity: false,
         takes_parts_over: false,
@@ -52,6 +54,10 @@
         refuses_early: false,
         target_share: 1.0,
         backlog_per_request_milliseconds: 40.0,
+        zone_hop_milliseconds: 10.0,
+        region_hop_milliseconds: 200.0,
+        zone_hop_requests: 1.0,
+        region_hop_requests: 5.5,
     };
     assert_eq!(parse(text).expect("the settings are valid").placement, expected);
 }
@@ -66,6 +72,11 @@
         "target_share = nan",
         "backlog_per_request_milliseconds = 0",
         "backlog_per_request_milliseconds = -5",
+        "zone_hop_milliseconds = -1",
+        "region_hop_milliseconds = nan",
+        "region_hop_milliseconds = 10001",
+        "zone_hop_requests = inf",
+        "region_hop_requests = -8",
         "affinity = 3",
         "luck = true",
     ];
