Estimates: leave out what distance adds to samples

Cause: a node that sends to another region counted the round trip as prefill time, as wait and as transfer time, and a transfer between regions as one that all engines take. Once it had spilled over, it expected its own region to be slow.

Change: the round trip is taken out of samples of requests to other regions, and a transfer between zones or regions counts as one of as many times the tokens. In a single region nothing changes.

Test: relay_regions, requests_to_other_regions_do_not_distort_the_estimates.

--- a/crates/core/src/relay/engine_model.rs
+++ b/crates/core/src/relay/engine_model.rs
@@ -86,8 +86,13 @@
 
     /// Records that an engine took `took` to receive a KV cache of `tokens` and to begin its answer.
     pub fn observe_move(&mut self, tokens: u32, took: Duration, now: Timestamp) {
+        self.observe_distant_move(tokens, took, 1.0, now);
+    }
+
+    /// Like [`EngineModel::observe_move`], for a transfer that takes `factor` times as long as one within a zone.
+    pub fn observe_distant_move(&mut self, tokens: u32, took: Duration, factor: f64, now: Timestamp) {
         if tokens >= SAMPLE_MINIMUM_TOKENS {
-            self.moves.observe(tokens, took, now);
+            self.moves.observe(f64::from(tokens) * factor, took, now);
         }
     }
 
--- a/crates/core/src/relay/moves.rs
+++ b/crates/core/src/relay/moves.rs
@@ -63,11 +63,12 @@
         self.waited_at = now;
     }
 
-    /// Records that an engine took `took` to fetch a KV cache of `tokens` and to begin its answer.
-    pub fn observe(&mut self, tokens: u32, took: Duration, now: Timestamp) {
+    /// Records that an engine took `took` to fetch a KV cache of `tokens` and to begin its answer. A cache that is moved
+    /// between zones or regions counts as one with as many times the tokens as that is slower.
+    pub fn observe(&mut self, tokens: f64, took: Duration, now: Timestamp) {
         let transfer_millis = (millis(took) - self.wait_at(now)).max(MINIMUM_MILLIS);
         self.estimate = self.at(now);
-        self.estimate.observe(1e3 * transfer_millis / f64::from(tokens));
+        self.estimate.observe(1e3 * transfer_millis / tokens);
         self.moved_at = now;
     }
 
--- a/crates/core/src/relay/open_prefills.rs
+++ b/crates/core/src/relay/open_prefills.rs
@@ -26,6 +26,8 @@
     pub(super) tokens: u32,
     pub(super) urgency: Urgency,
     pub(super) began: Timestamp,
+    /// The time that the request and its answer spend between regions, which is not prefill time.
+    pub(super) round_trip: Duration,
     /// The stage of the engine if it had no other open prefill: only such a prefill is a sample of the prefill rate.
     pub(super) isolated_stage: Option<EngineStage>,
     pub(super) shared_parts: Vec<PromptPart>,
--- a/crates/core/src/relay/prompt_index.rs
+++ b/crates/core/src/relay/prompt_index.rs
@@ -103,8 +103,21 @@
         &self.model
     }
 
-    /// Records that `engine` begins the prefill of `prompt` for this node.
+    /// Records that `engine`, in the region of this node, begins the prefill of `prompt` for this node.
     pub fn begin(&mut self, engine: &BackEnd, prompt: &Prompt, urgency: Urgency, now: Timestamp) -> PrefillId {
+        self.begin_at_distance(engine, prompt, urgency, Duration::ZERO, now)
+    }
+
+    /// Records that `engine` begins the prefill of `prompt` for this node. The request and its answer spend `round_trip`
+    /// between regions.
+    pub fn begin_at_distance(
+        &mut self,
+        engine: &BackEnd,
+        prompt: &Prompt,
+        urgency: Urgency,
+        round_trip: Duration,
+        now: Timestamp,
+    ) -> PrefillId {
         let id = PrefillId(self.next);
         self.next += 1;
         let is_idle = |stage: &EngineStage| self.backlog(&engine.id, *stage, Urgency::Late, now) <= 0.0;
@@ -113,6 +126,7 @@
             tokens: prompt.tokens.saturating_sub(self.cached_tokens_of(&engine.id, prompt)),
             urgency,
             began: now,
+            round_trip,
             isolated_stage: engine.stage.filter(is_idle),
             shared_parts: prompt.shared_parts().to_vec(),
             prompt_tokens: prompt.tokens,
@@ -127,7 +141,8 @@
             return;
         };
         if let Some(stage) = prefill.isolated_stage {
-            self.model.observe_prefill(stage, prefill.tokens, now.since(prefill.began));
+            let took = now.since(prefill.began).saturating_sub(prefill.round_trip);
+            self.model.observe_prefill(stage, prefill.tokens, took);
         }
         self.finish(prefill.engine, prefill.shared_parts, prefill.prompt_tokens, now);
     }
@@ -135,7 +150,20 @@
     /// Records that `engine` has fetched the KV cache of `prompt` from another engine and has the prompt's shared parts
     /// in its cache. The engine began its answer `took` after the request was sent.
     pub fn record_cache_transfer(&mut self, engine: &BackEndId, prompt: &Prompt, took: Duration, now: Timestamp) {
-        self.model.observe_move(prompt.tokens, took, now);
+        self.record_distant_cache_transfer(engine, prompt, took, 1.0, now);
+    }
+
+    /// Like [`PromptIndex::record_cache_transfer`], for a transfer that takes `factor` times as long as one within a zone.
+    /// `took` is without the latency between the node and the engine.
+    pub fn record_distant_cache_transfer(
+        &mut self,
+        engine: &BackEndId,
+        prompt: &Prompt,
+        took: Duration,
+        factor: f64,
+        now: Timestamp,
+    ) {
+        self.model.observe_distant_move(prompt.tokens, took, factor, now);
         self.finish(engine.into(), prompt.shared_parts().to_vec(), prompt.tokens, now);
     }
 
--- a/crates/core/tests/relay_regions.rs
+++ b/crates/core/tests/relay_regions.rs
@@ -341,3 +341,26 @@
     assert_ne!(distance.cache_scope(&unknown), distance.cache_scope(&"x2".into()));
     assert_eq!(distance.cache_scope(&"a2".into()), distance.own_cache_scope());
 }
+
+/// Guards against estimates that count the latency between regions as prefill time, and slower transfers as those of all
+/// engines: both made engines of the own region look slow.
+#[test]
+fn requests_to_other_regions_do_not_distort_the_estimates() {
+    let engine = back_end_in("b1", 1, PREFILL);
+    let prompt = own_prompt(15_000);
+    let mut far = index();
+    let mut near = index();
+    for _ in 0..100 {
+        let id = far.begin_at_distance(&engine, &prompt, Urgency::InTime, REGION_ROUND_TRIP, NOW);
+        far.end(id, true, NOW + Duration::from_millis(150) + REGION_ROUND_TRIP);
+        far.record_distant_cache_transfer(&engine.id, &prompt, Duration::from_millis(200), 10.0, NOW);
+        let id = near.begin(&engine, &prompt, Urgency::InTime, NOW);
+        near.end(id, true, NOW + Duration::from_millis(150));
+        near.record_cache_transfer(&engine.id, &prompt, Duration::from_millis(20), NOW);
+    }
+    let values = |index: &PromptIndex| index.model().estimates(NOW).map(|(_, estimate)| estimate.value);
+    for (far, near) in values(&far).into_iter().zip(values(&near)) {
+        // After 100 samples, each still moves the estimate by up to 5 %.
+        assert!((far - near).abs() < 0.1 * near, "{far} instead of {near}");
+    }
+}
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -209,6 +209,7 @@
     /// moved there, is recorded until the answer begins.
     async fn attempt(&mut self, back_end: &BackEnd, plan: &PrefillPlan) -> Attempt {
         let traffic = self.traffic;
+        let round_trip = traffic.round_trip(&back_end.zone);
         let Some(prompt) = self.request.long_prompt().cloned() else {
             let stage = match plan {
                 PrefillPlan::Prefilled { source, .. } => SendStage::Decode(source.clone()),
@@ -218,19 +219,22 @@
             let began = traffic.clock.now();
             let attempt = self.attempt_stage(back_end, &stage).await;
             if matches!(attempt, Attempt::Answered(_)) && back_end.stage.is_some() {
-                traffic.peer_notices.record_wait(traffic.clock.now().since(began));
+                let took = traffic.clock.now().since(began).saturating_sub(round_trip);
+                traffic.peer_notices.record_wait(took);
             }
             return attempt;
         };
-        if let PrefillPlan::Prefilled { source, .. } = plan {
+        if let PrefillPlan::Prefilled { source, zone } = plan {
             let began = traffic.clock.now();
             let attempt = self.attempt_stage(back_end, &SendStage::Decode(source.clone())).await;
             if matches!(attempt, Attempt::Answered(_)) {
-                traffic.peer_notices.record_cache_transfer(&back_end.id, &prompt, traffic.clock.now().since(began));
+                let took = traffic.clock.now().since(began).saturating_sub(round_trip);
+                let factor = traffic.transfer_factor(zone, &back_end.zone);
+                traffic.peer_notices.record_cache_transfer(&back_end.id, &prompt, took, factor);
             }
             return attempt;
         }
-        let prefill = traffic.peer_notices.begin(back_end, &prompt, self.request.urgency);
+        let prefill = traffic.peer_notices.begin_at_distance(back_end, &prompt, self.request.urgency, round_trip);
         let attempt = self.attempt_stage(back_end, &SendStage::Complete).await;
         let is_prefilled = matches!(attempt, Attempt::Answered(_));
         prefill.end(is_prefilled);
--- a/crates/relay/src/callers/prefill_step.rs
+++ b/crates/relay/src/callers/prefill_step.rs
@@ -36,7 +36,9 @@
             if let Some(record) = &mut self.record {
                 record.prefill_back_end = Some(back_end.id.clone());
             }
-            let prefill = self.traffic.peer_notices.begin(&back_end, &prompt, self.request.urgency);
+            let round_trip = self.traffic.round_trip(&back_end.zone);
+            let notices = &self.traffic.peer_notices;
+            let prefill = notices.begin_at_distance(&back_end, &prompt, self.request.urgency, round_trip);
             let plan = self.try_prefill(back_end).await;
             prefill.end(plan.is_some());
             self.traffic.demand.set_isolated_prefills(self.traffic.peer_notices.model().isolated_prefills());
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use havengate_core::relay::{
-    BudgetShare, LatePrefillId, LatePrefills, PlacementConfig, SharedRetryBudget, SharedRetryBudgetConfig, ShortPrefill,
+    BudgetShare, DistanceCost, LatePrefillId, LatePrefills, PlacementConfig, SharedRetryBudget,
+    SharedRetryBudgetConfig, ShortPrefill,
 };
 use havengate_core::routing::SplitTurns;
 use havengate_core::time::Timestamp;
-use havengate_core::world::{ServiceName, Topology};
+use havengate_core::world::{ServiceName, Topology, ZoneName};
 use havengate_node::clock::Clock;
 
 use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits, SharedNotices};
@@ -139,6 +140,16 @@
         Rc::clone(&self.topology.borrow())
     }
 
+    /// The time that a request to a back end in `zone` and its answer spend between regions.
+    pub fn round_trip(&self, zone: &ZoneName) -> Duration {
+        DistanceCost::new(Some(&self.topology.borrow()), &self.placement.get()).round_trip(zone)
+    }
+
+    /// How much longer a KV cache transfer between these zones takes than one within a zone.
+    pub fn transfer_factor(&self, from: &ZoneName, to: &ZoneName) -> f64 {
+        DistanceCost::new(Some(&self.topology.borrow()), &self.placement.get()).transfer_factor(from, to)
+    }
+
     /// Changes the regions of the zones for requests that are placed from now on.
     pub fn set_topology(&self, topology: Topology) {
         *self.topology.borrow_mut() = Rc::new(topology);
--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -152,25 +152,40 @@
         read(&self.shared.index.borrow())
     }
 
-    /// Records that `engine` runs the prefill of `prompt`, until the guard is ended or dropped.
+    /// Records that `engine`, in the region of this node, runs the prefill of `prompt`, until the guard is ended or
+    /// dropped.
     pub fn begin(&self, engine: &BackEnd, prompt: &Prompt, urgency: Urgency) -> PrefillGuard {
+        self.begin_at_distance(engine, prompt, urgency, Duration::ZERO)
+    }
+
+    /// Records that `engine` runs the prefill of `prompt`, until the guard is ended or dropped. The request and its answer
+    /// spend `round_trip` between regions.
+    pub fn begin_at_distance(
+        &self,
+        engine: &BackEnd,
+        prompt: &Prompt,
+        urgency: Urgency,
+        round_trip: Duration,
+    ) -> PrefillGuard {
         let now = self.shared.clock.now();
         let mut index = self.shared.index.borrow_mut();
-        let id = index.begin(engine, prompt, urgency, now);
+        let id = index.begin_at_distance(engine, prompt, urgency, round_trip, now);
         drop(index);
         self.notify_prefill_change();
         PrefillGuard { peer_notices: self.clone(), id: Some(id) }
     }
 
     /// Records that `engine` received the KV cache of `prompt` from another engine and began its answer `took` after
-    /// the request was sent to it.
-    pub fn record_cache_transfer(&self, engine: &BackEndId, prompt: &Prompt, took: Duration) {
-        self.shared.index.borrow_mut().record_cache_transfer(engine, prompt, took, self.shared.clock.now());
+    /// the request was sent to it, without the latency in between. The transfer takes `factor` times as long as one within
+    /// a zone.
+    pub fn record_cache_transfer(&self, engine: &BackEndId, prompt: &Prompt, took: Duration, factor: f64) {
+        let now = self.shared.clock.now();
+        self.shared.index.borrow_mut().record_distant_cache_transfer(engine, prompt, took, factor, now);
         self.notify_prefill_change();
     }
 
-    /// Records that an engine began its answer `took` after the request was sent to it, without the prefill or the
-    /// cache transfer of a long prompt.
+    /// Records that an engine began its answer `took` after the request was sent to it, without the latency in between,
+    /// and without the prefill or the cache transfer of a long prompt.
     pub fn record_wait(&self, took: Duration) {
         self.shared.index.borrow_mut().record_wait(took, self.shared.clock.now());
     }
