Placement: count the node's own requests at engines of other regions

Cause: nodes don't learn of the backlog that others cause at engines of other regions. At a load that all regions together can hardly take, each node went on sending to engines there that were behind.

Change: each of the node's requests in flight at a prefill engine of another region counts like the prompt to be placed.

--- a/crates/core/src/relay/prefill_placement.rs
+++ b/crates/core/src/relay/prefill_placement.rs
@@ -150,7 +150,8 @@
         let weight = if stage == EngineStage::Prefill { 1.0 } else { self.config.decode_interference };
         let cost_millis = millis(processing) * weight
             + self.hop_millis(&back_end.zone).max(millis(latency))
-            + model.prefill_millis(stage, f64::from(self.cached_only_there(index, cached_tokens)));
+            + model.prefill_millis(stage, f64::from(self.cached_only_there(index, cached_tokens)))
+            + model.prefill_millis(stage, f64::from(self.waiting_there(index)));
         let expected_time = processing + latency;
         let placed = Placed { index, expected_time, has_backlog: backlog > 0.0, urgency, uncached_tokens };
         Evaluated { placed, cost_millis }
@@ -186,6 +187,15 @@
         cached_there.saturating_sub(*cached_here)
     }
 
+    /// The tokens of this node's requests at a prefill engine of another region, each taken for one like this prompt. The
+    /// backlog that other nodes cause there isn't known; without this, nodes go on sending to engines that are behind.
+    fn waiting_there(&self, index: usize) -> u32 {
+        let Candidate { back_end, in_flight, .. } = self.candidates[index];
+        let is_far_prefill =
+            back_end.stage == Some(EngineStage::Prefill) && self.distance.is_other_region(&back_end.zone);
+        if is_far_prefill { in_flight.saturating_mul(self.prompt.tokens) } else { 0 }
+    }
+
     fn cache_scope(&self, index: usize) -> CacheScope<'a> {
         self.distance.cache_scope(&self.back_end(index).zone)
     }
