--- a/crates/core/src/relay/distance_cost.rs
+++ b/crates/core/src/relay/distance_cost.rs
@@ -14,9 +14,9 @@
 const ZONE_TRANSFER_FACTOR: f64 = 2.0;
 
 /// How much longer a KV cache transfer takes between regions than within a zone.
-const REGION_TRANSFER_FACTOR: f64 = 10.0;
+pub(super) const REGION_TRANSFER_FACTOR: f64 = 10.0;
 
-/// The engines that share their cached parts.
+/// Engines that fetch cached parts from each other at the cost of a transfer within a region.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CacheScope<'a> {
     /// All engines: the deployment has a single region.
@@ -76,7 +76,7 @@
         }
     }
 
-    /// The engines that share cached parts with those of `zone`.
+    /// The engines that fetch cached parts from those of `zone` within a region.
     pub fn cache_scope<'z>(&self, zone: &'z ZoneName) -> CacheScope<'z>
     where
         'a: 'z,
@@ -87,9 +87,9 @@
         }
     }
 
-    /// The engines that share cached parts with those of the node's zone.
-    pub fn own_cache_scope(&self) -> CacheScope<'a> {
-        self.topology.map_or(CacheScope::Deployment, |topology| self.cache_scope(topology.own_zone()))
+    /// Whether engines of these zones fetch cached parts from each other within a region.
+    pub fn is_same_scope(&self, one: &ZoneName, other: &ZoneName) -> bool {
+        self.cache_scope(one) == self.cache_scope(other)
     }
 
     fn by_distance(&self, zone: &ZoneName, zone_hop: f64, region_hop: f64) -> f64 {
--- a/crates/core/src/relay/engine_model.rs
+++ b/crates/core/src/relay/engine_model.rs
@@ -119,6 +119,13 @@
         self.moves.millis(tokens, now)
     }
 
+    /// The milliseconds that an engine of `stage` saves by fetching a cached part of `tokens` instead of prefilling it.
+    /// The transfer takes `factor` times as long as one within a zone.
+    pub fn fetch_saving_millis(&self, stage: EngineStage, tokens: u32, factor: f64, now: Timestamp) -> f64 {
+        let tokens = f64::from(tokens);
+        self.prefill_millis(stage, tokens) - self.move_millis(tokens * factor, now)
+    }
+
     /// The estimates by name, for metrics and logs.
     pub fn estimates(&self, now: Timestamp) -> [(&'static str, Estimate); 3] {
         [
--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -224,9 +224,8 @@
         now: Timestamp,
         random: &mut fastrand::Rng,
     ) -> Option<usize> {
-        let is_of_region = |candidate: &usize| {
-            near.is_none_or(|zone| self.distance.cache_scope(zone) == self.distance.cache_scope(self.zone(*candidate)))
-        };
+        let is_of_region =
+            |candidate: &usize| near.is_none_or(|zone| self.distance.is_same_scope(zone, self.zone(*candidate)));
         let of_region: Vec<usize> = indexes.iter().copied().filter(is_of_region).collect();
         // The zone of the prefill decides within its region, the zone of the node elsewhere.
         let is_by_hop = near.is_none() || of_region.is_empty();
--- a/crates/core/src/relay/prefill_placement.rs
+++ b/crates/core/src/relay/prefill_placement.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::distance_cost::{CacheScope, DistanceCost};
+use super::distance_cost::{CacheScope, DistanceCost, REGION_TRANSFER_FACTOR};
 use super::placement::{Candidate, Placed};
 use super::placement_config::PlacementConfig;
 use super::prompt::Prompt;
@@ -40,6 +40,14 @@
     cost_millis: f64,
 }
 
+/// Cached tokens of the prompt that an engine fetches from another engine.
+#[derive(Clone, Copy, Debug)]
+struct Fetch {
+    tokens: u32,
+    /// How much longer the transfer takes than one within a zone.
+    factor: f64,
+}
+
 /// The tokens of the prompt that engines have cached, at most, by the engines that share their cached parts.
 type CachedTokens<'a> = BTreeMap<CacheScope<'a>, u32>;
 
@@ -135,12 +143,11 @@
         let stage = back_end.stage.unwrap_or(EngineStage::Decode);
         let model = self.index.model();
         let cached = self.cached(index);
-        let cached_near = cached_tokens.get(&self.cache_scope(index)).copied().unwrap_or(0);
-        let fetched = if self.config.takes_parts_over { cached_near.saturating_sub(cached) } else { 0 };
-        let uncached_tokens = self.prompt.tokens.saturating_sub(cached + fetched);
+        let fetch = self.fetch(index, cached, cached_tokens);
+        let uncached_tokens = self.prompt.tokens.saturating_sub(cached + fetch.tokens);
         let backlog = self.index.backlog(&back_end.id, stage, urgency, self.now);
         let prefill_millis = model.prefill_millis(stage, backlog + f64::from(uncached_tokens));
-        let fetch_millis = self.move_millis_per_token * f64::from(fetched);
+        let fetch_millis = self.move_millis_per_token * f64::from(fetch.tokens) * fetch.factor;
         let (handover_millis, handover_round_trip) = match stage {
             EngineStage::Prefill => self.handover(&back_end.zone),
             EngineStage::Decode => (0.0, Duration::ZERO),
@@ -150,13 +157,27 @@
         let weight = if stage == EngineStage::Prefill { 1.0 } else { self.config.decode_interference };
         let cost_millis = millis(processing) * weight
             + self.hop_millis(&back_end.zone).max(millis(latency))
-            + model.prefill_millis(stage, f64::from(self.cached_only_there(index, cached_tokens)))
             + model.prefill_millis(stage, f64::from(self.waiting_there(index)));
         let expected_time = processing + latency;
         let placed = Placed { index, expected_time, has_backlog: backlog > 0.0, urgency, uncached_tokens };
         Evaluated { placed, cost_millis }
     }
 
+    /// What a candidate that has `cached` tokens fetches: from its own region, or from another one if that saves more.
+    fn fetch(&self, index: usize, cached: u32, cached_tokens: &CachedTokens<'_>) -> Fetch {
+        if !self.config.takes_parts_over {
+            return Fetch { tokens: 0, factor: 1.0 };
+        }
+        let stage = self.back_end(index).stage.unwrap_or(EngineStage::Decode);
+        let cached_near = cached_tokens.get(&self.cache_scope(index)).copied().unwrap_or(0);
+        let cached_anywhere = cached_tokens.values().copied().max().unwrap_or(0);
+        let near = Fetch { tokens: cached_near.saturating_sub(cached), factor: 1.0 };
+        let far = Fetch { tokens: cached_anywhere.saturating_sub(cached), factor: REGION_TRANSFER_FACTOR };
+        let saving =
+            |fetch: &Fetch| self.index.model().fetch_saving_millis(stage, fetch.tokens, fetch.factor, self.now);
+        if far.tokens > near.tokens && saving(&far) > saving(&near) { far } else { near }
+    }
+
     /// The time of the KV cache transfer from a prefill engine in `zone` to the nearest decode engine, in milliseconds,
     /// and the round trip between the node and that engine.
     fn handover(&self, zone: &ZoneName) -> (f64, Duration) {
@@ -177,16 +198,6 @@
         if shares_part && !self.distance.is_other_region(zone) { 0.0 } else { self.distance.hop_millis(zone) }
     }
 
-    /// The tokens that the region of a candidate has cached but this node's region has not. They are no reason to prefer
-    /// the other region: this region would never process the part itself, and all its requests would go there.
-    fn cached_only_there(&self, index: usize, cached_tokens: &CachedTokens<'_>) -> u32 {
-        let Some(cached_here) = cached_tokens.get(&self.distance.own_cache_scope()) else {
-            return 0;
-        };
-        let cached_there = cached_tokens.get(&self.cache_scope(index)).copied().unwrap_or(0);
-        cached_there.saturating_sub(*cached_here)
-    }
-
     /// The tokens of this node's requests at a prefill engine of another region, each taken for one like this prompt. The
     /// backlog that other nodes cause there isn't known; without this, nodes go on sending to engines that are behind.
     fn waiting_there(&self, index: usize) -> u32 {
--- a/crates/core/src/relay/prompt_index.rs
+++ b/crates/core/src/relay/prompt_index.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
+use super::distance_cost::{DistanceCost, REGION_TRANSFER_FACTOR};
 use super::engine_cache::EngineCache;
 use super::engine_model::EngineModel;
 use super::engine_tag::EngineTag;
@@ -307,6 +308,33 @@
         best.map(|(_, _, other)| other)
     }
 
+    /// Like [`PromptIndex::cache_peer`] in a deployment of several regions: an engine of the same region, unless fetching
+    /// from another region saves more time.
+    pub fn cache_peer_by_distance<'b>(
+        &self,
+        engine: &BackEnd,
+        prompt: &Prompt,
+        others: &[&'b BackEnd],
+        distance: &DistanceCost<'_>,
+        now: Timestamp,
+    ) -> Option<&'b BackEnd> {
+        if !distance.applies() {
+            return self.cache_peer(&engine.id, prompt, others.iter().copied());
+        }
+        let stage = engine.stage.unwrap_or(EngineStage::Decode);
+        let own = self.cached_tokens_of(&engine.id, prompt);
+        let saving = |peer: &BackEnd| {
+            let fetched = self.cached_tokens_of(&peer.id, prompt).saturating_sub(own);
+            let factor = if distance.is_same_scope(&peer.zone, &engine.zone) { 1.0 } else { REGION_TRANSFER_FACTOR };
+            self.model.fetch_saving_millis(stage, fetched, factor, now)
+        };
+        let near = others.iter().copied().filter(|peer| distance.is_same_scope(&peer.zone, &engine.zone));
+        let near = self.cache_peer(&engine.id, prompt, near);
+        let anywhere = self.cache_peer(&engine.id, prompt, others.iter().copied());
+        let far = anywhere.filter(|peer| saving(peer) > near.map_or(0.0, saving));
+        far.or(near)
+    }
+
     fn update_cache(&mut self, finished: &FinishedPrefill, now: Timestamp) {
         let capacity = self.tracked_tokens();
         self.caches.entry(finished.engine).or_default().record_prompt(
--- a/crates/core/tests/relay_regions.rs
+++ b/crates/core/tests/relay_regions.rs
@@ -363,7 +363,7 @@
     let unknown = ZoneName::from("x1");
     assert!(distance.is_other_region(&unknown));
     assert_ne!(distance.cache_scope(&unknown), distance.cache_scope(&"x2".into()));
-    assert_eq!(distance.cache_scope(&"a2".into()), distance.own_cache_scope());
+    assert_eq!(distance.cache_scope(&"a2".into()), distance.cache_scope(&"a1".into()));
 }
 
 /// Guards against estimates that count the latency between regions as prefill time, and slower transfers as those of all
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -69,8 +69,7 @@
     result
 }
 
-/// The engine from which `back_end` may copy the cached part of a long prompt instead of prefilling it; none of another
-/// region.
+/// The engine from which `back_end` may copy the cached part of a long prompt instead of prefilling it.
 fn cache_peer_for<P>(
     traffic: &Traffic<P>,
     request: &CallerRequest,
@@ -85,16 +84,17 @@
         return None;
     }
     let distance = DistanceCost::new(Some(&topology), &config);
-    let scope = distance.cache_scope(&back_end.zone);
     let notices = traffic.notices.lock();
     let usable = knowledge
         .directory
         .of_service(&request.service)
         .filter(|entry| notices.usability(entry, now) == Usability::Usable)
-        .filter(|entry| traffic.loads.admits(&entry.back_end.id, now))
-        .filter(|entry| distance.cache_scope(&entry.back_end.zone) == scope);
-    let others = usable.map(|entry| &entry.back_end);
-    traffic.peer_notices.with_index(|index| index.cache_peer(&back_end.id, prompt, others).map(|peer| peer.address))
+        .filter(|entry| traffic.loads.admits(&entry.back_end.id, now));
+    let others: Vec<&BackEnd> = usable.map(|entry| &entry.back_end).collect();
+    traffic.peer_notices.with_index(|index| {
+        let peer = index.cache_peer_by_distance(back_end, prompt, &others, &distance, now);
+        peer.map(|peer| peer.address)
+    })
 }
 
 /// The urgency of the request at `back_end`; `None` for applications, which don't order requests by urgency.
