Prefill notices: one stream for each region

In a deployment over several regions, each node sent its open and finished prefills to all peers, though nodes use the engines of other regions rarely.

PrefillAudience assigns each peer the stream of its region, or the complete one while its zone is not known. A region's stream contains only prefills at its own engines and is silent without any; the end of open prefills is still announced, twice. Finished prefills keep the numbers of the complete stream: receivers remember only the last number, so with numbers of its own for each stream, a peer whose zone becomes known would skip prefills or apply them twice. A gap is filled with placeholders that have no effect. PeerZones keeps the zones of peers; readers and peers that are ahead are chosen in the own region first.

Without regions, notices and the choice of peers stay as they were.

--- a/crates/core/src/relay/prompt_index.rs
+++ b/crates/core/src/relay/prompt_index.rs
@@ -1,19 +1,22 @@
 //! The open prefills of each engine and the shared prompt parts in its cache, estimated from this node's own requests
 //! and from its peers' notices.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use super::engine_cache::EngineCache;
 use super::engine_model::EngineModel;
+use super::engine_regions::EngineRegions;
 use super::engine_tag::EngineTag;
+use super::finished_prefills::FinishedPrefills;
 use super::open_prefills::{LocalPrefill, OpenTable, PrefillId};
-use super::peer_notice::{CachedParts, FinishedPrefill, PrefillNotice};
+use super::peer_notice::{CachedParts, FinishedPrefill, OpenPrefills, PrefillNotice};
+use super::prefill_audience::PrefillStream;
 use super::prompt::{Prompt, PromptPart};
 use super::urgency::Urgency;
 use crate::back_ends::{BackEnd, EngineStage};
 use crate::time::Timestamp;
-use crate::world::{Address, BackEndId};
+use crate::world::{Address, BackEndId, RegionName, Topology};
 
 /// Limits of a [`PromptIndex`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -55,12 +58,6 @@
 /// The bytes of one engine's open prefills in a notice.
 const OPEN_BYTES: usize = 14;
 
-/// The bytes of a finished prefill in a notice without its parts.
-const FINISHED_BASE_BYTES: usize = 12;
-
-/// The bytes of one part in a notice.
-const PART_BYTES: usize = 12;
-
 /// The maximum share of a notice for open prefills. Finished prefills that don't fit are sent with the next notice.
 const OPEN_SHARE: f64 = 0.6;
 
@@ -72,13 +69,6 @@
     received_at: Timestamp,
 }
 
-#[derive(Clone, Debug)]
-struct PendingPrefill {
-    number: u64,
-    prefill: FinishedPrefill,
-    announcements: u32,
-}
-
 /// A node's estimate of the engines' open prefills and cached prompt parts.
 #[derive(Clone, Debug, Default)]
 pub struct PromptIndex {
@@ -86,8 +76,10 @@
     model: EngineModel,
     next: u64,
     open: OpenTable,
-    finished_count: u64,
-    pending: VecDeque<PendingPrefill>,
+    finished: FinishedPrefills,
+    regions: EngineRegions,
+    /// The notices that are still to be sent to each region since its open prefills ended.
+    closing: BTreeMap<RegionName, u32>,
     peers: HashMap<Address, PeerState>,
     caches: HashMap<EngineTag, EngineCache>,
 }
@@ -103,8 +95,20 @@
         &self.model
     }
 
+    /// Sets the regions of the zones. Engines that were used before count as engines of no known region until they are
+    /// used again.
+    pub fn set_topology(&mut self, topology: Topology) {
+        self.regions.set_topology(topology);
+    }
+
+    /// Records the zone of an engine, which decides on the regions that are notified of its prefills.
+    pub fn record_zone(&mut self, engine: &BackEnd) {
+        self.regions.record(engine);
+    }
+
     /// Records that `engine` begins the prefill of `prompt` for this node.
     pub fn begin(&mut self, engine: &BackEnd, prompt: &Prompt, urgency: Urgency, now: Timestamp) -> PrefillId {
+        self.record_zone(engine);
         let id = PrefillId(self.next);
         self.next += 1;
         let is_idle = |stage: &EngineStage| self.backlog(&engine.id, *stage, Urgency::Late, now) <= 0.0;
@@ -149,42 +153,70 @@
         if shared_parts.is_empty() {
             return;
         }
-        self.finished_count += 1;
         let prefill = FinishedPrefill { engine, shared_parts, tokens };
         self.update_cache(&prefill, now);
-        self.pending.push_back(PendingPrefill { number: self.finished_count, prefill, announcements: 0 });
-        let excess = self.pending.len().saturating_sub(self.config.finished_maximum);
-        self.pending.drain(..excess);
+        let region = self.regions.get(engine).cloned();
+        self.finished.push(prefill, region, self.config.finished_maximum);
     }
 
-    /// Whether announcements of finished prefills are pending.
+    /// Whether announcements of finished prefills, or of the end of open ones in a region, are pending.
     pub fn has_pending(&self) -> bool {
-        !self.pending.is_empty()
+        !self.finished.is_empty() || self.closing.values().any(|left| *left > 0)
     }
 
-    /// Returns the next notice to peers, limited to its maximum size. Finished prefills that don't fit are sent with
-    /// the next notice; of the open prefills, those with the fewest tokens are left out.
+    /// Returns the next notice of the complete stream, limited to its maximum size. Finished prefills that don't fit are
+    /// sent with the next notice; of the open prefills, those with the fewest tokens are left out.
     pub fn notice(&mut self, sender: Address, sequence: u64, now: Timestamp) -> PrefillNotice {
-        let bytes = self.config.notice_bytes;
+        let open = self.limit_open(self.open.announced(now));
+        let finished = self.finished.next_of_all(self.bytes_left(&open), self.config.finished_announcements);
+        PrefillNotice { sender, sequence, open, first_finished: finished.first, finished: finished.prefills }
+    }
+
+    /// Returns the next notice of the stream of `region`; `None` when nothing is to be announced there. Open prefills
+    /// that have ended are announced by a list without them.
+    pub fn region_notice(
+        &mut self,
+        region: &RegionName,
+        sender: Address,
+        sequence: u64,
+        now: Timestamp,
+    ) -> Option<PrefillNotice> {
+        let announcements = self.config.finished_announcements;
         let mut open = self.open.announced(now);
-        open.truncate((bytes as f64 * OPEN_SHARE) as usize / OPEN_BYTES);
-        let mut left = bytes.saturating_sub(NOTICE_BASE_BYTES + open.len() * OPEN_BYTES);
-        let first_finished = self.pending.front().map_or(self.finished_count + 1, |pending| pending.number);
-        let mut finished = Vec::new();
-        for pending in &mut self.pending {
-            let size = FINISHED_BASE_BYTES + pending.prefill.shared_parts.len() * PART_BYTES;
-            if size > left && !finished.is_empty() {
-                break;
-            }
-            left = left.saturating_sub(size);
-            pending.announcements += 1;
-            finished.push(pending.prefill.clone());
+        open.retain(|open| self.regions.get(open.engine) == Some(region));
+        let open = self.limit_open(open);
+        let finished = self.finished.next_of_region(region, self.bytes_left(&open), announcements);
+        let closing = self.closing.get(region).copied().unwrap_or_default();
+        if open.is_empty() && finished.prefills.is_empty() && closing == 0 {
+            return None;
         }
+        let left = if open.is_empty() { closing.saturating_sub(1) } else { announcements };
+        self.closing.insert(region.clone(), left);
+        Some(PrefillNotice { sender, sequence, open, first_finished: finished.first, finished: finished.prefills })
+    }
+
+    /// Prepares `stream` for a peer that got another stream until now: what that one has not announced completely is
+    /// announced again. Peers that have applied it skip it.
+    pub fn resume(&mut self, stream: &PrefillStream) {
         let announcements = self.config.finished_announcements;
-        while self.pending.front().is_some_and(|pending| pending.announcements >= announcements) {
-            self.pending.pop_front();
+        match stream {
+            PrefillStream::Complete => self.finished.resume_all(announcements),
+            PrefillStream::OfRegion(region) => {
+                self.finished.resume_region(region, announcements);
+                // The list of the complete stream may have contained prefills of this region that have ended.
+                self.closing.insert(region.clone(), announcements);
+            }
         }
-        PrefillNotice { sender, sequence, open, first_finished, finished }
+    }
+
+    fn limit_open(&self, mut open: Vec<OpenPrefills>) -> Vec<OpenPrefills> {
+        open.truncate((self.config.notice_bytes as f64 * OPEN_SHARE) as usize / OPEN_BYTES);
+        open
+    }
+
+    /// The bytes that a notice with these open prefills has left for finished ones.
+    fn bytes_left(&self, open: &[OpenPrefills]) -> usize {
+        self.config.notice_bytes.saturating_sub(NOTICE_BASE_BYTES + open.len() * OPEN_BYTES)
     }
 
     /// Applies a peer's notice, unless a newer notice of that peer was received before; returns whether it was applied.
@@ -239,6 +271,7 @@
         let present: HashSet<EngineTag> = present.map(EngineTag::from).collect();
         self.caches.retain(|engine, _| present.contains(engine));
         self.open.retain_engines(|engine| present.contains(&engine));
+        self.regions.retain(|engine| present.contains(&engine));
         let expiry = self.config.peer_expiry;
         let silent = self.peers.iter().filter(|(_, peer)| now.since(peer.received_at) >= expiry);
         let silent: Vec<Address> = silent.map(|(address, _)| *address).collect();
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -5,6 +5,7 @@
 mod list_changes;
 mod message;
 mod peer_table;
+mod peer_zones;
 mod readers;
 
 pub use configuration_update::{
@@ -13,4 +14,5 @@
 pub use list_changes::{ListChanges, ListStep};
 pub use message::{Digest, KnowledgeAges, LocationNotice, PeerAddresses, PeerMessage, Pull, PullAnswer, StageNotice};
 pub use peer_table::{PeerTable, PeerTableConfig};
+pub use peer_zones::PeerZones;
 pub use readers::{Readers, ReadersConfig};
--- a/crates/core/src/replication/peer_table.rs
+++ b/crates/core/src/replication/peer_table.rs
@@ -1,6 +1,6 @@
 //! The other nodes of the deployment, as learned from digests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::message::{Digest, PeerAddresses};
@@ -64,12 +64,14 @@
     seeds: Vec<Address>,
     started_at: Timestamp,
     peers: BTreeMap<Address, Peer>,
+    /// The peers in other regions.
+    distant: BTreeSet<Address>,
 }
 
 impl PeerTable {
     /// A table with only the seeds, for a node that starts at `now`.
     pub fn new(config: PeerTableConfig, own_address: Address, seeds: Vec<Address>, now: Timestamp) -> Self {
-        PeerTable { config, own_address, seeds, started_at: now, peers: BTreeMap::new() }
+        PeerTable { config, own_address, seeds, started_at: now, peers: BTreeMap::new(), distant: BTreeSet::new() }
     }
 
     /// Replaces the seeds after a change of the settings.
@@ -77,6 +79,11 @@
         self.seeds = seeds;
     }
 
+    /// Sets the peers in other regions, which are pulled from only if no other peer is ahead.
+    pub fn set_distant(&mut self, distant: BTreeSet<Address>) {
+        self.distant = distant;
+    }
+
     /// Records the sender of a digest, its versions and the peers that the digest lists.
     pub fn receive(&mut self, digest: &Digest, now: Timestamp) {
         for peer in &digest.peers {
@@ -121,6 +128,17 @@
         self.recently_seen(now).map(|(_, peer)| peer.notices).collect()
     }
 
+    /// The addresses of the known peers.
+    pub fn known(&self) -> impl Iterator<Item = PeerAddresses> {
+        self.peers.iter().map(|(control, peer)| PeerAddresses { control: *control, notices: peer.notices })
+    }
+
+    /// The addresses of the peer at `control` if it was seen recently.
+    pub fn recent_peer(&self, control: Address, now: Timestamp) -> Option<PeerAddresses> {
+        let peer = self.peers.get(&control).filter(|peer| now.since(peer.seen_at) < self.config.recent_for)?;
+        Some(PeerAddresses { control, notices: peer.notices })
+    }
+
     /// The peers that were seen recently, ordered by address.
     pub fn recent(&self, now: Timestamp) -> Vec<Address> {
         self.recently_seen(now).map(|(control, _)| *control).collect()
@@ -148,7 +166,8 @@
         (receivers, listed)
     }
 
-    /// A random peer whose configuration is newer than `configuration` or whose directory is newer than `directory`.
+    /// A random peer whose configuration is newer than `configuration` or whose directory is newer than `directory`; one
+    /// in the own region, if there is any.
     pub fn ahead(
         &self,
         configuration: Option<ConfigurationNumber>,
@@ -160,7 +179,10 @@
             configuration.is_some_and(|version| peer.configuration > version)
                 || directory.is_some_and(|position| peer.directory > position)
         };
-        let ahead: Vec<Address> = self.fresh(now).filter(|address| is_ahead(&self.peers[address])).collect();
+        let mut ahead: Vec<Address> = self.fresh(now).filter(|address| is_ahead(&self.peers[address])).collect();
+        if ahead.iter().any(|address| !self.distant.contains(address)) {
+            ahead.retain(|address| !self.distant.contains(address));
+        }
         (!ahead.is_empty()).then(|| ahead[random.usize(..ahead.len())])
     }
 
--- a/crates/core/src/replication/readers.rs
+++ b/crates/core/src/replication/readers.rs
@@ -5,7 +5,7 @@
 //! computes the readers from the nodes that it knows, and differing views only lead to one reader more or fewer.
 //! A node whose knowledge is not confirmed in time, in whichever way, asks the store itself.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::membership::rank_by_address;
@@ -49,12 +49,24 @@
     config: ReadersConfig,
     own_address: Address,
     suspended: BTreeMap<Address, Timestamp>,
+    distant: BTreeSet<Address>,
 }
 
 impl Readers {
     /// The view of the node at `own_address`.
     pub fn new(config: ReadersConfig, own_address: Address) -> Self {
-        Readers { config, own_address, suspended: BTreeMap::new() }
+        Readers { config, own_address, suspended: BTreeMap::new(), distant: BTreeSet::new() }
+    }
+
+    /// Sets the nodes in other regions. They may be readers all the same, but feed this node only if nearer readers don't
+    /// suffice.
+    pub fn set_distant(&mut self, distant: BTreeSet<Address>) {
+        self.distant = distant;
+    }
+
+    /// Whether the node at `address` is in another region.
+    pub fn is_distant(&self, address: Address) -> bool {
+        self.distant.contains(&address)
     }
 
     /// The readers among this node and its `peers`.
@@ -69,13 +81,14 @@
     }
 
     /// The readers other than itself that feed this node. Suspended readers come last but are not excluded: when all
-    /// readers have lost the store, the node stays with them and learns from them when it is back.
+    /// readers have lost the store, the node stays with them and learns from them when it is back. Of the others, those
+    /// in the own region come first.
     pub fn feeds(&self, peers: &[Address], now: Timestamp) -> Vec<Address> {
         // Each node ranks the readers by its own address, so that the load of feeding is spread over them.
         let own_key = self.own_address.to_string();
         let mut readers = rank_by_address(own_key.as_bytes(), self.of(peers), |address| *address);
         readers.retain(|reader| *reader != self.own_address);
-        readers.sort_by_key(|reader| self.is_suspended(*reader, now));
+        readers.sort_by_key(|reader| (self.is_suspended(*reader, now), self.is_distant(*reader)));
         readers.truncate(self.config.feeds_per_node);
         readers
     }
--- a/crates/core/src/world/topology.rs
+++ b/crates/core/src/world/topology.rs
@@ -1,6 +1,6 @@
 //! The regions of a deployment's zones, and the distance between zones.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::names::{RegionName, ZoneName};
 
@@ -45,6 +45,17 @@
         regions.any(|region| Some(region) != first)
     }
 
+    /// The regions, ordered by name.
+    pub fn regions(&self) -> BTreeSet<&RegionName> {
+        self.regions.values().collect()
+    }
+
+    /// Whether `zone` lies in another region than the node. A zone whose region is not known counts as near.
+    pub fn is_in_other_region(&self, zone: &ZoneName) -> bool {
+        let (own, other) = (self.region_of(&self.own_zone), self.region_of(zone));
+        own.is_some() && other.is_some() && own != other
+    }
+
     /// The distance from the node to `zone`.
     pub fn distance(&self, zone: &ZoneName) -> Distance {
         self.between(&self.own_zone, zone)
