Connections to other regions: allow for a round trip of 60 ms and lost packets

A connection to a back end in another region was given up after 300 ms, though the first packet of a connection is retransmitted only after 1 s: one lost packet ejected the back end and told peers that it can't be reached. Sent data had to be acknowledged within 700 ms, which two losses in a row exceed. The liveness check of an interrupted run was waited for 50 ms, less than a round trip.

Connections to back ends in another region are now attempted twice, data may stay unacknowledged for 1.5 s, and where engines are in several regions the liveness check is waited for up to 150 ms. Nothing changes without regions.

--- a/crates/relay/src/back_ends/pool.rs
+++ b/crates/relay/src/back_ends/pool.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use havengate_core::back_ends::BackEnd;
-use havengate_core::world::BackEndId;
+use havengate_core::world::{BackEndId, Distance, Topology};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -26,6 +26,12 @@
     /// How long sent data may stay unacknowledged. A back end without power acknowledges nothing, and a request on an
     /// established connection would wait for it until its deadline. A lost packet is retransmitted well before.
     pub unacknowledged_time_limit: Duration,
+    /// The same for a back end in another region: with a round trip of 60 ms, a packet that is lost three times in a row
+    /// is acknowledged after about 1 s.
+    pub distant_unacknowledged_time_limit: Duration,
+    /// How often a connection to a back end in another region is attempted when it is not established in time. The first
+    /// packet of a connection is retransmitted only after 1 s; a second attempt makes up for a lost one earlier.
+    pub distant_attempts: u32,
     /// How long a connection may stay idle when the back end announces no keep-alive timeout.
     pub idle_time_default: Duration,
     /// The share of the back end's keep-alive timeout for which a connection may stay idle: a request that is sent
@@ -40,6 +46,8 @@
         PoolLimits {
             connect_time_limit: Duration::from_millis(300),
             unacknowledged_time_limit: Duration::from_millis(700),
+            distant_unacknowledged_time_limit: Duration::from_millis(1_500),
+            distant_attempts: 2,
             idle_time_default: Duration::from_secs(1),
             keep_alive_share: 0.6,
             head_maximum_bytes: 16 * 1024,
@@ -88,13 +96,29 @@
 #[derive(Clone)]
 pub struct ConnectionPool {
     limits: PoolLimits,
+    topology: Rc<Topology>,
     connections: Rc<RefCell<HashMap<BackEndId, BackEndConnections>>>,
 }
 
 impl ConnectionPool {
     /// Creates a pool without connections.
     pub fn new(limits: PoolLimits) -> Self {
-        ConnectionPool { limits, connections: Rc::default() }
+        ConnectionPool { limits, topology: Rc::default(), connections: Rc::default() }
+    }
+
+    /// The same pool with the regions of the zones.
+    pub fn in_topology(self, topology: Topology) -> Self {
+        ConnectionPool { topology: Rc::new(topology), ..self }
+    }
+
+    /// Whether back ends may be in several regions.
+    pub fn spans_regions(&self) -> bool {
+        self.topology.spans_regions()
+    }
+
+    /// Whether `back_end` is in another region.
+    pub fn is_distant(&self, back_end: &BackEnd) -> bool {
+        self.topology.spans_regions() && self.topology.distance(&back_end.zone) == Distance::OtherRegion
     }
 
     /// The number of open connections to `id`.
@@ -155,15 +179,14 @@
 
     async fn connect(&self, back_end: &BackEnd) -> Result<Connection, ConnectError> {
         let opening = OpenConnection::new(self.clone(), back_end.id.clone());
-        let connecting = TcpStream::connect(back_end.address.0);
-        let stream = match timeout(self.limits.connect_time_limit, connecting).await {
-            Err(_) => return Err(ConnectError::TimedOut),
-            Ok(Err(error)) => return Err(ConnectError::of(&error)),
-            Ok(Ok(stream)) => stream,
+        let (attempts, unacknowledged_time_limit) = match self.is_distant(back_end) {
+            true => (self.limits.distant_attempts, self.limits.distant_unacknowledged_time_limit),
+            false => (1, self.limits.unacknowledged_time_limit),
         };
+        let stream = self.open_stream(back_end, attempts).await?;
         // Events of a stream are small and must not be delayed by Nagle's algorithm.
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(self.limits.unacknowledged_time_limit));
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged_time_limit));
         let handshake = Builder::new()
             .max_buf_size(self.limits.head_maximum_bytes)
             .handshake::<_, RequestBody>(TokioIo::new(stream));
@@ -176,6 +199,19 @@
         Ok(Connection { sender, task: task.abort_handle() })
     }
 
+    /// Opens a connection; one that is not established in time is attempted again, up to `attempts` times.
+    async fn open_stream(&self, back_end: &BackEnd, attempts: u32) -> Result<TcpStream, ConnectError> {
+        for _ in 0..attempts {
+            let connecting = TcpStream::connect(back_end.address.0);
+            match timeout(self.limits.connect_time_limit, connecting).await {
+                Err(_) => {}
+                Ok(Err(error)) => return Err(ConnectError::of(&error)),
+                Ok(Ok(stream)) => return Ok(stream),
+            }
+        }
+        Err(ConnectError::TimedOut)
+    }
+
     fn put_back(&self, id: &BackEndId, connection: Connection, idle_time: Duration) {
         if connection.sender.is_closed() {
             return;
--- a/crates/relay/src/broken_runs.rs
+++ b/crates/relay/src/broken_runs.rs
@@ -25,6 +25,9 @@
 /// an engine has already terminated while running it.
 const LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// The same where engines are in several regions: the check takes a round trip of 60 ms after [`CHECK_DELAY`].
+const DISTANT_LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Whether a back end that interrupted a run still accepts connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackEndLiveness {
@@ -120,7 +123,9 @@
             }
         };
         // After the timeout the request goes on without the result.
-        let _ = timeout(LIVENESS_CHECK_TIMEOUT, checked).await;
+        let spans_regions = self.shared.pool.spans_regions();
+        let limit = if spans_regions { DISTANT_LIVENESS_CHECK_TIMEOUT } else { LIVENESS_CHECK_TIMEOUT };
+        let _ = timeout(limit, checked).await;
     }
 
     async fn check_liveness(self, back_end: BackEnd) {
