Nodes know the zones of peers, and send each region its own notices

Nodes in several regions exchange Locations with their digests and publish the zones of peers as Knowledge::peer_zones.

Reports of unreachable back ends count only within a region: with a link that is cut in one direction, the other side can't reach any back end here and says so, and nodes skipped back ends that served.

Locations of unknown senders, and all without regions, are dropped and counted.

--- a/crates/relay/src/cache_survey.rs
+++ b/crates/relay/src/cache_survey.rs
@@ -50,7 +50,10 @@
 async fn query_engines<P: Protocol>(traffic: &Traffic<P>) {
     let began = Instant::now();
     let knowledge = traffic.knowledge.load_full();
-    let engines = knowledge.directory.entries().filter(|entry| entry.back_end.stage.is_some());
+    let mut engines: Vec<&DirectoryEntry> =
+        knowledge.directory.entries().filter(|entry| entry.back_end.stage.is_some()).collect();
+    // Engines are asked one after the other, and those of other regions answer late.
+    engines.sort_by_key(|entry| traffic.pool.is_distant(&entry.back_end));
     let (mut asked, mut parts) = (0, 0);
     for entry in engines {
         if !admit_call(traffic, entry) {
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -74,9 +74,11 @@
         budget_config: SharedRetryBudgetConfig,
         placement: PlacementConfig,
     ) -> Self {
-        let SharedWithTraffic { knowledge, demand, usage, configuration_current_at, notices, clock, metrics } = shared;
-        let pool = ConnectionPool::new(PoolLimits::default());
+        let SharedWithTraffic { knowledge, demand, usage, configuration_current_at, notices, topology, clock, metrics } =
+            shared;
+        let pool = ConnectionPool::new(PoolLimits::default()).in_topology(topology.clone());
         let peer_notices = PeerNotices::new(Arc::clone(&knowledge), notices.clone(), clock, metrics.clone());
+        peer_notices.set_topology(topology);
         let engine_terminations = peer_notices.engine_terminations().clone();
         Traffic {
             protocol,
--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -14,6 +14,10 @@
 /// knowledge.
 const FEED_WAIT: Duration = Duration::from_millis(400);
 
+/// The same for a reader in another region. With [`FEED_WAIT`], knowledge would be 1.53 s old before the next answer where
+/// the store and the reader are 60 ms away; at 1.6 s the node asks the store itself.
+const DISTANT_FEED_WAIT: Duration = Duration::from_millis(250);
+
 /// The time limit for the first byte of an answer, in addition to the wait.
 const ANSWER_TIME_LIMIT: Duration = Duration::from_millis(500);
 
@@ -53,7 +57,8 @@
     let mut is_first = true;
     while role.feed(slot) == Some(reader) {
         // The first pull does not wait: its answer shows whether the reader has any knowledge.
-        let wait = if is_first { Duration::ZERO } else { FEED_WAIT };
+        let longest_wait = if role.is_distant(reader) { DISTANT_FEED_WAIT } else { FEED_WAIT };
+        let wait = if is_first { Duration::ZERO } else { longest_wait };
         let asked_at = learner.clock().now();
         let timeouts = TransferTimeouts::with_first_byte(wait + ANSWER_TIME_LIMIT);
         let pull = learner.pull_for(reader, learner.pull_of_directory(wait));
--- a/crates/relay/src/control/fetcher.rs
+++ b/crates/relay/src/control/fetcher.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use super::learner::Learner;
+use super::reader_role::ReaderRole;
 use super::transfer::{CONNECT_TIME_LIMIT, PeersError, TransferTimeouts, ask, connect};
 
 /// The time limit for a peer's first byte: many nodes ask it at the same moment, and its link may be slow. Together
@@ -22,6 +23,7 @@
 #[derive(Clone)]
 pub struct ConfigurationFetcher {
     learner: Learner,
+    role: ReaderRole,
     /// The peers that have announced a newer configuration than this node's.
     peers_ahead: Rc<RefCell<BTreeMap<Address, ConfigurationNumber>>>,
     peer_added: Rc<Notify>,
@@ -29,8 +31,8 @@
 
 impl ConfigurationFetcher {
     /// Creates a fetcher that passes answers to `learner`.
-    pub fn new(learner: Learner) -> Self {
-        ConfigurationFetcher { learner, peers_ahead: Rc::default(), peer_added: Rc::default() }
+    pub fn new(learner: Learner, role: ReaderRole) -> Self {
+        ConfigurationFetcher { learner, role, peers_ahead: Rc::default(), peer_added: Rc::default() }
     }
 
     /// Records which configuration a peer has; a newer one is fetched.
@@ -55,12 +57,15 @@
         }
     }
 
-    /// Chooses a random peer that is ahead of this node, so that not all nodes ask the same one.
+    /// Chooses a random peer that is ahead of this node, so that not all nodes ask the same one; one in the own region, if
+    /// there is any.
     fn choose_source(&self) -> Option<Address> {
         let own = self.learner.knowledge().configuration_number();
         let mut peers_ahead = self.peers_ahead.borrow_mut();
         peers_ahead.retain(|_, version| *version > own);
-        fastrand::choice(peers_ahead.keys().copied())
+        let (distant, near): (Vec<Address>, Vec<Address>) =
+            peers_ahead.keys().partition(|peer| self.role.is_distant(**peer));
+        fastrand::choice(near).or_else(|| fastrand::choice(distant))
     }
 
     async fn fetch_from(&self, peer: Address) -> Result<(), PeersError> {
--- a/crates/relay/src/control/learner.rs
+++ b/crates/relay/src/control/learner.rs
@@ -22,7 +22,7 @@
 
 use super::announceable_updates::{AnnounceableUpdates, pack_changes};
 use super::observed_eras::ObservedEras;
-use crate::knowledge::{ActiveConfiguration, AnnouncedChange, Knowledge, SharedKnowledge, SharedTimestamp};
+use crate::knowledge::{ActiveConfiguration, AnnouncedChange, Knowledge, PeerView, SharedKnowledge, SharedTimestamp};
 use crate::metrics::RelayMetrics;
 
 /// Where a piece of knowledge came from, for logs.
@@ -433,15 +433,18 @@
         }
     }
 
-    /// Sets the number of nodes, the notice addresses of the peers heard from recently, and whether this node reads the
-    /// store.
-    pub fn set_peers(&self, nodes: u32, peers: Vec<Address>, is_reader: bool) {
+    /// Sets what is known about the peers.
+    pub fn set_peers(&self, view: PeerView) {
         let knowledge = self.knowledge.load_full();
-        if knowledge.nodes == nodes && *knowledge.peers == peers && knowledge.is_reader == is_reader {
+        let updated = knowledge.with_peers(view);
+        let has_changed = (knowledge.nodes, knowledge.is_reader) != (updated.nodes, updated.is_reader);
+        if has_changed || knowledge.peers != updated.peers {
+            let (nodes, before, reachable) = (updated.nodes, knowledge.nodes, updated.peers.len());
+            log::info!(event = "peers_changed", nodes, before, reachable; "");
+        } else if knowledge.peer_zones == updated.peer_zones {
             return;
         }
-        log::info!(event = "peers_changed", nodes, before = knowledge.nodes, reachable = peers.len(); "");
-        self.publish(Knowledge { nodes, peers: Arc::new(peers), is_reader, ..(*knowledge).clone() });
+        self.publish(updated);
     }
 
     /// Applies a holder's announcement of engines that are about to change their stage, unless a holder with a higher
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod fetcher;
 mod follower;
 mod learner;
+mod locations;
 mod observed_eras;
 mod peers;
 mod reader_role;
@@ -17,6 +18,7 @@
 pub use block_keeper::{BlockKeeperLink, BlockStoreLink, BlockUpdate, block_links};
 pub use duties::{DutyLeaseSettings, DutySettings};
 pub use learner::{Learner, Source};
+pub use locations::{Locations, RejectedLocations};
 pub use peers::PeerExchange;
 pub use thread::{ControlHandle, ControlSettings, Platform, SharedWithTraffic, spawn};
 pub use transfer::{
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -18,10 +18,12 @@
 
 use super::fetcher::ConfigurationFetcher;
 use super::learner::Learner;
+use super::locations::Locations;
 use super::reader_role::ReaderRole;
 use super::transfer::{PeersError, TransferTimeouts, ask, connect, read_message, write_message};
 use crate::callers::listen;
 use crate::datagrams::Datagrams;
+use crate::knowledge::PeerView;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
 
 /// How often a digest is sent. An update reaches all of ten nodes in two or three rounds.
@@ -50,6 +52,7 @@
     role: ReaderRole,
     learner: Learner,
     fetcher: ConfigurationFetcher,
+    locations: Locations,
     /// Whether a pull of the directory is in progress.
     pull_in_progress: Rc<Cell<bool>>,
     datagrams: Datagrams,
@@ -70,6 +73,7 @@
         table: PeerTable,
         role: ReaderRole,
         learner: Learner,
+        locations: Locations,
         metrics: RelayMetrics,
     ) -> io::Result<(Self, TcpListener)> {
         let datagrams = Datagrams::bind(own.control, metrics.clone()).await?;
@@ -78,7 +82,7 @@
         let demand = DemandTable::new(DemandTableConfig::default(), learner.clock().now());
         let demand = Rc::new(RefCell::new(demand));
         let (usage, usage_wanted) = (Rc::default(), Rc::default());
-        let fetcher = ConfigurationFetcher::new(learner.clone());
+        let fetcher = ConfigurationFetcher::new(learner.clone(), role.clone());
         let pull_in_progress = Rc::default();
         let exchange = PeerExchange {
             own,
@@ -86,6 +90,7 @@
             role,
             learner,
             fetcher,
+            locations,
             pull_in_progress,
             datagrams,
             demand,
@@ -108,8 +113,11 @@
             }
             self.table.borrow_mut().tick(now);
             let (nodes, peers) = (self.table.borrow().nodes(now), self.table.borrow().notice_addresses(now));
-            self.role.set_peers(self.table.borrow().recent(now));
-            self.learner.set_peers(nodes, peers, self.role.is_reader());
+            let distant = self.locations.distant_peers(&self.table.borrow());
+            self.table.borrow_mut().set_distant(distant.clone());
+            let zones = self.locations.tidy(&self.table.borrow());
+            self.role.set_peers(self.table.borrow().recent(now), distant);
+            self.learner.set_peers(PeerView { nodes, peers, zones, is_reader: self.role.is_reader() });
             self.send_digests().await;
             self.pull_if_behind();
         }
@@ -181,9 +189,14 @@
             PeerMessage::UsageWanted(sender) => {
                 self.usage_wanted.borrow_mut().insert(sender);
             }
-            PeerMessage::TenantLimitsWanted(_) | PeerMessage::TenantLimits(_) | PeerMessage::Locations(_) => {
+            PeerMessage::TenantLimitsWanted(_) | PeerMessage::TenantLimits(_) => {
                 self.metrics.record_dropped_message("not_enabled");
             }
+            PeerMessage::Locations(notice) => {
+                if let Err(rejected) = self.locations.receive(&notice, &self.table.borrow(), now) {
+                    self.metrics.record_dropped_message(rejected.code());
+                }
+            }
             PeerMessage::Stages(notice) if !self.is_recent(notice.sender, now) => {
                 self.metrics.record_dropped_message("unknown_sender");
             }
@@ -230,6 +243,7 @@
         let now = self.learner.clock().now();
         let knowledge = self.learner.knowledge();
         let (receivers, peers) = self.table.borrow().next_digest(now, &mut fastrand::Rng::new());
+        let locations = self.locations.notice_with_digest(&peers, now);
         let digest = Digest {
             sender: self.own,
             configuration: knowledge.configuration_number(),
@@ -237,6 +251,9 @@
             peers,
         };
         self.send_to(&PeerMessage::Digest(digest), &receivers).await;
+        if let Some(locations) = locations {
+            self.send_to(&PeerMessage::Locations(locations), &receivers).await;
+        }
     }
 
     /// Starts a pull of a newer directory from a peer when this node's has not been confirmed for some time. It runs in
--- a/crates/relay/src/control/reader_role.rs
+++ b/crates/relay/src/control/reader_role.rs
@@ -1,6 +1,7 @@
 //! Determines from the known peers whether this node reads the store.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use havengate_core::replication::Readers;
@@ -28,8 +29,9 @@
         }
     }
 
-    /// Recomputes the role from the peers that were heard from recently.
-    pub fn set_peers(&self, peers: Vec<Address>) {
+    /// Recomputes the role from the peers that were heard from recently, and sets those in other regions.
+    pub fn set_peers(&self, peers: Vec<Address>, distant: BTreeSet<Address>) {
+        self.readers.borrow_mut().set_distant(distant);
         let is_reader = self.readers.borrow().includes_own(&peers);
         if self.is_reader.replace(is_reader) != is_reader {
             log::info!(event = "reader_role", reads_store = is_reader, peers = peers.len(); "");
@@ -58,6 +60,11 @@
         self.readers.borrow().feeds(&self.peers.borrow(), self.clock.now()).get(slot).copied()
     }
 
+    /// Whether `peer` is in another region.
+    pub fn is_distant(&self, peer: Address) -> bool {
+        self.readers.borrow().is_distant(peer)
+    }
+
     /// Records that `reader` could not be reached or that its knowledge is stale.
     pub fn suspend(&self, reader: Address) {
         self.readers.borrow_mut().suspend(reader, self.clock.now());
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -5,7 +5,7 @@
 use std::thread;
 
 use havengate_core::replication::{PeerAddresses, PeerTable, PeerTableConfig, Readers, ReadersConfig};
-use havengate_core::world::{Address, NodeName};
+use havengate_core::world::{Address, NodeName, Topology};
 use havengate_node::clock::Clock;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
@@ -17,6 +17,7 @@
 use super::feed::learn_from_feed;
 use super::follower::{follow_configuration, follow_directory};
 use super::learner::Learner;
+use super::locations::Locations;
 use super::peers::PeerExchange;
 use super::reader_role::ReaderRole;
 use crate::back_ends::SharedNotices;
@@ -54,6 +55,8 @@
     pub configuration_current_at: SharedTimestamp,
     /// The announcements of back ends in their answers.
     pub notices: SharedNotices,
+    /// The regions of the zones. A change needs a restart.
+    pub topology: Topology,
     /// The node's clock.
     pub clock: Clock,
     /// The metrics.
@@ -89,13 +92,21 @@
     let body = move || {
         let tasks = LocalSet::new();
         tasks.block_on(&runtime, async move {
-            let SharedWithTraffic { knowledge, demand, usage, configuration_current_at, notices, clock, metrics } =
-                shared;
+            let SharedWithTraffic {
+                knowledge,
+                demand,
+                usage,
+                configuration_current_at,
+                notices,
+                topology,
+                clock,
+                metrics,
+            } = shared;
             let Platform { store, receiver } = platform;
             let learner = Learner::new(knowledge, configuration_current_at, clock, metrics.clone());
             let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
             let role = ReaderRole::new(readers, clock);
-            match bind(&settings, role.clone(), learner.clone(), metrics.clone()).await {
+            match bind(&settings, topology, role.clone(), learner.clone(), metrics.clone()).await {
                 Ok((peers, listener)) => {
                     // The receiver is dropped only if the start was abandoned.
                     let _ = bound_sender.send(Ok(()));
@@ -138,6 +149,7 @@
 
 async fn bind(
     settings: &ControlSettings,
+    topology: Topology,
     role: ReaderRole,
     learner: Learner,
     metrics: RelayMetrics,
@@ -145,7 +157,8 @@
     let seeds = settings.seeds.borrow().clone();
     let table = PeerTable::new(PeerTableConfig::default(), settings.peers_address, seeds, learner.clock().now());
     let own = PeerAddresses { control: settings.peers_address, notices: settings.notices_address };
-    let bound = PeerExchange::bind(own, table, role, learner, metrics).await;
+    let locations = Locations::new(own, topology, learner.clock().now());
+    let bound = PeerExchange::bind(own, table, role, learner, locations, metrics).await;
     bound.map_err(|error| {
         io::Error::new(error.kind(), format!("peers_address {} can't be bound: {error}", settings.peers_address))
     })
--- a/crates/relay/src/knowledge.rs
+++ b/crates/relay/src/knowledge.rs
@@ -10,7 +10,7 @@
 use havengate_core::replication::PeerTableConfig;
 use havengate_core::routing::{ConfigurationNumber, KeyTable, RouteTable, TrafficConfiguration};
 use havengate_core::time::Timestamp;
-use havengate_core::world::{Address, BackEndId};
+use havengate_core::world::{Address, BackEndId, ZoneName};
 
 /// A configuration in force, with indexes for looking up its routes and keys.
 #[derive(Debug)]
@@ -47,6 +47,19 @@
     pub received_at: Timestamp,
 }
 
+/// What this node knows about its peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerView {
+    /// The number of nodes, this one included.
+    pub nodes: u32,
+    /// The notice addresses of the peers that were heard from recently.
+    pub peers: Vec<Address>,
+    /// The known zones of peers, by notice address.
+    pub zones: BTreeMap<Address, ZoneName>,
+    /// Whether this node reads the store.
+    pub is_reader: bool,
+}
+
 /// A snapshot of a node's view of the deployment.
 #[derive(Clone, Debug)]
 pub struct Knowledge {
@@ -60,6 +73,9 @@
     pub nodes: u32,
     /// The addresses at which the other nodes receive notices of prefills.
     pub peers: Arc<Vec<Address>>,
+    /// The zones of other nodes by the same addresses, as far as they are known; empty unless the zones lie in several
+    /// regions.
+    pub peer_zones: Arc<BTreeMap<Address, ZoneName>>,
     /// Whether this node is one of the few store readers, which read the store for all nodes.
     pub is_reader: bool,
     /// Engines that are about to change their stage.
@@ -75,11 +91,18 @@
             directory_confirmed_at: None,
             nodes: PeerTableConfig::default().assumed_nodes,
             peers: Arc::default(),
+            peer_zones: Arc::default(),
             is_reader: true,
             changing: Arc::default(),
         }
     }
 
+    /// The same view with other peers.
+    pub fn with_peers(&self, view: PeerView) -> Self {
+        let PeerView { nodes, peers, zones, is_reader } = view;
+        Knowledge { nodes, peers: Arc::new(peers), peer_zones: Arc::new(zones), is_reader, ..self.clone() }
+    }
+
     /// The version of the configuration in force; 0 when there is none.
     pub fn configuration_number(&self) -> ConfigurationNumber {
         self.configuration.as_ref().map(|active| active.configuration.version).unwrap_or_default()
--- a/crates/relay/src/peer_notices/announcements.rs
+++ b/crates/relay/src/peer_notices/announcements.rs
@@ -3,21 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use havengate_core::back_ends::{DrainNotice, DrainingBackEnd, LimitNotice};
-use havengate_core::relay::{
-    AnnouncementPace, AnnouncementPaceConfig, CachedParts, PeerNotice, PrefillNotice, TerminationNotice,
-    UnreachableNotice,
-};
+use havengate_core::back_ends::{BackEnd, DirectoryEntry, DrainNotice, DrainingBackEnd, LimitNotice};
+use havengate_core::relay::{CachedParts, PeerNotice, PrefillNotice, TerminationNotice, UnreachableNotice};
 use havengate_core::world::Address;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::PeerNotices;
 use crate::metrics::NodeMessageKind;
 
-/// The most peers that receive each prefill notice: all of them, up to the cluster size that the system is designed
-/// for. Long prompts are few, and a node that does not learn of a prefill queues the next prompt behind it.
-const NOTIFIED_PEERS_MAXIMUM: usize = 400;
-
 /// The most cached parts of one engine that are sent to a node that has just started. A message that exceeds the size
 /// of a datagram would be lost, and an engine caches about thirty parts of long prompts.
 const ANNOUNCED_PARTS_MAXIMUM: usize = 50;
@@ -44,9 +37,6 @@
 /// How long a draining back end is announced again: in most cases as long as it keeps serving.
 const DRAINING_REPEATED_FOR: Duration = Duration::from_secs(10);
 
-/// The longest time that a finished prefill waits for its repeated announcement.
-const PREFILL_REPEAT_PAUSE: Duration = Duration::from_millis(200);
-
 impl PeerNotices {
     /// Handles a message from a peer.
     pub(super) async fn receive(&self, message: PeerNotice) {
@@ -66,6 +56,9 @@
                     self.shared.metrics.record_dropped_message("overtaken");
                 }
             }
+            PeerNotice::Unreachable(notice) if self.is_in_other_region(notice.sender) => {
+                self.shared.metrics.record_dropped_message("other_region");
+            }
             PeerNotice::Unreachable(notice) => self.shared.suspicions.borrow_mut().receive(&notice, now),
             PeerNotice::Terminations(notice) => self.shared.engine_terminations.receive(&notice),
             PeerNotice::Drains(notice) => self.apply_drain_notice(&notice),
@@ -79,7 +72,8 @@
                 self.send_drains(draining, &[sender]).await;
                 self.send_some_limits(sender).await;
                 let knowledge = self.shared.knowledge.load_full();
-                let engines = knowledge.directory.entries().map(|entry| &entry.back_end.id);
+                let wanted = |entry: &&DirectoryEntry| self.wants_cached_parts(sender, &entry.back_end);
+                let engines = knowledge.directory.entries().filter(wanted).map(|entry| &entry.back_end.id);
                 let cached_by_engine: Vec<CachedParts> =
                     self.shared.index.borrow().cached_parts(engines, ANNOUNCED_PARTS_MAXIMUM).collect();
                 for cached in cached_by_engine {
@@ -94,7 +88,16 @@
         }
     }
 
-    /// Announces unreachable back ends to all peers; never returns.
+    /// Whether `peer`, which has just started, needs the cached parts of `engine`: not if they are in different regions.
+    fn wants_cached_parts(&self, peer: Address, engine: &BackEnd) -> bool {
+        let topology = self.shared.topology.borrow();
+        let knowledge = self.shared.knowledge.load();
+        let peer_region = knowledge.peer_zones.get(&peer).and_then(|zone| topology.region_of(zone));
+        !topology.spans_regions() || peer_region.is_none() || peer_region == topology.region_of(&engine.zone)
+    }
+
+    /// Announces unreachable back ends to all peers in the own region; never returns. A node in another region may fail
+    /// to reach back ends only because of the link between the regions.
     pub(super) async fn announce_unreachable(self) {
         loop {
             self.shared.unreachable.notified().await;
@@ -103,7 +106,7 @@
             let Some(sender) = self.sender().filter(|_| !back_ends.is_empty()) else {
                 continue;
             };
-            let peers = Arc::clone(&self.shared.knowledge.load().peers);
+            let peers = self.near_peers();
             let notice = PeerNotice::Unreachable(UnreachableNotice { sender, back_ends });
             self.send(&notice, NodeMessageKind::Unreachable, &peers).await;
             sleep(UNREACHABLE_PAUSE).await;
@@ -188,38 +191,4 @@
             self.send(&notice, NodeMessageKind::Draining, receivers).await;
         }
     }
-
-    /// Announces changes of open prefills to peers, at once while that is cheap, otherwise batched at the rate that the
-    /// pace allows; never returns.
-    pub(super) async fn announce_prefills(self, config: AnnouncementPaceConfig) {
-        let mut pace = AnnouncementPace::new(config, self.shared.clock.now());
-        loop {
-            while !self.shared.has_pending_changes.get() && !self.shared.index.borrow().has_pending() {
-                self.shared.prefill_changes.notified().await;
-            }
-            let wait = pace.wait(self.shared.clock.now());
-            if !wait.is_zero() {
-                sleep(wait).await;
-            }
-            let sent = self.send_prefills().await;
-            pace.spend(sent, self.shared.clock.now());
-            // The repeated announcement, which guards against loss, is sent with later changes or after a pause.
-            if !self.shared.has_pending_changes.get() && self.shared.index.borrow().has_pending() {
-                let _ = timeout(PREFILL_REPEAT_PAUSE, self.shared.prefill_changes.notified()).await;
-            }
-        }
-    }
-
-    async fn send_prefills(&self) -> usize {
-        self.shared.has_pending_changes.set(false);
-        let Some(sender) = self.sender() else {
-            return 0;
-        };
-        let sequence = self.shared.sequence.get() + 1;
-        self.shared.sequence.set(sequence);
-        let notice = self.shared.index.borrow_mut().notice(sender, sequence, self.shared.clock.now());
-        let knowledge = self.shared.knowledge.load_full();
-        let receivers = &knowledge.peers[..knowledge.peers.len().min(NOTIFIED_PEERS_MAXIMUM)];
-        self.send(&PeerNotice::Prefills(notice), NodeMessageKind::Prefills, receivers).await
-    }
 }
--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod limits;
 mod pending;
+mod prefills;
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -11,11 +12,11 @@
 
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{
-    AnnouncedPart, AnnouncementPaceConfig, CachedParts, EngineModel, EngineTag, PeerNotice, PrefillId, Prompt,
-    PromptIndex, PromptIndexConfig, PromptPart, Suspicions, Urgency,
+    AnnouncedPart, AnnouncementPaceConfig, CachedParts, EngineModel, EngineTag, PeerNotice, PrefillAudience, PrefillId,
+    Prompt, PromptIndex, PromptIndexConfig, PromptPart, Suspicions, Urgency,
 };
 use havengate_core::time::Timestamp;
-use havengate_core::world::{Address, BackEndId};
+use havengate_core::world::{Address, BackEndId, Topology};
 use havengate_node::clock::Clock;
 use tokio::sync::Notify;
 
@@ -38,6 +39,9 @@
 
 struct Shared {
     index: RefCell<PromptIndex>,
+    topology: RefCell<Topology>,
+    /// The stream of prefill notices that each peer gets, where the zones lie in several regions.
+    audience: RefCell<PrefillAudience>,
     knowledge: SharedKnowledge,
     clock: Clock,
     /// The address and the socket for notices, once this node takes part in the exchange.
@@ -66,6 +70,8 @@
         PeerNotices {
             shared: Rc::new(Shared {
                 index,
+                topology: RefCell::default(),
+                audience: RefCell::default(),
                 knowledge,
                 clock,
                 exchange: RefCell::default(),
@@ -83,6 +89,13 @@
         }
     }
 
+    /// Sets the regions of the zones.
+    pub fn set_topology(&self, topology: Topology) {
+        self.shared.index.borrow_mut().set_topology(topology.clone());
+        *self.shared.audience.borrow_mut() = PrefillAudience::new(topology.clone());
+        *self.shared.topology.borrow_mut() = topology;
+    }
+
     /// Starts to receive notices at `address` and to send them from there.
     ///
     /// # Errors
@@ -112,12 +125,33 @@
         let Some(sender) = self.sender() else {
             return;
         };
-        self.send(
-            &PeerNotice::RequestCachedParts { sender },
-            NodeMessageKind::CachedParts,
-            &self.random_peers(QUERIED_PEERS),
-        )
-        .await;
+        let queried = self.peers_to_query();
+        self.send(&PeerNotice::RequestCachedParts { sender }, NodeMessageKind::CachedParts, &queried).await;
+    }
+
+    /// Random peers, one of them in the own region if there is any: the others know little of its engines. After a restart
+    /// of all nodes, though, only the store readers know, which may all be in other regions.
+    fn peers_to_query(&self) -> Vec<Address> {
+        let mut queried = self.random_peers(QUERIED_PEERS);
+        if self.shared.topology.borrow().spans_regions() {
+            let near = fastrand::choice(self.near_peers());
+            queried.truncate(QUERIED_PEERS - usize::from(near.is_some()));
+            queried.extend(near);
+            queried.dedup();
+        }
+        queried
+    }
+
+    /// The peers that are not known to be in another region.
+    fn near_peers(&self) -> Vec<Address> {
+        let knowledge = self.shared.knowledge.load();
+        knowledge.peers.iter().copied().filter(|peer| !self.is_in_other_region(*peer)).collect()
+    }
+
+    /// Whether `peer` is known to be in another region.
+    fn is_in_other_region(&self, peer: Address) -> bool {
+        let knowledge = self.shared.knowledge.load();
+        knowledge.peer_zones.get(&peer).is_some_and(|zone| self.shared.topology.borrow().is_in_other_region(zone))
     }
 
     /// Whether any cached part of any engine is known.
@@ -165,7 +199,12 @@
     /// Records that `engine` received the KV cache of `prompt` from another engine and began its answer `took` after
     /// the request was sent to it.
     pub fn record_cache_transfer(&self, engine: &BackEndId, prompt: &Prompt, took: Duration) {
-        self.shared.index.borrow_mut().record_cache_transfer(engine, prompt, took, self.shared.clock.now());
+        let mut index = self.shared.index.borrow_mut();
+        if let Some(entry) = self.shared.knowledge.load().directory.get(engine) {
+            index.record_zone(&entry.back_end);
+        }
+        index.record_cache_transfer(engine, prompt, took, self.shared.clock.now());
+        drop(index);
         self.notify_prefill_change();
     }
 
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -91,6 +91,7 @@
         usage: usage.clone(),
         configuration_current_at: SharedTimestamp::default(),
         notices: SharedNotices::default(),
+        topology: settings.topology(),
         clock,
         metrics: metrics.clone(),
     };
@@ -201,7 +202,8 @@
         unreachable = traffic.metrics.node_bytes(NodeMessageKind::Unreachable),
         ends = traffic.metrics.node_bytes(NodeMessageKind::Terminations),
         leaving = traffic.metrics.node_bytes(NodeMessageKind::Draining),
-        limits = traffic.metrics.node_bytes(NodeMessageKind::Limits);
+        limits = traffic.metrics.node_bytes(NodeMessageKind::Limits),
+        locations = traffic.metrics.node_bytes(NodeMessageKind::Locations);
         ""
     );
 }
--- a/crates/relay/tests/peer_notices.rs
+++ b/crates/relay/tests/peer_notices.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use havengate_core::back_ends::{BackEnd, BackEndState, EngineStage};
+use havengate_core::back_ends::{BackEnd, BackEndState, Directory, DirectoryListing, EngineStage};
 use havengate_core::relay::{ContentId, Prompt, PromptPart, TerminatedRun, Urgency};
-use havengate_core::world::{Address, BackEndId};
+use havengate_core::store::{Position, Revision};
+use havengate_core::world::{Address, BackEndId, Topology};
 use havengate_node::clock::Clock;
 use havengate_relay::back_ends::SharedNotices;
 use havengate_relay::knowledge::{Knowledge, SharedKnowledge};
@@ -47,6 +48,24 @@
         self.knowledge.store(Arc::new(Knowledge { peers, ..Knowledge::nothing() }));
     }
 
+    /// Sets the peers with their zones, for a node in `own_zone`; the zones that begin alike are in one region.
+    fn set_peers_in_zones(&self, own_zone: &str, peers: &[(&Node, &str)], engines: &[BackEnd]) {
+        let zones = ["east-a", "east-b", "west-a", "west-b"];
+        let regions = zones.map(|zone| (zone.into(), zone.split('-').next().unwrap_or_default().into()));
+        self.peer_notices.set_topology(Topology::new(own_zone.into(), regions.into()));
+        let peer_zones = Arc::new(peers.iter().map(|(peer, zone)| (peer.address, (*zone).into())).collect());
+        let peers = Arc::new(peers.iter().map(|(peer, _)| peer.address).collect());
+        let mut directory = Directory::new();
+        let listing = DirectoryListing {
+            position: Position::from(Revision(1)),
+            back_ends: engines.to_vec(),
+            malformed: Vec::new(),
+        };
+        directory.adopt(listing, self.clock.now());
+        let directory = Arc::new(directory);
+        self.knowledge.store(Arc::new(Knowledge { peers, peer_zones, directory, ..Knowledge::nothing() }));
+    }
+
     fn has_dropped(&self, cause: &str) -> bool {
         let text = self.metrics.encode().expect("metrics are text");
         text.contains(&format!("dropped_messages_total{{cause=\"{cause}\"}}"))
@@ -80,6 +99,14 @@
     Prompt { tokens: 9_000, output_tokens_maximum: 2, parts: vec![part(1, 4_000), part(2, 2_000), part(3, 3_000)] }
 }
 
+fn engine_in(zone: &str) -> BackEnd {
+    BackEnd { id: BackEndId::new(format!("engine-{zone}")), zone: zone.into(), ..engine() }
+}
+
+fn cached_tokens_of(node: &Node, engine: &BackEnd) -> u32 {
+    node.peer_notices.with_index(|index| index.cached_tokens_of(&engine.id, &prompt()))
+}
+
 async fn wait_until(condition: impl Fn() -> bool) {
     for _ in 0..POLLS_MAXIMUM {
         if condition() {
@@ -180,3 +207,66 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+#[tokio::test]
+async fn nodes_of_several_regions_announce_prefills_only_to_the_region_of_the_engine() {
+    let test = async {
+        let (here, near, far) = (Node::start().await, Node::start().await, Node::start().await);
+        let engines = ["east-b", "west-a"].map(engine_in);
+        here.set_peers_in_zones("east-a", &[(&near, "east-b"), (&far, "west-a")], &engines);
+        near.set_peers(&[&here]);
+        far.set_peers(&[&here]);
+        here.peer_notices.begin(&engines[0], &prompt(), Urgency::InTime).end(true);
+        here.peer_notices.record_cache_transfer(&engines[1].id, &prompt(), Duration::from_millis(20));
+        wait_until(|| cached_tokens_of(&near, &engines[0]) == 6_000 && cached_tokens_of(&far, &engines[1]) == 6_000)
+            .await;
+        assert_eq!((cached_tokens_of(&near, &engines[1]), cached_tokens_of(&far, &engines[0])), (0, 0));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against engines that the nodes next to them skip although they serve: with a link that is cut in one direction,
+/// nodes of another region can't reach them and say so.
+#[tokio::test]
+async fn nodes_of_another_region_do_not_make_an_engine_suspected() {
+    let test = async {
+        let (one, two, here) = (Node::start().await, Node::start().await, Node::start().await);
+        // The senders know no zones yet, so that they announce to all.
+        one.set_peers(&[&here]);
+        two.set_peers(&[&here]);
+        here.set_peers_in_zones("east-a", &[(&one, "west-a"), (&two, "west-b")], &[]);
+        wait_until(|| {
+            one.peer_notices.record_unreachable(&engine().id);
+            two.peer_notices.record_unreachable(&engine().id);
+            here.has_dropped("other_region")
+        })
+        .await;
+        assert!(!here.peer_notices.is_suspected(&engine().id, here.clock.now()));
+        here.set_peers_in_zones("east-a", &[(&one, "east-a"), (&two, "east-b")], &[]);
+        wait_until(|| {
+            one.peer_notices.record_unreachable(&engine().id);
+            two.peer_notices.record_unreachable(&engine().id);
+            here.peer_notices.is_suspected(&engine().id, here.clock.now())
+        })
+        .await;
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn a_node_that_has_just_started_is_sent_the_cached_parts_of_its_region() {
+    let test = async {
+        let (here, newcomer) = (Node::start().await, Node::start().await);
+        let engines = ["east-b", "west-a"].map(engine_in);
+        here.set_peers_in_zones("east-a", &[(&newcomer, "west-b")], &engines);
+        newcomer.set_peers_in_zones("west-b", &[(&here, "east-a")], &engines);
+        for engine in &engines {
+            here.peer_notices.record_cached_parts(&engine.id, prompt().parts);
+        }
+        newcomer.peer_notices.request_cached_parts().await;
+        // The engines are announced in the order of their names.
+        wait_until(|| cached_tokens_of(&newcomer, &engines[1]) == 6_000).await;
+        assert_eq!(cached_tokens_of(&newcomer, &engines[0]), 0);
+    };
+    LocalSet::new().run_until(test).await;
+}
