--- a/crates/relay/src/control/locations.rs
+++ b/crates/relay/src/control/locations.rs
@@ -12,8 +12,8 @@
 /// For this time after its start, a node sends its location with each digest: until then most peers don't know it.
 const STARTUP_TIME: Duration = Duration::from_secs(10);
 
-/// Later, one digest in this number is accompanied by locations. Zones don't change, and at 81 nodes locations with each
-/// digest would be 3.3 KB/s for each node, more than the digests themselves.
+/// Later, one digest in this number is accompanied by locations. Zones don't change, and locations with each digest would
+/// be about 3 KB/s for each node, more than the digests themselves.
 const DIGESTS_PER_NOTICE: u32 = 5;
 
 /// Why a location notice is not applied.
