--- a/crates/core/src/relay/announcement_pace.rs
+++ b/crates/core/src/relay/announcement_pace.rs
@@ -21,14 +21,6 @@
     }
 }
 
-impl AnnouncementPaceConfig {
-    /// The limits for a node whose announcements go mostly to the nodes of one of `regions` regions: each of them gets
-    /// announcements as often as it would in a single region, for a fraction of the bytes.
-    pub fn in_one_of(self, regions: usize) -> Self {
-        AnnouncementPaceConfig { bytes_per_second: self.bytes_per_second / regions.max(1) as f64, ..self }
-    }
-}
-
 /// A token bucket of bytes that may become negative: sent bytes are taken out, and nothing is sent while it is below zero.
 ///
 /// Invariant: the bytes sent in any time span are at most those of the rate, the burst and one message to every receiver.
--- a/crates/core/tests/relay_region_notices.rs
+++ b/crates/core/tests/relay_region_notices.rs
@@ -255,7 +255,10 @@
     if knows_regions {
         peers.iter().for_each(|peer| here.locate(*peer, zone_of(*peer)));
     }
-    let config = AnnouncementPaceConfig::default().in_one_of(if knows_regions { 3 } else { 1 });
+    // The relay counts the bytes of three streams three times.
+    let streams = if knows_regions { 3.0 } else { 1.0 };
+    let default = AnnouncementPaceConfig::default();
+    let config = AnnouncementPaceConfig { bytes_per_second: default.bytes_per_second / streams, ..default };
     let mut pace = AnnouncementPace::new(config, START);
     let (mut open, mut next_id, mut has_changes, mut repeat_at) = (Vec::new(), 0, false, 0);
     let (mut near, mut far) = (0, 0);
--- a/crates/relay/src/peer_notices/announcements.rs
+++ b/crates/relay/src/peer_notices/announcements.rs
@@ -88,12 +88,15 @@
         }
     }
 
-    /// Whether `peer`, which has just started, needs the cached parts of `engine`: not if they are in different regions.
+    /// Whether `peer`, which has just started, needs the cached parts of `engine`: not if they are in different regions
+    /// with a stream of prefill notices each.
     fn wants_cached_parts(&self, peer: Address, engine: &BackEnd) -> bool {
         let topology = self.shared.topology.borrow();
         let knowledge = self.shared.knowledge.load();
         let peer_region = knowledge.peer_zones.get(&peer).and_then(|zone| topology.region_of(zone));
-        !topology.spans_regions() || peer_region.is_none() || peer_region == topology.region_of(&engine.zone)
+        !self.uses_region_streams(knowledge.peers.len())
+            || peer_region.is_none()
+            || peer_region == topology.region_of(&engine.zone)
     }
 
     /// Announces unreachable back ends to all peers in the own region; never returns. A node in another region may fail
--- a/crates/relay/src/peer_notices/prefills.rs
+++ b/crates/relay/src/peer_notices/prefills.rs
@@ -1,5 +1,6 @@
 //! Announcements of prefills to peers.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use havengate_core::relay::{AnnouncementPace, AnnouncementPaceConfig, NoticeSender, PeerNotice};
@@ -14,6 +15,10 @@
 /// for. Long prompts are few, and a node that does not learn of a prefill queues the next prompt behind it.
 const NOTIFIED_PEERS_MAXIMUM: usize = 400;
 
+/// From this number of peers on, each region is sent only the prefills of its own engines. With fewer peers, the pace
+/// allows notices of all prefills to all of them, which also shows how busy the engines of other regions are.
+pub(super) const REGION_STREAMS_PEERS_MINIMUM: usize = 150;
+
 /// The longest time that a finished prefill waits for its repeated announcement.
 const PREFILL_REPEAT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -21,8 +26,7 @@
     /// Announces changes of open prefills to peers, at once while that is cheap, otherwise batched at the rate that the
     /// pace allows; never returns.
     pub(super) async fn announce_prefills(self, config: AnnouncementPaceConfig) {
-        let regions = self.shared.topology.borrow().regions().len();
-        let mut pace = AnnouncementPace::new(config.in_one_of(regions), self.shared.clock.now());
+        let mut pace = AnnouncementPace::new(config, self.shared.clock.now());
         loop {
             while !self.shared.has_pending_changes.get() && !self.shared.index.borrow().has_pending() {
                 self.shared.prefill_changes.notified().await;
@@ -56,14 +60,24 @@
         self.send(&PeerNotice::Prefills(notice), NodeMessageKind::Prefills, receivers).await
     }
 
-    /// Sends each region's peers the prefills at its engines, and peers in no known region all prefills.
+    /// Whether each region is sent only the prefills of its own engines.
+    pub(super) fn uses_region_streams(&self, peers: usize) -> bool {
+        self.shared.topology.borrow().spans_regions() && peers >= REGION_STREAMS_PEERS_MINIMUM
+    }
+
+    /// Sends each region's peers the prefills at its engines, and peers in no known region all prefills. Returns the
+    /// bytes that count towards the pace: with a stream for each region they count as often as there are regions, so
+    /// that what is not sent between regions is not spent within them.
     async fn send_prefills_by_region(&self, sender: Address, knowledge: &Knowledge, peers: &[Address]) -> usize {
+        let uses_region_streams = self.uses_region_streams(peers.len());
+        let no_zones = BTreeMap::new();
+        let zones = if uses_region_streams { &knowledge.peer_zones } else { &no_zones };
         let mut sender = NoticeSender { address: sender, sequence: self.shared.sequence.get() };
         let notices = self.shared.audience.borrow_mut().next_notices(
             &mut self.shared.index.borrow_mut(),
             &mut sender,
             peers,
-            &knowledge.peer_zones,
+            zones,
             self.shared.clock.now(),
         );
         self.shared.sequence.set(sender.sequence);
@@ -71,6 +85,7 @@
         for (notice, receivers) in notices {
             sent += self.send(&PeerNotice::Prefills(notice), NodeMessageKind::Prefills, &receivers).await;
         }
-        sent
+        let streams = if uses_region_streams { self.shared.topology.borrow().regions().len() } else { 1 };
+        sent * streams
     }
 }
