--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -21,6 +21,7 @@
 use tokio::sync::Notify;
 
 use self::pending::PendingAnnouncements;
+use self::prefills::REGION_STREAMS_PEERS_MINIMUM;
 use crate::back_ends::SharedNotices;
 use crate::datagrams::Datagrams;
 use crate::engine_terminations::SharedEngineTerminations;
@@ -40,6 +41,8 @@
 struct Shared {
     index: RefCell<PromptIndex>,
     topology: RefCell<Topology>,
+    /// From this number of peers on, each region has a stream of prefill notices.
+    region_streams_peers_minimum: Cell<usize>,
     /// The stream of prefill notices that each peer gets, where the zones lie in several regions.
     audience: RefCell<PrefillAudience>,
     knowledge: SharedKnowledge,
@@ -71,6 +74,7 @@
             shared: Rc::new(Shared {
                 index,
                 topology: RefCell::default(),
+                region_streams_peers_minimum: Cell::new(REGION_STREAMS_PEERS_MINIMUM),
                 audience: RefCell::default(),
                 knowledge,
                 clock,
@@ -89,6 +93,11 @@
         }
     }
 
+    /// Sets from which number of peers on each region is sent only the prefills of its own engines.
+    pub fn use_region_streams_from(&self, peers: usize) {
+        self.shared.region_streams_peers_minimum.set(peers);
+    }
+
     /// Sets the regions of the zones.
     pub fn set_topology(&self, topology: Topology) {
         self.shared.index.borrow_mut().set_topology(topology.clone());
--- a/crates/relay/src/peer_notices/prefills.rs
+++ b/crates/relay/src/peer_notices/prefills.rs
@@ -62,7 +62,7 @@
 
     /// Whether each region is sent only the prefills of its own engines.
     pub(super) fn uses_region_streams(&self, peers: usize) -> bool {
-        self.shared.topology.borrow().spans_regions() && peers >= REGION_STREAMS_PEERS_MINIMUM
+        self.shared.topology.borrow().spans_regions() && peers >= self.shared.region_streams_peers_minimum.get()
     }
 
     /// Sends each region's peers the prefills at its engines, and peers in no known region all prefills. Returns the
--- a/crates/relay/tests/peer_notices.rs
+++ b/crates/relay/tests/peer_notices.rs
@@ -53,6 +53,7 @@
         let zones = ["east-a", "east-b", "west-a", "west-b"];
         let regions = zones.map(|zone| (zone.into(), zone.split('-').next().unwrap_or_default().into()));
         self.peer_notices.set_topology(Topology::new(own_zone.into(), regions.into()));
+        self.peer_notices.use_region_streams_from(1);
         let peer_zones = Arc::new(peers.iter().map(|(peer, zone)| (peer.address, (*zone).into())).collect());
         let peers = Arc::new(peers.iter().map(|(peer, _)| peer.address).collect());
         let mut directory = Directory::new();
