--- a/crates/core/src/relay/engine_model.rs
+++ b/crates/core/src/relay/engine_model.rs
@@ -86,8 +86,13 @@
 
     /// Records that an engine took `took` to receive a KV cache of `tokens` and to begin its answer.
     pub fn observe_move(&mut self, tokens: u32, took: Duration, now: Timestamp) {
+        self.observe_distant_move(tokens, took, 1.0, now);
+    }
+
+    /// Like [`EngineModel::observe_move`], for a transfer that takes `factor` times as long as one within a zone.
+    pub fn observe_distant_move(&mut self, tokens: u32, took: Duration, factor: f64, now: Timestamp) {
         if tokens >= SAMPLE_MINIMUM_TOKENS {
-            self.moves.observe(tokens, took, now);
+            self.moves.observe(f64::from(tokens) * factor, took, now);
         }
     }
 
@@ -114,6 +119,13 @@
         self.moves.millis(tokens, now)
     }
 
+    /// The milliseconds that an engine of `stage` saves by fetching a cached part of `tokens` instead of prefilling it.
+    /// The transfer takes `factor` times as long as one within a zone.
+    pub fn fetch_saving_millis(&self, stage: EngineStage, tokens: u32, factor: f64, now: Timestamp) -> f64 {
+        let tokens = f64::from(tokens);
+        self.prefill_millis(stage, tokens) - self.move_millis(tokens * factor, now)
+    }
+
     /// The estimates by name, for metrics and logs.
     pub fn estimates(&self, now: Timestamp) -> [(&'static str, Estimate); 3] {
         [
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use havengate_core::relay::{
-    BudgetShare, LatePrefillId, LatePrefills, PlacementConfig, SharedRetryBudget, SharedRetryBudgetConfig, ShortPrefill,
+    BudgetShare, DistanceCost, LatePrefillId, LatePrefills, PlacementConfig, SharedRetryBudget,
+    SharedRetryBudgetConfig, ShortPrefill,
 };
 use havengate_core::routing::SplitTurns;
 use havengate_core::time::Timestamp;
-use havengate_core::world::ServiceName;
+use havengate_core::world::{ServiceName, Topology, ZoneName};
 use havengate_node::clock::Clock;
 
 use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits, SharedNotices};
@@ -65,6 +66,7 @@
     budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     budget_config: Cell<SharedRetryBudgetConfig>,
     placement: Cell<PlacementConfig>,
+    topology: RefCell<Rc<Topology>>,
     splits: RefCell<SplitTurns>,
     random: RefCell<fastrand::Rng>,
 }
@@ -84,11 +86,13 @@
             configuration_current_at,
             notices,
             fleet_reach,
+            topology,
             clock,
             metrics,
         } = shared;
-        let pool = ConnectionPool::new(PoolLimits::default());
+        let pool = ConnectionPool::new(PoolLimits::default()).in_topology(topology.clone());
         let peer_notices = PeerNotices::new(Arc::clone(&knowledge), notices.clone(), clock, metrics.clone());
+        peer_notices.set_topology(topology);
         let engine_terminations = peer_notices.engine_terminations().clone();
         let grant_share = move |now| fleet_reach.grant_share(now);
         let quotas = Quotas::new(Arc::clone(&knowledge), grant_share, clock, metrics.clone());
@@ -104,6 +108,7 @@
             short_prefill: Cell::default(),
             late_prefills: RefCell::default(),
             placement: Cell::new(placement),
+            topology: RefCell::default(),
             knowledge,
             demand,
             usage,
@@ -147,6 +152,26 @@
         self.placement.set(placement);
     }
 
+    /// The node's zone and the regions of the zones.
+    pub fn topology(&self) -> Rc<Topology> {
+        Rc::clone(&self.topology.borrow())
+    }
+
+    /// The time that a request to a back end in `zone` and its answer spend between regions.
+    pub fn round_trip(&self, zone: &ZoneName) -> Duration {
+        DistanceCost::new(Some(&self.topology.borrow()), &self.placement.get()).round_trip(zone)
+    }
+
+    /// How much longer a KV cache transfer between these zones takes than one within a zone.
+    pub fn transfer_factor(&self, from: &ZoneName, to: &ZoneName) -> f64 {
+        DistanceCost::new(Some(&self.topology.borrow()), &self.placement.get()).transfer_factor(from, to)
+    }
+
+    /// Changes the regions of the zones for requests that are placed from now on.
+    pub fn set_topology(&self, topology: Topology) {
+        *self.topology.borrow_mut() = Rc::new(topology);
+    }
+
     /// Sets the maximum age of the node's keys. Requests that need a key are refused while the node can't prove that
     /// its keys are newer.
     pub fn set_revocation_limit(&self, limit: Option<Duration>) {
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod follower;
 mod learner;
 mod limit_exchange;
+mod locations;
 mod observed_eras;
 mod peers;
 mod reader_role;
@@ -19,6 +20,7 @@
 pub use duties::{DutyLeaseSettings, DutySettings};
 pub use learner::{Learner, Source};
 pub use limit_exchange::LimitExchange;
+pub use locations::{Locations, RejectedLocations};
 pub use peers::PeerExchange;
 pub use thread::{ControlHandle, ControlSettings, Platform, SharedWithTraffic, spawn};
 pub use transfer::{
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -5,7 +5,7 @@
 use std::thread;
 
 use havengate_core::replication::{PeerAddresses, PeerTable, PeerTableConfig, Readers, ReadersConfig};
-use havengate_core::world::{Address, NodeName};
+use havengate_core::world::{Address, NodeName, Topology};
 use havengate_node::clock::Clock;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
@@ -17,6 +17,7 @@
 use super::feed::learn_from_feed;
 use super::follower::{follow_configuration, follow_directory};
 use super::learner::Learner;
+use super::locations::Locations;
 use super::peers::PeerExchange;
 use super::reader_role::ReaderRole;
 use crate::back_ends::SharedNotices;
@@ -59,6 +60,8 @@
     pub notices: SharedNotices,
     /// For how many of the nodes this one may grant.
     pub fleet_reach: SharedFleetReach,
+    /// The regions of the zones. A change needs a restart.
+    pub topology: Topology,
     /// The node's clock.
     pub clock: Clock,
     /// The metrics.
@@ -101,6 +104,7 @@
                 configuration_current_at,
                 notices,
                 fleet_reach,
+                topology,
                 clock,
                 metrics,
             } = shared;
@@ -109,7 +113,7 @@
                 .with_tenant_limits(settings.enforces_tenant_limits.clone());
             let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
             let role = ReaderRole::new(readers, clock);
-            match bind(&settings, role.clone(), learner.clone(), fleet_reach, metrics.clone()).await {
+            match bind(&settings, topology, role.clone(), learner.clone(), fleet_reach, metrics.clone()).await {
                 Ok((peers, listener)) => {
                     // The receiver is dropped only if the start was abandoned.
                     let _ = bound_sender.send(Ok(()));
@@ -152,6 +156,7 @@
 
 async fn bind(
     settings: &ControlSettings,
+    topology: Topology,
     role: ReaderRole,
     learner: Learner,
     fleet_reach: SharedFleetReach,
@@ -160,7 +165,8 @@
     let seeds = settings.seeds.borrow().clone();
     let table = PeerTable::new(PeerTableConfig::default(), settings.peers_address, seeds, learner.clock().now());
     let own = PeerAddresses { control: settings.peers_address, notices: settings.notices_address };
-    let bound = PeerExchange::bind(own, table, role, learner, fleet_reach, metrics).await;
+    let locations = Locations::new(own, topology, learner.clock().now());
+    let bound = PeerExchange::bind(own, table, role, learner, fleet_reach, locations, metrics).await;
     bound.map_err(|error| {
         io::Error::new(error.kind(), format!("peers_address {} can't be bound: {error}", settings.peers_address))
     })
--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod limits;
 mod pending;
+mod prefills;
 mod quotas;
 
 use std::cell::{Cell, OnceCell, RefCell};
@@ -12,15 +13,16 @@
 
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{
-    AnnouncedPart, AnnouncementPaceConfig, CachedParts, EngineModel, EngineTag, PeerNotice, PrefillId, Prompt,
-    PromptIndex, PromptIndexConfig, PromptPart, Suspicions, Urgency,
+    AnnouncedPart, AnnouncementPaceConfig, CachedParts, EngineModel, EngineTag, PeerNotice, PrefillAudience, PrefillId,
+    Prompt, PromptIndex, PromptIndexConfig, PromptPart, Suspicions, Urgency,
 };
 use havengate_core::time::Timestamp;
-use havengate_core::world::{Address, BackEndId};
+use havengate_core::world::{Address, BackEndId, Topology};
 use havengate_node::clock::Clock;
 use tokio::sync::Notify;
 
 use self::pending::PendingAnnouncements;
+use self::prefills::REGION_STREAMS_PEERS_MINIMUM;
 use crate::back_ends::SharedNotices;
 use crate::datagrams::Datagrams;
 use crate::engine_terminations::SharedEngineTerminations;
@@ -40,6 +42,11 @@
 
 struct Shared {
     index: RefCell<PromptIndex>,
+    topology: RefCell<Topology>,
+    /// From this number of peers on, each region has a stream of prefill notices.
+    region_streams_peers_minimum: Cell<usize>,
+    /// The stream of prefill notices that each peer gets, where the zones lie in several regions.
+    audience: RefCell<PrefillAudience>,
     knowledge: SharedKnowledge,
     clock: Clock,
     /// The address and the socket for notices, once this node takes part in the exchange.
@@ -70,6 +77,9 @@
         PeerNotices {
             shared: Rc::new(Shared {
                 index,
+                topology: RefCell::default(),
+                region_streams_peers_minimum: Cell::new(REGION_STREAMS_PEERS_MINIMUM),
+                audience: RefCell::default(),
                 knowledge,
                 clock,
                 exchange: RefCell::default(),
@@ -88,6 +98,18 @@
         }
     }
 
+    /// Sets from which number of peers on each region is sent only the prefills of its own engines.
+    pub fn use_region_streams_from(&self, peers: usize) {
+        self.shared.region_streams_peers_minimum.set(peers);
+    }
+
+    /// Sets the regions of the zones.
+    pub fn set_topology(&self, topology: Topology) {
+        self.shared.index.borrow_mut().set_topology(topology.clone());
+        *self.shared.audience.borrow_mut() = PrefillAudience::new(topology.clone());
+        *self.shared.topology.borrow_mut() = topology;
+    }
+
     /// Starts to receive notices at `address` and to send them from there.
     ///
     /// # Errors
@@ -117,12 +139,33 @@
         let Some(sender) = self.sender() else {
             return;
         };
-        self.send(
-            &PeerNotice::RequestCachedParts { sender },
-            NodeMessageKind::CachedParts,
-            &self.random_peers(QUERIED_PEERS),
-        )
-        .await;
+        let queried = self.peers_to_query();
+        self.send(&PeerNotice::RequestCachedParts { sender }, NodeMessageKind::CachedParts, &queried).await;
+    }
+
+    /// Random peers, one of them in the own region if there is any: the others know little of its engines. After a restart
+    /// of all nodes, though, only the store readers know, which may all be in other regions.
+    fn peers_to_query(&self) -> Vec<Address> {
+        let mut queried = self.random_peers(QUERIED_PEERS);
+        if self.shared.topology.borrow().spans_regions() {
+            let near = fastrand::choice(self.near_peers());
+            queried.truncate(QUERIED_PEERS - usize::from(near.is_some()));
+            queried.extend(near);
+            queried.dedup();
+        }
+        queried
+    }
+
+    /// The peers that are not known to be in another region.
+    fn near_peers(&self) -> Vec<Address> {
+        let knowledge = self.shared.knowledge.load();
+        knowledge.peers.iter().copied().filter(|peer| !self.is_in_other_region(*peer)).collect()
+    }
+
+    /// Whether `peer` is known to be in another region.
+    fn is_in_other_region(&self, peer: Address) -> bool {
+        let knowledge = self.shared.knowledge.load();
+        knowledge.peer_zones.get(&peer).is_some_and(|zone| self.shared.topology.borrow().is_in_other_region(zone))
     }
 
     /// Whether any cached part of any engine is known.
@@ -157,25 +200,45 @@
         read(&self.shared.index.borrow())
     }
 
-    /// Records that `engine` runs the prefill of `prompt`, until the guard is ended or dropped.
+    /// Records that `engine`, in the region of this node, runs the prefill of `prompt`, until the guard is ended or
+    /// dropped.
     pub fn begin(&self, engine: &BackEnd, prompt: &Prompt, urgency: Urgency) -> PrefillGuard {
+        self.begin_at_distance(engine, prompt, urgency, Duration::ZERO)
+    }
+
+    /// Records that `engine` runs the prefill of `prompt`, until the guard is ended or dropped. The request and its answer
+    /// spend `round_trip` between regions.
+    pub fn begin_at_distance(
+        &self,
+        engine: &BackEnd,
+        prompt: &Prompt,
+        urgency: Urgency,
+        round_trip: Duration,
+    ) -> PrefillGuard {
         let now = self.shared.clock.now();
         let mut index = self.shared.index.borrow_mut();
-        let id = index.begin(engine, prompt, urgency, now);
+        let id = index.begin_at_distance(engine, prompt, urgency, round_trip, now);
         drop(index);
         self.notify_prefill_change();
         PrefillGuard { peer_notices: self.clone(), id: Some(id) }
     }
 
     /// Records that `engine` received the KV cache of `prompt` from another engine and began its answer `took` after
-    /// the request was sent to it.
-    pub fn record_cache_transfer(&self, engine: &BackEndId, prompt: &Prompt, took: Duration) {
-        self.shared.index.borrow_mut().record_cache_transfer(engine, prompt, took, self.shared.clock.now());
+    /// the request was sent to it, without the latency in between. The transfer takes `factor` times as long as one within
+    /// a zone.
+    pub fn record_cache_transfer(&self, engine: &BackEndId, prompt: &Prompt, took: Duration, factor: f64) {
+        let now = self.shared.clock.now();
+        let mut index = self.shared.index.borrow_mut();
+        if let Some(entry) = self.shared.knowledge.load().directory.get(engine) {
+            index.record_zone(&entry.back_end);
+        }
+        index.record_distant_cache_transfer(engine, prompt, took, factor, now);
+        drop(index);
         self.notify_prefill_change();
     }
 
-    /// Records that an engine began its answer `took` after the request was sent to it, without the prefill or the
-    /// cache transfer of a long prompt.
+    /// Records that an engine began its answer `took` after the request was sent to it, without the latency in between,
+    /// and without the prefill or the cache transfer of a long prompt.
     pub fn record_wait(&self, took: Duration) {
         self.shared.index.borrow_mut().record_wait(took, self.shared.clock.now());
     }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -95,12 +95,14 @@
         configuration_current_at: SharedTimestamp::default(),
         notices: SharedNotices::default(),
         fleet_reach: SharedFleetReach::new(clock.now()),
+        topology: settings.topology(),
         clock,
         metrics: metrics.clone(),
     };
     let (blocks, blocks_receiver) = block_links();
     let _control = spawn(control, protocol.clone(), platform, shared.clone(), blocks_receiver)?;
     let traffic = Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement));
+    traffic.set_topology(settings.topology());
     traffic.set_revocation_limit(settings.keys.revocation());
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let mut node = RunningNode { settings, read_settings, seeds, duties, enforces_limits, traffic };
@@ -130,6 +132,7 @@
         let needs_restart = !read.has_same_name_and_addresses(&self.settings);
         self.traffic.set_budget_config(read.retry_budget());
         self.traffic.set_placement(read.placement);
+        self.traffic.set_topology(read.topology());
         self.seeds.send_replace(read.seeds.clone());
         self.duties.send_replace(read.duty_settings());
         self.traffic.usage.set_config(read.usage);
@@ -221,7 +224,8 @@
         leaving = traffic.metrics.node_bytes(NodeMessageKind::Draining),
         limits = traffic.metrics.node_bytes(NodeMessageKind::Limits),
         tenant_limits = traffic.metrics.node_bytes(NodeMessageKind::TenantLimits),
-        quotas = traffic.metrics.node_bytes(NodeMessageKind::Quotas);
+        quotas = traffic.metrics.node_bytes(NodeMessageKind::Quotas),
+        locations = traffic.metrics.node_bytes(NodeMessageKind::Locations);
         ""
     );
     traffic.quotas.log_summary();
