Tenant limits: the first node in rank is the home also while nobody asks

A node that has been first in rank, and was polled all the time, now counts as home since then. After a suspension, a change of peers or a time without a share of the nodes it still begins anew.

The tests fail without the change.

--- a/crates/core/src/quota/grant_bucket.rs
+++ b/crates/core/src/quota/grant_bucket.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Whether no limit has been set yet.
+    pub(super) fn is_new(&self) -> bool {
+        self.capacity == 0.0
+    }
+
     /// Sets the units per second and the largest balance.
     pub(super) fn set_limit(&mut self, rate: f64, capacity: f64, now: Timestamp) {
         self.fill(now);
--- a/crates/core/src/quota/home.rs
+++ b/crates/core/src/quota/home.rs
@@ -37,6 +37,8 @@
     share: f64,
     tenants: BTreeMap<TenantName, HomeTenant>,
     polled_at: Timestamp,
+    /// Since when nothing has indicated that another node may act in place of this one where it is ranked first.
+    standing_since: Timestamp,
     round_trips: RoundTrips,
 }
 
@@ -70,7 +72,14 @@
 impl QuotaHome {
     /// A home that grants nothing before [`QuotaHome::set_share`].
     pub fn new(config: QuotaConfig, now: Timestamp) -> Self {
-        QuotaHome { config, share: 0.0, tenants: BTreeMap::new(), polled_at: now, round_trips: RoundTrips::new(now) }
+        QuotaHome {
+            config,
+            share: 0.0,
+            tenants: BTreeMap::new(),
+            polled_at: now,
+            standing_since: now,
+            round_trips: RoundTrips::new(now),
+        }
     }
 
     /// Sets the share of each limit that this node may grant, from 0 to 1.
@@ -108,12 +117,15 @@
             return (!is_probe).then_some(QuotaAnswer::NotHome);
         }
         let state = self.tenants.entry(request.tenant.clone()).or_insert_with(HomeTenant::new);
-        state.advance(context, is_probe, &self.config, now);
+        state.advance(context, is_probe, self.standing_since, &self.config, now);
         let Role::Acting { since, bucket } = &mut state.role else { return Some(QuotaAnswer::NotHome) };
         if is_probe {
             return Some(QuotaAnswer::Granted { units: 0 });
         }
         let share = self.share.min(self.round_trips.largest_share());
+        if bucket.is_new() {
+            set_bucket_limit(bucket, *since, context.limit, share, &self.config, *since);
+        }
         set_bucket_limit(bucket, *since, context.limit, share, &self.config, now);
         bucket.answer(request, &self.config, now)
     }
@@ -158,7 +170,8 @@
     }
 
     /// To be called after a change of the peers: other nodes may be ranked before this one now.
-    pub fn peers_changed(&mut self, peers: &[Address]) {
+    pub fn peers_changed(&mut self, peers: &[Address], now: Timestamp) {
+        self.standing_since = now;
         self.round_trips.set_peers(peers);
         for state in self.tenants.values_mut() {
             state.is_first = false;
@@ -169,9 +182,9 @@
     /// When [`QuotaHome::poll`] must be called again at the latest.
     pub fn next_poll(&self) -> Option<Timestamp> {
         let probes = self.tenants.values().filter_map(|state| state.probe_due(&self.config, self.polled_at));
-        let is_acting = self.tenants.values().any(HomeTenant::is_acting);
-        let heartbeat = is_acting.then(|| self.polled_at + self.config.stall_limit / 3);
-        probes.chain(heartbeat).chain(self.round_trips.next_ask(self.polled_at)).min()
+        // Also while idle: a gap between two polls shows that the process was suspended.
+        let heartbeat = self.polled_at + self.config.stall_limit / 3;
+        probes.chain([heartbeat]).chain(self.round_trips.next_ask(self.polled_at)).min()
     }
 
     /// Whether `sequence` is that of the latest probe for `tenant`.
@@ -204,9 +217,13 @@
     /// Stops acting as home if another node may have taken over: after a time in which the process was stopped, or when
     /// no peer answers. The buckets, which would be full by then, start anew.
     fn check_standing(&mut self, now: Timestamp) {
-        if now.since(self.polled_at) >= self.config.stall_limit {
+        let has_stalled = now.since(self.polled_at) >= self.config.stall_limit;
+        if has_stalled {
             self.tenants.clear();
         }
+        if has_stalled || self.share == 0.0 {
+            self.standing_since = now;
+        }
         self.polled_at = now.max(self.polled_at);
         let is_acting = self.tenants.values().any(HomeTenant::is_acting);
         if is_acting {
@@ -214,6 +231,7 @@
         }
         if !self.round_trips.may_grant(now) {
             self.tenants.clear();
+            self.standing_since = now;
         } else if !is_acting {
             self.round_trips.set_granting(false, now);
         }
@@ -230,14 +248,24 @@
     }
 
     /// Advances the role when a node has asked; a probe of another node starts no probes here.
-    fn advance(&mut self, context: TenantContext<'_>, is_probe: bool, config: &QuotaConfig, now: Timestamp) {
+    ///
+    /// The first-ranked node has been the home since `standing_since`, also while nobody asked. It doesn't begin with an
+    /// empty bucket then: otherwise the first requests after an idle period would be refused.
+    fn advance(
+        &mut self,
+        context: TenantContext<'_>,
+        is_probe: bool,
+        standing_since: Timestamp,
+        config: &QuotaConfig,
+        now: Timestamp,
+    ) {
         let Some(rank) = context.own_rank() else {
             self.role = Role::Idle;
             return;
         };
         if rank == 0 {
             if !self.is_acting() {
-                self.act(now);
+                self.act(if matches!(self.role, Role::Idle) { standing_since } else { now });
             }
             return;
         }
@@ -253,8 +281,8 @@
         }
     }
 
-    fn act(&mut self, now: Timestamp) {
-        self.role = Role::Acting { since: now, bucket: Box::new(GrantBucket::new(now)) };
+    fn act(&mut self, since: Timestamp) {
+        self.role = Role::Acting { since, bucket: Box::new(GrantBucket::new(since)) };
     }
 
     /// When the nodes ranked before this one are to be probed next; `now` for the first probe.
--- a/crates/core/src/quota/tenant_quotas.rs
+++ b/crates/core/src/quota/tenant_quotas.rs
@@ -56,10 +56,10 @@
     }
 
     /// Sets the notice addresses of recently seen peers. Cheap when they are unchanged.
-    pub fn set_peers(&mut self, peers: &[Address], _now: Timestamp) {
+    pub fn set_peers(&mut self, peers: &[Address], now: Timestamp) {
         if self.rankings.set_peers(peers) {
             self.suspensions.retain(|node| self.rankings.has_peer(node));
-            self.home.peers_changed(self.rankings.peers());
+            self.home.peers_changed(self.rankings.peers(), now);
         }
     }
 
@@ -209,7 +209,9 @@
     pub fn next_poll(&self, now: Timestamp) -> Option<Timestamp> {
         let clients = self.clients.values().filter_map(|client| client.next_poll(&self.config));
         let answers = (!self.outbox.is_empty()).then_some(now);
-        clients.chain(self.home.next_poll()).chain(answers).min().map(|at| at.max(now))
+        let has_limits = self.limits.as_ref().is_some_and(|limits| !limits.is_empty());
+        let home = self.home.next_poll().filter(|_| has_limits);
+        clients.chain(home).chain(answers).min().map(|at| at.max(now))
     }
 
     /// The state of each limit, for operators.
--- a/crates/core/tests/quota_rules.rs
+++ b/crates/core/tests/quota_rules.rs
@@ -163,6 +163,24 @@
     assert!((20_000..=26_000).contains(&available), "{available} units after one second");
 }
 
+/// Guards against refusing the first requests after an idle period, when no bucket exists yet.
+#[test]
+fn the_first_node_in_rank_has_a_full_bucket_after_an_idle_period() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(5_000);
+    assert!(!fleet.is_home(0), "nobody has asked");
+    let available = fleet.available(0);
+    assert!(available >= 90_000, "{available} units");
+}
+
+#[test]
+fn the_first_node_in_rank_starts_empty_after_it_was_suspended_while_idle() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(5_000);
+    fleet.now = fleet.now + Duration::from_secs(3);
+    assert!(fleet.available(0) <= 100, "another node may have taken over meanwhile");
+}
+
 #[test]
 fn a_home_that_was_stopped_begins_anew() {
     let mut fleet = Fleet::warm(1);
