Name the home's internal state by the terms of the module

Readers met standing, hear and anew for the time since which a node is certainly the home, a message that was received and a discarded bucket. The test for a probe is a method beside the request, and the polls per stall limit have a name. Behaviour is unchanged.

--- a/crates/core/src/quota/config.rs
+++ b/crates/core/src/quota/config.rs
@@ -38,7 +38,7 @@
     pub warm_up: Duration,
     /// The share of the rate that a new home grants.
     pub warm_up_rate: f64,
-    /// A home that was not polled for this time may have been replaced, so it begins anew.
+    /// A home that was not polled for this time may have been replaced, so it discards its buckets.
     pub stall_limit: Duration,
     /// The share of the rate that a home grants. The rest makes up for a clock that runs fast by 5 %.
     pub rate_margin: f64,
--- a/crates/core/src/quota/home.rs
+++ b/crates/core/src/quota/home.rs
@@ -11,7 +11,10 @@
 use crate::time::Timestamp;
 use crate::world::{Address, TenantName};
 
-/// What a home must know of a tenant.
+/// A home is polled at least this often within [`QuotaConfig::stall_limit`], so that a late poll is not taken for a stall.
+const POLLS_PER_STALL_LIMIT: u32 = 3;
+
+/// A tenant's limit and candidates, for the answer to a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TenantContext<'a> {
     /// The address of this node.
@@ -37,8 +40,9 @@
     share: f64,
     tenants: BTreeMap<TenantName, HomeTenant>,
     polled_at: Timestamp,
-    /// Since when nothing has indicated that another node may act in place of this one where it is ranked first.
-    standing_since: Timestamp,
+    /// Since when this node has certainly been the home of the tenants for which it is ranked first. Reset whenever
+    /// another node may have taken over.
+    sole_home_since: Timestamp,
     round_trips: RoundTrips,
 }
 
@@ -53,9 +57,9 @@
 
 #[derive(Debug)]
 enum Role {
-    /// Nobody has asked, or nothing may be granted.
+    /// No node has requested units yet, or this node is no candidate.
     Idle,
-    /// Waits whether a node ranked before this one answers its probe.
+    /// Waits for the nodes ranked before this one to answer its probe.
     Probing { since: Timestamp },
     /// A node ranked before this one has answered.
     Deferring { until: Timestamp },
@@ -77,7 +81,7 @@
             share: 0.0,
             tenants: BTreeMap::new(),
             polled_at: now,
-            standing_since: now,
+            sole_home_since: now,
             round_trips: RoundTrips::new(now),
         }
     }
@@ -111,19 +115,20 @@
         context: TenantContext<'_>,
         now: Timestamp,
     ) -> Option<QuotaAnswer> {
-        self.check_standing(now);
-        let is_probe = request.needed == 0 && request.wanted == 0 && request.returned == 0;
+        self.stop_if_replaced(now);
+        let is_probe = request.is_probe();
         if self.share == 0.0 || !self.round_trips.may_grant(now) {
             return (!is_probe).then_some(QuotaAnswer::NotHome);
         }
         let state = self.tenants.entry(request.tenant.clone()).or_insert_with(HomeTenant::new);
-        state.advance(context, is_probe, self.standing_since, &self.config, now);
+        state.advance(context, is_probe, self.sole_home_since, &self.config, now);
         let Role::Acting { since, bucket } = &mut state.role else { return Some(QuotaAnswer::NotHome) };
         if is_probe {
             return Some(QuotaAnswer::Granted { units: 0 });
         }
         let share = self.share.min(self.round_trips.largest_share());
         if bucket.is_new() {
+            // Units accrue from the time since which this node is the home.
             set_bucket_limit(bucket, *since, context.limit, share, &self.config, *since);
         }
         set_bucket_limit(bucket, *since, context.limit, share, &self.config, now);
@@ -137,7 +142,7 @@
         sequence: &mut u64,
         now: Timestamp,
     ) -> Vec<(Address, QuotaRequest)> {
-        self.check_standing(now);
+        self.stop_if_replaced(now);
         let own = rankings.own();
         let mut probes = Vec::new();
         if let Some(peer) = self.round_trips.ask(*sequence + 1, now) {
@@ -159,19 +164,19 @@
         probes
     }
 
-    /// Records a message of a peer about limits.
-    pub fn hear(&mut self, peer: Address, now: Timestamp) {
+    /// Records that a peer has sent a message about limits.
+    pub fn record_limit_message(&mut self, peer: Address, now: Timestamp) {
         self.round_trips.add_known(peer, now);
     }
 
-    /// Whether this is the answer of a peer to a message that only asks whether it answers.
+    /// Handles an answer to a message that only tests the round trip to a peer; returns whether it is one.
     pub fn receive_round_trip(&mut self, sender: Address, sequence: u64, now: Timestamp) -> bool {
         self.round_trips.receive_answer(sender, sequence, now)
     }
 
     /// To be called after a change of the peers: other nodes may be ranked before this one now.
     pub fn peers_changed(&mut self, peers: &[Address], now: Timestamp) {
-        self.standing_since = now;
+        self.sole_home_since = now;
         self.round_trips.set_peers(peers);
         for state in self.tenants.values_mut() {
             state.is_first = false;
@@ -183,7 +188,7 @@
     pub fn next_poll(&self) -> Option<Timestamp> {
         let probes = self.tenants.values().filter_map(|state| state.probe_due(&self.config, self.polled_at));
         // Also while idle: a gap between two polls shows that the process was suspended.
-        let heartbeat = self.polled_at + self.config.stall_limit / 3;
+        let heartbeat = self.polled_at + self.config.stall_limit / POLLS_PER_STALL_LIMIT;
         probes.chain([heartbeat]).chain(self.round_trips.next_ask(self.polled_at)).min()
     }
 
@@ -215,14 +220,14 @@
     }
 
     /// Stops acting as home if another node may have taken over: after a time in which the process was stopped, or when
-    /// no peer answers. The buckets, which would be full by then, start anew.
-    fn check_standing(&mut self, now: Timestamp) {
+    /// no peer answers. The buckets, which would be full by then, are discarded; new ones start empty.
+    fn stop_if_replaced(&mut self, now: Timestamp) {
         let has_stalled = now.since(self.polled_at) >= self.config.stall_limit;
         if has_stalled {
             self.tenants.clear();
         }
         if has_stalled || self.share == 0.0 {
-            self.standing_since = now;
+            self.sole_home_since = now;
         }
         self.polled_at = now.max(self.polled_at);
         let is_acting = self.tenants.values().any(HomeTenant::is_acting);
@@ -231,7 +236,7 @@
         }
         if !self.round_trips.may_grant(now) {
             self.tenants.clear();
-            self.standing_since = now;
+            self.sole_home_since = now;
         } else if !is_acting {
             self.round_trips.set_granting(false, now);
         }
@@ -247,15 +252,15 @@
         matches!(self.role, Role::Acting { .. })
     }
 
-    /// Advances the role when a node has asked; a probe of another node starts no probes here.
+    /// Advances the role on a request or a probe of another node; such a probe starts no probes here.
     ///
-    /// The first-ranked node has been the home since `standing_since`, also while nobody asked. It doesn't begin with an
-    /// empty bucket then: otherwise the first requests after an idle period would be refused.
+    /// The first-ranked node has been the home since `sole_home_since`, also while no units were requested.
+    /// So its bucket is filled from that time on: otherwise the first requests after an idle period would be refused.
     fn advance(
         &mut self,
         context: TenantContext<'_>,
         is_probe: bool,
-        standing_since: Timestamp,
+        sole_home_since: Timestamp,
         config: &QuotaConfig,
         now: Timestamp,
     ) {
@@ -265,7 +270,7 @@
         };
         if rank == 0 {
             if !self.is_acting() {
-                self.act(if matches!(self.role, Role::Idle) { standing_since } else { now });
+                self.act(if matches!(self.role, Role::Idle) { sole_home_since } else { now });
             }
             return;
         }
@@ -309,11 +314,12 @@
     }
 }
 
-/// A request that only asks whether the receiver acts as home.
+/// A request without units, which only asks whether the receiver acts as home.
 pub(super) fn probe_request(sender: Address, sequence: u64, tenant: &TenantName) -> QuotaRequest {
     QuotaRequest { sender, sequence, tenant: tenant.clone(), needed: 0, wanted: 0, returned: 0 }
 }
 
+/// Applies the limit, the share of the nodes and the warm-up of a new home to a bucket.
 fn set_bucket_limit(
     bucket: &mut GrantBucket,
     acting_since: Timestamp,
--- a/crates/core/src/quota/message.rs
+++ b/crates/core/src/quota/message.rs
@@ -25,6 +25,13 @@
     pub returned: u64,
 }
 
+impl QuotaRequest {
+    /// Whether this is a probe: a request without units, which only asks whether the receiver acts as home.
+    pub(super) fn is_probe(&self) -> bool {
+        self.needed == 0 && self.wanted == 0 && self.returned == 0
+    }
+}
+
 /// The answer to a [`QuotaRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct QuotaGrant {
--- a/crates/core/src/quota/tenant_quotas.rs
+++ b/crates/core/src/quota/tenant_quotas.rs
@@ -146,7 +146,7 @@
     pub fn receive_request(&mut self, request: &QuotaRequest, now: Timestamp) {
         let is_peer = self.rankings.has_peer(request.sender);
         if is_peer {
-            self.home.hear(request.sender, now);
+            self.home.record_limit_message(request.sender, now);
         }
         let answer = if is_peer { self.answer(request, now) } else { None };
         let Some(answer) = answer else {
@@ -175,7 +175,7 @@
         }
         let is_accepted = self.receive_answer(&grant.tenant, (grant.sender, grant.sequence), grant.answer, now);
         if is_accepted && self.rankings.has_peer(grant.sender) {
-            self.home.hear(grant.sender, now);
+            self.home.record_limit_message(grant.sender, now);
         }
         self.dropped += u64::from(!is_accepted);
         is_accepted
