Remove repeated conversions, limits and conditions from the quota client

The saturating conversion, the longest retry time, the number of candidates and the choice of a node to request from stood in two or more places. Behaviour is unchanged.

--- a/crates/core/src/quota/grant_bucket.rs
+++ b/crates/core/src/quota/grant_bucket.rs
@@ -32,8 +32,8 @@
 /// How long a node that no longer asks is remembered.
 const MEMORY: Duration = Duration::from_secs(4);
 
-/// The longest retry time that is answered.
-const RETRY_MAXIMUM: Duration = Duration::from_secs(3_600);
+/// The longest time after which a refused node or caller may try again.
+pub(super) const RETRY_MAXIMUM: Duration = Duration::from_secs(3_600);
 
 /// A tenant's bucket at its home.
 #[derive(Debug)]
--- a/crates/core/src/quota/ranking.rs
+++ b/crates/core/src/quota/ranking.rs
@@ -7,7 +7,7 @@
 
 /// How many nodes are considered as home of a tenant. When half of the nodes are unreachable, one tenant in 256 has none
 /// left until the peers are updated.
-const CANDIDATES: usize = 8;
+pub(super) const CANDIDATES_MAXIMUM: usize = 8;
 
 /// The candidates of each tenant, computed at the first use after a change of the peers: ranking 330 nodes for each
 /// request would cost more than the request.
@@ -66,7 +66,7 @@
     fn rank(&self, tenant: &TenantName) -> Vec<Address> {
         let nodes = self.peers.iter().copied().chain([self.own]);
         let mut ranked = rank_by_address(tenant.as_str().as_bytes(), nodes, |address| *address);
-        ranked.truncate(CANDIDATES);
+        ranked.truncate(CANDIDATES_MAXIMUM);
         ranked
     }
 }
--- a/crates/core/src/quota/tenant_client.rs
+++ b/crates/core/src/quota/tenant_client.rs
@@ -8,16 +8,14 @@
 use super::demand::Demand;
 use super::grant_bucket::DEBT_MAXIMUM;
 use super::message::{QuotaAnswer, QuotaRequest};
+use super::ranking::CANDIDATES_MAXIMUM;
 use crate::time::Timestamp;
 use crate::world::{Address, TenantName};
 
 /// After this many homes in a row that didn't answer, requests no longer wait for long.
 const FAILURES_UNTIL_ALONE: u32 = 3;
 
-/// How many nodes that answer `NotHome` are remembered: as many as there are candidates.
-const NOT_HOME_MAXIMUM: usize = 8;
-
-/// One tenant at a node that asks for units.
+/// The units, waiting requests and outstanding request of one tenant at a node that requests units.
 #[derive(Debug, Default)]
 pub(super) struct TenantClient {
     /// Granted units that are not used; negative: units that were used and not granted yet.
@@ -33,8 +31,8 @@
     outstanding: Option<Outstanding>,
     refusal: Option<Refusal>,
     unlimited_until: Timestamp,
-    ask_not_before: Timestamp,
-    /// Nodes that answer `NotHome`.
+    request_not_before: Timestamp,
+    /// Nodes that answer `NotHome`, at most as many as there are candidates.
     not_home: Vec<NotHome>,
     /// Homes in a row that didn't answer.
     failures: u32,
@@ -68,7 +66,7 @@
     passed_over_until: Option<Timestamp>,
 }
 
-/// Whether a request may run, as far as this node knows.
+/// Whether a request may run, by the units that this node holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Decision {
     Unlimited,
@@ -86,6 +84,7 @@
 }
 
 impl TenantClient {
+    /// Decides on a request that counts `cost`; to be called again for a request that waits since `waiting_since`.
     pub(super) fn decide(
         &mut self,
         cost: u64,
@@ -106,10 +105,10 @@
             return self.refuse(refusal.retry_at.since(now));
         }
         let reserved: u64 = self.waiting.range(..key).fold(0, |sum, (_, cost)| sum.saturating_add(*cost));
-        let required = i64::try_from(reserved.saturating_add(cost)).unwrap_or(i64::MAX);
+        let required = to_signed(reserved.saturating_add(cost));
         if self.balance >= required {
             self.waiting.remove(&key);
-            self.balance -= i64::try_from(cost).unwrap_or(i64::MAX);
+            self.balance -= to_signed(cost);
             self.admitted += 1;
             return Decision::Admitted;
         }
@@ -121,7 +120,7 @@
         Decision::Waiting
     }
 
-    /// Forgets a request that waits.
+    /// Removes a request that waits.
     pub(super) fn stop_waiting(&mut self, cost: u64, waiting_since: Timestamp) {
         self.waiting.remove(&(waiting_since, cost));
     }
@@ -138,7 +137,7 @@
 
     /// Returns units that a request didn't use.
     pub(super) fn refund(&mut self, units: u64) {
-        let units_signed = i64::try_from(units).unwrap_or(i64::MAX);
+        let units_signed = to_signed(units);
         let settled = units_signed.min(self.balance.min(0).saturating_neg());
         self.balance += settled;
         self.returnable = self.returnable.saturating_add((units_signed - settled).unsigned_abs());
@@ -150,24 +149,24 @@
         let from_refund = units.min(if self.has_refund { self.returnable } else { 0 });
         self.returnable -= from_refund;
         self.has_refund &= self.returnable > 0;
-        self.balance = self.balance.saturating_sub(i64::try_from(units - from_refund).unwrap_or(i64::MAX));
+        self.balance = self.balance.saturating_sub(to_signed(units - from_refund));
     }
 
     /// Whether a request to the home is to be sent now.
-    pub(super) fn wants_to_ask(&mut self, config: &QuotaConfig, now: Timestamp) -> bool {
+    pub(super) fn has_request_due(&mut self, config: &QuotaConfig, now: Timestamp) -> bool {
         self.expire(config, now);
-        self.ask_at().is_some_and(|at| at <= now)
+        self.request_due().is_some_and(|at| at <= now)
     }
 
     /// When the next request to the home is to be sent.
-    fn ask_at(&self) -> Option<Timestamp> {
-        // What is covered is admitted when its caller asks again.
-        let is_uncovered = |(_, cost): &(Timestamp, u64)| i64::try_from(*cost).unwrap_or(i64::MAX) > self.balance;
+    fn request_due(&self) -> Option<Timestamp> {
+        // A waiting request that the balance covers is admitted at its next attempt and needs no units of the home.
+        let is_uncovered = |(_, cost): &(Timestamp, u64)| to_signed(*cost) > self.balance;
         let has_reason = self.waiting.first().is_some_and(is_uncovered) || self.balance < 0 || self.has_refund;
         if self.outstanding.is_some() || !has_reason {
             return None;
         }
-        Some(self.refusal.map_or(self.ask_not_before, |refusal| refusal.until.max(self.ask_not_before)))
+        Some(self.refusal.map_or(self.request_not_before, |refusal| refusal.until.max(self.request_not_before)))
     }
 
     /// The request to the home at `to`. It returns all units that are held, so that the home knows what is unused.
@@ -258,7 +257,7 @@
         self.not_home.retain(|not_home| not_home.node != sender);
         match answer {
             QuotaAnswer::Granted { units } => {
-                let units = i64::try_from(units.min(asked.request.wanted)).unwrap_or(i64::MAX);
+                let units = to_signed(units.min(asked.request.wanted));
                 self.balance = self.balance.saturating_add(units);
                 self.usable_until = asked.first_sent + config.unused_lifetime;
             }
@@ -287,19 +286,19 @@
         if is_persistent {
             self.failures = self.failures.saturating_add(1);
         } else {
-            self.ask_not_before = now + config.not_home_retry;
+            self.request_not_before = now + config.not_home_retry;
         }
-        self.not_home.truncate(NOT_HOME_MAXIMUM - 1);
+        self.not_home.truncate(CANDIDATES_MAXIMUM - 1);
         self.not_home.insert(0, NotHome { node, since, latest: now, passed_over_until });
     }
 
-    /// Whether `node` is not asked for this tenant because it said for a while that it isn't the home.
+    /// Whether `node` is not asked for this tenant because it has repeatedly answered `NotHome`.
     pub(super) fn passes_over(&self, node: Address, now: Timestamp) -> bool {
         let not_home = self.not_home.iter().find(|not_home| not_home.node == node);
         not_home.is_some_and(|not_home| not_home.passed_over_until.is_some_and(|until| now < until))
     }
 
-    /// The limit has changed: units of the former one are no longer used, and a refusal no longer holds.
+    /// The limit has changed: units of the former one are returned, and a refusal ends.
     pub(super) fn limit_changed(&mut self) {
         self.returnable = self.returnable.saturating_add(self.balance.max(0).unsigned_abs());
         self.balance = self.balance.min(0);
@@ -307,19 +306,20 @@
         self.unlimited_until = Timestamp::ZERO;
     }
 
-    /// When something is to be done at the latest.
+    /// When the next request, repetition, time-out or end of a wait is due.
     pub(super) fn next_poll(&self, config: &QuotaConfig) -> Option<Timestamp> {
         let answer_due = self.outstanding.as_ref().map(|outstanding| {
             (outstanding.sent + config.repeat_after).min(outstanding.first_sent + config.answer_timeout)
         });
         let waited = self.waiting.first().map(|(since, _)| *since + self.waiting_maximum(config));
-        answer_due.into_iter().chain(self.ask_at()).chain(waited).min()
+        answer_due.into_iter().chain(self.request_due()).chain(waited).min()
     }
 
     pub(super) fn balance(&self) -> i64 {
         self.balance
     }
 
+    /// Removes held units, a refusal and waiting requests whose time is over.
     fn expire(&mut self, config: &QuotaConfig, now: Timestamp) {
         if self.balance > 0 && now >= self.usable_until {
             self.returnable = self.returnable.saturating_add(self.balance.unsigned_abs());
@@ -332,3 +332,8 @@
         }
     }
 }
+
+/// The units as a signed number; the largest one if they exceed it.
+fn to_signed(units: u64) -> i64 {
+    i64::try_from(units).unwrap_or(i64::MAX)
+}
--- a/crates/core/src/quota/tenant_quotas.rs
+++ b/crates/core/src/quota/tenant_quotas.rs
@@ -9,7 +9,7 @@
 
 use super::admission::{Admission, OutgoingQuotaMessage, Permit, QuotaContent, TenantQuotaStatus};
 use super::config::QuotaConfig;
-use super::grant_bucket::DEBT_MAXIMUM;
+use super::grant_bucket::{DEBT_MAXIMUM, RETRY_MAXIMUM};
 use super::home::{QuotaHome, TenantContext, probe_request};
 use super::limit::{TenantLimit, TenantLimitTable};
 use super::message::{QuotaAnswer, QuotaGrant, QuotaRequest};
@@ -19,9 +19,6 @@
 use crate::time::Timestamp;
 use crate::world::{Address, TenantName};
 
-/// The longest time after which a refused caller is told to try again.
-const RETRY_AFTER_MAXIMUM: Duration = Duration::from_secs(3_600);
-
 /// Both roles of one node: it requests units for its callers, and grants units as home.
 #[derive(Debug)]
 pub struct TenantQuotas {
@@ -103,12 +100,12 @@
             let client = self.clients.entry(tenant.clone()).or_default();
             client.refused += 1;
             let refill = cost as f64 / (limit.per_second as f64).max(1.0);
-            let refill = Duration::from_secs_f64(refill.min(RETRY_AFTER_MAXIMUM.as_secs_f64()));
+            let refill = Duration::from_secs_f64(refill.min(RETRY_MAXIMUM.as_secs_f64()));
             return Admission::Refused { retry_after: self.spread(refill) };
         }
         let mut decision = self.decide(tenant, cost, waiting_since, now);
         if decision == Decision::Waiting && self.target(tenant, now) == Some(self.rankings.own()) {
-            self.ask_if_wanted(tenant, now);
+            self.request_if_due(tenant, now);
             decision = self.decide(tenant, cost, waiting_since, now);
         }
         match decision {
@@ -119,7 +116,7 @@
         }
     }
 
-    /// Forgets a request that waits and will not call [`TenantQuotas::try_admit`] again: its caller has hung up, or its
+    /// Removes a request that waits and will not call [`TenantQuotas::try_admit`] again: its caller has hung up, or its
     /// own time for waiting is over. Otherwise units would be requested and kept for it.
     pub fn stop_waiting(&mut self, tenant: &TenantName, token_count: Option<u64>, waiting_since: Timestamp) {
         let Some(limit) = self.limit_of(tenant) else { return };
@@ -192,11 +189,11 @@
                 }
                 Progress::TimedOut(node) => self.suspensions.suspend(node, &self.config, now),
             }
-            if client.wants_to_ask(&self.config, now) {
+            if client.has_request_due(&self.config, now) {
                 due.push(tenant.clone());
             }
         }
-        due.iter().for_each(|tenant| self.ask_if_wanted(tenant, now));
+        due.iter().for_each(|tenant| self.request_if_due(tenant, now));
         self.home.update_buckets(self.limits.as_deref(), now);
         let probes = self.home.poll(&mut self.rankings, &mut self.sequence, now);
         let probes =
@@ -228,7 +225,10 @@
     fn status(&self, tenant: &TenantName, limit: &TenantLimit, now: Timestamp) -> TenantQuotaStatus {
         let client = self.clients.get(tenant);
         let candidates = self.rankings.peek(tenant);
-        let home = candidates.iter().find(|node| self.may_ask(**node, client, now)).or(candidates.first());
+        let home = candidates
+            .iter()
+            .find(|node| may_request_from(**node, &self.suspensions, client, now))
+            .or(candidates.first());
         let balance = self.home.balance(tenant).map(|balance| balance as i64);
         TenantQuotaStatus {
             tenant: tenant.clone(),
@@ -259,21 +259,16 @@
         retry_after.max(self.config.refusal_minimum).mul_f64(1.0 + self.random.f64() / 2.0)
     }
 
-    fn may_ask(&self, node: Address, client: Option<&TenantClient>, now: Timestamp) -> bool {
-        !self.suspensions.contains(node) && !client.is_some_and(|client| client.passes_over(node, now))
-    }
-
-    /// The node to ask: the first-ranked one that may be asked.
+    /// The node to request units from: the first-ranked one that is neither suspended nor passed over.
     fn target(&mut self, tenant: &TenantName, now: Timestamp) -> Option<Address> {
         let (suspensions, client) = (&self.suspensions, self.clients.get(tenant));
-        let passes_over = |node: Address| client.is_some_and(|client| client.passes_over(node, now));
         let candidates = self.rankings.of(tenant);
-        candidates.iter().copied().find(|node| !suspensions.contains(*node) && !passes_over(*node))
+        candidates.iter().copied().find(|node| may_request_from(*node, suspensions, client, now))
     }
 
-    /// Asks the home for units if they are wanted; this node itself answers at once.
-    fn ask_if_wanted(&mut self, tenant: &TenantName, now: Timestamp) {
-        if !self.clients.get_mut(tenant).is_some_and(|client| client.wants_to_ask(&self.config, now)) {
+    /// Requests units from the home if a request is due. If this node is the home, it answers at once.
+    fn request_if_due(&mut self, tenant: &TenantName, now: Timestamp) {
+        if !self.clients.get_mut(tenant).is_some_and(|client| client.has_request_due(&self.config, now)) {
             return;
         }
         self.probe_suspended(tenant, now);
@@ -332,3 +327,8 @@
         is_accepted
     }
 }
+
+/// Whether units may be requested from `node`: it is neither suspended nor passed over for the tenant of `client`.
+fn may_request_from(node: Address, suspensions: &Suspensions, client: Option<&TenantClient>, now: Timestamp) -> bool {
+    !suspensions.contains(node) && !client.is_some_and(|client| client.passes_over(node, now))
+}
