--- a/crates/core/src/quota/grant_bucket.rs
+++ b/crates/core/src/quota/grant_bucket.rs
@@ -16,21 +16,24 @@
 pub(super) const DEBT_MAXIMUM: f64 = 95_000.0;
 
 /// The share of the balance, and of what may still be granted ahead, that one request gets ahead of demand.
-const AHEAD_PART: f64 = 0.25;
+const AHEAD_FRACTION: f64 = 0.25;
 
 /// After a refusal nothing is granted ahead of demand for this time: small requests would use it before large ones.
 const AHEAD_PAUSE: Duration = Duration::from_secs(1);
 
 /// Units that the node may use for [`QuotaConfig::unused_lifetime`] are counted for longer by this factor, because the
 /// clocks of both nodes may be off by 5 %.
-const DRIFT_FACTOR: f64 = 1.15;
+const CLOCK_DRIFT_FACTOR: f64 = 1.15;
 
 /// Units of admitted requests are taken back for one to two slots after they were granted. Older ones would add to a
 /// window in which they were not granted.
 const REFUND_SLOT: Duration = Duration::from_millis(400);
 
-/// How long a node that no longer asks is remembered.
-const MEMORY: Duration = Duration::from_secs(4);
+/// The record of a node that has sent no request for this time is removed.
+const RECORD_RETENTION: Duration = Duration::from_secs(4);
+
+/// How often outdated records are removed.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The longest time after which a refused node or caller may try again.
 pub(super) const RETRY_MAXIMUM: Duration = Duration::from_secs(3_600);
@@ -42,7 +45,7 @@
     capacity: f64,
     balance: f64,
     filled_at: Timestamp,
-    /// The sum of `ahead` of all nodes.
+    /// The units granted ahead of demand to all nodes that may still be unused.
     ahead: f64,
     exhausted_at: Option<Timestamp>,
     nodes: BTreeMap<Address, NodeRecord>,
@@ -112,7 +115,8 @@
         let needed = request.needed as f64;
         let is_covered = needed == 0.0 || (self.balance >= 0.0 && self.balance - needed >= -DEBT_MAXIMUM);
         let (answer, granted, ahead) = if is_covered {
-            let ahead = self.units_ahead(request.wanted.saturating_sub(request.needed), needed, config, now);
+            let expected = request.wanted.saturating_sub(request.needed);
+            let ahead = self.units_ahead(expected, needed, config, now);
             let units = request.needed.saturating_add(ahead as u64);
             (QuotaAnswer::Granted { units }, needed + ahead, ahead)
         } else {
@@ -126,19 +130,19 @@
         record.answer = answer;
         record.seen_at = now;
         record.ahead = ahead;
-        record.ahead_expires = now + config.unused_lifetime.mul_f64(DRIFT_FACTOR);
+        record.ahead_expires = now + config.unused_lifetime.mul_f64(CLOCK_DRIFT_FACTOR);
         record.slots[0] += granted;
         Some(answer)
     }
 
-    /// The whole units to grant in addition to `needed`.
-    fn units_ahead(&self, wanted: u64, needed: f64, config: &QuotaConfig, now: Timestamp) -> f64 {
+    /// The whole units to grant in addition to `needed`, at most those that the node expects to use.
+    fn units_ahead(&self, expected: u64, needed: f64, config: &QuotaConfig, now: Timestamp) -> f64 {
         if self.exhausted_at.is_some_and(|at| now.since(at) < AHEAD_PAUSE) {
             return 0.0;
         }
-        let balance = AHEAD_PART * (self.balance - needed);
-        let room = AHEAD_PART * (self.capacity * config.ahead_share - self.ahead);
-        (wanted as f64).min(balance).min(room).max(0.0).floor()
+        let balance = AHEAD_FRACTION * (self.balance - needed);
+        let room = AHEAD_FRACTION * (self.capacity * config.ahead_share - self.ahead);
+        (expected as f64).min(balance).min(room).max(0.0).floor()
     }
 
     /// When the balance is expected to cover `needed` again. With many nodes asking it is later, so that the home isn't
@@ -162,10 +166,12 @@
         self.balance = (self.balance + returned).min(self.largest_balance());
     }
 
+    /// The largest balance, so that it and the units granted ahead of demand don't exceed the burst together.
     fn largest_balance(&self) -> f64 {
         self.capacity - self.ahead
     }
 
+    /// Adds the units that have accrued since the last call, and those granted ahead whose use has expired.
     fn fill(&mut self, now: Timestamp) {
         if self.ahead > 0.0 {
             for record in self.nodes.values_mut().filter(|record| record.ahead_expires <= now) {
@@ -179,9 +185,9 @@
     }
 
     fn prune(&mut self, now: Timestamp) {
-        if now.since(self.pruned_at) >= MEMORY / 4 {
+        if now.since(self.pruned_at) >= PRUNE_INTERVAL {
             self.pruned_at = now;
-            self.nodes.retain(|_, record| now.since(record.seen_at) < MEMORY);
+            self.nodes.retain(|_, record| now.since(record.seen_at) < RECORD_RETENTION);
         }
     }
 }
@@ -199,6 +205,7 @@
         }
     }
 
+    /// Begins a new slot when the current one is over.
     fn advance_slots(&mut self, now: Timestamp) {
         let elapsed = now.since(self.slot_start);
         if elapsed >= REFUND_SLOT {
@@ -207,6 +214,7 @@
         }
     }
 
+    /// Subtracts returned units, first from the previous slot.
     fn subtract(&mut self, units: f64) {
         let previous = units.min(self.slots[1]);
         self.slots[1] -= previous;
