Say what the reach, round trips and distances are

Doc comments described them by figures of speech, and some fields and functions had none. Numbers and reasons are kept; behaviour is unchanged.

--- a/crates/core/src/quota/admission.rs
+++ b/crates/core/src/quota/admission.rs
@@ -1,4 +1,4 @@
-//! What the decisions about tenants' limits return to the relay.
+//! The results of admission by tenants' limits: decisions, messages to send and statuses.
 
 use std::time::Duration;
 
@@ -24,9 +24,9 @@
 /// The units that an admitted request counts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Permit {
-    /// The tenant.
+    /// The tenant whose limit the request counts towards.
     pub tenant: TenantName,
-    /// The units.
+    /// The number of units.
     pub cost: u64,
 }
 
@@ -53,7 +53,7 @@
 pub struct TenantQuotaStatus {
     /// The tenant.
     pub tenant: TenantName,
-    /// The node that this node asks for units.
+    /// The node from which this node requests units.
     pub home: Address,
     /// Whether this node grants units.
     pub is_home: bool,
--- a/crates/core/src/quota/fleet_reach.rs
+++ b/crates/core/src/quota/fleet_reach.rs
@@ -30,7 +30,7 @@
 const SHORTAGE_CONFIRMATION: Duration = Duration::from_secs(1);
 
 /// How long an isolated node grants nothing. By then the nodes on the other side no longer count it as seen, which
-/// takes 10 s since they or their peers last heard from it.
+/// takes 10 s after the last digest that came from it to them or their peers.
 const ISOLATION_HOLD: Duration = Duration::from_secs(12);
 
 /// How long the number of peers counts towards the share after it was seen: an hour, which is how long partitions
@@ -50,7 +50,7 @@
 /// lets the share rise only after the peers have been sighted again for some time.
 const ESTIMATE_HOLD: Duration = Duration::from_secs(4);
 
-/// Tells a node whether it is cut off from others, and for what share of the nodes it may grant.
+/// A node's estimate of whether it is cut off from others, and for what share of the nodes it may grant.
 #[derive(Clone, Debug)]
 pub struct FleetReach {
     /// The arrivals of the latest digests, no more than are needed to detect a recovery.
@@ -65,6 +65,7 @@
     /// The most peers during the time of an isolation. The number of digests to expect must not fall with the peers
     /// that an isolated node no longer sees.
     expected_peers: WindowPeak,
+    /// The most peers in the last [`PEAK_WINDOW`], this node's measure of the size of the fleet.
     most_peers: WindowPeak,
     sightings: Sightings,
     /// How many of the most peers are estimated to be out of reach; 0 while the estimate is not low.
@@ -93,10 +94,10 @@
 
     /// Records that a digest of a peer has arrived.
     pub fn record_digest(&mut self, now: Timestamp) {
-        self.settle(now);
+        self.record_transitions(now);
         self.first_arrival.get_or_insert(now);
         self.arrivals.push_back(now);
-        while self.arrivals.len() > expected_of(SENDERS_MAXIMUM, RECOVERY_PER_TWO_SENDERS) {
+        while self.arrivals.len() > digests_expected(SENDERS_MAXIMUM, RECOVERY_PER_TWO_SENDERS) {
             self.arrivals.pop_front();
         }
         self.recover(now);
@@ -109,7 +110,7 @@
 
     /// Sets the number of peers seen recently, and whether the seeds name other nodes than this one.
     pub fn set_peers(&mut self, peers: usize, seeds_name_others: bool, now: Timestamp) {
-        self.settle(now);
+        self.record_transitions(now);
         self.peers = u32::try_from(peers).unwrap_or(u32::MAX);
         self.peers_set_at = now;
         self.seeds_name_others = seeds_name_others;
@@ -148,11 +149,11 @@
     }
 
     /// Digests in the counting window when each two of the expected senders contribute `per_two_senders`.
-    fn expected(&self, per_two_senders: usize) -> usize {
-        expected_of(self.expected_peers.get() as usize, per_two_senders)
+    fn expected_digests(&self, per_two_senders: usize) -> usize {
+        digests_expected(self.expected_peers.get() as usize, per_two_senders)
     }
 
-    /// The digests that arrived in the counting window; a number beyond the arrivals that are kept is not counted.
+    /// The digests that arrived in the counting window, of the arrivals that are kept.
     fn count(&self, now: Timestamp) -> usize {
         self.arrivals.iter().rev().take_while(|at| now.since(**at) < COUNTING_WINDOW).count()
     }
@@ -160,7 +161,7 @@
     /// Since when there has been a shortage of digests at `now`; `None`: there is none.
     fn shortage_start(&self, now: Timestamp) -> Option<Timestamp> {
         let start = || {
-            let needed = self.expected(SHORTAGE_PER_TWO_SENDERS).checked_sub(1)?;
+            let needed = self.expected_digests(SHORTAGE_PER_TWO_SENDERS).checked_sub(1)?;
             // The count fell below the needed one when the first of the latest that many digests left the window.
             let first_needed = self.arrivals.iter().rev().nth(needed).copied().or(self.first_arrival)?;
             let start = first_needed + COUNTING_WINDOW;
@@ -169,6 +170,7 @@
         self.shortage_since.or_else(start)
     }
 
+    /// Since when this node has been isolated at `now`; `None`: it is not.
     fn isolation_start(&self, now: Timestamp) -> Option<Timestamp> {
         let start = || {
             let start = self.shortage_start(now)? + SHORTAGE_CONFIRMATION;
@@ -177,8 +179,9 @@
         self.isolated_since.or_else(start)
     }
 
-    /// Stores what has begun by `now`, before a change that `shortage_start` depends on.
-    fn settle(&mut self, now: Timestamp) {
+    /// Stores the start of a shortage and of an isolation that have begun by `now`; to be called before a change of the
+    /// arrivals or peers, from which [`FleetReach::shortage_start`] is computed.
+    fn record_transitions(&mut self, now: Timestamp) {
         self.isolated_since = self.isolation_start(now);
         self.shortage_since = self.shortage_start(now);
     }
@@ -186,15 +189,16 @@
     /// Ends the shortage and the isolation if enough digests have arrived.
     fn recover(&mut self, now: Timestamp) {
         let count = self.count(now);
-        if count >= self.expected(SHORTAGE_PER_TWO_SENDERS) {
+        if count >= self.expected_digests(SHORTAGE_PER_TWO_SENDERS) {
             self.shortage_since = None;
         }
-        if count >= self.expected(RECOVERY_PER_TWO_SENDERS) {
+        if count >= self.expected_digests(RECOVERY_PER_TWO_SENDERS) {
             self.isolated_since = None;
         }
     }
 }
 
-fn expected_of(senders: usize, per_two_senders: usize) -> usize {
+/// The digests of `senders` in the counting window when each two of them contribute `per_two_senders`.
+fn digests_expected(senders: usize, per_two_senders: usize) -> usize {
     (senders.min(SENDERS_MAXIMUM) * per_two_senders).div_ceil(2)
 }
--- a/crates/core/src/quota/round_trips.rs
+++ b/crates/core/src/quota/round_trips.rs
@@ -1,9 +1,9 @@
-//! Whether peers answer this node.
+//! Detects whether peers answer this node.
 //!
 //! A node whose messages are lost in one direction still sees all peers, but they have replaced it as home. So a node
 //! that grants asks peers, and stops granting when none of them answers. Once peers have sent
 //! messages about limits, only these are asked: nodes of a previous build don't answer. While there are none, this node
-//! can't tell whether its messages arrive nowhere or all peers are of a previous build, and grants an equal share.
+//! can't distinguish whether its messages are lost or all peers are of a previous build, and grants an equal share.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -12,20 +12,23 @@
 use crate::world::Address;
 
 /// How often a peer is asked while this node grants.
-const INTERVAL: Duration = Duration::from_millis(400);
+const ASK_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Without an answer for this time, this node stops granting: after five messages to different peers.
-const CONFIRMATION: Duration = Duration::from_secs(2);
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Answers to older messages don't count. While they are unanswered, their receivers aren't asked again.
-const PENDING: usize = 5;
+/// How many unanswered messages are kept. Answers to older ones don't count. A peer with an unanswered message is asked
+/// again only if each known peer has one.
+const PENDING_MAXIMUM: usize = 5;
 
 /// The round trips between this node and its peers.
 #[derive(Debug)]
 pub(super) struct RoundTrips {
     is_granting: bool,
     asked_at: Option<Timestamp>,
+    /// When a peer last answered, or when this node began to grant.
     confirmed_at: Timestamp,
+    /// The unanswered messages: receiver and sequence number.
     pending: VecDeque<(Address, u64)>,
     peers: Vec<Address>,
     /// The peers that have sent a message about limits, and when they sent the latest one.
@@ -49,7 +52,7 @@
 
     /// Whether this node may grant. One that has not granted before may begin without confirmation.
     pub(super) fn may_grant(&self, now: Timestamp) -> bool {
-        !self.is_granting || self.known.is_empty() || now.since(self.confirmed_at) < CONFIRMATION
+        !self.is_granting || self.known.is_empty() || now.since(self.confirmed_at) < CONFIRMATION_TIMEOUT
     }
 
     /// To be called with whether this node grants or would grant if it were confirmed.
@@ -62,7 +65,7 @@
 
     /// When the next peer is to be asked.
     pub(super) fn next_ask(&self, now: Timestamp) -> Option<Timestamp> {
-        self.is_granting.then(|| self.asked_at.map_or(now, |at| at + INTERVAL))
+        self.is_granting.then(|| self.asked_at.map_or(now, |at| at + ASK_INTERVAL))
     }
 
     /// Records that a peer has sent a message about limits.
@@ -87,7 +90,7 @@
         self.asked_at = Some(now);
         let peer = self.next_known().or_else(|| self.next_peer())?;
         self.pending.push_back((peer, sequence));
-        if self.pending.len() > PENDING {
+        if self.pending.len() > PENDING_MAXIMUM {
             self.pending.pop_front();
         }
         Some(peer)
@@ -97,7 +100,7 @@
     /// nodes of the others.
     fn next_known(&self) -> Option<Address> {
         let is_pending = |peer: &Address| self.pending.iter().any(|(pending, _)| pending == peer);
-        let latest = self.known.iter().max_by_key(|(peer, heard_at)| (!is_pending(peer), **heard_at));
+        let latest = self.known.iter().max_by_key(|(peer, sent_at)| (!is_pending(peer), **sent_at));
         latest.map(|(peer, _)| *peer)
     }
 
--- a/crates/core/src/relay/distance_cost.rs
+++ b/crates/core/src/relay/distance_cost.rs
@@ -1,5 +1,5 @@
-//! The cost of the distance between a node, the back ends and each other's zones. Deployments in a single region have
-//! none.
+//! The cost of the distance between zones: for requests from a node to a back end, and for KV cache transfers between
+//! engines. It is 0 in deployments of a single region.
 
 use std::time::Duration;
 
--- a/crates/core/src/relay/moves.rs
+++ b/crates/core/src/relay/moves.rs
@@ -63,8 +63,8 @@
         self.waited_at = now;
     }
 
-    /// Records that an engine took `took` to fetch a KV cache of `tokens` and to begin its answer. A cache that is moved
-    /// between zones or regions counts as one with as many times the tokens as that is slower.
+    /// Records that an engine took `took` to fetch a KV cache of `tokens` and to begin its answer. For a slower
+    /// transfer between zones or regions, `tokens` is multiplied by how much longer it takes than one within a zone.
     pub fn observe(&mut self, tokens: f64, took: Duration, now: Timestamp) {
         let transfer_millis = (millis(took) - self.wait_at(now)).max(MINIMUM_MILLIS);
         self.estimate = self.at(now);
--- a/crates/core/src/replication/peer_zones.rs
+++ b/crates/core/src/replication/peer_zones.rs
@@ -5,11 +5,12 @@
 use super::message::{LocationNotice, PeerAddresses};
 use crate::world::{Address, ZoneName};
 
+/// The zone of a peer and its source.
 #[derive(Clone, Debug)]
 struct PeerZone {
     zone: ZoneName,
     /// Whether the peer itself announced it. Others may still announce the zone of a former node at the address.
-    is_own_word: bool,
+    is_self_announced: bool,
 }
 
 /// The zones of the known peers, by the addresses where they receive notices. A zone is kept as long as the peer is
@@ -24,10 +25,11 @@
     /// the table doesn't outgrow the nodes.
     pub fn receive(&mut self, notice: &LocationNotice, sender: PeerAddresses, peers: &BTreeSet<Address>) {
         for (address, zone) in notice.locations.iter().filter(|(address, _)| peers.contains(address)) {
-            let is_own_word = *address == sender.notices;
-            let is_superseded = self.zones.get(address).is_some_and(|known| known.is_own_word && !is_own_word);
+            let is_self_announced = *address == sender.notices;
+            let is_superseded =
+                self.zones.get(address).is_some_and(|known| known.is_self_announced && !is_self_announced);
             if !is_superseded {
-                self.zones.insert(*address, PeerZone { zone: zone.clone(), is_own_word });
+                self.zones.insert(*address, PeerZone { zone: zone.clone(), is_self_announced });
             }
         }
     }
