--- a/crates/core/src/relay/finished_prefills.rs
+++ b/crates/core/src/relay/finished_prefills.rs
@@ -32,9 +32,9 @@
     /// The region of the engine; `None`: it is announced only in the complete stream.
     region: Option<RegionName>,
     /// The number of announcements in the complete stream.
-    in_all: u32,
+    announced_complete: u32,
     /// The number of announcements in the stream of `region`.
-    in_region: u32,
+    announced_in_region: u32,
 }
 
 impl PendingPrefill {
@@ -58,7 +58,13 @@
     /// Adds a prefill at an engine of `region`; beyond `maximum` pending ones, the oldest are dropped.
     pub(super) fn push(&mut self, prefill: FinishedPrefill, region: Option<RegionName>, maximum: usize) {
         self.count += 1;
-        self.pending.push_back(PendingPrefill { number: self.count, prefill, region, in_all: 0, in_region: 0 });
+        self.pending.push_back(PendingPrefill {
+            number: self.count,
+            prefill,
+            region,
+            announced_complete: 0,
+            announced_in_region: 0,
+        });
         let excess = self.pending.len().saturating_sub(maximum);
         self.pending.drain(..excess);
     }
@@ -70,24 +76,24 @@
 
     /// The next prefills of the complete stream, at most `bytes` in a notice but at least one. Each is announced
     /// `announcements` times.
-    pub(super) fn next_of_all(&mut self, bytes: usize, announcements: u32) -> AnnouncedPrefills {
+    pub(super) fn next_of_complete(&mut self, bytes: usize, announcements: u32) -> AnnouncedPrefills {
         let mut left = bytes;
         let mut announced = AnnouncedPrefills { first: self.count + 1, prefills: Vec::new() };
-        for pending in self.pending.iter_mut().filter(|pending| pending.in_all < announcements) {
+        for pending in self.pending.iter_mut().filter(|pending| pending.announced_complete < announcements) {
             if announced.prefills.is_empty() {
                 announced.first = pending.number;
             } else if pending.bytes() > left {
                 break;
             }
             left = left.saturating_sub(pending.bytes());
-            pending.in_all += 1;
+            pending.announced_complete += 1;
             announced.prefills.push(pending.prefill.clone());
         }
         self.remove_announced(announcements);
         announced
     }
 
-    /// The next prefills of the stream of `region`, like [`FinishedPrefills::next_of_all`].
+    /// The next prefills of the stream of `region`, like [`FinishedPrefills::next_of_complete`].
     pub(super) fn next_of_region(
         &mut self,
         region: &RegionName,
@@ -97,7 +103,7 @@
         let mut left = bytes;
         let mut announced = AnnouncedPrefills { first: self.count + 1, prefills: Vec::new() };
         let is_due = |pending: &&mut PendingPrefill| {
-            pending.region.as_ref() == Some(region) && pending.in_region < announcements
+            pending.region.as_ref() == Some(region) && pending.announced_in_region < announcements
         };
         for pending in self.pending.iter_mut().filter(is_due) {
             if announced.prefills.is_empty() {
@@ -109,7 +115,7 @@
                 break;
             }
             left = left.saturating_sub(size);
-            pending.in_region += 1;
+            pending.announced_in_region += 1;
             announced.prefills.extend((0..skipped).map(|_| placeholder(pending.prefill.engine)));
             announced.prefills.push(pending.prefill.clone());
         }
@@ -119,22 +125,26 @@
 
     /// Restarts the complete stream at the first prefill that is pending in the stream of its region, for a peer that
     /// got the latter until now.
-    pub(super) fn resume_all(&mut self, announcements: u32) {
-        let is_pending = |pending: &PendingPrefill| pending.region.is_some() && pending.in_region < announcements;
+    pub(super) fn resume_complete(&mut self, announcements: u32) {
+        let is_pending =
+            |pending: &PendingPrefill| pending.region.is_some() && pending.announced_in_region < announcements;
         let first = self.pending.iter().position(is_pending).unwrap_or(self.pending.len());
-        self.pending.range_mut(first..).for_each(|pending| pending.in_all = 0);
+        self.pending.range_mut(first..).for_each(|pending| pending.announced_complete = 0);
     }
 
     /// Restarts the stream of `region` at the first prefill that is pending in the complete stream, for a peer that got
     /// the latter until now.
     pub(super) fn resume_region(&mut self, region: &RegionName, announcements: u32) {
-        let missing = self.pending.iter_mut().filter(|pending| pending.in_all < announcements);
-        missing.filter(|pending| pending.region.as_ref() == Some(region)).for_each(|pending| pending.in_region = 0);
+        let missing = self.pending.iter_mut().filter(|pending| pending.announced_complete < announcements);
+        missing
+            .filter(|pending| pending.region.as_ref() == Some(region))
+            .for_each(|pending| pending.announced_in_region = 0);
     }
 
     fn remove_announced(&mut self, announcements: u32) {
         let is_announced = |pending: &PendingPrefill| {
-            pending.in_all >= announcements && (pending.region.is_none() || pending.in_region >= announcements)
+            pending.announced_complete >= announcements
+                && (pending.region.is_none() || pending.announced_in_region >= announcements)
         };
         while self.pending.front().is_some_and(is_announced) {
             self.pending.pop_front();
--- a/crates/core/src/relay/prompt_index.rs
+++ b/crates/core/src/relay/prompt_index.rs
@@ -79,8 +79,8 @@
     open: OpenTable,
     finished: FinishedPrefills,
     regions: EngineRegions,
-    /// The notices that are still to be sent to each region since its open prefills ended.
-    closing: BTreeMap<RegionName, u32>,
+    /// How many more notices without open prefills each region gets after its open prefills have ended.
+    end_notices_left: BTreeMap<RegionName, u32>,
     peers: HashMap<Address, PeerState>,
     caches: HashMap<EngineTag, EngineCache>,
 }
@@ -190,14 +190,14 @@
 
     /// Whether announcements of finished prefills, or of the end of open ones in a region, are pending.
     pub fn has_pending(&self) -> bool {
-        !self.finished.is_empty() || self.closing.values().any(|left| *left > 0)
+        !self.finished.is_empty() || self.end_notices_left.values().any(|left| *left > 0)
     }
 
     /// Returns the next notice of the complete stream, limited to its maximum size. Finished prefills that don't fit are
     /// sent with the next notice; of the open prefills, those with the fewest tokens are left out.
     pub fn notice(&mut self, sender: Address, sequence: u64, now: Timestamp) -> PrefillNotice {
         let open = self.limit_open(self.open.announced(now));
-        let finished = self.finished.next_of_all(self.bytes_left(&open), self.config.finished_announcements);
+        let finished = self.finished.next_of_complete(self.bytes_left(&open), self.config.finished_announcements);
         PrefillNotice { sender, sequence, open, first_finished: finished.first, finished: finished.prefills }
     }
 
@@ -215,12 +215,12 @@
         open.retain(|open| self.regions.get(open.engine) == Some(region));
         let open = self.limit_open(open);
         let finished = self.finished.next_of_region(region, self.bytes_left(&open), announcements);
-        let closing = self.closing.get(region).copied().unwrap_or_default();
-        if open.is_empty() && finished.prefills.is_empty() && closing == 0 {
+        let end_notices_left = self.end_notices_left.get(region).copied().unwrap_or_default();
+        if open.is_empty() && finished.prefills.is_empty() && end_notices_left == 0 {
             return None;
         }
-        let left = if open.is_empty() { closing.saturating_sub(1) } else { announcements };
-        self.closing.insert(region.clone(), left);
+        let left = if open.is_empty() { end_notices_left.saturating_sub(1) } else { announcements };
+        self.end_notices_left.insert(region.clone(), left);
         Some(PrefillNotice { sender, sequence, open, first_finished: finished.first, finished: finished.prefills })
     }
 
@@ -229,11 +229,11 @@
     pub fn resume(&mut self, stream: &PrefillStream) {
         let announcements = self.config.finished_announcements;
         match stream {
-            PrefillStream::Complete => self.finished.resume_all(announcements),
+            PrefillStream::Complete => self.finished.resume_complete(announcements),
             PrefillStream::OfRegion(region) => {
                 self.finished.resume_region(region, announcements);
                 // The list of the complete stream may have contained prefills of this region that have ended.
-                self.closing.insert(region.clone(), announcements);
+                self.end_notices_left.insert(region.clone(), announcements);
             }
         }
     }
--- a/crates/core/tests/quota_fleet_reach.rs
+++ b/crates/core/tests/quota_fleet_reach.rs
@@ -221,7 +221,7 @@
     }
 }
 
-/// Failure: a home that restarts while it is cut off forgets that there were other nodes, and grants everything.
+/// Failure: a home that restarts while it is cut off no longer counts the other nodes, and grants everything.
 #[test]
 fn a_restarted_isolated_node_grants_nothing() {
     let mut reach = FleetReach::new(START);
--- a/crates/core/tests/quota_rules.rs
+++ b/crates/core/tests/quota_rules.rs
@@ -168,7 +168,7 @@
 fn the_first_node_in_rank_has_a_full_bucket_after_an_idle_period() {
     let mut fleet = Fleet::new(1);
     fleet.advance(5_000);
-    assert!(!fleet.is_home(0), "nobody has asked");
+    assert!(!fleet.is_home(0), "no units were requested");
     let available = fleet.available(0);
     assert!(available >= 90_000, "{available} units");
 }
@@ -182,7 +182,7 @@
 }
 
 #[test]
-fn a_home_that_was_stopped_begins_anew() {
+fn a_home_that_was_stopped_starts_with_an_empty_bucket() {
     let mut fleet = Fleet::warm(1);
     assert!(fleet.balance(0) > 50_000);
     fleet.now = fleet.now + Duration::from_secs(3);
--- a/crates/core/tests/quota_support/mod.rs
+++ b/crates/core/tests/quota_support/mod.rs
@@ -25,7 +25,7 @@
 const TICK: Duration = Duration::from_millis(5);
 const TICKS_PER_REACH: u64 = 20;
 /// How long a lowered limit may take until all nodes know it.
-const LEARNING: Duration = Duration::from_secs(3);
+const LIMIT_DELAY_MAXIMUM: Duration = Duration::from_secs(3);
 const WINDOW: Duration = Duration::from_secs(8);
 
 pub fn address(index: usize) -> Address {
@@ -221,11 +221,11 @@
         self.network.resume(address, self.now);
     }
 
-    /// Changes the limit. Nodes learn of it within [`LEARNING`].
+    /// Changes the limit. It reaches each node within [`LIMIT_DELAY_MAXIMUM`].
     pub fn set_limit(&mut self, limit: TenantLimit) {
         self.limits.push((self.now, limit));
         for address in self.alive() {
-            let delay = LEARNING.mul_f64(self.random.f64());
+            let delay = LIMIT_DELAY_MAXIMUM.mul_f64(self.random.f64());
             self.pending_limits.push((self.now + delay, address));
         }
     }
@@ -243,7 +243,7 @@
             self.update_reach();
         }
         self.tick += 1;
-        self.learn_limits();
+        self.deliver_limits();
         self.arrivals(until);
         while let Some(delivery) = self.network.deliver(until) {
             self.now = self.now.max(delivery.at);
@@ -281,7 +281,7 @@
         }
     }
 
-    fn learn_limits(&mut self) {
+    fn deliver_limits(&mut self) {
         let newest = self.limits.last().expect("a limit").1;
         let (due, pending) = std::mem::take(&mut self.pending_limits).into_iter().partition(|(at, _)| *at <= self.now);
         self.pending_limits = pending;
@@ -318,7 +318,7 @@
         }
     }
 
-    /// Lets the waiting requests of a node ask again, and sends its messages.
+    /// Retries the waiting requests of a node, and sends its messages.
     fn serve(&mut self, address: Address) {
         let Some(node) = self.nodes.get_mut(&address) else { return };
         let now = local(self.now, node.clock);
@@ -375,7 +375,7 @@
 
     /// The bound of a window that begins at `begin`, with the largest limit that may still be in force in it.
     fn bound(&self, begin: Timestamp) -> f64 {
-        let ended = |index: usize| self.limits.get(index + 1).is_some_and(|(at, _)| *at + LEARNING <= begin);
+        let ended = |index: usize| self.limits.get(index + 1).is_some_and(|(at, _)| *at + LIMIT_DELAY_MAXIMUM <= begin);
         let begun = |at: Timestamp| at < begin + WINDOW;
         let in_force = self.limits.iter().enumerate().filter(|(index, (at, _))| !ended(*index) && begun(*at));
         let bounds = in_force.map(|(_, (_, limit))| (limit.per_second * 8 + limit.burst) as f64 * 1.1 + 190_000.0);
--- a/crates/core/tests/region_partitions.rs
+++ b/crates/core/tests/region_partitions.rs
@@ -26,7 +26,7 @@
 const NODES_PER_REGION: u8 = 6;
 const REGIONS: [&str; 2] = ["east", "west"];
 
-/// Longer than a node remembers a peer that it doesn't hear of.
+/// Longer than a peer without digests stays in the table (`PeerTableConfig::forget_after`).
 const CUT: Duration = Duration::from_secs(60);
 
 /// The time in which nodes find each other again.
@@ -232,18 +232,23 @@
     }
 }
 
-/// Guards against nodes that are dropped on the word of the other side, which doesn't hear them.
+/// Guards against nodes that are removed from the tables of their own region because the other region, which receives no
+/// messages from them, no longer lists them.
 #[test]
-fn nodes_keep_the_peers_that_they_hear_and_find_the_others_after_the_cut() {
+fn nodes_keep_the_peers_whose_messages_arrive_and_find_the_others_after_the_cut() {
     for (seed, fault) in [(1, Fault::OneWay), (2, Fault::BothWays)] {
         let mut world = World::settled(seed);
         world.run(CUT, fault, World::assert_peers_of_own_region_are_known);
         for node in world.of_region(0) {
-            assert_eq!(world.recent_peers(node, 1), 0, "east hears nothing of west, {fault:?}");
+            assert_eq!(world.recent_peers(node, 1), 0, "east receives nothing from west, {fault:?}");
         }
-        let heard = if fault == Fault::OneWay { usize::from(NODES_PER_REGION) } else { 0 };
+        let seen = if fault == Fault::OneWay { usize::from(NODES_PER_REGION) } else { 0 };
         for node in world.of_region(1) {
-            assert_eq!(world.recent_peers(node, 0), heard, "west hears east unless both ways are cut, {fault:?}");
+            assert_eq!(
+                world.recent_peers(node, 0),
+                seen,
+                "west receives from east unless both ways are cut, {fault:?}"
+            );
         }
         world.run(RECOVERY, Fault::None, World::assert_peers_of_own_region_are_known);
         world.assert_everything_is_known();
--- a/crates/core/tests/replication_zones.rs
+++ b/crates/core/tests/replication_zones.rs
@@ -39,8 +39,8 @@
     assert_eq!(sent, notice(1, &[(1, "north-a"), (3, "west-a")]));
 }
 
-/// Guards against a node that moved to another zone and stays in its former one in the tables of nodes that hear of it
-/// from others more often than from itself.
+/// Guards against a node that moved to another zone and stays in its former one in the tables of nodes that
+/// receive its zone more often from others than from itself.
 #[test]
 fn what_a_peer_announces_of_itself_supersedes_what_others_announce() {
     let mut zones = PeerZones::default();
--- a/crates/core/tests/support/region_world.rs
+++ b/crates/core/tests/support/region_world.rs
@@ -131,7 +131,7 @@
         }
     }
 
-    /// Forgets the outcomes and sends so far.
+    /// Clears the outcomes and sends so far.
     pub fn reset_counts(&mut self) {
         self.outcomes.clear();
         self.sends = Default::default();
