Separate the decision from the bookkeeping in the grant bucket

GrantBucket::answer decided and recorded in one long function. The decision is a function of its own now, with the same steps in the same order. The comment of fill said that expired units are added to the balance; they only stop reducing its maximum.

--- a/crates/core/src/quota/grant_bucket.rs
+++ b/crates/core/src/quota/grant_bucket.rs
@@ -66,6 +66,16 @@
     slot_start: Timestamp,
 }
 
+/// The outcome of a request.
+#[derive(Debug)]
+struct Grant {
+    answer: QuotaAnswer,
+    /// The units granted, including those ahead of demand.
+    units: f64,
+    /// The units granted ahead of demand.
+    ahead: f64,
+}
+
 impl GrantBucket {
     /// An empty bucket without a rate.
     pub(super) fn new(now: Timestamp) -> Self {
@@ -112,27 +122,32 @@
         self.fill(now);
         self.prune(now);
         self.take_back(request.sender, request.returned as f64, now);
-        let needed = request.needed as f64;
-        let is_covered = needed == 0.0 || (self.balance >= 0.0 && self.balance - needed >= -DEBT_MAXIMUM);
-        let (answer, granted, ahead) = if is_covered {
-            let expected = request.wanted.saturating_sub(request.needed);
-            let ahead = self.units_ahead(expected, needed, config, now);
-            let units = request.needed.saturating_add(ahead as u64);
-            (QuotaAnswer::Granted { units }, needed + ahead, ahead)
-        } else {
-            self.exhausted_at = Some(now);
-            (QuotaAnswer::Exhausted { retry_after_millis: self.retry_millis(needed, config) }, 0.0, 0.0)
-        };
-        self.balance -= granted;
-        self.ahead += ahead;
+        let grant = self.grant(request, config, now);
+        self.balance -= grant.units;
+        self.ahead += grant.ahead;
         let record = self.nodes.entry(request.sender).or_insert_with(|| NodeRecord::new(now));
         record.sequence = request.sequence;
-        record.answer = answer;
+        record.answer = grant.answer;
         record.seen_at = now;
-        record.ahead = ahead;
+        record.ahead = grant.ahead;
         record.ahead_expires = now + config.unused_lifetime.mul_f64(CLOCK_DRIFT_FACTOR);
-        record.slots[0] += granted;
-        Some(answer)
+        record.slots[0] += grant.units;
+        Some(grant.answer)
+    }
+
+    /// Decides what to grant for a request that was not answered before.
+    fn grant(&mut self, request: &QuotaRequest, config: &QuotaConfig, now: Timestamp) -> Grant {
+        let needed = request.needed as f64;
+        let is_covered = needed == 0.0 || (self.balance >= 0.0 && self.balance - needed >= -DEBT_MAXIMUM);
+        if !is_covered {
+            self.exhausted_at = Some(now);
+            let retry_after_millis = self.retry_millis(needed, config);
+            return Grant { answer: QuotaAnswer::Exhausted { retry_after_millis }, units: 0.0, ahead: 0.0 };
+        }
+        let expected = request.wanted.saturating_sub(request.needed);
+        let ahead = self.units_ahead(expected, needed, config, now);
+        let units = request.needed.saturating_add(ahead as u64);
+        Grant { answer: QuotaAnswer::Granted { units }, units: needed + ahead, ahead }
     }
 
     /// The whole units to grant in addition to `needed`, at most those that the node expects to use.
@@ -171,7 +186,8 @@
         self.capacity - self.ahead
     }
 
-    /// Adds the units that have accrued since the last call, and those granted ahead whose use has expired.
+    /// Adds the units that have accrued since the last call. Units granted ahead that can no longer be used stop
+    /// reducing the largest balance.
     fn fill(&mut self, now: Timestamp) {
         if self.ahead > 0.0 {
             for record in self.nodes.values_mut().filter(|record| record.ahead_expires <= now) {
