--- a/crates/core/src/relay/prefill_placement.rs
+++ b/crates/core/src/relay/prefill_placement.rs
@@ -136,8 +136,8 @@
         if self.config.affinity { self.index.cached_tokens_of(&self.back_end(index).id, self.prompt) } else { 0 }
     }
 
-    /// The expected time until the prefill has ended and the KV cache is at the decode engine, and the cost: that time,
-    /// weighted on decode engines for the delay to other answers, and the cost of the distance.
+    /// The candidate with its cost and the expected time until the prefill has ended and the KV cache is at the decode
+    /// engine.
     fn evaluate_one(&self, index: usize, cached_tokens: &CachedTokens<'_>, urgency: Urgency) -> Evaluated {
         let back_end = self.back_end(index);
         let stage = back_end.stage.unwrap_or(EngineStage::Decode);
@@ -154,15 +154,21 @@
         };
         let processing = Duration::from_secs_f64((prefill_millis + fetch_millis + handover_millis) / 1e3);
         let latency = self.distance.round_trip(&back_end.zone) + handover_round_trip;
-        let weight = if stage == EngineStage::Prefill { 1.0 } else { self.config.decode_interference };
-        let cost_millis = millis(processing) * weight
-            + self.hop_millis(&back_end.zone).max(millis(latency))
-            + model.prefill_millis(stage, f64::from(self.waiting_there(index)));
+        let cost_millis = self.cost_millis(index, stage, processing, latency);
         let expected_time = processing + latency;
         let placed = Placed { index, expected_time, has_backlog: backlog > 0.0, urgency, uncached_tokens };
         Evaluated { placed, cost_millis }
     }
 
+    /// The cost of a candidate: the processing time, weighted on decode engines for the delay to other answers, the cost of
+    /// the distance, and that of this node's requests at a prefill engine of another region.
+    fn cost_millis(&self, index: usize, stage: EngineStage, processing: Duration, latency: Duration) -> f64 {
+        let weight = if stage == EngineStage::Prefill { 1.0 } else { self.config.decode_interference };
+        millis(processing) * weight
+            + self.hop_millis(&self.back_end(index).zone).max(millis(latency))
+            + self.index.model().prefill_millis(stage, f64::from(self.far_tokens_in_flight(index)))
+    }
+
     /// What a candidate that has `cached` tokens fetches: from its own region, or from another one if that saves more.
     fn fetch(&self, index: usize, cached: u32, cached_tokens: &CachedTokens<'_>) -> Fetch {
         if !self.config.takes_parts_over {
@@ -200,7 +206,7 @@
 
     /// The tokens of this node's requests at a prefill engine of another region, each taken for one like this prompt. The
     /// backlog that other nodes cause there isn't known; without this, nodes go on sending to engines that are behind.
-    fn waiting_there(&self, index: usize) -> u32 {
+    fn far_tokens_in_flight(&self, index: usize) -> u32 {
         let Candidate { back_end, in_flight, .. } = self.candidates[index];
         let is_far_prefill =
             back_end.stage == Some(EngineStage::Prefill) && self.distance.is_other_region(&back_end.zone);
