--- a/crates/core/src/quota/home.rs
+++ b/crates/core/src/quota/home.rs
@@ -155,10 +155,10 @@
             if due > now {
                 continue;
             }
-            let before = rankings.of(tenant).iter().take_while(|node| **node != own);
             let sequence = state.next_probe(sequence, now);
             let sent = probes.len();
-            probes.extend(before.map(|node| (*node, probe_request(own, sequence, tenant))));
+            let before = rankings.before(tenant, own);
+            probes.extend(before.map(|node| (node, probe_request(own, sequence, tenant))));
             state.is_first = probes.len() == sent;
         }
         probes
--- a/crates/core/src/quota/ranking.rs
+++ b/crates/core/src/quota/ranking.rs
@@ -58,6 +58,11 @@
         &self.ranked[tenant]
     }
 
+    /// The candidates for the home of `tenant` that are ranked before `node`; all if it is no candidate.
+    pub(super) fn before(&mut self, tenant: &TenantName, node: Address) -> impl Iterator<Item = Address> {
+        self.of(tenant).iter().copied().take_while(move |candidate| *candidate != node)
+    }
+
     /// Like [`Rankings::of`], without storing the result.
     pub(super) fn peek(&self, tenant: &TenantName) -> Vec<Address> {
         self.ranked.get(tenant).cloned().unwrap_or_else(|| self.rank(tenant))
--- a/crates/core/src/quota/round_trips.rs
+++ b/crates/core/src/quota/round_trips.rs
@@ -17,7 +17,7 @@
 /// Without an answer for this time, this node stops granting: after five messages to different peers.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How many unanswered messages are kept. Answers to older ones don't count. A peer with an unanswered message is asked
+/// How many unanswered messages are kept. Answers to older ones don't count. A known peer with an unanswered message is asked
 /// again only if each known peer has one.
 const PENDING_MAXIMUM: usize = 5;
 
--- a/crates/core/src/quota/tenant_client.rs
+++ b/crates/core/src/quota/tenant_client.rs
@@ -12,6 +12,10 @@
 use crate::time::Timestamp;
 use crate::world::{Address, TenantName};
 
+/// The largest share by which a time until a retry is lengthened at random, so that nodes and callers don't return
+/// together.
+const RETRY_SPREAD: f64 = 0.5;
+
 /// After this many homes in a row that didn't answer, requests no longer wait for long.
 const FAILURES_UNTIL_ALONE: u32 = 3;
 
@@ -263,7 +267,7 @@
             }
             QuotaAnswer::Exhausted { retry_after_millis } => {
                 let retry = Duration::from_millis(retry_after_millis.into()).max(config.refusal_minimum);
-                let pause = retry.mul_f64(1.0 + spread / 2.0).min(config.refusal_maximum);
+                let pause = lengthen(retry, spread).min(config.refusal_maximum);
                 self.begin_refusal(Refusal { until: now + pause, retry_at: now + retry });
             }
             QuotaAnswer::Unlimited => {
@@ -333,6 +337,11 @@
     }
 }
 
+/// A time until a retry, longer by up to [`RETRY_SPREAD`] in proportion to `spread` in 0 to 1.
+pub(super) fn lengthen(retry_after: Duration, spread: f64) -> Duration {
+    retry_after.mul_f64(1.0 + RETRY_SPREAD * spread)
+}
+
 /// The units as a signed number; the largest one if they exceed it.
 fn to_signed(units: u64) -> i64 {
     i64::try_from(units).unwrap_or(i64::MAX)
--- a/crates/core/src/quota/tenant_quotas.rs
+++ b/crates/core/src/quota/tenant_quotas.rs
@@ -15,7 +15,7 @@
 use super::message::{QuotaAnswer, QuotaGrant, QuotaRequest};
 use super::ranking::Rankings;
 use super::suspensions::Suspensions;
-use super::tenant_client::{Decision, Progress, TenantClient};
+use super::tenant_client::{Decision, Progress, TenantClient, lengthen};
 use crate::time::Timestamp;
 use crate::world::{Address, TenantName};
 
@@ -164,8 +164,7 @@
         }
         if self.home.awaits_probe_answer(&grant.tenant, grant.sequence) {
             let own = self.rankings.own();
-            let mut before = self.rankings.of(&grant.tenant).iter().take_while(|node| **node != own);
-            if before.any(|node| *node == grant.sender) {
+            if self.rankings.before(&grant.tenant, own).any(|node| node == grant.sender) {
                 self.home.receive_probe_answer(&grant.tenant, now);
                 return true;
             }
@@ -256,7 +255,7 @@
 
     /// At least [`QuotaConfig::refusal_minimum`], and longer by up to half, so that callers don't return together.
     fn spread(&mut self, retry_after: Duration) -> Duration {
-        retry_after.max(self.config.refusal_minimum).mul_f64(1.0 + self.random.f64() / 2.0)
+        lengthen(retry_after.max(self.config.refusal_minimum), self.random.f64())
     }
 
     /// The node to request units from: the first-ranked one that is neither suspended nor passed over.
@@ -321,8 +320,8 @@
         let is_accepted = client.receive((sender, sequence), answer, self.random.f64(), &self.config, now);
         if is_accepted && answer == QuotaAnswer::NotHome {
             // A node ranked before the sender may be back.
-            let before = self.rankings.of(tenant).iter().take_while(|node| **node != sender);
-            before.for_each(|node| self.suspensions.expedite(*node, now));
+            let before = self.rankings.before(tenant, sender);
+            before.for_each(|node| self.suspensions.expedite(node, now));
         }
         is_accepted
     }
