--- a/crates/core/tests/quota_support/mod.rs
+++ b/crates/core/tests/quota_support/mod.rs
@@ -22,12 +22,22 @@
 use speedy::Writable;
 
 pub const TENANT: &str = "tenant-a";
+/// The time of a simulation step.
 const TICK: Duration = Duration::from_millis(5);
-const TICKS_PER_REACH: u64 = 20;
+
+/// How many steps pass between two updates of the peers and the grant shares.
+const TICKS_PER_REACH_UPDATE: u64 = 20;
+
 /// How long a lowered limit may take until all nodes know it.
 const LIMIT_DELAY_MAXIMUM: Duration = Duration::from_secs(3);
+
+/// The window in which the admitted units are bounded.
 const WINDOW: Duration = Duration::from_secs(8);
 
+/// Clocks are off by up to 5 %: the slowest rate, and the difference between it and the fastest.
+const SLOWEST_CLOCK: f64 = 0.95;
+const CLOCK_RATE_RANGE: f64 = 0.1;
+
 pub fn address(index: usize) -> Address {
     Address(SocketAddr::from(([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7000)))
 }
@@ -146,7 +156,7 @@
 
     pub fn start(&mut self, address: Address) {
         self.incarnation += 1;
-        let clock = 0.95 + self.random.f64() * 0.1;
+        let clock = SLOWEST_CLOCK + self.random.f64() * CLOCK_RATE_RANGE;
         let now = local(self.now, clock);
         let config = QuotaConfig { first_sequence: self.incarnation << 32, ..QuotaConfig::default() };
         let mut quotas = TenantQuotas::new(config, address, now);
@@ -239,7 +249,7 @@
 
     fn step(&mut self) {
         let until = self.now + TICK;
-        if self.tick.is_multiple_of(TICKS_PER_REACH) {
+        if self.tick.is_multiple_of(TICKS_PER_REACH_UPDATE) {
             self.update_reach();
         }
         self.tick += 1;
--- a/crates/core/tests/support/region_world.rs
+++ b/crates/core/tests/support/region_world.rs
@@ -15,14 +15,19 @@
 use super::regions::{ZONES, candidate, topology};
 use super::world_engine::{CACHE_TOKENS, Caller, Engine, Event};
 
-/// The time between two simulation steps, between two notices of a node, and of a message between regions, in microseconds.
+/// The time between two simulation steps, in microseconds.
 const TICK: u64 = 500;
+
+/// The time between two notices of a node, in microseconds.
 const NOTICE_INTERVAL: u64 = 50_000;
+
+/// The time that a message between regions takes, in microseconds.
 const REGION_LATENCY: u64 = 30_000;
 
 /// The time of a move within a zone, in milliseconds per thousand tokens.
 const MOVE_MILLIS: f64 = 0.5;
 
+/// Long prompts have one of [`SHARED_PARTS`] shared parts and a part of their own; sizes are in tokens.
 const SHARED_TOKENS: u32 = 6_000;
 const SHARED_PARTS: u64 = 40;
 const OWN_TOKENS: u32 = 3_000;
