Say what the quota settings, suspensions and demand windows mean

Some descriptions had to be read backwards, and one named only the times among the settings. The two functions that compute expected digests have distinct names now.

--- a/crates/core/src/quota/config.rs
+++ b/crates/core/src/quota/config.rs
@@ -1,20 +1,20 @@
-//! Timing of tenants' limits.
+//! Settings of the exchange of units between nodes.
 
 use std::time::Duration;
 
-/// Timing of tenants' limits. All nodes of a deployment must use the same values.
+/// Times, shares and rates of the exchange of units between nodes. All nodes of a deployment must use the same values.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QuotaConfig {
     /// After this time without an answer a request for units is repeated. In several regions: twice the longest round
     /// trip plus 60 ms.
     pub repeat_after: Duration,
-    /// After this time without an answer a node asks the next one in rank.
+    /// After this time without an answer a node requests the units from the next one in rank.
     pub answer_timeout: Duration,
-    /// How long a node that didn't answer is not asked.
+    /// How long no units are requested from a node that didn't answer.
     pub suspension: Duration,
     /// After `NotHome` the node is asked again after this time, because it may be probing the nodes before it.
     pub not_home_retry: Duration,
-    /// After answering `NotHome` for this time a node is passed over for [`QuotaConfig::suspension`].
+    /// A node that has answered `NotHome` for this time is passed over for [`QuotaConfig::suspension`].
     pub not_home_patience: Duration,
     /// The longest time that a request waits for an answer; then it is refused.
     pub waiting_maximum: Duration,
@@ -30,7 +30,7 @@
     pub refusal_minimum: Duration,
     /// The maximum time for which a node refuses without asking again, so that it notices a raised limit.
     pub refusal_maximum: Duration,
-    /// How long a node that was asked waits for an answer of the nodes ranked before it until it acts as home.
+    /// A node that gets a request probes the nodes ranked before it. If none answers within this time, it acts as home.
     pub takeover_probe: Duration,
     /// How often a node that acts as home probes the nodes ranked before it.
     pub probe_interval: Duration,
@@ -44,9 +44,11 @@
     pub rate_margin: f64,
     /// The share of the burst that may be granted ahead of demand to all nodes together.
     pub ahead_share: f64,
-    /// Nodes ask ahead of demand from this many requests per second on; below, units would mostly remain unused.
+    /// The minimum number of requests per second at which a node requests units ahead of demand; below, units would mostly
+    /// remain unused.
     pub ahead_requests: u32,
-    /// The number of requests per second that a home accepts from nodes that it refuses; more nodes ask less often.
+    /// The number of requests per second that a home accepts from all nodes that it refuses. With more such nodes, each gets
+    /// a longer retry time.
     pub refused_asks_per_second: f64,
     /// The sequence number of the first message, larger than all that an earlier incarnation of the node has used: for
     /// example the number of the node's incarnation.
--- a/crates/core/src/quota/demand.rs
+++ b/crates/core/src/quota/demand.rs
@@ -4,6 +4,7 @@
 
 use crate::time::Timestamp;
 
+/// The period over which demand is counted.
 const WINDOW: Duration = Duration::from_secs(1);
 
 /// Units and requests in the current and in the previous second.
@@ -33,6 +34,7 @@
         if self.previous.requests < requests_minimum { 0 } else { self.previous.units }
     }
 
+    /// Begins a new period when the current one is over.
     fn advance(&mut self, now: Timestamp) {
         let elapsed = now.since(self.start);
         if elapsed >= WINDOW {
--- a/crates/core/src/quota/fleet_reach.rs
+++ b/crates/core/src/quota/fleet_reach.rs
@@ -97,7 +97,7 @@
         self.record_transitions(now);
         self.first_arrival.get_or_insert(now);
         self.arrivals.push_back(now);
-        while self.arrivals.len() > digests_expected(SENDERS_MAXIMUM, RECOVERY_PER_TWO_SENDERS) {
+        while self.arrivals.len() > digests_of_senders(SENDERS_MAXIMUM, RECOVERY_PER_TWO_SENDERS) {
             self.arrivals.pop_front();
         }
         self.recover(now);
@@ -150,7 +150,7 @@
 
     /// Digests in the counting window when each two of the expected senders contribute `per_two_senders`.
     fn expected_digests(&self, per_two_senders: usize) -> usize {
-        digests_expected(self.expected_peers.get() as usize, per_two_senders)
+        digests_of_senders(self.expected_peers.get() as usize, per_two_senders)
     }
 
     /// The digests that arrived in the counting window, of the arrivals that are kept.
@@ -199,6 +199,6 @@
 }
 
 /// The digests of `senders` in the counting window when each two of them contribute `per_two_senders`.
-fn digests_expected(senders: usize, per_two_senders: usize) -> usize {
+fn digests_of_senders(senders: usize, per_two_senders: usize) -> usize {
     (senders.min(SENDERS_MAXIMUM) * per_two_senders).div_ceil(2)
 }
--- a/crates/core/src/quota/suspensions.rs
+++ b/crates/core/src/quota/suspensions.rs
@@ -1,4 +1,4 @@
-//! Nodes that didn't answer and are not asked for a while.
+//! Nodes that didn't answer a request for units, and get none until they answer a probe.
 
 use std::collections::BTreeMap;
 
@@ -33,7 +33,8 @@
         self.nodes.retain(|node, _| is_peer(*node));
     }
 
-    /// Probes a suspended node at once: another node says that it is not the home.
+    /// Makes the first probe of a suspended node due at once. Called when a node ranked after it answers `NotHome`, which
+    /// suggests that the suspended node is back.
     pub(super) fn expedite(&mut self, node: Address, now: Timestamp) {
         if let Some(suspension) = self.nodes.get_mut(&node).filter(|suspension| suspension.probe.is_none()) {
             suspension.probe_at = now;
--- a/crates/core/src/relay/prefill_placement.rs
+++ b/crates/core/src/relay/prefill_placement.rs
@@ -1,4 +1,4 @@
-//! Selects the engine that processes a long prompt.
+//! The selection of the engine that processes a long prompt, by expected time, cached parts and distance.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
