--- a/crates/core/src/quota/config.rs
+++ b/crates/core/src/quota/config.rs
@@ -10,7 +10,8 @@
     pub repeat_after: Duration,
     /// After this time without an answer a node requests the units from the next one in rank.
     pub answer_timeout: Duration,
-    /// How long no units are requested from a node that didn't answer.
+    /// After this time a node that didn't answer is probed; until it answers, no units are requested from it. Also how long
+    /// a node that persistently answers `NotHome` is passed over.
     pub suspension: Duration,
     /// After `NotHome` the node is asked again after this time, because it may be probing the nodes before it.
     pub not_home_retry: Duration,
--- a/crates/core/src/quota/suspensions.rs
+++ b/crates/core/src/quota/suspensions.rs
@@ -1,4 +1,4 @@
-//! Nodes that didn't answer a request for units, and get none until they answer a probe.
+//! Nodes that didn't answer a request for units, and get no other one until they answer a probe.
 
 use std::collections::BTreeMap;
 
