--- a/crates/core/tests/quota_support/mod.rs
+++ b/crates/core/tests/quota_support/mod.rs
@@ -22,12 +22,22 @@
 use speedy::Writable;
 
 pub const TENANT: &str = "tenant-a";
+/// The time of a simulation step.
 const TICK: Duration = Duration::from_millis(5);
-const TICKS_PER_REACH: u64 = 20;
+
+/// How many steps pass between two updates of the peers and the grant shares.
+const TICKS_PER_REACH_UPDATE: u64 = 20;
+
 /// How long a lowered limit may take until all nodes know it.
-const LEARNING: Duration = Duration::from_secs(3);
+const LIMIT_DELAY_MAXIMUM: Duration = Duration::from_secs(3);
+
+/// The window in which the admitted units are bounded.
 const WINDOW: Duration = Duration::from_secs(8);
 
+/// Clocks are off by up to 5 %: the slowest rate, and the difference between it and the fastest.
+const SLOWEST_CLOCK: f64 = 0.95;
+const CLOCK_RATE_RANGE: f64 = 0.1;
+
 pub fn address(index: usize) -> Address {
     Address(SocketAddr::from(([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7000)))
 }
@@ -146,7 +156,7 @@
 
     pub fn start(&mut self, address: Address) {
         self.incarnation += 1;
-        let clock = 0.95 + self.random.f64() * 0.1;
+        let clock = SLOWEST_CLOCK + self.random.f64() * CLOCK_RATE_RANGE;
         let now = local(self.now, clock);
         let config = QuotaConfig { first_sequence: self.incarnation << 32, ..QuotaConfig::default() };
         let mut quotas = TenantQuotas::new(config, address, now);
@@ -221,11 +231,11 @@
         self.network.resume(address, self.now);
     }
 
-    /// Changes the limit. Nodes learn of it within [`LEARNING`].
+    /// Changes the limit. It reaches each node within [`LIMIT_DELAY_MAXIMUM`].
     pub fn set_limit(&mut self, limit: TenantLimit) {
         self.limits.push((self.now, limit));
         for address in self.alive() {
-            let delay = LEARNING.mul_f64(self.random.f64());
+            let delay = LIMIT_DELAY_MAXIMUM.mul_f64(self.random.f64());
             self.pending_limits.push((self.now + delay, address));
         }
     }
@@ -239,11 +249,11 @@
 
     fn step(&mut self) {
         let until = self.now + TICK;
-        if self.tick.is_multiple_of(TICKS_PER_REACH) {
+        if self.tick.is_multiple_of(TICKS_PER_REACH_UPDATE) {
             self.update_reach();
         }
         self.tick += 1;
-        self.learn_limits();
+        self.deliver_limits();
         self.arrivals(until);
         while let Some(delivery) = self.network.deliver(until) {
             self.now = self.now.max(delivery.at);
@@ -281,7 +291,7 @@
         }
     }
 
-    fn learn_limits(&mut self) {
+    fn deliver_limits(&mut self) {
         let newest = self.limits.last().expect("a limit").1;
         let (due, pending) = std::mem::take(&mut self.pending_limits).into_iter().partition(|(at, _)| *at <= self.now);
         self.pending_limits = pending;
@@ -318,7 +328,7 @@
         }
     }
 
-    /// Lets the waiting requests of a node ask again, and sends its messages.
+    /// Retries the waiting requests of a node, and sends its messages.
     fn serve(&mut self, address: Address) {
         let Some(node) = self.nodes.get_mut(&address) else { return };
         let now = local(self.now, node.clock);
@@ -375,7 +385,7 @@
 
     /// The bound of a window that begins at `begin`, with the largest limit that may still be in force in it.
     fn bound(&self, begin: Timestamp) -> f64 {
-        let ended = |index: usize| self.limits.get(index + 1).is_some_and(|(at, _)| *at + LEARNING <= begin);
+        let ended = |index: usize| self.limits.get(index + 1).is_some_and(|(at, _)| *at + LIMIT_DELAY_MAXIMUM <= begin);
         let begun = |at: Timestamp| at < begin + WINDOW;
         let in_force = self.limits.iter().enumerate().filter(|(index, (at, _))| !ended(*index) && begun(*at));
         let bounds = in_force.map(|(_, (_, limit))| (limit.per_second * 8 + limit.burst) as f64 * 1.1 + 190_000.0);
