--- a/crates/core/src/quota/home.rs
+++ b/crates/core/src/quota/home.rs
@@ -127,10 +127,6 @@
             return Some(QuotaAnswer::Granted { units: 0 });
         }
         let share = self.share.min(self.round_trips.largest_share());
-        if bucket.is_new() {
-            // Units accrue from the time since which this node is the home.
-            set_bucket_limit(bucket, *since, context.limit, share, &self.config, *since);
-        }
         set_bucket_limit(bucket, *since, context.limit, share, &self.config, now);
         bucket.answer(request, &self.config, now)
     }
@@ -328,8 +324,12 @@
     config: &QuotaConfig,
     now: Timestamp,
 ) {
+    let rate = limit.per_second as f64 * share * config.rate_margin;
+    let burst = limit.burst as f64 * share;
+    if bucket.is_new() {
+        // Fills the bucket for the time since this node is the home.
+        bucket.set_limit(rate * config.warm_up_rate, burst, acting_since);
+    }
     let is_warming_up = now.since(acting_since) < config.warm_up;
-    let warm_up_rate = if is_warming_up { config.warm_up_rate } else { 1.0 };
-    let rate = limit.per_second as f64 * share * config.rate_margin * warm_up_rate;
-    bucket.set_limit(rate, limit.burst as f64 * share, now);
+    bucket.set_limit(if is_warming_up { rate * config.warm_up_rate } else { rate }, burst, now);
 }
--- a/crates/core/tests/quota_rules.rs
+++ b/crates/core/tests/quota_rules.rs
@@ -173,6 +173,17 @@
     assert!(available >= 90_000, "{available} units");
 }
 
+#[test]
+fn a_probe_does_not_empty_the_bucket_of_the_first_node_in_rank() {
+    let mut fleet = Fleet::new(2);
+    fleet.advance(8_000);
+    let probe = request(fleet.addresses[1], 1 << 40, 0, 0, 0);
+    fleet.nodes[0].receive_request(&probe, fleet.now);
+    fleet.advance(250);
+    let available = fleet.available(0);
+    assert!(available >= 50_000, "{available} units");
+}
+
 #[test]
 fn the_first_node_in_rank_starts_empty_after_it_was_suspended_while_idle() {
     let mut fleet = Fleet::new(1);
