Quotas: look up a tenant's limit in one place, and name what is logged of homes

The same lookup stood in three functions, the constant for logged changes counted tenants but was called lines, and the names of changes of a home did not say what changed. Comments of the modules say what their items are. The comment of the known limits left out that they are kept after a reload ends the enforcement. No behaviour changes.

--- a/crates/relay/src/knowledge.rs
+++ b/crates/relay/src/knowledge.rs
@@ -7,11 +7,11 @@
 
 use arc_swap::ArcSwap;
 use havengate_core::back_ends::{BackEnd, Directory, EngineStage};
-use havengate_core::quota::TenantLimitTable;
+use havengate_core::quota::{TenantLimit, TenantLimitTable};
 use havengate_core::replication::PeerTableConfig;
 use havengate_core::routing::{ConfigurationNumber, KeyTable, RouteTable, TrafficConfiguration};
 use havengate_core::time::Timestamp;
-use havengate_core::world::{Address, BackEndId, ZoneName};
+use havengate_core::world::{Address, BackEndId, TenantName, ZoneName};
 
 /// A configuration in force, with indexes for looking up its routes and keys.
 #[derive(Debug)]
@@ -53,7 +53,7 @@
 pub struct PeerView {
     /// The number of nodes, this one included.
     pub nodes: u32,
-    /// The notice addresses of the peers that were heard from recently.
+    /// The notice addresses of the peers from which messages arrived recently.
     pub peers: Vec<Address>,
     /// The known zones of peers, by notice address.
     pub zones: BTreeMap<Address, ZoneName>,
@@ -81,8 +81,8 @@
     pub is_reader: bool,
     /// Engines that are about to change their stage.
     pub changing: Arc<BTreeMap<BackEndId, AnnouncedChange>>,
-    /// The limits of the tenants; `None` until the node has learned a configuration's limits, or when its settings don't
-    /// enforce limits.
+    /// The limits of the tenants; `None` until the node has received a configuration's limits while it enforces them.
+    /// They are kept, but not updated, when a reload ends the enforcement.
     pub tenant_limits: Option<Arc<TenantLimitTable>>,
     /// The configuration that `tenant_limits` belongs to; it may be older than the one in force.
     pub tenant_limits_version: ConfigurationNumber,
@@ -111,6 +111,11 @@
         Knowledge { nodes, peers: Arc::new(peers), peer_zones: Arc::new(zones), is_reader, ..self.clone() }
     }
 
+    /// The known limit of `tenant`; `None` if it has none.
+    pub fn limit_of(&self, tenant: &TenantName) -> Option<&TenantLimit> {
+        self.tenant_limits.as_ref()?.get(tenant)
+    }
+
     /// The version of the configuration in force; 0 when there is none.
     pub fn configuration_number(&self) -> ConfigurationNumber {
         self.configuration.as_ref().map(|active| active.configuration.version).unwrap_or_default()
--- a/crates/relay/src/quotas/admission.rs
+++ b/crates/relay/src/quotas/admission.rs
@@ -1,4 +1,4 @@
-//! The admission of a limited tenant's request.
+//! Admission of requests within the limit of their tenant: waiting for units, and refusal.
 
 use std::time::Duration;
 
@@ -10,14 +10,14 @@
 use super::{QuotaPermit, Quotas};
 use crate::metrics::QuotaOutcome;
 
-/// The longest time after which a waiting request asks again, also without a change: units may become available by time
-/// alone.
+/// The longest time after which a waiting request asks again without a change of its tenant's units: a bucket also
+/// refills with time.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The shortest retry time of a request that was refused because its wait was over.
 const RETRY_AFTER_MINIMUM: Duration = Duration::from_millis(100);
 
-/// The range of the random factor that spreads these retry times.
+/// The range of the random factor by which retry times are spread, so that callers don't retry at the same moment.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.5..1.5;
 
 /// A request that its tenant's limit does not allow now.
@@ -81,7 +81,7 @@
         self.shared.metrics.record_limited_request(tenant, QuotaOutcome::Refused);
         self.shared.metrics.record_limit_wait(tenant, waited);
         let knowledge = self.shared.knowledge.load();
-        let limit = knowledge.tenant_limits.as_ref().and_then(|limits| limits.get(tenant));
+        let limit = knowledge.limit_of(tenant);
         log::info!(
             event = "tenant_limit_refused",
             request,
@@ -95,11 +95,10 @@
         QuotaRefusal { retry_after }
     }
 
-    /// The time in which the tenant's limit refills what the request counts, spread so that callers don't return
-    /// together.
+    /// The time in which the tenant's limit refills the cost of the request, spread by a factor in [`RETRY_SPREAD`].
     fn refill_time(&self, tenant: &TenantName, token_count: Option<u64>) -> Duration {
         let knowledge = self.shared.knowledge.load();
-        let limit = knowledge.tenant_limits.as_ref().and_then(|limits| limits.get(tenant));
+        let limit = knowledge.limit_of(tenant);
         let seconds = limit.map_or(0.0, |limit| limit.cost_of(token_count) as f64 / limit.per_second.max(1) as f64);
         let spread = RETRY_SPREAD.start + fastrand::f64() * (RETRY_SPREAD.end - RETRY_SPREAD.start);
         let refill = Duration::try_from_secs_f64(seconds).unwrap_or(RETRY_AFTER_MINIMUM);
--- a/crates/relay/src/quotas/home_changes.rs
+++ b/crates/relay/src/quotas/home_changes.rs
@@ -12,12 +12,13 @@
 /// The shortest interval between two checks for changes.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The most lines of each check. A node that starts is the home of all tenants until it knows its peers.
-const LINES_MAXIMUM: usize = 20;
+/// The most tenants whose changes are logged at each check. A node that starts is the home of all tenants until it knows its peers.
+const LOGGED_CHANGES_MAXIMUM: usize = 20;
 
-/// What was last logged of a tenant's home.
+/// A tenant's home as a check found it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct LoggedHome {
+struct ObservedHome {
+    /// Whether this node acts as the home.
     is_home: bool,
     /// The node that ranks first.
     first: Address,
@@ -25,7 +26,7 @@
     asked: Address,
 }
 
-impl LoggedHome {
+impl ObservedHome {
     /// The node that is asked because the home does not answer.
     fn substitute(self) -> Option<Address> {
         (self.asked != self.first).then_some(self.asked)
@@ -35,7 +36,7 @@
 /// The homes of limited tenants, as the last check found them.
 pub(super) struct HomeChanges {
     own: Address,
-    logged: BTreeMap<TenantName, LoggedHome>,
+    observed: BTreeMap<TenantName, ObservedHome>,
     /// The peers at the last check.
     peers: Vec<Address>,
     checked_at: Option<Timestamp>,
@@ -44,7 +45,7 @@
 impl HomeChanges {
     /// Starts without tenants, for the node at `own`.
     pub(super) fn new(own: Address) -> Self {
-        HomeChanges { own, logged: BTreeMap::new(), peers: Vec::new(), checked_at: None }
+        HomeChanges { own, observed: BTreeMap::new(), peers: Vec::new(), checked_at: None }
     }
 
     /// Whether the next check is due.
@@ -62,17 +63,17 @@
         let mut changes = 0;
         let mut next = BTreeMap::new();
         for status in statuses {
-            let before = self.logged.remove(&status.tenant);
-            // Ranking all nodes is too expensive to be repeated without need.
+            let before = self.observed.remove(&status.tenant);
+            // Ranking all nodes is expensive, so it is repeated only after a change of the peers or of the node asked.
             let unchanged = before.filter(|before| has_same_peers && before.asked == status.home);
             let first = unchanged.map_or_else(|| self.first(status), |before| before.first);
-            let home = LoggedHome { is_home: status.is_home, first, asked: status.home };
-            changes += usize::from(log_change(&status.tenant, before, home, changes < LINES_MAXIMUM));
+            let home = ObservedHome { is_home: status.is_home, first, asked: status.home };
+            changes += usize::from(log_change(&status.tenant, before, home, changes < LOGGED_CHANGES_MAXIMUM));
             next.insert(status.tenant.clone(), home);
         }
-        self.logged = next;
-        if changes > LINES_MAXIMUM {
-            log::info!(event = "tenant_homes_changed", untold = changes - LINES_MAXIMUM; "");
+        self.observed = next;
+        if changes > LOGGED_CHANGES_MAXIMUM {
+            log::info!(event = "tenant_homes_changed", untold = changes - LOGGED_CHANGES_MAXIMUM; "");
         }
     }
 
@@ -84,14 +85,14 @@
     }
 }
 
-/// Logs the change of a tenant's home, if there is one and `may_log` permits it; whether there is one.
-fn log_change(tenant: &TenantName, before: Option<LoggedHome>, home: LoggedHome, may_log: bool) -> bool {
-    let acts_otherwise = home.is_home != before.is_some_and(|before| before.is_home);
-    let asks_otherwise = home.substitute() != before.and_then(LoggedHome::substitute);
-    if acts_otherwise && may_log {
+/// Logs the change of a tenant's home if `may_log` permits it. Returns whether there is a change.
+fn log_change(tenant: &TenantName, before: Option<ObservedHome>, home: ObservedHome, may_log: bool) -> bool {
+    let role_changed = home.is_home != before.is_some_and(|before| before.is_home);
+    let substitute_changed = home.substitute() != before.and_then(ObservedHome::substitute);
+    if role_changed && may_log {
         log::info!(event = "tenant_home", tenant:% = tenant, acts = home.is_home; "");
     }
-    if asks_otherwise && may_log {
+    if substitute_changed && may_log {
         match home.substitute() {
             Some(asked) => {
                 log::warn!(event = "tenant_home_suspended", tenant:% = tenant, home:% = home.first, asked:% = asked; "");
@@ -99,5 +100,5 @@
             None => log::info!(event = "tenant_home_resumed", tenant:% = tenant, home:% = home.first; ""),
         }
     }
-    acts_otherwise || asks_otherwise
+    role_changed || substitute_changed
 }
--- a/crates/relay/src/quotas/mod.rs
+++ b/crates/relay/src/quotas/mod.rs
@@ -1,8 +1,8 @@
-//! Limits of tenants on the way of a request: its admission, and the units that this node requests and grants.
+//! Enforcement of tenants' limits: the admission of requests, and the units that this node requests and grants.
 //!
-//! The decisions are those of [`TenantQuotas`]. This module supplies them with the current peers, limits and share of
-//! the fleet, wakes the requests that wait for units, and tells when messages to peers are due. Without limits to
-//! enforce, no state exists and nothing is sent.
+//! [`TenantQuotas`] makes the decisions. This module supplies it with the current peers, limits and share of the fleet,
+//! wakes the requests that wait for units, and determines when messages to peers are due. While limits are not
+//! enforced, no state exists and nothing is sent.
 
 mod admission;
 mod home_changes;
@@ -61,10 +61,11 @@
 /// The state that exists while limits are enforced.
 struct Enforcement {
     quotas: TenantQuotas,
-    /// The peers and limits that `quotas` got last.
+    /// The peers that `quotas` was last given.
     peers: Arc<Vec<Address>>,
+    /// The limits that `quotas` was last given.
     limits: Option<Arc<TenantLimitTable>>,
-    /// When the task that exchanges messages wakes by itself; `None` while it is at work.
+    /// When the task that exchanges messages wakes by itself; `None` while it polls and sends.
     wakes_at: Option<Timestamp>,
     home_changes: HomeChanges,
     summary: QuotaSummary,
@@ -203,8 +204,7 @@
 
     /// Whether requests of `tenant` need a permit.
     fn has_limit(&self, tenant: &TenantName) -> bool {
-        let limits = &self.shared.knowledge.load().tenant_limits;
-        self.is_enforced() && limits.as_ref().is_some_and(|limits| limits.get(tenant).is_some())
+        self.is_enforced() && self.shared.knowledge.load().limit_of(tenant).is_some()
     }
 
     /// Calls `change` with the quotas, and wakes the task that exchanges messages if the change makes it due earlier.
--- a/crates/relay/src/quotas/permit.rs
+++ b/crates/relay/src/quotas/permit.rs
@@ -5,14 +5,14 @@
 use super::Quotas;
 use crate::metrics::QuotaOutcome;
 
-/// What has become of the request so far.
+/// How far engines have run the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RunState {
     /// No engine has begun it.
     NotRun,
     /// An engine has prefilled its prompt; the answer is still to come and counts together with the prefill.
     Prefilled,
-    /// An engine may have run it, or its prefill, in vain.
+    /// An engine may have run it, or its prefill, without an answer for the caller.
     MayHaveRun,
 }
 
@@ -20,7 +20,7 @@
 /// a send after a run that may have happened counts again.
 pub struct QuotaPermit {
     quotas: Quotas,
-    /// The enforcement that the units belong to.
+    /// The number of times that enforcement had been switched on when the units were granted.
     epoch: u64,
     permit: Permit,
     state: RunState,
@@ -58,6 +58,7 @@
         self.state = RunState::Prefilled;
     }
 
+    /// Counts the units again.
     fn charge(&self) {
         if self.is_current() {
             self.quotas.with_quotas(|quotas, now| quotas.charge(&self.permit, now));
@@ -65,6 +66,7 @@
         }
     }
 
+    /// Returns the units that one admission or one send counted.
     fn refund(&self) {
         if self.is_current() {
             self.quotas.with_quotas(|quotas, now| quotas.refund(&self.permit, now));
