Control: one rule for unknown senders of tenants' limits, and plainer comments

Two arms of the message handler dropped unknown senders in the same way. Locations::tidy is named retain_known after what it does, and comments say what fields and modules are. No behaviour changes.

--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -14,7 +14,7 @@
 /// knowledge.
 const FEED_WAIT: Duration = Duration::from_millis(400);
 
-/// The same for a reader in another region. With [`FEED_WAIT`], knowledge would be 1.53 s old before the next answer where
+/// The longest wait of a reader in another region. With [`FEED_WAIT`], knowledge would be 1.53 s old before the next answer where
 /// the store and the reader are 60 ms away; at 1.6 s the node asks the store itself.
 const DISTANT_FEED_WAIT: Duration = Duration::from_millis(250);
 
--- a/crates/relay/src/control/fetcher.rs
+++ b/crates/relay/src/control/fetcher.rs
@@ -23,6 +23,7 @@
 #[derive(Clone)]
 pub struct ConfigurationFetcher {
     learner: Learner,
+    /// Used to determine which peers are in other regions.
     role: ReaderRole,
     /// The peers that have announced a newer configuration than this node's.
     peers_ahead: Rc<RefCell<BTreeMap<Address, ConfigurationNumber>>>,
@@ -57,8 +58,8 @@
         }
     }
 
-    /// Chooses a random peer that is ahead of this node, so that not all nodes ask the same one; one in the own region, if
-    /// there is any.
+    /// Chooses a peer that is ahead of this node, in the own region if possible. The choice is random, so that not all
+    /// nodes ask the same peer.
     fn choose_source(&self) -> Option<Address> {
         let own = self.learner.knowledge().configuration_number();
         let mut peers_ahead = self.peers_ahead.borrow_mut();
--- a/crates/relay/src/control/limit_exchange.rs
+++ b/crates/relay/src/control/limit_exchange.rs
@@ -26,6 +26,7 @@
     own: Address,
     learner: Learner,
     assembly: Rc<RefCell<LimitTableAssembly>>,
+    /// [`PEERS_TIME_LIMIT`] with this node's random addition.
     peers_time_limit: Duration,
     /// The configuration for which a read of the store was last reported.
     reported: Rc<Cell<ConfigurationNumber>>,
@@ -53,7 +54,7 @@
         known.map(|limits| split_into_notices(limits, self.own, query.version)).unwrap_or_default()
     }
 
-    /// Takes in a part of the limits.
+    /// Adds a part of the limits that a peer sent, and adopts the limits once they are complete.
     pub fn receive(&self, notice: TenantLimitNotice) {
         let (version, now) = (notice.version, self.learner.clock().now());
         match self.with_assembly(|assembly| assembly.receive(notice, now)) {
--- a/crates/relay/src/control/locations.rs
+++ b/crates/relay/src/control/locations.rs
@@ -1,4 +1,4 @@
-//! The exchange of zones between nodes in several regions, so that each node knows which peers are near.
+//! The exchange of zones between nodes in several regions, so that each node knows which peers are in its own region.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,7 +9,7 @@
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, Topology, ZoneName};
 
-/// For this time after its start, a node sends its location with each digest: until then most peers don't know it.
+/// For this time after its start, a node sends locations with each digest: most peers don't know its zone yet.
 const STARTUP_TIME: Duration = Duration::from_secs(10);
 
 /// Later, one digest in this number is accompanied by locations. Zones don't change, and locations with each digest would
@@ -38,10 +38,13 @@
 /// The zones of the peers. Clones share the state.
 #[derive(Clone)]
 pub struct Locations {
+    /// The addresses of this node.
     own: PeerAddresses,
     topology: Rc<Topology>,
     zones: Rc<RefCell<PeerZones>>,
+    /// When this node started.
     started: Timestamp,
+    /// The number of digests sent.
     digests: Rc<Cell<u32>>,
 }
 
@@ -74,7 +77,7 @@
     }
 
     /// Removes the zones of peers that are no longer in `table`, and returns the others by notice address.
-    pub fn tidy(&self, table: &PeerTable) -> BTreeMap<Address, ZoneName> {
+    pub fn retain_known(&self, table: &PeerTable) -> BTreeMap<Address, ZoneName> {
         if !self.topology.spans_regions() {
             return BTreeMap::new();
         }
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use havengate_core::duties::usage::UsageTable;
-use havengate_core::quota::TenantLimitQuery;
+use havengate_core::quota::{TenantLimitNotice, TenantLimitQuery};
 use havengate_core::replication::{Digest, PeerAddresses, PeerMessage, PeerTable, Pull, PullAnswer};
 use havengate_core::stages::{DemandTable, DemandTableConfig};
 use havengate_core::time::Timestamp;
@@ -124,7 +124,7 @@
             let (nodes, peers) = (self.table.borrow().nodes(now), self.table.borrow().notice_addresses(now));
             let distant = self.locations.distant_peers(&self.table.borrow());
             self.table.borrow_mut().set_distant(distant.clone());
-            let zones = self.locations.tidy(&self.table.borrow());
+            let zones = self.locations.retain_known(&self.table.borrow());
             self.role.set_peers(self.table.borrow().recent(now), distant);
             self.update_reach(&seeds.borrow(), now);
             self.learner.set_peers(PeerView { nodes, peers, zones, is_reader: self.role.is_reader() });
@@ -144,7 +144,7 @@
         self.limits.clone()
     }
 
-    /// The other nodes that were heard from recently.
+    /// The other nodes from which messages arrived recently.
     pub fn recent(&self, now: Timestamp) -> Vec<Address> {
         self.table.borrow().recent(now)
     }
@@ -213,13 +213,13 @@
             {
                 self.metrics.record_dropped_message("not_enabled");
             }
-            PeerMessage::TenantLimitsWanted(query) if !self.is_recent(query.sender, now) => {
+            PeerMessage::TenantLimitsWanted(TenantLimitQuery { sender, .. })
+            | PeerMessage::TenantLimits(TenantLimitNotice { sender, .. })
+                if !self.is_recent(sender, now) =>
+            {
                 self.metrics.record_dropped_message("unknown_sender");
             }
             PeerMessage::TenantLimitsWanted(query) => self.answer_limits(query),
-            PeerMessage::TenantLimits(notice) if !self.is_recent(notice.sender, now) => {
-                self.metrics.record_dropped_message("unknown_sender");
-            }
             PeerMessage::TenantLimits(notice) => self.limits.receive(notice),
             PeerMessage::Locations(notice) => {
                 if let Err(rejected) = self.locations.receive(&notice, &self.table.borrow(), now) {
@@ -285,7 +285,7 @@
         }
     }
 
-    /// Passes the number of peers seen recently on to the traffic thread, if limits are enforced.
+    /// Updates the reach that the traffic thread reads from the number of peers seen recently, if limits are enforced.
     fn update_reach(&self, seeds: &[Address], now: Timestamp) {
         if !self.learner.enforces_tenant_limits() {
             return;
--- a/crates/relay/src/control/reader_role.rs
+++ b/crates/relay/src/control/reader_role.rs
@@ -29,7 +29,8 @@
         }
     }
 
-    /// Recomputes the role from the peers that were heard from recently, and sets those in other regions.
+    /// Recomputes the role from the peers from which messages arrived recently, of which `distant` are in other
+    /// regions.
     pub fn set_peers(&self, peers: Vec<Address>, distant: BTreeSet<Address>) {
         self.readers.borrow_mut().set_distant(distant);
         let is_reader = self.readers.borrow().includes_own(&peers);
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -41,7 +41,7 @@
     pub seeds: watch::Receiver<Vec<Address>>,
     /// The settings of the duties; a reload may change them.
     pub duties: watch::Receiver<DutySettings>,
-    /// Whether tenants' limits are enforced, else they are not exchanged either; a reload may change it.
+    /// Whether tenants' limits are enforced, and exchanged between nodes; a reload may change it.
     pub enforces_tenant_limits: watch::Receiver<bool>,
 }
 
@@ -58,7 +58,7 @@
     pub configuration_current_at: SharedTimestamp,
     /// The announcements of back ends in their answers.
     pub notices: SharedNotices,
-    /// For how many of the nodes this one may grant.
+    /// The share of all nodes for which this one may grant units, which the control thread updates.
     pub fleet_reach: SharedFleetReach,
     /// The regions of the zones. A change needs a restart.
     pub topology: Topology,
--- a/crates/relay/src/fleet_reach.rs
+++ b/crates/relay/src/fleet_reach.rs
@@ -1,4 +1,4 @@
-//! The node's reach of the other nodes, shared between the two threads.
+//! How many of the other nodes this node can reach, shared between the control thread and the traffic thread.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
--- a/crates/relay/tests/locations.rs
+++ b/crates/relay/tests/locations.rs
@@ -46,7 +46,7 @@
     assert_eq!(locations.notice_with_digest(&[], START), None);
     let received = locations.receive(&notice_of(2), &table(&[2], START), START);
     assert_eq!(received, Err(RejectedLocations::NotEnabled));
-    assert!(locations.tidy(&table(&[2], START)).is_empty());
+    assert!(locations.retain_known(&table(&[2], START)).is_empty());
 }
 
 #[test]
@@ -58,9 +58,9 @@
     assert_eq!(locations.receive(&notice_of(2), &seen_long_ago, now), Err(RejectedLocations::UnknownSender));
     let peers = table(&[2], now);
     assert_eq!(locations.receive(&notice_of(2), &peers, now), Ok(()));
-    assert_eq!(locations.tidy(&peers), [(addresses(2).notices, "west-a".into())].into());
+    assert_eq!(locations.retain_known(&peers), [(addresses(2).notices, "west-a".into())].into());
     assert_eq!(locations.distant_peers(&peers), [addresses(2).control].into());
-    assert!(locations.tidy(&table(&[3], now)).is_empty(), "the zone expires with the peer");
+    assert!(locations.retain_known(&table(&[3], now)).is_empty(), "the zone expires with the peer");
 }
 
 /// Guards against locations that take more bytes than the digests that they accompany.
