Peer notices: send a started node its state in a function of its own

The handler of notices had one long arm among short ones. Comments about the choice of peers and about what counts towards the pace had sentences with several turns. No behaviour changes.

--- a/crates/relay/src/peer_notices/announcements.rs
+++ b/crates/relay/src/peer_notices/announcements.rs
@@ -68,20 +68,7 @@
             PeerNotice::Limits(notice) => self.apply_limit_notice(notice),
             PeerNotice::QuotaRequest(request) => self.receive_quota_request(&request),
             PeerNotice::QuotaGrant(grant) => self.receive_quota_grant(&grant),
-            PeerNotice::RequestCachedParts { sender } => {
-                self.send_attributions(sender).await;
-                let draining = self.shared.notices.lock().newest(now);
-                self.send_drains(draining, &[sender]).await;
-                self.send_some_limits(sender).await;
-                let knowledge = self.shared.knowledge.load_full();
-                let wanted = |entry: &&DirectoryEntry| self.wants_cached_parts(sender, &entry.back_end);
-                let engines = knowledge.directory.entries().filter(wanted).map(|entry| &entry.back_end.id);
-                let cached_by_engine: Vec<CachedParts> =
-                    self.shared.index.borrow().cached_parts(engines, ANNOUNCED_PARTS_MAXIMUM).collect();
-                for cached in cached_by_engine {
-                    self.send(&PeerNotice::CachedParts(cached), NodeMessageKind::CachedParts, &[sender]).await;
-                }
-            }
+            PeerNotice::RequestCachedParts { sender } => self.send_state(sender).await,
             PeerNotice::CachedParts(cached) => {
                 let (engine, parts) = (cached.engine.clone(), cached.parts.len());
                 log::debug!(event = "kept_parts_told", back_end:% = engine, parts; "");
@@ -90,6 +77,23 @@
         }
     }
 
+    /// Sends `peer`, which has just started, what earlier notices contained: the requests that engine terminations are
+    /// attributed to, draining and limited back ends, and the cached parts that it needs.
+    async fn send_state(&self, peer: Address) {
+        self.send_attributions(peer).await;
+        let draining = self.shared.notices.lock().newest(self.shared.clock.now());
+        self.send_drains(draining, &[peer]).await;
+        self.send_some_limits(peer).await;
+        let knowledge = self.shared.knowledge.load_full();
+        let wanted = |entry: &&DirectoryEntry| self.wants_cached_parts(peer, &entry.back_end);
+        let engines = knowledge.directory.entries().filter(wanted).map(|entry| &entry.back_end.id);
+        let cached_by_engine: Vec<CachedParts> =
+            self.shared.index.borrow().cached_parts(engines, ANNOUNCED_PARTS_MAXIMUM).collect();
+        for cached in cached_by_engine {
+            self.send(&PeerNotice::CachedParts(cached), NodeMessageKind::CachedParts, &[peer]).await;
+        }
+    }
+
     /// Whether `peer`, which has just started, needs the cached parts of `engine`: not if they are in different regions
     /// with a stream of prefill notices each.
     fn wants_cached_parts(&self, peer: Address, engine: &BackEnd) -> bool {
--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -42,6 +42,7 @@
 
 struct Shared {
     index: RefCell<PromptIndex>,
+    /// The regions of the zones.
     topology: RefCell<Topology>,
     /// From this number of peers on, each region has a stream of prefill notices.
     region_streams_peers_minimum: Cell<usize>,
@@ -143,8 +144,9 @@
         self.send(&PeerNotice::RequestCachedParts { sender }, NodeMessageKind::CachedParts, &queried).await;
     }
 
-    /// Random peers, one of them in the own region if there is any: the others know little of its engines. After a restart
-    /// of all nodes, though, only the store readers know, which may all be in other regions.
+    /// The peers to ask for cached parts, chosen at random. One is in the own region if possible, since nodes in other
+    /// regions know little of its engines. The other may be in any region: after a restart of all nodes only the store
+    /// readers know cached parts, and all of them may be in other regions.
     fn peers_to_query(&self) -> Vec<Address> {
         let mut queried = self.random_peers(QUERIED_PEERS);
         if self.shared.topology.borrow().spans_regions() {
--- a/crates/relay/src/peer_notices/prefills.rs
+++ b/crates/relay/src/peer_notices/prefills.rs
@@ -44,6 +44,7 @@
         }
     }
 
+    /// Sends the pending changes to the peers; returns the bytes that count towards the pace.
     async fn send_prefills(&self) -> usize {
         self.shared.has_pending_changes.set(false);
         let Some(sender) = self.sender() else {
@@ -67,7 +68,7 @@
 
     /// Sends each region's peers the prefills at its engines, and peers in no known region all prefills. Returns the
     /// bytes that count towards the pace: with a stream for each region they count as often as there are regions, so
-    /// that what is not sent between regions is not spent within them.
+    /// that the bytes saved between regions don't raise the rate of notices within them.
     async fn send_prefills_by_region(&self, sender: Address, knowledge: &Knowledge, peers: &[Address]) -> usize {
         let uses_region_streams = self.uses_region_streams(peers.len());
         let no_zones = BTreeMap::new();
--- a/crates/relay/src/peer_notices/quotas.rs
+++ b/crates/relay/src/peer_notices/quotas.rs
@@ -1,4 +1,4 @@
-//! The exchange of messages about limits of tenants.
+//! The exchange of requests and grants of units of tenants' limits.
 
 use havengate_core::quota::{OutgoingQuotaMessage, QuotaContent, QuotaGrant, QuotaRequest};
 use havengate_core::relay::PeerNotice;
@@ -38,7 +38,7 @@
         self.count_if_dropped(self.enforced_quotas().map(|quotas| quotas.receive_grant(grant)));
     }
 
-    /// Counts a message that was not used; `None`: limits are not enforced.
+    /// Counts a message as dropped unless it is used; `None`: limits are not enforced.
     fn count_if_dropped(&self, is_used: Option<bool>) {
         match is_used {
             Some(true) => {}
@@ -47,6 +47,7 @@
         }
     }
 
+    /// The limits; `None` while they are not enforced or exchanged.
     fn enforced_quotas(&self) -> Option<&Quotas> {
         self.shared.quotas.get().filter(|quotas| quotas.is_enforced())
     }
