Relay: one construction of the cost of distance, and plainer comments

Two functions of the traffic state built the same cost. Comments that referred to the previous item say what is meant. No behaviour changes.

--- a/crates/relay/src/back_ends/pool.rs
+++ b/crates/relay/src/back_ends/pool.rs
@@ -106,7 +106,7 @@
         ConnectionPool { limits, topology: Rc::default(), connections: Rc::default() }
     }
 
-    /// The same pool with the regions of the zones.
+    /// The same pool for a deployment with this topology.
     pub fn in_topology(self, topology: Topology) -> Self {
         ConnectionPool { topology: Rc::new(topology), ..self }
     }
@@ -199,7 +199,7 @@
         Ok(Connection { sender, task: task.abort_handle() })
     }
 
-    /// Opens a connection; one that is not established in time is attempted again, up to `attempts` times.
+    /// Opens a connection in up to `attempts` attempts; only one that timed out is followed by another.
     async fn open_stream(&self, back_end: &BackEnd, attempts: u32) -> Result<TcpStream, ConnectError> {
         for _ in 0..attempts {
             let connecting = TcpStream::connect(back_end.address.0);
--- a/crates/relay/src/broken_runs.rs
+++ b/crates/relay/src/broken_runs.rs
@@ -25,7 +25,7 @@
 /// an engine has already terminated while running it.
 const LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// The same where engines are in several regions: the check takes a round trip of 60 ms after [`CHECK_DELAY`].
+/// The same limit where engines are in several regions: the check takes a round trip of 60 ms after [`CHECK_DELAY`].
 const DISTANT_LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Whether a back end that interrupted a run still accepts connections.
--- a/crates/relay/src/cache_survey.rs
+++ b/crates/relay/src/cache_survey.rs
@@ -52,7 +52,7 @@
     let knowledge = traffic.knowledge.load_full();
     let mut engines: Vec<&DirectoryEntry> =
         knowledge.directory.entries().filter(|entry| entry.back_end.stage.is_some()).collect();
-    // Engines are asked one after the other, and those of other regions answer late.
+    // Engines are asked one after the other, so those of other regions, which take a round trip longer, come last.
     engines.sort_by_key(|entry| traffic.pool.is_distant(&entry.back_end));
     let (mut asked, mut parts) = (0, 0);
     for entry in engines {
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -159,12 +159,17 @@
 
     /// The time that a request to a back end in `zone` and its answer spend between regions.
     pub fn round_trip(&self, zone: &ZoneName) -> Duration {
-        DistanceCost::new(Some(&self.topology.borrow()), &self.placement.get()).round_trip(zone)
+        self.with_distance_cost(|cost| cost.round_trip(zone))
     }
 
     /// How much longer a KV cache transfer between these zones takes than one within a zone.
     pub fn transfer_factor(&self, from: &ZoneName, to: &ZoneName) -> f64 {
-        DistanceCost::new(Some(&self.topology.borrow()), &self.placement.get()).transfer_factor(from, to)
+        self.with_distance_cost(|cost| cost.transfer_factor(from, to))
+    }
+
+    fn with_distance_cost<R>(&self, read: impl FnOnce(&DistanceCost<'_>) -> R) -> R {
+        let (config, topology) = (self.placement(), self.topology());
+        read(&DistanceCost::new(Some(&topology), &config))
     }
 
     /// Changes the regions of the zones for requests that are placed from now on.
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -143,7 +143,7 @@
         log::info!(event = "reloaded", seeds = self.settings.seeds.len(), placement:? = placement, stages:? = self.settings.stages, needs_restart; "");
     }
 
-    /// Enforces the limits of tenants, or ceases to, as the settings say.
+    /// Starts or stops the enforcement of tenants' limits according to the settings.
     fn enforce_tenant_limits(&self) {
         self.enforces_limits.send_replace(self.settings.tenant_limits.is_some());
         match (self.settings.quota_config(), self.traffic.peer_notices.sender()) {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -107,7 +107,7 @@
     }
 }
 
-/// How tenants' limits are enforced.
+/// How tenants' limits are enforced. There are no keys yet: the presence of the table switches enforcement on.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct TenantLimitSettings {}
@@ -147,8 +147,9 @@
         read_toml::<RelaySettings>(path)?.checked()
     }
 
-    /// Reads and checks the settings file at `path`, with the TOML tables in `added` behind its end. A previous release
-    /// refuses a file with keys that it doesn't know, so tables of a new release are passed apart from the file.
+    /// Reads and checks the settings file at `path`, with the TOML tables in `added` appended to its text. A
+    /// previous release refuses a file with keys that it doesn't know, so tables that are new in a release are passed
+    /// separately.
     ///
     /// # Errors
     /// As [`RelaySettings::load`].
