--- a/crates/relay/tests/locations.rs
+++ b/crates/relay/tests/locations.rs
@@ -40,6 +40,7 @@
     LocationNotice { sender: addresses(sender).control, locations: vec![(addresses(sender).notices, "west-a".into())] }
 }
 
+/// Guards against additional traffic, and zones that are kept, where distance is not considered.
 #[test]
 fn a_deployment_in_one_region_sends_no_zones_and_drops_those_that_it_receives() {
     let locations = Locations::new(addresses(1), one_region(), START);
@@ -49,6 +50,7 @@
     assert!(locations.retain_known(&table(&[2], START)).is_empty());
 }
 
+/// Guards against zones of processes that are no peers, and zones that are kept after a peer is gone.
 #[test]
 fn zones_are_accepted_from_recently_seen_peers_only() {
     let locations = Locations::new(addresses(1), two_regions(), START);
--- a/crates/relay/tests/peer_notices.rs
+++ b/crates/relay/tests/peer_notices.rs
@@ -209,6 +209,7 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against prefill notices that use up the pace by crossing regions where no node sends requests to the engine.
 #[tokio::test]
 async fn nodes_of_several_regions_announce_prefills_only_to_the_region_of_the_engine() {
     let test = async {
@@ -227,7 +228,7 @@
 }
 
 /// Guards against engines that the nodes next to them skip although they serve: with a link that is cut in one direction,
-/// nodes of another region can't reach them and say so.
+/// nodes of another region can't reach them and announce it.
 #[tokio::test]
 async fn nodes_of_another_region_do_not_make_an_engine_suspected() {
     let test = async {
@@ -254,6 +255,7 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against cached parts of other regions, whose changes the node would not be notified of.
 #[tokio::test]
 async fn a_node_that_has_just_started_is_sent_the_cached_parts_of_its_region() {
     let test = async {
--- a/crates/relay/tests/quotas.rs
+++ b/crates/relay/tests/quotas.rs
@@ -103,6 +103,7 @@
         panic!("the debt was not settled: {:?}", self.quotas.statuses());
     }
 
+    /// Waits until the node has dropped a message for this cause.
     async fn wait_for_drop(&self, cause: &str) {
         let label = format!("dropped_messages_total{{cause=\"{cause}\"}}");
         for _ in 0..POLLS_MAXIMUM {
@@ -124,7 +125,7 @@
     Address(socket.local_addr().expect("the socket is bound"))
 }
 
-/// A peer that the test plays itself.
+/// A peer that the test simulates.
 struct Peer {
     socket: UdpSocket,
     address: Address,
@@ -183,7 +184,7 @@
     }
 }
 
-/// A node with a peer that is the tenant's home, or else the node itself is.
+/// A node with a peer. The peer is the tenant's home if `peer_is_home`, otherwise the node is.
 async fn start_with_peer(peer_is_home: bool) -> (Node, Peer) {
     let node = Node::start_enforcing().await;
     loop {
@@ -199,6 +200,7 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Units that are not returned refuse later requests below the limit; those returned after a run let engines run more.
 #[tokio::test]
 async fn units_are_returned_when_the_request_certainly_did_not_run() {
     run(async {
@@ -239,6 +241,7 @@
     .await;
 }
 
+/// A request in two stages that counts twice halves the limit of a tenant with long prompts.
 #[tokio::test]
 async fn a_prefill_and_the_answer_after_it_count_once() {
     run(async {
@@ -296,6 +299,7 @@
     .await;
 }
 
+/// A request that needs a permit without a limit waits for units that no node grants.
 #[tokio::test]
 async fn a_tenant_without_a_limit_needs_no_permit() {
     run(async {
@@ -329,6 +333,7 @@
     .await;
 }
 
+/// A node that handled them would keep state and send answers although its settings lack `[tenant_limits]`.
 #[tokio::test]
 async fn messages_are_dropped_while_limits_are_not_enforced() {
     run(async {
@@ -340,6 +345,7 @@
     .await;
 }
 
+/// A process that is no peer could otherwise grant units.
 #[tokio::test]
 async fn messages_of_unknown_senders_are_dropped() {
     run(async {
@@ -350,6 +356,7 @@
     .await;
 }
 
+/// A duplicated or late grant would otherwise add its units a second time.
 #[tokio::test]
 async fn a_grant_that_was_not_asked_for_is_dropped() {
     run(async {
--- a/crates/relay/tests/settings.rs
+++ b/crates/relay/tests/settings.rs
@@ -41,9 +41,9 @@
     settings
 }
 
-/// Failure: a node ignores the tables that are passed apart from its file, or refuses to start with them.
+/// Failure: a node ignores the tables that are passed separately from its file, or refuses to start with them.
 #[test]
-fn added_tables_are_read_behind_the_file() {
+fn added_tables_are_appended_to_the_file() {
     let settings = parse_with_added("").expect("the settings are valid");
     assert!(settings.tenant_limits.is_none() && settings.zone_regions.is_empty());
     let added = "\n[tenant_limits]\n[zone_regions]\n\"zone-1\" = \"east\"\nzone-2 = \"west\"\n";
