--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -14,8 +14,8 @@
 /// knowledge.
 const FEED_WAIT: Duration = Duration::from_millis(400);
 
-/// The longest wait of a reader in another region. With [`FEED_WAIT`], knowledge would be 1.53 s old before the next answer where
-/// the store and the reader are 60 ms away; at 1.6 s the node asks the store itself.
+/// The longest wait of a reader in another region. With [`FEED_WAIT`], knowledge would be 1.53 s old before the next
+/// answer where the store and the reader are 60 ms away; at 1.6 s the node asks the store itself.
 const DISTANT_FEED_WAIT: Duration = Duration::from_millis(250);
 
 /// The time limit for the first byte of an answer, in addition to the wait.
--- a/crates/relay/src/knowledge.rs
+++ b/crates/relay/src/knowledge.rs
@@ -111,7 +111,7 @@
         Knowledge { nodes, peers: Arc::new(peers), peer_zones: Arc::new(zones), is_reader, ..self.clone() }
     }
 
-    /// The known limit of `tenant`; `None` if it has none.
+    /// The limit of `tenant`; `None` if no limit is known.
     pub fn limit_of(&self, tenant: &TenantName) -> Option<&TenantLimit> {
         self.tenant_limits.as_ref()?.get(tenant)
     }
--- a/crates/relay/src/quotas/admission.rs
+++ b/crates/relay/src/quotas/admission.rs
@@ -10,8 +10,8 @@
 use super::{QuotaPermit, Quotas};
 use crate::metrics::QuotaOutcome;
 
-/// The longest time after which a waiting request asks again without a change of its tenant's units: a bucket also
-/// refills with time.
+/// The longest time after which a waiting request asks again without being woken by a change: units may also become
+/// available by time alone.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The shortest retry time of a request that was refused because its wait was over.
--- a/crates/relay/src/quotas/home_changes.rs
+++ b/crates/relay/src/quotas/home_changes.rs
@@ -12,7 +12,8 @@
 /// The shortest interval between two checks for changes.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The most tenants whose changes are logged at each check. A node that starts is the home of all tenants until it knows its peers.
+/// The most tenants whose changes are logged at each check. A node that starts is the home of all tenants until it knows
+/// its peers.
 const LOGGED_CHANGES_MAXIMUM: usize = 20;
 
 /// A tenant's home as a check found it.
