--- a/crates/core/src/relay/placement_config.rs
+++ b/crates/core/src/relay/placement_config.rs
@@ -45,6 +45,10 @@
     pub zone_hop_requests: f64,
     /// The cost of sending any other request to another region, in requests in flight.
     pub region_hop_requests: f64,
+    /// With two regions or more: from this number of peers on, a node announces prefills only to the region of the engine.
+    /// With fewer, the pace of announcements allows all prefills to all peers, which then also know how busy the engines of
+    /// other regions are.
+    pub region_streams_peers: usize,
 }
 
 /// The lower bound of `target_share` where it is a divisor.
@@ -76,6 +80,7 @@
             region_hop_milliseconds: 130.0,
             zone_hop_requests: 2.0,
             region_hop_requests: 8.0,
+            region_streams_peers: 150,
         }
     }
 }
--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -13,8 +13,8 @@
 
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{
-    AnnouncedPart, AnnouncementPaceConfig, CachedParts, EngineModel, EngineTag, PeerNotice, PrefillAudience, PrefillId,
-    Prompt, PromptIndex, PromptIndexConfig, PromptPart, Suspicions, Urgency,
+    AnnouncedPart, AnnouncementPaceConfig, CachedParts, EngineModel, EngineTag, PeerNotice, PlacementConfig,
+    PrefillAudience, PrefillId, Prompt, PromptIndex, PromptIndexConfig, PromptPart, Suspicions, Urgency,
 };
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId, Topology};
@@ -22,7 +22,6 @@
 use tokio::sync::Notify;
 
 use self::pending::PendingAnnouncements;
-use self::prefills::REGION_STREAMS_PEERS_MINIMUM;
 use crate::back_ends::SharedNotices;
 use crate::datagrams::Datagrams;
 use crate::engine_terminations::SharedEngineTerminations;
@@ -42,6 +41,7 @@
 
 struct Shared {
     index: RefCell<PromptIndex>,
+    /// The regions of the zones.
     topology: RefCell<Topology>,
     /// From this number of peers on, each region has a stream of prefill notices.
     region_streams_peers_minimum: Cell<usize>,
@@ -78,7 +78,7 @@
             shared: Rc::new(Shared {
                 index,
                 topology: RefCell::default(),
-                region_streams_peers_minimum: Cell::new(REGION_STREAMS_PEERS_MINIMUM),
+                region_streams_peers_minimum: Cell::new(PlacementConfig::default().region_streams_peers),
                 audience: RefCell::default(),
                 knowledge,
                 clock,
@@ -143,8 +143,9 @@
         self.send(&PeerNotice::RequestCachedParts { sender }, NodeMessageKind::CachedParts, &queried).await;
     }
 
-    /// Random peers, one of them in the own region if there is any: the others know little of its engines. After a restart
-    /// of all nodes, though, only the store readers know, which may all be in other regions.
+    /// The peers to ask for cached parts, chosen at random. One is in the own region if possible, since nodes in other
+    /// regions know little of its engines. The other may be in any region: after a restart of all nodes only the store
+    /// readers know cached parts, and all of them may be in other regions.
     fn peers_to_query(&self) -> Vec<Address> {
         let mut queried = self.random_peers(QUERIED_PEERS);
         if self.shared.topology.borrow().spans_regions() {
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -102,7 +102,6 @@
     let (blocks, blocks_receiver) = block_links();
     let _control = spawn(control, protocol.clone(), platform, shared.clone(), blocks_receiver)?;
     let traffic = Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement));
-    traffic.set_topology(settings.topology());
     traffic.set_revocation_limit(settings.keys.revocation());
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let mut node = RunningNode { settings, read_settings, seeds, duties, enforces_limits, traffic };
@@ -132,7 +131,6 @@
         let needs_restart = !read.has_same_name_and_addresses(&self.settings);
         self.traffic.set_budget_config(read.retry_budget());
         self.traffic.set_placement(read.placement);
-        self.traffic.set_topology(read.topology());
         self.seeds.send_replace(read.seeds.clone());
         self.duties.send_replace(read.duty_settings());
         self.traffic.usage.set_config(read.usage);
@@ -143,7 +141,7 @@
         log::info!(event = "reloaded", seeds = self.settings.seeds.len(), placement:? = placement, stages:? = self.settings.stages, needs_restart; "");
     }
 
-    /// Enforces the limits of tenants, or ceases to, as the settings say.
+    /// Starts or stops the enforcement of tenants' limits according to the settings.
     fn enforce_tenant_limits(&self) {
         self.enforces_limits.send_replace(self.settings.tenant_limits.is_some());
         match (self.settings.quota_config(), self.traffic.peer_notices.sender()) {
