--- a/crates/core/src/quota/ranking.rs
+++ b/crates/core/src/quota/ranking.rs
@@ -7,7 +7,7 @@
 
 /// How many nodes are considered as home of a tenant. When half of the nodes are unreachable, one tenant in 256 has none
 /// left until the peers are updated.
-const CANDIDATES: usize = 8;
+pub(super) const CANDIDATES_MAXIMUM: usize = 8;
 
 /// The candidates of each tenant, computed at the first use after a change of the peers: ranking 330 nodes for each
 /// request would cost more than the request.
@@ -58,6 +58,11 @@
         &self.ranked[tenant]
     }
 
+    /// The candidates for the home of `tenant` that are ranked before `node`; all if it is no candidate.
+    pub(super) fn before(&mut self, tenant: &TenantName, node: Address) -> impl Iterator<Item = Address> {
+        self.of(tenant).iter().copied().take_while(move |candidate| *candidate != node)
+    }
+
     /// Like [`Rankings::of`], without storing the result.
     pub(super) fn peek(&self, tenant: &TenantName) -> Vec<Address> {
         self.ranked.get(tenant).cloned().unwrap_or_else(|| self.rank(tenant))
@@ -66,7 +71,7 @@
     fn rank(&self, tenant: &TenantName) -> Vec<Address> {
         let nodes = self.peers.iter().copied().chain([self.own]);
         let mut ranked = rank_by_address(tenant.as_str().as_bytes(), nodes, |address| *address);
-        ranked.truncate(CANDIDATES);
+        ranked.truncate(CANDIDATES_MAXIMUM);
         ranked
     }
 }
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -66,7 +66,7 @@
     budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     budget_config: Cell<SharedRetryBudgetConfig>,
     placement: Cell<PlacementConfig>,
-    topology: RefCell<Rc<Topology>>,
+    topology: Rc<Topology>,
     splits: RefCell<SplitTurns>,
     random: RefCell<fastrand::Rng>,
 }
@@ -92,7 +92,8 @@
         } = shared;
         let pool = ConnectionPool::new(PoolLimits::default()).in_topology(topology.clone());
         let peer_notices = PeerNotices::new(Arc::clone(&knowledge), notices.clone(), clock, metrics.clone());
-        peer_notices.set_topology(topology);
+        peer_notices.set_topology(topology.clone());
+        peer_notices.use_region_streams_from(placement.region_streams_peers);
         let engine_terminations = peer_notices.engine_terminations().clone();
         let grant_share = move |now| fleet_reach.grant_share(now);
         let quotas = Quotas::new(Arc::clone(&knowledge), grant_share, clock, metrics.clone());
@@ -108,7 +109,7 @@
             short_prefill: Cell::default(),
             late_prefills: RefCell::default(),
             placement: Cell::new(placement),
-            topology: RefCell::default(),
+            topology: Rc::new(topology),
             knowledge,
             demand,
             usage,
@@ -150,26 +151,27 @@
     /// Changes the settings of placement for requests that are placed from now on.
     pub fn set_placement(&self, placement: PlacementConfig) {
         self.placement.set(placement);
+        self.peer_notices.use_region_streams_from(placement.region_streams_peers);
     }
 
     /// The node's zone and the regions of the zones.
     pub fn topology(&self) -> Rc<Topology> {
-        Rc::clone(&self.topology.borrow())
+        Rc::clone(&self.topology)
     }
 
     /// The time that a request to a back end in `zone` and its answer spend between regions.
     pub fn round_trip(&self, zone: &ZoneName) -> Duration {
-        DistanceCost::new(Some(&self.topology.borrow()), &self.placement.get()).round_trip(zone)
+        self.with_distance_cost(|cost| cost.round_trip(zone))
     }
 
     /// How much longer a KV cache transfer between these zones takes than one within a zone.
     pub fn transfer_factor(&self, from: &ZoneName, to: &ZoneName) -> f64 {
-        DistanceCost::new(Some(&self.topology.borrow()), &self.placement.get()).transfer_factor(from, to)
+        self.with_distance_cost(|cost| cost.transfer_factor(from, to))
     }
 
-    /// Changes the regions of the zones for requests that are placed from now on.
-    pub fn set_topology(&self, topology: Topology) {
-        *self.topology.borrow_mut() = Rc::new(topology);
+    fn with_distance_cost<R>(&self, read: impl FnOnce(&DistanceCost<'_>) -> R) -> R {
+        let (config, topology) = (self.placement(), self.topology());
+        read(&DistanceCost::new(Some(&topology), &config))
     }
 
     /// Sets the maximum age of the node's keys. Requests that need a key are refused while the node can't prove that
--- a/crates/relay/src/peer_notices/prefills.rs
+++ b/crates/relay/src/peer_notices/prefills.rs
@@ -15,10 +15,6 @@
 /// for. Long prompts are few, and a node that does not learn of a prefill queues the next prompt behind it.
 const NOTIFIED_PEERS_MAXIMUM: usize = 400;
 
-/// From this number of peers on, each region is sent only the prefills of its own engines. With fewer peers, the pace
-/// allows notices of all prefills to all of them, which also shows how busy the engines of other regions are.
-pub(super) const REGION_STREAMS_PEERS_MINIMUM: usize = 150;
-
 /// The longest time that a finished prefill waits for its repeated announcement.
 const PREFILL_REPEAT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -44,6 +40,7 @@
         }
     }
 
+    /// Sends the pending changes to the peers; returns the bytes that count towards the pace.
     async fn send_prefills(&self) -> usize {
         self.shared.has_pending_changes.set(false);
         let Some(sender) = self.sender() else {
@@ -67,7 +64,7 @@
 
     /// Sends each region's peers the prefills at its engines, and peers in no known region all prefills. Returns the
     /// bytes that count towards the pace: with a stream for each region they count as often as there are regions, so
-    /// that what is not sent between regions is not spent within them.
+    /// that the bytes saved between regions don't raise the rate of notices within them.
     async fn send_prefills_by_region(&self, sender: Address, knowledge: &Knowledge, peers: &[Address]) -> usize {
         let uses_region_streams = self.uses_region_streams(peers.len());
         let no_zones = BTreeMap::new();
--- a/crates/relay/tests/settings.rs
+++ b/crates/relay/tests/settings.rs
@@ -41,9 +41,9 @@
     settings
 }
 
-/// Failure: a node ignores the tables that are passed apart from its file, or refuses to start with them.
+/// Failure: a node ignores the tables that are passed separately from its file, or refuses to start with them.
 #[test]
-fn added_tables_are_read_behind_the_file() {
+fn added_tables_are_appended_to_the_file() {
     let settings = parse_with_added("").expect("the settings are valid");
     assert!(settings.tenant_limits.is_none() && settings.zone_regions.is_empty());
     let added = "\n[tenant_limits]\n[zone_regions]\n\"zone-1\" = \"east\"\nzone-2 = \"west\"\n";
@@ -82,7 +82,7 @@
                 orders_by_urgency = false\nrefuses_early = false\ndecode_interference = 2.5\nzone_advantage = 0\n\
                 target_share = 1.0\nbacklog_per_request_milliseconds = 40\n\
                 zone_hop_milliseconds = 10\nregion_hop_milliseconds = 200\nzone_hop_requests = 1\n\
-                region_hop_requests = 5.5";
+                region_hop_requests = 5.5\nregion_streams_peers = 9";
     let expected = PlacementConfig {
         affinity: false,
         takes_parts_over: false,
@@ -99,6 +99,7 @@
         region_hop_milliseconds: 200.0,
         zone_hop_requests: 1.0,
         region_hop_requests: 5.5,
+        region_streams_peers: 9,
     };
     assert_eq!(parse(text).expect("the settings are valid").placement, expected);
 }
