Sight: a node records and logs when it loses and regains its paths to back ends

Reachability (core) decides it for each service and stage from connection attempts, with checks of a few back ends where requests say too little; the relay logs paths_lost and paths_regained and counts failures, changes and checks. No decision about requests uses it yet.

--- a/crates/core/src/back_ends/back_end.rs
+++ b/crates/core/src/back_ends/back_end.rs
@@ -15,7 +15,7 @@
 }
 
 /// The stage of a request that a model engine serves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Readable, Writable, Serialize, Deserialize)]
 pub enum EngineStage {
     /// Processes prompts and returns handles to their KV cache.
     Prefill,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gateway;
 pub mod limits;
 pub mod membership;
+pub mod paths;
 pub mod plan;
 pub mod policy;
 pub mod prompt;
--- a/crates/relay/src/back_ends/load.rs
+++ b/crates/relay/src/back_ends/load.rs
@@ -8,6 +8,8 @@
 use havengate_core::time::Timestamp;
 use havengate_core::world::BackEndId;
 
+use crate::paths::PathUse;
+
 /// The state of one back end, as observed from this node's own requests.
 #[derive(Debug)]
 struct BackEndLoad {
@@ -35,8 +37,8 @@
         self.loads.borrow().get(id).is_none_or(|load| load.health.admits(now))
     }
 
-    /// Records a send; the returned guard counts it as in flight until it is dropped.
-    pub fn begin(&self, id: &BackEndId, now: Timestamp) -> InFlight {
+    /// Records a send over `path`; the returned guard counts it as in flight until it is dropped.
+    pub fn begin(&self, id: &BackEndId, path: PathUse, now: Timestamp) -> InFlight {
         let mut loads = self.loads.borrow_mut();
         if loads.len() >= LOADS_MAXIMUM {
             loads.retain(|_, load| load.in_flight > 0);
@@ -47,7 +49,7 @@
         load.in_flight += 1;
 
         load.health.record_send(now);
-        InFlight { loads: self.clone(), id: id.clone() }
+        InFlight { loads: self.clone(), id: id.clone(), path }
     }
 
     /// Records a successful answer.
@@ -75,10 +77,17 @@
 }
 
 /// Counts a request as in flight at a back end until it is dropped.
-#[derive(Debug)]
 pub struct InFlight {
     loads: BackEndLoads,
     id: BackEndId,
+    path: PathUse,
+}
+
+impl InFlight {
+    /// Records that the back end has sent a piece of its answer.
+    pub fn record_heard(&self) {
+        self.path.record_heard();
+    }
 }
 
 impl Drop for InFlight {
--- a/crates/relay/src/back_ends/pool.rs
+++ b/crates/relay/src/back_ends/pool.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use havengate_core::back_ends::BackEnd;
+use havengate_core::paths::PathFailure;
 use havengate_core::world::{BackEndId, Distance, Topology};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -15,6 +16,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::paths::BackEndPaths;
 use crate::protocol::RequestBody;
 
 /// Time and size limits of the pool.
@@ -97,13 +99,15 @@
 pub struct ConnectionPool {
     limits: PoolLimits,
     topology: Rc<Topology>,
+    /// Records whether connections are established; `None` for a pool that is not used for requests.
+    paths: Option<BackEndPaths>,
     connections: Rc<RefCell<HashMap<BackEndId, BackEndConnections>>>,
 }
 
 impl ConnectionPool {
     /// Creates a pool without connections.
     pub fn new(limits: PoolLimits) -> Self {
-        ConnectionPool { limits, topology: Rc::default(), connections: Rc::default() }
+        ConnectionPool { limits, topology: Rc::default(), paths: None, connections: Rc::default() }
     }
 
     /// The same pool for a deployment with this topology.
@@ -111,6 +115,11 @@
         ConnectionPool { topology: Rc::new(topology), ..self }
     }
 
+    /// The same pool, which records in `paths` whether its connections are established.
+    pub fn recording(self, paths: BackEndPaths) -> Self {
+        ConnectionPool { paths: Some(paths), ..self }
+    }
+
     /// Whether back ends may be in several regions.
     pub fn spans_regions(&self) -> bool {
         self.topology.spans_regions()
@@ -183,7 +192,9 @@
             true => (self.limits.distant_attempts, self.limits.distant_unacknowledged_time_limit),
             false => (1, self.limits.unacknowledged_time_limit),
         };
-        let stream = self.open_stream(back_end, attempts).await?;
+        let stream = self.open_stream(back_end, attempts).await;
+        self.record_path(back_end, stream.as_ref().err());
+        let stream = stream?;
         // Events of a stream are small and must not be delayed by Nagle's algorithm.
         let _ = stream.set_nodelay(true);
         let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged_time_limit));
@@ -212,6 +223,19 @@
         Err(ConnectError::TimedOut)
     }
 
+    fn record_path(&self, back_end: &BackEnd, failure: Option<&ConnectError>) {
+        let Some(paths) = &self.paths else {
+            return;
+        };
+        match failure {
+            None => paths.record_connected(back_end),
+            Some(ConnectError::TimedOut) => paths.record_failed(back_end, PathFailure::TimedOut),
+            Some(ConnectError::Refused(_) | ConnectError::Failed(_)) => {
+                paths.record_failed(back_end, PathFailure::Refused);
+            }
+        }
+    }
+
     fn put_back(&self, id: &BackEndId, connection: Connection, idle_time: Duration) {
         if connection.sender.is_closed() {
             return;
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -131,6 +131,9 @@
 
     /// Records that a piece of the answer arrived.
     pub fn record_piece(&mut self) {
+        if let Some(in_flight) = &self.in_flight {
+            in_flight.record_heard();
+        }
         let now = self.clock.now();
         let last = self.last_piece.replace(now).or(self.first_piece);
         self.longest_pause = self.longest_pause.max(last.map(|last| now.since(last)));
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -48,7 +48,7 @@
     };
     let sent_at = traffic.clock.now();
     record_call(traffic, request, back_end, sent_at);
-    let in_flight = traffic.loads.begin(&back_end.id, sent_at);
+    let in_flight = traffic.loads.begin(&back_end.id, traffic.paths.begin_request(back_end), sent_at);
     let is_prefill = matches!(stage, SendStage::Prefill);
     let run = traffic.broken_runs.begin(back_end, request.content, request.head.id_text(), is_prefill);
     let result = send(&traffic.protocol, &traffic.pool, back_end, &sent, in_flight, run.clone()).await;
@@ -57,6 +57,7 @@
     }
     match &result {
         Ok(answer) => {
+            traffic.paths.record_heard(back_end);
             apply_notice(traffic, request, back_end, answer.notice);
             if answer.judgement == AnswerHead::Proper && answer.notice.limit.is_none() {
                 apply_no_limit(traffic, request, back_end, sent_at);
@@ -173,6 +174,9 @@
 ) {
     let now = traffic.clock.now();
     let cause = failure.to_string();
+    if matches!(failure, SendFailure::Silent(_) | SendFailure::Lost(_)) {
+        traffic.paths.record_interrupted(back_end);
+    }
     if failure.should_warn_peers(stage) {
         traffic.peer_notices.record_unreachable(&back_end.id);
     }
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -21,6 +21,7 @@
 use crate::demand::SharedDemand;
 use crate::knowledge::{SharedKnowledge, SharedTimestamp};
 use crate::metrics::RelayMetrics;
+use crate::paths::BackEndPaths;
 use crate::peer_notices::PeerNotices;
 use crate::quotas::Quotas;
 use crate::usage::SharedUsage;
@@ -41,6 +42,8 @@
     revocation_limit: Cell<Option<Duration>>,
     /// The node's clock.
     pub clock: Clock,
+    /// The paths to back ends.
+    pub paths: BackEndPaths,
     /// Connections to back ends.
     pub pool: ConnectionPool,
     /// The requests in flight at each back end, and the health of its answers.
@@ -90,7 +93,8 @@
             clock,
             metrics,
         } = shared;
-        let pool = ConnectionPool::new(PoolLimits::default()).in_topology(topology.clone());
+        let paths = BackEndPaths::new(Arc::clone(&knowledge), clock, metrics.clone());
+        let pool = ConnectionPool::new(PoolLimits::default()).in_topology(topology.clone()).recording(paths.clone());
         let peer_notices = PeerNotices::new(Arc::clone(&knowledge), notices.clone(), clock, metrics.clone());
         peer_notices.set_topology(topology.clone());
         peer_notices.use_region_streams_from(placement.region_streams_peers);
@@ -101,6 +105,7 @@
             protocol,
             clock,
             broken_runs: BrokenRuns::new(pool.clone(), engine_terminations, clock, metrics.clone()),
+            paths,
             pool,
             loads: BackEndLoads::default(),
             notices,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fleet_reach;
 pub mod knowledge;
 pub mod metrics;
+pub mod paths;
 pub mod peer_notices;
 pub mod process;
 pub mod protocol;
--- a/crates/relay/src/metrics/mod.rs
+++ b/crates/relay/src/metrics/mod.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of a relaying node.
 
 mod labels;
+mod paths;
 mod tenants;
 
 use std::fmt;
@@ -25,6 +26,7 @@
     BrokenRunLabel, DropLabel, DutyLabels, EndLabels, EstimateLabel, MessageLabel, NoticeLabel, RouteLabel, SendLabels,
     ServiceLabel, SourceLabel, StageChangeLabels, StageOrderLabel, StoreLabels, SuspectLabel,
 };
+pub use self::paths::PathMetrics;
 pub use self::tenants::QuotaOutcome;
 use self::tenants::TenantLimitMetrics;
 use crate::process::VERSION;
@@ -87,6 +89,7 @@
     duty_calls: Family<DutyLabels, Counter>,
     stage_change_seconds: Counter<f64, AtomicU64>,
     tenant_limits: TenantLimitMetrics,
+    paths: PathMetrics,
 }
 
 /// The metrics of a node. Clones share them.
@@ -135,6 +138,7 @@
             duty_calls: Family::default(),
             stage_change_seconds: Counter::default(),
             tenant_limits: TenantLimitMetrics::new(),
+            paths: PathMetrics::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("build", "The build that runs", Info::new([("version", VERSION)]));
@@ -213,9 +217,15 @@
         let seconds = metrics.stage_change_seconds.clone();
         registry.register("stage_change_seconds", "Engines' time from a change's announcement to its end", seconds);
         metrics.tenant_limits.register(registry);
+        metrics.paths.register(registry);
         RelayMetrics { metrics: Arc::new(metrics) }
     }
 
+    /// The counters of the paths to back ends.
+    pub fn paths(&self) -> &PathMetrics {
+        &self.metrics.paths
+    }
+
     /// Counts the end of a change of an engine's stage and adds its duration.
     pub fn record_stage_change(&self, to: &'static str, outcome: &'static str, took: Duration) {
         self.metrics.stage_changes.get_or_create(&StageChangeLabels { to, outcome }).inc();
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -32,6 +32,7 @@
 use crate::fleet_reach::SharedFleetReach;
 use crate::knowledge::{Knowledge, SharedKnowledge, SharedTimestamp};
 use crate::metrics::{NodeMessageKind, NodeState, RelayMetrics};
+use crate::paths::check_paths;
 use crate::protocol::{ControlStore, DutyReceiver, Protocol};
 use crate::settings::{RelaySettings, RelaySettingsError};
 use crate::usage::SharedUsage;
@@ -160,6 +161,7 @@
         self.enforce_tenant_limits();
         tokio::task::spawn_local(traffic.peer_notices.engine_terminations().clone().sync_with_store(blocks));
         tokio::task::spawn_local(survey(Rc::clone(&traffic)));
+        tokio::task::spawn_local(check_paths(traffic.paths.clone(), traffic.pool.clone()));
         serve_status(settings.readiness_address, Rc::clone(&traffic), readiness::<P>)?;
         if let Some(address) = settings.metrics_address {
             serve_status(address, Rc::clone(&traffic), metrics_text::<P>)?;
