Open connections to back ends through a peer while the own paths are lost

Callers saw: on nodes cut off from all engines of a service every request refused after four attempts, or after 1.2 s of connections that hang. Cause: a node reached engines only over its own connections. Change: once a node has lost its paths (Reachability), it opens connections through peers that prove that they reach the back ends: TunnelQuery, TunnelOffer with a secret, TunnelRequest over TCP.

--- a/crates/core/src/paths/reachability.rs
+++ b/crates/core/src/paths/reachability.rs
@@ -14,7 +14,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReachabilityConfig {
     /// The number of back ends that a full check connects to.
-    pub sample: usize,
+    pub full_sample: usize,
+    /// The number of back ends that a check connects to when none is heard of while requests wait.
+    pub silence_sample: usize,
     /// The number of different back ends that can't be connected to while none is heard of, from which on the paths are
     /// lost without a check.
     pub failures_maximum: usize,
@@ -26,6 +28,8 @@
     pub idle: Duration,
     /// The pause between two checks.
     pub check_pause: Duration,
+    /// The pause between two full checks while back ends are heard of.
+    pub full_check_pause: Duration,
     /// The pause between two checks while the paths are lost.
     pub lost_check_pause: Duration,
     /// The number of successful checks in a row after which lost paths count as available again.
@@ -35,12 +39,14 @@
 impl Default for ReachabilityConfig {
     fn default() -> Self {
         ReachabilityConfig {
-            sample: 4,
+            full_sample: 4,
+            silence_sample: 3,
             failures_maximum: 3,
             failure_window: Duration::from_secs(1),
             silence: Duration::from_millis(400),
             idle: Duration::from_secs(3),
             check_pause: Duration::from_millis(100),
+            full_check_pause: Duration::from_secs(1),
             lost_check_pause: Duration::from_millis(500),
             confirmations: 2,
         }
@@ -93,6 +99,8 @@
 pub enum PathCheck {
     /// Connect to one back end, to hear whether the paths are intact.
     Brief,
+    /// Connect to a few back ends, since none has been heard of while requests wait.
+    Silence,
     /// Connect to a sample of back ends, which decides whether the paths are lost.
     Full,
 }
@@ -111,10 +119,12 @@
     /// The number of back ends in the group that may get requests; 0 while it is not known.
     back_ends: usize,
     lost_since: Option<Timestamp>,
+    /// How the connection failed that lost the paths.
+    loss_cause: PathFailure,
+    /// How often the paths were lost.
+    losses: u32,
     /// When a back end was last heard of: it accepted a connection or answered.
     heard_at: Option<Timestamp>,
-    /// When the last connection without an answer ended.
-    interrupted_at: Option<Timestamp>,
     attempts: HashMap<BackEndId, LastAttempt>,
     in_flight: u32,
     /// When the first of the requests in flight was sent.
@@ -134,8 +144,9 @@
             config,
             back_ends: 0,
             lost_since: None,
+            loss_cause: PathFailure::Refused,
+            losses: 0,
             heard_at: None,
-            interrupted_at: None,
             attempts: HashMap::new(),
             in_flight: 0,
             busy_since: now,
@@ -151,10 +162,21 @@
         self.lost_since.is_some()
     }
 
-    /// Whether the paths are proven to be intact: a back end was heard of within `age`, and nothing has failed since.
+    /// Whether the paths are lost and new connections hang, so that nothing will arrive over open ones either.
+    pub fn is_silently_lost(&self) -> bool {
+        self.is_lost() && self.loss_cause == PathFailure::TimedOut
+    }
+
+    /// How often the paths were lost so far.
+    pub fn losses(&self) -> u32 {
+        self.losses
+    }
+
+    /// Whether the paths are proven to be intact: a back end was heard of within `age`, nothing has failed since, and no
+    /// request has been waiting for long without hearing of any.
     pub fn is_proven(&self, age: Duration, now: Timestamp) -> bool {
         let is_recent = self.heard_at.is_some_and(|heard_at| now.since(heard_at) <= age);
-        !self.is_lost() && is_recent && !self.is_doubtful(now)
+        is_recent && !self.is_lost() && !self.is_doubtful(now) && !self.is_waiting(self.config.silence / 2, now)
     }
 
     /// Whether a back end was heard of at `since` or later.
@@ -164,10 +186,7 @@
 
     /// Whether something has failed recently and no back end has been heard of since.
     pub fn is_doubtful(&self, now: Timestamp) -> bool {
-        let is_unanswered = |at: Timestamp| {
-            now.since(at) < self.config.failure_window && self.heard_at.is_none_or(|heard_at| heard_at < at)
-        };
-        self.interrupted_at.is_some_and(is_unanswered) || self.failures().any(|(at, _)| is_unanswered(at))
+        self.recent_failures(now).any(|(at, _)| self.is_unheard_since(at))
     }
 
     /// Whether new connections to `back_end` are to go through another node: the paths are lost, and the back end has not
@@ -206,8 +225,9 @@
     /// Records that a connection was not established, and decides whether the paths are lost.
     pub fn record_failed(&mut self, back_end: &BackEndId, cause: PathFailure, now: Timestamp) -> Option<PathChange> {
         self.attempts.insert(back_end.clone(), LastAttempt::Failed(now, cause));
-        let unanswered = self.recent_failures(now).filter(|at| self.heard_at.is_none_or(|heard_at| heard_at < *at));
-        let failed = unanswered.count();
+        let is_refusal = |(_, cause): &(Timestamp, PathFailure)| *cause != PathFailure::Interrupted;
+        let refusals = self.recent_failures(now).filter(is_refusal);
+        let failed = refusals.filter(|(at, _)| self.is_unheard_since(*at)).count();
         let failures_maximum = match self.back_ends {
             0 => self.config.failures_maximum,
             back_ends => self.config.failures_maximum.min(back_ends),
@@ -215,9 +235,9 @@
         if failed >= failures_maximum { self.lose(failed, cause, now) } else { None }
     }
 
-    /// Records that an established connection ended without an answer.
-    pub fn record_interrupted(&mut self, now: Timestamp) {
-        self.interrupted_at = Some(now);
+    /// Records that an established connection to `back_end` ended without an answer.
+    pub fn record_interrupted(&mut self, back_end: &BackEndId, now: Timestamp) {
+        self.attempts.insert(back_end.clone(), LastAttempt::Failed(now, PathFailure::Interrupted));
     }
 
     /// The check that is due at `now`.
@@ -230,12 +250,17 @@
         if self.is_lost() {
             return is_due(self.config.lost_check_pause).then_some(PathCheck::Full);
         }
+        if !is_due(self.config.check_pause) {
+            return None;
+        }
         if self.is_suspicious(now) {
-            return is_due(self.config.check_pause).then_some(PathCheck::Full);
+            return Some(PathCheck::Full);
+        }
+        if self.is_waiting(self.config.silence, now) && is_due(self.config.silence) {
+            return Some(PathCheck::Silence);
         }
-        let is_silent = self.is_silent(now) && is_due(self.config.silence);
-        let is_doubtful = self.is_doubtful(now) && is_due(self.config.check_pause);
-        (is_silent || is_doubtful).then_some(PathCheck::Brief)
+        let is_idle = self.heard_at.is_none_or(|heard_at| now.since(heard_at) >= self.config.idle);
+        (is_idle || self.is_doubtful(now)).then_some(PathCheck::Brief)
     }
 
     /// Records that a check has begun.
@@ -254,7 +279,7 @@
     ) -> Option<PathChange> {
         self.is_check_open = false;
         self.checked_at = Some(now);
-        if check == PathCheck::Brief || checked == 0 {
+        if check != PathCheck::Full || checked == 0 {
             return None;
         }
         self.fully_checked_at = Some(now);
@@ -294,27 +319,30 @@
             return None;
         }
         self.lost_since = Some(now);
+        self.loss_cause = cause;
+        self.losses += 1;
         let heard_before = self.heard_at.map(|heard_at| now.since(heard_at));
         Some(PathChange::Lost { failed, cause, heard_before })
     }
 
-    /// Whether failures since the last full check call for another one: several back ends, or one while none was heard
-    /// of since.
+    /// Whether failures since the last full check call for another one: one while no back end was heard of since, or
+    /// several.
     fn is_suspicious(&self, now: Timestamp) -> bool {
         let is_unchecked = |at: &Timestamp| self.fully_checked_at.is_none_or(|checked_at| checked_at < *at);
-        let unchecked: Vec<Timestamp> = self.recent_failures(now).filter(is_unchecked).collect();
-        let is_unanswered = |at: &Timestamp| self.heard_at.is_none_or(|heard_at| heard_at < *at);
-        unchecked.len() > 1 || unchecked.iter().any(is_unanswered)
+        let unchecked: Vec<Timestamp> = self.recent_failures(now).map(|(at, _)| at).filter(is_unchecked).collect();
+        let pause = self.config.full_check_pause;
+        let is_several_due = self.fully_checked_at.is_none_or(|checked_at| now.since(checked_at) >= pause);
+        unchecked.iter().any(|at| self.is_unheard_since(*at)) || (unchecked.len() > 1 && is_several_due)
     }
 
-    /// Whether no back end has been heard of for so long that a check is needed.
-    fn is_silent(&self, now: Timestamp) -> bool {
-        let Some(heard_at) = self.heard_at else {
-            return true;
-        };
-        let idle_time = now.since(heard_at);
-        let waited = now.since(heard_at.max(self.busy_since));
-        idle_time >= self.config.idle || (self.in_flight > 0 && waited >= self.config.silence)
+    /// Whether requests are in flight and no back end has been heard of for `time`.
+    fn is_waiting(&self, time: Duration, now: Timestamp) -> bool {
+        let since = self.heard_at.unwrap_or_default().max(self.busy_since);
+        self.in_flight > 0 && now.since(since) >= time
+    }
+
+    fn is_unheard_since(&self, at: Timestamp) -> bool {
+        self.heard_at.is_none_or(|heard_at| heard_at < at)
     }
 
     fn failures(&self) -> impl Iterator<Item = (Timestamp, PathFailure)> {
@@ -324,9 +352,9 @@
         })
     }
 
-    fn recent_failures(&self, now: Timestamp) -> impl Iterator<Item = Timestamp> {
+    fn recent_failures(&self, now: Timestamp) -> impl Iterator<Item = (Timestamp, PathFailure)> {
         let window = self.config.failure_window;
-        self.failures().map(|(at, _)| at).filter(move |at| now.since(*at) < window)
+        self.failures().filter(move |(at, _)| now.since(*at) < window)
     }
 }
 
--- a/crates/core/src/relay/peer_notice.rs
+++ b/crates/core/src/relay/peer_notice.rs
@@ -7,6 +7,7 @@
 use super::suspicions::UnreachableNotice;
 use super::termination_notice::TerminationNotice;
 use crate::back_ends::{DrainNotice, LimitNotice};
+use crate::paths::{TunnelOffer, TunnelQuery};
 use crate::quota::{QuotaGrant, QuotaRequest};
 use crate::world::{Address, BackEndId};
 
@@ -34,6 +35,15 @@
     QuotaRequest(QuotaRequest),
     /// The answer to a request for units of a tenant's limit.
     QuotaGrant(QuotaGrant),
+    /// A request for tunnels to back ends that the sender can't reach.
+    TunnelQuery(TunnelQuery),
+    /// An offer of tunnels to back ends.
+    TunnelOffer(TunnelOffer),
+    /// The sender stops and accepts no more tunnels; open ones should be given up once they are idle.
+    TunnelsEnd {
+        /// The address where the sender receives notices; identifies it.
+        sender: Address,
+    },
 }
 
 /// The parts that a node estimates to be in an engine's cache.
--- a/crates/relay/src/back_ends/load.rs
+++ b/crates/relay/src/back_ends/load.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Admits requests to `id` again: the failures were those of this node's own path.
+    pub fn readmit(&self, id: &BackEndId) {
+        self.with_health(id, |health| *health = BackEndHealth::new(HealthLimits::default()));
+    }
+
     fn with_health<T>(&self, id: &BackEndId, change: impl FnOnce(&mut BackEndHealth) -> T) -> Option<T> {
         self.loads.borrow_mut().get_mut(id).map(|load| change(&mut load.health))
     }
--- a/crates/relay/src/back_ends/mod.rs
+++ b/crates/relay/src/back_ends/mod.rs
@@ -1,13 +1,15 @@
 //! Connections to back ends, their load and health, and single sends of requests.
 
+mod liveness;
 mod load;
 mod notices;
 mod own_call;
 mod pool;
 mod send;
 
+pub use liveness::set_liveness;
 pub use load::{BackEndLoads, InFlight};
 pub use notices::SharedNotices;
 pub use own_call::{get_request, set_host};
-pub use pool::{ConnectError, ConnectionPool, Lease, PoolLimits};
+pub use pool::{ConnectError, ConnectionPool, Detour, Lease, PoolLimits};
 pub use send::{AnswerInProgress, SendFailure, Sent, is_unacknowledged, send};
--- a/crates/relay/src/back_ends/pool.rs
+++ b/crates/relay/src/back_ends/pool.rs
@@ -7,17 +7,18 @@
 use std::time::{Duration, Instant};
 
 use havengate_core::back_ends::BackEnd;
-use havengate_core::paths::PathFailure;
-use havengate_core::world::{BackEndId, Distance, Topology};
+use havengate_core::paths::{PathFailure, TunnelId};
+use havengate_core::world::{Address, BackEndId, Distance, Topology};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use super::liveness::set_liveness;
 use crate::paths::BackEndPaths;
 use crate::protocol::RequestBody;
+use crate::tunnels::{Tunnel, TunnelError, Tunnels};
 
 /// Time and size limits of the pool.
 #[derive(Clone, Copy, Debug)]
@@ -66,6 +67,10 @@
     Refused(String),
     /// the connection failed: {0}
     Failed(String),
+    /// a peer could not connect to it: {0}
+    UnreachableForPeer(Address),
+    /// there is no path to it: {0}
+    NoPath(String),
 }
 
 impl ConnectError {
@@ -78,14 +83,36 @@
     }
 }
 
+impl From<TunnelError> for ConnectError {
+    fn from(error: TunnelError) -> Self {
+        match error {
+            TunnelError::Unreachable(peer) => ConnectError::UnreachableForPeer(peer),
+            TunnelError::NoOffer | TunnelError::Failed(_) => ConnectError::NoPath(error.to_string()),
+        }
+    }
+}
+
+/// The peer that a connection goes through.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Detour {
+    /// The peer.
+    pub peer: Address,
+    /// Identifies the tunnel in the logs of both nodes.
+    pub tunnel: TunnelId,
+}
+
 struct Connection {
     sender: SendRequest<RequestBody>,
     task: AbortHandle,
+    /// `None` for a direct connection.
+    detour: Option<Detour>,
 }
 
 struct IdleConnection {
     connection: Connection,
     expires_at: Instant,
+    /// How often the paths to the back end had been lost when the connection became idle.
+    losses: u32,
 }
 
 #[derive(Default)]
@@ -101,13 +128,15 @@
     topology: Rc<Topology>,
     /// Records whether connections are established; `None` for a pool that is not used for requests.
     paths: Option<BackEndPaths>,
+    /// Opens connections through peers; `None` for a pool that connects only directly.
+    tunnels: Option<Tunnels>,
     connections: Rc<RefCell<HashMap<BackEndId, BackEndConnections>>>,
 }
 
 impl ConnectionPool {
     /// Creates a pool without connections.
     pub fn new(limits: PoolLimits) -> Self {
-        ConnectionPool { limits, topology: Rc::default(), paths: None, connections: Rc::default() }
+        ConnectionPool { limits, topology: Rc::default(), paths: None, tunnels: None, connections: Rc::default() }
     }
 
     /// The same pool for a deployment with this topology.
@@ -120,6 +149,11 @@
         ConnectionPool { paths: Some(paths), ..self }
     }
 
+    /// The same pool, which goes through peers where the own paths are lost.
+    pub fn with_tunnels(self, tunnels: Tunnels) -> Self {
+        ConnectionPool { tunnels: Some(tunnels), ..self }
+    }
+
     /// Whether back ends may be in several regions.
     pub fn spans_regions(&self) -> bool {
         self.topology.spans_regions()
@@ -150,7 +184,7 @@
     /// # Errors
     /// When no connection can be established.
     pub async fn lease(&self, back_end: &BackEnd) -> Result<Lease, ConnectError> {
-        let connection = match self.take_idle(&back_end.id) {
+        let connection = match self.take_idle(back_end) {
             Some(connection) => connection,
             None => self.connect(back_end).await?,
         };
@@ -158,36 +192,92 @@
         Ok(Lease {
             connection: Some(connection),
             pool,
-            id: back_end.id.clone(),
+            back_end: back_end.clone(),
             idle_time: self.limits.idle_time_default,
         })
     }
 
-    /// Opens a new connection to `back_end` to check whether it still listens, and keeps it for the next request.
+    /// Opens a new direct connection to `back_end` to check whether it still listens, and keeps it for the next request.
     ///
     /// # Errors
     /// When no connection can be established.
     pub async fn check(&self, back_end: &BackEnd) -> Result<(), ConnectError> {
-        let connection = self.connect(back_end).await?;
-        self.put_back(&back_end.id, connection, self.limits.idle_time_default);
+        let stream = self.open_direct(back_end).await?;
+        let connection = self.begin_connection(back_end, stream, None).await?;
+        self.put_back(back_end, connection, self.limits.idle_time_default);
         Ok(())
     }
 
-    fn take_idle(&self, id: &BackEndId) -> Option<Connection> {
+    fn take_idle(&self, back_end: &BackEnd) -> Option<Connection> {
         let mut connections = self.connections.borrow_mut();
-        let idle = &mut connections.get_mut(id)?.idle;
+        let idle = &mut connections.get_mut(&back_end.id)?.idle;
         let now = Instant::now();
-        while let Some(IdleConnection { connection, expires_at }) = idle.pop() {
-            if expires_at > now && connection.sender.is_ready() {
-                return Some(connection);
+        while let Some(candidate) = idle.pop() {
+            let is_open = candidate.expires_at > now && candidate.connection.sender.is_ready();
+            if is_open && self.may_reuse(&candidate, back_end) {
+                return Some(candidate.connection);
             }
-            connection.task.abort();
+            candidate.connection.task.abort();
         }
         None
     }
 
+    /// Whether an idle connection may carry a request. A direct one from before the paths were lost is dead most likely,
+    /// and while they are in doubt a new connection shows it before the request is sent. A tunnel is used while the own
+    /// paths are lost and its peer offers it.
+    fn may_reuse(&self, idle: &IdleConnection, back_end: &BackEnd) -> bool {
+        let Some(paths) = &self.paths else {
+            return true;
+        };
+        match idle.connection.detour {
+            Some(detour) => paths.needs_detour(back_end) && self.is_offered(detour),
+            None => idle.losses == paths.losses(back_end) && !paths.is_doubtful(back_end),
+        }
+    }
+
     async fn connect(&self, back_end: &BackEnd) -> Result<Connection, ConnectError> {
-        let opening = OpenConnection::new(self.clone(), back_end.id.clone());
+        let (mut stream, mut detour) = (None, None);
+        if let Some(tunnel) = self.open_tunnel(back_end).await? {
+            detour = Some(Detour { peer: tunnel.peer, tunnel: tunnel.id });
+            stream = Some(tunnel.stream);
+        }
+        if stream.is_none() {
+            match self.open_direct(back_end).await {
+                Ok(direct) => stream = Some(direct),
+                // The failure may have shown that the paths are lost.
+                Err(error) => {
+                    let tunnel = self.open_tunnel(back_end).await?.ok_or(error)?;
+                    detour = Some(Detour { peer: tunnel.peer, tunnel: tunnel.id });
+                    stream = Some(tunnel.stream);
+                }
+            }
+        }
+        match stream {
+            Some(stream) => self.begin_connection(back_end, stream, detour).await,
+            None => Err(ConnectError::NoPath("no connection was attempted".to_owned())),
+        }
+    }
+
+    /// Opens a tunnel to `back_end` if the own paths are lost; `None` if they are not, or no peer offers a tunnel.
+    async fn open_tunnel(&self, back_end: &BackEnd) -> Result<Option<Tunnel>, ConnectError> {
+        let (Some(paths), Some(tunnels)) = (&self.paths, &self.tunnels) else {
+            return Ok(None);
+        };
+        if !paths.needs_detour(back_end) {
+            return Ok(None);
+        }
+        match tunnels.open(back_end).await {
+            Ok(tunnel) => Ok(Some(tunnel)),
+            Err(TunnelError::NoOffer) => Ok(None),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Opens a direct connection to `back_end`, and records whether that was possible.
+    ///
+    /// # Errors
+    /// When no connection is established in time.
+    pub async fn open_direct(&self, back_end: &BackEnd) -> Result<TcpStream, ConnectError> {
         let (attempts, unacknowledged_time_limit) = match self.is_distant(back_end) {
             true => (self.limits.distant_attempts, self.limits.distant_unacknowledged_time_limit),
             false => (1, self.limits.unacknowledged_time_limit),
@@ -195,9 +285,19 @@
         let stream = self.open_stream(back_end, attempts).await;
         self.record_path(back_end, stream.as_ref().err());
         let stream = stream?;
+        set_liveness(&stream, unacknowledged_time_limit);
+        Ok(stream)
+    }
+
+    async fn begin_connection(
+        &self,
+        back_end: &BackEnd,
+        stream: TcpStream,
+        detour: Option<Detour>,
+    ) -> Result<Connection, ConnectError> {
+        let opening = OpenConnection::new(self.clone(), back_end.id.clone());
         // Events of a stream are small and must not be delayed by Nagle's algorithm.
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged_time_limit));
         let handshake = Builder::new()
             .max_buf_size(self.limits.head_maximum_bytes)
             .handshake::<_, RequestBody>(TokioIo::new(stream));
@@ -207,7 +307,7 @@
             // The request in flight receives the error; the end of an idle connection needs no handling.
             let _ = connection.await;
         });
-        Ok(Connection { sender, task: task.abort_handle() })
+        Ok(Connection { sender, task: task.abort_handle(), detour })
     }
 
     /// Opens a connection in up to `attempts` attempts; only one that timed out is followed by another.
@@ -230,19 +330,22 @@
         match failure {
             None => paths.record_connected(back_end),
             Some(ConnectError::TimedOut) => paths.record_failed(back_end, PathFailure::TimedOut),
-            Some(ConnectError::Refused(_) | ConnectError::Failed(_)) => {
-                paths.record_failed(back_end, PathFailure::Refused);
-            }
+            Some(_) => paths.record_failed(back_end, PathFailure::Refused),
         }
     }
 
-    fn put_back(&self, id: &BackEndId, connection: Connection, idle_time: Duration) {
+    fn put_back(&self, back_end: &BackEnd, connection: Connection, idle_time: Duration) {
         if connection.sender.is_closed() {
             return;
         }
+        let losses = self.paths.as_ref().map_or(0, |paths| paths.losses(back_end));
         let mut connections = self.connections.borrow_mut();
-        let idle = &mut connections.entry(id.clone()).or_default().idle;
-        idle.push(IdleConnection { connection, expires_at: Instant::now() + idle_time });
+        let idle = &mut connections.entry(back_end.id.clone()).or_default().idle;
+        idle.push(IdleConnection { connection, expires_at: Instant::now() + idle_time, losses });
+    }
+
+    fn is_offered(&self, detour: Detour) -> bool {
+        self.tunnels.as_ref().is_some_and(|tunnels| tunnels.is_offered_by(detour.peer))
     }
 
     /// Closes connections that have been idle too long, and removes back ends without connections.
@@ -250,7 +353,8 @@
         let now = Instant::now();
         self.connections.borrow_mut().retain(|_, connections| {
             connections.idle.retain(|idle| {
-                let keep = idle.expires_at > now && !idle.connection.sender.is_closed();
+                let is_open = idle.expires_at > now && !idle.connection.sender.is_closed();
+                let keep = is_open && idle.connection.detour.is_none_or(|detour| self.is_offered(detour));
                 if !keep {
                     idle.connection.task.abort();
                 }
@@ -287,7 +391,7 @@
 pub struct Lease {
     connection: Option<Connection>,
     pool: ConnectionPool,
-    id: BackEndId,
+    back_end: BackEnd,
     idle_time: Duration,
 }
 
@@ -297,6 +401,20 @@
         self.connection.as_mut().map(|connection| &mut connection.sender)
     }
 
+    /// The peer that the connection goes through; `None` for a direct one.
+    pub fn detour(&self) -> Option<Detour> {
+        self.connection.as_ref().and_then(|connection| connection.detour)
+    }
+
+    /// Waits until the own paths to the back end are lost because nothing arrives over them any more; never returns for a
+    /// connection through a peer.
+    pub async fn silent_loss(&self) {
+        match (&self.pool.paths, self.detour()) {
+            (Some(paths), None) => paths.wait_for_silent_loss(&self.back_end).await,
+            _ => std::future::pending().await,
+        }
+    }
+
     /// Sets the idle time from the back end's keep-alive timeout, in whole seconds.
     pub fn apply_keep_alive(&mut self, seconds: u64) {
         self.idle_time = Duration::from_secs(seconds).mul_f64(self.pool.limits.keep_alive_share);
@@ -305,7 +423,7 @@
     /// Returns the connection to the pool, once the answer has been read to its end.
     pub fn give_back(mut self) {
         if let Some(connection) = self.connection.take() {
-            self.pool.put_back(&self.id, connection, self.idle_time);
+            self.pool.put_back(&self.back_end, connection, self.idle_time);
         }
     }
 }
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::load::InFlight;
-use super::pool::{ConnectionPool, Lease};
+use super::pool::{ConnectError, ConnectionPool, Detour, Lease};
 use crate::broken_runs::Run;
 use crate::protocol::{AnswerHead, EngineUrgency, Protocol, RequestBody, RequestHead, SendFacts, SendStage};
 
@@ -43,6 +43,8 @@
     pub ends_at: Timestamp,
     /// The clock that `ends_at` refers to.
     pub clock: Clock,
+    /// Whether the request may be sent to another back end without an answer from this one.
+    pub may_repeat: bool,
 }
 
 impl Sent<'_> {
@@ -75,8 +77,12 @@
     NoTime,
     /// not sent: {0}
     NotSent(String),
+    /// not sent, as this node has no path: {0}
+    NoPath(String),
     /// no acknowledgement from the back end: {0}
     Silent(String),
+    /// no answer, as this node has lost its paths
+    PathLost,
     /// no answer: {0}
     Lost(String),
     /// no answer in time
@@ -90,7 +96,7 @@
         match self {
             SendFailure::NotSent(_) | SendFailure::Silent(_) => true,
             SendFailure::Lost(_) => matches!(stage, SendStage::Prefill),
-            SendFailure::NoTime | SendFailure::TimedOut => false,
+            SendFailure::NoTime | SendFailure::NoPath(_) | SendFailure::PathLost | SendFailure::TimedOut => false,
         }
     }
 }
@@ -98,7 +104,7 @@
 /// Sends a request to `back_end` and waits for the head of the answer.
 ///
 /// # Errors
-/// When there is no answer; only [`SendFailure::NotSent`] and [`SendFailure::NoTime`] prove that the back end has not
+/// When there is no answer; only [`SendFailure::NotSent`], [`SendFailure::NoPath`] and [`SendFailure::NoTime`] prove that the back end has not
 /// received the request.
 pub async fn send<P: Protocol>(
     protocol: &P,
@@ -108,12 +114,26 @@
     in_flight: InFlight,
     run: Run,
 ) -> Result<AnswerInProgress, SendFailure> {
-    let mut lease = pool.lease(back_end).await.map_err(|error| SendFailure::NotSent(error.to_string()))?;
+    let mut lease = pool.lease(back_end).await.map_err(|error| match error {
+        ConnectError::NoPath(_) => SendFailure::NoPath(error.to_string()),
+        _ => SendFailure::NotSent(error.to_string()),
+    })?;
+    if let Some(Detour { peer, tunnel }) = lease.detour() {
+        let request = request.head.id_text();
+        log::info!(event = "request_tunnelled", request, back_end:% = back_end.id, peer:% = peer, tunnel:% = tunnel; "");
+    }
     let outgoing = build_request(protocol, back_end, request)?;
     let Some(sender) = lease.sender() else {
         return Err(SendFailure::NotSent("the connection is closed".to_owned()));
     };
-    let answer = match timeout(request.time_left(), sender.try_send_request(outgoing)).await {
+    let sending = timeout(request.time_left(), sender.try_send_request(outgoing));
+    let sent = tokio::select! {
+        sent = sending => sent,
+        () = lease.silent_loss(), if request.may_repeat => {
+            return Err(SendFailure::PathLost);
+        }
+    };
+    let answer = match sent {
         Err(_) => return Err(SendFailure::TimedOut),
         Ok(Err(mut error)) => {
             let is_unsent = error.take_message().is_some();
--- a/crates/relay/src/broken_runs.rs
+++ b/crates/relay/src/broken_runs.rs
@@ -133,7 +133,7 @@
         let liveness = match self.shared.pool.check(&back_end).await {
             Ok(()) => BackEndLiveness::Alive,
             Err(ConnectError::Refused(_)) => BackEndLiveness::Terminated,
-            Err(ConnectError::TimedOut | ConnectError::Failed(_)) => BackEndLiveness::Unknown,
+            Err(_) => BackEndLiveness::Unknown,
         };
         let runs = self.shared.unchecked.borrow_mut().remove(&back_end.id).unwrap_or_default();
         self.shared.metrics.record_broken_runs(liveness.code(), runs.len());
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -268,7 +268,9 @@
         }
         let sent_at = self.traffic.clock.now();
         let answer = match send_and_record(self.traffic, &self.request, back_end, stage).await {
-            Err(SendFailure::NoTime | SendFailure::NotSent(_)) => return Attempt::Ended(SendOutcome::NotSent, None),
+            Err(SendFailure::NoTime | SendFailure::NotSent(_) | SendFailure::NoPath(_)) => {
+                return Attempt::Ended(SendOutcome::NotSent, None);
+            }
             Err(failure) => {
                 self.exchange.record_sent();
                 self.update_record();
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use havengate_core::back_ends::{BackEnd, BackEndNotice, LimitChange, Usability};
+use havengate_core::paths::PathFailure;
 use havengate_core::relay::{DistanceCost, SendOutcome, Urgency};
 use havengate_core::time::{Timestamp, whole_millis};
 use havengate_core::world::Address;
@@ -45,6 +46,7 @@
         tenant: request.tenant.as_ref().map(|tenant| &tenant.name),
         ends_at: request.ends_at,
         clock: traffic.clock,
+        may_repeat: request.route.kind.may_repeat() || matches!(stage, SendStage::Prefill),
     };
     let sent_at = traffic.clock.now();
     record_call(traffic, request, back_end, sent_at);
@@ -174,14 +176,16 @@
 ) {
     let now = traffic.clock.now();
     let cause = failure.to_string();
-    if matches!(failure, SendFailure::Silent(_) | SendFailure::Lost(_)) {
-        traffic.paths.record_interrupted(back_end);
+    match failure {
+        SendFailure::Silent(_) => traffic.paths.record_failed(back_end, PathFailure::TimedOut),
+        SendFailure::Lost(_) => traffic.paths.record_interrupted(back_end),
+        _ => {}
     }
     if failure.should_warn_peers(stage) {
         traffic.peer_notices.record_unreachable(&back_end.id);
     }
     match failure {
-        SendFailure::NoTime => {}
+        SendFailure::NoTime | SendFailure::NoPath(_) | SendFailure::PathLost => {}
         SendFailure::NotSent(_) | SendFailure::Silent(_) => traffic.loads.unreachable(&back_end.id, now, &cause),
         // A back end that interrupted an answer may be healthy. If it is gone, the next connection attempt shows that
         // at no cost.
@@ -230,8 +234,10 @@
 /// The outcome of a send that got no answer.
 pub fn outcome_of_failure(failure: &SendFailure) -> SendOutcome {
     match failure {
-        SendFailure::NoTime | SendFailure::NotSent(_) => SendOutcome::NotSent,
-        SendFailure::Silent(_) | SendFailure::Lost(_) | SendFailure::TimedOut => SendOutcome::Lost,
+        SendFailure::NoTime | SendFailure::NotSent(_) | SendFailure::NoPath(_) => SendOutcome::NotSent,
+        SendFailure::Silent(_) | SendFailure::PathLost | SendFailure::Lost(_) | SendFailure::TimedOut => {
+            SendOutcome::Lost
+        }
     }
 }
 
@@ -302,7 +308,9 @@
         },
         Err(SendFailure::NoTime) => "no_time",
         Err(SendFailure::NotSent(_)) => "not_sent",
+        Err(SendFailure::NoPath(_)) => "no_path",
         Err(SendFailure::Silent(_)) => "silent",
+        Err(SendFailure::PathLost) => "path_lost",
         Err(SendFailure::Lost(_)) => "lost",
         Err(SendFailure::TimedOut) => "timed_out",
     }
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -24,6 +24,7 @@
 use crate::paths::BackEndPaths;
 use crate::peer_notices::PeerNotices;
 use crate::quotas::Quotas;
+use crate::tunnels::Tunnels;
 use crate::usage::SharedUsage;
 
 /// The state that all requests of a node share.
@@ -44,6 +45,8 @@
     pub clock: Clock,
     /// The paths to back ends.
     pub paths: BackEndPaths,
+    /// Tunnels to back ends through peers, and those of peers through this node.
+    pub tunnels: Tunnels,
     /// Connections to back ends.
     pub pool: ConnectionPool,
     /// The requests in flight at each back end, and the health of its answers.
@@ -94,7 +97,11 @@
             metrics,
         } = shared;
         let paths = BackEndPaths::new(Arc::clone(&knowledge), clock, metrics.clone());
-        let pool = ConnectionPool::new(PoolLimits::default()).in_topology(topology.clone()).recording(paths.clone());
+        let tunnels = Tunnels::new(paths.clone(), topology.clone(), clock, metrics.clone());
+        let pool = ConnectionPool::new(PoolLimits::default())
+            .in_topology(topology.clone())
+            .recording(paths.clone())
+            .with_tunnels(tunnels.clone());
         let peer_notices = PeerNotices::new(Arc::clone(&knowledge), notices.clone(), clock, metrics.clone());
         peer_notices.set_topology(topology.clone());
         peer_notices.use_region_streams_from(placement.region_streams_peers);
@@ -106,6 +113,7 @@
             clock,
             broken_runs: BrokenRuns::new(pool.clone(), engine_terminations, clock, metrics.clone()),
             paths,
+            tunnels,
             pool,
             loads: BackEndLoads::default(),
             notices,
@@ -179,6 +187,15 @@
         read(&DistanceCost::new(Some(&topology), &config))
     }
 
+    /// Readmits back ends whenever the node's paths to them are lost: it ejected them for the failures of its own paths,
+    /// and peers reach them. Never returns.
+    pub async fn readmit_after_losses(&self) {
+        loop {
+            let group = self.paths.next_loss().await;
+            self.paths.back_ends(&group).iter().for_each(|back_end| self.loads.readmit(&back_end.id));
+        }
+    }
+
     /// Sets the maximum age of the node's keys. Requests that need a key are refused while the node can't prove that
     /// its keys are newer.
     pub fn set_revocation_limit(&self, limit: Option<Duration>) {
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -14,7 +14,7 @@
 mod reader_role;
 mod stages;
 mod thread;
-mod transfer;
+pub(crate) mod transfer;
 
 pub use block_keeper::{BlockKeeperLink, BlockStoreLink, BlockUpdate, block_links};
 pub use duties::{DutyLeaseSettings, DutySettings};
--- a/crates/relay/src/control/transfer.rs
+++ b/crates/relay/src/control/transfer.rs
@@ -6,7 +6,7 @@
 
 use havengate_core::replication::{Pull, PullAnswer};
 use havengate_core::world::Address;
-use havengate_wire::{LENGTH_BYTES, WireError, decode, frame_of, payload_length};
+use havengate_wire::{FRAME_MAXIMUM_BYTES, LENGTH_BYTES, WireError, decode, frame_of, payload_length};
 use speedy::{LittleEndian, Readable, Writable};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -137,12 +137,27 @@
 pub async fn read_message<M: for<'a> Readable<'a, LittleEndian>>(
     stream: &mut TcpStream,
     timeouts: TransferTimeouts,
+) -> Result<M, PeersError> {
+    read_small_message(stream, FRAME_MAXIMUM_BYTES, timeouts).await
+}
+
+/// Reads one frame of at most `maximum_bytes` and decodes the message in it.
+///
+/// # Errors
+/// When the connection fails, the frame is larger or holds no such message, or the message exceeds `timeouts`.
+pub async fn read_small_message<M: for<'a> Readable<'a, LittleEndian>>(
+    stream: &mut TcpStream,
+    maximum_bytes: usize,
+    timeouts: TransferTimeouts,
 ) -> Result<M, PeersError> {
     let mut deadlines = Deadlines::new(timeouts);
     let mut length = [0; LENGTH_BYTES];
     read_exactly(stream, &mut length, &mut deadlines, None).await?;
-    let mut payload = vec![0; payload_length(length)?];
-    let total = payload.len();
+    let total = payload_length(length)?;
+    if total > maximum_bytes {
+        return Err(WireError::FrameTooLarge { bytes: total, limit: maximum_bytes }.into());
+    }
+    let mut payload = vec![0; total];
     read_exactly(stream, &mut payload, &mut deadlines, Some(total)).await?;
     Ok(decode(&payload)?)
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod protocol;
 pub mod quotas;
 pub mod settings;
+pub mod tunnels;
 pub mod usage;
--- a/crates/relay/src/metrics/labels.rs
+++ b/crates/relay/src/metrics/labels.rs
@@ -108,6 +108,8 @@
     Quotas,
     /// The zones of nodes.
     Locations,
+    /// Queries and offers of tunnels.
+    Tunnels,
 }
 
 impl NodeMessageKind {
@@ -127,6 +129,7 @@
             NodeMessageKind::TenantLimits => "tenant_limits",
             NodeMessageKind::Quotas => "quotas",
             NodeMessageKind::Locations => "locations",
+            NodeMessageKind::Tunnels => "tunnels",
         }
     }
 }
--- a/crates/relay/src/paths/checks.rs
+++ b/crates/relay/src/paths/checks.rs
@@ -87,7 +87,8 @@
         fastrand::shuffle(&mut back_ends);
         back_ends.truncate(match check {
             PathCheck::Brief => 1,
-            PathCheck::Full => ReachabilityConfig::default().sample,
+            PathCheck::Silence => ReachabilityConfig::default().silence_sample,
+            PathCheck::Full => ReachabilityConfig::default().full_sample,
         });
         back_ends.into_iter().cloned().collect()
     }
--- a/crates/relay/src/paths/mod.rs
+++ b/crates/relay/src/paths/mod.rs
@@ -6,15 +6,22 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use std::time::Duration;
+
 use havengate_core::back_ends::{BackEnd, Usability};
 use havengate_core::paths::{PathChange, PathFailure, PathGroup, Reachability, ReachabilityConfig};
 use havengate_core::time::{Timestamp, whole_millis};
 use havengate_node::clock::Clock;
+use tokio::sync::Notify;
 
 pub use self::checks::check_paths;
 use crate::knowledge::{Knowledge, SharedKnowledge};
 use crate::metrics::RelayMetrics;
 
+/// A node offers tunnels to back ends while it has heard of one of them within this time: a little more than the interval
+/// between checks without requests.
+pub const PROOF_AGE: Duration = Duration::from_secs(4);
+
 /// The paths to all back ends. Clones share the state.
 #[derive(Clone)]
 pub struct BackEndPaths {
@@ -26,12 +33,17 @@
     knowledge: SharedKnowledge,
     clock: Clock,
     metrics: RelayMetrics,
+    /// Groups whose paths were lost, until `next_loss` returns them.
+    new_losses: RefCell<Vec<PathGroup>>,
+    /// Wakes what waits for a loss of paths.
+    lost: Notify,
 }
 
 impl BackEndPaths {
     /// Paths of which nothing is known yet.
     pub fn new(knowledge: SharedKnowledge, clock: Clock, metrics: RelayMetrics) -> Self {
-        BackEndPaths { shared: Rc::new(Shared { groups: RefCell::default(), knowledge, clock, metrics }) }
+        let (groups, new_losses, lost) = (RefCell::default(), RefCell::default(), Notify::new());
+        BackEndPaths { shared: Rc::new(Shared { groups, knowledge, clock, metrics, new_losses, lost }) }
     }
 
     /// Counts a request to `back_end` as in flight until the guard is dropped.
@@ -59,10 +71,76 @@
         self.apply(&group, change);
     }
 
+    /// The back ends of `group` that may get requests.
+    pub fn back_ends(&self, group: &PathGroup) -> Vec<BackEnd> {
+        let knowledge = self.shared.knowledge.load();
+        usable(&knowledge, group, self.shared.clock.now()).into_iter().cloned().collect()
+    }
+
+    /// Waits until the paths to a group are lost.
+    pub async fn next_loss(&self) -> PathGroup {
+        loop {
+            let lost = self.shared.lost.notified();
+            if let Some(group) = self.shared.new_losses.borrow_mut().pop() {
+                return group;
+            }
+            lost.await;
+        }
+    }
+
     /// Records that an established connection to `back_end` ended without an answer.
     pub fn record_interrupted(&self, back_end: &BackEnd) {
         self.shared.metrics.paths().record_failure(PathFailure::Interrupted.code());
-        self.with_group(&PathGroup::of(back_end), Reachability::record_interrupted);
+        self.with_group(&PathGroup::of(back_end), |paths, now| paths.record_interrupted(&back_end.id, now));
+    }
+
+    /// Whether new connections to `back_end` are to go through a peer, because this node has lost its paths to the group.
+    pub fn needs_detour(&self, back_end: &BackEnd) -> bool {
+        self.read(&PathGroup::of(back_end), |paths| paths.needs_detour(&back_end.id)).unwrap_or(false)
+    }
+
+    /// Whether connections to the group of `back_end` have failed recently and none of its back ends has been heard of
+    /// since.
+    pub fn is_doubtful(&self, back_end: &BackEnd) -> bool {
+        let now = self.shared.clock.now();
+        self.read(&PathGroup::of(back_end), |paths| paths.is_doubtful(now)).unwrap_or(false)
+    }
+
+    /// How often the paths to the group of `back_end` were lost.
+    pub fn losses(&self, back_end: &BackEnd) -> u32 {
+        self.read(&PathGroup::of(back_end), Reachability::losses).unwrap_or(0)
+    }
+
+    /// Waits until the paths to the group of `back_end` are lost because its connections hang.
+    pub async fn wait_for_silent_loss(&self, back_end: &BackEnd) {
+        let group = PathGroup::of(back_end);
+        let losses_before = self.losses(back_end);
+        loop {
+            let lost = self.shared.lost.notified();
+            let is_lost = |paths: &Reachability| paths.losses() > losses_before && paths.is_silently_lost();
+            if self.read(&group, is_lost).unwrap_or(false) {
+                return;
+            }
+            lost.await;
+        }
+    }
+
+    /// Whether a back end of `group` was heard of within `age`, and nothing has failed since.
+    pub fn is_proven(&self, group: &PathGroup, age: Duration) -> bool {
+        let now = self.shared.clock.now();
+        self.read(group, |paths| paths.is_proven(age, now)).unwrap_or(false)
+    }
+
+    /// The groups whose paths are lost or in doubt.
+    pub fn impaired(&self) -> Vec<PathGroup> {
+        let now = self.shared.clock.now();
+        let groups = self.shared.groups.borrow();
+        let impaired = groups.iter().filter(|(_, paths)| paths.is_lost() || paths.is_doubtful(now));
+        impaired.map(|(group, _)| group.clone()).collect()
+    }
+
+    fn read<R>(&self, group: &PathGroup, read: impl FnOnce(&Reachability) -> R) -> Option<R> {
+        self.shared.groups.borrow().get(group).map(read)
     }
 
     fn apply(&self, group: &PathGroup, change: Option<PathChange>) {
@@ -70,6 +148,8 @@
             None => {}
             Some(PathChange::Lost { failed, cause, heard_before }) => {
                 self.shared.metrics.paths().record_change("lost");
+                self.shared.new_losses.borrow_mut().push(group.clone());
+                self.shared.lost.notify_waiters();
                 let heard_before_ms = heard_before.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
                 log::warn!(event = "paths_lost", back_ends:% = group, failed, cause = cause.code(), heard_before_ms; "");
             }
--- a/crates/relay/src/peer_notices/announcements.rs
+++ b/crates/relay/src/peer_notices/announcements.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use havengate_core::back_ends::{BackEnd, DirectoryEntry, DrainNotice, DrainingBackEnd, LimitNotice};
+use havengate_core::paths::{TunnelOffer, TunnelQuery};
 use havengate_core::quota::{QuotaGrant, QuotaRequest};
 use havengate_core::relay::{CachedParts, PeerNotice, PrefillNotice, TerminationNotice, UnreachableNotice};
 use havengate_core::world::Address;
@@ -50,6 +51,9 @@
             | PeerNotice::Limits(LimitNotice { sender, .. })
             | PeerNotice::QuotaRequest(QuotaRequest { sender, .. })
             | PeerNotice::QuotaGrant(QuotaGrant { sender, .. })
+            | PeerNotice::TunnelQuery(TunnelQuery { sender, .. })
+            | PeerNotice::TunnelOffer(TunnelOffer { sender, .. })
+            | PeerNotice::TunnelsEnd { sender }
                 if !self.shared.knowledge.load().peers.contains(&sender) =>
             {
                 self.shared.metrics.record_dropped_message("unknown_sender");
@@ -68,6 +72,17 @@
             PeerNotice::Limits(notice) => self.apply_limit_notice(notice),
             PeerNotice::QuotaRequest(request) => self.receive_quota_request(&request),
             PeerNotice::QuotaGrant(grant) => self.receive_quota_grant(&grant),
+            PeerNotice::TunnelQuery(query) => self.answer_tunnel_query(query).await,
+            PeerNotice::TunnelOffer(offer) => {
+                if let Some(tunnels) = self.shared.tunnels.get() {
+                    tunnels.receive_offer(offer);
+                }
+            }
+            PeerNotice::TunnelsEnd { sender } => {
+                if let Some(tunnels) = self.shared.tunnels.get() {
+                    tunnels.drop_offers_of(sender);
+                }
+            }
             PeerNotice::RequestCachedParts { sender } => self.send_state(sender).await,
             PeerNotice::CachedParts(cached) => {
                 let (engine, parts) = (cached.engine.clone(), cached.parts.len());
--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -5,6 +5,7 @@
 mod pending;
 mod prefills;
 mod quotas;
+mod tunnels;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
@@ -28,6 +29,7 @@
 use crate::knowledge::SharedKnowledge;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
 use crate::quotas::Quotas;
+use crate::tunnels::Tunnels;
 
 /// The peers asked for cached parts at a time: more than one, since a peer may have just started too.
 const QUERIED_PEERS: usize = 2;
@@ -68,6 +70,8 @@
     pending_limits: PendingAnnouncements,
     /// The limits of tenants, once their messages are exchanged.
     quotas: OnceCell<Quotas>,
+    /// The tunnels of this node, once their messages are exchanged.
+    tunnels: OnceCell<Tunnels>,
 }
 
 impl PeerNotices {
@@ -94,6 +98,7 @@
                 pending_drains: PendingAnnouncements::default(),
                 pending_limits: PendingAnnouncements::default(),
                 quotas: OnceCell::new(),
+                tunnels: OnceCell::new(),
             }),
         }
     }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -35,6 +35,7 @@
 use crate::paths::check_paths;
 use crate::protocol::{ControlStore, DutyReceiver, Protocol};
 use crate::settings::{RelaySettings, RelaySettingsError};
+use crate::tunnels::serve_tunnels;
 use crate::usage::SharedUsage;
 
 /// The version of this build.
@@ -158,9 +159,14 @@
         let server = CallerServer::bind(settings.callers_address.0)?;
         traffic.peer_notices.exchange(settings.notices_address).await?;
         traffic.peer_notices.exchange_quotas(&traffic.quotas);
+        // Tunnels arrive at the same address over TCP.
+        tokio::task::spawn_local(serve_tunnels(Rc::clone(&traffic), listen(settings.notices_address.0)?));
+        traffic.peer_notices.exchange_tunnels(&traffic.tunnels, traffic.paths.clone());
         self.enforce_tenant_limits();
         tokio::task::spawn_local(traffic.peer_notices.engine_terminations().clone().sync_with_store(blocks));
         tokio::task::spawn_local(survey(Rc::clone(&traffic)));
+        let readmitting = Rc::clone(&traffic);
+        tokio::task::spawn_local(async move { readmitting.readmit_after_losses().await });
         tokio::task::spawn_local(check_paths(traffic.paths.clone(), traffic.pool.clone()));
         serve_status(settings.readiness_address, Rc::clone(&traffic), readiness::<P>)?;
         if let Some(address) = settings.metrics_address {
@@ -188,6 +194,7 @@
 /// Closes idle connections and removes expired state.
 fn remove_unused<P>(traffic: &Traffic<P>) {
     traffic.pool.tidy();
+    traffic.tunnels.tidy();
     let knowledge = traffic.knowledge.load();
     let services = knowledge.configuration.iter().flat_map(|active| &active.configuration.services);
     traffic
@@ -225,24 +232,28 @@
         limits = traffic.metrics.node_bytes(NodeMessageKind::Limits),
         tenant_limits = traffic.metrics.node_bytes(NodeMessageKind::TenantLimits),
         quotas = traffic.metrics.node_bytes(NodeMessageKind::Quotas),
-        locations = traffic.metrics.node_bytes(NodeMessageKind::Locations);
+        locations = traffic.metrics.node_bytes(NodeMessageKind::Locations),
+        tunnels = traffic.metrics.node_bytes(NodeMessageKind::Tunnels);
         ""
     );
     traffic.quotas.log_summary();
 }
 
 /// Runs a planned stop: reports not ready at once, then stops accepting connections, then waits for all open requests
-/// to complete.
-async fn stop<P>(grace: Duration, traffic: &Traffic<P>, phase: &watch::Sender<ServerPhase>) {
+/// and the tunnels of peers to end.
+async fn stop<P: 'static>(grace: Duration, traffic: &Rc<Traffic<P>>, phase: &watch::Sender<ServerPhase>) {
     let began = Instant::now();
     let deadline = began + grace.saturating_sub(STOP_RESERVE);
     traffic.stopping.set(true);
-    log::info!(event = "stopping", open_requests = traffic.active.count(); "");
+    log::info!(event = "stopping", open_requests = traffic.active.count(), tunnels = traffic.tunnels.open_for_peers(); "");
+    let announcing = Rc::clone(traffic);
+    tokio::task::spawn_local(async move { announcing.peer_notices.announce_tunnels_end().await });
     sleep(ACCEPT_WHILE_DRAINING.min(grace / 2)).await;
     phase.send_replace(ServerPhase::Closing);
     // Leaves time for the first request on connections that were just accepted, before open requests are counted.
     sleep(LAST_CONNECTIONS_GRACE + 2 * STOP_POLL_INTERVAL).await;
-    while traffic.active.count() > 0 && Instant::now() < deadline {
+    let is_used = || traffic.active.count() > 0 || traffic.tunnels.open_for_peers() > 0;
+    while is_used() && Instant::now() < deadline {
         sleep(STOP_POLL_INTERVAL).await;
     }
     // Lets the tasks of the connections run once more to write the last bytes of the last answer.
--- a/crates/relay/tests/wire_samples/mod.rs
+++ b/crates/relay/tests/wire_samples/mod.rs
@@ -6,6 +6,7 @@
     DrainNotice, DrainingBackEnd, EngineStage, LimitNotice, RequestRate,
 };
 use havengate_core::duties::usage::{UsageCountsMessage, WindowNumber};
+use havengate_core::paths::{PathGroup, TunnelAnswer, TunnelId, TunnelOffer, TunnelQuery, TunnelRequest, TunnelToken};
 use havengate_core::quota::{
     LimitUnit, NamedLimit, QuotaAnswer, QuotaGrant, QuotaRequest, TenantLimit, TenantLimitNotice, TenantLimitQuery,
 };
@@ -110,9 +111,27 @@
         ),
         sample("readings.quota_request", PeerNotice::QuotaRequest(quota_request(sender))),
         sample("readings.quota_grant", PeerNotice::QuotaGrant(quota_grant(sender))),
+        sample("readings.tunnel_query", PeerNotice::TunnelQuery(TunnelQuery { sender, group: path_group() })),
+        sample("readings.tunnel_offer", PeerNotice::TunnelOffer(tunnel_offer(sender))),
+        sample("readings.tunnels_end", PeerNotice::TunnelsEnd { sender }),
+        sample("tunnel.request", tunnel_request()),
+        sample("tunnel.answer", TunnelAnswer::Unlisted),
     ]
 }
 
+fn path_group() -> PathGroup {
+    PathGroup { service: ServiceName::new("model"), stage: Some(EngineStage::Decode) }
+}
+
+fn tunnel_offer(sender: Address) -> TunnelOffer {
+    let zone = ZoneName::new("zone-1");
+    TunnelOffer { sender, zone, group: path_group(), token: TunnelToken(17, 4), open: 3 }
+}
+
+fn tunnel_request() -> TunnelRequest {
+    TunnelRequest { token: TunnelToken(17, 4), id: TunnelId(9), back_end: BackEndId::new("engine-a") }
+}
+
 fn quota_request(sender: Address) -> QuotaRequest {
     let tenant = TenantName::from("school");
     QuotaRequest { sender, sequence: 91, tenant, needed: 17_000, wanted: 40_000, returned: 250 }
