Announce unreachable back ends only once the own paths are proven intact

Callers could see: nodes skip back ends that they reach well, since two nodes that have lost their own paths announce every back end that they fail to reach. Evidence: a_back_end_is_not_suspected_while_its_reporters_reach_no_other; the interface that it needs is new, so that it could not run before. The three older tests now record the proof too, and assert what they did.

--- a/crates/core/src/paths/mod.rs
+++ b/crates/core/src/paths/mod.rs
@@ -10,9 +10,11 @@
 mod tunnel_grants;
 mod tunnel_messages;
 mod tunnel_offers;
+mod unproven_failures;
 
 pub use group::PathGroup;
 pub use reachability::{PathChange, PathCheck, PathFailure, Reachability, ReachabilityConfig};
 pub use tunnel_grants::{TunnelGrants, TunnelGrantsConfig};
 pub use tunnel_messages::{TunnelAnswer, TunnelId, TunnelOffer, TunnelQuery, TunnelRequest, TunnelToken};
 pub use tunnel_offers::{ChosenPeer, TunnelOffers, TunnelOffersConfig};
+pub use unproven_failures::UnprovenFailures;
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -59,7 +59,10 @@
     }
     match &result {
         Ok(answer) => {
-            traffic.paths.record_heard(back_end);
+            if answer.lease.detour().is_none() {
+                traffic.paths.record_heard(back_end);
+                traffic.peer_notices.record_path_proof(back_end);
+            }
             apply_notice(traffic, request, back_end, answer.notice);
             if answer.judgement == AnswerHead::Proper && answer.notice.limit.is_none() {
                 apply_no_limit(traffic, request, back_end, sent_at);
@@ -182,7 +185,7 @@
         _ => {}
     }
     if failure.should_warn_peers(stage) {
-        traffic.peer_notices.record_unreachable(&back_end.id);
+        traffic.peer_notices.record_unreachable(back_end);
     }
     match failure {
         SendFailure::NoTime | SendFailure::NoPath(_) | SendFailure::PathLost => {}
@@ -210,7 +213,7 @@
             traffic.loads.failed(&back_end.id, now);
             if matches!(stage, SendStage::Prefill) {
                 // The engine itself runs the prefill, so the failure is the engine's.
-                traffic.peer_notices.record_unreachable(&back_end.id);
+                traffic.peer_notices.record_unreachable(back_end);
             }
         }
         // A back end without capacity is healthy, and its load is known from the requests in flight there.
--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use havengate_core::back_ends::BackEnd;
+use havengate_core::paths::{PathGroup, UnprovenFailures};
 use havengate_core::relay::{
     AnnouncedPart, AnnouncementPaceConfig, CachedParts, EngineModel, EngineTag, PeerNotice, PlacementConfig,
     PrefillAudience, PrefillId, Prompt, PromptIndex, PromptIndexConfig, PromptPart, Suspicions, Urgency,
@@ -60,6 +61,8 @@
     /// Wakes the task that announces prefills.
     prefill_changes: Notify,
     suspicions: RefCell<Suspicions>,
+    /// Failures to reach back ends that are announced once the own paths are proven to be intact.
+    unproven_failures: RefCell<UnprovenFailures>,
     /// Wakes the task that announces unreachable back ends.
     unreachable: Notify,
     engine_terminations: SharedEngineTerminations,
@@ -92,6 +95,7 @@
                 has_pending_changes: Cell::new(false),
                 prefill_changes: Notify::new(),
                 suspicions: RefCell::default(),
+                unproven_failures: RefCell::default(),
                 unreachable: Notify::new(),
                 engine_terminations: SharedEngineTerminations::new(clock, metrics),
                 notices,
@@ -249,10 +253,24 @@
         self.shared.index.borrow_mut().record_wait(took, self.shared.clock.now());
     }
 
-    /// Records that `back_end` could not be reached and announces it to peers at once.
-    pub fn record_unreachable(&self, back_end: &BackEndId) {
+    /// Records that `back_end` could not be reached, and announces it to peers once another back end of its group has
+    /// answered: until then, the node's own paths may have failed.
+    pub fn record_unreachable(&self, back_end: &BackEnd) {
         let now = self.shared.clock.now();
-        self.shared.suspicions.borrow_mut().record_unreachable(back_end.into(), now);
+        self.shared.unproven_failures.borrow_mut().add(PathGroup::of(back_end), back_end.id.clone(), now);
+    }
+
+    /// Records that `back_end` has answered over this node's own path, and announces the back ends whose failure this
+    /// proves.
+    pub fn record_path_proof(&self, back_end: &BackEnd) {
+        let now = self.shared.clock.now();
+        let mut unproven = self.shared.unproven_failures.borrow_mut();
+        let proven = unproven.prove(&PathGroup::of(back_end), &back_end.id, now);
+        if proven.is_empty() {
+            return;
+        }
+        let mut suspicions = self.shared.suspicions.borrow_mut();
+        proven.iter().for_each(|back_end| suspicions.record_unreachable(back_end.into(), now));
         self.shared.unreachable.notify_one();
     }
 
--- a/crates/relay/tests/peer_notices.rs
+++ b/crates/relay/tests/peer_notices.rs
@@ -118,6 +118,36 @@
     panic!("the condition did not become true in time");
 }
 
+/// Records that `node` could not reach the engine, and has reached another one since.
+fn record_proven_failure(node: &Node) {
+    node.peer_notices.record_unreachable(&engine());
+    node.peer_notices.record_path_proof(&engine_in("other"));
+}
+
+/// Guards against nodes that take back ends from others: those that lose their own paths announced all back ends.
+#[tokio::test]
+async fn a_back_end_is_not_suspected_while_its_reporters_reach_no_other() {
+    let test = async {
+        let (one, two, three) = (Node::start().await, Node::start().await, Node::start().await);
+        one.set_peers(&[&two, &three]);
+        two.set_peers(&[&one, &three]);
+        three.set_peers(&[&one, &two]);
+        for node in [&one, &two] {
+            node.peer_notices.record_unreachable(&engine());
+            node.peer_notices.record_unreachable(&engine_in("other"));
+            // The answer of a back end says nothing about the paths to itself before.
+            node.peer_notices.record_path_proof(&BackEnd { stage: None, ..engine() });
+        }
+        one.peer_notices.begin(&engine(), &prompt(), Urgency::InTime).end(true);
+        two.peer_notices.begin(&engine(), &prompt(), Urgency::InTime).end(true);
+        // These notices were sent after any report.
+        wait_until(|| three.cached_tokens() > 0).await;
+        sleep(POLL_INTERVAL).await;
+        assert!(!three.peer_notices.is_suspected(&engine().id, three.clock.now()));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 #[tokio::test]
 async fn only_notices_from_known_peers_are_applied_and_dropped_messages_are_counted() {
     let test = async {
@@ -145,8 +175,8 @@
         three.set_peers(&[&one, &two]);
         // Reports expire soon, so they are repeated until they have arrived.
         wait_until(|| {
-            one.peer_notices.record_unreachable(&engine().id);
-            two.peer_notices.record_unreachable(&engine().id);
+            record_proven_failure(&one);
+            record_proven_failure(&two);
             three.peer_notices.is_suspected(&engine().id, three.clock.now())
         })
         .await;
@@ -162,8 +192,8 @@
         two.set_peers(&[&three]);
         three.set_peers(&[&one]);
         wait_until(|| {
-            one.peer_notices.record_unreachable(&engine().id);
-            two.peer_notices.record_unreachable(&engine().id);
+            record_proven_failure(&one);
+            record_proven_failure(&two);
             three.has_dropped("unknown_sender")
         })
         .await;
@@ -238,16 +268,16 @@
         two.set_peers(&[&here]);
         here.set_peers_in_zones("east-a", &[(&one, "west-a"), (&two, "west-b")], &[]);
         wait_until(|| {
-            one.peer_notices.record_unreachable(&engine().id);
-            two.peer_notices.record_unreachable(&engine().id);
+            record_proven_failure(&one);
+            record_proven_failure(&two);
             here.has_dropped("other_region")
         })
         .await;
         assert!(!here.peer_notices.is_suspected(&engine().id, here.clock.now()));
         here.set_peers_in_zones("east-a", &[(&one, "east-a"), (&two, "east-b")], &[]);
         wait_until(|| {
-            one.peer_notices.record_unreachable(&engine().id);
-            two.peer_notices.record_unreachable(&engine().id);
+            record_proven_failure(&one);
+            record_proven_failure(&two);
             here.peer_notices.is_suspected(&engine().id, here.clock.now())
         })
         .await;
