Runs that a partition resets are not attributed to their requests

Cause: a refused liveness check counted as a terminated back end, whatever the state of the node's own paths. Change: another back end that accepted a connection lately must accept one now; where there is none, a peer is asked to connect. Without either, a refusal counts as before.

--- a/crates/core/src/paths/reachability.rs
+++ b/crates/core/src/paths/reachability.rs
@@ -22,6 +22,8 @@
     pub failures_maximum: usize,
     /// How long a failed connection attempt counts.
     pub failure_window: Duration,
+    /// How long an accepted connection counts as evidence that a back end serves.
+    pub connected_memory: Duration,
     /// With requests in flight, a check follows when no back end has been heard of for this time.
     pub silence: Duration,
     /// Without requests in flight, a check follows when no back end has been heard of for this time.
@@ -43,6 +45,7 @@
             silence_sample: 3,
             failures_maximum: 3,
             failure_window: Duration::from_secs(1),
+            connected_memory: Duration::from_secs(30),
             silence: Duration::from_millis(400),
             idle: Duration::from_secs(3),
             check_pause: Duration::from_millis(100),
@@ -198,6 +201,11 @@
         !matches!(self.attempts.get(back_end), Some(LastAttempt::Connected(at)) if *at >= lost_since)
     }
 
+    /// Whether the last connection attempt to `back_end` was successful.
+    pub fn last_connected(&self, back_end: &BackEndId) -> bool {
+        matches!(self.attempts.get(back_end), Some(LastAttempt::Connected(_)))
+    }
+
     /// Records that a request was sent.
     pub fn begin_request(&mut self, now: Timestamp) {
         if self.in_flight == 0 {
@@ -303,10 +311,12 @@
     /// longer count. The paths of a group without back ends are not lost.
     pub fn update(&mut self, back_ends: usize, now: Timestamp) {
         self.back_ends = back_ends;
-        let (window, lost_since) = (self.config.failure_window, self.lost_since);
+        let (config, lost_since) = (self.config, self.lost_since);
         self.attempts.retain(|_, attempt| match attempt {
-            LastAttempt::Connected(at) => lost_since.is_some_and(|lost_since| *at >= lost_since),
-            LastAttempt::Failed(at, _) => now.since(*at) < window,
+            LastAttempt::Connected(at) => {
+                now.since(*at) < config.connected_memory || lost_since.is_some_and(|lost_since| *at >= lost_since)
+            }
+            LastAttempt::Failed(at, _) => now.since(*at) < config.failure_window,
         });
         if back_ends == 0 {
             self.lost_since = None;
--- a/crates/relay/src/back_ends/pool.rs
+++ b/crates/relay/src/back_ends/pool.rs
@@ -20,6 +20,9 @@
 use crate::protocol::RequestBody;
 use crate::tunnels::{Tunnel, TunnelError, Tunnels};
 
+/// How many other back ends are connected to, at most, before a refusal counts as a failure of the node's paths.
+const WITNESSES_MAXIMUM: usize = 3;
+
 /// Time and size limits of the pool.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolLimits {
@@ -208,6 +211,30 @@
         Ok(())
     }
 
+    /// Whether a refusal by `back_end` shows that it has terminated, and not that the node has lost its paths: another back
+    /// end accepts a connection, or a peer is refused too. If no other one has accepted a connection lately, and no peer
+    /// can tell, nothing speaks against it.
+    pub async fn confirms_refusal(&self, back_end: &BackEnd) -> bool {
+        let Some(paths) = &self.paths else {
+            return true;
+        };
+        let mut others = paths.reached_beside(back_end);
+        fastrand::shuffle(&mut others);
+        others.truncate(WITNESSES_MAXIMUM);
+        for other in &others {
+            if self.check(other).await.is_ok() {
+                return true;
+            }
+        }
+        if !others.is_empty() {
+            return false;
+        }
+        match &self.tunnels {
+            Some(tunnels) => tunnels.open(back_end).await.is_err(),
+            None => true,
+        }
+    }
+
     fn take_idle(&self, back_end: &BackEnd) -> Option<Connection> {
         let mut connections = self.connections.borrow_mut();
         let idle = &mut connections.get_mut(&back_end.id)?.idle;
--- a/crates/relay/src/broken_runs.rs
+++ b/crates/relay/src/broken_runs.rs
@@ -35,7 +35,7 @@
     Terminated,
     /// It still accepts connections.
     Alive,
-    /// Its machine can't be reached, so its state is unknown.
+    /// Its machine can't be reached, or this node reaches no other back end either, so its state is unknown.
     Unknown,
 }
 
@@ -132,7 +132,9 @@
         sleep(CHECK_DELAY).await;
         let liveness = match self.shared.pool.check(&back_end).await {
             Ok(()) => BackEndLiveness::Alive,
-            Err(ConnectError::Refused(_)) => BackEndLiveness::Terminated,
+            Err(ConnectError::Refused(_)) if self.shared.pool.confirms_refusal(&back_end).await => {
+                BackEndLiveness::Terminated
+            }
             Err(_) => BackEndLiveness::Unknown,
         };
         let runs = self.shared.unchecked.borrow_mut().remove(&back_end.id).unwrap_or_default();
--- a/crates/relay/src/paths/mod.rs
+++ b/crates/relay/src/paths/mod.rs
@@ -77,6 +77,15 @@
         usable(&knowledge, group, self.shared.clock.now()).into_iter().cloned().collect()
     }
 
+    /// The other back ends in the group of `back_end` to which the last connection attempt was successful.
+    pub fn reached_beside(&self, back_end: &BackEnd) -> Vec<BackEnd> {
+        let group = PathGroup::of(back_end);
+        let mut others = self.back_ends(&group);
+        let is_reached = |other: &BackEnd| self.read(&group, |paths| paths.last_connected(&other.id)).unwrap_or(false);
+        others.retain(|other| other.id != back_end.id && is_reached(other));
+        others
+    }
+
     /// Waits until the paths to a group are lost.
     pub async fn next_loss(&self) -> PathGroup {
         loop {
