Keep-alive on all connections, and a second of silence breaks none

Callers could see: a request whose bytes an engine had acknowledged waited for its deadline when the engine lost power, or the path to it; and an engine that is silent for 0.7 s had its connections given up, though it goes on. Cause: TCP_USER_TIMEOUT alone covers only data that was sent, and 0.7 s are less than the second or so for which a sound machine may be silent. With keep-alive the same limit decides when probes give up, whatever their count. Change: connections to back ends, peers and in tunnels fail after 2.5 s without any acknowledgement, with probes every 1.25 s; callers' after 10 s. Where a request may be repeated, a back end that has not answered for 0.7 s is checked by a new connection, so that a machine without power costs no more than before. Not changed: the store's connections, whose calls have limits of their own.

--- a/crates/core/src/paths/reachability.rs
+++ b/crates/core/src/paths/reachability.rs
@@ -198,7 +198,7 @@
         let Some(lost_since) = self.lost_since else {
             return false;
         };
-        !matches!(self.attempts.get(back_end), Some(LastAttempt::Connected(at)) if *at >= lost_since)
+        !self.is_connected_since(back_end, lost_since)
     }
 
     /// Whether the last connection attempt to `back_end` was successful.
@@ -206,6 +206,11 @@
         matches!(self.attempts.get(back_end), Some(LastAttempt::Connected(_)))
     }
 
+    /// Whether `back_end` accepted a connection at `since` or later.
+    pub fn is_connected_since(&self, back_end: &BackEndId, since: Timestamp) -> bool {
+        matches!(self.attempts.get(back_end), Some(LastAttempt::Connected(at)) if *at >= since)
+    }
+
     /// Records that a request was sent.
     pub fn begin_request(&mut self, now: Timestamp) {
         if self.in_flight == 0 {
--- a/crates/relay/src/back_ends/mod.rs
+++ b/crates/relay/src/back_ends/mod.rs
@@ -11,5 +11,5 @@
 pub use load::{BackEndLoads, InFlight};
 pub use notices::SharedNotices;
 pub use own_call::{get_request, set_host};
-pub use pool::{ConnectError, ConnectionPool, Detour, Lease, PoolLimits};
+pub use pool::{ConnectError, ConnectionLoss, ConnectionPool, Detour, Lease, PoolLimits};
 pub use send::{AnswerInProgress, SendFailure, Sent, is_unacknowledged, send};
--- a/crates/relay/src/back_ends/pool.rs
+++ b/crates/relay/src/back_ends/pool.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::liveness::set_liveness;
 use crate::paths::BackEndPaths;
@@ -29,12 +29,12 @@
     /// The time limit for establishing a connection. A live back end takes a few milliseconds; one without power never
     /// answers.
     pub connect_time_limit: Duration,
-    /// How long sent data may stay unacknowledged. A back end without power acknowledges nothing, and a request on an
-    /// established connection would wait for it until its deadline. A lost packet is retransmitted well before.
+    /// How long the other end may acknowledge nothing, neither data nor keep-alive probes. A sound back end may be silent
+    /// for a second or so.
     pub unacknowledged_time_limit: Duration,
-    /// The same for a back end in another region: with a round trip of 60 ms, a packet that is lost three times in a row
-    /// is acknowledged after about 1 s.
-    pub distant_unacknowledged_time_limit: Duration,
+    /// How long a request that may be repeated waits for its answer before the back end is checked by a new connection,
+    /// and the time between two checks. A back end without power doesn't accept one.
+    pub unanswered_time: Duration,
     /// How often a connection to a back end in another region is attempted when it is not established in time. The first
     /// packet of a connection is retransmitted only after 1 s; a second attempt makes up for a lost one earlier.
     pub distant_attempts: u32,
@@ -51,8 +51,8 @@
     fn default() -> Self {
         PoolLimits {
             connect_time_limit: Duration::from_millis(300),
-            unacknowledged_time_limit: Duration::from_millis(700),
-            distant_unacknowledged_time_limit: Duration::from_millis(1_500),
+            unacknowledged_time_limit: Duration::from_millis(2_500),
+            unanswered_time: Duration::from_millis(700),
             distant_attempts: 2,
             idle_time_default: Duration::from_secs(1),
             keep_alive_share: 0.6,
@@ -95,6 +95,15 @@
     }
 }
 
+/// Why nothing will arrive over a connection any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionLoss {
+    /// The node has lost its paths.
+    Paths,
+    /// The back end can't be connected to.
+    BackEnd,
+}
+
 /// The peer that a connection goes through.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Detour {
@@ -235,6 +244,18 @@
         }
     }
 
+    /// Waits until `back_end` doesn't accept a new connection in time, which is checked at intervals.
+    async fn wait_until_gone(&self, back_end: &BackEnd) {
+        loop {
+            sleep(self.limits.unanswered_time).await;
+            let is_reached =
+                self.paths.as_ref().is_some_and(|paths| paths.reached_within(back_end, self.limits.unanswered_time));
+            if !is_reached && matches!(self.check(back_end).await, Err(ConnectError::TimedOut)) {
+                return;
+            }
+        }
+    }
+
     fn take_idle(&self, back_end: &BackEnd) -> Option<Connection> {
         let mut connections = self.connections.borrow_mut();
         let idle = &mut connections.get_mut(&back_end.id)?.idle;
@@ -305,14 +326,11 @@
     /// # Errors
     /// When no connection is established in time.
     pub async fn open_direct(&self, back_end: &BackEnd) -> Result<TcpStream, ConnectError> {
-        let (attempts, unacknowledged_time_limit) = match self.is_distant(back_end) {
-            true => (self.limits.distant_attempts, self.limits.distant_unacknowledged_time_limit),
-            false => (1, self.limits.unacknowledged_time_limit),
-        };
+        let attempts = if self.is_distant(back_end) { self.limits.distant_attempts } else { 1 };
         let stream = self.open_stream(back_end, attempts).await;
         self.record_path(back_end, stream.as_ref().err());
         let stream = stream?;
-        set_liveness(&stream, unacknowledged_time_limit);
+        set_liveness(&stream, self.limits.unacknowledged_time_limit);
         Ok(stream)
     }
 
@@ -433,11 +451,14 @@
         self.connection.as_ref().and_then(|connection| connection.detour)
     }
 
-    /// Waits until the own paths to the back end are lost because nothing arrives over them any more; never returns for a
-    /// connection through a peer.
-    pub async fn silent_loss(&self) {
+    /// Waits until nothing will arrive over this connection any more, as far as that can be told without waiting for the
+    /// operating system; never returns for a connection through a peer.
+    pub async fn loss(&self) -> ConnectionLoss {
         match (&self.pool.paths, self.detour()) {
-            (Some(paths), None) => paths.wait_for_silent_loss(&self.back_end).await,
+            (Some(paths), None) => tokio::select! {
+                () = paths.wait_for_silent_loss(&self.back_end) => ConnectionLoss::Paths,
+                () = self.pool.wait_until_gone(&self.back_end) => ConnectionLoss::BackEnd,
+            },
             _ => std::future::pending().await,
         }
     }
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::load::InFlight;
-use super::pool::{ConnectError, ConnectionPool, Detour, Lease};
+use super::pool::{ConnectError, ConnectionLoss, ConnectionPool, Detour, Lease};
 use crate::broken_runs::Run;
 use crate::protocol::{AnswerHead, EngineUrgency, Protocol, RequestBody, RequestHead, SendFacts, SendStage};
 
@@ -129,9 +129,10 @@
     let sending = timeout(request.time_left(), sender.try_send_request(outgoing));
     let sent = tokio::select! {
         sent = sending => sent,
-        () = lease.silent_loss(), if request.may_repeat => {
-            return Err(SendFailure::PathLost);
-        }
+        loss = lease.loss(), if request.may_repeat => return Err(match loss {
+            ConnectionLoss::Paths => SendFailure::PathLost,
+            ConnectionLoss::BackEnd => SendFailure::Silent("a new connection was not established in time".to_owned()),
+        }),
     };
     let answer = match sent {
         Err(_) => return Err(SendFailure::TimedOut),
--- a/crates/relay/src/callers/server.rs
+++ b/crates/relay/src/callers/server.rs
@@ -14,6 +14,7 @@
 
 use super::handler::handle;
 use super::traffic::Traffic;
+use crate::back_ends::set_liveness;
 use crate::protocol::Protocol;
 
 /// The number of connections that may wait to be accepted. When many callers connect at once, a full queue delays them
@@ -31,6 +32,10 @@
 /// meanwhile.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How long a caller may acknowledge nothing, neither data nor keep-alive probes: its request ends then as if it had hung
+/// up.
+const CALLER_SILENCE_TIME_LIMIT: Duration = Duration::from_secs(10);
+
 /// How long a connection that was opened just before the listener closed may take to send its first request.
 pub const LAST_CONNECTIONS_GRACE: Duration = Duration::from_millis(300);
 
@@ -100,6 +105,7 @@
 
 fn open_connection<P: Protocol>(traffic: &Rc<Traffic<P>>, stream: TcpStream, mut phase: watch::Receiver<ServerPhase>) {
     let _ = stream.set_nodelay(true);
+    set_liveness(&stream, CALLER_SILENCE_TIME_LIMIT);
     let service_traffic = Rc::clone(traffic);
     let service = service_fn(move |request| {
         let traffic = Rc::clone(&service_traffic);
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -22,7 +22,8 @@
 use super::limit_exchange::LimitExchange;
 use super::locations::Locations;
 use super::reader_role::ReaderRole;
-use super::transfer::{PeersError, TransferTimeouts, ask, connect, read_message, write_message};
+use super::transfer::{PeersError, SILENCE_TIME_LIMIT, TransferTimeouts, ask, connect, read_message, write_message};
+use crate::back_ends::set_liveness;
 use crate::callers::listen;
 use crate::datagrams::Datagrams;
 use crate::fleet_reach::SharedFleetReach;
@@ -356,6 +357,7 @@
 /// Answers one pull after the other, each when there is an update or its wait is over.
 async fn answer_pulls_on(stream: &mut TcpStream, learner: &Learner, metrics: &RelayMetrics) -> Result<(), PeersError> {
     stream.set_nodelay(true)?;
+    set_liveness(stream, SILENCE_TIME_LIMIT);
     let mut updates = learner.updates();
     loop {
         let pull: Pull = read_message(stream, TransferTimeouts::with_first_byte(PULL_IDLE_LIMIT)).await?;
--- a/crates/relay/src/control/transfer.rs
+++ b/crates/relay/src/control/transfer.rs
@@ -12,6 +12,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::back_ends::set_liveness;
+
 /// An error in the exchange of messages between nodes.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum PeersError {
@@ -63,6 +65,10 @@
 /// The time limit for establishing a connection to a peer.
 pub const CONNECT_TIME_LIMIT: Duration = Duration::from_millis(300);
 
+/// How long a peer may acknowledge nothing, neither data nor keep-alive probes: more than the second or so for which a
+/// sound machine may be silent.
+pub const SILENCE_TIME_LIMIT: Duration = Duration::from_millis(2_500);
+
 /// The longest pause within a message: several times the 200 ms after which a lost packet is retransmitted at the
 /// earliest.
 pub const IDLE_TIME_LIMIT: Duration = Duration::from_secs(1);
@@ -97,6 +103,7 @@
     let connecting = timeout(limit, TcpStream::connect(address.0)).await;
     let stream = connecting.map_err(|_| PeersError::TooSlow(Progress::default()))??;
     stream.set_nodelay(true)?;
+    set_liveness(&stream, SILENCE_TIME_LIMIT);
     Ok(stream)
 }
 
--- a/crates/relay/src/paths/mod.rs
+++ b/crates/relay/src/paths/mod.rs
@@ -86,6 +86,13 @@
         others
     }
 
+    /// Whether `back_end` accepted a connection within `age`.
+    pub fn reached_within(&self, back_end: &BackEnd, age: Duration) -> bool {
+        let now = self.shared.clock.now();
+        let since = Timestamp::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64));
+        self.read(&PathGroup::of(back_end), |paths| paths.is_connected_since(&back_end.id, since)).unwrap_or(false)
+    }
+
     /// Waits until the paths to a group are lost.
     pub async fn next_loss(&self) -> PathGroup {
         loop {
--- a/crates/relay/src/tunnels/client.rs
+++ b/crates/relay/src/tunnels/client.rs
@@ -8,8 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::{SILENCE_TIME_LIMIT, Tunnels, random_id};
-use crate::back_ends::set_liveness;
+use super::{Tunnels, random_id};
 use crate::control::transfer::{PeersError, TransferTimeouts, connect, read_message, write_message};
 
 /// The number of peers that are tried for one tunnel.
@@ -118,7 +117,6 @@
 
 async fn ask(peer: Address, request: &TunnelRequest) -> Result<(TunnelAnswer, TcpStream), PeersError> {
     let mut stream = connect(peer, CONNECT_TIME_LIMIT).await?;
-    set_liveness(&stream, SILENCE_TIME_LIMIT);
     let timeouts = TransferTimeouts::with_first_byte(ANSWER_TIME_LIMIT);
     write_message(&mut stream, request, timeouts).await?;
     let answer = read_message(&mut stream, timeouts).await?;
--- a/crates/relay/src/tunnels/mod.rs
+++ b/crates/relay/src/tunnels/mod.rs
@@ -10,7 +10,6 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use havengate_core::paths::{
     PathGroup, TunnelGrants, TunnelGrantsConfig, TunnelId, TunnelOffer, TunnelOffers, TunnelOffersConfig, TunnelQuery,
@@ -25,10 +24,6 @@
 use crate::metrics::RelayMetrics;
 use crate::paths::{BackEndPaths, PROOF_AGE};
 
-/// How long the other node of a tunnel may acknowledge nothing before the tunnel fails: twice the second for which a sound
-/// machine may be silent.
-const SILENCE_TIME_LIMIT: Duration = Duration::from_millis(2_500);
-
 /// The tunnels of a node, for its own requests and for its peers. Clones share the state.
 #[derive(Clone)]
 pub struct Tunnels {
--- a/crates/relay/src/tunnels/server.rs
+++ b/crates/relay/src/tunnels/server.rs
@@ -12,11 +12,11 @@
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep};
 
+use super::Tunnels;
 use super::copy::copy_both_ways;
-use super::{SILENCE_TIME_LIMIT, Tunnels};
 use crate::back_ends::set_liveness;
 use crate::callers::Traffic;
-use crate::control::transfer::{TransferTimeouts, read_small_message, write_message};
+use crate::control::transfer::{SILENCE_TIME_LIMIT, TransferTimeouts, read_small_message, write_message};
 
 /// The most connections whose first message is awaited at the same time; further ones are closed.
 const UNAUTHORIZED_MAXIMUM: usize = 64;
