A node without paths to engines leaves the duties to another candidate

What could happen: a holder of the lease whose orders can't reach the engines kept it, as it still reports its demand; no stage changed until its paths were back. Orders never go through a peer: a holder is one machine. Change: it declares itself unavailable to the other candidate (a message of a new kind) and stops acting while that one can act; the other one takes over as from a silent node. An older build drops the message, so beside one the duties rest until the paths are back.

--- a/crates/core/src/duties/mod.rs
+++ b/crates/core/src/duties/mod.rs
@@ -9,9 +9,11 @@
 pub mod fleet;
 mod lease;
 mod true_time;
+mod unavailable;
 pub mod usage;
 
 pub use answer::DutyAnswer;
 pub use candidates::{CANDIDATES, HolderWatch, HolderWatchConfig, candidates};
 pub use lease::{HolderId, Lease, LeaseConfig, LeaseRecord, LeaseStep, LeaseWrite, Succession};
 pub use true_time::{TrueTime, TrueTimeConfig};
+pub use unavailable::UnavailableCandidates;
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -34,6 +34,8 @@
     TenantLimits(TenantLimitNotice),
     /// The zones of nodes.
     Locations(LocationNotice),
+    /// The candidate at this address can't perform duties for the time being.
+    DutyUnavailable(Address),
 }
 
 /// The zones of some nodes, as the sender knows them, so that nodes know which peers are near.
--- a/crates/core/tests/duties_candidates.rs
+++ b/crates/core/tests/duties_candidates.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use havengate_core::duties::{HolderWatch, HolderWatchConfig, TrueTime, TrueTimeConfig};
+use havengate_core::duties::{HolderWatch, HolderWatchConfig, TrueTime, TrueTimeConfig, UnavailableCandidates};
 use havengate_core::time::Timestamp;
 use havengate_core::world::Address;
 
@@ -50,6 +50,21 @@
     assert!(!second.should_act(&[address(1), address(3)], true, |_| Some(seconds(10.0)), seconds(10.0)));
 }
 
+/// Guards against duties that nobody performs: a first candidate without paths to engines still reports its demand.
+#[test]
+fn a_candidate_that_declared_itself_unavailable_counts_as_silent_for_three_seconds() {
+    let mut unavailable = UnavailableCandidates::default();
+    unavailable.record(address(1), seconds(10.0));
+    assert!(unavailable.contains(address(1), seconds(12.9)));
+    assert!(!unavailable.contains(address(2), seconds(12.9)));
+    assert!(!unavailable.contains(address(1), seconds(13.0)));
+    let mut second = watch_of(2);
+    let ranked = [address(1), address(2)];
+    assert!(!second.should_act(&ranked, false, |_| Some(seconds(6.0)), seconds(6.0)));
+    let reported = |candidate| Some(seconds(10.0)).filter(|_| !unavailable.contains(candidate, seconds(10.1)));
+    assert!(second.should_act(&ranked, false, reported, seconds(10.1)));
+}
+
 const EPOCH: Duration = Duration::from_secs(1_780_000_000);
 
 #[test]
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -92,11 +92,12 @@
             configuration_current_at,
             notices,
             fleet_reach,
+            engine_path_loss,
             topology,
             clock,
             metrics,
         } = shared;
-        let paths = BackEndPaths::new(Arc::clone(&knowledge), clock, metrics.clone());
+        let paths = BackEndPaths::new(Arc::clone(&knowledge), engine_path_loss, clock, metrics.clone());
         let tunnels = Tunnels::new(paths.clone(), topology.clone(), clock, metrics.clone());
         let pool = ConnectionPool::new(PoolLimits::default())
             .in_topology(topology.clone())
--- a/crates/relay/src/control/duties/holder.rs
+++ b/crates/relay/src/control/duties/holder.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use havengate_core::duties::{HolderId, HolderWatch, HolderWatchConfig, Lease, candidates};
+use havengate_core::replication::PeerMessage;
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, NodeName};
 use tokio::sync::watch;
@@ -18,6 +19,7 @@
 use crate::control::stages::{StageController, StageControllerParts};
 use crate::demand::SharedDemand;
 use crate::metrics::RelayMetrics;
+use crate::paths::SharedPathLoss;
 use crate::protocol::{ControlStore, DutyReceiver, Protocol};
 use crate::usage::SharedUsage;
 
@@ -31,6 +33,9 @@
 /// Requests count as in progress if demand was reported within this time: a few times the interval between reports.
 const DEMAND_AGE_MAXIMUM: Duration = Duration::from_secs(5);
 
+/// Interval at which a node that can't perform duties declares it.
+const DECLARATION_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Dependencies of [`Duties`].
 pub struct DutyParts<P, S, D> {
     /// The node's name.
@@ -55,6 +60,8 @@
     pub learner: Learner,
     /// The exchange with peers.
     pub peers: PeerExchange,
+    /// Whether the node has lost its paths to engines.
+    pub engine_path_loss: SharedPathLoss,
     /// The node's metrics.
     pub metrics: RelayMetrics,
 }
@@ -70,6 +77,8 @@
     fleet: Option<FleetDuty<S, D>>,
     learner: Learner,
     peers: PeerExchange,
+    engine_path_loss: SharedPathLoss,
+    declared_unavailable_at: Option<Timestamp>,
     started: Timestamp,
     acts: bool,
 }
@@ -89,6 +98,7 @@
             notices,
             learner,
             peers,
+            engine_path_loss,
             metrics,
         } = parts;
         let clock = learner.clock();
@@ -140,6 +150,8 @@
             fleet,
             learner,
             peers,
+            engine_path_loss,
+            declared_unavailable_at: None,
             started: clock.now(),
             acts: false,
         }
@@ -170,7 +182,7 @@
         if let (Some(usage), Some(config)) = (&mut self.usage, &usage_config) {
             usage.send_counts(&candidates, config).await;
         }
-        let acts = self.is_to_act(&candidates, now);
+        let acts = self.is_to_act(&candidates, now) && !self.yields_duties(&candidates, now).await;
         self.update_acting(acts);
         let knowledge = self.learner.knowledge();
         let stage_work = self.stage_controller.prepare(&knowledge, acts, &mut self.lease).await;
@@ -199,11 +211,30 @@
     fn is_to_act(&mut self, candidates: &[Address], now: Timestamp) -> bool {
         let demand = self.peers.demand();
         let holds = self.lease.term().is_some();
-        let last_report_at = |candidate| demand.borrow().last_report_at(candidate);
+        let unavailable = |candidate| self.peers.is_unavailable(candidate, now);
+        let last_report_at = |candidate| demand.borrow().last_report_at(candidate).filter(|_| !unavailable(candidate));
         let is_to_act = self.watch.should_act(candidates, holds, last_report_at, now);
         is_to_act && now.since(self.started) >= STARTUP_DELAY
     }
 
+    /// Whether this node leaves the duties to another candidate, because it has lost its paths to engines, which its
+    /// orders would not reach. The other candidate is told.
+    async fn yields_duties(&mut self, candidates: &[Address], now: Timestamp) -> bool {
+        if !self.engine_path_loss.get() {
+            return false;
+        }
+        let is_able = |candidate: &&Address| **candidate != self.own && !self.peers.is_unavailable(**candidate, now);
+        let Some(other) = candidates.iter().find(is_able).copied() else {
+            return false;
+        };
+        let is_told = |at: Timestamp| now.since(at) < DECLARATION_INTERVAL;
+        if !self.declared_unavailable_at.is_some_and(is_told) {
+            self.declared_unavailable_at = Some(now);
+            self.peers.send_to(&PeerMessage::DutyUnavailable(self.own), &[other]).await;
+        }
+        true
+    }
+
     fn update_acting(&mut self, acts: bool) {
         if self.acts == acts {
             return;
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havengate_core::duties::UnavailableCandidates;
 use havengate_core::duties::usage::UsageTable;
 use havengate_core::quota::{TenantLimitNotice, TenantLimitQuery};
 use havengate_core::replication::{Digest, PeerAddresses, PeerMessage, PeerTable, Pull, PullAnswer};
@@ -62,6 +63,8 @@
     datagrams: Datagrams,
     demand: Rc<RefCell<DemandTable>>,
     usage: Rc<RefCell<UsageTable>>,
+    /// Candidates that can't perform duties.
+    unavailable_candidates: Rc<RefCell<UnavailableCandidates>>,
     /// Candidates that have asked for all counts since the last `take_usage_wanted`.
     usage_wanted: Rc<RefCell<BTreeSet<Address>>>,
     limits: LimitExchange,
@@ -103,6 +106,7 @@
             datagrams,
             demand,
             usage,
+            unavailable_candidates: Rc::default(),
             usage_wanted,
             limits,
             fleet_reach,
@@ -160,6 +164,11 @@
         Rc::clone(&self.usage)
     }
 
+    /// Whether `candidate` has declared that it can't perform duties.
+    pub fn is_unavailable(&self, candidate: Address, now: Timestamp) -> bool {
+        self.unavailable_candidates.borrow().contains(candidate, now)
+    }
+
     /// The candidates that have asked for all counts since this was last called.
     pub fn take_usage_wanted(&self) -> BTreeSet<Address> {
         self.usage_wanted.take()
@@ -174,6 +183,7 @@
             PeerMessage::Usage(_) | PeerMessage::UsageWanted(_) => NodeMessageKind::Usage,
             PeerMessage::TenantLimitsWanted(_) | PeerMessage::TenantLimits(_) => NodeMessageKind::TenantLimits,
             PeerMessage::Locations(_) => NodeMessageKind::Locations,
+            PeerMessage::DutyUnavailable(_) => NodeMessageKind::Duties,
         };
         self.datagrams.send(message, kind, receivers).await;
     }
@@ -209,6 +219,12 @@
             PeerMessage::UsageWanted(sender) => {
                 self.usage_wanted.borrow_mut().insert(sender);
             }
+            PeerMessage::DutyUnavailable(sender) if !self.is_recent(sender, now) => {
+                self.metrics.record_dropped_message("unknown_sender");
+            }
+            PeerMessage::DutyUnavailable(sender) => {
+                self.unavailable_candidates.borrow_mut().record(sender, now);
+            }
             PeerMessage::TenantLimitsWanted(_) | PeerMessage::TenantLimits(_)
                 if !self.learner.enforces_tenant_limits() =>
             {
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -25,6 +25,7 @@
 use crate::fleet_reach::SharedFleetReach;
 use crate::knowledge::{SharedKnowledge, SharedTimestamp};
 use crate::metrics::RelayMetrics;
+use crate::paths::SharedPathLoss;
 use crate::protocol::{ControlStore, DutyReceiver, Protocol};
 use crate::usage::SharedUsage;
 
@@ -60,6 +61,8 @@
     pub notices: SharedNotices,
     /// The share of all nodes for which this one may grant units, which the control thread updates.
     pub fleet_reach: SharedFleetReach,
+    /// Whether the node has lost its paths to engines, which the traffic thread observes.
+    pub engine_path_loss: SharedPathLoss,
     /// The regions of the zones. A change needs a restart.
     pub topology: Topology,
     /// The node's clock.
@@ -104,6 +107,7 @@
                 configuration_current_at,
                 notices,
                 fleet_reach,
+                engine_path_loss,
                 topology,
                 clock,
                 metrics,
@@ -129,6 +133,7 @@
                         notices,
                         learner: learner.clone(),
                         peers: peers.clone(),
+                        engine_path_loss,
                         metrics: metrics.clone(),
                     };
                     tokio::task::spawn_local(Duties::new(parts).run());
--- a/crates/relay/src/metrics/labels.rs
+++ b/crates/relay/src/metrics/labels.rs
@@ -110,6 +110,8 @@
     Locations,
     /// Queries and offers of tunnels.
     Tunnels,
+    /// Candidates that can't perform duties.
+    Duties,
 }
 
 impl NodeMessageKind {
@@ -130,6 +132,7 @@
             NodeMessageKind::Quotas => "quotas",
             NodeMessageKind::Locations => "locations",
             NodeMessageKind::Tunnels => "tunnels",
+            NodeMessageKind::Duties => "duties",
         }
     }
 }
--- a/crates/relay/src/paths/mod.rs
+++ b/crates/relay/src/paths/mod.rs
@@ -1,6 +1,7 @@
 //! This node's paths to back ends: what its connections show about them, and checks where these show too little.
 
 mod checks;
+mod shared_loss;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -15,6 +16,7 @@
 use tokio::sync::Notify;
 
 pub use self::checks::check_paths;
+pub use self::shared_loss::SharedPathLoss;
 use crate::knowledge::{Knowledge, SharedKnowledge};
 use crate::metrics::RelayMetrics;
 
@@ -31,6 +33,8 @@
 struct Shared {
     groups: RefCell<HashMap<PathGroup, Reachability>>,
     knowledge: SharedKnowledge,
+    /// Whether the paths to some engines are lost.
+    engine_path_loss: SharedPathLoss,
     clock: Clock,
     metrics: RelayMetrics,
     /// Groups whose paths were lost, until `next_loss` returns them.
@@ -41,9 +45,16 @@
 
 impl BackEndPaths {
     /// Paths of which nothing is known yet.
-    pub fn new(knowledge: SharedKnowledge, clock: Clock, metrics: RelayMetrics) -> Self {
+    pub fn new(
+        knowledge: SharedKnowledge,
+        engine_path_loss: SharedPathLoss,
+        clock: Clock,
+        metrics: RelayMetrics,
+    ) -> Self {
         let (groups, new_losses, lost) = (RefCell::default(), RefCell::default(), Notify::new());
-        BackEndPaths { shared: Rc::new(Shared { groups, knowledge, clock, metrics, new_losses, lost }) }
+        BackEndPaths {
+            shared: Rc::new(Shared { groups, knowledge, engine_path_loss, clock, metrics, new_losses, lost }),
+        }
     }
 
     /// Counts a request to `back_end` as in flight until the guard is dropped.
@@ -160,6 +171,11 @@
     }
 
     fn apply(&self, group: &PathGroup, change: Option<PathChange>) {
+        if change.is_some() {
+            let groups = self.shared.groups.borrow();
+            let is_lost = groups.iter().any(|(group, paths)| group.stage.is_some() && paths.is_lost());
+            self.shared.engine_path_loss.set(is_lost);
+        }
         match change {
             None => {}
             Some(PathChange::Lost { failed, cause, heard_before }) => {
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -32,7 +32,7 @@
 use crate::fleet_reach::SharedFleetReach;
 use crate::knowledge::{Knowledge, SharedKnowledge, SharedTimestamp};
 use crate::metrics::{NodeMessageKind, NodeState, RelayMetrics};
-use crate::paths::check_paths;
+use crate::paths::{SharedPathLoss, check_paths};
 use crate::protocol::{ControlStore, DutyReceiver, Protocol};
 use crate::settings::{RelaySettings, RelaySettingsError};
 use crate::tunnels::serve_tunnels;
@@ -97,6 +97,7 @@
         configuration_current_at: SharedTimestamp::default(),
         notices: SharedNotices::default(),
         fleet_reach: SharedFleetReach::new(clock.now()),
+        engine_path_loss: SharedPathLoss::default(),
         topology: settings.topology(),
         clock,
         metrics: metrics.clone(),
@@ -233,7 +234,8 @@
         tenant_limits = traffic.metrics.node_bytes(NodeMessageKind::TenantLimits),
         quotas = traffic.metrics.node_bytes(NodeMessageKind::Quotas),
         locations = traffic.metrics.node_bytes(NodeMessageKind::Locations),
-        tunnels = traffic.metrics.node_bytes(NodeMessageKind::Tunnels);
+        tunnels = traffic.metrics.node_bytes(NodeMessageKind::Tunnels),
+        duties = traffic.metrics.node_bytes(NodeMessageKind::Duties);
         ""
     );
     traffic.quotas.log_summary();
--- a/crates/relay/tests/wire_samples/mod.rs
+++ b/crates/relay/tests/wire_samples/mod.rs
@@ -64,6 +64,7 @@
         sample("peer.tenant_limits_wanted", PeerMessage::TenantLimitsWanted(tenant_limit_query())),
         sample("peer.tenant_limits", PeerMessage::TenantLimits(tenant_limits())),
         sample("peer.locations", PeerMessage::Locations(locations())),
+        sample("peer.duty_unavailable", PeerMessage::DutyUnavailable(address(1))),
         sample("pull.all", Pull { configuration: Some(ConfigurationNumber(0)), ..pull() }),
         sample("pull.directory", pull()),
         sample("answer.nothing", PullAnswer::default()),
