--- a/crates/core/src/paths/reachability.rs
+++ b/crates/core/src/paths/reachability.rs
@@ -15,22 +15,22 @@
 pub struct ReachabilityConfig {
     /// The number of back ends that a full check connects to.
     pub full_sample: usize,
-    /// The number of back ends that a check connects to when none is heard of while requests wait.
+    /// The number of back ends that a check connects to when there is no contact while requests wait.
     pub silence_sample: usize,
-    /// The number of different back ends that can't be connected to while none is heard of, from which on the paths are
+    /// The number of different back ends that can't be connected to, without contact with any, from which on the paths are
     /// lost without a check.
     pub failures_maximum: usize,
     /// How long a failed connection attempt counts.
     pub failure_window: Duration,
     /// How long an accepted connection counts as evidence that a back end serves.
     pub connected_memory: Duration,
-    /// With requests in flight, a check follows when no back end has been heard of for this time.
+    /// With requests in flight, a check follows after this time without contact.
     pub silence: Duration,
-    /// Without requests in flight, a check follows when no back end has been heard of for this time.
+    /// Without requests in flight, a check follows after this time without contact.
     pub idle: Duration,
     /// The pause between two checks.
     pub check_pause: Duration,
-    /// The pause between two full checks while back ends are heard of.
+    /// The pause between two full checks while there is contact.
     pub full_check_pause: Duration,
     /// The pause between two checks while the paths are lost.
     pub lost_check_pause: Duration,
@@ -87,8 +87,8 @@
         failed: usize,
         /// How the last of them failed.
         cause: PathFailure,
-        /// The time since a back end was last heard of; `None` if none ever was.
-        heard_before: Option<Duration>,
+        /// The time since the last contact with a back end; `None` if there never was any.
+        last_contact: Option<Duration>,
     },
     /// The paths are available again.
     Regained {
@@ -100,9 +100,9 @@
 /// A check of a few back ends that is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PathCheck {
-    /// Connect to one back end, to hear whether the paths are intact.
+    /// Connect to one back end, to make contact.
     Brief,
-    /// Connect to a few back ends, since none has been heard of while requests wait.
+    /// Connect to a few back ends, since there is no contact while requests wait.
     Silence,
     /// Connect to a sample of back ends, which decides whether the paths are lost.
     Full,
@@ -126,8 +126,8 @@
     loss_cause: PathFailure,
     /// How often the paths were lost.
     losses: u32,
-    /// When a back end was last heard of: it accepted a connection or answered.
-    heard_at: Option<Timestamp>,
+    /// The last contact with a back end: it accepted a connection or sent a part of an answer.
+    contact_at: Option<Timestamp>,
     attempts: HashMap<BackEndId, LastAttempt>,
     in_flight: u32,
     /// When the first of the requests in flight was sent.
@@ -149,7 +149,7 @@
             lost_since: None,
             loss_cause: PathFailure::Refused,
             losses: 0,
-            heard_at: None,
+            contact_at: None,
             attempts: HashMap::new(),
             in_flight: 0,
             busy_since: now,
@@ -175,21 +175,16 @@
         self.losses
     }
 
-    /// Whether the paths are proven to be intact: a back end was heard of within `age`, nothing has failed since, and no
-    /// request has been waiting for long without hearing of any.
+    /// Whether the paths are proven to be intact: there was contact within `age`, nothing has failed since, and no request
+    /// has been waiting for long without contact.
     pub fn is_proven(&self, age: Duration, now: Timestamp) -> bool {
-        let is_recent = self.heard_at.is_some_and(|heard_at| now.since(heard_at) <= age);
+        let is_recent = self.contact_at.is_some_and(|contact_at| now.since(contact_at) <= age);
         is_recent && !self.is_lost() && !self.is_doubtful(now) && !self.is_waiting(self.config.silence / 2, now)
     }
 
-    /// Whether a back end was heard of at `since` or later.
-    pub fn is_heard_since(&self, since: Timestamp) -> bool {
-        self.heard_at.is_some_and(|heard_at| heard_at >= since)
-    }
-
-    /// Whether something has failed recently and no back end has been heard of since.
+    /// Whether something has failed recently, without contact since.
     pub fn is_doubtful(&self, now: Timestamp) -> bool {
-        self.recent_failures(now).any(|(at, _)| self.is_unheard_since(at))
+        self.recent_failures(now).any(|(at, _)| self.has_no_contact_since(at))
     }
 
     /// Whether new connections to `back_end` are to go through another node: the paths are lost, and the back end has not
@@ -225,13 +220,13 @@
     }
 
     /// Records that a back end has sent something over a connection of this node.
-    pub fn record_heard(&mut self, now: Timestamp) {
-        self.heard_at = self.heard_at.max(Some(now));
+    pub fn record_contact(&mut self, now: Timestamp) {
+        self.contact_at = self.contact_at.max(Some(now));
     }
 
     /// Records that `back_end` accepted a connection.
     pub fn record_connected(&mut self, back_end: &BackEndId, now: Timestamp) {
-        self.record_heard(now);
+        self.record_contact(now);
         self.attempts.insert(back_end.clone(), LastAttempt::Connected(now));
     }
 
@@ -240,7 +235,7 @@
         self.attempts.insert(back_end.clone(), LastAttempt::Failed(now, cause));
         let is_refusal = |(_, cause): &(Timestamp, PathFailure)| *cause != PathFailure::Interrupted;
         let refusals = self.recent_failures(now).filter(is_refusal);
-        let failed = refusals.filter(|(at, _)| self.is_unheard_since(*at)).count();
+        let failed = refusals.filter(|(at, _)| self.has_no_contact_since(*at)).count();
         let failures_maximum = match self.back_ends {
             0 => self.config.failures_maximum,
             back_ends => self.config.failures_maximum.min(back_ends),
@@ -272,7 +267,7 @@
         if self.is_waiting(self.config.silence, now) && is_due(self.config.silence) {
             return Some(PathCheck::Silence);
         }
-        let is_idle = self.heard_at.is_none_or(|heard_at| now.since(heard_at) >= self.config.idle);
+        let is_idle = self.contact_at.is_none_or(|contact_at| now.since(contact_at) >= self.config.idle);
         (is_idle || self.is_doubtful(now)).then_some(PathCheck::Brief)
     }
 
@@ -336,28 +331,27 @@
         self.lost_since = Some(now);
         self.loss_cause = cause;
         self.losses += 1;
-        let heard_before = self.heard_at.map(|heard_at| now.since(heard_at));
-        Some(PathChange::Lost { failed, cause, heard_before })
+        let last_contact = self.contact_at.map(|contact_at| now.since(contact_at));
+        Some(PathChange::Lost { failed, cause, last_contact })
     }
 
-    /// Whether failures since the last full check call for another one: one while no back end was heard of since, or
-    /// several.
+    /// Whether failures since the last full check call for another one: several, or one without contact since.
     fn is_suspicious(&self, now: Timestamp) -> bool {
         let is_unchecked = |at: &Timestamp| self.fully_checked_at.is_none_or(|checked_at| checked_at < *at);
         let unchecked: Vec<Timestamp> = self.recent_failures(now).map(|(at, _)| at).filter(is_unchecked).collect();
         let pause = self.config.full_check_pause;
         let is_several_due = self.fully_checked_at.is_none_or(|checked_at| now.since(checked_at) >= pause);
-        unchecked.iter().any(|at| self.is_unheard_since(*at)) || (unchecked.len() > 1 && is_several_due)
+        unchecked.iter().any(|at| self.has_no_contact_since(*at)) || (unchecked.len() > 1 && is_several_due)
     }
 
-    /// Whether requests are in flight and no back end has been heard of for `time`.
+    /// Whether requests are in flight and there has been no contact for `time`.
     fn is_waiting(&self, time: Duration, now: Timestamp) -> bool {
-        let since = self.heard_at.unwrap_or_default().max(self.busy_since);
+        let since = self.contact_at.unwrap_or_default().max(self.busy_since);
         self.in_flight > 0 && now.since(since) >= time
     }
 
-    fn is_unheard_since(&self, at: Timestamp) -> bool {
-        self.heard_at.is_none_or(|heard_at| heard_at < at)
+    fn has_no_contact_since(&self, at: Timestamp) -> bool {
+        self.contact_at.is_none_or(|contact_at| contact_at < at)
     }
 
     fn failures(&self) -> impl Iterator<Item = (Timestamp, PathFailure)> {
--- a/crates/core/src/paths/tunnel_offers.rs
+++ b/crates/core/src/paths/tunnel_offers.rs
@@ -89,7 +89,7 @@
     }
 
     /// Chooses the peer for a tunnel to `group` among those not in `avoid`, and counts the tunnel: near ones and those
-    /// with few tunnels come first. `distance` tells how far a zone is.
+    /// with few tunnels come first. `distance` returns the distance to a zone.
     pub fn choose(
         &mut self,
         group: &PathGroup,
--- a/crates/core/tests/duties_candidates.rs
+++ b/crates/core/tests/duties_candidates.rs
@@ -50,7 +50,7 @@
     assert!(!second.should_act(&[address(1), address(3)], true, |_| Some(seconds(10.0)), seconds(10.0)));
 }
 
-/// Guards against duties that nobody performs: a first candidate without paths to engines still reports its demand.
+/// Guards against duties that no node performs: a first candidate without paths to engines still reports its demand.
 #[test]
 fn a_candidate_that_declared_itself_unavailable_counts_as_silent_for_three_seconds() {
     let mut unavailable = UnavailableCandidates::default();
--- a/crates/core/tests/paths_reachability.rs
+++ b/crates/core/tests/paths_reachability.rs
@@ -14,7 +14,7 @@
     BackEndId::new(format!("engine-{number}"))
 }
 
-/// Paths to twelve back ends, one of which has just been heard of.
+/// Paths to twelve back ends, with a contact just now.
 fn intact_paths() -> Reachability {
     let mut paths = Reachability::new(ReachabilityConfig::default(), Timestamp::ZERO);
     paths.update(12, Timestamp::ZERO);
@@ -37,14 +37,14 @@
 }
 
 #[test]
-fn failures_of_several_back_ends_while_none_is_heard_of_lose_the_paths_without_a_check() {
+fn failures_of_several_back_ends_without_contact_lose_the_paths_without_a_check() {
     let mut paths = intact_paths();
     assert_eq!(paths.record_failed(&engine(1), PathFailure::Refused, millis(100)), None);
     assert_eq!(paths.record_failed(&engine(1), PathFailure::Refused, millis(101)), None, "the same back end again");
     assert_eq!(paths.record_failed(&engine(2), PathFailure::Refused, millis(102)), None);
     let lost = paths.record_failed(&engine(3), PathFailure::TimedOut, millis(103));
-    let heard_before = Some(Duration::from_millis(93));
-    assert_eq!(lost, Some(PathChange::Lost { failed: 3, cause: PathFailure::TimedOut, heard_before }));
+    let last_contact = Some(Duration::from_millis(93));
+    assert_eq!(lost, Some(PathChange::Lost { failed: 3, cause: PathFailure::TimedOut, last_contact }));
 }
 
 #[test]
@@ -53,7 +53,7 @@
     for number in 1..=6 {
         let at = 100 + 10 * number as u64;
         assert_eq!(paths.record_failed(&engine(number), PathFailure::Refused, millis(at)), None);
-        paths.record_heard(millis(at + 1));
+        paths.record_contact(millis(at + 1));
     }
     assert_eq!(paths.due_check(millis(200)), Some(PathCheck::Full), "several failures call for a check");
     assert_eq!(full_check(&mut paths, 3, millis(210)), None);
@@ -66,7 +66,7 @@
     let mut paths = intact_paths();
     paths.begin_request(millis(20));
     for at in (100..1_500).step_by(100) {
-        paths.record_heard(millis(at));
+        paths.record_contact(millis(at));
         assert_eq!(paths.due_check(millis(at + 50)), None);
     }
 }
@@ -136,17 +136,17 @@
     let mut paths = Reachability::new(ReachabilityConfig::default(), Timestamp::ZERO);
     paths.update(1, Timestamp::ZERO);
     let lost = paths.record_failed(&engine(0), PathFailure::Refused, millis(10));
-    assert_eq!(lost, Some(PathChange::Lost { failed: 1, cause: PathFailure::Refused, heard_before: None }));
+    assert_eq!(lost, Some(PathChange::Lost { failed: 1, cause: PathFailure::Refused, last_contact: None }));
 }
 
 #[test]
-fn failures_are_doubtful_until_a_back_end_is_heard_of() {
+fn failures_are_doubtful_until_the_next_contact() {
     let mut paths = intact_paths();
     assert!(!paths.is_doubtful(millis(50)));
     paths.record_interrupted(&engine(1), millis(100));
     assert!(paths.is_doubtful(millis(100)));
     assert!(!paths.is_proven(Duration::from_secs(4), millis(100)));
-    paths.record_heard(millis(110));
+    paths.record_contact(millis(110));
     assert!(!paths.is_doubtful(millis(110)));
     assert!(paths.is_proven(Duration::from_secs(4), millis(110)));
     assert!(!paths.is_proven(Duration::from_secs(4), millis(4_200)), "the proof is too old");
--- a/crates/relay/src/back_ends/load.rs
+++ b/crates/relay/src/back_ends/load.rs
@@ -90,8 +90,8 @@
 
 impl InFlight {
     /// Records that the back end has sent a piece of its answer.
-    pub fn record_heard(&self) {
-        self.path.record_heard();
+    pub fn record_contact(&self) {
+        self.path.record_contact();
     }
 }
 
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -132,7 +132,7 @@
     /// Records that a piece of the answer arrived.
     pub fn record_piece(&mut self) {
         if let Some(in_flight) = &self.in_flight {
-            in_flight.record_heard();
+            in_flight.record_contact();
         }
         let now = self.clock.now();
         let last = self.last_piece.replace(now).or(self.first_piece);
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -60,7 +60,7 @@
     match &result {
         Ok(answer) => {
             if answer.lease.detour().is_none() {
-                traffic.paths.record_heard(back_end);
+                traffic.paths.record_contact(back_end);
                 traffic.peer_notices.record_path_proof(back_end);
             }
             apply_notice(traffic, request, back_end, answer.notice);
--- a/crates/relay/src/control/duties/holder.rs
+++ b/crates/relay/src/control/duties/holder.rs
@@ -218,7 +218,7 @@
     }
 
     /// Whether this node leaves the duties to another candidate, because it has lost its paths to engines, which its
-    /// orders would not reach. The other candidate is told.
+    /// orders would not reach. The other candidate is notified.
     async fn yields_duties(&mut self, candidates: &[Address], now: Timestamp) -> bool {
         if !self.engine_path_loss.get() {
             return false;
--- a/crates/relay/src/paths/mod.rs
+++ b/crates/relay/src/paths/mod.rs
@@ -20,7 +20,7 @@
 use crate::knowledge::{Knowledge, SharedKnowledge};
 use crate::metrics::RelayMetrics;
 
-/// A node offers tunnels to back ends while it has heard of one of them within this time: a little more than the interval
+/// A node offers tunnels to back ends after contact with one of them within this time: a little more than the interval
 /// between checks without requests.
 pub const PROOF_AGE: Duration = Duration::from_secs(4);
 
@@ -70,8 +70,8 @@
     }
 
     /// Records that `back_end` has sent something.
-    pub fn record_heard(&self, back_end: &BackEnd) {
-        self.with_group(&PathGroup::of(back_end), Reachability::record_heard);
+    pub fn record_contact(&self, back_end: &BackEnd) {
+        self.with_group(&PathGroup::of(back_end), Reachability::record_contact);
     }
 
     /// Records that no connection to `back_end` was established.
@@ -126,8 +126,7 @@
         self.read(&PathGroup::of(back_end), |paths| paths.needs_detour(&back_end.id)).unwrap_or(false)
     }
 
-    /// Whether connections to the group of `back_end` have failed recently and none of its back ends has been heard of
-    /// since.
+    /// Whether connections to the group of `back_end` have failed recently, without contact since.
     pub fn is_doubtful(&self, back_end: &BackEnd) -> bool {
         let now = self.shared.clock.now();
         self.read(&PathGroup::of(back_end), |paths| paths.is_doubtful(now)).unwrap_or(false)
@@ -152,7 +151,7 @@
         }
     }
 
-    /// Whether a back end of `group` was heard of within `age`, and nothing has failed since.
+    /// Whether the paths to `group` are proven to be intact by contact within `age`.
     pub fn is_proven(&self, group: &PathGroup, age: Duration) -> bool {
         let now = self.shared.clock.now();
         self.read(group, |paths| paths.is_proven(age, now)).unwrap_or(false)
@@ -178,12 +177,12 @@
         }
         match change {
             None => {}
-            Some(PathChange::Lost { failed, cause, heard_before }) => {
+            Some(PathChange::Lost { failed, cause, last_contact }) => {
                 self.shared.metrics.paths().record_change("lost");
                 self.shared.new_losses.borrow_mut().push(group.clone());
                 self.shared.lost.notify_waiters();
-                let heard_before_ms = heard_before.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
-                log::warn!(event = "paths_lost", back_ends:% = group, failed, cause = cause.code(), heard_before_ms; "");
+                let last_contact_ms = last_contact.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+                log::warn!(event = "paths_lost", back_ends:% = group, failed, cause = cause.code(), last_contact_ms; "");
             }
             Some(PathChange::Regained { after }) => {
                 self.shared.metrics.paths().record_change("regained");
@@ -218,8 +217,8 @@
 
 impl PathUse {
     /// Records that the back end has sent a piece of its answer.
-    pub fn record_heard(&self) {
-        self.paths.with_group(&self.group, Reachability::record_heard);
+    pub fn record_contact(&self) {
+        self.paths.with_group(&self.group, Reachability::record_contact);
     }
 }
 
--- a/crates/relay/src/peer_notices/tunnels.rs
+++ b/crates/relay/src/peer_notices/tunnels.rs
@@ -28,7 +28,7 @@
 /// The randomly chosen peers that are asked at a time.
 const QUERIED_PEERS: usize = 12;
 
-/// How often peers are told that this node stops, as a datagram may be lost.
+/// How often peers are notified that this node stops, as a datagram may be lost.
 const END_NOTICES: u32 = 3;
 
 /// The time between two such notices.
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Tells the peers that have tunnels through this node that it stops.
+    /// Notifies the peers that have tunnels through this node that it stops.
     pub async fn announce_tunnels_end(&self) {
         let (Some(sender), Some(tunnels)) = (self.sender(), self.shared.tunnels.get()) else {
             return;
