--- a/crates/relay/src/paths/mod.rs
+++ b/crates/relay/src/paths/mod.rs
@@ -6,7 +6,6 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-
 use std::time::Duration;
 
 use havengate_core::back_ends::{BackEnd, Usability};
