--- a/crates/relay/src/back_ends/liveness.rs
+++ b/crates/relay/src/back_ends/liveness.rs
@@ -12,7 +12,7 @@
 /// a connection without data, keep-alive probes.
 ///
 /// The time limit of unacknowledged data also ends keep-alive probes, whatever their number: the first check after it has
-/// passed ends the connection. Probes are sent at half of it, so that one that is lost, or meets a silent machine, is
+/// passed ends the connection. Probes are sent at half of it, in whole seconds, so that one that is lost, or meets a silent machine, is
 /// followed by another.
 pub fn set_liveness(stream: &TcpStream, time_limit: Duration) {
     let socket = SockRef::from(stream);
--- a/crates/relay/src/back_ends/pool/checks.rs
+++ b/crates/relay/src/back_ends/pool/checks.rs
@@ -22,7 +22,7 @@
 
     /// Whether a refusal by `back_end` shows that it has terminated, and not that the node has lost its paths: another back
     /// end accepts a connection, or a peer is refused too. If no other one has accepted a connection lately, and no peer
-    /// can tell, nothing speaks against it.
+    /// offers a tunnel, the refusal is accepted as it is.
     pub async fn confirms_refusal(&self, back_end: &BackEnd) -> bool {
         let Some(paths) = &self.paths else {
             return true;
--- a/crates/relay/src/back_ends/pool/lease.rs
+++ b/crates/relay/src/back_ends/pool/lease.rs
@@ -43,8 +43,8 @@
         self.connection.as_ref().and_then(|connection| connection.detour)
     }
 
-    /// Waits until nothing will arrive over this connection any more, as far as that can be told without waiting for the
-    /// operating system; never returns for a connection through a peer.
+    /// Waits until nothing will arrive over this connection any more, by evidence that is available before the operating
+    /// system's time limit; never returns for a connection through a peer.
     pub async fn loss(&self) -> ConnectionLoss {
         match (&self.pool.paths, self.detour()) {
             (Some(paths), None) => tokio::select! {
