Sight: logs tell which stream a request takes up, and the back end's version

The incident's logs told neither. The dialect reads Resumes and Last-Event-Id, the store client the Version of each entry; a table (core, resumption) holds the versions of present and departed back ends. request_ended has resumes and version, software_version_found tells a new version. No decision uses them.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod relay;
 pub mod replication;
 pub mod request;
+pub mod resumption;
 pub mod routing;
 pub mod simulation;
 pub mod stages;
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -265,6 +265,8 @@
     async fn attempt_stage(&mut self, back_end: &BackEnd, stage: &SendStage) -> Attempt {
         if let Some(record) = &mut self.record {
             record.back_end = Some(back_end.id.clone());
+            let knowledge = self.traffic.knowledge.load();
+            knowledge.versions.version_of(&back_end.id).label().clone_into(&mut record.back_end_version);
         }
         let sent_at = self.traffic.clock.now();
         let answer = match send_and_record(self.traffic, &self.request, back_end, stage).await {
--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -98,6 +98,9 @@
         LocalAnswer::rejection(StatusCode::BAD_REQUEST, "malformed_head")
     })?;
     head.id_text().clone_into(&mut record.request);
+    if let Some(resumption) = &head.resumption {
+        resumption.first_request_text().clone_into(&mut record.resumes);
+    }
     Ok(head)
 }
 
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -64,6 +64,10 @@
     pub service: Option<ServiceName>,
     /// The back end that it was sent to last.
     pub back_end: Option<BackEndId>,
+    /// The software version of that back end.
+    pub back_end_version: String,
+    /// The request whose stream it takes up again; empty if it names none.
+    pub resumes: String,
     /// The prefill engine that its prompt was sent to last.
     pub prefill_back_end: Option<BackEndId>,
     /// Sends that left the node.
@@ -108,6 +112,8 @@
             tenant: None,
             service: None,
             back_end: None,
+            back_end_version: String::new(),
+            resumes: String::new(),
             prefill_back_end: None,
             sends: 0,
             repeats: 0,
@@ -166,6 +172,8 @@
             tenant = self.tenant.as_ref().map_or("", TenantName::as_str),
             service = self.service.as_ref().map_or("", ServiceName::as_str),
             back_end = self.back_end.as_ref().map_or("", BackEndId::as_str),
+            version = self.back_end_version.as_str(),
+            resumes = self.resumes.as_str(),
             prefill = self.prefill_back_end.as_ref().map_or("", BackEndId::as_str),
             sends = self.sends,
             repeats = self.repeats,
--- a/crates/relay/src/control/follower.rs
+++ b/crates/relay/src/control/follower.rs
@@ -12,7 +12,7 @@
 use super::limit_exchange::LimitExchange;
 use super::reader_role::ReaderRole;
 use crate::metrics::RelayMetrics;
-use crate::protocol::{ControlStore, StoreError};
+use crate::protocol::{ControlStore, StoreChanges, StoreError, StoreListing};
 
 /// How long a watch waits. Its end confirms the knowledge of this node and of those that it feeds, so it bounds the age
 /// of that knowledge. A watch whose connection is lost silently is detected slightly later than this.
@@ -150,7 +150,10 @@
             None => list_unless_received(&mut store, &learner).await,
             Some(position) => tokio::select! {
                 changes = store.watch_back_ends(position, WATCH_WAIT) => {
-                    changes.map(|changes| learner.apply_changes(changes, now(), Source::Store))
+                    changes.map(|StoreChanges { changes, versions }| {
+                        learner.record_versions(&versions);
+                        learner.apply_changes(changes, now(), Source::Store);
+                    })
                 }
                 () = newer_era(&mut eras, position) => {
                     needs_listing = true;
@@ -190,7 +193,9 @@
     };
     tokio::select! {
         listing = store.list_back_ends() => {
-            learner.adopt_store_listing(listing?, known_before.unwrap_or_default(), learner.clock().now());
+            let StoreListing { listing, versions } = listing?;
+            learner.record_versions(&versions);
+            learner.adopt_store_listing(listing, known_before.unwrap_or_default(), learner.clock().now());
             Ok(())
         }
         () = received => Ok(()),
--- a/crates/relay/src/control/learner/mod.rs
+++ b/crates/relay/src/control/learner/mod.rs
@@ -11,6 +11,7 @@
     BackEnd, Directory, DirectoryChange, DirectoryChanges, DirectoryEntry, DirectoryListing, EngineStage,
 };
 use havengate_core::replication::{ConfigurationUpdate, PackedUpdate};
+use havengate_core::resumption::VersionTable;
 use havengate_core::routing::{KeyTable, TrafficConfiguration};
 use havengate_core::store::{Position, StoreEra};
 use havengate_core::time::Timestamp;
@@ -26,6 +27,7 @@
 
 mod pulls;
 mod tenant_limits;
+mod versions;
 
 /// Where a piece of knowledge came from, for logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +51,7 @@
 #[derive(Clone)]
 pub struct Learner {
     directory: Rc<RefCell<Directory>>,
+    versions: Rc<RefCell<VersionTable>>,
     configuration_confirmed_at: Rc<Cell<Option<Timestamp>>>,
     /// A position of the store at which the active configuration was the newest.
     configuration_position: Rc<Cell<Option<Position>>>,
@@ -79,6 +82,7 @@
     ) -> Self {
         Learner {
             directory: Rc::default(),
+            versions: Rc::default(),
             configuration_confirmed_at: Rc::default(),
             configuration_position: Rc::default(),
             configuration_updates: Rc::default(),
@@ -402,6 +406,7 @@
         let mut knowledge = (*self.knowledge.load_full()).clone();
         if changed {
             knowledge.directory = Arc::new(self.directory.borrow().clone());
+            knowledge.versions = Arc::new(self.updated_versions());
         }
         knowledge.directory_confirmed_at = knowledge.directory_confirmed_at.max(Some(confirmed_at));
         self.publish(knowledge);
--- a/crates/relay/src/knowledge.rs
+++ b/crates/relay/src/knowledge.rs
@@ -9,6 +9,7 @@
 use havengate_core::back_ends::{BackEnd, Directory, EngineStage};
 use havengate_core::quota::{TenantLimit, TenantLimitTable};
 use havengate_core::replication::PeerTableConfig;
+use havengate_core::resumption::VersionTable;
 use havengate_core::routing::{ConfigurationNumber, KeyTable, RouteTable, TrafficConfiguration};
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId, TenantName, ZoneName};
@@ -68,6 +69,8 @@
     pub configuration: Option<Arc<ActiveConfiguration>>,
     /// The back ends.
     pub directory: Arc<Directory>,
+    /// The software versions of the back ends.
+    pub versions: Arc<VersionTable>,
     /// When the store or a peer last confirmed the directory; `None`: never.
     pub directory_confirmed_at: Option<Timestamp>,
     /// Nodes that serve requests, including this one: an upper bound of those that share a budget now.
@@ -94,6 +97,7 @@
         Knowledge {
             configuration: None,
             directory: Arc::new(Directory::new()),
+            versions: Arc::default(),
             directory_confirmed_at: None,
             nodes: PeerTableConfig::default().assumed_nodes,
             peers: Arc::default(),
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -11,6 +11,7 @@
 use havengate_core::duties::usage::{LedgerWrite, UsageLedger, UsageReport};
 use havengate_core::duties::{DutyAnswer, LeaseRecord, LeaseWrite};
 use havengate_core::relay::{ContentId, Prompt, PromptPart, ReportedTermination, Urgency};
+use havengate_core::resumption::BackEndVersion;
 use havengate_core::routing::{PresentedKey, TrafficConfiguration};
 use havengate_core::stages::OrderAnswer;
 use havengate_core::store::{ObjectVersion, Position, Revision};
@@ -26,10 +27,27 @@
     pub deadline: Option<Duration>,
     /// The prompt's shape, for requests to model engines.
     pub prompt: Option<Prompt>,
+    /// Whether the request takes up a stream that was interrupted, and which one; `None` for a new request.
+    pub resumption: Option<Resumption>,
     /// The tokens that the caller states: prompt and longest output together; `None` when it states none.
     pub token_count: Option<u64>,
 }
 
+/// Which stream a request takes up again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// The id of the request whose answer contained the stream's first event; `None` if the caller names none, or if
+    /// the name is malformed.
+    pub first_request: Option<HeaderValue>,
+}
+
+impl Resumption {
+    /// The id of the first request as text, for logs; empty if it is not known.
+    pub fn first_request_text(&self) -> &str {
+        self.first_request.as_ref().map_or("", |id| id.to_str().unwrap_or("unprintable"))
+    }
+}
+
 impl RequestHead {
     /// The id as text, for logs.
     pub fn id_text(&self) -> &str {
@@ -199,6 +217,24 @@
     Malformed(String),
 }
 
+/// The directory as listed by the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreListing {
+    /// The back ends.
+    pub listing: DirectoryListing,
+    /// Their software versions, which are not part of the directory.
+    pub versions: Vec<BackEndVersion>,
+}
+
+/// Changes of the directory in the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreChanges {
+    /// The changes.
+    pub changes: DirectoryChanges,
+    /// The software versions of the back ends that are new or have changed.
+    pub versions: Vec<BackEndVersion>,
+}
+
 /// The configuration at a revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigurationRead {
@@ -258,14 +294,14 @@
 /// A session with the store, with one connection and one call at a time.
 pub trait ControlStore: Clone + Send + 'static {
     /// Reads the complete directory.
-    fn list_back_ends(&mut self) -> impl Future<Output = Result<DirectoryListing, StoreError>>;
+    fn list_back_ends(&mut self) -> impl Future<Output = Result<StoreListing, StoreError>>;
 
     /// Waits for changes of the directory.
     fn watch_back_ends(
         &mut self,
         after: Position,
         wait: Duration,
-    ) -> impl Future<Output = Result<DirectoryChanges, StoreError>>;
+    ) -> impl Future<Output = Result<StoreChanges, StoreError>>;
 
     /// Reads the configuration.
     fn read_configuration(&mut self) -> impl Future<Output = Result<ConfigurationRead, StoreError>>;
