Streams go on only at the software version that began them

Cause: nobody knew which version began a stream, nor looked at versions when placing one; class: state that only the first handler of a request has (session affinity without a session). Change: the node that relays a stream's first event records the version (core, resumption) and, where several versions can have begun a stream, tells three nodes ranked by a hash of the stream's key; the node where the caller turns up finds it there. Without an origin a stream goes on only where no other version can have begun it, by versions seen over four time limits of its route; else it is refused at once as not run. Versions come from the store's readers by new kinds of messages; no layout changes (wire_layout: three new samples, kinds counted on). Ruled out: sticky placement by hash alone (moves with the fleet), a store write a stream (rates), telling all nodes (42 KB/s a node at the design size).

--- a/crates/core/src/relay/peer_notice.rs
+++ b/crates/core/src/relay/peer_notice.rs
@@ -9,6 +9,7 @@
 use crate::back_ends::{DrainNotice, LimitNotice};
 use crate::paths::{TunnelOffer, TunnelQuery};
 use crate::quota::{QuotaGrant, QuotaRequest};
+use crate::resumption::{OriginAnswer, OriginNotice, OriginQuery};
 use crate::world::{Address, BackEndId};
 
 /// A message between nodes about prefills and engines.
@@ -44,6 +45,12 @@
         /// The address where the sender receives notices; identifies it.
         sender: Address,
     },
+    /// Where streams of the sender began.
+    StreamOrigins(OriginNotice),
+    /// A query for where a stream began.
+    OriginQuery(OriginQuery),
+    /// The answer to a query for where a stream began.
+    OriginAnswer(OriginAnswer),
 }
 
 /// The parts that a node estimates to be in an engine's cache.
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -9,6 +9,7 @@
 use crate::back_ends::{DirectoryUpdate, EngineStage};
 use crate::duties::usage::UsageCountsMessage;
 use crate::quota::{TenantLimitNotice, TenantLimitQuery};
+use crate::resumption::{VersionNotice, VersionQuery};
 use crate::routing::ConfigurationNumber;
 use crate::stages::DemandReport;
 use crate::store::Position;
@@ -36,6 +37,10 @@
     Locations(LocationNotice),
     /// The candidate at this address can't perform duties for the time being.
     DutyUnavailable(Address),
+    /// A query for the software versions of back ends.
+    VersionsWanted(VersionQuery),
+    /// The software versions of back ends.
+    Versions(VersionNotice),
 }
 
 /// The zones of some nodes, as the sender knows them, so that nodes know which peers are near.
--- a/crates/core/src/resumption/mod.rs
+++ b/crates/core/src/resumption/mod.rs
@@ -1,10 +1,31 @@
 //! Streams that callers take up again after an interruption, and the software versions of back ends.
 //!
 //! Back ends of several software versions may serve a service side by side. What two versions write doesn't fit
-//! together, so a stream may be resumed only at a back end of the version that began it.
+//! together, so a stream may be resumed only at a back end of the version that began it. The node that relays a stream's
+//! first event records where it began and tells a few replicas, whose rank any node can compute from the stream's key. A
+//! node that is asked to resume a stream finds the origin in its own records, or asks the replicas. If nobody knows, the
+//! stream is resumed only where no other version can have begun it.
 
+mod decision;
+mod messages;
+mod origin_table;
+mod replicas;
+mod retention;
+mod service_tag;
+mod service_versions;
 mod software_version;
+mod stream_origin;
 mod version_table;
 
+pub use decision::{FoundOrigin, OriginEvidence, OriginSearch};
+pub use messages::{
+    OriginAnswer, OriginNotice, OriginQuery, ReportedOrigin, ReportedVersion, VersionNotice, VersionQuery,
+};
+pub use origin_table::{OriginLookup, OriginSource, OriginTable};
+pub use replicas::RankedPeers;
+pub use retention::retention;
+pub use service_tag::ServiceTag;
+pub use service_versions::ServiceVersions;
 pub use software_version::{SoftwareVersion, VersionFingerprint};
-pub use version_table::{BackEndVersion, VersionKnowledge, VersionTable};
+pub use stream_origin::{StreamKey, StreamOrigin};
+pub use version_table::{BackEndVersion, VersionKey, VersionKnowledge, VersionTable};
--- a/crates/core/src/resumption/version_table.rs
+++ b/crates/core/src/resumption/version_table.rs
@@ -3,12 +3,28 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use speedy::{Readable, Writable};
+
+use super::service_tag::ServiceTag;
+use super::service_versions::ServiceVersions;
 use super::software_version::{SoftwareVersion, VersionFingerprint};
-use crate::back_ends::{BackEnd, Directory, Usability};
+use crate::back_ends::{Directory, LAST_RESORT};
 use crate::relay::EngineTag;
 use crate::time::Timestamp;
 use crate::world::{BackEndId, ServiceName};
 
+/// The most former versions of back ends that changed theirs without a new identity.
+const FORMER_VERSIONS_MAXIMUM: usize = 1_000;
+
+/// Two back ends with the same key write streams that fit together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
+pub enum VersionKey {
+    /// All back ends of this software version.
+    Version(VersionFingerprint),
+    /// This incarnation of a back end alone, because its version is not known.
+    BackEnd(EngineTag),
+}
+
 /// What is known of the software version of a back end.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum VersionKnowledge {
@@ -24,8 +40,13 @@
 impl VersionKnowledge {
     /// The fingerprint of the version, if it is known.
     pub fn fingerprint(&self) -> Option<VersionFingerprint> {
+        self.announced().map(SoftwareVersion::fingerprint)
+    }
+
+    /// The version, if the entry names one.
+    pub fn announced(&self) -> Option<&SoftwareVersion> {
         match self {
-            VersionKnowledge::Announced(version) => Some(version.fingerprint()),
+            VersionKnowledge::Announced(version) => Some(version),
             VersionKnowledge::Unknown | VersionKnowledge::Unannounced => None,
         }
     }
@@ -40,6 +61,12 @@
     }
 }
 
+impl From<Option<SoftwareVersion>> for VersionKnowledge {
+    fn from(announced: Option<SoftwareVersion>) -> Self {
+        announced.map_or(VersionKnowledge::Unannounced, VersionKnowledge::Announced)
+    }
+}
+
 /// A back end and the software version that its entry in the store names.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BackEndVersion {
@@ -53,16 +80,41 @@
 
 #[derive(Clone, Debug)]
 struct VersionedBackEnd {
-    service: ServiceName,
+    service: ServiceTag,
     version: VersionKnowledge,
-    /// When it stopped serving; `None` while it serves.
+    /// The version before the back end's entry changed, if it is not known yet whether the version changed too.
+    unconfirmed: Option<VersionKnowledge>,
+    /// Until when it may have been sent requests; `None` while it serves.
     departed_at: Option<Timestamp>,
+    /// Whether it has announced another version before, under the same identity.
+    has_changed: bool,
+}
+
+impl VersionedBackEnd {
+    fn key(&self, tag: EngineTag) -> VersionKey {
+        self.version.fingerprint().map_or(VersionKey::BackEnd(tag), VersionKey::Version)
+    }
+}
+
+/// The former version of a back end that announces another one under the same identity.
+#[derive(Clone, Copy, Debug)]
+struct FormerVersion {
+    service: ServiceTag,
+    key: VersionKey,
+    changed_at: Timestamp,
 }
 
 /// The software versions of the back ends of a directory, and of those that left it recently.
 #[derive(Clone, Debug, Default)]
 pub struct VersionTable {
     back_ends: BTreeMap<EngineTag, VersionedBackEnd>,
+    former: Vec<FormerVersion>,
+    services: BTreeMap<ServiceTag, ServiceVersions>,
+    /// The versions that were recorded in each service.
+    recorded: BTreeSet<(ServiceTag, VersionFingerprint)>,
+    /// Since when no back end can have served without being recorded here; `None` before the first directory.
+    complete_since: Option<Timestamp>,
+    kept_for: Duration,
 }
 
 impl VersionTable {
@@ -71,41 +123,174 @@
         self.back_ends.get(&back_end.into()).map_or(&VersionKnowledge::Unknown, |known| &known.version)
     }
 
-    /// Records what an entry of the store says. Returns the versions that its service did not have so far.
-    pub fn record(&mut self, entry: &BackEndVersion) -> Option<SoftwareVersion> {
-        let is_new = entry.version.as_ref().filter(|version| !self.has_version(&entry.service, version)).cloned();
-        let known = self.entry(EngineTag::from(&entry.back_end), &entry.service);
-        known.version = entry.version.clone().map_or(VersionKnowledge::Unannounced, VersionKnowledge::Announced);
-        is_new
+    /// The key of `back_end`.
+    pub fn key_of(&self, back_end: &BackEndId) -> VersionKey {
+        let tag = back_end.into();
+        self.back_ends.get(&tag).map_or(VersionKey::BackEnd(tag), |known| known.key(tag))
     }
 
-    /// Applies a directory: which back ends serve, and which have left.
+    /// The most that is known of `key`, which may come from a node that did not know a back end's version; `None` if the
+    /// back end has had several versions.
+    pub fn resolve(&self, key: VersionKey) -> Option<VersionKey> {
+        match key {
+            VersionKey::Version(_) => Some(key),
+            VersionKey::BackEnd(tag) => match self.back_ends.get(&tag) {
+                Some(known) if known.has_changed => None,
+                Some(known) => Some(known.key(tag)),
+                None => Some(key),
+            },
+        }
+    }
+
+    /// The text of a version for logs.
+    pub fn label_of(&self, key: VersionKey) -> String {
+        let mut known = self.back_ends.iter().filter(|(tag, known)| known.key(**tag) == key);
+        match (known.next(), key) {
+            (Some((_, known)), _) => known.version.label().to_owned(),
+            (None, VersionKey::Version(fingerprint)) => fingerprint.to_string(),
+            (None, VersionKey::BackEnd(_)) => VersionKnowledge::Unknown.label().to_owned(),
+        }
+    }
+
+    /// The versions that served `service` recently.
+    pub fn of_service(&self, service: ServiceTag) -> Option<&ServiceVersions> {
+        self.services.get(&service)
+    }
+
+    /// The versions that can have begun a stream of `service` that is resumed at `now`, as far as this table contains them.
+    pub fn possible(&self, service: ServiceTag, now: Timestamp) -> BTreeSet<VersionKey> {
+        self.of_service(service).map(|versions| versions.keys(self.kept_for, now)).unwrap_or_default()
+    }
+
+    /// For how long versions are remembered after their last back end has left.
+    pub fn kept_for(&self) -> Duration {
+        self.kept_for
+    }
+
+    /// For how long up to `now` the table contains all versions that have served, at most the time for which they are
+    /// remembered.
+    pub fn covered(&self, now: Timestamp) -> Duration {
+        self.complete_since.map_or(Duration::ZERO, |since| now.since(since)).min(self.kept_for)
+    }
+
+    /// Whether the table contains all versions that can have begun a stream that is still resumed.
+    pub fn is_complete(&self, now: Timestamp) -> bool {
+        self.complete_since.is_some_and(|since| now.since(since) >= self.kept_for)
+    }
+
+    /// Whether nodes have to know which version began a stream: several can have, or some are not known.
+    pub fn needs_origins(&self, service: ServiceTag, now: Timestamp) -> bool {
+        !self.is_complete(now) || self.possible(service, now).len() > 1
+    }
+
+    /// The back ends whose version is not known yet.
+    pub fn unknown(&self) -> impl Iterator<Item = EngineTag> {
+        self.back_ends.iter().filter(|(_, known)| known.version == VersionKnowledge::Unknown).map(|(tag, _)| *tag)
+    }
+
+    /// What is known of the version of the back end with this tag, for another node; `None` if it is not known.
+    pub fn known_version(&self, tag: EngineTag) -> Option<&VersionKnowledge> {
+        let version = &self.back_ends.get(&tag)?.version;
+        (*version != VersionKnowledge::Unknown).then_some(version)
+    }
+
+    /// Records what an entry of the store says. Returns the version if its service did not have it so far. It counts from
+    /// the next [`VersionTable::summarize`] on.
+    pub fn record(&mut self, entry: &BackEndVersion, now: Timestamp) -> Option<SoftwareVersion> {
+        let service = ServiceTag::from(&entry.service);
+        self.set(EngineTag::from(&entry.back_end), service, entry.version.clone().into(), now);
+        let version = entry.version.as_ref();
+        version.filter(|version| self.recorded.insert((service, version.fingerprint()))).cloned()
+    }
+
+    /// Records the version of a back end that another node knows. It does not replace what is known here, and counts from
+    /// the next [`VersionTable::summarize`] on.
+    ///
+    /// Returns whether the service of the back end did not have the version so far.
+    pub fn receive(&mut self, tag: EngineTag, version: &VersionKnowledge, now: Timestamp) -> bool {
+        let known = self.back_ends.get(&tag).filter(|known| known.version == VersionKnowledge::Unknown);
+        let Some(service) = known.map(|known| known.service) else {
+            return false;
+        };
+        self.set(tag, service, version.clone(), now);
+        version.fingerprint().is_some_and(|version| self.recorded.insert((service, version)))
+    }
+
+    /// Forgets the version of a back end whose entry has changed, unless its identity includes its start: another node,
+    /// which doesn't pass on versions, has announced the change.
+    pub fn forget_unless_incarnation(&mut self, back_end: &BackEndId) {
+        if back_end.started().is_none()
+            && let Some(known) = self.back_ends.get_mut(&back_end.into())
+        {
+            let version = std::mem::take(&mut known.version);
+            if version != VersionKnowledge::Unknown {
+                known.unconfirmed = Some(version);
+            }
+        }
+    }
+
+    /// Records that back ends may have come and gone without being observed.
+    pub fn interrupt(&mut self, now: Timestamp) {
+        self.complete_since = Some(now);
+    }
+
+    /// Applies a directory: which back ends serve, and which have left. Versions are remembered for `kept_for`.
     pub fn apply_directory(&mut self, directory: &Directory, kept_for: Duration, now: Timestamp) {
-        let mut serving: BTreeSet<EngineTag> = BTreeSet::new();
-        for entry in directory.entries().filter(|entry| entry.usability(now) != Usability::Unusable) {
-            let BackEnd { id, service, .. } = &entry.back_end;
-            serving.insert(id.into());
-            self.entry(id.into(), service).departed_at = None;
+        self.kept_for = kept_for;
+        if directory.is_known() {
+            self.complete_since.get_or_insert(now);
+        }
+        let mut present: BTreeSet<EngineTag> = BTreeSet::new();
+        for entry in directory.entries() {
+            let tag = EngineTag::from(&entry.back_end.id);
+            present.insert(tag);
+            let last_use = entry.retired_at.map(|retired_at| retired_at + LAST_RESORT);
+            self.entry(tag, ServiceTag::from(&entry.back_end.service)).departed_at = last_use;
         }
         self.back_ends.retain(|tag, back_end| {
-            if !serving.contains(tag) {
-                let departed_at = *back_end.departed_at.get_or_insert(now);
-                return now.since(departed_at) < kept_for;
+            if present.contains(tag) {
+                return true;
             }
-            true
+            now.since(*back_end.departed_at.get_or_insert(now)) < kept_for
         });
+        self.former.retain(|former| now.since(former.changed_at) < kept_for);
+        self.summarize();
+    }
+
+    /// Recomputes the versions of each service.
+    pub fn summarize(&mut self) {
+        self.services.clear();
+        self.recorded.clear();
+        for (tag, back_end) in &self.back_ends {
+            self.services.entry(back_end.service).or_default().add(back_end.key(*tag), back_end.departed_at);
+            self.recorded.extend(back_end.version.fingerprint().map(|version| (back_end.service, version)));
+        }
+        for former in &self.former {
+            self.services.entry(former.service).or_default().add(former.key, Some(former.changed_at));
+        }
     }
 
-    fn entry(&mut self, tag: EngineTag, service: &ServiceName) -> &mut VersionedBackEnd {
+    fn set(&mut self, tag: EngineTag, service: ServiceTag, version: VersionKnowledge, now: Timestamp) {
+        let known = self.entry(tag, service);
+        if let Some(before) = known.unconfirmed.take() {
+            known.version = before;
+        }
+        let former = FormerVersion { service: known.service, key: known.key(tag), changed_at: now };
+        let has_changed = known.version != version && known.version != VersionKnowledge::Unknown;
+        known.has_changed |= has_changed;
+        known.version = version;
+        if has_changed && self.former.len() < FORMER_VERSIONS_MAXIMUM {
+            self.former.push(former);
+        }
+    }
+
+    fn entry(&mut self, tag: EngineTag, service: ServiceTag) -> &mut VersionedBackEnd {
         self.back_ends.entry(tag).or_insert_with(|| VersionedBackEnd {
-            service: service.clone(),
+            service,
             version: VersionKnowledge::Unknown,
+            unconfirmed: None,
             departed_at: None,
+            has_changed: false,
         })
     }
-
-    fn has_version(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
-        let of_service = self.back_ends.values().filter(|back_end| back_end.service == *service);
-        of_service.into_iter().any(|back_end| back_end.version.fingerprint() == Some(version.fingerprint()))
-    }
 }
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -91,6 +91,10 @@
     EndsEngines,
     /// all back ends that could take the request have asked for rest, or are at their limit
     BackEndsRest,
+    /// it is not known which software version began the stream
+    StreamOriginUnknown,
+    /// no back end of the software version that began the stream takes requests
+    StreamOriginGone,
 }
 
 impl NotRunReason {
@@ -116,6 +120,8 @@
             NotRunReason::RetryBudgetSpent => "retry_budget_spent",
             NotRunReason::EndsEngines => "ends_engines",
             NotRunReason::BackEndsRest => "back_ends_rest",
+            NotRunReason::StreamOriginUnknown => "stream_origin_unknown",
+            NotRunReason::StreamOriginGone => "stream_origin_gone",
         }
     }
 
--- a/crates/node/src/callers/error.rs
+++ b/crates/node/src/callers/error.rs
@@ -159,6 +159,8 @@
         | NotRunReason::CallerGone
         | NotRunReason::RetryBudgetSpent
         | NotRunReason::BackEndsRest
+        | NotRunReason::StreamOriginUnknown
+        | NotRunReason::StreamOriginGone
         | NotRunReason::EndsEngines => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/relay/src/callers/caller_request.rs
+++ b/crates/relay/src/callers/caller_request.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use havengate_core::relay::{ContentId, Prompt, Urgency};
+use havengate_core::resumption::VersionKey;
 use havengate_core::routing::{Route, TenantAccess};
 use havengate_core::time::Timestamp;
 use havengate_core::world::ServiceName;
@@ -39,6 +40,9 @@
     pub permit: Option<QuotaPermit>,
     /// The service that the request goes to.
     pub service: ServiceName,
+    /// The only software version that may answer, as it began the stream that the request takes up again; `None` for a
+    /// new request.
+    pub resumed_version: Option<VersionKey>,
     /// When it arrived.
     pub arrived: Timestamp,
     /// The request's deadline.
--- a/crates/relay/src/callers/candidates.rs
+++ b/crates/relay/src/callers/candidates.rs
@@ -4,6 +4,7 @@
 
 use havengate_core::back_ends::{BackEnd, DirectoryEntry, EngineStage, Usability};
 use havengate_core::relay::{Candidate, Placed, PlacementRules, Purpose, place};
+use havengate_core::resumption::VersionKey;
 use havengate_core::time::Timestamp;
 use havengate_core::world::{BackEndId, ServiceName};
 
@@ -11,16 +12,20 @@
 use crate::knowledge::Knowledge;
 
 /// Chooses the back end of `service` that a request is sent to, other than those in `tried`, and returns it with the
-/// expected time until the prompt is prefilled there.
+/// expected time until the prompt is prefilled there. With a `version`, only back ends of that one may answer; any may prefill
+/// the prompt.
 pub fn choose_back_end<P>(
     traffic: &Traffic<P>,
     knowledge: &Knowledge,
     service: &ServiceName,
     purpose: &Purpose<'_>,
     tried: &[BackEndId],
+    version: Option<VersionKey>,
 ) -> Option<(BackEnd, Placed)> {
     let candidates = candidates(traffic, knowledge, service, traffic.clock.now());
-    let avoid = |back_end: &BackEnd| tried.contains(&back_end.id);
+    let may_answer = |id: &BackEndId| version.is_none_or(|version| knowledge.versions.key_of(id) == version);
+    let is_of_version = |back_end: &BackEnd| back_end.stage == Some(EngineStage::Prefill) || may_answer(&back_end.id);
+    let avoid = |back_end: &BackEnd| tried.contains(&back_end.id) || !is_of_version(back_end);
     let (config, topology) = (traffic.placement(), traffic.topology());
     let rules = PlacementRules { config: &config, topology: Some(&topology) };
     let placed = traffic.with_random(|random| place(&candidates, purpose, rules, avoid, random))?;
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -17,6 +17,7 @@
 use super::candidates::{backoff_remaining, choose_back_end};
 use super::headers::strip_answer;
 use super::record::{RequestOutcome, RequestRecord};
+use super::resumption::record_origin;
 use super::send_step::{discard, first_piece, outcome_of_head, read_full_answer, send_and_record};
 use super::stream_body::StreamBody;
 use super::traffic::{LatePrefillTimer, Traffic};
@@ -341,6 +342,9 @@
         self.traffic.loads.succeeded(&back_end.id);
         self.traffic.peer_notices.record_answer(&back_end.id);
         self.record_run(self.traffic.clock.now());
+        if first.is_some() {
+            record_origin(self.traffic, &self.request, &back_end.id).await;
+        }
         let Some(mut record) = self.record.take() else {
             return Attempt::Ended(SendOutcome::Lost, None);
         };
@@ -387,7 +391,14 @@
         if let Some(record) = &mut self.record {
             record.directory_age = knowledge.directory_confirmed_at.map(|confirmed_at| now.since(confirmed_at));
         }
-        choose_back_end(self.traffic, &knowledge, &self.request.service, purpose, &self.tried)
+        choose_back_end(
+            self.traffic,
+            &knowledge,
+            &self.request.service,
+            purpose,
+            &self.tried,
+            self.request.resumed_version,
+        )
     }
 }
 
--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -21,6 +21,7 @@
 use super::exchange_driver::drive;
 use super::headers::strip_request;
 use super::record::{RequestOutcome, RequestRecord};
+use super::resumption::find_resumed_stream;
 use super::traffic::Traffic;
 use crate::knowledge::ActiveConfiguration;
 use crate::protocol::{Protocol, RequestHead};
@@ -67,6 +68,11 @@
     let service = traffic.with_splits(|turns| turns.next(&route).cloned());
     let service = service.ok_or_else(|| LocalAnswer::refusal(NotRunReason::NoEngine))?;
     record.service = Some(service.clone());
+    let resumed = find_resumed_stream(traffic, &head, &route, record.tenant.as_ref(), &service).await;
+    let resumed = resumed.map_err(LocalAnswer::refusal)?;
+    let resumed_version = resumed.as_ref().map(|resumed| resumed.version);
+    let service = resumed.map_or(service, |resumed| resumed.service);
+    record.service = Some(service.clone());
     let content = content_id(&parts, record.tenant.as_ref(), &body);
     record.content = Some(content);
     let permit = admit(traffic, tenant.as_deref(), &head, time_limit).await?;
@@ -82,6 +88,7 @@
         tenant,
         permit,
         service,
+        resumed_version,
         arrived: record.arrived,
         ends_at: record.arrived + time_limit,
         urgency: Urgency::InTime,
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -8,6 +8,7 @@
 mod headers;
 mod prefill_step;
 mod record;
+mod resumption;
 mod send_step;
 mod server;
 mod stream_body;
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -24,6 +24,7 @@
 use crate::paths::BackEndPaths;
 use crate::peer_notices::PeerNotices;
 use crate::quotas::Quotas;
+use crate::stream_origins::StreamOrigins;
 use crate::tunnels::Tunnels;
 use crate::usage::SharedUsage;
 
@@ -57,6 +58,8 @@
     pub broken_runs: BrokenRuns,
     /// The prefills in progress, and the engines that cache shared prompt parts.
     pub peer_notices: PeerNotices,
+    /// Where recent streams began.
+    pub origins: StreamOrigins,
     /// The limits of tenants.
     pub quotas: Quotas,
     /// How long requests with short prompts took, by where the prompt was prefilled.
@@ -119,6 +122,7 @@
             loads: BackEndLoads::default(),
             notices,
             peer_notices,
+            origins: StreamOrigins::default(),
             quotas,
             short_prefill: Cell::default(),
             late_prefills: RefCell::default(),
--- a/crates/relay/src/control/follower.rs
+++ b/crates/relay/src/control/follower.rs
@@ -11,6 +11,7 @@
 use super::learner::{Learner, Source};
 use super::limit_exchange::LimitExchange;
 use super::reader_role::ReaderRole;
+use super::version_exchange::VersionExchange;
 use crate::metrics::RelayMetrics;
 use crate::protocol::{ControlStore, StoreChanges, StoreError, StoreListing};
 
@@ -132,19 +133,25 @@
     mut store: S,
     role: ReaderRole,
     learner: Learner,
+    versions: VersionExchange,
     metrics: RelayMetrics,
 ) {
     let mut access = StoreAccess::new("directory", metrics);
     let mut eras = learner.eras();
     let mut needs_listing = false;
     loop {
-        while !role.must_read(learner.knowledge().directory_confirmed_at) {
+        while !role.must_read(learner.knowledge().directory_confirmed_at) && !versions.must_read_store() {
             access.record_asking_as_stale(false, None);
             sleep(IDLE_PAUSE).await;
         }
-        access.record_asking_as_stale(!role.is_reader(), learner.age_of(learner.knowledge().directory_confirmed_at));
+        let confirmed_at = learner.knowledge().directory_confirmed_at;
+        access.record_asking_as_stale(!role.is_reader() && role.must_read(confirmed_at), learner.age_of(confirmed_at));
+        let needs_versions = versions.must_read_store();
+        if needs_versions {
+            versions.record_store_read();
+        }
         // The position includes updates received from peers meanwhile; the watch continues from there.
-        let after = learner.directory_position().filter(|_| !needs_listing);
+        let after = learner.directory_position().filter(|_| !needs_listing && !needs_versions);
         let now = || learner.clock().now();
         let result = match after {
             None => list_unless_received(&mut store, &learner).await,
--- a/crates/relay/src/control/learner/mod.rs
+++ b/crates/relay/src/control/learner/mod.rs
@@ -286,6 +286,7 @@
         let is_behind = self.directory.borrow().is_behind(position);
         self.observe_era(position.era);
         self.report_restarts(position, &listing.back_ends);
+        self.record_listing(self.knowledge.load().directory_confirmed_at);
         if !replace(&mut self.directory.borrow_mut(), listing, self.clock.now()) {
             self.report_outdated_update(position, own, source);
             return;
@@ -335,6 +336,9 @@
             DirectoryChange::Gone(_) | DirectoryChange::Malformed(_) => None,
         });
         self.report_restarts(position, put);
+        if source == Source::Peer && position > own {
+            self.record_changes_of_peer(&changes.changes);
+        }
         let is_malformed = |change: &&DirectoryChange| matches!(change, DirectoryChange::Malformed(_));
         let malformed = changes.changes.iter().filter(is_malformed).count();
         if !self.directory.borrow_mut().apply(changes, self.clock.now()) {
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod stages;
 mod thread;
 pub(crate) mod transfer;
+mod version_exchange;
 
 pub use block_keeper::{BlockKeeperLink, BlockStoreLink, BlockUpdate, block_links};
 pub use duties::{DutyLeaseSettings, DutySettings};
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -11,6 +11,7 @@
 use havengate_core::duties::usage::UsageTable;
 use havengate_core::quota::{TenantLimitNotice, TenantLimitQuery};
 use havengate_core::replication::{Digest, PeerAddresses, PeerMessage, PeerTable, Pull, PullAnswer};
+use havengate_core::resumption::{VersionNotice, VersionQuery};
 use havengate_core::stages::{DemandTable, DemandTableConfig};
 use havengate_core::time::Timestamp;
 use havengate_core::world::Address;
@@ -144,6 +145,11 @@
         self.fetcher.clone()
     }
 
+    /// The address at which peers reach this node.
+    pub fn own_address(&self) -> Address {
+        self.own.control
+    }
+
     /// The exchange of tenants' limits.
     pub fn limits(&self) -> LimitExchange {
         self.limits.clone()
@@ -184,6 +190,7 @@
             PeerMessage::TenantLimitsWanted(_) | PeerMessage::TenantLimits(_) => NodeMessageKind::TenantLimits,
             PeerMessage::Locations(_) => NodeMessageKind::Locations,
             PeerMessage::DutyUnavailable(_) => NodeMessageKind::Duties,
+            PeerMessage::VersionsWanted(_) | PeerMessage::Versions(_) => NodeMessageKind::Versions,
         };
         self.datagrams.send(message, kind, receivers).await;
     }
@@ -243,6 +250,14 @@
                     self.metrics.record_dropped_message(rejected.code());
                 }
             }
+            PeerMessage::VersionsWanted(VersionQuery { sender, .. })
+            | PeerMessage::Versions(VersionNotice { sender, .. })
+                if !self.is_recent(sender, now) =>
+            {
+                self.metrics.record_dropped_message("unknown_sender");
+            }
+            PeerMessage::VersionsWanted(query) => self.answer_version_query(query),
+            PeerMessage::Versions(notice) => self.learner.receive_versions(notice),
             PeerMessage::Stages(notice) if !self.is_recent(notice.sender, now) => {
                 self.metrics.record_dropped_message("unknown_sender");
             }
@@ -338,6 +353,17 @@
         });
     }
 
+    /// Sends the versions that a peer asks for, in a task of its own, so that receiving goes on.
+    fn answer_version_query(&self, query: VersionQuery) {
+        let notices = self.learner.answer_version_query(&query, self.own.control);
+        let exchange = self.clone();
+        tokio::task::spawn_local(async move {
+            for notice in notices {
+                exchange.send_to(&PeerMessage::Versions(notice), &[query.sender]).await;
+            }
+        });
+    }
+
     /// Starts a pull of a newer directory from a peer when this node's has not been confirmed for some time. It runs in
     /// a task of its own, so that digests go on meanwhile.
     fn pull_if_behind(&self) {
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -20,6 +20,7 @@
 use super::locations::Locations;
 use super::peers::PeerExchange;
 use super::reader_role::ReaderRole;
+use super::version_exchange::VersionExchange;
 use crate::back_ends::SharedNotices;
 use crate::demand::SharedDemand;
 use crate::fleet_reach::SharedFleetReach;
@@ -186,7 +187,9 @@
     learner: Learner,
     metrics: RelayMetrics,
 ) {
-    tokio::task::spawn_local(follow_directory(store.clone(), role.clone(), learner.clone(), metrics.clone()));
+    let versions = VersionExchange::new(learner.clone(), role.clone());
+    tokio::task::spawn_local(versions.clone().run(peers.clone()));
+    tokio::task::spawn_local(follow_directory(store.clone(), role.clone(), learner.clone(), versions, metrics.clone()));
     tokio::task::spawn_local(follow_configuration(store, role.clone(), learner.clone(), peers.limits(), metrics));
     for slot in 0..ReadersConfig::default().feeds_per_node {
         tokio::task::spawn_local(learn_from_feed(slot, role.clone(), learner.clone(), peers.fetcher()));
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod protocol;
 pub mod quotas;
 pub mod settings;
+pub mod stream_origins;
 pub mod tunnels;
 pub mod usage;
--- a/crates/relay/src/metrics/labels.rs
+++ b/crates/relay/src/metrics/labels.rs
@@ -70,6 +70,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a stream that a caller takes up again.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ResumedStreamLabels {
+    /// How it is known where it began.
+    pub known: &'static str,
+    /// Whether it goes on, or why not.
+    pub verdict: &'static str,
+}
+
 /// Labels of a latency.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteLabel {
@@ -112,6 +121,10 @@
     Tunnels,
     /// Candidates that can't perform duties.
     Duties,
+    /// The software versions of back ends.
+    Versions,
+    /// Where streams began.
+    Origins,
 }
 
 impl NodeMessageKind {
@@ -133,6 +146,8 @@
             NodeMessageKind::Locations => "locations",
             NodeMessageKind::Tunnels => "tunnels",
             NodeMessageKind::Duties => "duties",
+            NodeMessageKind::Versions => "versions",
+            NodeMessageKind::Origins => "origins",
         }
     }
 }
--- a/crates/relay/src/metrics/mod.rs
+++ b/crates/relay/src/metrics/mod.rs
@@ -23,8 +23,8 @@
 
 pub use self::labels::NodeMessageKind;
 use self::labels::{
-    BrokenRunLabel, DropLabel, DutyLabels, EndLabels, EstimateLabel, MessageLabel, NoticeLabel, RouteLabel, SendLabels,
-    ServiceLabel, SourceLabel, StageChangeLabels, StageOrderLabel, StoreLabels, SuspectLabel,
+    BrokenRunLabel, DropLabel, DutyLabels, EndLabels, EstimateLabel, MessageLabel, NoticeLabel, ResumedStreamLabels,
+    RouteLabel, SendLabels, ServiceLabel, SourceLabel, StageChangeLabels, StageOrderLabel, StoreLabels, SuspectLabel,
 };
 pub use self::paths::PathMetrics;
 pub use self::tenants::QuotaOutcome;
@@ -49,6 +49,8 @@
     pub late_stretch: f64,
     /// Requests that are blocked because engines terminated while running them.
     pub blocked_contents: usize,
+    /// The streams whose origin the node knows.
+    pub known_origins: usize,
 }
 
 type Latencies = Family<RouteLabel, Histogram, fn() -> Histogram>;
@@ -60,6 +62,8 @@
     repeats: Family<ServiceLabel, Counter>,
     broken_runs: Family<BrokenRunLabel, Counter>,
     suspects: Family<SuspectLabel, Counter>,
+    resumed_streams: Family<ResumedStreamLabels, Counter>,
+    known_origins: Gauge,
     notices: Family<NoticeLabel, Counter>,
     ineligible_sends: Family<NoticeLabel, Counter>,
     blocked_contents: Gauge,
@@ -109,6 +113,8 @@
             repeats: Family::default(),
             broken_runs: Family::default(),
             suspects: Family::default(),
+            resumed_streams: Family::default(),
+            known_origins: Gauge::default(),
             notices: Family::default(),
             ineligible_sends: Family::default(),
             blocked_contents: Gauge::default(),
@@ -160,6 +166,14 @@
             metrics.suspects.clone(),
         );
         let notices = metrics.notices.clone();
+        let resumed = metrics.resumed_streams.clone();
+        registry.register(
+            "resumed_streams",
+            "Streams that callers took up again, by how their origin was known",
+            resumed,
+        );
+        let origins = metrics.known_origins.clone();
+        registry.register("known_origins", "Streams of this node and of peers whose origin is known", origins);
         registry.register("back_end_notices", "What back ends said of themselves and was not known before", notices);
         let ineligible = metrics.ineligible_sends.clone();
         registry.register("unwelcome_sends", "Sends that the back end's own word speaks against", ineligible);
@@ -281,6 +295,11 @@
         self.metrics.suspects.get_or_create(&SuspectLabel { outcome }).inc();
     }
 
+    /// Counts a stream that a caller takes up again.
+    pub fn record_resumed_stream(&self, known: &'static str, verdict: &'static str) {
+        self.metrics.resumed_streams.get_or_create(&ResumedStreamLabels { known, verdict }).inc();
+    }
+
     /// Counts a notice of a back end about itself that was not known before.
     pub fn record_notice(&self, notice: &'static str) {
         self.metrics.notices.get_or_create(&NoticeLabel { notice }).inc();
@@ -350,6 +369,7 @@
         self.metrics.directory_age_millis.set(age);
         self.metrics.late_stretch.set(state.late_stretch);
         self.metrics.blocked_contents.set(i64::try_from(state.blocked_contents).unwrap_or(i64::MAX));
+        self.metrics.known_origins.set(i64::try_from(state.known_origins).unwrap_or(i64::MAX));
         for (service, left) in &state.repeats_left {
             let label = ServiceLabel { service: service.to_string() };
             self.metrics.repeats_left.get_or_create(&label).set(*left as i64);
--- a/crates/relay/src/peer_notices/announcements.rs
+++ b/crates/relay/src/peer_notices/announcements.rs
@@ -7,6 +7,7 @@
 use havengate_core::paths::{TunnelOffer, TunnelQuery};
 use havengate_core::quota::{QuotaGrant, QuotaRequest};
 use havengate_core::relay::{CachedParts, PeerNotice, PrefillNotice, TerminationNotice, UnreachableNotice};
+use havengate_core::resumption::{OriginAnswer, OriginNotice, OriginQuery};
 use havengate_core::world::Address;
 use tokio::time::sleep;
 
@@ -54,6 +55,9 @@
             | PeerNotice::TunnelQuery(TunnelQuery { sender, .. })
             | PeerNotice::TunnelOffer(TunnelOffer { sender, .. })
             | PeerNotice::TunnelsEnd { sender }
+            | PeerNotice::StreamOrigins(OriginNotice { sender, .. })
+            | PeerNotice::OriginQuery(OriginQuery { sender, .. })
+            | PeerNotice::OriginAnswer(OriginAnswer { sender, .. })
                 if !self.shared.knowledge.load().peers.contains(&sender) =>
             {
                 self.shared.metrics.record_dropped_message("unknown_sender");
@@ -83,6 +87,9 @@
                     tunnels.drop_offers_of(sender);
                 }
             }
+            PeerNotice::StreamOrigins(notice) => self.receive_origins(&notice),
+            PeerNotice::OriginQuery(query) => self.answer_origin_query(query).await,
+            PeerNotice::OriginAnswer(answer) => self.receive_origin_answer(&answer),
             PeerNotice::RequestCachedParts { sender } => self.send_state(sender).await,
             PeerNotice::CachedParts(cached) => {
                 let (engine, parts) = (cached.engine.clone(), cached.parts.len());
--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod limits;
+mod origins;
 mod pending;
 mod prefills;
 mod quotas;
@@ -30,6 +31,7 @@
 use crate::knowledge::SharedKnowledge;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
 use crate::quotas::Quotas;
+use crate::stream_origins::StreamOrigins;
 use crate::tunnels::Tunnels;
 
 /// The peers asked for cached parts at a time: more than one, since a peer may have just started too.
@@ -75,6 +77,8 @@
     quotas: OnceCell<Quotas>,
     /// The tunnels of this node, once their messages are exchanged.
     tunnels: OnceCell<Tunnels>,
+    /// Where streams began, once it is exchanged.
+    origins: OnceCell<StreamOrigins>,
 }
 
 impl PeerNotices {
@@ -103,6 +107,7 @@
                 pending_limits: PendingAnnouncements::default(),
                 quotas: OnceCell::new(),
                 tunnels: OnceCell::new(),
+                origins: OnceCell::new(),
             }),
         }
     }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -160,6 +160,7 @@
         let server = CallerServer::bind(settings.callers_address.0)?;
         traffic.peer_notices.exchange(settings.notices_address).await?;
         traffic.peer_notices.exchange_quotas(&traffic.quotas);
+        traffic.peer_notices.exchange_origins(&traffic.origins);
         // Tunnels arrive at the same address over TCP.
         tokio::task::spawn_local(serve_tunnels(Rc::clone(&traffic), listen(settings.notices_address.0)?));
         traffic.peer_notices.exchange_tunnels(&traffic.tunnels, traffic.paths.clone());
@@ -235,7 +236,9 @@
         quotas = traffic.metrics.node_bytes(NodeMessageKind::Quotas),
         locations = traffic.metrics.node_bytes(NodeMessageKind::Locations),
         tunnels = traffic.metrics.node_bytes(NodeMessageKind::Tunnels),
-        duties = traffic.metrics.node_bytes(NodeMessageKind::Duties);
+        duties = traffic.metrics.node_bytes(NodeMessageKind::Duties),
+        versions = traffic.metrics.node_bytes(NodeMessageKind::Versions),
+        origins = traffic.metrics.node_bytes(NodeMessageKind::Origins);
         ""
     );
     traffic.quotas.log_summary();
@@ -286,6 +289,7 @@
         directory_age: confirmed_at.map(|confirmed_at| now.since(confirmed_at)),
         repeats_left: traffic.repeats_left(),
         late_stretch: traffic.late_stretch(),
+        known_origins: traffic.origins.len(),
         blocked_contents: traffic.peer_notices.engine_terminations().blocked_count(),
     });
     match traffic.metrics.encode() {
--- a/crates/relay/tests/wire_layout.rs
+++ b/crates/relay/tests/wire_layout.rs
@@ -98,7 +98,10 @@
             | "readings.quota_grant"
             | "readings.tunnel_query"
             | "readings.tunnel_offer"
-            | "readings.tunnels_end" => assert!(!is_known),
+            | "readings.tunnels_end"
+            | "readings.stream_origins"
+            | "readings.origin_query"
+            | "readings.origin_answer" => assert!(!is_known),
             name if name.starts_with("readings.") => assert!(is_known, "{name}"),
             _ => {}
         }
@@ -109,10 +112,10 @@
 #[test]
 fn unknown_kinds_truncated_messages_and_noise_are_rejected() {
     let message_of_kind = |kind: u32| [kind.to_le_bytes().to_vec(), vec![0; 60]].concat();
-    for kind in [12, 255, u32::MAX] {
+    for kind in [15, 255, u32::MAX] {
         assert!(decode::<PeerNotice>(&message_of_kind(kind)).is_err(), "readings, kind {kind}");
     }
-    for kind in [9, 255, u32::MAX] {
+    for kind in [11, 255, u32::MAX] {
         assert!(decode::<PeerMessage>(&message_of_kind(kind)).is_err(), "peer, kind {kind}");
     }
     for sample in samples() {
--- a/crates/relay/tests/wire_samples/mod.rs
+++ b/crates/relay/tests/wire_samples/mod.rs
@@ -18,6 +18,10 @@
     ConfigurationChanges, ConfigurationUpdate, Digest, KnowledgeAges, LocationNotice, PackedUpdate, PeerAddresses,
     PeerMessage, Pull, PullAnswer, StageNotice,
 };
+use havengate_core::resumption::{
+    OriginAnswer, OriginNotice, OriginQuery, ReportedOrigin, ReportedVersion, ServiceTag, SoftwareVersion, StreamKey,
+    StreamOrigin, VersionKey, VersionNotice, VersionQuery,
+};
 use havengate_core::routing::{
     CallerLimits, ConfigurationNumber, EngineTraits, FleetLimits, KeyDigest, Price, RequestKind, Route,
     ServiceDescription, TenantAccess, TrafficConfiguration, WeightedService,
@@ -65,6 +69,8 @@
         sample("peer.tenant_limits", PeerMessage::TenantLimits(tenant_limits())),
         sample("peer.locations", PeerMessage::Locations(locations())),
         sample("peer.duty_unavailable", PeerMessage::DutyUnavailable(address(1))),
+        sample("peer.versions_wanted", PeerMessage::VersionsWanted(version_query())),
+        sample("peer.versions", PeerMessage::Versions(versions())),
         sample("pull.all", Pull { configuration: Some(ConfigurationNumber(0)), ..pull() }),
         sample("pull.directory", pull()),
         sample("answer.nothing", PullAnswer::default()),
@@ -115,11 +121,51 @@
         sample("readings.tunnel_query", PeerNotice::TunnelQuery(TunnelQuery { sender, group: path_group() })),
         sample("readings.tunnel_offer", PeerNotice::TunnelOffer(tunnel_offer(sender))),
         sample("readings.tunnels_end", PeerNotice::TunnelsEnd { sender }),
+        sample("readings.stream_origins", PeerNotice::StreamOrigins(stream_origins(sender))),
+        sample("readings.origin_query", PeerNotice::OriginQuery(origin_query(sender))),
+        sample("readings.origin_answer", PeerNotice::OriginAnswer(origin_answer(sender))),
         sample("tunnel.request", tunnel_request()),
         sample("tunnel.answer", TunnelAnswer::Unlisted),
     ]
 }
 
+fn version_query() -> VersionQuery {
+    VersionQuery { sender: address(1), back_ends: vec![tag(3), tag(4)] }
+}
+
+fn versions() -> VersionNotice {
+    let versions = vec![(Some(SoftwareVersion::new("v1.2")), vec![tag(3)]), (None, vec![tag(4)])];
+    VersionNotice { sender: address(1), versions }
+}
+
+fn reported_origin() -> ReportedOrigin {
+    let version = VersionKey::Version(SoftwareVersion::new("v1.2").fingerprint());
+    let origin = StreamOrigin { service: ServiceTag::from(&ServiceName::new("model")), version };
+    ReportedOrigin { stream: StreamKey::new(None, b"9c41d07be2a35f68"), origin, age_millis: 250 }
+}
+
+fn stream_origins(sender: Address) -> OriginNotice {
+    OriginNotice { sender, origins: vec![reported_origin()] }
+}
+
+fn origin_query(sender: Address) -> OriginQuery {
+    let ReportedOrigin { stream, origin, .. } = reported_origin();
+    OriginQuery { sender, stream, service: origin.service }
+}
+
+fn origin_answer(sender: Address) -> OriginAnswer {
+    let origin = reported_origin();
+    let serving = ReportedVersion { key: origin.origin.version, departed_millis: None };
+    let departed = ReportedVersion { key: VersionKey::BackEnd(tag(5)), departed_millis: Some(900) };
+    OriginAnswer {
+        sender,
+        stream: origin.stream,
+        origin: Some(origin),
+        versions: vec![serving, departed],
+        covered_millis: 30_000,
+    }
+}
+
 fn path_group() -> PathGroup {
     PathGroup { service: ServiceName::new("model"), stage: Some(EngineStage::Decode) }
 }
