--- a/crates/core/src/resumption/version_table.rs
+++ b/crates/core/src/resumption/version_table.rs
@@ -229,6 +229,11 @@
         }
     }
 
+    /// Records that nothing has served before: the whole system starts for the first time.
+    pub fn begin_complete(&mut self) {
+        self.complete_since = Some(Timestamp::ZERO);
+    }
+
     /// Records that back ends may have come and gone without being observed.
     pub fn interrupt(&mut self, now: Timestamp) {
         self.complete_since = Some(now);
--- a/crates/relay/src/control/learner/mod.rs
+++ b/crates/relay/src/control/learner/mod.rs
@@ -103,6 +103,14 @@
         Learner { enforces_tenant_limits: enforced, ..self }
     }
 
+    /// Starts with the knowledge that no stream has begun before, if the whole system starts for the first time.
+    pub fn with_first_start(self, is_first_start: bool) -> Self {
+        if is_first_start {
+            self.versions.borrow_mut().begin_complete();
+        }
+        self
+    }
+
     /// Whether this node enforces tenants' limits.
     pub fn enforces_tenant_limits(&self) -> bool {
         *self.enforces_tenant_limits.borrow()
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -43,6 +43,8 @@
     pub seeds: watch::Receiver<Vec<Address>>,
     /// The settings of the duties; a reload may change them.
     pub duties: watch::Receiver<DutySettings>,
+    /// Whether the whole system starts for the first time, so that no stream has begun before.
+    pub is_first_start: bool,
     /// Whether tenants' limits are enforced, and exchanged between nodes; a reload may change it.
     pub enforces_tenant_limits: watch::Receiver<bool>,
 }
@@ -115,7 +117,8 @@
             } = shared;
             let Platform { store, receiver } = platform;
             let learner = Learner::new(knowledge, configuration_current_at, clock, metrics.clone())
-                .with_tenant_limits(settings.enforces_tenant_limits.clone());
+                .with_tenant_limits(settings.enforces_tenant_limits.clone())
+                .with_first_start(settings.is_first_start);
             let readers = Readers::new(ReadersConfig::default(), settings.peers_address);
             let role = ReaderRole::new(readers, clock);
             match bind(&settings, topology, role.clone(), learner.clone(), fleet_reach, metrics.clone()).await {
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -88,6 +88,7 @@
         notices_address: settings.notices_address,
         seeds: seeds_receiver,
         duties: duties_receiver,
+        is_first_start: settings.first_start,
         enforces_tenant_limits: enforces_limits_receiver,
     };
     let shared = SharedWithTraffic {
@@ -176,7 +177,7 @@
         }
         let (phase, phase_receiver) = watch::channel(ServerPhase::Serving);
         let accepting = tokio::task::spawn_local(server.serve(Rc::clone(&traffic), phase_receiver));
-        log::info!(event = "started", node:% = settings.name, zone:% = settings.zone, version = VERSION; "");
+        log::info!(event = "started", node:% = settings.name, zone:% = settings.zone, version = VERSION, first_start = settings.first_start; "");
         let mut tidy = interval(TIDY_INTERVAL);
         let mut summary = interval(SUMMARY_INTERVAL);
         loop {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -41,6 +41,9 @@
     /// Peers that the node contacts from its start on; they may no longer exist.
     #[serde(default)]
     pub seeds: Vec<Address>,
+    /// Whether the whole system starts for the first time, so that no stream can have begun before.
+    #[serde(default)]
+    pub first_start: bool,
     /// The time limit of a planned stop, in seconds.
     pub stop_grace_seconds: f64,
     /// The limits of retries.
