Stage changes leave each software version an engine that answers

A stream goes on only at its version, so a version whose last decode engine is ordered to prefill strands its streams while its engines serve. The last decode engine of a version keeps its stage; a version without one gets one first. Engines of unknown version are ordered as before. Tests: two in stages_changes, both of which fail with the rule taken out.

--- a/crates/core/src/stages/changes.rs
+++ b/crates/core/src/stages/changes.rs
@@ -5,6 +5,7 @@
 
 use super::order_circuit_breaker::{OrderCircuitBreaker, OrderCircuitBreakerConfig};
 use crate::back_ends::EngineStage;
+use crate::resumption::VersionFingerprint;
 use crate::time::Timestamp;
 use crate::world::{BackEndId, ServiceName, ZoneName};
 
@@ -56,6 +57,8 @@
     pub zone: ZoneName,
     /// The stage that it serves.
     pub stage: EngineStage,
+    /// Its software version, if it is known.
+    pub version: Option<VersionFingerprint>,
 }
 
 /// Result of an order to an engine.
@@ -256,20 +259,41 @@
         engines.len()
     }
 
-    /// Selects the next engine to change, from the zone with the most eligible engines of the other stage, so that no
-    /// zone loses all of them.
+    /// Selects the next engine to change. Streams are resumed only at the software version that began them, so the last
+    /// decode engine of a version is not changed, and a version without one comes first. Among the others, the engine
+    /// comes from the zone with the most eligible engines of the other stage, so that no zone loses all of them.
     fn next_to_change(&self, engines: &[StagedEngine], to: EngineStage) -> Option<BackEndId> {
         let is_eligible = |engine: &&StagedEngine| {
             engine.stage != to && !self.open.contains_key(&engine.id) && !self.backoff_until.contains_key(&engine.id)
         };
+        let decoding = self.decode_engines_by_version(engines);
+        let decoding_of = |engine: &StagedEngine| engine.version.and_then(|version| decoding.get(&version).copied());
+        let mut eligible: Vec<&StagedEngine> = engines.iter().filter(is_eligible).collect();
+        if to == EngineStage::Prefill {
+            eligible.retain(|engine| decoding_of(engine).is_none_or(|count| count > 1));
+        } else if eligible.iter().any(|engine| decoding_of(engine) == Some(0)) {
+            eligible.retain(|engine| decoding_of(engine) == Some(0));
+        }
         let mut by_zone: BTreeMap<&ZoneName, Vec<&BackEndId>> = BTreeMap::new();
-        for engine in engines.iter().filter(is_eligible) {
+        for engine in eligible {
             by_zone.entry(&engine.zone).or_default().push(&engine.id);
         }
         let largest = by_zone.into_values().max_by_key(Vec::len)?;
         largest.into_iter().min().cloned()
     }
 
+    /// The number of engines of each software version that serve decode once all open changes are done.
+    fn decode_engines_by_version(&self, engines: &[StagedEngine]) -> BTreeMap<VersionFingerprint, usize> {
+        let mut counts: BTreeMap<VersionFingerprint, usize> = BTreeMap::new();
+        for engine in engines {
+            let stage = self.open.get(&engine.id).map_or(engine.stage, |change| change.to);
+            if let Some(version) = engine.version {
+                *counts.entry(version).or_default() += usize::from(stage == EngineStage::Decode);
+            }
+        }
+        counts
+    }
+
     /// Applies the state of the directory: `stage_of` returns the stage of an engine, `None` if it is gone. Returns the
     /// changes that have ended.
     pub fn observe(
--- a/crates/core/tests/back_end_lives.rs
+++ b/crates/core/tests/back_end_lives.rs
@@ -192,7 +192,7 @@
 }
 
 fn staged(started: u64) -> StagedEngine {
-    StagedEngine { id: incarnation(started).id, zone: "zone".into(), stage: EngineStage::Decode }
+    StagedEngine { id: incarnation(started).id, zone: "zone".into(), stage: EngineStage::Decode, version: None }
 }
 
 #[test]
--- a/crates/core/tests/stages_changes.rs
+++ b/crates/core/tests/stages_changes.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use havengate_core::back_ends::EngineStage;
+use havengate_core::resumption::SoftwareVersion;
 use havengate_core::stages::{ChangeEnd, ChangesConfig, OrderAnswer, StageChanges, StageOrder, StagedEngine};
 use havengate_core::time::Timestamp;
 use havengate_core::world::{BackEndId, ServiceName, ZoneName};
@@ -24,10 +25,19 @@
         id: id(number),
         zone: ZoneName::new(format!("zone-{}", number % 3)),
         stage: if number < prefill { EngineStage::Prefill } else { EngineStage::Decode },
+        version: None,
     };
     (0..count).map(engine).collect()
 }
 
+/// The same engines with these versions in turn.
+fn with_versions(mut engines: Vec<StagedEngine>, versions: &[&str]) -> Vec<StagedEngine> {
+    for (engine, version) in engines.iter_mut().zip(versions.iter().cycle()) {
+        engine.version = Some(SoftwareVersion::new(version).fingerprint());
+    }
+    engines
+}
+
 fn changes() -> StageChanges {
     StageChanges::new(ChangesConfig::default())
 }
@@ -36,6 +46,25 @@
     START + ChangesConfig::default().drain_time
 }
 
+#[test]
+fn the_last_decode_engine_of_a_software_version_keeps_its_stage() {
+    let versions = ["v1", "v2", "v2", "v2", "v2", "v2"];
+    let engines = with_versions(engines(6, 0), &versions);
+    let mut changes = StageChanges::new(ChangesConfig { concurrent_share: 1.0, ..ChangesConfig::default() });
+    let begun: Vec<BackEndId> =
+        changes.plan(&service(), &engines, 6, START).into_iter().map(|order| order.engine).collect();
+    assert_eq!(begun.len(), 4, "{begun:?}");
+    assert!(!begun.contains(&id(0)), "streams of v1 could go on nowhere");
+}
+
+#[test]
+fn a_software_version_without_a_decode_engine_gets_one_first() {
+    let versions = ["v2", "v1", "v2", "v2"];
+    let engines = with_versions(engines(4, 3), &versions);
+    let order = changes().plan(&service(), &engines, 2, START);
+    assert_eq!(order, [StageOrder { engine: id(1), to: EngineStage::Decode }]);
+}
+
 #[test]
 fn concurrent_changes_are_limited_and_spread_over_zones() {
     let mut changes = changes();
--- a/crates/relay/src/control/stages/decisions.rs
+++ b/crates/relay/src/control/stages/decisions.rs
@@ -133,7 +133,8 @@
     let usable = entries().filter(|entry| entry.usability(now) == Usability::Usable);
     let staged = |back_end: &BackEnd| {
         let stage = back_end.stage?;
-        Some(StagedEngine { id: back_end.id.clone(), zone: back_end.zone.clone(), stage })
+        let version = knowledge.versions.version_of(&back_end.id).fingerprint();
+        Some(StagedEngine { id: back_end.id.clone(), zone: back_end.zone.clone(), stage, version })
     };
     (usable.filter_map(|entry| staged(&entry.back_end)).collect(), slots)
 }
