Software versions are kept under tags of eight bytes that mix name and start

Callers saw, in the new soak of rollouts: streams of calm-2 went on at calm-1 (7 of 203 in a calm time). Cause: versions were kept under EngineTag, four bytes by a seeded hash that maps e16 started at 16 and e17 started at 17 to one tag, so that one back end got the other's version; in a fleet of 4,100 with long names one of 500 would have had it. Ruled out by the nodes' logs: wrong answers of peers, changed entries. BackEndTag hashes name and start with their lengths to eight bytes; EngineTag stays as it is, builds of the landing before compare it, and a shared tag there merges estimates only.

--- a/crates/core/src/resumption/messages.rs
+++ b/crates/core/src/resumption/messages.rs
@@ -4,11 +4,11 @@
 
 use speedy::{Readable, Writable};
 
+use super::back_end_tag::BackEndTag;
 use super::service_tag::ServiceTag;
 use super::software_version::SoftwareVersion;
 use super::stream_origin::{StreamKey, StreamOrigin};
 use super::version_table::{VersionKey, VersionKnowledge};
-use crate::relay::EngineTag;
 use crate::world::Address;
 
 /// A query for the software versions of back ends that the sender knows from a node that doesn't pass on versions.
@@ -17,12 +17,12 @@
     /// The address at which peers reach the sender.
     pub sender: Address,
     /// The back ends.
-    pub back_ends: Vec<EngineTag>,
+    pub back_ends: Vec<BackEndTag>,
 }
 
 impl VersionQuery {
     /// The most back ends in one query, so that it fits into a datagram.
-    pub const BACK_ENDS_MAXIMUM: usize = 250;
+    pub const BACK_ENDS_MAXIMUM: usize = 125;
 }
 
 /// The software versions of some back ends.
@@ -31,7 +31,7 @@
     /// The address at which peers reach the sender.
     pub sender: Address,
     /// Versions and their back ends; `None` for those whose entries name none.
-    pub versions: Vec<(Option<SoftwareVersion>, Vec<EngineTag>)>,
+    pub versions: Vec<(Option<SoftwareVersion>, Vec<BackEndTag>)>,
 }
 
 impl VersionNotice {
@@ -41,16 +41,16 @@
     /// The notices of `sender` that answer a query for `back_ends`, with the versions that `known_version` gives.
     pub fn answers<'v>(
         sender: Address,
-        back_ends: &[EngineTag],
-        known_version: impl Fn(EngineTag) -> Option<&'v VersionKnowledge>,
+        back_ends: &[BackEndTag],
+        known_version: impl Fn(BackEndTag) -> Option<&'v VersionKnowledge>,
     ) -> Vec<VersionNotice> {
-        let mut by_version: BTreeMap<Option<&SoftwareVersion>, Vec<EngineTag>> = BTreeMap::new();
+        let mut by_version: BTreeMap<Option<&SoftwareVersion>, Vec<BackEndTag>> = BTreeMap::new();
         for back_end in back_ends.iter().take(VersionQuery::BACK_ENDS_MAXIMUM) {
             if let Some(version) = known_version(*back_end) {
                 by_version.entry(version.announced()).or_default().push(*back_end);
             }
         }
-        let groups: Vec<(Option<SoftwareVersion>, Vec<EngineTag>)> =
+        let groups: Vec<(Option<SoftwareVersion>, Vec<BackEndTag>)> =
             by_version.into_iter().map(|(version, tags)| (version.cloned(), tags)).collect();
         let chunks = groups.chunks(Self::VERSIONS_MAXIMUM);
         chunks.map(|versions| VersionNotice { sender, versions: versions.to_vec() }).collect()
--- a/crates/core/src/resumption/mod.rs
+++ b/crates/core/src/resumption/mod.rs
@@ -6,6 +6,7 @@
 //! node that is asked to resume a stream finds the origin in its own records, or asks the replicas. If nobody knows, the
 //! stream is resumed only where no other version can have begun it.
 
+mod back_end_tag;
 mod decision;
 mod messages;
 mod origin_table;
@@ -17,6 +18,7 @@
 mod stream_origin;
 mod version_table;
 
+pub use back_end_tag::BackEndTag;
 pub use decision::{FoundOrigin, OriginEvidence, OriginSearch};
 pub use messages::{
     OriginAnswer, OriginNotice, OriginQuery, ReportedOrigin, ReportedVersion, VersionNotice, VersionQuery,
--- a/crates/core/src/resumption/version_table.rs
+++ b/crates/core/src/resumption/version_table.rs
@@ -5,11 +5,11 @@
 
 use speedy::{Readable, Writable};
 
+use super::back_end_tag::BackEndTag;
 use super::service_tag::ServiceTag;
 use super::service_versions::ServiceVersions;
 use super::software_version::{SoftwareVersion, VersionFingerprint};
 use crate::back_ends::{Directory, LAST_RESORT};
-use crate::relay::EngineTag;
 use crate::time::Timestamp;
 use crate::world::{BackEndId, ServiceName};
 
@@ -22,7 +22,7 @@
     /// All back ends of this software version.
     Version(VersionFingerprint),
     /// This incarnation of a back end alone, because its version is not known.
-    BackEnd(EngineTag),
+    BackEnd(BackEndTag),
 }
 
 /// What is known of the software version of a back end.
@@ -91,7 +91,7 @@
 }
 
 impl VersionedBackEnd {
-    fn key(&self, tag: EngineTag) -> VersionKey {
+    fn key(&self, tag: BackEndTag) -> VersionKey {
         self.version.fingerprint().map_or(VersionKey::BackEnd(tag), VersionKey::Version)
     }
 }
@@ -107,7 +107,7 @@
 /// The software versions of the back ends of a directory, and of those that left it recently.
 #[derive(Clone, Debug, Default)]
 pub struct VersionTable {
-    back_ends: BTreeMap<EngineTag, VersionedBackEnd>,
+    back_ends: BTreeMap<BackEndTag, VersionedBackEnd>,
     former: Vec<FormerVersion>,
     services: BTreeMap<ServiceTag, ServiceVersions>,
     /// The versions that were recorded in each service.
@@ -184,12 +184,12 @@
     }
 
     /// The back ends whose version is not known yet.
-    pub fn unknown(&self) -> impl Iterator<Item = EngineTag> {
+    pub fn unknown(&self) -> impl Iterator<Item = BackEndTag> {
         self.back_ends.iter().filter(|(_, known)| known.version == VersionKnowledge::Unknown).map(|(tag, _)| *tag)
     }
 
     /// What is known of the version of the back end with this tag, for another node; `None` if it is not known.
-    pub fn known_version(&self, tag: EngineTag) -> Option<&VersionKnowledge> {
+    pub fn known_version(&self, tag: BackEndTag) -> Option<&VersionKnowledge> {
         let version = &self.back_ends.get(&tag)?.version;
         (*version != VersionKnowledge::Unknown).then_some(version)
     }
@@ -198,7 +198,7 @@
     /// the next [`VersionTable::summarize`] on.
     pub fn record(&mut self, entry: &BackEndVersion, now: Timestamp) -> Option<SoftwareVersion> {
         let service = ServiceTag::from(&entry.service);
-        self.set(EngineTag::from(&entry.back_end), service, entry.version.clone().into(), now);
+        self.set(BackEndTag::from(&entry.back_end), service, entry.version.clone().into(), now);
         let version = entry.version.as_ref();
         version.filter(|version| self.recorded.insert((service, version.fingerprint()))).cloned()
     }
@@ -207,7 +207,7 @@
     /// the next [`VersionTable::summarize`] on.
     ///
     /// Returns whether the service of the back end did not have the version so far.
-    pub fn receive(&mut self, tag: EngineTag, version: &VersionKnowledge, now: Timestamp) -> bool {
+    pub fn receive(&mut self, tag: BackEndTag, version: &VersionKnowledge, now: Timestamp) -> bool {
         let known = self.back_ends.get(&tag).filter(|known| known.version == VersionKnowledge::Unknown);
         let Some(service) = known.map(|known| known.service) else {
             return false;
@@ -245,9 +245,9 @@
         if directory.is_known() {
             self.complete_since.get_or_insert(now);
         }
-        let mut present: BTreeSet<EngineTag> = BTreeSet::new();
+        let mut present: BTreeSet<BackEndTag> = BTreeSet::new();
         for entry in directory.entries() {
-            let tag = EngineTag::from(&entry.back_end.id);
+            let tag = BackEndTag::from(&entry.back_end.id);
             present.insert(tag);
             let last_use = entry.retired_at.map(|retired_at| retired_at + LAST_RESORT);
             self.entry(tag, ServiceTag::from(&entry.back_end.service)).departed_at = last_use;
@@ -275,7 +275,7 @@
         }
     }
 
-    fn set(&mut self, tag: EngineTag, service: ServiceTag, version: VersionKnowledge, now: Timestamp) {
+    fn set(&mut self, tag: BackEndTag, service: ServiceTag, version: VersionKnowledge, now: Timestamp) {
         let known = self.entry(tag, service);
         if let Some(before) = known.unconfirmed.take() {
             known.version = before;
@@ -289,7 +289,7 @@
         }
     }
 
-    fn entry(&mut self, tag: EngineTag, service: ServiceTag) -> &mut VersionedBackEnd {
+    fn entry(&mut self, tag: BackEndTag, service: ServiceTag) -> &mut VersionedBackEnd {
         self.back_ends.entry(tag).or_insert_with(|| VersionedBackEnd {
             service,
             version: VersionKnowledge::Unknown,
--- a/crates/relay/src/control/learner/versions.rs
+++ b/crates/relay/src/control/learner/versions.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use havengate_core::back_ends::DirectoryChange;
-use havengate_core::relay::EngineTag;
 use havengate_core::resumption::{
-    BackEndVersion, VersionKnowledge, VersionNotice, VersionQuery, VersionTable, retention,
+    BackEndTag, BackEndVersion, VersionKnowledge, VersionNotice, VersionQuery, VersionTable, retention,
 };
 use havengate_core::time::Timestamp;
 use havengate_core::world::Address;
@@ -55,7 +54,7 @@
     }
 
     /// The back ends whose version is not known.
-    pub fn unknown_versions(&self) -> Vec<EngineTag> {
+    pub fn unknown_versions(&self) -> Vec<BackEndTag> {
         self.versions.borrow().unknown().collect()
     }
 
--- a/crates/relay/src/control/version_exchange.rs
+++ b/crates/relay/src/control/version_exchange.rs
@@ -4,9 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use havengate_core::relay::EngineTag;
 use havengate_core::replication::PeerMessage;
-use havengate_core::resumption::VersionQuery;
+use havengate_core::resumption::{BackEndTag, VersionQuery};
 use havengate_core::time::Timestamp;
 use tokio::time::timeout;
 
@@ -86,7 +85,7 @@
 
     /// Asks a reader that feeds this node, which has the versions from the store, and a random peer, as the reader may be of
     /// a build that doesn't answer.
-    async fn query(&self, peers: &PeerExchange, unknown: &[EngineTag]) {
+    async fn query(&self, peers: &PeerExchange, unknown: &[BackEndTag]) {
         if unknown.is_empty() {
             return;
         }
