--- a/crates/core/src/resumption/replicas.rs
+++ b/crates/core/src/resumption/replicas.rs
@@ -8,10 +8,10 @@
 use super::stream_origin::StreamKey;
 use crate::world::Address;
 
-/// The replicas in the region of the node that relayed the stream. Several may be lost together with that node.
-const NEAR_REPLICAS: usize = 3;
+/// The replicas of a stream: several may be lost together with the node that relayed it.
+const REPLICAS: usize = 3;
 
-/// The replicas in other regions, which outlast the loss of the whole region.
+/// Those of them in other regions, if there are any: they outlast the loss of the whole region.
 const DISTANT_REPLICAS: usize = 1;
 
 /// The nodes of the own region that are asked for an origin: more than replicas, since nodes may know different peers.
@@ -32,7 +32,8 @@
 impl RankedPeers<'_> {
     /// The peers that keep the origin of `stream`.
     pub fn replicas(&self, stream: StreamKey) -> Vec<Address> {
-        self.first(stream, NEAR_REPLICAS, DISTANT_REPLICAS)
+        let distant = DISTANT_REPLICAS.min(self.distant.len());
+        self.first(stream, REPLICAS - distant, distant)
     }
 
     /// The peers that are asked for the origin of `stream`.
