Versions that peers tell are those as of a position, and changes in place are announced

Answers now carry the store position that they hold as of, and one from before the change says nothing; a version that changes while the entry stays equal, which updates between nodes leave out, is announced by the nodes that read the store. A start in the identity makes all of this needless.

--- a/crates/core/src/resumption/messages.rs
+++ b/crates/core/src/resumption/messages.rs
@@ -9,6 +9,7 @@
 use super::software_version::SoftwareVersion;
 use super::stream_origin::{StreamKey, StreamOrigin};
 use super::version_table::{VersionKey, VersionKnowledge};
+use crate::store::Position;
 use crate::world::Address;
 
 /// A query for the software versions of back ends that the sender knows from a node that doesn't pass on versions.
@@ -30,6 +31,8 @@
 pub struct VersionNotice {
     /// The address at which peers reach the sender.
     pub sender: Address,
+    /// The store position as of which the sender knows them.
+    pub position: Position,
     /// Versions and their back ends; `None` for those whose entries name none.
     pub versions: Vec<(Option<SoftwareVersion>, Vec<BackEndTag>)>,
 }
@@ -38,9 +41,10 @@
     /// The most versions in one notice. With the back ends of one query and long names, it fits into a datagram.
     const VERSIONS_MAXIMUM: usize = 2;
 
-    /// The notices of `sender` that answer a query for `back_ends`, with the versions that `known_version` gives.
+    /// The notices of `sender` about `back_ends`, with the versions that `known_version` gives as of `position`.
     pub fn answers<'v>(
         sender: Address,
+        position: Position,
         back_ends: &[BackEndTag],
         known_version: impl Fn(BackEndTag) -> Option<&'v VersionKnowledge>,
     ) -> Vec<VersionNotice> {
@@ -53,7 +57,7 @@
         let groups: Vec<(Option<SoftwareVersion>, Vec<BackEndTag>)> =
             by_version.into_iter().map(|(version, tags)| (version.cloned(), tags)).collect();
         let chunks = groups.chunks(Self::VERSIONS_MAXIMUM);
-        chunks.map(|versions| VersionNotice { sender, versions: versions.to_vec() }).collect()
+        chunks.map(|versions| VersionNotice { sender, position, versions: versions.to_vec() }).collect()
     }
 }
 
--- a/crates/core/src/resumption/mod.rs
+++ b/crates/core/src/resumption/mod.rs
@@ -30,4 +30,4 @@
 pub use service_versions::ServiceVersions;
 pub use software_version::{SoftwareVersion, VersionFingerprint};
 pub use stream_origin::{StreamKey, StreamOrigin};
-pub use version_table::{BackEndVersion, VersionKey, VersionKnowledge, VersionTable};
+pub use version_table::{BackEndVersion, RecordedVersion, VersionKey, VersionKnowledge, VersionTable};
--- a/crates/core/src/resumption/version_table.rs
+++ b/crates/core/src/resumption/version_table.rs
@@ -10,6 +10,7 @@
 use super::service_versions::ServiceVersions;
 use super::software_version::{SoftwareVersion, VersionFingerprint};
 use crate::back_ends::{Directory, LAST_RESORT};
+use crate::store::Position;
 use crate::time::Timestamp;
 use crate::world::{BackEndId, ServiceName};
 
@@ -78,10 +79,23 @@
     pub version: Option<SoftwareVersion>,
 }
 
+/// What an entry of the store has brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordedVersion {
+    /// Whether the service did not have the version so far.
+    pub is_new: bool,
+    /// Whether the back end had another version before, under the same identity.
+    pub has_changed: bool,
+}
+
 #[derive(Clone, Debug)]
 struct VersionedBackEnd {
     service: ServiceTag,
     version: VersionKnowledge,
+    /// The store position from which on the version holds. While it is unknown: an answer from before says nothing.
+    as_of: Position,
+    /// Whether the identity includes the start, so that the version can't change.
+    is_incarnation: bool,
     /// The version before the back end's entry changed, if it is not known yet whether the version changed too.
     unconfirmed: Option<VersionKnowledge>,
     /// Until when it may have been sent requests; `None` while it serves.
@@ -194,34 +208,40 @@
         (*version != VersionKnowledge::Unknown).then_some(version)
     }
 
-    /// Records what an entry of the store says. Returns the version if its service did not have it so far. It counts from
-    /// the next [`VersionTable::summarize`] on.
-    pub fn record(&mut self, entry: &BackEndVersion, now: Timestamp) -> Option<SoftwareVersion> {
-        let service = ServiceTag::from(&entry.service);
-        self.set(BackEndTag::from(&entry.back_end), service, entry.version.clone().into(), now);
+    /// Records what an entry of the store says at `position`. It counts from the next [`VersionTable::summarize`] on.
+    pub fn record(&mut self, entry: &BackEndVersion, position: Position, now: Timestamp) -> RecordedVersion {
+        let (tag, service) = (BackEndTag::from(&entry.back_end), ServiceTag::from(&entry.service));
+        let is_incarnation = entry.back_end.started().is_some();
+        self.entry(tag, service, is_incarnation, position);
+        let has_changed = self.set(tag, entry.version.clone().into(), position, now);
         let version = entry.version.as_ref();
-        version.filter(|version| self.recorded.insert((service, version.fingerprint()))).cloned()
+        let is_new = version.is_some_and(|version| self.recorded.insert((service, version.fingerprint())));
+        RecordedVersion { is_new, has_changed }
     }
 
-    /// Records the version of a back end that another node knows. It does not replace what is known here, and counts from
+    /// Records the version of a back end that another node knows as of `position`, unless more is known here. It counts from
     /// the next [`VersionTable::summarize`] on.
     ///
     /// Returns whether the service of the back end did not have the version so far.
-    pub fn receive(&mut self, tag: BackEndTag, version: &VersionKnowledge, now: Timestamp) -> bool {
-        let known = self.back_ends.get(&tag).filter(|known| known.version == VersionKnowledge::Unknown);
-        let Some(service) = known.map(|known| known.service) else {
+    pub fn receive(&mut self, tag: BackEndTag, version: &VersionKnowledge, position: Position, now: Timestamp) -> bool {
+        let says_more = |known: &&VersionedBackEnd| match known.version {
+            VersionKnowledge::Unknown => known.is_incarnation || position >= known.as_of,
+            _ => !known.is_incarnation && position > known.as_of,
+        };
+        let Some(service) = self.back_ends.get(&tag).filter(says_more).map(|known| known.service) else {
             return false;
         };
-        self.set(tag, service, version.clone(), now);
+        self.set(tag, version.clone(), position, now);
         version.fingerprint().is_some_and(|version| self.recorded.insert((service, version)))
     }
 
     /// Forgets the version of a back end whose entry has changed, unless its identity includes its start: another node,
-    /// which doesn't pass on versions, has announced the change.
-    pub fn forget_unless_incarnation(&mut self, back_end: &BackEndId) {
+    /// which doesn't pass on versions, has announced the change, at `position`.
+    pub fn forget_unless_incarnation(&mut self, back_end: &BackEndId, position: Position) {
         if back_end.started().is_none()
             && let Some(known) = self.back_ends.get_mut(&back_end.into())
         {
+            known.as_of = position;
             let version = std::mem::take(&mut known.version);
             if version != VersionKnowledge::Unknown {
                 known.unconfirmed = Some(version);
@@ -250,7 +270,9 @@
             let tag = BackEndTag::from(&entry.back_end.id);
             present.insert(tag);
             let last_use = entry.retired_at.map(|retired_at| retired_at + LAST_RESORT);
-            self.entry(tag, ServiceTag::from(&entry.back_end.service)).departed_at = last_use;
+            let (service, is_incarnation) =
+                (ServiceTag::from(&entry.back_end.service), entry.back_end.id.started().is_some());
+            self.entry(tag, service, is_incarnation, directory.position()).departed_at = last_use;
         }
         self.back_ends.retain(|tag, back_end| {
             if present.contains(tag) {
@@ -275,8 +297,12 @@
         }
     }
 
-    fn set(&mut self, tag: BackEndTag, service: ServiceTag, version: VersionKnowledge, now: Timestamp) {
-        let known = self.entry(tag, service);
+    /// Returns whether the back end had another version before.
+    fn set(&mut self, tag: BackEndTag, version: VersionKnowledge, position: Position, now: Timestamp) -> bool {
+        let Some(known) = self.back_ends.get_mut(&tag) else {
+            return false;
+        };
+        known.as_of = position;
         if let Some(before) = known.unconfirmed.take() {
             known.version = before;
         }
@@ -287,11 +313,20 @@
         if has_changed && self.former.len() < FORMER_VERSIONS_MAXIMUM {
             self.former.push(former);
         }
+        has_changed
     }
 
-    fn entry(&mut self, tag: BackEndTag, service: ServiceTag) -> &mut VersionedBackEnd {
+    fn entry(
+        &mut self,
+        tag: BackEndTag,
+        service: ServiceTag,
+        is_incarnation: bool,
+        position: Position,
+    ) -> &mut VersionedBackEnd {
         self.back_ends.entry(tag).or_insert_with(|| VersionedBackEnd {
             service,
+            as_of: position,
+            is_incarnation,
             version: VersionKnowledge::Unknown,
             unconfirmed: None,
             departed_at: None,
--- a/crates/core/tests/resumption.rs
+++ b/crates/core/tests/resumption.rs
@@ -60,9 +60,16 @@
     format!("10.0.0.1:{port}").parse().expect("it is an address")
 }
 
+fn position(revision: u64) -> Position {
+    Position::new(StoreEra::default(), Revision(revision))
+}
+
 fn listing(revision: u64, engines: &[Engine]) -> DirectoryListing {
-    let position = Position::new(StoreEra::default(), Revision(revision));
-    DirectoryListing { position, back_ends: engines.iter().copied().map(back_end).collect(), malformed: Vec::new() }
+    DirectoryListing {
+        position: position(revision),
+        back_ends: engines.iter().copied().map(back_end).collect(),
+        malformed: Vec::new(),
+    }
 }
 
 fn key(version: &str) -> VersionKey {
@@ -93,7 +100,8 @@
     fn read(&mut self, engines: &[Engine], now: Timestamp) {
         for engine in engines {
             let version = engine.2.map(SoftwareVersion::new);
-            self.table.record(&BackEndVersion { back_end: id(*engine), service: service(), version }, now);
+            let entry = BackEndVersion { back_end: id(*engine), service: service(), version };
+            self.table.record(&entry, position(self.revision + 1), now);
         }
         self.learn(engines, now);
     }
@@ -255,6 +263,7 @@
     view.table.receive(
         BackEndTag::from(&id(V2)),
         &VersionKnowledge::Announced(SoftwareVersion::new("v2")),
+        position(2),
         seconds(43),
     );
     view.table.summarize();
@@ -294,21 +303,25 @@
 fn the_version_of_a_back_end_without_a_start_is_forgotten_when_a_peer_announces_a_change() {
     let started = (1, Some(10), Some("v1"));
     let mut view = View::of(&[started, V2], seconds(1));
-    view.table.forget_unless_incarnation(&id(started));
-    view.table.forget_unless_incarnation(&id(V2));
+    view.table.forget_unless_incarnation(&id(started), position(2));
+    view.table.forget_unless_incarnation(&id(V2), position(2));
     assert_eq!(view.table.version_of(&id(started)).label(), "v1");
     assert_eq!(view.table.version_of(&id(V2)).label(), "unknown");
-    let receive = |view: &mut View, version: &str| {
+    let receive = |view: &mut View, version: &str, as_of: u64| {
         let version = VersionKnowledge::Announced(SoftwareVersion::new(version));
-        view.table.receive(BackEndTag::from(&id(V2)), &version, seconds(3));
+        view.table.receive(BackEndTag::from(&id(V2)), &version, position(as_of), seconds(3));
         view.table.summarize();
+        view.table.version_of(&id(V2)).label().to_owned()
     };
-    receive(&mut view, "v2");
+    assert_eq!(receive(&mut view, "v2", 1), "unknown", "the answer is from before the change");
+    assert_eq!(receive(&mut view, "v2", 2), "v2");
     assert_eq!(view.table.possible(tag(), seconds(4)), BTreeSet::from([key("v1"), key("v2")]));
-    view.table.forget_unless_incarnation(&id(V2));
-    receive(&mut view, "v3");
+    view.table.forget_unless_incarnation(&id(V2), position(3));
+    assert_eq!(receive(&mut view, "v3", 3), "v3");
     assert_eq!(view.table.possible(tag(), seconds(4)), BTreeSet::from([key("v1"), key("v2"), key("v3")]));
     assert_eq!(view.table.resolve(only(V2)), None, "it has had two versions");
+    assert_eq!(receive(&mut view, "v2", 2), "v3", "an older answer changes nothing");
+    assert_eq!(receive(&mut view, "v4", 4), "v4", "a peer announces a change that the directory doesn't show");
 }
 
 #[test]
@@ -316,7 +329,7 @@
     let mut view = View::of(&[V1, V2, (3, None, None)], seconds(1));
     view.learn(&[V1, V2, (3, None, None), (4, None, None)], seconds(2));
     let asked: Vec<BackEndTag> = (1..=5).map(|number| BackEndTag::from(&id((number, None, None)))).collect();
-    let notices = VersionNotice::answers(address(1), &asked, |tag| view.table.known_version(tag));
+    let notices = VersionNotice::answers(address(1), position(2), &asked, |tag| view.table.known_version(tag));
     let versions: Vec<_> = notices.into_iter().flat_map(|notice| notice.versions).collect();
     let expected: [(Option<SoftwareVersion>, Vec<BackEndTag>); 3] = [
         (None, vec![asked[2]]),
@@ -333,8 +346,8 @@
     let tags: Vec<BackEndTag> =
         (0..VersionQuery::BACK_ENDS_MAXIMUM as u32).map(|number| BackEndTag::from(&id((number, None, None)))).collect();
     let versions: Vec<VersionKnowledge> = (0..250).map(|number| VersionKnowledge::Announced(version(number))).collect();
-    let one_version = VersionNotice::answers(address(1), &tags, |_| Some(&versions[0]));
-    let all_different = VersionNotice::answers(address(1), &tags, |tag| {
+    let one_version = VersionNotice::answers(address(1), position(2), &tags, |_| Some(&versions[0]));
+    let all_different = VersionNotice::answers(address(1), position(2), &tags, |tag| {
         let number = tags.iter().position(|other| *other == tag)?;
         versions.get(number)
     });
--- a/crates/relay/src/control/follower.rs
+++ b/crates/relay/src/control/follower.rs
@@ -158,7 +158,7 @@
             Some(position) => tokio::select! {
                 changes = store.watch_back_ends(position, WATCH_WAIT) => {
                     changes.map(|StoreChanges { changes, versions }| {
-                        learner.record_versions(&versions);
+                        learner.record_versions(&versions, changes.position);
                         learner.apply_changes(changes, now(), Source::Store);
                     })
                 }
@@ -201,7 +201,7 @@
     tokio::select! {
         listing = store.list_back_ends() => {
             let StoreListing { listing, versions } = listing?;
-            learner.record_versions(&versions);
+            learner.record_versions(&versions, listing.position);
             learner.adopt_store_listing(listing, known_before.unwrap_or_default(), learner.clock().now());
             Ok(())
         }
--- a/crates/relay/src/control/learner/mod.rs
+++ b/crates/relay/src/control/learner/mod.rs
@@ -11,7 +11,7 @@
     BackEnd, Directory, DirectoryChange, DirectoryChanges, DirectoryEntry, DirectoryListing, EngineStage,
 };
 use havengate_core::replication::{ConfigurationUpdate, PackedUpdate};
-use havengate_core::resumption::VersionTable;
+use havengate_core::resumption::{BackEndTag, VersionTable};
 use havengate_core::routing::{KeyTable, TrafficConfiguration};
 use havengate_core::store::{Position, StoreEra};
 use havengate_core::time::Timestamp;
@@ -52,6 +52,7 @@
 pub struct Learner {
     directory: Rc<RefCell<Directory>>,
     versions: Rc<RefCell<VersionTable>>,
+    changed_versions: Rc<RefCell<Vec<BackEndTag>>>,
     configuration_confirmed_at: Rc<Cell<Option<Timestamp>>>,
     /// A position of the store at which the active configuration was the newest.
     configuration_position: Rc<Cell<Option<Position>>>,
@@ -83,6 +84,7 @@
         Learner {
             directory: Rc::default(),
             versions: Rc::default(),
+            changed_versions: Rc::default(),
             configuration_confirmed_at: Rc::default(),
             configuration_position: Rc::default(),
             configuration_updates: Rc::default(),
@@ -295,6 +297,9 @@
         self.observe_era(position.era);
         self.report_restarts(position, &listing.back_ends);
         self.record_listing(self.knowledge.load().directory_confirmed_at);
+        if source == Source::Peer && position > own {
+            self.record_entries_of_peer(&listing.back_ends, position);
+        }
         if !replace(&mut self.directory.borrow_mut(), listing, self.clock.now()) {
             self.report_outdated_update(position, own, source);
             return;
@@ -339,13 +344,9 @@
     pub fn apply_changes(&self, changes: DirectoryChanges, confirmed_at: Timestamp, source: Source) {
         let (position, count) = (changes.position, changes.changes.len());
         let own = self.directory.borrow().position();
-        let put = changes.changes.iter().filter_map(|change| match change {
-            DirectoryChange::Put(back_end) => Some(back_end),
-            DirectoryChange::Gone(_) | DirectoryChange::Malformed(_) => None,
-        });
-        self.report_restarts(position, put);
+        self.report_restarts(position, Self::put_by(&changes));
         if source == Source::Peer && position > own {
-            self.record_changes_of_peer(&changes.changes);
+            self.record_entries_of_peer(Self::put_by(&changes), position);
         }
         let is_malformed = |change: &&DirectoryChange| matches!(change, DirectoryChange::Malformed(_));
         let malformed = changes.changes.iter().filter(is_malformed).count();
@@ -360,6 +361,14 @@
         self.publish_directory(confirmed_at, count > 0);
     }
 
+    /// The back ends that are new or have changed.
+    fn put_by(changes: &DirectoryChanges) -> impl Iterator<Item = &BackEnd> {
+        changes.changes.iter().filter_map(|change| match change {
+            DirectoryChange::Put(back_end) => Some(back_end),
+            DirectoryChange::Gone(_) | DirectoryChange::Malformed(_) => None,
+        })
+    }
+
     /// Logs and counts back ends that have restarted under their name, in an update that leads to `position`. Only the
     /// last entry of each back end counts: incarnations that had ended before they were observed, or that are repeated,
     /// do not.
--- a/crates/relay/src/control/version_exchange.rs
+++ b/crates/relay/src/control/version_exchange.rs
@@ -59,6 +59,7 @@
             let _ = timeout(QUERY_INTERVAL, updates.changed()).await;
             updates.mark_unchanged();
             tokio::time::sleep(UPDATE_PAUSE).await;
+            Self::announce(&peers, self.learner.take_changed_versions(), &self.learner).await;
             let unknown = self.learner.unknown_versions();
             self.record_missing(!unknown.is_empty());
             self.query(&peers, &unknown).await;
@@ -83,6 +84,16 @@
         self.missing_since.set(since.filter(|_| is_missing));
     }
 
+    /// Tells all peers the new versions of back ends that have changed theirs under the same identity.
+    async fn announce(peers: &PeerExchange, changed: Vec<BackEndTag>, learner: &Learner) {
+        let receivers = peers.recent(learner.clock().now());
+        for back_ends in changed.chunks(VersionQuery::BACK_ENDS_MAXIMUM) {
+            for notice in learner.version_notices(back_ends, peers.own_address()) {
+                peers.send_to(&PeerMessage::Versions(notice), &receivers).await;
+            }
+        }
+    }
+
     /// Asks a reader that feeds this node, which has the versions from the store, and a random peer, as the reader may be of
     /// a build that doesn't answer.
     async fn query(&self, peers: &PeerExchange, unknown: &[BackEndTag]) {
--- a/crates/relay/tests/wire_samples/mod.rs
+++ b/crates/relay/tests/wire_samples/mod.rs
@@ -139,7 +139,7 @@
 
 fn versions() -> VersionNotice {
     let versions = vec![(Some(SoftwareVersion::new("v1.2")), vec![back_end_tag()]), (None, vec![back_end_tag()])];
-    VersionNotice { sender: address(1), versions }
+    VersionNotice { sender: address(1), position: Position::from(Revision(41)), versions }
 }
 
 fn reported_origin() -> ReportedOrigin {
