Sight: nodes log the share of the limits that they grant for, and what it rests on

grant_share_changed has the share, the peers seen and the most in an hour; it is logged when the share changes by a tenth. No decision changes.

--- a/crates/core/src/quota/fleet_reach.rs
+++ b/crates/core/src/quota/fleet_reach.rs
@@ -139,6 +139,11 @@
         (f64::from(reachable) + 1.0) / (f64::from(most) + 1.0)
     }
 
+    /// The number of peers seen recently, and the most in the last hour.
+    pub fn peer_counts(&self) -> (u32, u32) {
+        (self.peers, self.most_peers.get())
+    }
+
     /// How many of the most peers are estimated to be out of reach, if they are a relevant share.
     fn estimate_missing(&self, now: Timestamp) -> u32 {
         let most = self.most_peers.get();
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -28,7 +28,7 @@
 use crate::back_ends::set_liveness;
 use crate::callers::listen;
 use crate::datagrams::Datagrams;
-use crate::fleet_reach::SharedFleetReach;
+use crate::fleet_reach::{ShareChange, SharedFleetReach};
 use crate::knowledge::PeerView;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
 
@@ -327,6 +327,9 @@
         if let Some(isolated) = self.fleet_reach.set_peers(recent, seeds_name_others, now) {
             log::warn!(event = "reach_changed", isolated, peers = recent; "");
         }
+        if let Some(ShareChange { share, peers, most_peers }) = self.fleet_reach.take_share_change(now) {
+            log::info!(event = "grant_share_changed", share, peers, most_peers; "");
+        }
     }
 
     /// Asks a random peer for the limits of the configuration in force while they are missing.
--- a/crates/relay/src/fleet_reach.rs
+++ b/crates/relay/src/fleet_reach.rs
@@ -18,12 +18,25 @@
     reach: FleetReach,
     /// Whether the node was isolated when its peers were last counted.
     was_isolated: bool,
+    /// The last grant share that was reported, in tenths.
+    reported_tenths: u32,
+}
+
+/// A change of the share of all nodes for which this node may grant.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ShareChange {
+    /// The share, from 0 to 1.
+    pub share: f64,
+    /// The peers seen recently.
+    pub peers: u32,
+    /// The most peers in the last hour.
+    pub most_peers: u32,
 }
 
 impl SharedFleetReach {
     /// The reach of a node that starts at `now`.
     pub fn new(now: Timestamp) -> Self {
-        let state = ReportedReach { reach: FleetReach::new(now), was_isolated: false };
+        let state = ReportedReach { reach: FleetReach::new(now), was_isolated: false, reported_tenths: 0 };
         SharedFleetReach { state: Arc::new(Mutex::new(state)) }
     }
 
@@ -57,6 +70,17 @@
         })
     }
 
+    /// The grant share at `now`, if it has changed by a tenth since this last returned one.
+    pub fn take_share_change(&self, now: Timestamp) -> Option<ShareChange> {
+        self.with(|state| {
+            let share = state.reach.grant_share(now);
+            let tenths = (share * 10.0).round() as u32;
+            let (peers, most_peers) = state.reach.peer_counts();
+            let before = std::mem::replace(&mut state.reported_tenths, tenths);
+            (before != tenths).then_some(ShareChange { share, peers, most_peers })
+        })
+    }
+
     /// The lock is held only for short calculations, so the threads hardly wait for each other.
     fn with<R>(&self, use_state: impl FnOnce(&mut ReportedReach) -> R) -> R {
         use_state(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
