Nodes tell each other the size of the fleet, so that a restart doesn't forget it

Cause: the most peers of the last hour were each node's own memory. Now a report of it, with its age, goes with each digest where limits are enforced; it counts once a node sees no new peers, and if it differs by a quarter, since otherwise healthy fleets lowered their shares at their start. To grant less is all that it can do: it only raises the divisor.

--- a/crates/core/src/quota/fleet_reach.rs
+++ b/crates/core/src/quota/fleet_reach.rs
@@ -4,6 +4,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use speedy::{Readable, Writable};
+
 use super::sightings::Sightings;
 use super::window_peak::WindowPeak;
 use crate::time::Timestamp;
@@ -37,11 +39,16 @@
 /// occasionally last, with a margin for clocks that are 5 % fast.
 const PEAK_WINDOW: Duration = Duration::from_secs(66 * 60);
 
+/// The sizes of the fleet that peers tell count once this node has seen no new peers for this time. While a fleet or a node
+/// starts, it sees more with almost each digest.
+const DISCOVERY_PAUSE: Duration = Duration::from_secs(1);
+
 /// A number of peers that was not updated for this time is outdated: the control thread updates it every 200 ms, unless
 /// the process was suspended.
 const PEERS_VALIDITY: Duration = Duration::from_secs(2);
 
-/// An estimate of the reachable nodes counts only when it is below this share of those seen in the last 10 s. In a
+/// An estimate of the reachable nodes counts only when it is below this share of those seen in the last 10 s, and the size
+/// of the fleet that peers tell only when this node has seen less than this share of it. In a
 /// partition in which neither side is isolated, both sides are below it; estimates of a healthy fleet vary by a few
 /// percent.
 const RELEVANT_SHARE: f64 = 0.75;
@@ -50,6 +57,17 @@
 /// lets the share rise only after the peers have been sighted again for some time.
 const ESTIMATE_HOLD: Duration = Duration::from_secs(4);
 
+/// What a node tells its peers of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ReachReport {
+    /// The peers that the node sees.
+    pub peers: u32,
+    /// The most peers that any node has seen, as far as this one knows.
+    pub most_peers: u32,
+    /// How long ago that was, in seconds.
+    pub most_age_seconds: u32,
+}
+
 /// A node's estimate of whether it is cut off from others, and for what share of the nodes it may grant.
 #[derive(Clone, Debug)]
 pub struct FleetReach {
@@ -65,8 +83,12 @@
     /// The most peers during the time of an isolation. The number of digests to expect must not fall with the peers
     /// that an isolated node no longer sees.
     expected_peers: WindowPeak,
-    /// The most peers in the last [`PEAK_WINDOW`], this node's measure of the size of the fleet.
+    /// The most peers that this node has seen in the last [`PEAK_WINDOW`].
     most_peers: WindowPeak,
+    /// When `most_peers` last rose.
+    most_risen_at: Timestamp,
+    /// The most peers that other nodes have seen in the last [`PEAK_WINDOW`], as far as they have told.
+    told_peers: WindowPeak,
     sightings: Sightings,
     /// How many of the most peers are estimated to be out of reach; 0 while the estimate is not low.
     missing_peers: WindowPeak,
@@ -85,6 +107,8 @@
             peers_set_at: now,
             expected_peers: WindowPeak::new(ISOLATION_HOLD),
             most_peers: WindowPeak::new(PEAK_WINDOW),
+            most_risen_at: now,
+            told_peers: WindowPeak::new(PEAK_WINDOW),
             sightings: Sightings::default(),
             missing_peers: WindowPeak::new(ESTIMATE_HOLD),
             shortage_since: None,
@@ -115,7 +139,11 @@
         self.peers_set_at = now;
         self.seeds_name_others = seeds_name_others;
         self.expected_peers.record(self.peers, now);
+        if self.peers > self.most_peers.get() {
+            self.most_risen_at = now;
+        }
         self.most_peers.record(self.peers, now);
+        self.told_peers.expire(now);
         let missing = self.estimate_missing(now);
         self.missing_peers.record(missing, now);
         self.recover(now);
@@ -134,19 +162,43 @@
         if has_seen_none || is_outdated || is_held {
             return 0.0;
         }
-        let most = self.most_peers.get();
+        let most = self.fleet_peers(now);
         let reachable = self.peers.min(most.saturating_sub(self.missing_peers.get()));
         (f64::from(reachable) + 1.0) / (f64::from(most) + 1.0)
     }
 
-    /// The number of peers seen recently, and the most in the last hour.
-    pub fn peer_counts(&self) -> (u32, u32) {
-        (self.peers, self.most_peers.get())
+    /// What this node tells its peers.
+    pub fn report(&self, now: Timestamp) -> ReachReport {
+        let largest = [&self.told_peers, &self.most_peers].into_iter().max_by_key(|peak| peak.get());
+        let age = largest.and_then(WindowPeak::recorded_at).map_or(Duration::ZERO, |at| now.since(at));
+        let most_age_seconds = u32::try_from(age.as_secs()).unwrap_or(u32::MAX);
+        let most_peers = largest.map_or(0, WindowPeak::get);
+        ReachReport { peers: self.peers, most_peers, most_age_seconds }
+    }
+
+    /// Adopts what a peer tells. A node that has restarted behind a partition learns from it how many nodes there are on
+    /// the other side.
+    pub fn record_report(&mut self, report: ReachReport, now: Timestamp) {
+        let most_at = now - Duration::from_secs(u64::from(report.most_age_seconds));
+        self.told_peers.record_earlier(report.most_peers, most_at, now);
+    }
+
+    /// The number of peers seen recently, and the most in the last hour, by this node or another.
+    pub fn peer_counts(&self, now: Timestamp) -> (u32, u32) {
+        (self.peers, self.fleet_peers(now))
+    }
+
+    /// The most peers in the last [`PEAK_WINDOW`], this node's measure of the size of the fleet.
+    fn fleet_peers(&self, now: Timestamp) -> u32 {
+        let discovered_at = self.first_arrival.map_or(now, |first_arrival| first_arrival.max(self.most_risen_at));
+        let (own, told) = (self.most_peers.get(), self.told_peers.get());
+        let is_relevant = f64::from(own) + 1.0 < RELEVANT_SHARE * (f64::from(told) + 1.0);
+        if is_relevant && now.since(discovered_at) >= DISCOVERY_PAUSE { told } else { own }
     }
 
     /// How many of the most peers are estimated to be out of reach, if they are a relevant share.
     fn estimate_missing(&self, now: Timestamp) -> u32 {
-        let most = self.most_peers.get();
+        let most = self.fleet_peers(now);
         let estimate = self.sightings.estimate_peers(most, now);
         let is_low = |estimate: &f64| estimate + 1.0 < RELEVANT_SHARE * (f64::from(most) + 1.0);
         // Conversions of floating-point numbers to integers saturate.
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -22,7 +22,7 @@
 
 pub use admission::{Admission, OutgoingQuotaMessage, Permit, QuotaContent, TenantQuotaStatus};
 pub use config::QuotaConfig;
-pub use fleet_reach::FleetReach;
+pub use fleet_reach::{FleetReach, ReachReport};
 pub use limit::{LimitUnit, TenantLimit, TenantLimitTable};
 pub use message::{NamedLimit, QuotaAnswer, QuotaGrant, QuotaRequest, TenantLimitNotice, TenantLimitQuery};
 pub use table_exchange::{DroppedPart, LimitTableAssembly, split_into_notices};
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -8,7 +8,7 @@
 use crate::authority::Term;
 use crate::back_ends::{DirectoryUpdate, EngineStage};
 use crate::duties::usage::UsageCountsMessage;
-use crate::quota::{TenantLimitNotice, TenantLimitQuery};
+use crate::quota::{ReachReport, TenantLimitNotice, TenantLimitQuery};
 use crate::resumption::{VersionNotice, VersionQuery};
 use crate::routing::ConfigurationNumber;
 use crate::stages::DemandReport;
@@ -41,6 +41,17 @@
     VersionsWanted(VersionQuery),
     /// The software versions of back ends.
     Versions(VersionNotice),
+    /// How many nodes the sender sees and has seen.
+    Reach(ReachNotice),
+}
+
+/// How many nodes the sender sees and has seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ReachNotice {
+    /// The address at which peers reach the sender.
+    pub sender: Address,
+    /// What it sees.
+    pub report: ReachReport,
 }
 
 /// The zones of some nodes, as the sender knows them, so that nodes know which peers are near.
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -12,7 +12,9 @@
     ConfigurationChanges, ConfigurationHistory, ConfigurationUpdate, InvalidUpdate, PackedUpdate,
 };
 pub use list_changes::{ListChanges, ListStep};
-pub use message::{Digest, KnowledgeAges, LocationNotice, PeerAddresses, PeerMessage, Pull, PullAnswer, StageNotice};
+pub use message::{
+    Digest, KnowledgeAges, LocationNotice, PeerAddresses, PeerMessage, Pull, PullAnswer, ReachNotice, StageNotice,
+};
 pub use peer_table::{PeerTable, PeerTableConfig};
 pub use peer_zones::PeerZones;
 pub use readers::{Readers, ReadersConfig};
--- a/crates/core/tests/quota_fleet_reach.rs
+++ b/crates/core/tests/quota_fleet_reach.rs
@@ -73,6 +73,7 @@
         node.table.tick(now);
         node.reach.set_peers(node.table.recent(now).len(), true, now);
         let (receivers, peers) = node.table.next_digest(now, &mut self.random);
+        let report = node.reach.report(now);
         let sent_by = PeerAddresses { control: node.control, notices: node.control };
         let configuration = ConfigurationNumber::default();
         let digest = Digest { sender: sent_by, configuration, directory: Position::default(), peers };
@@ -82,6 +83,7 @@
             if is_reachable && !is_lost && receivers.contains(&receiver.control) {
                 receiver.table.receive(&digest, now);
                 receiver.reach.record_digest(now);
+                receiver.reach.record_report(report, now);
                 let sighted = digest.peers.iter().chain([&digest.sender]).map(|peer| peer.control);
                 let others = sighted.filter(|peer| *peer != receiver.control);
                 others.for_each(|peer| receiver.reach.record_sighting(peer, now));
@@ -89,6 +91,14 @@
         }
     }
 
+    /// Restarts a node, which forgets everything.
+    fn restart(&mut self, index: usize) {
+        let control = self.nodes[index].control;
+        let seeds = vec![self.nodes[0].control, self.nodes[1].control];
+        let table = PeerTable::new(PeerTableConfig::default(), control, seeds, self.now);
+        self.nodes[index] = Node { control, table, reach: FleetReach::new(self.now) };
+    }
+
     fn share(&self, node: usize) -> f64 {
         self.nodes[node].reach.grant_share(self.now)
     }
@@ -378,3 +388,46 @@
     }
     assert!(format!("{reach:?}").matches("Address").count() <= 4_096);
 }
+
+/// After this time a restarted node has seen its side of a partition of twenty nodes, and counts what it is told of the rest.
+const RESTART_SETTLED_SECONDS: f64 = 5.0;
+
+/// Guards against nodes that forget, by a restart behind a partition, how many nodes there are on the other side.
+#[test]
+fn nodes_restarted_behind_a_partition_grant_for_no_more_than_their_side() {
+    for seed in 1..=20 {
+        let mut fleet = Fleet::new(20, seed);
+        fleet.run_until(15.0, |_| {});
+        fleet.cut_before = 4;
+        fleet.run_until(30.0, |_| {});
+        for node in 0..4 {
+            fleet.restart(node);
+            let until = fleet.seconds() + RESTART_SETTLED_SECONDS;
+            fleet.run_until(until, |_| {});
+            let shares: Vec<f64> = (0..4).map(|node| fleet.share(node)).collect();
+            assert!(shares.iter().all(|share| *share <= 0.2 + 1e-9), "seed {seed}, after node {node}: {shares:?}");
+        }
+        // The last one learned it from nodes that had been told it themselves.
+        let until = fleet.seconds() + 15.0;
+        fleet.run_until(until, |_| {});
+        assert_eq!(fleet.share(3), 0.2);
+    }
+}
+
+#[test]
+fn the_size_of_the_fleet_is_forgotten_an_hour_after_it_was_last_seen_also_where_it_is_told() {
+    let minutes = |minutes: u64| START + Duration::from_secs(60 * minutes);
+    let mut first = FleetReach::new(START);
+    first.set_peers(19, true, START);
+    let mut second = FleetReach::new(minutes(30));
+    second.record_digest(minutes(30));
+    second.set_peers(3, true, minutes(30));
+    second.record_report(first.report(minutes(30)), minutes(30));
+    assert_eq!(second.peer_counts(minutes(31)), (3, 19));
+    // Nodes that tell each other the same size don't keep it alive.
+    second.set_peers(3, true, minutes(60));
+    first.record_report(second.report(minutes(60)), minutes(60));
+    first.set_peers(3, true, minutes(67));
+    second.set_peers(3, true, minutes(67));
+    assert_eq!((first.peer_counts(minutes(67)), second.peer_counts(minutes(67))), ((3, 3), (3, 3)));
+}
--- a/crates/core/tests/quota_partitions.rs
+++ b/crates/core/tests/quota_partitions.rs
@@ -1,4 +1,4 @@
-//! Partitions in which the nodes together exceed a tenant's limit. KNOWN-RED.txt lists these tests.
+//! Partitions in which the nodes together must not exceed a tenant's limit. KNOWN-RED.txt lists the one that they do.
 
 mod quota_support;
 
--- a/crates/core/tests/quota_support/reach.rs
+++ b/crates/core/tests/quota_support/reach.rs
@@ -11,30 +11,52 @@
 const DIGESTS_PER_SECOND: f64 = 5.0;
 const RECEIVERS: usize = 3;
 const ISOLATION: Duration = Duration::from_secs(12);
+const DISCOVERY_PAUSE: Duration = Duration::from_secs(1);
+const RELEVANT_SHARE: f64 = 0.75;
 const STEP: f64 = 0.1;
 
+/// What a node tells its peers: how many it sees, and the most that any has seen.
+#[derive(Clone, Copy)]
+pub struct Told {
+    pub peers: usize,
+    pub most_peers: usize,
+}
+
 pub struct Reach {
     started: Timestamp,
     seen: BTreeMap<Address, Timestamp>,
     most_peers: usize,
+    risen_at: Timestamp,
+    told_peers: usize,
     digests: VecDeque<(Timestamp, f64)>,
     isolated_since: Option<Timestamp>,
 }
 
 impl Reach {
     pub fn new(now: Timestamp) -> Self {
-        Reach { started: now, seen: BTreeMap::new(), most_peers: 0, digests: VecDeque::new(), isolated_since: None }
+        Reach {
+            started: now,
+            seen: BTreeMap::new(),
+            most_peers: 0,
+            risen_at: now,
+            told_peers: 0,
+            digests: VecDeque::new(),
+            isolated_since: None,
+        }
     }
 
-    /// Records the nodes whose digests reach this one, each with the number of its peers.
-    pub fn update(&mut self, reaching: impl Iterator<Item = (Address, usize)>, now: Timestamp) {
+    /// Records the nodes whose digests reach this one, each with what it tells of its peers.
+    pub fn update(&mut self, reaching: impl Iterator<Item = (Address, Told)>, now: Timestamp) {
         let mut expected = 0.0;
-        for (sender, peers) in reaching {
+        for (sender, Told { peers, most_peers }) in reaching {
+            self.told_peers = self.told_peers.max(most_peers);
             self.seen.insert(sender, now);
             expected += DIGESTS_PER_SECOND * STEP * RECEIVERS.min(peers) as f64 / peers.max(1) as f64;
         }
         self.seen.retain(|_, at| now.since(*at) < SEEN);
-        self.most_peers = self.most_peers.max(self.seen.len());
+        if self.seen.len() > self.most_peers {
+            (self.most_peers, self.risen_at) = (self.seen.len(), now);
+        }
         self.digests.push_back((now, expected));
         while self.digests.front().is_some_and(|(at, _)| now.since(*at) >= DIGEST_WINDOW) {
             self.digests.pop_front();
@@ -49,8 +71,9 @@
         self.seen.keys().copied().collect()
     }
 
-    pub fn peer_count(&self) -> usize {
-        self.seen.len()
+    /// What this node tells its peers.
+    pub fn told(&self) -> Told {
+        Told { peers: self.seen.len(), most_peers: self.most_peers.max(self.told_peers) }
     }
 
     pub fn share(&self, now: Timestamp) -> f64 {
@@ -58,7 +81,10 @@
         if is_barred || self.most_peers == 0 {
             0.0
         } else {
-            (self.seen.len() + 1) as f64 / (self.most_peers + 1) as f64
+            let is_discovering = now.since(self.risen_at) < DISCOVERY_PAUSE;
+            let is_relevant = ((self.most_peers + 1) as f64) < RELEVANT_SHARE * (self.told_peers + 1) as f64;
+            let most = if is_relevant && !is_discovering { self.told_peers } else { self.most_peers };
+            (self.seen.len() + 1) as f64 / (most + 1) as f64
         }
     }
 }
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -10,7 +10,7 @@
 use havengate_core::duties::UnavailableCandidates;
 use havengate_core::duties::usage::UsageTable;
 use havengate_core::quota::{TenantLimitNotice, TenantLimitQuery};
-use havengate_core::replication::{Digest, PeerAddresses, PeerMessage, PeerTable, Pull, PullAnswer};
+use havengate_core::replication::{Digest, PeerAddresses, PeerMessage, PeerTable, Pull, PullAnswer, ReachNotice};
 use havengate_core::resumption::{VersionNotice, VersionQuery};
 use havengate_core::stages::{DemandTable, DemandTableConfig};
 use havengate_core::time::Timestamp;
@@ -191,6 +191,7 @@
             PeerMessage::Locations(_) => NodeMessageKind::Locations,
             PeerMessage::DutyUnavailable(_) => NodeMessageKind::Duties,
             PeerMessage::VersionsWanted(_) | PeerMessage::Versions(_) => NodeMessageKind::Versions,
+            PeerMessage::Reach(_) => NodeMessageKind::Quotas,
         };
         self.datagrams.send(message, kind, receivers).await;
     }
@@ -256,6 +257,13 @@
             {
                 self.metrics.record_dropped_message("unknown_sender");
             }
+            PeerMessage::Reach(_) if !self.learner.enforces_tenant_limits() => {
+                self.metrics.record_dropped_message("not_enabled");
+            }
+            PeerMessage::Reach(notice) if !self.is_recent(notice.sender, now) => {
+                self.metrics.record_dropped_message("unknown_sender");
+            }
+            PeerMessage::Reach(notice) => self.fleet_reach.record_report(notice.report, now),
             PeerMessage::VersionsWanted(query) => self.answer_version_query(query),
             PeerMessage::Versions(notice) => self.learner.receive_versions(notice),
             PeerMessage::Stages(notice) if !self.is_recent(notice.sender, now) => {
@@ -312,6 +320,10 @@
             peers,
         };
         self.send_to(&PeerMessage::Digest(digest), &receivers).await;
+        if self.learner.enforces_tenant_limits() {
+            let notice = ReachNotice { sender: self.own.control, report: self.fleet_reach.report(now) };
+            self.send_to(&PeerMessage::Reach(notice), &receivers).await;
+        }
         if let Some(locations) = locations {
             self.send_to(&PeerMessage::Locations(locations), &receivers).await;
         }
--- a/crates/relay/src/fleet_reach.rs
+++ b/crates/relay/src/fleet_reach.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use havengate_core::quota::FleetReach;
+use havengate_core::quota::{FleetReach, ReachReport};
 use havengate_core::replication::Digest;
 use havengate_core::time::Timestamp;
 use havengate_core::world::Address;
@@ -70,12 +70,22 @@
         })
     }
 
+    /// What this node tells its peers.
+    pub fn report(&self, now: Timestamp) -> ReachReport {
+        self.with(|state| state.reach.report(now))
+    }
+
+    /// Adopts what a peer tells.
+    pub fn record_report(&self, report: ReachReport, now: Timestamp) {
+        self.with(|state| state.reach.record_report(report, now));
+    }
+
     /// The grant share at `now`, if it has changed by a tenth since this last returned one.
     pub fn take_share_change(&self, now: Timestamp) -> Option<ShareChange> {
         self.with(|state| {
             let share = state.reach.grant_share(now);
             let tenths = (share * 10.0).round() as u32;
-            let (peers, most_peers) = state.reach.peer_counts();
+            let (peers, most_peers) = state.reach.peer_counts(now);
             let before = std::mem::replace(&mut state.reported_tenths, tenths);
             (before != tenths).then_some(ShareChange { share, peers, most_peers })
         })
--- a/crates/relay/tests/wire_layout.rs
+++ b/crates/relay/tests/wire_layout.rs
@@ -115,7 +115,7 @@
     for kind in [15, 255, u32::MAX] {
         assert!(decode::<PeerNotice>(&message_of_kind(kind)).is_err(), "readings, kind {kind}");
     }
-    for kind in [11, 255, u32::MAX] {
+    for kind in [12, 255, u32::MAX] {
         assert!(decode::<PeerMessage>(&message_of_kind(kind)).is_err(), "peer, kind {kind}");
     }
     for sample in samples() {
--- a/crates/relay/tests/wire_samples/mod.rs
+++ b/crates/relay/tests/wire_samples/mod.rs
@@ -8,7 +8,8 @@
 use havengate_core::duties::usage::{UsageCountsMessage, WindowNumber};
 use havengate_core::paths::{PathGroup, TunnelAnswer, TunnelId, TunnelOffer, TunnelQuery, TunnelRequest, TunnelToken};
 use havengate_core::quota::{
-    LimitUnit, NamedLimit, QuotaAnswer, QuotaGrant, QuotaRequest, TenantLimit, TenantLimitNotice, TenantLimitQuery,
+    LimitUnit, NamedLimit, QuotaAnswer, QuotaGrant, QuotaRequest, ReachReport, TenantLimit, TenantLimitNotice,
+    TenantLimitQuery,
 };
 use havengate_core::relay::{
     AnnouncedPart, AnsweredContent, CachedParts, ContentId, EngineTag, FinishedPrefill, OpenPrefills, PeerNotice,
@@ -16,7 +17,7 @@
 };
 use havengate_core::replication::{
     ConfigurationChanges, ConfigurationUpdate, Digest, KnowledgeAges, LocationNotice, PackedUpdate, PeerAddresses,
-    PeerMessage, Pull, PullAnswer, StageNotice,
+    PeerMessage, Pull, PullAnswer, ReachNotice, StageNotice,
 };
 use havengate_core::resumption::{
     BackEndTag, OriginAnswer, OriginNotice, OriginQuery, ReportedOrigin, ReportedVersion, ServiceTag, SoftwareVersion,
@@ -71,6 +72,7 @@
         sample("peer.duty_unavailable", PeerMessage::DutyUnavailable(address(1))),
         sample("peer.versions_wanted", PeerMessage::VersionsWanted(version_query())),
         sample("peer.versions", PeerMessage::Versions(versions())),
+        sample("peer.reach", PeerMessage::Reach(reach())),
         sample("pull.all", Pull { configuration: Some(ConfigurationNumber(0)), ..pull() }),
         sample("pull.directory", pull()),
         sample("answer.nothing", PullAnswer::default()),
@@ -129,6 +131,10 @@
     ]
 }
 
+fn reach() -> ReachNotice {
+    ReachNotice { sender: address(1), report: ReachReport { peers: 3, most_peers: 19, most_age_seconds: 40 } }
+}
+
 fn back_end_tag() -> BackEndTag {
     BackEndTag::from(&back_end_id())
 }
