--- a/crates/core/src/resumption/decision.rs
+++ b/crates/core/src/resumption/decision.rs
@@ -7,7 +7,8 @@
 use super::origin_table::{OriginLookup, OriginSource};
 use super::service_tag::ServiceTag;
 use super::stream_origin::StreamOrigin;
-use super::version_table::{VersionKey, VersionTable};
+use super::version_knowledge::VersionKey;
+use super::version_table::VersionTable;
 use crate::time::Timestamp;
 
 /// How it is known which version began a stream.
--- a/crates/core/src/resumption/messages.rs
+++ b/crates/core/src/resumption/messages.rs
@@ -8,7 +8,7 @@
 use super::service_tag::ServiceTag;
 use super::software_version::SoftwareVersion;
 use super::stream_origin::{StreamKey, StreamOrigin};
-use super::version_table::{VersionKey, VersionKnowledge};
+use super::version_knowledge::{VersionKey, VersionKnowledge};
 use crate::store::Position;
 use crate::world::Address;
 
--- a/crates/core/src/resumption/mod.rs
+++ b/crates/core/src/resumption/mod.rs
@@ -16,6 +16,7 @@
 mod service_versions;
 mod software_version;
 mod stream_origin;
+mod version_knowledge;
 mod version_table;
 
 pub use back_end_tag::BackEndTag;
@@ -30,4 +31,5 @@
 pub use service_versions::ServiceVersions;
 pub use software_version::{SoftwareVersion, VersionFingerprint};
 pub use stream_origin::{StreamKey, StreamOrigin};
-pub use version_table::{BackEndVersion, RecordedVersion, VersionKey, VersionKnowledge, VersionTable};
+pub use version_knowledge::{BackEndVersion, RecordedVersion, VersionKey, VersionKnowledge};
+pub use version_table::VersionTable;
--- a/crates/core/src/resumption/service_versions.rs
+++ b/crates/core/src/resumption/service_versions.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::version_table::VersionKey;
+use super::version_knowledge::VersionKey;
 use crate::time::Timestamp;
 
 /// The versions of a service, each with the time at which its last back end left; `None` while one serves.
--- a/crates/core/src/resumption/stream_origin.rs
+++ b/crates/core/src/resumption/stream_origin.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::service_tag::ServiceTag;
-use super::version_table::VersionKey;
+use super::version_knowledge::VersionKey;
 use crate::world::TenantName;
 
 /// Identifies a stream by the request that brought its first event: a hash of that request's id and of its tenant, so that
--- a/crates/relay/src/callers/resumption.rs
+++ b/crates/relay/src/callers/resumption.rs
@@ -8,7 +8,7 @@
     VersionKey,
 };
 use havengate_core::routing::{RequestKind, Route};
-use havengate_core::time::{Timestamp, whole_millis};
+use havengate_core::time::whole_millis;
 use havengate_core::verdict::NotRunReason;
 use havengate_core::world::{BackEndId, ServiceName, TenantName};
 
@@ -87,7 +87,7 @@
 }
 
 /// Whether a back end of the stream's version may be sent requests.
-pub fn serves<P>(traffic: &Traffic<P>, resumed: &ResumedStream) -> bool {
+fn serves<P>(traffic: &Traffic<P>, resumed: &ResumedStream) -> bool {
     let knowledge = traffic.knowledge.load();
     let now = traffic.clock.now();
     let notices = traffic.notices.lock();
@@ -123,12 +123,11 @@
         return;
     }
     let knowledge = traffic.knowledge.load_full();
-    let resumed_version = request.resumed_version;
-    let version = resumed_version.unwrap_or_else(|| knowledge.versions.key_of(back_end));
+    let version = request.resumed_version.unwrap_or_else(|| knowledge.versions.key_of(back_end));
     let origin = StreamOrigin { service: ServiceTag::from(&request.service), version };
     let tenant = request.tenant.as_ref().map(|tenant| &tenant.name);
     let stream = StreamKey::new(tenant, request.head.id.as_bytes());
-    let now: Timestamp = traffic.clock.now();
+    let now = traffic.clock.now();
     traffic.origins.record(stream, origin, now, OriginSource::Own, now + knowledge.versions.kept_for());
     traffic.peer_notices.publish_origin(stream, origin).await;
 }
