--- a/crates/core/src/resumption/decision.rs
+++ b/crates/core/src/resumption/decision.rs
@@ -96,7 +96,7 @@
         self.found.is_none() && !self.is_ambiguous
     }
 
-    /// Whether this node believes that only one version can have begun the stream.
+    /// Whether, by the versions known so far, only one can have begun the stream.
     pub fn has_single_version(&self) -> bool {
         self.is_complete && !self.has_other_services && self.possible.len() == 1
     }
--- a/crates/core/src/resumption/messages.rs
+++ b/crates/core/src/resumption/messages.rs
@@ -61,7 +61,7 @@
     }
 }
 
-/// Where a stream began, as one node tells another.
+/// The origin of a stream in a message between nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct ReportedOrigin {
     /// The stream.
--- a/crates/core/src/resumption/mod.rs
+++ b/crates/core/src/resumption/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Back ends of several software versions may serve a service side by side. What two versions write doesn't fit
 //! together, so a stream may be resumed only at a back end of the version that began it. The node that relays a stream's
-//! first event records where it began and tells a few replicas, whose rank any node can compute from the stream's key. A
-//! node that is asked to resume a stream finds the origin in its own records, or asks the replicas. If nobody knows, the
+//! first event records the stream's origin and sends it to a few replicas, whose rank any node computes from the stream's key.
+//! A node that is asked to resume a stream finds the origin in its own records, or queries the replicas. If it is unknown, the
 //! stream is resumed only where no other version can have begun it.
 
 mod back_end_tag;
--- a/crates/core/src/resumption/origin_table.rs
+++ b/crates/core/src/resumption/origin_table.rs
@@ -6,7 +6,7 @@
 use super::stream_origin::{StreamKey, StreamOrigin};
 use crate::time::Timestamp;
 
-/// Who told a node where a stream began.
+/// The source of a stream's origin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OriginSource {
     /// This node relayed the stream's first event.
@@ -28,7 +28,7 @@
         origin: StreamOrigin,
         /// When it began.
         began: Timestamp,
-        /// Who told this node.
+        /// The source of this record.
         source: OriginSource,
     },
 }
