--- a/crates/core/src/quota/fleet_reach.rs
+++ b/crates/core/src/quota/fleet_reach.rs
@@ -39,8 +39,8 @@
 /// occasionally last, with a margin for clocks that are 5 % fast.
 const PEAK_WINDOW: Duration = Duration::from_secs(66 * 60);
 
-/// The sizes of the fleet that peers tell count once this node has seen no new peers for this time. While a fleet or a node
-/// starts, it sees more with almost each digest.
+/// Fleet sizes in peers' reports are used once this node has discovered no peer for this time. While a fleet or a node
+/// starts, almost every digest brings new peers.
 const DISCOVERY_PAUSE: Duration = Duration::from_secs(1);
 
 /// A number of peers that was not updated for this time is outdated: the control thread updates it every 200 ms, unless
@@ -48,7 +48,7 @@
 const PEERS_VALIDITY: Duration = Duration::from_secs(2);
 
 /// An estimate of the reachable nodes counts only when it is below this share of those seen in the last 10 s, and the size
-/// of the fleet that peers tell only when this node has seen less than this share of it. In a
+/// of the fleet in peers' reports only when this node has seen less than this share of it. In a
 /// partition in which neither side is isolated, both sides are below it; estimates of a healthy fleet vary by a few
 /// percent.
 const RELEVANT_SHARE: f64 = 0.75;
@@ -57,7 +57,7 @@
 /// lets the share rise only after the peers have been sighted again for some time.
 const ESTIMATE_HOLD: Duration = Duration::from_secs(4);
 
-/// What a node tells its peers of the fleet.
+/// A node's report to its peers about the size of the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct ReachReport {
     /// The peers that the node sees.
@@ -87,7 +87,7 @@
     most_peers: WindowPeak,
     /// When `most_peers` last rose.
     most_risen_at: Timestamp,
-    /// The most peers that other nodes have seen in the last [`PEAK_WINDOW`], as far as they have told.
+    /// The most peers that other nodes have seen in the last [`PEAK_WINDOW`], by their reports.
     told_peers: WindowPeak,
     sightings: Sightings,
     /// How many of the most peers are estimated to be out of reach; 0 while the estimate is not low.
@@ -167,7 +167,7 @@
         (f64::from(reachable) + 1.0) / (f64::from(most) + 1.0)
     }
 
-    /// What this node tells its peers.
+    /// The report that this node sends its peers.
     pub fn report(&self, now: Timestamp) -> ReachReport {
         let largest = [&self.told_peers, &self.most_peers].into_iter().max_by_key(|peak| peak.get());
         let age = largest.and_then(WindowPeak::recorded_at).map_or(Duration::ZERO, |at| now.since(at));
@@ -176,7 +176,7 @@
         ReachReport { peers: self.peers, most_peers, most_age_seconds }
     }
 
-    /// Adopts what a peer tells. A node that has restarted behind a partition learns from it how many nodes there are on
+    /// Applies the report of a peer. From it a node that has restarted behind a partition learns how many nodes are on
     /// the other side.
     pub fn record_report(&mut self, report: ReachReport, now: Timestamp) {
         let most_at = now - Duration::from_secs(u64::from(report.most_age_seconds));
--- a/crates/relay/src/fleet_reach.rs
+++ b/crates/relay/src/fleet_reach.rs
@@ -70,12 +70,12 @@
         })
     }
 
-    /// What this node tells its peers.
+    /// The report that this node sends its peers.
     pub fn report(&self, now: Timestamp) -> ReachReport {
         self.with(|state| state.reach.report(now))
     }
 
-    /// Adopts what a peer tells.
+    /// Applies the report of a peer.
     pub fn record_report(&self, report: ReachReport, now: Timestamp) {
         self.with(|state| state.reach.record_report(report, now));
     }
