A search that can't be made counts known versions as incomplete

With more than 256 searches at a node, or before it takes part in the exchange, a stream of unknown origin went on by the node's own view alone, though a peer may know another version.

--- a/crates/relay/src/peer_notices/origins.rs
+++ b/crates/relay/src/peer_notices/origins.rs
@@ -64,7 +64,11 @@
     pub async fn search_origin(&self, search: &mut OriginSearch, stream: StreamKey, service: ServiceTag) {
         let mut unanswered = self.peers_by_distance().ranked().queried(stream);
         let answers = self.shared.origins.get().and_then(|origins| origins.begin_search(stream));
-        let (Some(sender), Some(mut answers)) = (self.sender().filter(|_| !unanswered.is_empty()), answers) else {
+        if unanswered.is_empty() {
+            return;
+        }
+        let (Some(sender), Some(mut answers)) = (self.sender(), answers) else {
+            search.distrust_versions();
             return;
         };
         let asked = unanswered.len();
