--- a/crates/relay/src/control/version_exchange.rs
+++ b/crates/relay/src/control/version_exchange.rs
@@ -1,12 +1,14 @@
 //! Queries between nodes for the software versions of back ends: only the nodes that read the store see them there.
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use havengate_core::replication::PeerMessage;
+use havengate_core::replication::{PeerMessage, ReadersConfig};
 use havengate_core::resumption::{BackEndTag, VersionQuery};
 use havengate_core::time::Timestamp;
+use havengate_core::world::Address;
 use tokio::time::timeout;
 
 use super::learner::Learner;
@@ -94,15 +96,16 @@
         }
     }
 
-    /// Asks a reader that feeds this node, which has the versions from the store, and a random peer, as the reader may be of
-    /// a build that doesn't answer.
+    /// Asks the readers that feed this node, one of which has the versions from the store, and a random peer, as the readers
+    /// may be of a build that doesn't answer.
     async fn query(&self, peers: &PeerExchange, unknown: &[BackEndTag]) {
         if unknown.is_empty() {
             return;
         }
-        let mut receivers: Vec<_> = self.role.feed(fastrand::usize(..2)).into_iter().collect();
+        let feeds = (0..ReadersConfig::default().feeds_per_node).filter_map(|slot| self.role.feed(slot));
+        let mut receivers: BTreeSet<Address> = feeds.collect();
         receivers.extend(fastrand::choice(peers.recent(self.learner.clock().now())));
-        receivers.dedup();
+        let receivers: Vec<Address> = receivers.into_iter().collect();
         for back_ends in unknown.chunks(VersionQuery::BACK_ENDS_MAXIMUM).take(QUERIES_MAXIMUM) {
             let query = VersionQuery { sender: peers.own_address(), back_ends: back_ends.to_vec() };
             peers.send_to(&PeerMessage::VersionsWanted(query), &receivers).await;
