--- a/crates/core/src/resumption/origin_table.rs
+++ b/crates/core/src/resumption/origin_table.rs
@@ -53,7 +53,7 @@
 }
 
 impl OriginTable {
-    /// Records where a stream began. Two streams with the same key and different origins can't be told apart from then on.
+    /// Records where a stream began. Two streams with the same key and different origins can't be distinguished from then on.
     pub fn record(
         &mut self,
         stream: StreamKey,
--- a/crates/core/src/resumption/replicas.rs
+++ b/crates/core/src/resumption/replicas.rs
@@ -14,10 +14,10 @@
 /// Those of them in other regions, if there are any: they outlast the loss of the whole region.
 const DISTANT_REPLICAS: usize = 1;
 
-/// The nodes of the own region that are asked for an origin: more than replicas, since nodes may know different peers.
+/// The nodes of the own region that are queried for an origin: more than replicas, since nodes may know different peers.
 const NEAR_QUERIED: usize = 8;
 
-/// The nodes of other regions that are asked for an origin.
+/// The nodes of other regions that are queried for an origin.
 const DISTANT_QUERIED: usize = 3;
 
 /// The peers of a node, by distance.
@@ -36,7 +36,7 @@
         self.first(stream, REPLICAS - distant, distant)
     }
 
-    /// The peers that are asked for the origin of `stream`.
+    /// The peers that are queried for the origin of `stream`.
     pub fn queried(&self, stream: StreamKey) -> Vec<Address> {
         self.first(stream, NEAR_QUERIED, DISTANT_QUERIED)
     }
--- a/crates/core/tests/resumption.rs
+++ b/crates/core/tests/resumption.rs
@@ -328,13 +328,13 @@
 fn answers_about_versions_name_what_is_known() {
     let mut view = View::of(&[V1, V2, (3, None, None)], seconds(1));
     view.learn(&[V1, V2, (3, None, None), (4, None, None)], seconds(2));
-    let asked: Vec<BackEndTag> = (1..=5).map(|number| BackEndTag::from(&id((number, None, None)))).collect();
-    let notices = VersionNotice::answers(address(1), position(2), &asked, |tag| view.table.known_version(tag));
+    let queried: Vec<BackEndTag> = (1..=5).map(|number| BackEndTag::from(&id((number, None, None)))).collect();
+    let notices = VersionNotice::answers(address(1), position(2), &queried, |tag| view.table.known_version(tag));
     let versions: Vec<_> = notices.into_iter().flat_map(|notice| notice.versions).collect();
     let expected: [(Option<SoftwareVersion>, Vec<BackEndTag>); 3] = [
-        (None, vec![asked[2]]),
-        (Some(SoftwareVersion::new("v1")), vec![asked[0]]),
-        (Some(SoftwareVersion::new("v2")), vec![asked[1]]),
+        (None, vec![queried[2]]),
+        (Some(SoftwareVersion::new("v1")), vec![queried[0]]),
+        (Some(SoftwareVersion::new("v2")), vec![queried[1]]),
     ];
     assert_eq!(versions.len(), expected.len());
     assert!(expected.iter().all(|group| versions.contains(group)), "{versions:?}");
--- a/crates/relay/src/callers/resumption.rs
+++ b/crates/relay/src/callers/resumption.rs
@@ -69,7 +69,7 @@
     let (now, tag) = (traffic.clock.now(), ServiceTag::from(service));
     let mut search = OriginSearch::begin(lookup, tag, has_other_services, &traffic.knowledge.load().versions, now);
     if search.should_ask() {
-        // Without a name, peers can still tell which versions can have begun the stream.
+        // Without a name, peers can still report which versions can have begun the stream.
         let stream = stream.unwrap_or_else(|| StreamKey::new(tenant, head.id.as_bytes()));
         traffic.peer_notices.search_origin(&mut search, stream, tag).await;
     }
@@ -117,7 +117,7 @@
     log::info!(event = "stream_resumed", request, resumes, version, known, age_ms:? = age_ms, waited_ms, verdict; "");
 }
 
-/// Records that `back_end` began the stream of `request`, and tells the replicas.
+/// Records that `back_end` began the stream of `request`, and notifies the replicas.
 pub async fn record_origin<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEndId) {
     if !is_resumable(&request.route) || request.head.id.is_empty() {
         return;
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -368,7 +368,7 @@
         });
     }
 
-    /// Sends the versions that a peer asks for, in a task of its own, so that receiving goes on.
+    /// Sends the versions that a peer queries, in a task of its own, so that receiving goes on.
     fn answer_version_query(&self, query: VersionQuery) {
         let notices = self.learner.version_notices(&query.back_ends, self.own.control);
         let exchange = self.clone();
--- a/crates/relay/src/control/version_exchange.rs
+++ b/crates/relay/src/control/version_exchange.rs
@@ -15,7 +15,7 @@
 use super::peers::PeerExchange;
 use super::reader_role::ReaderRole;
 
-/// How often versions that are still unknown are asked for.
+/// How often versions that are still unknown are queried.
 const QUERY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The pause between an update of the directory and the query: one update often follows another.
@@ -53,7 +53,7 @@
         VersionExchange { learner, role, missing_since: Rc::default(), store_read_at: Rc::default(), peers_time_limit }
     }
 
-    /// Asks peers for unknown versions; never returns.
+    /// Queries peers for unknown versions; never returns.
     pub async fn run(self, peers: PeerExchange) {
         let mut updates = self.learner.updates();
         loop {
@@ -86,7 +86,7 @@
         self.missing_since.set(since.filter(|_| is_missing));
     }
 
-    /// Tells all peers the new versions of back ends that have changed theirs under the same identity.
+    /// Announces to all peers the new versions of back ends that have changed theirs under the same identity.
     async fn announce(peers: &PeerExchange, changed: Vec<BackEndTag>, learner: &Learner) {
         let receivers = peers.recent(learner.clock().now());
         for back_ends in changed.chunks(VersionQuery::BACK_ENDS_MAXIMUM) {
@@ -96,7 +96,7 @@
         }
     }
 
-    /// Asks the readers that feed this node, one of which has the versions from the store, and a random peer, as the readers
+    /// Queries the readers that feed this node, one of which has the versions from the store, and a random peer, as the readers
     /// may be of a build that doesn't answer.
     async fn query(&self, peers: &PeerExchange, unknown: &[BackEndTag]) {
         if unknown.is_empty() {
--- a/crates/relay/src/peer_notices/origins.rs
+++ b/crates/relay/src/peer_notices/origins.rs
@@ -19,7 +19,7 @@
 /// How often it is checked whether a service has several versions since.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// After this time, peers that have not answered are asked again: a datagram may be lost.
+/// After this time, peers that have not answered are queried again: a datagram may be lost.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The longest wait for answers. Two nodes in different regions are up to 60 ms apart.
@@ -60,7 +60,7 @@
         }
     }
 
-    /// Asks peers where a stream began and adds their answers to `search`, until it is over.
+    /// Queries peers about where a stream began and adds their answers to `search`, until it is over.
     pub async fn search_origin(&self, search: &mut OriginSearch, stream: StreamKey, service: ServiceTag) {
         let mut unanswered = self.peers_by_distance().ranked().queried(stream);
         let answers = self.shared.origins.get().and_then(|origins| origins.begin_search(stream));
@@ -71,7 +71,7 @@
             search.distrust_versions();
             return;
         };
-        let asked = unanswered.len();
+        let queried = unanswered.len();
         let query = PeerNotice::OriginQuery(OriginQuery { sender, stream, service });
         let time_limit = if search.has_single_version() { CONFIRMATION_TIME_LIMIT } else { SEARCH_TIME_LIMIT };
         let ends_at = Instant::now() + time_limit;
@@ -86,7 +86,7 @@
                 }
             }
         }
-        if 2 * unanswered.len() > asked {
+        if 2 * unanswered.len() > queried {
             // Those that have not answered may know of a version that this node and the others don't know.
             search.distrust_versions();
         }
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Answers a peer that asks where a stream began.
+    /// Answers a peer that queries where a stream began.
     pub(super) async fn answer_origin_query(&self, query: OriginQuery) {
         let (Some(sender), Some(origins)) = (self.sender(), self.shared.origins.get()) else {
             return;
