--- a/crates/core/src/resumption/decision.rs
+++ b/crates/core/src/resumption/decision.rs
@@ -92,7 +92,7 @@
     }
 
     /// Whether peers may know more.
-    pub fn should_ask(&self) -> bool {
+    pub fn should_query_peers(&self) -> bool {
         self.found.is_none() && !self.is_ambiguous
     }
 
@@ -125,7 +125,7 @@
                 None => self.find(reported.origin, OriginEvidence::Peer, age, table),
             }
         }
-        !self.should_ask()
+        !self.should_query_peers()
     }
 
     /// Where the stream began; `None` if it may have begun at another version than the one that serves.
--- a/crates/core/src/resumption/version_table.rs
+++ b/crates/core/src/resumption/version_table.rs
@@ -152,11 +152,11 @@
     ///
     /// Returns whether the service of the back end did not have the version so far.
     pub fn receive(&mut self, tag: BackEndTag, version: &VersionKnowledge, position: Position, now: Timestamp) -> bool {
-        let says_more = |known: &&VersionedBackEnd| match known.version {
+        let is_newer = |known: &&VersionedBackEnd| match known.version {
             VersionKnowledge::Unknown => known.is_incarnation || position >= known.as_of,
             _ => !known.is_incarnation && position > known.as_of,
         };
-        let Some(service) = self.back_ends.get(&tag).filter(says_more).map(|known| known.service) else {
+        let Some(service) = self.back_ends.get(&tag).filter(is_newer).map(|known| known.service) else {
             return false;
         };
         self.set(tag, version.clone(), position, now);
--- a/crates/core/tests/resumption.rs
+++ b/crates/core/tests/resumption.rs
@@ -150,7 +150,7 @@
 fn a_stream_of_known_origin_goes_on_there() {
     let view = View::of(&[V1, V2], seconds(1));
     let search = view.search(known(key("v2"), seconds(2)), seconds(5));
-    assert!(!search.should_ask());
+    assert!(!search.should_query_peers());
     let found = search.end().expect("it is known");
     assert_eq!(
         (found.origin.version, found.evidence, found.age),
@@ -223,7 +223,7 @@
     let lookup = record("v2");
     assert_eq!(lookup, OriginLookup::Ambiguous);
     let search = view.search(lookup, seconds(3));
-    assert!(!search.should_ask());
+    assert!(!search.should_query_peers());
     assert_eq!(search.end(), None);
 }
 
@@ -457,7 +457,7 @@
     let version = begun_at.2.map_or(only(begun_at), key);
     let lookup = if random.ratio(1, 3)? { known(version, at(began)) } else { OriginLookup::Unknown };
     let mut search = views[1].search(lookup, at(resumed));
-    if search.should_ask() {
+    if search.should_query_peers() {
         let reported = ReportedOrigin {
             stream: StreamKey::new(None, b"s"),
             origin: StreamOrigin { service: tag(), version },
--- a/crates/relay/src/callers/resumption.rs
+++ b/crates/relay/src/callers/resumption.rs
@@ -45,13 +45,13 @@
     let Some(resumption) = head.resumption.as_ref().filter(|_| is_resumable(route)) else {
         return Ok(None);
     };
-    let asked_at = traffic.clock.now();
+    let began_at = traffic.clock.now();
     let found = find_origin(traffic, head, resumption, route, tenant, service).await;
     let resumed = match found {
         None => Err(NotRunReason::StreamOriginUnknown),
         Some(found) => resume_at(traffic, route, found.origin),
     };
-    log_resumption(traffic, head, resumption, found, &resumed, traffic.clock.now().since(asked_at));
+    log_resumption(traffic, head, resumption, found, &resumed, traffic.clock.now().since(began_at));
     resumed.map(Some)
 }
 
@@ -68,7 +68,7 @@
     let has_other_services = route.services.iter().filter(|part| part.weight > 0).count() > 1;
     let (now, tag) = (traffic.clock.now(), ServiceTag::from(service));
     let mut search = OriginSearch::begin(lookup, tag, has_other_services, &traffic.knowledge.load().versions, now);
-    if search.should_ask() {
+    if search.should_query_peers() {
         // Without a name, peers can still report which versions can have begun the stream.
         let stream = stream.unwrap_or_else(|| StreamKey::new(tenant, head.id.as_bytes()));
         traffic.peer_notices.search_origin(&mut search, stream, tag).await;
