Streams: an engine without a start in its identity began a stream at the version of the send

Cause: a request was sent to an engine at v1, and its first event came 53 and 350 ms later. In between the engine had ended and its name had started again with another version, which the node had read from the store. The origin was recorded by the version at the first event. Ruled out: answers of peers that are behind a restart (no query was made), versions kept under one tag. Engines that name their start aren't affected: the new one has another identity. Change: for a back end without a start the version is taken when the request is sent. a_stream_began_at_the_version_that_its_engine_had_when_the_request_was_sent failed before (200 at the other version) and passes; stream_versions has 17 tests, all pass.

--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -4,6 +4,7 @@
 
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Placed, Purpose, SendOutcome};
+use havengate_core::resumption::VersionKey;
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{MayHaveRun, NotRunReason};
 use havengate_core::world::{BackEndId, ZoneName};
@@ -269,6 +270,7 @@
             let knowledge = self.traffic.knowledge.load();
             knowledge.versions.version_of(&back_end.id).label().clone_into(&mut record.back_end_version);
         }
+        let version_when_sent = self.traffic.knowledge.load().versions.key_of(&back_end.id);
         let sent_at = self.traffic.clock.now();
         let answer = match send_and_record(self.traffic, &self.request, back_end, stage).await {
             Err(SendFailure::NoTime | SendFailure::NotSent(_) | SendFailure::NoPath(_)) => {
@@ -306,7 +308,9 @@
                 }
                 Attempt::Ended(outcome, None)
             }
-            None if self.request.route.kind.is_stream() => self.stream_answer(back_end, answer).await,
+            None if self.request.route.kind.is_stream() => {
+                self.stream_answer(back_end, version_when_sent, answer).await
+            }
             None => match self.buffer_answer(back_end, answer).await {
                 Some(response) => {
                     self.finish(RequestOutcome::Completed, "");
@@ -325,7 +329,12 @@
     }
 
     /// Waits for the first piece of a stream, then streams the rest to the caller.
-    async fn stream_answer(&mut self, back_end: &BackEnd, answer: AnswerInProgress) -> Attempt {
+    async fn stream_answer(
+        &mut self,
+        back_end: &BackEnd,
+        version_when_sent: VersionKey,
+        answer: AnswerInProgress,
+    ) -> Attempt {
         let AnswerInProgress { response, lease, in_flight, run, .. } = answer;
         let (parts, mut body) = response.into_parts();
         let first = match timeout_at(self.ends_at.into(), first_piece(&mut body)).await {
@@ -343,7 +352,7 @@
         self.traffic.peer_notices.record_answer(&back_end.id);
         self.record_run(self.traffic.clock.now());
         if first.is_some() {
-            record_origin(self.traffic, &self.request, &back_end.id).await;
+            record_origin(self.traffic, &self.request, &back_end.id, version_when_sent).await;
         }
         let Some(mut record) = self.record.take() else {
             return Attempt::Ended(SendOutcome::Lost, None);
--- a/crates/relay/src/callers/resumption.rs
+++ b/crates/relay/src/callers/resumption.rs
@@ -117,13 +117,24 @@
     log::info!(event = "stream_resumed", request, resumes, version, known, age_ms:? = age_ms, waited_ms, verdict; "");
 }
 
-/// Records that `back_end` began the stream of `request`, and notifies the replicas.
-pub async fn record_origin<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEndId) {
+/// Records that `back_end` began the stream of `request`, and notifies the replicas. `version_when_sent` is the version that
+/// it had when the request was sent to it.
+pub async fn record_origin<P>(
+    traffic: &Traffic<P>,
+    request: &CallerRequest,
+    back_end: &BackEndId,
+    version_when_sent: VersionKey,
+) {
     if !is_resumable(&request.route) || request.head.id.is_empty() {
         return;
     }
     let knowledge = traffic.knowledge.load_full();
-    let version = request.resumed_version.unwrap_or_else(|| knowledge.versions.key_of(back_end));
+    // A back end whose identity doesn't include its start may have been replaced by another version since.
+    let version = match (request.resumed_version, back_end.started()) {
+        (Some(version), _) => version,
+        (None, Some(_)) => knowledge.versions.key_of(back_end),
+        (None, None) => version_when_sent,
+    };
     let origin = StreamOrigin { service: ServiceTag::from(&request.service), version };
     let tenant = request.tenant.as_ref().map(|tenant| &tenant.name);
     let stream = StreamKey::new(tenant, request.head.id.as_bytes());
