Streams: a version that a back end without a start may have got later isn't taken for the one that began

What callers would see: a stream that goes on at another version. Cause: a node that doesn't know the version of a back end yet records its identity as the origin. Another node that knows the back end since a later moment, or whose entry of it has changed unseen in between, took the version that it has now for the one of then.

--- a/crates/core/src/resumption/decision.rs
+++ b/crates/core/src/resumption/decision.rs
@@ -54,6 +54,7 @@
 #[derive(Clone, Debug)]
 pub struct OriginSearch {
     service: ServiceTag,
+    begun_at: Timestamp,
     /// Whether the request may have been sent to other services, in which the stream may have begun.
     has_other_services: bool,
     found: Option<FoundOrigin>,
@@ -75,6 +76,7 @@
     ) -> Self {
         let mut search = OriginSearch {
             service,
+            begun_at: now,
             has_other_services,
             found: None,
             is_ambiguous: lookup == OriginLookup::Ambiguous,
@@ -112,7 +114,7 @@
         for reported in &answer.versions {
             let departed = reported.departed_millis.map(|millis| Duration::from_millis(u64::from(millis)));
             if departed.is_none_or(|ago| ago < kept_for) {
-                self.possible.insert(table.resolve(reported.key).unwrap_or(reported.key));
+                self.possible.insert(table.resolve(reported.key, self.begun_at).unwrap_or(reported.key));
             }
         }
         self.is_complete |= Duration::from_millis(u64::from(answer.covered_millis)) >= kept_for;
@@ -120,7 +122,8 @@
             let age = Duration::from_millis(u64::from(reported.age_millis));
             match self.found {
                 Some(found) => {
-                    self.is_ambiguous |= table.resolve(reported.origin.version) != Some(found.origin.version)
+                    let began = self.begun_at - age;
+                    self.is_ambiguous |= table.resolve(reported.origin.version, began) != Some(found.origin.version);
                 }
                 None => self.find(reported.origin, OriginEvidence::Peer, age, table),
             }
@@ -142,7 +145,7 @@
     }
 
     fn find(&mut self, origin: StreamOrigin, evidence: OriginEvidence, age: Duration, table: &VersionTable) {
-        match table.resolve(origin.version) {
+        match table.resolve(origin.version, self.begun_at - age) {
             Some(version) => {
                 let origin = StreamOrigin { version, ..origin };
                 self.found = Some(FoundOrigin { origin, evidence, age: Some(age) });
--- a/crates/core/src/resumption/version_table.rs
+++ b/crates/core/src/resumption/version_table.rs
@@ -24,6 +24,8 @@
     as_of: Position,
     /// Whether the identity includes the start, so that the version can't change.
     is_incarnation: bool,
+    /// Since when this node has seen no change of the entry.
+    unchanged_since: Timestamp,
     /// The version before the back end's entry changed, if it is not known yet whether the version changed too.
     unconfirmed: Option<VersionKnowledge>,
     /// Until when it may have been sent requests; `None` while it serves.
@@ -36,6 +38,11 @@
     fn key(&self, tag: BackEndTag) -> VersionKey {
         self.version.fingerprint().map_or(VersionKey::BackEnd(tag), VersionKey::Version)
     }
+
+    /// Whether the back end may have had another version at `at` than its entry names now.
+    fn may_differ(&self, at: Timestamp) -> bool {
+        !self.is_incarnation && self.version.fingerprint().is_some() && at < self.unchanged_since
+    }
 }
 
 /// The former version of a back end that announces another one under the same identity.
@@ -71,13 +78,13 @@
         self.back_ends.get(&tag).map_or(VersionKey::BackEnd(tag), |known| known.key(tag))
     }
 
-    /// The most that is known of `key`, which may come from a node that did not know a back end's version; `None` if the
-    /// back end has had several versions.
-    pub fn resolve(&self, key: VersionKey) -> Option<VersionKey> {
+    /// The most that is known of `key` as of `at`, which may come from a node that did not know a back end's version; `None` if
+    /// the back end may have had another version then.
+    pub fn resolve(&self, key: VersionKey, at: Timestamp) -> Option<VersionKey> {
         match key {
             VersionKey::Version(_) => Some(key),
             VersionKey::BackEnd(tag) => match self.back_ends.get(&tag) {
-                Some(known) if known.has_changed => None,
+                Some(known) if known.has_changed || known.may_differ(at) => None,
                 Some(known) => Some(known.key(tag)),
                 None => Some(key),
             },
@@ -140,7 +147,7 @@
     pub fn record(&mut self, entry: &BackEndVersion, position: Position, now: Timestamp) -> RecordedVersion {
         let (tag, service) = (BackEndTag::from(&entry.back_end), ServiceTag::from(&entry.service));
         let is_incarnation = entry.back_end.started().is_some();
-        self.entry(tag, service, is_incarnation, position);
+        self.entry(tag, service, is_incarnation, position, now);
         let has_changed = self.set(tag, entry.version.clone().into(), position, now);
         let version = entry.version.as_ref();
         let is_new = version.is_some_and(|version| self.recorded.insert((service, version.fingerprint())));
@@ -165,11 +172,12 @@
 
     /// Forgets the version of a back end whose entry has changed, unless its identity includes its start: another node,
     /// which doesn't pass on versions, has announced the change, at `position`.
-    pub fn forget_unless_incarnation(&mut self, back_end: &BackEndId, position: Position) {
+    pub fn forget_unless_incarnation(&mut self, back_end: &BackEndId, position: Position, now: Timestamp) {
         if back_end.started().is_none()
             && let Some(known) = self.back_ends.get_mut(&back_end.into())
         {
             known.as_of = position;
+            known.unchanged_since = now;
             let version = std::mem::take(&mut known.version);
             if version != VersionKnowledge::Unknown {
                 known.unconfirmed = Some(version);
@@ -200,7 +208,7 @@
             let last_use = entry.retired_at.map(|retired_at| retired_at + LAST_RESORT);
             let (service, is_incarnation) =
                 (ServiceTag::from(&entry.back_end.service), entry.back_end.id.started().is_some());
-            self.entry(tag, service, is_incarnation, directory.position()).departed_at = last_use;
+            self.entry(tag, service, is_incarnation, directory.position(), now).departed_at = last_use;
         }
         self.back_ends.retain(|tag, back_end| {
             if present.contains(tag) {
@@ -250,11 +258,13 @@
         service: ServiceTag,
         is_incarnation: bool,
         position: Position,
+        now: Timestamp,
     ) -> &mut VersionedBackEnd {
         self.back_ends.entry(tag).or_insert_with(|| VersionedBackEnd {
             service,
             as_of: position,
             is_incarnation,
+            unchanged_since: now,
             version: VersionKnowledge::Unknown,
             unconfirmed: None,
             departed_at: None,
--- a/crates/core/tests/resumption.rs
+++ b/crates/core/tests/resumption.rs
@@ -303,8 +303,8 @@
 fn the_version_of_a_back_end_without_a_start_is_forgotten_when_a_peer_announces_a_change() {
     let started = (1, Some(10), Some("v1"));
     let mut view = View::of(&[started, V2], seconds(1));
-    view.table.forget_unless_incarnation(&id(started), position(2));
-    view.table.forget_unless_incarnation(&id(V2), position(2));
+    view.table.forget_unless_incarnation(&id(started), position(2), seconds(2));
+    view.table.forget_unless_incarnation(&id(V2), position(2), seconds(2));
     assert_eq!(view.table.version_of(&id(started)).label(), "v1");
     assert_eq!(view.table.version_of(&id(V2)).label(), "unknown");
     let receive = |view: &mut View, version: &str, as_of: u64| {
@@ -316,14 +316,31 @@
     assert_eq!(receive(&mut view, "v2", 1), "unknown", "the answer is from before the change");
     assert_eq!(receive(&mut view, "v2", 2), "v2");
     assert_eq!(view.table.possible(tag(), seconds(4)), BTreeSet::from([key("v1"), key("v2")]));
-    view.table.forget_unless_incarnation(&id(V2), position(3));
+    view.table.forget_unless_incarnation(&id(V2), position(3), seconds(3));
     assert_eq!(receive(&mut view, "v3", 3), "v3");
     assert_eq!(view.table.possible(tag(), seconds(4)), BTreeSet::from([key("v1"), key("v2"), key("v3")]));
-    assert_eq!(view.table.resolve(only(V2)), None, "it has had two versions");
+    assert_eq!(view.table.resolve(only(V2), seconds(4)), None, "it has had two versions");
     assert_eq!(receive(&mut view, "v2", 2), "v3", "an older answer changes nothing");
     assert_eq!(receive(&mut view, "v4", 4), "v4", "a peer announces a change that the directory doesn't show");
 }
 
+/// Guards against a version that a back end without a start has got after it began the stream.
+#[test]
+fn a_stream_of_an_unknown_version_is_not_attributed_to_a_later_one_of_its_back_end() {
+    let began = |at: u64| known(only(V2), seconds(at));
+    let late = View::of(&[V1, V2], seconds(20));
+    assert_eq!(late.search(began(5), seconds(25)).end(), None, "this node has not known the back end then");
+    let at_20 = found_version(late.search(began(20), seconds(25)).end());
+    assert_eq!(at_20, Some((key("v2"), OriginEvidence::Own)));
+    let mut present = View::default();
+    present.learn(&[V1, V2], seconds(1));
+    present.table.forget_unless_incarnation(&id(V2), position(2), seconds(10));
+    present.read(&[V1, V2], seconds(12));
+    assert_eq!(present.search(began(5), seconds(25)).end(), None, "its entry has changed since");
+    let at_11 = found_version(present.search(began(11), seconds(25)).end());
+    assert_eq!(at_11, Some((key("v2"), OriginEvidence::Own)));
+}
+
 #[test]
 fn answers_about_versions_name_what_is_known() {
     let mut view = View::of(&[V1, V2, (3, None, None)], seconds(1));
@@ -450,7 +467,7 @@
         }
         if second == began {
             let origin = views[0].table.key_of(&id(begun_at));
-            let has_changed = views[0].table.resolve(only(begun_at)).is_none();
+            let has_changed = views[0].table.resolve(only(begun_at), at(began)).is_none();
             assert!(has_changed || origin == begun_at.2.map_or(only(begun_at), key));
         }
     }
--- a/crates/relay/src/control/learner/versions.rs
+++ b/crates/relay/src/control/learner/versions.rs
@@ -83,7 +83,7 @@
         let directory = self.directory.borrow();
         for back_end in back_ends {
             if directory.get(&back_end.id).is_none_or(|known| !known.listed || known.back_end != *back_end) {
-                self.versions.borrow_mut().forget_unless_incarnation(&back_end.id, position);
+                self.versions.borrow_mut().forget_unless_incarnation(&back_end.id, position, self.clock.now());
             }
         }
     }
