Streams: a stream began when its request was sent

What callers would see: a stream that goes on at another version. By reading; not seen. Cause: the origin of a stream counts from its first event. Where a node doesn't know the version of an engine without a start, and the engine starts again with another one between the request and the first event, other nodes see an entry that has not changed since the stream began, and take its version for the stream's. Change: the time of the origin is that of the send, at the node and in the notice to the replicas. No test of its own: it takes an unknown version at the moment of sending.

--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -4,7 +4,6 @@
 
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Placed, Purpose, SendOutcome};
-use havengate_core::resumption::VersionKey;
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{MayHaveRun, NotRunReason};
 use havengate_core::world::{BackEndId, ZoneName};
@@ -18,7 +17,7 @@
 use super::candidates::{backoff_remaining, choose_back_end};
 use super::headers::strip_answer;
 use super::record::{RequestOutcome, RequestRecord};
-use super::resumption::record_origin;
+use super::resumption::{SentRequest, record_origin};
 use super::send_step::{discard, first_piece, outcome_of_head, read_full_answer, send_and_record};
 use super::stream_body::StreamBody;
 use super::traffic::{LatePrefillTimer, Traffic};
@@ -270,8 +269,9 @@
             let knowledge = self.traffic.knowledge.load();
             knowledge.versions.version_of(&back_end.id).label().clone_into(&mut record.back_end_version);
         }
-        let version_when_sent = self.traffic.knowledge.load().versions.key_of(&back_end.id);
         let sent_at = self.traffic.clock.now();
+        let version = self.traffic.knowledge.load().versions.key_of(&back_end.id);
+        let sent = SentRequest { at: sent_at, version };
         let answer = match send_and_record(self.traffic, &self.request, back_end, stage).await {
             Err(SendFailure::NoTime | SendFailure::NotSent(_) | SendFailure::NoPath(_)) => {
                 return Attempt::Ended(SendOutcome::NotSent, None);
@@ -308,9 +308,7 @@
                 }
                 Attempt::Ended(outcome, None)
             }
-            None if self.request.route.kind.is_stream() => {
-                self.stream_answer(back_end, version_when_sent, answer).await
-            }
+            None if self.request.route.kind.is_stream() => self.stream_answer(back_end, sent, answer).await,
             None => match self.buffer_answer(back_end, answer).await {
                 Some(response) => {
                     self.finish(RequestOutcome::Completed, "");
@@ -329,12 +327,7 @@
     }
 
     /// Waits for the first piece of a stream, then streams the rest to the caller.
-    async fn stream_answer(
-        &mut self,
-        back_end: &BackEnd,
-        version_when_sent: VersionKey,
-        answer: AnswerInProgress,
-    ) -> Attempt {
+    async fn stream_answer(&mut self, back_end: &BackEnd, sent: SentRequest, answer: AnswerInProgress) -> Attempt {
         let AnswerInProgress { response, lease, in_flight, run, .. } = answer;
         let (parts, mut body) = response.into_parts();
         let first = match timeout_at(self.ends_at.into(), first_piece(&mut body)).await {
@@ -352,7 +345,7 @@
         self.traffic.peer_notices.record_answer(&back_end.id);
         self.record_run(self.traffic.clock.now());
         if first.is_some() {
-            record_origin(self.traffic, &self.request, &back_end.id, version_when_sent).await;
+            record_origin(self.traffic, &self.request, &back_end.id, sent).await;
         }
         let Some(mut record) = self.record.take() else {
             return Attempt::Ended(SendOutcome::Lost, None);
--- a/crates/relay/src/callers/resumption.rs
+++ b/crates/relay/src/callers/resumption.rs
@@ -8,7 +8,7 @@
     VersionKey,
 };
 use havengate_core::routing::{RequestKind, Route};
-use havengate_core::time::whole_millis;
+use havengate_core::time::{Timestamp, whole_millis};
 use havengate_core::verdict::NotRunReason;
 use havengate_core::world::{BackEndId, ServiceName, TenantName};
 
@@ -117,14 +117,17 @@
     log::info!(event = "stream_resumed", request, resumes, version, known, age_ms:? = age_ms, waited_ms, verdict; "");
 }
 
-/// Records that `back_end` began the stream of `request`, and notifies the replicas. `version_when_sent` is the version that
-/// it had when the request was sent to it.
-pub async fn record_origin<P>(
-    traffic: &Traffic<P>,
-    request: &CallerRequest,
-    back_end: &BackEndId,
-    version_when_sent: VersionKey,
-) {
+/// A request that was sent to a back end.
+#[derive(Clone, Copy, Debug)]
+pub struct SentRequest {
+    /// When it was sent.
+    pub at: Timestamp,
+    /// The version of the back end at that time.
+    pub version: VersionKey,
+}
+
+/// Records that `back_end` began the stream of `request`, which was sent to it as `sent`, and notifies the replicas.
+pub async fn record_origin<P>(traffic: &Traffic<P>, request: &CallerRequest, back_end: &BackEndId, sent: SentRequest) {
     if !is_resumable(&request.route) || request.head.id.is_empty() {
         return;
     }
@@ -133,12 +136,12 @@
     let version = match (request.resumed_version, back_end.started()) {
         (Some(version), _) => version,
         (None, Some(_)) => knowledge.versions.key_of(back_end),
-        (None, None) => version_when_sent,
+        (None, None) => sent.version,
     };
     let origin = StreamOrigin { service: ServiceTag::from(&request.service), version };
     let tenant = request.tenant.as_ref().map(|tenant| &tenant.name);
     let stream = StreamKey::new(tenant, request.head.id.as_bytes());
     let now = traffic.clock.now();
-    traffic.origins.record(stream, origin, now, OriginSource::Own, now + knowledge.versions.kept_for());
-    traffic.peer_notices.publish_origin(stream, origin).await;
+    traffic.origins.record(stream, origin, sent.at, OriginSource::Own, now + knowledge.versions.kept_for());
+    traffic.peer_notices.publish_origin(stream, origin, sent.at).await;
 }
--- a/crates/relay/src/peer_notices/origins.rs
+++ b/crates/relay/src/peer_notices/origins.rs
@@ -48,13 +48,13 @@
         }
     }
 
-    /// Sends the replicas of a stream where it has just begun, if its service has several versions.
-    pub async fn publish_origin(&self, stream: StreamKey, origin: StreamOrigin) {
+    /// Sends the replicas of a stream where it began, if its service has several versions.
+    pub async fn publish_origin(&self, stream: StreamKey, origin: StreamOrigin, began: Timestamp) {
         let now = self.shared.clock.now();
         let needs_origins = self.shared.knowledge.load().versions.needs_origins(origin.service, now);
         if let Some(sender) = self.sender().filter(|_| needs_origins) {
             let replicas = self.peers_by_distance().ranked().replicas(stream);
-            let origins = vec![ReportedOrigin { stream, origin, age_millis: 0 }];
+            let origins = vec![report(stream, origin, began, now)];
             let notice = PeerNotice::StreamOrigins(OriginNotice { sender, origins });
             self.send(&notice, NodeMessageKind::Origins, &replicas).await;
         }
