Sight: how an answer marked its end, and what the end showed

Callers got parts of answers, framed as complete, and the logs could not tell an answer that ended with its connection from one whose error was lost, nor where in its content it ended.

AnswerBody reads all answers of back ends: streamed, buffered and discarded. AnswerEndJudge (core) follows framing and content, server-sent events as the standard ends them and JSON by its brackets, in bounded memory. request_ended has framing and end, havengate_answer_ends_total counts them. No change of logic.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every module is a state machine: the caller passes an event and the current time, and receives the actions to
 //! perform. The same code therefore runs in the node, in property tests and in simulations in virtual time.
 
+pub mod answer_end;
 pub mod authority;
 pub mod back_ends;
 pub mod claims;
--- a/crates/relay/src/back_ends/mod.rs
+++ b/crates/relay/src/back_ends/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to back ends, their load and health, and single sends of requests.
 
+mod answer_body;
 mod liveness;
 mod load;
 mod notices;
@@ -7,6 +8,7 @@
 mod pool;
 mod send;
 
+pub use answer_body::{AnswerBody, BodyError};
 pub use liveness::set_liveness;
 pub use load::{BackEndLoads, InFlight};
 pub use notices::SharedNotices;
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -9,11 +9,12 @@
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, TenantName};
 use havengate_node::clock::Clock;
-use hyper::body::Incoming;
 use hyper::header::HeaderMap;
-use hyper::{Method, Request, Response, Uri};
+use hyper::http::response::Parts;
+use hyper::{Method, Request, Uri};
 use tokio::time::timeout;
 
+use super::answer_body::AnswerBody;
 use super::load::InFlight;
 use super::pool::{ConnectError, ConnectionLoss, ConnectionPool, Detour, Lease};
 use crate::broken_runs::Run;
@@ -56,8 +57,10 @@
 
 /// An answer whose head has been received.
 pub struct AnswerInProgress {
-    /// The head, and the body as it is received.
-    pub response: Response<Incoming>,
+    /// The head.
+    pub parts: Parts,
+    /// The body as it is received.
+    pub body: AnswerBody,
     /// What the head proves about the request.
     pub judgement: AnswerHead,
     /// The back end's notice about itself.
@@ -153,7 +156,9 @@
     }
     let judgement = protocol.classify_answer(&request.head.id, answer.status(), answer.headers());
     let notice = protocol.read_notice(&request.head.id, answer.status(), answer.headers());
-    Ok(AnswerInProgress { response: answer, judgement, notice, lease, in_flight, run })
+    let (parts, incoming) = answer.into_parts();
+    let body = AnswerBody::new(&parts.headers, incoming);
+    Ok(AnswerInProgress { parts, body, judgement, notice, lease, in_flight, run })
 }
 
 fn build_request<P: Protocol>(
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -18,10 +18,10 @@
 use super::headers::strip_answer;
 use super::record::{RequestOutcome, RequestRecord};
 use super::resumption::{SentRequest, record_origin};
-use super::send_step::{discard, first_piece, outcome_of_head, read_full_answer, send_and_record};
+use super::send_step::{discard, outcome_of_head, read_full_answer, send_and_record};
 use super::stream_body::StreamBody;
 use super::traffic::{LatePrefillTimer, Traffic};
-use crate::back_ends::{AnswerInProgress, SendFailure, is_unacknowledged};
+use crate::back_ends::{AnswerInProgress, BodyError, SendFailure, is_unacknowledged};
 use crate::protocol::{AnswerHead, CacheSource, Protocol, SendStage};
 
 /// Sends `request`, with retries, until there is an answer for its caller.
@@ -321,19 +321,19 @@
 
     /// Reads the full answer before its head is passed on, so that the caller never receives part of an interrupted
     /// answer.
-    async fn buffer_answer(&self, back_end: &BackEnd, answer: AnswerInProgress) -> Option<Response<RelayBody>> {
-        let (parts, body) = read_full_answer(self.traffic, back_end, answer, self.ends_at).await?;
+    async fn buffer_answer(&mut self, back_end: &BackEnd, answer: AnswerInProgress) -> Option<Response<RelayBody>> {
+        let (parts, body) =
+            read_full_answer(self.traffic, back_end, answer, self.ends_at, self.record.as_mut()).await?;
         Some(caller_response(parts, RelayBody::Buffered(Full::new(body))))
     }
 
     /// Waits for the first piece of a stream, then streams the rest to the caller.
     async fn stream_answer(&mut self, back_end: &BackEnd, sent: SentRequest, answer: AnswerInProgress) -> Attempt {
-        let AnswerInProgress { response, lease, in_flight, run, .. } = answer;
-        let (parts, mut body) = response.into_parts();
-        let first = match timeout_at(self.ends_at.into(), first_piece(&mut body)).await {
+        let AnswerInProgress { parts, mut body, lease, in_flight, run, .. } = answer;
+        let first = match timeout_at(self.ends_at.into(), body.piece()).await {
             Err(_) => return Attempt::TimedOut,
             Ok(Err(error)) => {
-                if !is_unacknowledged(&error) {
+                if matches!(&error, BodyError::Interrupted(error) if !is_unacknowledged(error)) {
                     run.record_interruption();
                 }
                 self.traffic.loads.failed(&back_end.id, self.traffic.clock.now());
--- a/crates/relay/src/callers/prefill_step.rs
+++ b/crates/relay/src/callers/prefill_step.rs
@@ -110,7 +110,7 @@
             discard(answer, self.ends_at).await;
             return Err(outcome);
         }
-        let full_answer = read_full_answer(self.traffic, back_end, answer, self.ends_at).await;
+        let full_answer = read_full_answer(self.traffic, back_end, answer, self.ends_at, None).await;
         let (_, body) = full_answer.ok_or(SendOutcome::Lost)?;
         self.traffic.protocol.read_handle(&body).ok_or(SendOutcome::Lost)
     }
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
+use havengate_core::answer_end::{AnswerEnd, Framing};
 use havengate_core::relay::{ContentId, Urgency};
 use havengate_core::time::Timestamp;
 use havengate_core::world::{BackEndId, RouteName, ServiceName, TenantName};
 use havengate_node::clock::Clock;
 
 use super::traffic::{ActiveRequest, Traffic};
-use crate::back_ends::InFlight;
+use crate::back_ends::{AnswerBody, InFlight};
 use crate::demand::SharedDemand;
 use crate::metrics::RelayMetrics;
 
@@ -94,6 +95,10 @@
     pub last_piece: Option<Timestamp>,
     /// The longest time between two pieces.
     pub longest_pause: Option<Duration>,
+    /// How its answer marks its end.
+    pub framing: Option<Framing>,
+    /// What the end of its answer shows; `None` before it.
+    pub answer_end: Option<AnswerEnd>,
     /// Counts it as in flight at its back end.
     pub in_flight: Option<InFlight>,
     clock: Clock,
@@ -127,6 +132,8 @@
             first_piece: None,
             last_piece: None,
             longest_pause: None,
+            framing: None,
+            answer_end: None,
             in_flight: None,
             clock: traffic.clock,
             demand: traffic.demand.clone(),
@@ -145,6 +152,12 @@
         self.longest_pause = self.longest_pause.max(last.map(|last| now.since(last)));
     }
 
+    /// Records how the answer marks its end, and what the end shows once `body` is read.
+    pub fn record_end(&mut self, body: &AnswerBody) {
+        self.framing = Some(body.framing());
+        self.answer_end = body.end();
+    }
+
     /// Logs and counts the end of the request, once.
     pub fn finish(&mut self, outcome: RequestOutcome, cause: &'static str) {
         if self.active.take().is_none() {
@@ -161,6 +174,11 @@
             self.metrics.record_repeats(service, self.repeats);
         }
         self.metrics.record_end(route, outcome.code(), cause, took, first);
+        let framing = self.framing.map_or("", Framing::code);
+        let answer_end = self.answer_end.map_or("", AnswerEnd::code);
+        if self.framing.is_some() {
+            self.metrics.record_answer_end(framing, answer_end);
+        }
         log::log!(
             log_level(outcome),
             event = "request_ended",
@@ -180,6 +198,8 @@
             took_ms = millis(Some(took)),
             first_ms = millis(first),
             pause_ms = millis(self.longest_pause),
+            framing,
+            end = answer_end,
             expected_reading_ms = millis(self.expected_prefill),
             read_ms = millis(self.prefilled_after),
             late = self.urgency == Some(Urgency::Late),
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -8,14 +8,13 @@
 use havengate_core::relay::{DistanceCost, SendOutcome, Urgency};
 use havengate_core::time::{Timestamp, whole_millis};
 use havengate_core::world::Address;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use tokio::time::timeout_at;
 
 use super::caller_request::CallerRequest;
+use super::record::RequestRecord;
 use super::traffic::Traffic;
-use crate::back_ends::{AnswerInProgress, SendFailure, Sent, is_unacknowledged, send};
+use crate::back_ends::{AnswerInProgress, BodyError, SendFailure, Sent, is_unacknowledged, send};
 use crate::protocol::{AnswerHead, EngineUrgency, Protocol, SendStage};
 
 /// The largest answer that is buffered until it is complete.
@@ -244,19 +243,22 @@
     }
 }
 
-/// Reads a full answer and keeps its connection; `None` if it is interrupted or too large.
+/// Reads a full answer and keeps its connection; `None` if it is interrupted or too large. `record` is that of the
+/// request whose caller gets the answer.
 pub async fn read_full_answer<P>(
     traffic: &Traffic<P>,
     back_end: &BackEnd,
     answer: AnswerInProgress,
     ends_at: Instant,
+    record: Option<&mut RequestRecord>,
 ) -> Option<(Parts, Bytes)> {
-    let AnswerInProgress { response, judgement, lease, in_flight, run, .. } = answer;
-    let (parts, body) = response.into_parts();
-    let collected = timeout_at(ends_at.into(), Limited::new(body, BUFFERED_ANSWER_MAXIMUM_BYTES).collect()).await;
+    let AnswerInProgress { parts, mut body, judgement, lease, in_flight, run, .. } = answer;
+    let collected = timeout_at(ends_at.into(), body.read_to_end(BUFFERED_ANSWER_MAXIMUM_BYTES)).await;
     drop(in_flight);
-    let is_interruption = |error: &hyper::Error| !is_unacknowledged(error);
-    if matches!(&collected, Ok(Err(error)) if error.downcast_ref().is_some_and(is_interruption)) {
+    if let Some(record) = record {
+        record.record_end(&body);
+    }
+    if matches!(&collected, Ok(Err(BodyError::Interrupted(error))) if !is_unacknowledged(error)) {
         run.record_interruption();
     }
     let Ok(Ok(collected)) = collected else {
@@ -269,30 +271,17 @@
         traffic.peer_notices.record_answer(&back_end.id);
         run.completed();
     }
-    Some((parts, collected.to_bytes()))
+    Some((parts, collected))
 }
 
 /// Reads and drops the answer of a back end that declined, so that its connection can be reused.
-pub async fn discard(answer: AnswerInProgress, ends_at: Instant) {
-    let body = Limited::new(answer.response.into_body(), DISCARDED_ANSWER_MAXIMUM_BYTES).collect();
+pub async fn discard(mut answer: AnswerInProgress, ends_at: Instant) {
+    let body = answer.body.read_to_end(DISCARDED_ANSWER_MAXIMUM_BYTES);
     if let Ok(Ok(_)) = timeout_at(ends_at.into(), body).await {
         answer.lease.give_back();
     }
 }
 
-/// The first piece of a body; `None` for an empty one.
-///
-/// # Errors
-/// If the body is interrupted before.
-pub async fn first_piece(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            return Ok(Some(data));
-        }
-    }
-    Ok(None)
-}
-
 fn stage_label(stage: &SendStage) -> &'static str {
     match stage {
         SendStage::Prefill => "reading",
--- a/crates/relay/src/callers/stream_body.rs
+++ b/crates/relay/src/callers/stream_body.rs
@@ -6,11 +6,11 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use tokio::time::Sleep;
 
 use super::record::{RequestOutcome, RequestRecord};
-use crate::back_ends::{Lease, is_unacknowledged};
+use crate::back_ends::{AnswerBody, BodyError, Lease, is_unacknowledged};
 use crate::broken_runs::Run;
 
 /// The body of a streamed answer, with the lease of the back end's connection that it arrives on.
@@ -20,7 +20,7 @@
 /// body is dropped, which closes the back end's connection.
 pub struct StreamBody {
     first: Option<Bytes>,
-    incoming: Incoming,
+    body: AnswerBody,
     lease: Option<Lease>,
     time_limit: Pin<Box<Sleep>>,
     record: RequestRecord,
@@ -31,13 +31,13 @@
     /// A body whose first piece is read already.
     pub fn new(
         first: Option<Bytes>,
-        incoming: Incoming,
+        body: AnswerBody,
         lease: Lease,
         time_limit: Pin<Box<Sleep>>,
         record: RequestRecord,
         run: Run,
     ) -> Self {
-        StreamBody { first, incoming, lease: Some(lease), time_limit, record, run }
+        StreamBody { first, body, lease: Some(lease), time_limit, record, run }
     }
 
     fn complete(&mut self) {
@@ -45,10 +45,12 @@
             lease.give_back();
         }
         self.run.completed();
+        self.record.record_end(&self.body);
         self.record.finish(RequestOutcome::Completed, "");
     }
 
     fn interrupt(&mut self, cause: &'static str) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        self.record.record_end(&self.body);
         self.lease = None;
         self.record.finish(RequestOutcome::Interrupted, cause);
         Poll::Ready(Some(Err(io::Error::other(cause))))
@@ -67,26 +69,22 @@
         if body.lease.is_none() {
             return Poll::Ready(None);
         }
-        loop {
-            match Pin::new(&mut body.incoming).poll_frame(context) {
-                Poll::Ready(Some(Ok(frame))) if frame.is_data() => {
-                    body.record.record_piece();
-                    return Poll::Ready(Some(Ok(frame)));
-                }
-                // Trailers concern only the back end's connection.
-                Poll::Ready(Some(Ok(_))) => {}
-                Poll::Ready(Some(Err(error))) => {
-                    if !is_unacknowledged(&error) {
-                        body.run.record_interruption();
-                    }
-                    return body.interrupt("back_end_broke_off");
-                }
-                Poll::Ready(None) => {
-                    body.complete();
-                    return Poll::Ready(None);
+        match body.body.poll_piece(context) {
+            Poll::Ready(Ok(Some(piece))) => {
+                body.record.record_piece();
+                return Poll::Ready(Some(Ok(Frame::data(piece))));
+            }
+            Poll::Ready(Ok(None)) => {
+                body.complete();
+                return Poll::Ready(None);
+            }
+            Poll::Ready(Err(error)) => {
+                if matches!(&error, BodyError::Interrupted(error) if !is_unacknowledged(error)) {
+                    body.run.record_interruption();
                 }
-                Poll::Pending => break,
+                return body.interrupt("back_end_broke_off");
             }
+            Poll::Pending => {}
         }
         match body.time_limit.as_mut().poll(context) {
             Poll::Ready(()) => body.interrupt("time_limit"),
@@ -95,7 +93,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let mut hint = self.incoming.size_hint();
+        let mut hint = self.body.size_hint();
         if let (Some(first), Some(exact)) = (&self.first, hint.exact()) {
             hint.set_exact(exact + first.len() as u64);
         }
--- a/crates/relay/src/metrics/labels.rs
+++ b/crates/relay/src/metrics/labels.rs
@@ -56,6 +56,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the end of a back end's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerEndLabels {
+    /// How the answer marks its end.
+    pub framing: &'static str,
+    /// What the end shows; empty for an answer that was interrupted.
+    pub end: &'static str,
+}
+
 /// Labels of a run that a back end interrupted.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct BrokenRunLabel {
--- a/crates/relay/src/metrics/mod.rs
+++ b/crates/relay/src/metrics/mod.rs
@@ -23,8 +23,9 @@
 
 pub use self::labels::NodeMessageKind;
 use self::labels::{
-    BrokenRunLabel, DropLabel, DutyLabels, EndLabels, EstimateLabel, MessageLabel, NoticeLabel, ResumedStreamLabels,
-    RouteLabel, SendLabels, ServiceLabel, SourceLabel, StageChangeLabels, StageOrderLabel, StoreLabels, SuspectLabel,
+    AnswerEndLabels, BrokenRunLabel, DropLabel, DutyLabels, EndLabels, EstimateLabel, MessageLabel, NoticeLabel,
+    ResumedStreamLabels, RouteLabel, SendLabels, ServiceLabel, SourceLabel, StageChangeLabels, StageOrderLabel,
+    StoreLabels, SuspectLabel,
 };
 pub use self::paths::PathMetrics;
 pub use self::tenants::QuotaOutcome;
@@ -60,6 +61,7 @@
     ends: Family<EndLabels, Counter>,
     sends: Family<SendLabels, Counter>,
     repeats: Family<ServiceLabel, Counter>,
+    answer_ends: Family<AnswerEndLabels, Counter>,
     broken_runs: Family<BrokenRunLabel, Counter>,
     suspects: Family<SuspectLabel, Counter>,
     resumed_streams: Family<ResumedStreamLabels, Counter>,
@@ -111,6 +113,7 @@
             ends: Family::default(),
             sends: Family::default(),
             repeats: Family::default(),
+            answer_ends: Family::default(),
             broken_runs: Family::default(),
             suspects: Family::default(),
             resumed_streams: Family::default(),
@@ -155,6 +158,8 @@
             "Repeats that the budget paid for, of requests that ended",
             metrics.repeats.clone(),
         );
+        let answer_ends = metrics.answer_ends.clone();
+        registry.register("answer_ends", "Ends of back ends' answers, by framing and by what they show", answer_ends);
         registry.register(
             "broken_runs",
             "Runs that back ends broke off, by what has become of the back end",
@@ -285,6 +290,11 @@
         self.metrics.repeats.get_or_create(&label).inc_by(u64::from(repeats));
     }
 
+    /// Counts the end of an answer, by how it is marked and by what it shows.
+    pub fn record_answer_end(&self, framing: &'static str, end: &'static str) {
+        self.metrics.answer_ends.get_or_create(&AnswerEndLabels { framing, end }).inc();
+    }
+
     /// Counts runs that one back end interrupted, by the later state of the back end.
     pub fn record_broken_runs(&self, back_end: &'static str, runs: usize) {
         self.metrics.broken_runs.get_or_create(&BrokenRunLabel { back_end }).inc_by(runs as u64);
