Answers: a clean close alone no longer counts as the end of an answer

Callers got 200, an engine's signature and a part of the body, framed as complete. Cause: an answer without a length and chunks ends with its connection, the HTTP library reports every close as the end of the body, and a node ended its own answer in order; the cut answer then also cleared the request that ended its engine (Run::completed).

AnswerBody now ends without an error only if the answer is complete: - Content that ends inside an event or a JSON document is cut, whatever marks its end; the last piece of a body with a length is held back. - A whole JSON document proves itself. - Any other close needs a proof that the same process serves on: a connection from before the request is open still, or a new one is accepted (10 ms later, within 1 s, no other back end listed at the address, and the node has not stood still). Pieces aren't delayed. - Through a tunnel the peer that helped confirms the end: the request that opened the tunnel, sent again. A stream that is cut counts against its back end's health; a connection that ended is not returned to the pool.

Ruled out: an error that the node loses (nothing but closes is concerned, by the new fields), bytes of another answer. Found by its test while writing it: a kept connection must be older than the request, not than the end, or a check made between the two passes for a witness.

--- a/crates/core/src/paths/tunnel_messages.rs
+++ b/crates/core/src/paths/tunnel_messages.rs
@@ -52,7 +52,8 @@
     pub open: u32,
 }
 
-/// The first message on a connection to a node that offered tunnels.
+/// The first message on a connection to a node that offered tunnels. Sent again after the tunnel has ended, it asks how
+/// the tunnel ended.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct TunnelRequest {
     /// The secret of the offer.
@@ -64,7 +65,7 @@
 }
 
 /// The answer to a [`TunnelRequest`]. After [`TunnelAnswer::Connected`], the connection carries the bytes of the
-/// connection to the back end; after any other answer it is closed, and nothing has reached the back end.
+/// connection to the back end; after any other answer the connection to the peer is closed, and nothing has reached the back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum TunnelAnswer {
     /// The node is connected to the back end.
@@ -77,6 +78,11 @@
     Busy,
     /// The secret is unknown or has expired.
     Unauthorized,
+    /// The request repeats the one of a tunnel that has ended: the back end closed the connection in order, and still
+    /// serves.
+    EndedInOrder,
+    /// The request repeats the one of a tunnel that has ended, and the back end no longer serves for certain.
+    EndUnproven,
 }
 
 impl TunnelAnswer {
@@ -88,6 +94,8 @@
             TunnelAnswer::Unlisted => "unlisted",
             TunnelAnswer::Busy => "busy",
             TunnelAnswer::Unauthorized => "unauthorized",
+            TunnelAnswer::EndedInOrder => "ended_in_order",
+            TunnelAnswer::EndUnproven => "end_unproven",
         }
     }
 }
--- a/crates/relay/src/back_ends/answer_body.rs
+++ b/crates/relay/src/back_ends/answer_body.rs
@@ -1,6 +1,6 @@
 //! The body of a back end's answer, and what its end shows.
 
-use std::future::poll_fn;
+use std::future::{Future, poll_fn};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
@@ -9,27 +9,58 @@
 use hyper::body::{Body, Incoming, SizeHint};
 use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
 
+use super::end_proof::{EndProof, EndProver};
+use super::send::is_unacknowledged;
+
 /// Why a body can't be read to its end.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum BodyError {
     /// interrupted: {0}
     Interrupted(hyper::Error),
+    /// ended inside an event or a document
+    Truncated,
+    /// ended with its connection, without a proof that it is complete: {0:?}
+    Unproven(EndProof),
     /// larger than allowed
     TooLarge,
 }
 
-/// The body of a back end's answer.
+impl BodyError {
+    /// Whether the back end may have terminated: it broke the answer off, and its machine still acknowledges data.
+    pub fn suggests_termination(&self) -> bool {
+        match self {
+            BodyError::Interrupted(error) => !is_unacknowledged(error),
+            BodyError::Truncated | BodyError::Unproven(_) => true,
+            BodyError::TooLarge => false,
+        }
+    }
+
+    /// The cause in logs and metrics.
+    pub fn code(&self) -> &'static str {
+        match self {
+            BodyError::Interrupted(_) => "back_end_broke_off",
+            BodyError::Truncated => "ended_inside_content",
+            BodyError::Unproven(_) => "end_unproven",
+            BodyError::TooLarge => "too_large",
+        }
+    }
+}
+
+/// The body of a back end's answer. It ends without an error only if it is complete.
 pub struct AnswerBody {
     incoming: Incoming,
     judge: AnswerEndJudge,
+    prover: EndProver,
+    /// Set while a proof of the end is awaited.
+    proof: Option<Pin<Box<dyn Future<Output = EndProof>>>>,
     end: Option<AnswerEnd>,
 }
 
 impl AnswerBody {
     /// The body `incoming` of an answer with these headers, unread.
-    pub fn new(headers: &HeaderMap, incoming: Incoming) -> Self {
+    pub fn new(headers: &HeaderMap, incoming: Incoming, prover: EndProver) -> Self {
         let judge = AnswerEndJudge::new(framing(headers, &incoming), content(headers));
-        AnswerBody { incoming, judge, end: None }
+        AnswerBody { incoming, judge, prover, proof: None, end: None }
     }
 
     /// How the answer marks its end.
@@ -42,26 +73,62 @@
         self.end
     }
 
-    /// The next piece; `None` at the end.
+    /// The next piece; `None` at the end. Pieces are passed on as they arrive, but for the last one of an answer whose
+    /// length is known and that ends inside an event: with it the answer would look complete.
     pub fn poll_piece(&mut self, context: &mut Context<'_>) -> Poll<Result<Option<Bytes>, BodyError>> {
+        if self.proof.is_some() {
+            return self.poll_proof(context);
+        }
         loop {
             match ready!(Pin::new(&mut self.incoming).poll_frame(context)) {
-                None => {
-                    self.end = Some(self.judge.end());
-                    return Poll::Ready(Ok(None));
-                }
+                None => return self.poll_end(context),
                 Some(Err(error)) => return Poll::Ready(Err(BodyError::Interrupted(error))),
                 Some(Ok(frame)) => {
                     // Trailers concern only the back end's connection.
                     if let Ok(piece) = frame.into_data() {
-                        self.judge.record(&piece);
-                        return Poll::Ready(Ok(Some(piece)));
+                        return Poll::Ready(self.pass_on(piece));
                     }
                 }
             }
         }
     }
 
+    fn pass_on(&mut self, piece: Bytes) -> Result<Option<Bytes>, BodyError> {
+        self.judge.record(&piece);
+        let is_last = self.framing() == Framing::Length && self.incoming.is_end_stream();
+        if is_last && self.judge.end() == AnswerEnd::Truncated {
+            self.end = Some(AnswerEnd::Truncated);
+            return Err(BodyError::Truncated);
+        }
+        Ok(Some(piece))
+    }
+
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<Result<Option<Bytes>, BodyError>> {
+        let end = self.judge.end();
+        self.end = Some(end);
+        match end {
+            AnswerEnd::Complete => Poll::Ready(Ok(None)),
+            AnswerEnd::Truncated => Poll::Ready(Err(BodyError::Truncated)),
+            AnswerEnd::Unproven => {
+                self.proof = Some(Box::pin(self.prover.clone().prove()));
+                self.poll_proof(context)
+            }
+        }
+    }
+
+    fn poll_proof(&mut self, context: &mut Context<'_>) -> Poll<Result<Option<Bytes>, BodyError>> {
+        let Some(proof) = &mut self.proof else {
+            return Poll::Ready(Ok(None));
+        };
+        let proof = ready!(proof.as_mut().poll(context));
+        self.proof = None;
+        if !proof.is_complete() {
+            return Poll::Ready(Err(BodyError::Unproven(proof)));
+        }
+        self.end = Some(AnswerEnd::Complete);
+        Poll::Ready(Ok(None))
+    }
+
     /// Waits for the next piece; `None` at the end.
     ///
     /// # Errors
--- a/crates/relay/src/back_ends/load.rs
+++ b/crates/relay/src/back_ends/load.rs
@@ -89,6 +89,11 @@
 }
 
 impl InFlight {
+    /// Records that the back end didn't complete its answer.
+    pub fn record_failure(&self, now: Timestamp) {
+        self.loads.failed(&self.id, now);
+    }
+
     /// Records that the back end has sent a piece of its answer.
     pub fn record_contact(&self) {
         self.path.record_contact();
--- a/crates/relay/src/back_ends/mod.rs
+++ b/crates/relay/src/back_ends/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to back ends, their load and health, and single sends of requests.
 
 mod answer_body;
+mod end_proof;
 mod liveness;
 mod load;
 mod notices;
@@ -9,9 +10,10 @@
 mod send;
 
 pub use answer_body::{AnswerBody, BodyError};
+pub use end_proof::{EndProof, EndProver};
 pub use liveness::set_liveness;
 pub use load::{BackEndLoads, InFlight};
 pub use notices::SharedNotices;
 pub use own_call::{get_request, set_host};
-pub use pool::{ConnectError, ConnectionLoss, ConnectionPool, Detour, Lease, PoolLimits};
+pub use pool::{BackEndLiveness, ConnectError, ConnectionLoss, ConnectionPool, Detour, Lease, PoolLimits};
 pub use send::{AnswerInProgress, SendFailure, Sent, is_unacknowledged, send};
--- a/crates/relay/src/back_ends/pool/connect.rs
+++ b/crates/relay/src/back_ends/pool/connect.rs
@@ -8,7 +8,7 @@
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::{Connection, ConnectionPool, Detour, OpenConnection};
 use crate::back_ends::set_liveness;
@@ -93,7 +93,7 @@
     }
 
     async fn begin_tunnelled(&self, back_end: &BackEnd, tunnel: Tunnel) -> Result<Connection, ConnectError> {
-        let detour = Detour { peer: tunnel.peer, tunnel: tunnel.id };
+        let detour = Detour { peer: tunnel.peer, tunnel: tunnel.id, token: tunnel.token };
         self.begin_connection(back_end, tunnel.stream, Some(detour)).await
     }
 
@@ -115,7 +115,7 @@
             // The request in flight receives the error; the end of an idle connection needs no handling.
             let _ = connection.await;
         });
-        Ok(Connection { sender, task: task.abort_handle(), detour })
+        Ok(Connection { sender, task: task.abort_handle(), opened_at: Instant::now(), detour })
     }
 
     /// Opens a connection in up to `attempts` attempts; only one that timed out is followed by another.
--- a/crates/relay/src/back_ends/pool/lease.rs
+++ b/crates/relay/src/back_ends/pool/lease.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use havengate_core::answer_end::Framing;
 use havengate_core::back_ends::BackEnd;
 use hyper::client::conn::http1::SendRequest;
 
@@ -60,6 +61,13 @@
         self.idle_time = Duration::from_secs(seconds).mul_f64(self.pool.limits.keep_alive_share);
     }
 
+    /// Returns the connection to the pool, once an answer with this framing has been read to its end.
+    pub fn give_back_after(self, framing: Framing) {
+        if framing != Framing::Connection {
+            self.give_back();
+        }
+    }
+
     /// Returns the connection to the pool, once the answer has been read to its end.
     pub fn give_back(mut self) {
         if let Some(connection) = self.connection.take() {
--- a/crates/relay/src/back_ends/pool/mod.rs
+++ b/crates/relay/src/back_ends/pool/mod.rs
@@ -4,21 +4,24 @@
 mod connect;
 mod lease;
 mod limits;
+mod liveness;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use havengate_core::back_ends::BackEnd;
-use havengate_core::paths::TunnelId;
+use havengate_core::paths::{TunnelId, TunnelToken};
 use havengate_core::world::{Address, BackEndId, Distance, Topology};
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 pub use self::connect::ConnectError;
 pub use self::lease::{ConnectionLoss, Lease};
 pub use self::limits::PoolLimits;
+pub use self::liveness::BackEndLiveness;
 use crate::paths::BackEndPaths;
 use crate::protocol::RequestBody;
 use crate::tunnels::Tunnels;
@@ -30,11 +33,14 @@
     pub peer: Address,
     /// Identifies the tunnel in the logs of both nodes.
     pub tunnel: TunnelId,
+    /// The secret that the tunnel was opened with.
+    pub token: TunnelToken,
 }
 
 struct Connection {
     sender: SendRequest<RequestBody>,
     task: AbortHandle,
+    opened_at: Instant,
     /// `None` for a direct connection.
     detour: Option<Detour>,
 }
--- a/crates/relay/src/back_ends/send.rs
+++ b/crates/relay/src/back_ends/send.rs
@@ -12,9 +12,10 @@
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Uri};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::answer_body::AnswerBody;
+use super::end_proof::EndProver;
 use super::load::InFlight;
 use super::pool::{ConnectError, ConnectionLoss, ConnectionPool, Detour, Lease};
 use crate::broken_runs::Run;
@@ -117,11 +118,12 @@
     in_flight: InFlight,
     run: Run,
 ) -> Result<AnswerInProgress, SendFailure> {
+    let sent_at = Instant::now();
     let mut lease = pool.lease(back_end).await.map_err(|error| match error {
         ConnectError::NoPath(_) => SendFailure::NoPath(error.to_string()),
         _ => SendFailure::NotSent(error.to_string()),
     })?;
-    if let Some(Detour { peer, tunnel }) = lease.detour() {
+    if let Some(Detour { peer, tunnel, .. }) = lease.detour() {
         let request = request.head.id_text();
         log::info!(event = "request_tunnelled", request, back_end:% = back_end.id, peer:% = peer, tunnel:% = tunnel; "");
     }
@@ -157,7 +159,9 @@
     let judgement = protocol.classify_answer(&request.head.id, answer.status(), answer.headers());
     let notice = protocol.read_notice(&request.head.id, answer.status(), answer.headers());
     let (parts, incoming) = answer.into_parts();
-    let body = AnswerBody::new(&parts.headers, incoming);
+    let id = request.head.id_text().to_owned();
+    let prover = EndProver::new(pool.clone(), back_end.clone(), lease.detour(), sent_at, id);
+    let body = AnswerBody::new(&parts.headers, incoming, prover);
     Ok(AnswerInProgress { parts, body, judgement, notice, lease, in_flight, run })
 }
 
--- a/crates/relay/src/broken_runs.rs
+++ b/crates/relay/src/broken_runs.rs
@@ -11,45 +11,19 @@
 use havengate_core::world::BackEndId;
 use havengate_node::clock::Clock;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
-use crate::back_ends::{ConnectError, ConnectionPool};
+use crate::back_ends::{BackEndLiveness, ConnectionPool};
 use crate::engine_terminations::SharedEngineTerminations;
 use crate::metrics::RelayMetrics;
 
-/// A terminating process closes its connections and its listener one after the other. A check in between would find it
-/// alive.
-const CHECK_DELAY: Duration = Duration::from_millis(10);
-
 /// The longest that a request waits for the liveness check of an engine before it is sent on. A request waits only if
 /// an engine has already terminated while running it.
 const LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// The same limit where engines are in several regions: the check takes a round trip of 60 ms after [`CHECK_DELAY`].
+/// The same limit where engines are in several regions: the check takes a round trip of 60 ms after a delay of 10 ms.
 const DISTANT_LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Whether a back end that interrupted a run still accepts connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BackEndLiveness {
-    /// Nothing listens at its address any more.
-    Terminated,
-    /// It still accepts connections.
-    Alive,
-    /// Its machine can't be reached, or this node reaches no other back end either, so its state is unknown.
-    Unknown,
-}
-
-impl BackEndLiveness {
-    /// The name in logs and metrics.
-    pub fn code(self) -> &'static str {
-        match self {
-            BackEndLiveness::Terminated => "ended",
-            BackEndLiveness::Alive => "lives",
-            BackEndLiveness::Unknown => "unknown",
-        }
-    }
-}
-
 /// The runs that back ends interrupted. Clones share the state.
 #[derive(Clone)]
 pub struct BrokenRuns {
@@ -129,14 +103,7 @@
     }
 
     async fn check_liveness(self, back_end: BackEnd) {
-        sleep(CHECK_DELAY).await;
-        let liveness = match self.shared.pool.check(&back_end).await {
-            Ok(()) => BackEndLiveness::Alive,
-            Err(ConnectError::Refused(_)) if self.shared.pool.confirms_refusal(&back_end).await => {
-                BackEndLiveness::Terminated
-            }
-            Err(_) => BackEndLiveness::Unknown,
-        };
+        let liveness = self.shared.pool.liveness(&back_end).await;
         let runs = self.shared.unchecked.borrow_mut().remove(&back_end.id).unwrap_or_default();
         self.shared.metrics.record_broken_runs(liveness.code(), runs.len());
         if liveness == BackEndLiveness::Terminated {
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -21,7 +21,7 @@
 use super::send_step::{discard, outcome_of_head, read_full_answer, send_and_record};
 use super::stream_body::StreamBody;
 use super::traffic::{LatePrefillTimer, Traffic};
-use crate::back_ends::{AnswerInProgress, BodyError, SendFailure, is_unacknowledged};
+use crate::back_ends::{AnswerInProgress, SendFailure};
 use crate::protocol::{AnswerHead, CacheSource, Protocol, SendStage};
 
 /// Sends `request`, with retries, until there is an answer for its caller.
@@ -333,7 +333,7 @@
         let first = match timeout_at(self.ends_at.into(), body.piece()).await {
             Err(_) => return Attempt::TimedOut,
             Ok(Err(error)) => {
-                if matches!(&error, BodyError::Interrupted(error) if !is_unacknowledged(error)) {
+                if error.suggests_termination() {
                     run.record_interruption();
                 }
                 self.traffic.loads.failed(&back_end.id, self.traffic.clock.now());
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -152,6 +152,13 @@
         self.longest_pause = self.longest_pause.max(last.map(|last| now.since(last)));
     }
 
+    /// Records that the back end didn't complete its answer.
+    pub fn record_back_end_failure(&self) {
+        if let Some(in_flight) = &self.in_flight {
+            in_flight.record_failure(self.clock.now());
+        }
+    }
+
     /// Records how the answer marks its end, and what the end shows once `body` is read.
     pub fn record_end(&mut self, body: &AnswerBody) {
         self.framing = Some(body.framing());
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use havengate_core::answer_end::Framing;
 use havengate_core::back_ends::{BackEnd, BackEndNotice, LimitChange, Usability};
 use havengate_core::paths::PathFailure;
 use havengate_core::relay::{DistanceCost, SendOutcome, Urgency};
@@ -14,7 +15,7 @@
 use super::caller_request::CallerRequest;
 use super::record::RequestRecord;
 use super::traffic::Traffic;
-use crate::back_ends::{AnswerInProgress, BodyError, SendFailure, Sent, is_unacknowledged, send};
+use crate::back_ends::{AnswerInProgress, SendFailure, Sent, send};
 use crate::protocol::{AnswerHead, EngineUrgency, Protocol, SendStage};
 
 /// The largest answer that is buffered until it is complete.
@@ -258,14 +259,14 @@
     if let Some(record) = record {
         record.record_end(&body);
     }
-    if matches!(&collected, Ok(Err(BodyError::Interrupted(error))) if !is_unacknowledged(error)) {
+    if matches!(&collected, Ok(Err(error)) if error.suggests_termination()) {
         run.record_interruption();
     }
     let Ok(Ok(collected)) = collected else {
         traffic.loads.failed(&back_end.id, traffic.clock.now());
         return None;
     };
-    lease.give_back();
+    lease.give_back_after(body.framing());
     if judgement == AnswerHead::Proper {
         traffic.loads.succeeded(&back_end.id);
         traffic.peer_notices.record_answer(&back_end.id);
@@ -276,6 +277,9 @@
 
 /// Reads and drops the answer of a back end that declined, so that its connection can be reused.
 pub async fn discard(mut answer: AnswerInProgress, ends_at: Instant) {
+    if answer.body.framing() == Framing::Connection {
+        return;
+    }
     let body = answer.body.read_to_end(DISCARDED_ANSWER_MAXIMUM_BYTES);
     if let Ok(Ok(_)) = timeout_at(ends_at.into(), body).await {
         answer.lease.give_back();
--- a/crates/relay/src/callers/stream_body.rs
+++ b/crates/relay/src/callers/stream_body.rs
@@ -10,7 +10,7 @@
 use tokio::time::Sleep;
 
 use super::record::{RequestOutcome, RequestRecord};
-use crate::back_ends::{AnswerBody, BodyError, Lease, is_unacknowledged};
+use crate::back_ends::{AnswerBody, Lease};
 use crate::broken_runs::Run;
 
 /// The body of a streamed answer, with the lease of the back end's connection that it arrives on.
@@ -42,7 +42,7 @@
 
     fn complete(&mut self) {
         if let Some(lease) = self.lease.take() {
-            lease.give_back();
+            lease.give_back_after(self.body.framing());
         }
         self.run.completed();
         self.record.record_end(&self.body);
@@ -79,10 +79,11 @@
                 return Poll::Ready(None);
             }
             Poll::Ready(Err(error)) => {
-                if matches!(&error, BodyError::Interrupted(error) if !is_unacknowledged(error)) {
+                if error.suggests_termination() {
                     body.run.record_interruption();
                 }
-                return body.interrupt("back_end_broke_off");
+                body.record.record_back_end_failure();
+                return body.interrupt(error.code());
             }
             Poll::Pending => {}
         }
--- a/crates/relay/src/paths/checks.rs
+++ b/crates/relay/src/paths/checks.rs
@@ -24,6 +24,7 @@
     let mut groups_read_at: Option<Instant> = None;
     loop {
         ticks.tick().await;
+        paths.shared.stalls.record_tick();
         if groups_read_at.is_none_or(|read_at| read_at.elapsed() >= GROUPS_INTERVAL) {
             groups_read_at = Some(Instant::now());
             paths.read_groups();
--- a/crates/relay/src/paths/mod.rs
+++ b/crates/relay/src/paths/mod.rs
@@ -2,6 +2,7 @@
 
 mod checks;
 mod shared_loss;
+mod stalls;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -16,6 +17,7 @@
 
 pub use self::checks::check_paths;
 pub use self::shared_loss::SharedPathLoss;
+use self::stalls::StallMonitor;
 use crate::knowledge::{Knowledge, SharedKnowledge};
 use crate::metrics::RelayMetrics;
 
@@ -40,6 +42,7 @@
     new_losses: RefCell<Vec<PathGroup>>,
     /// Wakes what waits for a loss of paths.
     lost: Notify,
+    stalls: StallMonitor,
 }
 
 impl BackEndPaths {
@@ -50,9 +53,17 @@
         clock: Clock,
         metrics: RelayMetrics,
     ) -> Self {
-        let (groups, new_losses, lost) = (RefCell::default(), RefCell::default(), Notify::new());
         BackEndPaths {
-            shared: Rc::new(Shared { groups, knowledge, engine_path_loss, clock, metrics, new_losses, lost }),
+            shared: Rc::new(Shared {
+                groups: RefCell::default(),
+                knowledge,
+                engine_path_loss,
+                clock,
+                metrics,
+                new_losses: RefCell::default(),
+                lost: Notify::new(),
+                stalls: StallMonitor::default(),
+            }),
         }
     }
 
@@ -156,6 +167,18 @@
         self.read(group, |paths| paths.is_proven(age, now)).unwrap_or(false)
     }
 
+    /// Whether this process stood still until a moment ago, so that what it receives may be old.
+    pub fn has_stalled(&self) -> bool {
+        self.shared.stalls.has_stalled()
+    }
+
+    /// Whether the directory lists another back end at the address of `back_end`.
+    pub fn is_address_reused(&self, back_end: &BackEnd) -> bool {
+        let knowledge = self.shared.knowledge.load();
+        let mut listed = knowledge.directory.entries().map(|entry| &entry.back_end);
+        listed.any(|other| other.address == back_end.address && other.id != back_end.id)
+    }
+
     /// The groups whose paths are lost or in doubt.
     pub fn impaired(&self) -> Vec<PathGroup> {
         let now = self.shared.clock.now();
--- a/crates/relay/src/tunnels/client.rs
+++ b/crates/relay/src/tunnels/client.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use havengate_core::back_ends::BackEnd;
-use havengate_core::paths::{ChosenPeer, PathGroup, TunnelAnswer, TunnelId, TunnelRequest};
+use havengate_core::paths::{ChosenPeer, PathGroup, TunnelAnswer, TunnelId, TunnelRequest, TunnelToken};
 use havengate_core::world::{Address, Distance, ZoneName};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::{Tunnels, random_id};
+use crate::back_ends::Detour;
 use crate::control::transfer::{PeersError, TransferTimeouts, connect, read_message, write_message};
 
 /// The number of peers that are tried for one tunnel.
@@ -32,6 +33,8 @@
     pub id: TunnelId,
     /// The peer.
     pub peer: Address,
+    /// The secret that it was opened with.
+    pub token: TunnelToken,
 }
 
 /// Why no tunnel was opened. Nothing has reached the back end.
@@ -63,7 +66,7 @@
             match ask(peer, &request).await {
                 Ok((TunnelAnswer::Connected, stream)) => {
                     self.shared.metrics.paths().record_tunnel_opened("connected");
-                    return Ok(Tunnel { stream, id: request.id, peer });
+                    return Ok(Tunnel { stream, id: request.id, peer, token });
                 }
                 Ok((answer, _)) => {
                     self.shared.metrics.paths().record_tunnel_opened(answer.code());
@@ -86,6 +89,20 @@
         Err(error)
     }
 
+    /// Whether the peer of a tunnel that has ended confirms that `back_end` closed the connection in order. A peer that was
+    /// restarted doesn't know the tunnel; one of an older version opens another tunnel instead, which is closed unused.
+    pub async fn confirm_end(&self, back_end: &BackEnd, detour: Detour) -> bool {
+        let Detour { peer, tunnel, token } = detour;
+        let request = TunnelRequest { token, id: tunnel, back_end: back_end.id.clone() };
+        match ask(peer, &request).await {
+            Ok((answer, _)) => answer == TunnelAnswer::EndedInOrder,
+            Err(error) => {
+                log::warn!(event = "tunnel_end_unconfirmed", tunnel:% = tunnel, peer:% = peer, error:% = error; "");
+                false
+            }
+        }
+    }
+
     /// Chooses a peer. The first request after the paths were lost waits for an offer.
     async fn choose_or_wait(&self, group: &PathGroup, tried: &[Address]) -> Option<ChosenPeer> {
         let received = self.shared.offer_received.notified();
--- a/crates/relay/src/tunnels/copy.rs
+++ b/crates/relay/src/tunnels/copy.rs
@@ -62,12 +62,13 @@
     WriteFailed,
 }
 
-/// Copies bytes between a node (`near`) and a back end (`far`) until one of them ends.
+/// Copies bytes between a node (`near`) and a back end (`far`) until one of them ends. Calls `back_end_closed` before the
+/// node can notice that the back end has closed in order.
 ///
 /// When the node closes, the connection to the back end is closed at once. When the back end closes in order, the node
 /// gets all bytes and then the end; when the connection to the back end fails, the node's connection is reset, so that an
 /// answer that lasts until the connection ends doesn't look complete.
-pub async fn copy_both_ways(mut near: TcpStream, mut far: TcpStream) -> Copied {
+pub async fn copy_both_ways(mut near: TcpStream, mut far: TcpStream, back_end_closed: impl FnOnce()) -> Copied {
     let (mut near_reader, mut near_writer) = near.split();
     let (mut far_reader, mut far_writer) = far.split();
     let (mut upwards, mut downwards) = (0, 0);
@@ -84,7 +85,10 @@
         },
     };
     match end {
-        TunnelEnd::BackEndClosed => close_in_order(&mut near).await,
+        TunnelEnd::BackEndClosed => {
+            back_end_closed();
+            close_in_order(&mut near).await;
+        }
         TunnelEnd::BackEndFailed => reset_on_close(&near),
         TunnelEnd::NodeClosed | TunnelEnd::NodeFailed => {}
     }
--- a/crates/relay/src/tunnels/mod.rs
+++ b/crates/relay/src/tunnels/mod.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod copy;
+mod ended;
 mod server;
 
 use std::cell::RefCell;
@@ -20,6 +21,7 @@
 use tokio::sync::Notify;
 
 pub use self::client::{Tunnel, TunnelError};
+use self::ended::EndedTunnels;
 pub use self::server::serve_tunnels;
 use crate::metrics::RelayMetrics;
 use crate::paths::{BackEndPaths, PROOF_AGE};
@@ -33,6 +35,7 @@
 struct Shared {
     offers: RefCell<TunnelOffers>,
     grants: RefCell<TunnelGrants>,
+    ended: RefCell<EndedTunnels>,
     /// Wakes requests that wait for an offer.
     offer_received: Notify,
     paths: BackEndPaths,
@@ -48,6 +51,7 @@
             shared: Rc::new(Shared {
                 offers: RefCell::new(TunnelOffers::new(TunnelOffersConfig::default())),
                 grants: RefCell::new(TunnelGrants::new(TunnelGrantsConfig::default())),
+                ended: RefCell::default(),
                 offer_received: Notify::new(),
                 paths,
                 topology,
--- a/crates/relay/src/tunnels/server.rs
+++ b/crates/relay/src/tunnels/server.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::Tunnels;
-use super::copy::copy_both_ways;
+use super::copy::{TunnelEnd, copy_both_ways};
 use crate::back_ends::set_liveness;
 use crate::callers::Traffic;
 use crate::control::transfer::{SILENCE_TIME_LIMIT, TransferTimeouts, read_small_message, write_message};
@@ -30,6 +30,9 @@
 /// The pause after a failed accept, most likely because no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How long a tunnel counts as open after its back end closed it, so that the peer can ask how it ended.
+const END_QUERY_TIME: Duration = Duration::from_millis(200);
+
 /// Accepts tunnels on `listener`; never returns.
 pub async fn serve_tunnels<P: 'static>(traffic: Rc<Traffic<P>>, listener: TcpListener) {
     let greetings = Rc::new(Semaphore::new(UNAUTHORIZED_MAXIMUM));
@@ -72,6 +75,11 @@
     set_liveness(&near, SILENCE_TIME_LIMIT);
     // The sender of a malformed message gets no answer.
     let request: TunnelRequest = read_small_message(&mut near, GREETING_MAXIMUM_BYTES, timeouts).await.ok()?;
+    if let Some(answer) = end_of_tunnel(traffic, &request, source).await {
+        // A peer without the answer takes the end as unproven.
+        let _ = write_message(&mut near, &answer, timeouts).await;
+        return None;
+    }
     let authorized = authorize(traffic, &request, source);
     let connected = match authorized {
         Ok((peer, back_end)) => {
@@ -90,6 +98,17 @@
     Some(ServedTunnel { tunnels: traffic.tunnels.clone(), request, peer, near, far })
 }
 
+/// The answer to a request that repeats the one of an ended tunnel; `None` for a request for a new tunnel.
+async fn end_of_tunnel<P>(traffic: &Traffic<P>, request: &TunnelRequest, source: IpAddr) -> Option<TunnelAnswer> {
+    let (opened_at, ended_at) = traffic.tunnels.shared.ended.borrow().find(request, source)?;
+    let listed = traffic.knowledge.load().directory.get(&request.back_end).map(|entry| entry.back_end.clone());
+    let is_proven = match listed {
+        Some(back_end) => traffic.pool.prove_life_after_close(&back_end, opened_at, ended_at).await.is_complete(),
+        None => false,
+    };
+    Some(if is_proven { TunnelAnswer::EndedInOrder } else { TunnelAnswer::EndUnproven })
+}
+
 /// The peer that may open the tunnel, and the back end to connect to.
 fn authorize<P>(
     traffic: &Traffic<P>,
@@ -113,11 +132,18 @@
     /// Copies bytes until one of the connections ends.
     async fn run(self) {
         let ServedTunnel { tunnels, request, peer, near, far } = self;
-        let (tunnel, back_end) = (request.id, request.back_end);
+        let (tunnel, back_end) = (request.id, &request.back_end);
         log::info!(event = "tunnel_served", tunnel:% = tunnel, back_end:% = back_end, peer:% = peer; "");
         tunnels.shared.grants.borrow_mut().record_opened();
         let began = Instant::now();
-        let copied = copy_both_ways(near, far).await;
+        let copied = copy_both_ways(near, far, || {
+            tunnels.shared.ended.borrow_mut().record(request.clone(), peer.0.ip(), began);
+        });
+        let copied = copied.await;
+        // A stopping process waits for open tunnels, and the peer may ask how this one ended.
+        if copied.end == TunnelEnd::BackEndClosed {
+            sleep(END_QUERY_TIME).await;
+        }
         tunnels.shared.grants.borrow_mut().record_closed();
         let (bytes, end) = (copied.bytes, copied.end.code());
         tunnels.shared.metrics.paths().record_tunnel_bytes(bytes);
