Callers: a cut answer that would end with its connection resets it

An answer without a length to a caller of HTTP/1.0 ends with its connection, and a cut one was closed in order: complete for the caller. So was one whose node was killed. After a back end's HTTP/1.0 the answer to a caller of HTTP/1.1 went out as HTTP/1.0 too, without chunks, and had the same fault.

The connection is set to end by a reset as long as such an answer is incomplete, which also holds when the process is killed; it ends in order once the answer is complete. Answers are always HTTP/1.1 on our side, so that callers who know chunks get them.

--- a/crates/relay/src/callers/answer.rs
+++ b/crates/relay/src/callers/answer.rs
@@ -12,6 +12,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 
+use super::caller_socket::CloseMode;
 use super::stream_body::StreamBody;
 
 /// The body of an answer to a caller.
@@ -22,6 +23,15 @@
     Stream(Box<StreamBody>),
 }
 
+impl RelayBody {
+    /// Lets the caller's connection end by a reset until the answer is complete.
+    pub fn reset_unless_complete(&mut self, close_mode: CloseMode) {
+        if let RelayBody::Stream(body) = self {
+            body.reset_unless_complete(close_mode);
+        }
+    }
+}
+
 impl Body for RelayBody {
     type Data = Bytes;
     type Error = io::Error;
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -8,8 +8,8 @@
 use havengate_core::verdict::{MayHaveRun, NotRunReason};
 use havengate_core::world::{BackEndId, ZoneName};
 use http_body_util::Full;
-use hyper::Response;
 use hyper::http::response::Parts;
+use hyper::{Response, Version};
 use tokio::time::{sleep_until, timeout_at};
 
 use super::answer::{LocalAnswer, RelayBody};
@@ -404,7 +404,10 @@
     }
 }
 
+/// The response to the caller. Its version is that of the node: after a back end's HTTP/1.0, the caller's answer would have
+/// no chunks, and would end with the connection.
 fn caller_response(mut parts: Parts, body: RelayBody) -> Response<RelayBody> {
     strip_answer(&mut parts.headers);
+    parts.version = Version::HTTP_11;
     Response::from_parts(parts, body)
 }
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod caller_request;
+mod caller_socket;
 mod candidates;
 mod exchange_driver;
 mod handler;
--- a/crates/relay/src/callers/server.rs
+++ b/crates/relay/src/callers/server.rs
@@ -5,13 +5,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use super::answer::RelayBody;
+use super::caller_socket::{CallerSocket, CloseMode};
 use super::handler::handle;
 use super::traffic::Traffic;
 use crate::back_ends::set_liveness;
@@ -106,16 +110,18 @@
 fn open_connection<P: Protocol>(traffic: &Rc<Traffic<P>>, stream: TcpStream, mut phase: watch::Receiver<ServerPhase>) {
     let _ = stream.set_nodelay(true);
     set_liveness(&stream, CALLER_SILENCE_TIME_LIMIT);
+    let socket = CallerSocket::new(stream);
+    let close_mode = socket.close_mode();
     let service_traffic = Rc::clone(traffic);
     let service = service_fn(move |request| {
-        let traffic = Rc::clone(&service_traffic);
-        async move { Ok::<_, std::convert::Infallible>(handle(traffic, request).await) }
+        let (traffic, close_mode) = (Rc::clone(&service_traffic), close_mode.clone());
+        async move { Ok::<_, std::convert::Infallible>(answer(traffic, request, close_mode).await) }
     });
     let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_time_limit(traffic))
         .max_buf_size(HEAD_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tokio::task::spawn_local(async move {
         tokio::pin!(connection);
         let closing = async {
@@ -131,6 +137,21 @@
     });
 }
 
+/// Answers one request. An answer that will end with its connection, as the caller knows no chunks, resets the connection
+/// unless it is sent in full.
+async fn answer<P: Protocol>(
+    traffic: Rc<Traffic<P>>,
+    request: Request<Incoming>,
+    close_mode: CloseMode,
+) -> Response<RelayBody> {
+    let knows_chunks = request.version() >= Version::HTTP_11;
+    let mut response = handle(traffic, request).await;
+    if !knows_chunks && response.body().size_hint().exact().is_none() {
+        response.body_mut().reset_unless_complete(close_mode);
+    }
+    response
+}
+
 fn idle_time_limit<P>(traffic: &Traffic<P>) -> Duration {
     let knowledge = traffic.knowledge.load();
     let limits = knowledge.configuration.as_ref().map(|active| active.configuration.limits);
--- a/crates/relay/src/callers/stream_body.rs
+++ b/crates/relay/src/callers/stream_body.rs
@@ -9,6 +9,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::time::Sleep;
 
+use super::caller_socket::CloseMode;
 use super::record::{RequestOutcome, RequestRecord};
 use crate::back_ends::{AnswerBody, Lease};
 use crate::broken_runs::Run;
@@ -25,6 +26,8 @@
     time_limit: Pin<Box<Sleep>>,
     record: RequestRecord,
     run: Run,
+    /// Set for an answer that ends with the caller's connection.
+    close_mode: Option<CloseMode>,
 }
 
 impl StreamBody {
@@ -37,13 +40,22 @@
         record: RequestRecord,
         run: Run,
     ) -> Self {
-        StreamBody { first, body, lease: Some(lease), time_limit, record, run }
+        StreamBody { first, body, lease: Some(lease), time_limit, record, run, close_mode: None }
+    }
+
+    /// Lets the caller's connection end by a reset until the answer is complete.
+    pub fn reset_unless_complete(&mut self, close_mode: CloseMode) {
+        close_mode.reset();
+        self.close_mode = Some(close_mode);
     }
 
     fn complete(&mut self) {
         if let Some(lease) = self.lease.take() {
             lease.give_back_after(self.body.framing());
         }
+        if let Some(close_mode) = &self.close_mode {
+            close_mode.in_order();
+        }
         self.run.completed();
         self.record.record_end(&self.body);
         self.record.finish(RequestOutcome::Completed, "");
