Sight: the parts of the prompt of a run that was broken off

run_broken has parts, so that a part in common can be told from engines that are overrun. SharedPart (core) names the parts of a prompt that other requests may share, within one service. No change of logic.

--- a/crates/relay/src/broken_runs.rs
+++ b/crates/relay/src/broken_runs.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use havengate_core::back_ends::BackEnd;
-use havengate_core::relay::{ContentId, TerminatedRun};
+use havengate_core::relay::{ContentId, SharedPart, TerminatedRun};
 use havengate_core::time::{Timestamp, whole_millis};
 use havengate_core::world::BackEndId;
 use havengate_node::clock::Clock;
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::back_ends::{BackEndLiveness, ConnectionPool};
+use crate::callers::CallerRequest;
 use crate::engine_terminations::SharedEngineTerminations;
 use crate::metrics::RelayMetrics;
 
@@ -59,10 +60,16 @@
     }
 
     /// Records that `request` is about to be sent to `back_end`, either for a complete run or for its prefill alone.
-    pub fn begin(&self, back_end: &BackEnd, content: ContentId, request: &str, is_prefill: bool) -> Run {
+    pub fn begin(&self, back_end: &BackEnd, request: &CallerRequest, is_prefill: bool) -> Run {
         let sent_at = self.shared.clock.now();
-        let details =
-            RunDetails { back_end: back_end.clone(), content, request: request.to_owned(), is_prefill, sent_at };
+        let details = RunDetails {
+            back_end: back_end.clone(),
+            content: request.content,
+            shared_parts: Rc::clone(&request.shared_parts),
+            request: request.head.id_text().to_owned(),
+            is_prefill,
+            sent_at,
+        };
         Run { runs: self.clone(), details: Rc::new(details) }
     }
 
@@ -117,6 +124,7 @@
                 event = "run_broken",
                 request,
                 content:% = content,
+                parts = part_ids(&run.shared_parts),
                 back_end:% = back_end.id,
                 fate = liveness.code(),
                 is_reading = run.is_prefill,
@@ -127,6 +135,15 @@
     }
 }
 
+/// The most parts of a prompt that a line of the log lists.
+const LOGGED_PARTS_MAXIMUM: usize = 8;
+
+/// The parts of a prompt as callers declare them, for the log.
+fn part_ids(parts: &[SharedPart]) -> String {
+    let ids: Vec<String> = parts.iter().take(LOGGED_PARTS_MAXIMUM).map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 /// A request's run at a back end. Clones refer to the same run.
 #[derive(Clone)]
 pub struct Run {
@@ -137,6 +154,7 @@
 struct RunDetails {
     back_end: BackEnd,
     content: ContentId,
+    shared_parts: Rc<[SharedPart]>,
     request: String,
     /// Whether the back end runs only the prefill.
     is_prefill: bool,
--- a/crates/relay/src/callers/caller_request.rs
+++ b/crates/relay/src/callers/caller_request.rs
@@ -1,9 +1,10 @@
 //! A caller's request in the form that the node routes and sends.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use havengate_core::relay::{ContentId, Prompt, Urgency};
+use havengate_core::relay::{ContentId, Prompt, SharedPart, Urgency};
 use havengate_core::resumption::VersionKey;
 use havengate_core::routing::{Route, TenantAccess};
 use havengate_core::time::Timestamp;
@@ -32,6 +33,8 @@
     pub head: RequestHead,
     /// The id of its content, the same for each copy of the request.
     pub content: ContentId,
+    /// The parts of its prompt that other requests may share.
+    pub shared_parts: Rc<[SharedPart]>,
     /// The route.
     pub route: Arc<Route>,
     /// The tenant, by the request's key; `None` for an anonymous request.
--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use havengate_core::relay::{ContentId, Urgency};
+use havengate_core::relay::{ContentId, SharedPart, Urgency};
 use havengate_core::routing::{CallerLimits, Route, TenantAccess};
 use havengate_core::verdict::NotRunReason;
 use havengate_core::world::TenantName;
@@ -75,10 +75,12 @@
     record.service = Some(service.clone());
     let content = content_id(&parts, record.tenant.as_ref(), &body);
     record.content = Some(content);
+    let shared_parts = head.prompt.as_ref().map(|prompt| SharedPart::of_prompt(&service, prompt)).unwrap_or_default();
     let permit = admit(traffic, tenant.as_deref(), &head, time_limit).await?;
     strip_request(&mut parts.headers);
     Ok(CallerRequest {
         content,
+        shared_parts: shared_parts.into(),
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -16,6 +16,7 @@
 mod traffic;
 
 pub use answer::{LocalAnswer, RelayBody};
+pub use caller_request::CallerRequest;
 pub use handler::handle;
 pub use record::RequestRecord;
 pub use server::{CallerServer, LAST_CONNECTIONS_GRACE, ServerPhase, listen};
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -52,7 +52,7 @@
     record_call(traffic, request, back_end, sent_at);
     let in_flight = traffic.loads.begin(&back_end.id, traffic.paths.begin_request(back_end), sent_at);
     let is_prefill = matches!(stage, SendStage::Prefill);
-    let run = traffic.broken_runs.begin(back_end, request.content, request.head.id_text(), is_prefill);
+    let run = traffic.broken_runs.begin(back_end, request, is_prefill);
     let result = send(&traffic.protocol, &traffic.pool, back_end, &sent, in_flight, run.clone()).await;
     if let Err(SendFailure::Lost(_)) = &result {
         run.record_interruption();
