Parts of prompts that terminate engines are blocked at all nodes

Cause: what is known of engines that ended is kept by the content of whole requests, and these are new ones each time; what they have in common was kept nowhere.

EngineTerminations now has a second instance, for the parts of prompts that other requests may share, of one service. What differs: - A part in a complete answer of the last minute is sound; terminations don't count against it. When a block lapses, one node tries one request a minute. - Nodes exchange it by a notice of its own kind (PartTerminations) and keep it under a kind of object of its own (havengate-blocked-parts); layouts of before are unchanged.

--- a/crates/core/src/relay/attribution.rs
+++ b/crates/core/src/relay/attribution.rs
@@ -40,6 +40,18 @@
     /// common cause and count once, unless the request was sent to the second engine only after the first had
     /// terminated.
     pub coincidence_window: Duration,
+    /// The number of terminations from which on two requests are both blocked if the culprit can't be determined.
+    pub undecided_maximum: usize,
+    /// Whether the contents are parts of requests, which may contain several of them. Parts with the same terminations are
+    /// then attributed together, and a request is blocked only if it contains all of them.
+    pub are_parts: bool,
+}
+
+impl AttributionRules {
+    /// Rules for whole requests, of which an engine runs each by itself.
+    pub const fn for_requests(threshold: usize, coincidence_window: Duration) -> Self {
+        AttributionRules { threshold, coincidence_window, undecided_maximum: 2 * threshold, are_parts: false }
+    }
 }
 
 /// Returns the requests that `terminations`, sorted oldest first, are attributed to.
@@ -47,7 +59,7 @@
 /// The request with the most terminations is handled first, and terminations attributed to it do not count against the
 /// others. If two requests have equally many, and removing those of one would leave the other below the threshold, the
 /// culprit can't be determined: nothing is attributed to either until another termination distinguishes them, or until
-/// both reach twice the threshold.
+/// both reach `undecided_maximum`.
 pub fn attribute_terminations(terminations: &[EngineTermination], rules: &AttributionRules) -> Vec<Attribution> {
     let count = |content: &ContentId, indices: &BTreeSet<usize>| {
         distinct_terminations(terminations, *content, indices, rules.coincidence_window)
@@ -64,9 +76,10 @@
             unattributed.extract_if(.., |content, indices| count(content, indices) == most).collect();
         for (content, indices) in &leaders {
             let leaves_enough = |(other, theirs): (&ContentId, &BTreeSet<usize>)| {
-                other == content || count(other, &(theirs - indices)) >= rules.threshold
+                let is_companion = rules.are_parts && theirs == indices;
+                other == content || is_companion || count(other, &(theirs - indices)) >= rules.threshold
             };
-            if most >= 2 * rules.threshold || leaders.iter().all(leaves_enough) {
+            if most >= rules.undecided_maximum || leaders.iter().all(leaves_enough) {
                 let last = indices.iter().map(|index| terminations[*index].at).max().unwrap_or_default();
                 attributions.push(Attribution { content: *content, terminations: count(content, &all[content]), last });
                 unattributed.values_mut().for_each(|remaining| *remaining = &*remaining - indices);
@@ -75,6 +88,19 @@
     }
 }
 
+/// The other contents with the same terminations as `content`.
+pub(super) fn companions(
+    terminations: &[EngineTermination],
+    content: ContentId,
+    others: impl Iterator<Item = ContentId>,
+) -> Vec<ContentId> {
+    let has_same = |other: &ContentId| {
+        let is_same = |end: &EngineTermination| end.runs.contains_key(&content) == end.runs.contains_key(other);
+        *other != content && terminations.iter().all(is_same)
+    };
+    others.filter(has_same).collect()
+}
+
 /// Counts the terminations among `indices` against a request; those within one coincidence window count once.
 fn distinct_terminations(
     terminations: &[EngineTermination],
--- a/crates/core/src/relay/engine_terminations.rs
+++ b/crates/core/src/relay/engine_terminations.rs
@@ -11,7 +11,8 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
-use super::attribution::{Attribution, AttributionRules, EngineTermination, attribute_terminations};
+use super::answered_contents::AnsweredContents;
+use super::attribution::{Attribution, AttributionRules, EngineTermination, attribute_terminations, companions};
 use super::content::ContentId;
 use super::engine_tag::EngineTag;
 use super::termination_notice::{AnsweredContent, ReportedRun, ReportedTermination, TerminationNotice};
@@ -45,12 +46,40 @@
     pub notice_maximum: usize,
     /// How often each announcement is sent, since datagrams may be lost.
     pub transmissions: u32,
+    /// How long after a complete answer terminations don't count against a content.
+    pub answer_validity: Duration,
+    /// The number of terminations from which on a block lasts for `longest_block`.
+    pub final_terminations: usize,
+}
+
+impl EngineTerminationsConfig {
+    /// Limits for parts of prompts.
+    ///
+    /// Parts are shared: most of those that an engine ran are in complete answers all the time. A part that terminates
+    /// engines stays so, while its requests are new ones each time, so blocks are long, and from the sixth termination on
+    /// there are no more attempts.
+    pub fn for_parts() -> Self {
+        EngineTerminationsConfig {
+            rules: AttributionRules {
+                undecided_maximum: 5,
+                are_parts: true,
+                ..EngineTerminationsConfig::default().rules
+            },
+            first_block: Duration::from_secs(600),
+            longest_block: Duration::from_secs(86_400),
+            retention: Duration::from_secs(86_400),
+            contents_maximum: 192,
+            answer_validity: Duration::from_secs(60),
+            final_terminations: 6,
+            ..EngineTerminationsConfig::default()
+        }
+    }
 }
 
 impl Default for EngineTerminationsConfig {
     fn default() -> Self {
         EngineTerminationsConfig {
-            rules: AttributionRules { threshold: 3, coincidence_window: Duration::from_millis(50) },
+            rules: AttributionRules::for_requests(3, Duration::from_millis(50)),
             first_block: Duration::from_secs(120),
             longest_block: Duration::from_secs(3_600),
             retention: Duration::from_secs(7_200),
@@ -60,6 +89,8 @@
             pending_maximum: 512,
             notice_maximum: 40,
             transmissions: 2,
+            answer_validity: Duration::ZERO,
+            final_terminations: usize::MAX,
         }
     }
 }
@@ -95,6 +126,10 @@
     /// The number of `terminations` that contain a request.
     counts: HashMap<ContentId, usize>,
     attributions: BTreeMap<ContentId, Attribution>,
+    /// The parts that are attributed together with each attributed one.
+    companions: BTreeMap<ContentId, Vec<ContentId>>,
+    /// What was answered completely a short time ago.
+    answered: AnsweredContents,
     /// Requests that received a complete answer after engines had terminated while running them, with the time of the
     /// answer; oldest first. A peer that did not receive that update may continue to report the terminations before it.
     cleared: VecDeque<(ContentId, Timestamp)>,
@@ -115,6 +150,8 @@
             terminations: VecDeque::new(),
             counts: HashMap::new(),
             attributions: BTreeMap::new(),
+            companions: BTreeMap::new(),
+            answered: AnsweredContents::new(config.answer_validity),
             cleared: VecDeque::new(),
             pending: VecDeque::new(),
         }
@@ -124,14 +161,16 @@
     /// blocked.
     pub fn record_termination(&mut self, engine: EngineTag, runs: &[TerminatedRun], at: Timestamp) -> Vec<Attribution> {
         let remaining = self.config.transmissions;
-        for run in runs {
+        let suspects: Vec<TerminatedRun> =
+            runs.iter().filter(|run| !self.answered.is_sound(run.content, at)).copied().collect();
+        for run in &suspects {
             self.pending.push_back(PendingAnnouncement {
                 announcement: Announcement::Terminated { engine, run: *run, at },
                 remaining,
             });
         }
         self.truncate_pending();
-        self.insert(engine, at, runs);
+        self.insert(engine, at, &suspects);
         self.update_attributions()
     }
 
@@ -149,6 +188,7 @@
         }
         for answered in &notice.answered {
             let answered_at = now - Duration::from_micros(answered.age_micros);
+            self.answered.record(answered.content, answered_at);
             if self.clear(answered.content, answered_at) {
                 self.record_cleared(answered.content, answered_at);
             }
@@ -156,11 +196,25 @@
         self.update_attributions()
     }
 
+    /// Announces the contents in a peer's `notice` that were answered completely here a short time ago: the peer counts
+    /// terminations against them because it has not seen an answer.
+    pub fn announce_sound(&mut self, notice: &TerminationNotice, now: Timestamp) {
+        for termination in &notice.terminations {
+            let at = now - Duration::from_micros(termination.age_micros);
+            for run in &termination.runs {
+                if self.answered.is_sound(run.content, at) && !self.is_answer_pending(run.content) {
+                    self.announce_answered(run.content, at);
+                }
+            }
+        }
+    }
+
     /// Records that a request received a complete answer: it doesn't terminate its engines, so it only ran beside a
     /// request that does, or on engines that terminated for another reason. Returns the requests that are newly blocked
     /// because the terminations are now attributed to them; `None` when no engine had terminated while running the
     /// request.
     pub fn record_answered(&mut self, content: ContentId, now: Timestamp) -> Option<Vec<Attribution>> {
+        self.answered.record(content, now);
         if !self.clear(content, now) {
             return None;
         }
@@ -174,6 +228,11 @@
         self.attributions.contains_key(&content)
     }
 
+    /// The number of engines that have terminated while running a request.
+    pub fn terminations_of(&self, content: ContentId) -> usize {
+        self.counts.get(&content).copied().unwrap_or_default()
+    }
+
     /// Whether an engine has terminated while running a request.
     pub fn is_suspect(&self, content: ContentId) -> bool {
         self.counts.contains_key(&content)
@@ -185,6 +244,25 @@
         (now < until).then_some(until)
     }
 
+    /// When the block of a request with these parts expires, and the part that blocks it; `None` when it isn't blocked.
+    pub fn parts_blocked_until(
+        &self,
+        parts: impl Iterator<Item = ContentId> + Clone,
+        now: Timestamp,
+    ) -> Option<(ContentId, Timestamp)> {
+        let has_companions = |part: &ContentId| {
+            let companions = self.companions.get(part).into_iter().flatten();
+            companions.into_iter().all(|companion| parts.clone().any(|other| other == *companion))
+        };
+        let blocking = parts.clone().filter(has_companions);
+        blocking.filter_map(|part| Some((part, self.blocked_until(part, now)?))).max_by_key(|(_, until)| *until)
+    }
+
+    /// Whether any termination is attributed to any content.
+    pub fn has_attributions(&self) -> bool {
+        !self.attributions.is_empty()
+    }
+
     /// The number of requests that are blocked at `now`.
     pub fn blocked_count(&self, now: Timestamp) -> usize {
         self.attributions.values().filter(|attribution| now < self.block_expiry(attribution)).count()
@@ -293,6 +371,7 @@
         for TerminatedRun { content, sent_at } in runs {
             let is_known = termination.runs.contains_key(content);
             if !is_known
+                && !self.answered.is_sound(*content, termination.at)
                 && !was_cleared(content, termination.at)
                 && termination.runs.len() < self.config.contents_maximum
             {
@@ -329,22 +408,19 @@
     /// Announces an answer again when a peer reports its request for a termination before that answer: the peer has not
     /// received the announcement.
     fn announce_cleared_again(&mut self, runs: &[TerminatedRun], terminated_at: Timestamp) {
-        let is_pending = |content: ContentId| {
-            let announces = |pending: &PendingAnnouncement| {
-                matches!(
-                    pending.announcement,
-                    Announcement::Answered { content: answered, .. } if answered == content
-                )
-            };
-            self.pending.iter().any(announces)
-        };
         let is_reported_wrongly = |(content, at): &&(ContentId, Timestamp)| {
-            terminated_at <= *at && runs.iter().any(|run| run.content == *content) && !is_pending(*content)
+            terminated_at <= *at && runs.iter().any(|run| run.content == *content) && !self.is_answer_pending(*content)
         };
         let again: Vec<(ContentId, Timestamp)> = self.cleared.iter().filter(is_reported_wrongly).copied().collect();
         again.into_iter().for_each(|(content, at)| self.announce_answered(content, at));
     }
 
+    /// Whether the announcement of an answer is pending.
+    fn is_answer_pending(&self, content: ContentId) -> bool {
+        let announces = |pending: &PendingAnnouncement| matches!(pending.announcement, Announcement::Answered { content: answered, .. } if answered == content);
+        self.pending.iter().any(announces)
+    }
+
     fn announce_answered(&mut self, content: ContentId, at: Timestamp) {
         self.pending.push_back(PendingAnnouncement {
             announcement: Announcement::Answered { content, at },
@@ -372,7 +448,12 @@
             Vec::new()
         };
         let attributions = attribute_terminations(&terminations, &self.config.rules);
-        let attributions = attributions.into_iter().map(|attribution| (attribution.content, attribution)).collect();
+        let attributions: BTreeMap<ContentId, Attribution> =
+            attributions.into_iter().map(|attribution| (attribution.content, attribution)).collect();
+        if self.config.rules.are_parts {
+            let together = |content: &ContentId| companions(&terminations, *content, attributions.keys().copied());
+            self.companions = attributions.keys().map(|content| (*content, together(content))).collect();
+        }
         let before = std::mem::replace(&mut self.attributions, attributions);
         self.attributions.values().filter(|attribution| !before.contains_key(&attribution.content)).copied().collect()
     }
@@ -396,6 +477,9 @@
     }
 
     fn block_expiry(&self, attribution: &Attribution) -> Timestamp {
+        if attribution.terminations >= self.config.final_terminations {
+            return attribution.last + self.config.longest_block;
+        }
         let further =
             u32::try_from(attribution.terminations.saturating_sub(self.config.rules.threshold)).unwrap_or(u32::MAX);
         attribution.last + doubled(self.config.first_block, further, self.config.longest_block)
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions about one opaque request: where it is sent, whether it is sent again, and its final outcome.
 
 mod announcement_pace;
+mod answered_contents;
 mod attribution;
 mod content;
 mod distance_cost;
@@ -30,6 +31,7 @@
 mod urgency;
 
 pub use announcement_pace::{AnnouncementPace, AnnouncementPaceConfig};
+pub use answered_contents::AnsweredContents;
 pub use attribution::{Attribution, AttributionRules, EngineTermination, attribute_terminations};
 pub use content::{ContentId, InvalidContentId};
 pub use distance_cost::{CacheScope, DistanceCost};
--- a/crates/core/src/relay/peer_notice.rs
+++ b/crates/core/src/relay/peer_notice.rs
@@ -51,6 +51,8 @@
     OriginQuery(OriginQuery),
     /// The answer to a query for where a stream began.
     OriginAnswer(OriginAnswer),
+    /// Engines that terminated while running requests with these parts in their prompts for the sender.
+    PartTerminations(TerminationNotice),
 }
 
 /// The parts that a node estimates to be in an engine's cache.
--- a/crates/core/tests/relay_engine_ends.rs
+++ b/crates/core/tests/relay_engine_ends.rs
@@ -348,7 +348,7 @@
 
 #[test]
 fn terminations_are_attributed_to_the_culprit_and_not_to_random_bystanders() {
-    let rules = AttributionRules { threshold: 3, coincidence_window: Duration::from_millis(50) };
+    let rules = AttributionRules::for_requests(3, Duration::from_millis(50));
     for seed in 0..200 {
         let mut random = fastrand::Rng::with_seed(seed);
         let terminations: Vec<EngineTermination> = (0..6)
--- a/crates/relay/src/broken_runs.rs
+++ b/crates/relay/src/broken_runs.rs
@@ -1,7 +1,7 @@
 //! Runs of requests that back ends interrupted, and whether those back ends have terminated.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +25,9 @@
 /// The same limit where engines are in several regions: the check takes a round trip of 60 ms after a delay of 10 ms.
 const DISTANT_LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How many terminations with copies of one request count against the parts of its prompt: fewer than block a part.
+const COPIES_COUNTED_MAXIMUM: usize = 2;
+
 /// The runs that back ends interrupted. Clones share the state.
 #[derive(Clone)]
 pub struct BrokenRuns {
@@ -34,6 +37,7 @@
 struct Shared {
     pool: ConnectionPool,
     terminations: SharedEngineTerminations,
+    part_terminations: SharedEngineTerminations,
     clock: Clock,
     metrics: RelayMetrics,
     /// Wakes the tasks that wait for a liveness check.
@@ -52,11 +56,13 @@
     pub fn new(
         pool: ConnectionPool,
         terminations: SharedEngineTerminations,
+        part_terminations: SharedEngineTerminations,
         clock: Clock,
         metrics: RelayMetrics,
     ) -> Self {
         let (checked, unchecked) = (Notify::new(), RefCell::default());
-        BrokenRuns { shared: Rc::new(Shared { pool, terminations, clock, metrics, checked, unchecked }) }
+        let shared = Shared { pool, terminations, part_terminations, clock, metrics, checked, unchecked };
+        BrokenRuns { shared: Rc::new(shared) }
     }
 
     /// Records that `request` is about to be sent to `back_end`, either for a complete run or for its prefill alone.
@@ -89,10 +95,22 @@
         let Some(terminated_at) = runs.iter().map(|run| run.interrupted_at).min() else {
             return;
         };
-        let ran = runs.iter().map(|broken| &broken.run).filter(|run| run.sent_at < terminated_at);
-        let ran: Vec<TerminatedRun> =
-            ran.map(|run| TerminatedRun { content: run.content, sent_at: run.sent_at }).collect();
-        self.shared.terminations.record_termination(back_end, &ran, terminated_at);
+        let ran: Vec<&RunDetails> =
+            runs.iter().map(|broken| &*broken.run).filter(|run| run.sent_at < terminated_at).collect();
+        let contents: Vec<TerminatedRun> =
+            ran.iter().map(|run| TerminatedRun { content: run.content, sent_at: run.sent_at }).collect();
+        self.shared.terminations.record_termination(back_end, &contents, terminated_at);
+        // The copies of one request say nothing about its parts: they are blocked by their content.
+        let ran: Vec<&RunDetails> = ran.into_iter().filter(|run| !self.is_repeated(run)).collect();
+        let parts = parts_that_ran(&ran);
+        ran.iter().for_each(|run| self.shared.part_terminations.remember_parts(&run.shared_parts));
+        self.shared.part_terminations.record_termination(back_end, &parts, terminated_at);
+    }
+
+    /// Whether so many engines have terminated while running copies of this request that a further one doesn't count
+    /// against the parts of its prompt.
+    fn is_repeated(&self, run: &RunDetails) -> bool {
+        self.shared.terminations.terminations_of(run.content) > COPIES_COUNTED_MAXIMUM
     }
 
     /// Waits for the pending liveness check of `back_end`, which interrupted a run, but no longer than a short timeout.
@@ -135,6 +153,18 @@
     }
 }
 
+/// The parts of prompts that an engine ran, each once, with the time at which the first request with it was sent.
+fn parts_that_ran(runs: &[&RunDetails]) -> Vec<TerminatedRun> {
+    let mut parts: BTreeMap<ContentId, Timestamp> = BTreeMap::new();
+    for run in runs {
+        for part in run.shared_parts.iter() {
+            let sent_at = parts.entry(part.content).or_insert(run.sent_at);
+            *sent_at = run.sent_at.min(*sent_at);
+        }
+    }
+    parts.into_iter().map(|(content, sent_at)| TerminatedRun { content, sent_at }).collect()
+}
+
 /// The most parts of a prompt that a line of the log lists.
 const LOGGED_PARTS_MAXIMUM: usize = 8;
 
@@ -171,6 +201,9 @@
     pub fn completed(&self) {
         if !self.details.is_prefill {
             self.runs.shared.terminations.record_answered(self.details.content);
+            for part in self.details.shared_parts.iter() {
+                self.runs.shared.part_terminations.record_answered(part.content);
+            }
         }
     }
 }
--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -1,6 +1,6 @@
 //! Drives one request: places it, sends it, and handles the outcome until there is an answer.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Placed, Purpose, SendOutcome};
@@ -22,6 +22,7 @@
 use super::stream_body::StreamBody;
 use super::traffic::{LatePrefillTimer, Traffic};
 use crate::back_ends::{AnswerInProgress, SendFailure};
+use crate::engine_terminations::PartBlock;
 use crate::protocol::{AnswerHead, CacheSource, Protocol, SendStage};
 
 /// Sends `request`, with retries, until there is an answer for its caller.
@@ -45,9 +46,10 @@
         exchange,
         record: Some(record),
         tried: Vec::new(),
+        part_wait: None,
         late_prefill_timer: None,
     };
-    if let Some(step) = driver.give_up_if_blocked() {
+    if let Some(step) = driver.give_up_if_not_admitted() {
         return driver.respond(step, None);
     }
     let service = &driver.request.service;
@@ -64,6 +66,8 @@
     /// `None` once the record has moved into the body of a streamed answer.
     pub(super) record: Option<RequestRecord>,
     pub(super) tried: Vec<BackEndId>,
+    /// How long a part of its prompt is blocked; `None` if none is.
+    part_wait: Option<Duration>,
     /// Runs while a late prompt waits for its prefill.
     pub(super) late_prefill_timer: Option<LatePrefillTimer<'a, P>>,
 }
@@ -165,9 +169,7 @@
     /// time: many callers have a single retry left.
     fn refusal(&self, reason: NotRunReason) -> LocalAnswer {
         let wait = match reason {
-            NotRunReason::EndsEngines => {
-                self.traffic.peer_notices.engine_terminations().blocked_for(self.request.content)
-            }
+            NotRunReason::EndsEngines => self.blocked_for(),
             NotRunReason::BackEndsRest => backoff_remaining(self.traffic, &self.request.service),
             _ => None,
         };
@@ -177,15 +179,44 @@
     /// Gives a request up if its content is blocked because engines have terminated while running it, at any node: it
     /// would terminate the next engine too and interrupt all requests there. Without this check, each copy of such a
     /// request would terminate as many engines as its route allows attempts.
-    fn give_up_if_blocked(&self) -> Option<NextStep> {
-        self.traffic.peer_notices.engine_terminations().blocked_for(self.request.content)?;
-        Some(self.exchange.give_up(NotRunReason::EndsEngines, MayHaveRun::EndsEngines))
+    pub(super) fn give_up_if_blocked(&mut self) -> Option<NextStep> {
+        let notices = &self.traffic.peer_notices;
+        let is_blocked = notices.engine_terminations().blocked_for(self.request.content).is_some();
+        let block = notices.part_terminations().blocking_part(&self.request.shared_parts);
+        self.give_up_as_blocked(is_blocked, block)
+    }
+
+    /// Like `give_up_if_blocked`, for a request of which nothing was sent yet: if the block of one of its parts has
+    /// lapsed, it is sent only if no other request tries the part.
+    fn give_up_if_not_admitted(&mut self) -> Option<NextStep> {
+        let notices = &self.traffic.peer_notices;
+        let is_blocked = notices.engine_terminations().blocked_for(self.request.content).is_some();
+        let block = notices.admit_parts(&self.request.shared_parts);
+        self.give_up_as_blocked(is_blocked, block)
+    }
+
+    fn give_up_as_blocked(&mut self, is_blocked: bool, part: Option<PartBlock>) -> Option<NextStep> {
+        if let Some(record) = &mut self.record {
+            record.blocking_part = part.map(|part| part.id);
+        }
+        self.part_wait = part.map(|part| part.wait);
+        let gives_up = is_blocked || part.is_some();
+        gives_up.then(|| self.exchange.give_up(NotRunReason::EndsEngines, MayHaveRun::EndsEngines))
+    }
+
+    /// How long the request is blocked, by its content or by a part of its prompt.
+    fn blocked_for(&self) -> Option<Duration> {
+        let by_content = self.traffic.peer_notices.engine_terminations().blocked_for(self.request.content);
+        by_content.max(self.part_wait)
     }
 
     /// Waits until it is known whether `back_end` has terminated, if engines have terminated before while running this
     /// request; such a request is not sent again earlier. Other requests don't wait.
     pub(super) async fn wait_for_termination_check(&self, back_end: &BackEndId) {
-        if self.traffic.peer_notices.engine_terminations().is_suspect(self.request.content) {
+        let notices = &self.traffic.peer_notices;
+        let is_suspect = notices.engine_terminations().is_suspect(self.request.content)
+            || notices.part_terminations().is_any_suspect(&self.request.shared_parts);
+        if is_suspect {
             self.traffic.broken_runs.wait_for_liveness_check(back_end).await;
         }
     }
--- a/crates/relay/src/callers/prefill_step.rs
+++ b/crates/relay/src/callers/prefill_step.rs
@@ -14,7 +14,7 @@
             return self.plan_short_prefill().await;
         };
         let mut is_first = true;
-        while self.exchange.may_prefill() {
+        while self.exchange.may_prefill() && self.give_up_if_blocked().is_none() {
             let Some((back_end, placed)) = self.place_prefill(&prompt) else {
                 break;
             };
--- a/crates/relay/src/callers/record.rs
+++ b/crates/relay/src/callers/record.rs
@@ -95,6 +95,8 @@
     pub last_piece: Option<Timestamp>,
     /// The longest time between two pieces.
     pub longest_pause: Option<Duration>,
+    /// The part of its prompt that keeps it from being sent, as callers declare it.
+    pub blocking_part: Option<u64>,
     /// How its answer marks its end.
     pub framing: Option<Framing>,
     /// What the end of its answer shows; `None` before it.
@@ -132,6 +134,7 @@
             first_piece: None,
             last_piece: None,
             longest_pause: None,
+            blocking_part: None,
             framing: None,
             answer_end: None,
             in_flight: None,
@@ -207,6 +210,7 @@
             pause_ms = millis(self.longest_pause),
             framing,
             end = answer_end,
+            part = self.blocking_part.map(|part| format!("{part:x}")).unwrap_or_default(),
             expected_reading_ms = millis(self.expected_prefill),
             read_ms = millis(self.prefilled_after),
             late = self.urgency == Some(Urgency::Late),
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -110,12 +110,13 @@
         peer_notices.set_topology(topology.clone());
         peer_notices.use_region_streams_from(placement.region_streams_peers);
         let engine_terminations = peer_notices.engine_terminations().clone();
+        let part_terminations = peer_notices.part_terminations().clone();
         let grant_share = move |now| fleet_reach.grant_share(now);
         let quotas = Quotas::new(Arc::clone(&knowledge), grant_share, clock, metrics.clone());
         Traffic {
             protocol,
             clock,
-            broken_runs: BrokenRuns::new(pool.clone(), engine_terminations, clock, metrics.clone()),
+            broken_runs: BrokenRuns::new(pool.clone(), engine_terminations, part_terminations, clock, metrics.clone()),
             paths,
             tunnels,
             pool,
--- a/crates/relay/src/control/block_keeper.rs
+++ b/crates/relay/src/control/block_keeper.rs
@@ -1,4 +1,4 @@
-//! Stores blocked requests in the platform's store, so that they outlive all nodes.
+//! Stores blocked requests, and blocked parts of prompts, in the platform's store, so that they outlive all nodes.
 //!
 //! Nodes announce blocked requests to each other. If all nodes stopped at once without a stored copy, the knowledge
 //! would be lost, and a request that terminates engines would terminate as many again before it is detected.
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
+use crate::engine_terminations::BlockScope;
 use crate::metrics::RelayMetrics;
 use crate::protocol::{BlockRecord, ControlStore, StoreError};
 
@@ -26,9 +27,6 @@
 /// The number of attempts per call. They span about a minute, longer than an ordinary outage of the store.
 const ATTEMPTS_MAXIMUM: u32 = 16;
 
-/// Older records are removed: a node that still tracks the request has it in its own state.
-const RECORD_RETENTION: Duration = Duration::from_secs(7_200);
-
 /// A change in whether a request is blocked, as detected by the traffic thread.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BlockUpdate {
@@ -53,15 +51,16 @@
 
 /// The control thread's end of the channels.
 pub struct BlockKeeperLink {
+    scope: BlockScope,
     updates: mpsc::Receiver<BlockUpdate>,
     stored: mpsc::Sender<TerminationNotice>,
 }
 
 /// Creates the channels between the traffic thread and the block keeper.
-pub fn block_links() -> (BlockStoreLink, BlockKeeperLink) {
+pub fn block_links(scope: BlockScope) -> (BlockStoreLink, BlockKeeperLink) {
     let (updates_sender, updates) = mpsc::channel(PENDING_UPDATES_MAXIMUM);
     let (stored_sender, stored) = mpsc::channel(PENDING_UPDATES_MAXIMUM);
-    (BlockStoreLink { updates: updates_sender, stored }, BlockKeeperLink { updates, stored: stored_sender })
+    (BlockStoreLink { updates: updates_sender, stored }, BlockKeeperLink { scope, updates, stored: stored_sender })
 }
 
 /// The most written records that a node remembers, since a store restored from an older snapshot may have lost them.
@@ -73,6 +72,7 @@
 
 /// Writes the blocks that this node detects, and rewrites them after a restore of the store.
 struct BlockKeeper<S> {
+    scope: BlockScope,
     store: S,
     metrics: RelayMetrics,
     /// The last write for each request: the stored record, or `None` if it was removed.
@@ -88,7 +88,7 @@
     metrics: RelayMetrics,
     mut eras: watch::Receiver<StoreEra>,
 ) {
-    let mut keeper = BlockKeeper { store, metrics, written: BTreeMap::new() };
+    let mut keeper = BlockKeeper { scope: link.scope, store, metrics, written: BTreeMap::new() };
     keeper.read(&link, own).await;
     loop {
         tokio::select! {
@@ -109,15 +109,17 @@
 
 impl<S: ControlStore> BlockKeeper<S> {
     async fn read(&mut self, link: &BlockKeeperLink, own: Address) {
-        let listed = call_with_retries(&self.metrics, "blocks_read", async || self.store.list_blocks().await).await;
+        let listed = call_with_retries(&self.metrics, "blocks_read", async || self.store.list_blocks(self.scope).await);
+        let listed = listed.await;
         for record in listed.unwrap_or_default() {
             let age = Duration::from_millis(unix_millis().saturating_sub(record.written_millis));
-            if age >= RECORD_RETENTION {
-                let removed = async || self.store.remove_block(record.content).await;
+            // A node that still tracks an older one has it in its own state.
+            if age >= self.scope.config().retention {
+                let removed = async || self.store.remove_block(self.scope, record.content).await;
                 call_with_retries(&self.metrics, "block_remove", removed).await;
                 continue;
             }
-            log::info!(event = "block_read", content:% = record.content, age_ms = whole_millis(age); "");
+            log::info!(event = "block_read", scope = self.scope.code(), content:% = record.content, age_ms = whole_millis(age); "");
             // The receiver is dropped only when the process stops.
             let _ = link.stored.send(notice_from_record(record, age, own)).await;
         }
@@ -126,10 +128,12 @@
     async fn write(&mut self, content: ContentId, record: Option<BlockRecord>) {
         match &record {
             Some(record) => {
-                call_with_retries(&self.metrics, "block_write", async || self.store.write_block(record).await).await;
+                let written = async || self.store.write_block(self.scope, record).await;
+                call_with_retries(&self.metrics, "block_write", written).await;
             }
             None => {
-                call_with_retries(&self.metrics, "block_remove", async || self.store.remove_block(content).await).await;
+                let removed = async || self.store.remove_block(self.scope, content).await;
+                call_with_retries(&self.metrics, "block_remove", removed).await;
             }
         }
         if self.written.len() >= REMEMBERED_WRITES_MAXIMUM {
--- a/crates/relay/src/control/thread.rs
+++ b/crates/relay/src/control/thread.rs
@@ -96,7 +96,7 @@
     protocol: P,
     platform: Platform<S, D>,
     shared: SharedWithTraffic,
-    blocks: BlockKeeperLink,
+    blocks: [BlockKeeperLink; 2],
 ) -> io::Result<ControlHandle> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let (bound_sender, bound) = mpsc::sync_channel(1);
@@ -142,13 +142,10 @@
                     };
                     tokio::task::spawn_local(Duties::new(parts).run());
                     let own = settings.notices_address;
-                    tokio::task::spawn_local(run_block_keeper(
-                        store.clone(),
-                        blocks,
-                        own,
-                        metrics.clone(),
-                        learner.eras(),
-                    ));
+                    for link in blocks {
+                        let (metrics, eras) = (metrics.clone(), learner.eras());
+                        tokio::task::spawn_local(run_block_keeper(store.clone(), link, own, metrics, eras));
+                    }
                     run(settings, peers, listener, store, role, learner, metrics).await;
                 }
                 Err(error) => drop(bound_sender.send(Err(error))),
--- a/crates/relay/src/metrics/mod.rs
+++ b/crates/relay/src/metrics/mod.rs
@@ -50,6 +50,8 @@
     pub late_stretch: f64,
     /// Requests that are blocked because engines terminated while running them.
     pub blocked_contents: usize,
+    /// Parts of prompts that are blocked because engines terminated while running requests with them.
+    pub blocked_parts: usize,
     /// The streams whose origin the node knows.
     pub known_origins: usize,
 }
@@ -69,6 +71,7 @@
     notices: Family<NoticeLabel, Counter>,
     ineligible_sends: Family<NoticeLabel, Counter>,
     blocked_contents: Gauge,
+    blocked_parts: Gauge,
     malformed_entries: Counter,
     new_incarnations: Counter,
     outdated_updates: Family<SourceLabel, Counter>,
@@ -121,6 +124,7 @@
             notices: Family::default(),
             ineligible_sends: Family::default(),
             blocked_contents: Gauge::default(),
+            blocked_parts: Gauge::default(),
             malformed_entries: Counter::default(),
             new_incarnations: Counter::default(),
             outdated_updates: Family::default(),
@@ -187,6 +191,8 @@
             "Requests that are sent to no engine, since engines ended under them",
             metrics.blocked_contents.clone(),
         );
+        let blocked_parts = metrics.blocked_parts.clone();
+        registry.register("blocked_parts", "Parts of prompts whose requests are sent to no engine", blocked_parts);
         let malformed = metrics.malformed_entries.clone();
         registry.register("spoiled_entries", "Entries of back ends that name none, as they were told", malformed);
         let incarnations = metrics.new_incarnations.clone();
@@ -379,6 +385,7 @@
         self.metrics.directory_age_millis.set(age);
         self.metrics.late_stretch.set(state.late_stretch);
         self.metrics.blocked_contents.set(i64::try_from(state.blocked_contents).unwrap_or(i64::MAX));
+        self.metrics.blocked_parts.set(i64::try_from(state.blocked_parts).unwrap_or(i64::MAX));
         self.metrics.known_origins.set(i64::try_from(state.known_origins).unwrap_or(i64::MAX));
         for (service, left) in &state.repeats_left {
             let label = ServiceLabel { service: service.to_string() };
--- a/crates/relay/src/peer_notices/announcements.rs
+++ b/crates/relay/src/peer_notices/announcements.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use super::PeerNotices;
+use crate::engine_terminations::{BlockScope, SharedEngineTerminations};
 use crate::metrics::NodeMessageKind;
 
 /// The most cached parts of one engine that are sent to a node that has just started. A message that exceeds the size
@@ -29,6 +30,9 @@
 const ATTRIBUTIONS_PAUSE: Duration = Duration::from_secs(1);
 const ATTRIBUTIONS_PEERS: usize = 2;
 
+/// How many nodes, on average, say that a part of prompts is in complete answers when a peer reports it.
+const SOUND_ANNOUNCERS: usize = 4;
+
 /// The pause between two notices of draining back ends. Back ends learned of during the pause are announced together.
 const DRAINING_PAUSE: Duration = Duration::from_millis(200);
 
@@ -40,6 +44,13 @@
 /// How long a draining back end is announced again: in most cases as long as it keeps serving.
 const DRAINING_REPEATED_FOR: Duration = Duration::from_secs(10);
 
+fn termination_message(scope: BlockScope, notice: TerminationNotice) -> PeerNotice {
+    match scope {
+        BlockScope::Requests => PeerNotice::Terminations(notice),
+        BlockScope::Parts => PeerNotice::PartTerminations(notice),
+    }
+}
+
 impl PeerNotices {
     /// Handles a message from a peer.
     pub(super) async fn receive(&self, message: PeerNotice) {
@@ -48,6 +59,7 @@
             PeerNotice::Prefills(PrefillNotice { sender, .. })
             | PeerNotice::Unreachable(UnreachableNotice { sender, .. })
             | PeerNotice::Terminations(TerminationNotice { sender, .. })
+            | PeerNotice::PartTerminations(TerminationNotice { sender, .. })
             | PeerNotice::Drains(DrainNotice { sender, .. })
             | PeerNotice::Limits(LimitNotice { sender, .. })
             | PeerNotice::QuotaRequest(QuotaRequest { sender, .. })
@@ -72,6 +84,7 @@
             }
             PeerNotice::Unreachable(notice) => self.shared.suspicions.borrow_mut().receive(&notice, now),
             PeerNotice::Terminations(notice) => self.shared.engine_terminations.receive(&notice),
+            PeerNotice::PartTerminations(notice) => self.receive_part_terminations(&notice),
             PeerNotice::Drains(notice) => self.apply_drain_notice(&notice),
             PeerNotice::Limits(notice) => self.apply_limit_notice(notice),
             PeerNotice::QuotaRequest(request) => self.receive_quota_request(&request),
@@ -145,17 +158,35 @@
     }
 
     /// Announces engines that terminated while running requests to all peers; never returns.
-    pub(super) async fn announce_terminations(self) {
+    pub(super) async fn announce_terminations(self, scope: BlockScope) {
+        let terminations = self.terminations(scope).clone();
         loop {
-            self.shared.engine_terminations.wait_for_updates().await;
-            if let Some(notice) = self.sender().and_then(|sender| self.shared.engine_terminations.notice(sender)) {
+            terminations.wait_for_updates().await;
+            if let Some(notice) = self.sender().and_then(|sender| terminations.notice(sender)) {
                 let peers = Arc::clone(&self.shared.knowledge.load().peers);
-                self.send(&PeerNotice::Terminations(notice), NodeMessageKind::Terminations, &peers).await;
+                self.send(&termination_message(scope, notice), NodeMessageKind::Terminations, &peers).await;
             }
             sleep(TERMINATIONS_PAUSE).await;
         }
     }
 
+    fn terminations(&self, scope: BlockScope) -> &SharedEngineTerminations {
+        match scope {
+            BlockScope::Requests => &self.shared.engine_terminations,
+            BlockScope::Parts => &self.shared.part_terminations,
+        }
+    }
+
+    /// Applies a peer's notice about parts of prompts. Some of the nodes that know better about a part say so; if all
+    /// did, each of them would receive as many messages as there are nodes.
+    fn receive_part_terminations(&self, notice: &TerminationNotice) {
+        self.shared.part_terminations.receive(notice);
+        let peers = self.shared.knowledge.load().peers.len();
+        if fastrand::usize(..peers.max(1)) < SOUND_ANNOUNCERS {
+            self.shared.part_terminations.announce_sound(notice);
+        }
+    }
+
     /// Sends a few peers the requests that engine terminations are attributed to; never returns. A peer that was
     /// partitioned or suspended during the first announcement would otherwise forward each of these requests.
     pub(super) async fn repeat_attributions(self) {
@@ -177,9 +208,11 @@
 
     /// Sends a node the requests that engine terminations are attributed to.
     async fn send_attributions(&self, receiver: Address) {
-        let notice = self.sender().and_then(|sender| self.shared.engine_terminations.attribution_notice(sender));
-        if let Some(notice) = notice {
-            self.send(&PeerNotice::Terminations(notice), NodeMessageKind::Terminations, &[receiver]).await;
+        for scope in [BlockScope::Requests, BlockScope::Parts] {
+            let notice = self.sender().and_then(|sender| self.terminations(scope).attribution_notice(sender));
+            if let Some(notice) = notice {
+                self.send(&termination_message(scope, notice), NodeMessageKind::Terminations, &[receiver]).await;
+            }
         }
     }
 
--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -16,8 +16,8 @@
 use havengate_core::back_ends::BackEnd;
 use havengate_core::paths::{PathGroup, UnprovenFailures};
 use havengate_core::relay::{
-    AnnouncedPart, AnnouncementPaceConfig, CachedParts, EngineModel, EngineTag, PeerNotice, PlacementConfig,
-    PrefillAudience, PrefillId, Prompt, PromptIndex, PromptIndexConfig, PromptPart, Suspicions, Urgency,
+    AnnouncedPart, AnnouncementPaceConfig, CachedParts, ContentId, EngineModel, EngineTag, PeerNotice, PlacementConfig,
+    PrefillAudience, PrefillId, Prompt, PromptIndex, PromptIndexConfig, PromptPart, SharedPart, Suspicions, Urgency,
 };
 use havengate_core::time::Timestamp;
 use havengate_core::world::{Address, BackEndId, Topology};
@@ -27,7 +27,7 @@
 use self::pending::PendingAnnouncements;
 use crate::back_ends::SharedNotices;
 use crate::datagrams::Datagrams;
-use crate::engine_terminations::SharedEngineTerminations;
+use crate::engine_terminations::{BlockScope, PartBlock, SharedEngineTerminations};
 use crate::knowledge::SharedKnowledge;
 use crate::metrics::{NodeMessageKind, RelayMetrics};
 use crate::quotas::Quotas;
@@ -68,6 +68,7 @@
     /// Wakes the task that announces unreachable back ends.
     unreachable: Notify,
     engine_terminations: SharedEngineTerminations,
+    part_terminations: SharedEngineTerminations,
     notices: SharedNotices,
     /// Back ends that reported their drain to this node and are not announced to peers yet.
     pending_drains: PendingAnnouncements,
@@ -101,7 +102,8 @@
                 suspicions: RefCell::default(),
                 unproven_failures: RefCell::default(),
                 unreachable: Notify::new(),
-                engine_terminations: SharedEngineTerminations::new(clock, metrics),
+                engine_terminations: SharedEngineTerminations::new(BlockScope::Requests, clock, metrics.clone()),
+                part_terminations: SharedEngineTerminations::new(BlockScope::Parts, clock, metrics),
                 notices,
                 pending_drains: PendingAnnouncements::default(),
                 pending_limits: PendingAnnouncements::default(),
@@ -133,7 +135,8 @@
         *self.shared.exchange.borrow_mut() = Some((address, datagrams.clone()));
         tokio::task::spawn_local(self.clone().announce_prefills(AnnouncementPaceConfig::default()));
         tokio::task::spawn_local(self.clone().announce_unreachable());
-        tokio::task::spawn_local(self.clone().announce_terminations());
+        tokio::task::spawn_local(self.clone().announce_terminations(BlockScope::Requests));
+        tokio::task::spawn_local(self.clone().announce_terminations(BlockScope::Parts));
         tokio::task::spawn_local(self.clone().repeat_attributions());
         tokio::task::spawn_local(self.clone().announce_drains());
         tokio::task::spawn_local(self.clone().repeat_drains());
@@ -304,6 +307,26 @@
         &self.shared.engine_terminations
     }
 
+    /// The engines that terminated while running requests with certain parts in their prompts.
+    pub fn part_terminations(&self) -> &SharedEngineTerminations {
+        &self.shared.part_terminations
+    }
+
+    /// The part that keeps a new request with these parts from being sent to any engine; `None` when there is none.
+    pub fn admit_parts(&self, parts: &[SharedPart]) -> Option<PartBlock> {
+        self.shared.part_terminations.admit_parts(parts, |part| self.is_elected_for(part))
+    }
+
+    /// Whether this node is the one, of those that it knows, that tries a part again whose block has lapsed.
+    fn is_elected_for(&self, part: ContentId) -> bool {
+        let rank = |node: &Address| ContentId::of([part.to_string().as_bytes(), node.to_string().as_bytes()]);
+        let Some(own) = self.sender() else {
+            return false;
+        };
+        let knowledge = self.shared.knowledge.load();
+        knowledge.peers.iter().all(|peer| rank(peer) < rank(&own))
+    }
+
     /// The estimated speed of the engines.
     pub fn model(&self) -> EngineModel {
         *self.shared.index.borrow().model()
@@ -315,6 +338,7 @@
         let knowledge = self.shared.knowledge.load_full();
         self.shared.suspicions.borrow_mut().tidy(self.shared.clock.now());
         self.shared.engine_terminations.tidy();
+        self.shared.part_terminations.tidy();
         self.update_limit_sharing();
         let mut index = self.shared.index.borrow_mut();
         let present = knowledge.directory.entries().map(|entry| &entry.back_end.id);
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -29,6 +29,7 @@
 use crate::callers::{CallerServer, LAST_CONNECTIONS_GRACE, ServerPhase, Traffic, listen};
 use crate::control::{BlockStoreLink, ControlSettings, DutySettings, Platform, SharedWithTraffic, block_links, spawn};
 use crate::demand::SharedDemand;
+use crate::engine_terminations::BlockScope;
 use crate::fleet_reach::SharedFleetReach;
 use crate::knowledge::{Knowledge, SharedKnowledge, SharedTimestamp};
 use crate::metrics::{NodeMessageKind, NodeState, RelayMetrics};
@@ -103,13 +104,15 @@
         clock,
         metrics: metrics.clone(),
     };
-    let (blocks, blocks_receiver) = block_links();
-    let _control = spawn(control, protocol.clone(), platform, shared.clone(), blocks_receiver)?;
+    let (request_blocks, request_keeper) = block_links(BlockScope::Requests);
+    let (part_blocks, part_keeper) = block_links(BlockScope::Parts);
+    let keepers = [request_keeper, part_keeper];
+    let _control = spawn(control, protocol.clone(), platform, shared.clone(), keepers)?;
     let traffic = Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement));
     traffic.set_revocation_limit(settings.keys.revocation());
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let mut node = RunningNode { settings, read_settings, seeds, duties, enforces_limits, traffic };
-    LocalSet::new().block_on(&runtime, node.serve(blocks))
+    LocalSet::new().block_on(&runtime, node.serve([request_blocks, part_blocks]))
 }
 
 struct RunningNode<P, R> {
@@ -154,7 +157,7 @@
         }
     }
 
-    async fn serve(&mut self, blocks: BlockStoreLink) -> io::Result<()> {
+    async fn serve(&mut self, blocks: [BlockStoreLink; 2]) -> io::Result<()> {
         let (settings, traffic) = (self.settings.clone(), Rc::clone(&self.traffic));
         let mut stop_signal = signal(SignalKind::terminate())?;
         let mut reload_signal = signal(SignalKind::hangup())?;
@@ -166,7 +169,10 @@
         tokio::task::spawn_local(serve_tunnels(Rc::clone(&traffic), listen(settings.notices_address.0)?));
         traffic.peer_notices.exchange_tunnels(&traffic.tunnels, traffic.paths.clone());
         self.enforce_tenant_limits();
-        tokio::task::spawn_local(traffic.peer_notices.engine_terminations().clone().sync_with_store(blocks));
+        let [request_blocks, part_blocks] = blocks;
+        let notices = &traffic.peer_notices;
+        tokio::task::spawn_local(notices.engine_terminations().clone().sync_with_store(request_blocks));
+        tokio::task::spawn_local(notices.part_terminations().clone().sync_with_store(part_blocks));
         tokio::task::spawn_local(survey(Rc::clone(&traffic)));
         let readmitting = Rc::clone(&traffic);
         tokio::task::spawn_local(async move { readmitting.readmit_after_losses().await });
@@ -292,6 +298,7 @@
         late_stretch: traffic.late_stretch(),
         known_origins: traffic.origins.len(),
         blocked_contents: traffic.peer_notices.engine_terminations().blocked_count(),
+        blocked_parts: traffic.peer_notices.part_terminations().blocked_count(),
     });
     match traffic.metrics.encode() {
         Ok(text) => Response::new(Full::new(Bytes::from(text))),
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -18,6 +18,8 @@
 use havengate_core::world::{Address, NodeName, ServiceName, StartMoment, TenantName};
 use hyper::header::{HeaderMap, HeaderValue};
 
+use crate::engine_terminations::BlockScope;
+
 /// The values of a caller's request head besides method, host and path.
 #[derive(Clone, Debug)]
 pub struct RequestHead {
@@ -271,10 +273,10 @@
     pub version: ObjectVersion,
 }
 
-/// A blocked request as stored for nodes that start when no other node knows of it.
+/// A blocked request, or a blocked part of prompts, as stored for nodes that start when no other node knows of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BlockRecord {
-    /// The request.
+    /// The request or the part.
     pub content: ContentId,
     /// When it was written, in milliseconds since 1970 by the writer's wall clock.
     pub written_millis: u64,
@@ -331,14 +333,14 @@
         expected: ObjectVersion,
     ) -> impl Future<Output = Result<WriteOutcome, StoreError>>;
 
-    /// Reads the records of all blocked requests.
-    fn list_blocks(&mut self) -> impl Future<Output = Result<Vec<BlockRecord>, StoreError>>;
+    /// Reads the records of all blocked requests, or of all blocked parts of prompts.
+    fn list_blocks(&mut self, scope: BlockScope) -> impl Future<Output = Result<Vec<BlockRecord>, StoreError>>;
 
-    /// Writes the record of a blocked request; does nothing when it is stored already.
-    fn write_block(&mut self, record: &BlockRecord) -> impl Future<Output = Result<(), StoreError>>;
+    /// Writes the record of a blocked request or part; does nothing when it is stored already.
+    fn write_block(&mut self, scope: BlockScope, record: &BlockRecord) -> impl Future<Output = Result<(), StoreError>>;
 
-    /// Removes the record of a request that is no longer blocked, if it is stored.
-    fn remove_block(&mut self, content: ContentId) -> impl Future<Output = Result<(), StoreError>>;
+    /// Removes the record of a request or part that is no longer blocked, if it is stored.
+    fn remove_block(&mut self, scope: BlockScope, content: ContentId) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Waits for a change of the configuration.
     fn watch_configuration(
