Streams: a whole stream with a length counts as completed

The log and the metrics had a stream with a Content-Length as caller_gone, its run was never recorded as completed, and its connection was closed instead of kept. Cause: the server doesn't ask for the end of a body whose length is known once its bytes are sent, and only the end was recorded.

A stream counts as completed with its last byte. Found by the tests of lethal parts, whose engines send a length. answer_ends checks outcome=completed for whole streams of each framing, and failed before.

--- a/crates/relay/src/back_ends/answer_body.rs
+++ b/crates/relay/src/back_ends/answer_body.rs
@@ -95,9 +95,10 @@
 
     fn pass_on(&mut self, piece: Bytes) -> Result<Option<Bytes>, BodyError> {
         self.judge.record(&piece);
-        let is_last = self.framing() == Framing::Length && self.incoming.is_end_stream();
-        if is_last && self.judge.end() == AnswerEnd::Truncated {
-            self.end = Some(AnswerEnd::Truncated);
+        if self.is_read() {
+            self.end = Some(self.judge.end());
+        }
+        if self.end == Some(AnswerEnd::Truncated) {
             return Err(BodyError::Truncated);
         }
         Ok(Some(piece))
@@ -129,6 +130,11 @@
         Poll::Ready(Ok(None))
     }
 
+    /// Whether all bytes of an answer with a known length have been read: the server then doesn't ask for its end.
+    pub fn is_read(&self) -> bool {
+        self.framing() == Framing::Length && self.incoming.is_end_stream()
+    }
+
     /// Waits for the next piece; `None` at the end.
     ///
     /// # Errors
--- a/crates/relay/src/callers/stream_body.rs
+++ b/crates/relay/src/callers/stream_body.rs
@@ -40,7 +40,11 @@
         record: RequestRecord,
         run: Run,
     ) -> Self {
-        StreamBody { first, body, lease: Some(lease), time_limit, record, run, close_mode: None }
+        let mut stream = StreamBody { first, body, lease: Some(lease), time_limit, record, run, close_mode: None };
+        if stream.body.is_read() {
+            stream.complete();
+        }
+        stream
     }
 
     /// Lets the caller's connection end by a reset until the answer is complete.
@@ -84,6 +88,9 @@
         match body.body.poll_piece(context) {
             Poll::Ready(Ok(Some(piece))) => {
                 body.record.record_piece();
+                if body.body.is_read() {
+                    body.complete();
+                }
                 return Poll::Ready(Some(Ok(Frame::data(piece))));
             }
             Poll::Ready(Ok(None)) => {
