Parts of prompts: a part of a pair without the other is not held back

A request with one of two parts that are blocked together was refused, though its block needs both: it was taken for one whose block had lapsed, of which one request at a time is tried. Only parts whose block has in fact lapsed, and all of whose companions the request has, are tried so.

--- a/crates/core/src/relay/engine_terminations.rs
+++ b/crates/core/src/relay/engine_terminations.rs
@@ -250,12 +250,25 @@
         parts: impl Iterator<Item = ContentId> + Clone,
         now: Timestamp,
     ) -> Option<(ContentId, Timestamp)> {
-        let has_companions = |part: &ContentId| {
-            let companions = self.companions.get(part).into_iter().flatten();
-            companions.into_iter().all(|companion| parts.clone().any(|other| other == *companion))
-        };
-        let blocking = parts.clone().filter(has_companions);
-        blocking.filter_map(|part| Some((part, self.blocked_until(part, now)?))).max_by_key(|(_, until)| *until)
+        let attributed = self.attributed_parts(parts);
+        attributed.filter_map(|part| Some((part, self.blocked_until(part, now)?))).max_by_key(|(_, until)| *until)
+    }
+
+    /// A part of a request with these parts whose block has lapsed; `None` when there is none.
+    pub fn lapsed_part(&self, parts: impl Iterator<Item = ContentId> + Clone, now: Timestamp) -> Option<ContentId> {
+        self.attributed_parts(parts).find(|part| self.blocked_until(*part, now).is_none())
+    }
+
+    /// The parts of a request that terminations are attributed to, without those that are attributed together with
+    /// another one that the request doesn't have.
+    fn attributed_parts<'p>(
+        &'p self,
+        parts: impl Iterator<Item = ContentId> + Clone + 'p,
+    ) -> impl Iterator<Item = ContentId> + 'p {
+        let all = parts.clone();
+        let is_present = move |companion: &ContentId| all.clone().any(|part| part == *companion);
+        let companions_of = |part: &ContentId| self.companions.get(part).map_or(&[][..], Vec::as_slice);
+        parts.filter(move |part| self.is_attributed(*part) && companions_of(part).iter().all(&is_present))
     }
 
     /// Whether any termination is attributed to any content.
--- a/crates/relay/src/engine_terminations.rs
+++ b/crates/relay/src/engine_terminations.rs
@@ -220,15 +220,14 @@
         if let Some(block) = self.blocking_part(parts) {
             return Some(block);
         }
-        let is_attributed = |part: &&SharedPart| self.is_attributed(part.content);
-        let lapsed = parts.iter().find(is_attributed)?;
+        let terminations = self.shared.terminations.borrow();
+        if !terminations.has_attributions() {
+            return None;
+        }
         let now = self.shared.clock.now();
-        let is_tried = is_elected(lapsed.content) && self.shared.attempts.borrow_mut().begin(lapsed.content, now);
-        (!is_tried).then_some(PartBlock { id: lapsed.id, wait: ATTEMPT_PAUSE })
-    }
-
-    fn is_attributed(&self, content: ContentId) -> bool {
-        self.shared.terminations.borrow().is_attributed(content)
+        let lapsed = terminations.lapsed_part(parts.iter().map(|part| part.content), now)?;
+        let is_tried = is_elected(lapsed) && self.shared.attempts.borrow_mut().begin(lapsed, now);
+        (!is_tried).then_some(PartBlock { id: id_among(parts, lapsed), wait: ATTEMPT_PAUSE })
     }
 
     /// Whether an engine has terminated while running a request with one of these parts.
