Limits: a home whose only known peer is the one that it replaced asks others

A tenant's requests got 429 for over 5 s when the node that granted its units was killed and all its callers came to one other node. Cause: that node took over as home and, after 2 s, stopped granting, as no peer confirmed that its messages arrive: it asked only peers that had sent messages about limits, and the only such peer was the one that was killed. It is asked again as long as membership lists it.

A peer with an unanswered message is not asked again before the others are, known or not.

--- a/crates/core/src/quota/round_trips.rs
+++ b/crates/core/src/quota/round_trips.rs
@@ -1,8 +1,9 @@
 //! Detects whether peers answer this node.
 //!
 //! A node whose messages are lost in one direction still sees all peers, but they have replaced it as home. So a node
-//! that grants asks peers, and stops granting when none of them answers. Once peers have sent
-//! messages about limits, only these are asked: nodes of a previous build don't answer. While there are none, this node
+//! that grants asks peers, and stops granting when none of them answers. Peers that have sent
+//! messages about limits are asked first: nodes of a previous build don't answer. If none of these has answered, the others
+//! are asked: the only one may have been the home that this node has replaced. While there are none, this node
 //! can't distinguish whether its messages are lost or all peers are of a previous build, and grants an equal share.
 
 use std::collections::{BTreeMap, VecDeque};
@@ -17,8 +18,8 @@
 /// Without an answer for this time, this node stops granting: after five messages to different peers.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How many unanswered messages are kept. Answers to older ones don't count. A known peer with an unanswered message is asked
-/// again only if each known peer has one.
+/// How many unanswered messages are kept. Answers to older ones don't count. A known peer with an unanswered message is not
+/// asked again.
 const PENDING_MAXIMUM: usize = 5;
 
 /// The round trips between this node and its peers.
@@ -33,7 +34,7 @@
     peers: Vec<Address>,
     /// The peers that have sent a message about limits, and when they sent the latest one.
     known: BTreeMap<Address, Timestamp>,
-    /// The peer that was asked last, while none is known.
+    /// The peer that was asked last although it was not known to answer.
     cursor: Option<Address>,
 }
 
@@ -96,11 +97,12 @@
         Some(peer)
     }
 
-    /// The known peer that sent a message most recently, of those that have answered. When a zone fails, this asks the
-    /// nodes of the others.
+    /// The known peer that sent a message most recently, of those without an unanswered message. When a zone fails, this
+    /// asks the nodes of the others.
     fn next_known(&self) -> Option<Address> {
         let is_pending = |peer: &Address| self.pending.iter().any(|(pending, _)| pending == peer);
-        let latest = self.known.iter().max_by_key(|(peer, sent_at)| (!is_pending(peer), **sent_at));
+        let answering = self.known.iter().filter(|(peer, _)| !is_pending(peer));
+        let latest = answering.max_by_key(|(_, sent_at)| **sent_at);
         latest.map(|(peer, _)| *peer)
     }
 
