Parts of prompts: an answer shortly before counts for two seconds, not for a minute

A part that was sound until a moment ago and then terminated engines would not have been blocked for a minute. Now all terminations are kept against all parts of the runs; a complete answer clears them, as for whole requests, and a part that was answered within two seconds before its last termination is not blocked yet. Where many engines terminate at the same time, parts that sound requests share have no answers in between. The terminations count once a later one comes.

Answers to suspected parts are announced by four nodes on average: most nodes answer requests with a common part right after an engine ended.

--- a/crates/core/src/relay/answered_contents.rs
+++ b/crates/core/src/relay/answered_contents.rs
@@ -1,4 +1,4 @@
-//! Contents that were answered completely a short time ago, so that they don't terminate engines.
+//! Contents that were answered completely a short time ago, so that they most likely don't terminate engines.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -38,8 +38,7 @@
         *answered_at = now.max(*answered_at);
     }
 
-    /// Whether `content` was answered completely so shortly before `moment`, or after it, that it did not terminate an
-    /// engine then.
+    /// Whether `content` was answered completely shortly before `moment`, or after it.
     pub fn is_sound(&self, content: ContentId, moment: Timestamp) -> bool {
         let answered_at = self.recent.get(&content).or_else(|| self.previous.get(&content));
         answered_at.is_some_and(|at| moment.since(*at) < self.validity)
--- a/crates/core/src/relay/engine_terminations.rs
+++ b/crates/core/src/relay/engine_terminations.rs
@@ -8,7 +8,7 @@
 //! The record is bounded and expires: a blocked request may be tried again after a time that doubles with each further
 //! termination, and a request that receives a complete answer is cleared at all nodes.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use super::answered_contents::AnsweredContents;
@@ -46,7 +46,7 @@
     pub notice_maximum: usize,
     /// How often each announcement is sent, since datagrams may be lost.
     pub transmissions: u32,
-    /// How long after a complete answer terminations don't count against a content.
+    /// How long after a complete answer terminations alone don't block a content. They count once a later one comes.
     pub answer_validity: Duration,
     /// The number of terminations from which on a block lasts for `longest_block`.
     pub final_terminations: usize,
@@ -69,7 +69,7 @@
             longest_block: Duration::from_secs(86_400),
             retention: Duration::from_secs(86_400),
             contents_maximum: 192,
-            answer_validity: Duration::from_secs(60),
+            answer_validity: Duration::from_secs(2),
             final_terminations: 6,
             ..EngineTerminationsConfig::default()
         }
@@ -161,16 +161,14 @@
     /// blocked.
     pub fn record_termination(&mut self, engine: EngineTag, runs: &[TerminatedRun], at: Timestamp) -> Vec<Attribution> {
         let remaining = self.config.transmissions;
-        let suspects: Vec<TerminatedRun> =
-            runs.iter().filter(|run| !self.answered.is_sound(run.content, at)).copied().collect();
-        for run in &suspects {
+        for run in runs {
             self.pending.push_back(PendingAnnouncement {
                 announcement: Announcement::Terminated { engine, run: *run, at },
                 remaining,
             });
         }
         self.truncate_pending();
-        self.insert(engine, at, &suspects);
+        self.insert(engine, at, runs);
         self.update_attributions()
     }
 
@@ -214,12 +212,18 @@
     /// because the terminations are now attributed to them; `None` when no engine had terminated while running the
     /// request.
     pub fn record_answered(&mut self, content: ContentId, now: Timestamp) -> Option<Vec<Attribution>> {
+        let attributions = self.record_answered_silently(content, now)?;
+        self.announce_answered(content, now);
+        Some(attributions)
+    }
+
+    /// Like `record_answered`, without an announcement to peers.
+    pub fn record_answered_silently(&mut self, content: ContentId, now: Timestamp) -> Option<Vec<Attribution>> {
         self.answered.record(content, now);
         if !self.clear(content, now) {
             return None;
         }
         self.record_cleared(content, now);
-        self.announce_answered(content, now);
         Some(self.update_attributions())
     }
 
@@ -384,7 +388,6 @@
         for TerminatedRun { content, sent_at } in runs {
             let is_known = termination.runs.contains_key(content);
             if !is_known
-                && !self.answered.is_sound(*content, termination.at)
                 && !was_cleared(content, termination.at)
                 && termination.runs.len() < self.config.contents_maximum
             {
@@ -455,7 +458,7 @@
     /// Attributes the terminations to requests again after a change: clearing one request may decide the attribution to
     /// another one. Returns the requests that are attributed now and weren't before.
     fn update_attributions(&mut self) -> Vec<Attribution> {
-        let terminations = if self.counts.keys().any(|content| self.reaches_threshold(content)) {
+        let terminations = if self.counts.keys().any(|content| self.is_candidate(content)) {
             self.relevant_terminations()
         } else {
             Vec::new()
@@ -475,10 +478,23 @@
         self.counts.get(content).is_some_and(|count| *count >= self.config.rules.threshold)
     }
 
-    /// Returns the terminations in chronological order, without requests below the threshold.
+    /// Whether terminations may be attributed to a content: there are enough of them, and the last one did not come shortly
+    /// after a complete answer. Where many engines terminate at the same time, sound contents have no answers in between.
+    fn is_candidate(&self, content: &ContentId) -> bool {
+        if !self.reaches_threshold(content) {
+            return false;
+        }
+        let with_content = self.terminations.iter().filter(|(_, termination)| termination.runs.contains_key(content));
+        let last = with_content.map(|(_, termination)| termination.at).max().unwrap_or_default();
+        !self.answered.is_sound(*content, last)
+    }
+
+    /// Returns the terminations in chronological order, with the contents that may be their cause.
     fn relevant_terminations(&self) -> Vec<EngineTermination> {
+        let candidates: BTreeSet<ContentId> =
+            self.counts.keys().filter(|content| self.is_candidate(content)).copied().collect();
         let of_candidates = |(_, termination): &(EngineTag, EngineTermination)| {
-            let runs = termination.runs.iter().filter(|(content, _)| self.reaches_threshold(content));
+            let runs = termination.runs.iter().filter(|(content, _)| candidates.contains(content));
             EngineTermination {
                 at: termination.at,
                 runs: runs.map(|(content, sent_at)| (*content, *sent_at)).collect(),
--- a/crates/relay/src/engine_terminations.rs
+++ b/crates/relay/src/engine_terminations.rs
@@ -1,6 +1,6 @@
 //! Engines that terminated while they ran requests, as the traffic thread records and logs them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -80,6 +80,8 @@
     own_parts: RefCell<VecDeque<SharedPart>>,
     /// The parts whose block has lapsed and that this node has sent again.
     attempts: RefCell<Attempts>,
+    /// The number of peers.
+    peers: Cell<usize>,
     /// Sends updates to the task that writes them to the store; `None` before `sync_with_store` runs.
     store: RefCell<Option<mpsc::Sender<BlockUpdate>>>,
 }
@@ -88,6 +90,9 @@
 /// engine terminated while running it.
 const OWN_REQUESTS_MAXIMUM: usize = 256;
 
+/// How many nodes, on average, announce that a part of prompts is in complete answers.
+pub const PART_ANNOUNCERS: usize = 4;
+
 /// The pause between two requests with a part whose block has lapsed.
 const ATTEMPT_PAUSE: Duration = Duration::from_secs(60);
 
@@ -139,6 +144,7 @@
                 own_requests: RefCell::default(),
                 own_parts: RefCell::default(),
                 attempts: RefCell::default(),
+                peers: Cell::new(0),
                 store: RefCell::default(),
             }),
         }
@@ -178,7 +184,11 @@
     /// Records that a request was answered completely, and notifies peers if an engine had terminated while running it.
     pub fn record_answered(&self, content: ContentId) {
         let was_attributed = self.shared.terminations.borrow().is_attributed(content);
-        let served = self.shared.terminations.borrow_mut().record_answered(content, self.shared.clock.now());
+        let now = self.shared.clock.now();
+        let served = match was_attributed || self.announces_answers() {
+            true => self.shared.terminations.borrow_mut().record_answered(content, now),
+            false => self.shared.terminations.borrow_mut().record_answered_silently(content, now),
+        };
         if let Some(attributions) = served {
             if was_attributed {
                 self.send_to_store(BlockUpdate::Cleared(content));
@@ -230,6 +240,20 @@
         (!is_tried).then_some(PartBlock { id: id_among(parts, lapsed), wait: ATTEMPT_PAUSE })
     }
 
+    /// Sets the number of peers.
+    pub fn set_peers(&self, peers: usize) {
+        self.shared.peers.set(peers);
+    }
+
+    /// Whether this node announces an answer to a suspect. Most nodes answer requests with a common part right after an
+    /// engine has terminated; if all of them said so, each would receive as many messages as there are nodes.
+    fn announces_answers(&self) -> bool {
+        match self.shared.scope {
+            BlockScope::Requests => true,
+            BlockScope::Parts => fastrand::usize(..self.shared.peers.get().max(1)) < PART_ANNOUNCERS,
+        }
+    }
+
     /// Whether an engine has terminated while running a request with one of these parts.
     pub fn is_any_suspect(&self, parts: &[SharedPart]) -> bool {
         let terminations = self.shared.terminations.borrow();
--- a/crates/relay/src/peer_notices/announcements.rs
+++ b/crates/relay/src/peer_notices/announcements.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use super::PeerNotices;
-use crate::engine_terminations::{BlockScope, SharedEngineTerminations};
+use crate::engine_terminations::{BlockScope, PART_ANNOUNCERS, SharedEngineTerminations};
 use crate::metrics::NodeMessageKind;
 
 /// The most cached parts of one engine that are sent to a node that has just started. A message that exceeds the size
@@ -30,9 +30,6 @@
 const ATTRIBUTIONS_PAUSE: Duration = Duration::from_secs(1);
 const ATTRIBUTIONS_PEERS: usize = 2;
 
-/// How many nodes, on average, say that a part of prompts is in complete answers when a peer reports it.
-const SOUND_ANNOUNCERS: usize = 4;
-
 /// The pause between two notices of draining back ends. Back ends learned of during the pause are announced together.
 const DRAINING_PAUSE: Duration = Duration::from_millis(200);
 
@@ -182,7 +179,7 @@
     fn receive_part_terminations(&self, notice: &TerminationNotice) {
         self.shared.part_terminations.receive(notice);
         let peers = self.shared.knowledge.load().peers.len();
-        if fastrand::usize(..peers.max(1)) < SOUND_ANNOUNCERS {
+        if fastrand::usize(..peers.max(1)) < PART_ANNOUNCERS {
             self.shared.part_terminations.announce_sound(notice);
         }
     }
--- a/crates/relay/src/peer_notices/mod.rs
+++ b/crates/relay/src/peer_notices/mod.rs
@@ -339,6 +339,7 @@
         self.shared.suspicions.borrow_mut().tidy(self.shared.clock.now());
         self.shared.engine_terminations.tidy();
         self.shared.part_terminations.tidy();
+        self.shared.part_terminations.set_peers(knowledge.peers.len());
         self.update_limit_sharing();
         let mut index = self.shared.index.borrow_mut();
         let present = knowledge.directory.entries().map(|entry| &entry.back_end.id);
