--- a/crates/core/src/relay/engine_terminations.rs
+++ b/crates/core/src/relay/engine_terminations.rs
@@ -12,89 +12,15 @@
 use std::time::Duration;
 
 use super::answered_contents::AnsweredContents;
-use super::attribution::{Attribution, AttributionRules, EngineTermination, attribute_terminations, companions};
+use super::attribution::{Attribution, EngineTermination, attribute_terminations, companions};
 use super::content::ContentId;
 use super::engine_tag::EngineTag;
-use super::termination_notice::{AnsweredContent, ReportedRun, ReportedTermination, TerminationNotice};
+use super::engine_terminations_config::EngineTerminationsConfig;
+use super::termination_announcements::{TerminationAnnouncements, add_run};
+use super::termination_notice::{ReportedRun, ReportedTermination, TerminationNotice};
 use crate::time::{Timestamp, doubled};
 use crate::world::Address;
 
-/// Limits of [`EngineTerminations`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EngineTerminationsConfig {
-    /// When terminations count against a request, and how many block it. One or two may be chance: an engine
-    /// terminates, and the repeated request is running on the next engine that terminates. The coincidence window is
-    /// longer than the difference between the times at which nodes notice the same termination.
-    pub rules: AttributionRules,
-    /// How long a request is blocked after the last termination, once it has reached the threshold.
-    pub first_block: Duration,
-    /// The longest block; each further termination doubles the duration up to this limit.
-    pub longest_block: Duration,
-    /// How long a termination counts. Longer than the longest block, so that the terminations of a request that is
-    /// tried again still count.
-    pub retention: Duration,
-    /// The maximum number of stored terminations; the oldest are dropped first.
-    pub terminations_maximum: usize,
-    /// The maximum number of requests stored per termination: more than an engine runs at a time.
-    pub contents_maximum: usize,
-    /// The maximum number of requests recorded as cleared; the oldest are dropped first.
-    pub cleared_maximum: usize,
-    /// The maximum number of pending announcements, each a termination with one request or an answer; the oldest are
-    /// dropped first.
-    pub pending_maximum: usize,
-    /// The maximum number of announcements in one notice, so that it fits into a datagram.
-    pub notice_maximum: usize,
-    /// How often each announcement is sent, since datagrams may be lost.
-    pub transmissions: u32,
-    /// How long after a complete answer terminations alone don't block a content. They count once a later one comes.
-    pub answer_validity: Duration,
-    /// The number of terminations from which on a block lasts for `longest_block`.
-    pub final_terminations: usize,
-}
-
-impl EngineTerminationsConfig {
-    /// Limits for parts of prompts.
-    ///
-    /// Parts are shared: most of those that an engine ran are in complete answers all the time. A part that terminates
-    /// engines stays so, while its requests are new ones each time, so blocks are long, and from the sixth termination on
-    /// there are no more attempts.
-    pub fn for_parts() -> Self {
-        EngineTerminationsConfig {
-            rules: AttributionRules {
-                undecided_maximum: 5,
-                are_parts: true,
-                ..EngineTerminationsConfig::default().rules
-            },
-            first_block: Duration::from_secs(600),
-            longest_block: Duration::from_secs(86_400),
-            retention: Duration::from_secs(86_400),
-            contents_maximum: 192,
-            answer_validity: Duration::from_secs(2),
-            final_terminations: 6,
-            ..EngineTerminationsConfig::default()
-        }
-    }
-}
-
-impl Default for EngineTerminationsConfig {
-    fn default() -> Self {
-        EngineTerminationsConfig {
-            rules: AttributionRules::for_requests(3, Duration::from_millis(50)),
-            first_block: Duration::from_secs(120),
-            longest_block: Duration::from_secs(3_600),
-            retention: Duration::from_secs(7_200),
-            terminations_maximum: 512,
-            contents_maximum: 64,
-            cleared_maximum: 256,
-            pending_maximum: 512,
-            notice_maximum: 40,
-            transmissions: 2,
-            answer_validity: Duration::ZERO,
-            final_terminations: usize::MAX,
-        }
-    }
-}
-
 /// A request that an engine was running when it terminated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TerminatedRun {
@@ -104,19 +30,6 @@
     pub sent_at: Timestamp,
 }
 
-/// An announcement to peers that is not sent yet, or is to be sent again.
-#[derive(Clone, Copy, Debug)]
-struct PendingAnnouncement {
-    announcement: Announcement,
-    remaining: u32,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Announcement {
-    Terminated { engine: EngineTag, run: TerminatedRun, at: Timestamp },
-    Answered { content: ContentId, at: Timestamp },
-}
-
 /// Engines that terminated, and the requests that are blocked as their cause.
 #[derive(Clone, Debug)]
 pub struct EngineTerminations {
@@ -133,7 +46,7 @@
     /// Requests that received a complete answer after engines had terminated while running them, with the time of the
     /// answer; oldest first. A peer that did not receive that update may continue to report the terminations before it.
     cleared: VecDeque<(ContentId, Timestamp)>,
-    pending: VecDeque<PendingAnnouncement>,
+    announcements: TerminationAnnouncements,
 }
 
 impl Default for EngineTerminations {
@@ -153,21 +66,14 @@
             companions: BTreeMap::new(),
             answered: AnsweredContents::new(config.answer_validity),
             cleared: VecDeque::new(),
-            pending: VecDeque::new(),
+            announcements: TerminationAnnouncements::new(config.pending_maximum, config.transmissions),
         }
     }
 
     /// Records that `engine` terminated at `at` while running `runs` for this node. Returns the requests that are newly
     /// blocked.
     pub fn record_termination(&mut self, engine: EngineTag, runs: &[TerminatedRun], at: Timestamp) -> Vec<Attribution> {
-        let remaining = self.config.transmissions;
-        for run in runs {
-            self.pending.push_back(PendingAnnouncement {
-                announcement: Announcement::Terminated { engine, run: *run, at },
-                remaining,
-            });
-        }
-        self.truncate_pending();
+        self.announcements.add_termination(engine, runs, at);
         self.insert(engine, at, runs);
         self.update_attributions()
     }
@@ -200,8 +106,8 @@
         for termination in &notice.terminations {
             let at = now - Duration::from_micros(termination.age_micros);
             for run in &termination.runs {
-                if self.answered.is_sound(run.content, at) && !self.is_answer_pending(run.content) {
-                    self.announce_answered(run.content, at);
+                if self.answered.is_sound(run.content, at) && !self.announcements.has_answer(run.content) {
+                    self.announcements.add_answer(run.content, at);
                 }
             }
         }
@@ -213,7 +119,7 @@
     /// request.
     pub fn record_answered(&mut self, content: ContentId, now: Timestamp) -> Option<Vec<Attribution>> {
         let attributions = self.record_answered_silently(content, now)?;
-        self.announce_answered(content, now);
+        self.announcements.add_answer(content, now);
         Some(attributions)
     }
 
@@ -287,20 +193,7 @@
 
     /// Returns the next notice to peers; `None` when nothing is pending.
     pub fn notice(&mut self, sender: Address, now: Timestamp) -> Option<TerminationNotice> {
-        let mut notice = TerminationNotice { sender, terminations: Vec::new(), answered: Vec::new() };
-        let announced = self.pending.len().min(self.config.notice_maximum);
-        for pending in self.pending.drain(..announced).collect::<Vec<_>>() {
-            match pending.announcement {
-                Announcement::Terminated { engine, run, at } => add_run(&mut notice.terminations, engine, run, at, now),
-                Announcement::Answered { content, at } => {
-                    notice.answered.push(AnsweredContent { content, age_micros: age(at, now) });
-                }
-            }
-            if pending.remaining > 1 {
-                self.pending.push_back(PendingAnnouncement { remaining: pending.remaining - 1, ..pending });
-            }
-        }
-        (announced > 0).then_some(notice)
+        self.announcements.next_notice(sender, self.config.notice_maximum, now)
     }
 
     /// Returns the terminations that are attributed to a request, for storage outside the nodes; `None` when there are
@@ -314,7 +207,7 @@
 
     /// Whether announcements to peers are pending.
     pub fn has_pending(&self) -> bool {
-        !self.pending.is_empty()
+        !self.announcements.is_empty()
     }
 
     /// Returns a notice of the attributed requests with their terminations, for a node that has just started or was
@@ -425,24 +318,12 @@
     /// received the announcement.
     fn announce_cleared_again(&mut self, runs: &[TerminatedRun], terminated_at: Timestamp) {
         let is_reported_wrongly = |(content, at): &&(ContentId, Timestamp)| {
-            terminated_at <= *at && runs.iter().any(|run| run.content == *content) && !self.is_answer_pending(*content)
+            terminated_at <= *at
+                && runs.iter().any(|run| run.content == *content)
+                && !self.announcements.has_answer(*content)
         };
         let again: Vec<(ContentId, Timestamp)> = self.cleared.iter().filter(is_reported_wrongly).copied().collect();
-        again.into_iter().for_each(|(content, at)| self.announce_answered(content, at));
-    }
-
-    /// Whether the announcement of an answer is pending.
-    fn is_answer_pending(&self, content: ContentId) -> bool {
-        let announces = |pending: &PendingAnnouncement| matches!(pending.announcement, Announcement::Answered { content: answered, .. } if answered == content);
-        self.pending.iter().any(announces)
-    }
-
-    fn announce_answered(&mut self, content: ContentId, at: Timestamp) {
-        self.pending.push_back(PendingAnnouncement {
-            announcement: Announcement::Answered { content, at },
-            remaining: self.config.transmissions,
-        });
-        self.truncate_pending();
+        again.into_iter().for_each(|(content, at)| self.announcements.add_answer(content, at));
     }
 
     fn decrement_count(&mut self, content: ContentId) {
@@ -513,28 +394,4 @@
             u32::try_from(attribution.terminations.saturating_sub(self.config.rules.threshold)).unwrap_or(u32::MAX);
         attribution.last + doubled(self.config.first_block, further, self.config.longest_block)
     }
-
-    fn truncate_pending(&mut self) {
-        let excess = self.pending.len().saturating_sub(self.config.pending_maximum);
-        self.pending.drain(..excess);
-    }
-}
-
-fn add_run(
-    terminations: &mut Vec<ReportedTermination>,
-    engine: EngineTag,
-    run: TerminatedRun,
-    at: Timestamp,
-    now: Timestamp,
-) {
-    let ran_micros = u32::try_from(at.since(run.sent_at).as_micros()).unwrap_or(u32::MAX);
-    let reported = ReportedRun { content: run.content, ran_micros };
-    match terminations.iter_mut().find(|termination| termination.engine == engine) {
-        Some(termination) => termination.runs.push(reported),
-        None => terminations.push(ReportedTermination { engine, age_micros: age(at, now), runs: vec![reported] }),
-    }
-}
-
-fn age(at: Timestamp, now: Timestamp) -> u64 {
-    u64::try_from(now.since(at).as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/core/src/relay/shared_parts.rs
+++ b/crates/core/src/relay/shared_parts.rs
@@ -4,7 +4,7 @@
 use super::prompt::Prompt;
 use crate::world::ServiceName;
 
-/// The most parts of one prompt that are told apart. Of a longer list, those in the middle are left out.
+/// The most parts of one prompt that are considered. Of a longer list, those in the middle are left out.
 const PARTS_MAXIMUM: usize = 16;
 
 /// A part of a prompt, in one service: the engines of another service may run another model.
--- a/crates/relay/src/callers/caller_socket.rs
+++ b/crates/relay/src/callers/caller_socket.rs
@@ -1,4 +1,4 @@
-//! A caller's connection that can be told to end by a reset.
+//! A caller's connection that ends by a reset until its answer is complete.
 //!
 //! An answer to a caller of HTTP/1.0 that has no known length ends with its connection. If such an answer is cut, the
 //! connection has to end by a reset, also when the whole process is killed: the caller would take a clean end for the end
