Store: a page without a readable name is not the end of a list

Callers: where a page of the list of engines held no entry with a readable name, the list counted as whole. After the store had lost its history, all engines on later pages counted as removed.

Cause: the list ended where no name was found to go on after, whether or not the store said that there is more.

Evidence: a_page_without_a_readable_name_removes_no_back_end failed with the check in the follower switched off: one listing, then the engine was gone.

It replaces no directory; a node that knows nothing yet uses it, which is better than to refuse everything, and follows the changes from there.

Remains: what stands behind such a page is unknown to a node that starts.

--- a/crates/relay/src/control/follower.rs
+++ b/crates/relay/src/control/follower.rs
@@ -188,7 +188,8 @@
     }
 }
 
-/// Lists the directory, unless a peer sends all of it first: a listing may take long while many nodes start.
+/// Lists the directory, unless a peer sends all of it first: a listing may take long while many nodes start. An
+/// incomplete listing is better than none, but replaces no directory.
 async fn list_unless_received<S: ControlStore>(store: &mut S, learner: &Learner) -> Result<(), StoreError> {
     let mut updates = learner.updates();
     let known_before = learner.directory_position();
@@ -200,7 +201,10 @@
     };
     tokio::select! {
         listing = store.list_back_ends() => {
-            let StoreListing { listing, versions } = listing?;
+            let StoreListing { listing, versions, is_complete } = listing?;
+            if !is_complete && learner.directory_position().is_some() {
+                return Err(StoreError::Malformed("the list of back ends is incomplete".to_owned()));
+            }
             learner.record_versions(&versions, listing.position);
             learner.adopt_store_listing(listing, known_before.unwrap_or_default(), learner.clock().now());
             Ok(())
--- a/crates/relay/src/protocol/store.rs
+++ b/crates/relay/src/protocol/store.rs
@@ -40,6 +40,8 @@
     pub listing: DirectoryListing,
     /// Their software versions, which are not part of the directory.
     pub versions: Vec<BackEndVersion>,
+    /// Whether the list was read to its end. A back end that is missing in an incomplete one may be there.
+    pub is_complete: bool,
 }
 
 /// Changes of the directory in the store.
