Callers: a body is read into one buffer, whatever chunks it comes in

Callers: a client that sends its body in chunks of one byte takes some 40 times the body's bytes of the node's memory; a few end the process.

Cause: each piece was kept as an object of its own until the body was whole.

Change: pieces are copied into one buffer, whose capacity doubles up to what the body can need by its length or the limit.

--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -9,14 +9,14 @@
 use havengate_core::routing::{CallerLimits, Route, TenantAccess};
 use havengate_core::verdict::NotRunReason;
 use havengate_core::world::TenantName;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, COOKIE, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use tokio::time::timeout;
 
 use super::answer::{LocalAnswer, RelayBody};
+use super::body_reader::{BodyReadError, read_to_end};
 use super::caller_request::CallerRequest;
 use super::exchange_driver::drive;
 use super::record::{RequestOutcome, RequestRecord};
@@ -171,15 +171,13 @@
 }
 
 async fn read_body(body: Incoming, limits: &CallerLimits, time_limit: Duration) -> Result<Bytes, LocalAnswer> {
-    let too_large = || LocalAnswer::rejection(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
-    if body.size_hint().lower() > limits.body_maximum_bytes {
-        return Err(too_large());
-    }
     let maximum = usize::try_from(limits.body_maximum_bytes).unwrap_or(usize::MAX);
-    match timeout(time_limit, Limited::new(body, maximum).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(_)) => Err(LocalAnswer::rejection(StatusCode::BAD_REQUEST, "body_broken_off")),
+    match timeout(time_limit, read_to_end(body, maximum)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyReadError::TooLarge)) => {
+            Err(LocalAnswer::rejection(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
+        }
+        Ok(Err(BodyReadError::BrokenOff(_))) => Err(LocalAnswer::rejection(StatusCode::BAD_REQUEST, "body_broken_off")),
         Err(_) => Err(LocalAnswer::refusal(NotRunReason::DeadlinePassed)),
     }
 }
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod block_step;
+mod body_reader;
 mod caller_request;
 mod caller_socket;
 mod candidates;
