Callers: the bodies of requests share a bounded part of the memory

Callers: many large bodies of legal size at once, whole or stopping short of their end, ended a node for want of memory, and with it all that ran there.

Cause: each body was bounded by the configuration, all together by nothing; an unfinished one was held until the route's time limit.

A single body of the largest size is served.

Change: bodies use a quarter of the machine's memory together, large ones three quarters of that. Beyond it the largest body that is not whole gives way, those first whose callers have stopped sending; where there is none, the request is refused at once as not run (memory_full).

Ruled out: a time limit for bodies alone (a slow crowd fills the memory within any limit), refusing newcomers only (ordinary callers starve while the crowd holds on).

--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -95,6 +95,8 @@
     StreamOriginUnknown,
     /// no back end of the software version that began the stream takes requests
     StreamOriginGone,
+    /// the node has no memory left for the bodies of requests
+    MemoryFull,
 }
 
 impl NotRunReason {
@@ -122,6 +124,7 @@
             NotRunReason::BackEndsRest => "back_ends_rest",
             NotRunReason::StreamOriginUnknown => "stream_origin_unknown",
             NotRunReason::StreamOriginGone => "stream_origin_gone",
+            NotRunReason::MemoryFull => "memory_full",
         }
     }
 
@@ -137,6 +140,7 @@
                 | NotRunReason::NotOwner
                 | NotRunReason::RetryBudgetSpent
                 | NotRunReason::BackEndsRest
+                | NotRunReason::MemoryFull
         )
     }
 }
--- a/crates/node/src/callers/error.rs
+++ b/crates/node/src/callers/error.rs
@@ -161,6 +161,7 @@
         | NotRunReason::BackEndsRest
         | NotRunReason::StreamOriginUnknown
         | NotRunReason::StreamOriginGone
+        | NotRunReason::MemoryFull
         | NotRunReason::EndsEngines => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/relay/src/callers/body_reader.rs
+++ b/crates/relay/src/callers/body_reader.rs
@@ -1,9 +1,13 @@
 //! Reads the body of a caller's request.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
+use super::body_memory::{HeldBody, MemoryFull};
+
 /// The least capacity that a body without a known length begins with.
 const CAPACITY_MINIMUM_BYTES: usize = 4 * 1024;
 
@@ -14,19 +18,35 @@
     TooLarge,
     /// broken off: {0}
     BrokenOff(hyper::Error),
+    /// the memory for bodies is used up
+    MemoryFull,
 }
 
-/// Reads `body`, of at most `maximum` bytes, into one buffer. The caller decides the size of the pieces that it arrives
-/// in, so no piece is kept by itself.
+impl From<MemoryFull> for BodyReadError {
+    fn from(_: MemoryFull) -> Self {
+        BodyReadError::MemoryFull
+    }
+}
+
+/// Reads `body`, of at most `maximum` bytes, into one buffer, whose memory `held` accounts for. The caller decides the
+/// size of the pieces that it arrives in, so no piece is kept by itself.
 ///
 /// # Errors
-/// When it is too large, or ends before its end.
-pub async fn read_to_end(mut body: Incoming, maximum: usize) -> Result<Bytes, BodyReadError> {
+/// When it is too large, ends before its end, or gives way to another body.
+pub async fn read_to_end(mut body: Incoming, maximum: usize, held: &HeldBody) -> Result<Bytes, BodyReadError> {
     if body.size_hint().lower() > maximum as u64 {
         return Err(BodyReadError::TooLarge);
     }
     let mut buffer = Vec::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = held.given_way() => return Err(BodyReadError::MemoryFull),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else {
+            break;
+        };
         // Trailers concern only the caller's connection.
         let Ok(piece) = frame.map_err(BodyReadError::BrokenOff)?.into_data() else {
             continue;
@@ -34,20 +54,31 @@
         if buffer.len() + piece.len() > maximum {
             return Err(BodyReadError::TooLarge);
         }
-        let capacity = capacity_for(&buffer, piece.len(), &body, maximum);
-        buffer.reserve_exact(capacity - buffer.len());
+        make_room(&mut buffer, piece.len(), &body, maximum, held)?;
         buffer.extend_from_slice(&piece);
     }
+    held.complete()?;
     Ok(Bytes::from(buffer))
 }
 
-/// The capacity of `buffer` with room for `additional` bytes. It doubles, up to what the rest of the body can need.
-fn capacity_for(buffer: &Vec<u8>, additional: usize, rest: &Incoming, maximum: usize) -> usize {
+/// Makes room in `buffer` for `additional` bytes. Its capacity doubles, up to what the rest of the body can need.
+fn make_room(
+    buffer: &mut Vec<u8>,
+    additional: usize,
+    rest: &Incoming,
+    maximum: usize,
+    held: &HeldBody,
+) -> Result<(), MemoryFull> {
+    let now = Instant::now();
     let needed = buffer.len() + additional;
     if needed <= buffer.capacity() {
-        return buffer.capacity();
+        held.received(now);
+        return Ok(());
     }
     let rest_maximum = rest.size_hint().upper().and_then(|rest| usize::try_from(rest).ok());
     let largest = rest_maximum.map_or(maximum, |rest| needed.saturating_add(rest).min(maximum));
-    needed.max((2 * buffer.capacity()).max(CAPACITY_MINIMUM_BYTES).min(largest))
+    let capacity = needed.max((2 * buffer.capacity()).max(CAPACITY_MINIMUM_BYTES).min(largest));
+    held.grow_to(capacity, now)?;
+    buffer.reserve_exact(capacity - buffer.len());
+    Ok(())
 }
--- a/crates/relay/src/callers/caller_request.rs
+++ b/crates/relay/src/callers/caller_request.rs
@@ -12,6 +12,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 
+use super::body_memory::HeldBody;
 use crate::back_ends::UsedConnections;
 use crate::protocol::RequestHead;
 use crate::quotas::QuotaPermit;
@@ -30,6 +31,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// Accounts for the memory of the body.
+    pub held_body: HeldBody,
     /// The parsed head.
     pub head: RequestHead,
     /// The id of its content, the same for each copy of the request.
--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use havengate_core::relay::{ContentId, SharedPart, Urgency};
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use super::answer::{LocalAnswer, RelayBody};
+use super::body_memory::HeldBody;
 use super::body_reader::{BodyReadError, read_to_end};
 use super::caller_request::CallerRequest;
 use super::exchange_driver::drive;
@@ -65,7 +66,8 @@
     let tenant = authenticate(traffic, active, &route, &mut parts.headers)?;
     record.tenant = tenant.as_ref().map(|tenant| tenant.name.clone());
     let time_limit = head.deadline.map_or(route.time_limit, |deadline| deadline.min(route.time_limit));
-    let body = read_body(body, &active.configuration.limits, time_limit).await?;
+    let held_body = traffic.bodies.begin(Instant::now());
+    let body = read_body(body, &active.configuration.limits, time_limit, &held_body).await?;
     let service = traffic.with_splits(|turns| turns.next(&route).cloned());
     let service = service.ok_or_else(|| LocalAnswer::refusal(NotRunReason::NoEngine))?;
     record.service = Some(service.clone());
@@ -86,6 +88,7 @@
         target: parts.uri,
         headers: parts.headers,
         body,
+        held_body,
         head,
         route,
         tenant,
@@ -170,14 +173,20 @@
     ])
 }
 
-async fn read_body(body: Incoming, limits: &CallerLimits, time_limit: Duration) -> Result<Bytes, LocalAnswer> {
+async fn read_body(
+    body: Incoming,
+    limits: &CallerLimits,
+    time_limit: Duration,
+    held: &HeldBody,
+) -> Result<Bytes, LocalAnswer> {
     let maximum = usize::try_from(limits.body_maximum_bytes).unwrap_or(usize::MAX);
-    match timeout(time_limit, read_to_end(body, maximum)).await {
+    match timeout(time_limit, read_to_end(body, maximum, held)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyReadError::TooLarge)) => {
             Err(LocalAnswer::rejection(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
         }
         Ok(Err(BodyReadError::BrokenOff(_))) => Err(LocalAnswer::rejection(StatusCode::BAD_REQUEST, "body_broken_off")),
+        Ok(Err(BodyReadError::MemoryFull)) => Err(LocalAnswer::refusal(NotRunReason::MemoryFull)),
         Err(_) => Err(LocalAnswer::refusal(NotRunReason::DeadlinePassed)),
     }
 }
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod block_step;
+pub mod body_memory;
 mod body_reader;
 mod caller_request;
 mod caller_socket;
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -15,11 +15,13 @@
 use havengate_core::world::{ServiceName, Topology, ZoneName};
 use havengate_node::clock::Clock;
 
+use super::body_memory::BodyMemory;
 use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits, SharedNotices};
 use crate::broken_runs::BrokenRuns;
 use crate::control::SharedWithTraffic;
 use crate::demand::SharedDemand;
 use crate::knowledge::{SharedKnowledge, SharedTimestamp};
+use crate::machine::Machine;
 use crate::metrics::RelayMetrics;
 use crate::paths::BackEndPaths;
 use crate::peer_notices::PeerNotices;
@@ -68,6 +70,8 @@
     late_prefills: RefCell<LatePrefills>,
     /// Counters and histograms.
     pub metrics: RelayMetrics,
+    /// The memory of the bodies of callers' requests.
+    pub bodies: BodyMemory,
     /// The number of open requests.
     pub active: ActiveRequests,
     /// Whether the node is in a planned stop: answers then carry `Connection: close`.
@@ -87,6 +91,7 @@
         shared: SharedWithTraffic,
         budget_config: SharedRetryBudgetConfig,
         placement: PlacementConfig,
+        machine: Machine,
     ) -> Self {
         let SharedWithTraffic {
             knowledge,
@@ -135,6 +140,7 @@
             configuration_current_at,
             revocation_limit: Cell::default(),
             metrics,
+            bodies: BodyMemory::new(machine.bodies_maximum_bytes()),
             active: ActiveRequests::default(),
             stopping: Cell::new(false),
             budgets: RefCell::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fleet_reach;
 mod hop_by_hop;
 pub mod knowledge;
+pub mod machine;
 pub mod metrics;
 pub mod paths;
 pub mod peer_notices;
--- /dev/null
+++ b/crates/relay/src/machine.rs
@@ -0,0 +1,38 @@
+//! What the machine of a node has, and the shares that callers may use of it.
+
+use serde::Deserialize;
+
+/// The most that one caller's connection needs beside bodies: the buffer for a request head, or that for the part of an
+/// answer that the caller has not taken yet.
+pub const CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
+
+const MEGABYTE: usize = 1024 * 1024;
+
+/// The machine of a node, as its settings have it.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Machine {
+    /// The memory that the process may use, in MiB.
+    pub memory_megabytes: usize,
+    /// The file descriptors that the process may open.
+    pub descriptors: usize,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Machine { memory_megabytes: 256, descriptors: 4_096 }
+    }
+}
+
+impl Machine {
+    /// The range of `memory_megabytes`.
+    pub const MEMORY_MEGABYTES: std::ops::RangeInclusive<usize> = 32..=1_048_576;
+
+    /// The range of `descriptors`.
+    pub const DESCRIPTORS: std::ops::RangeInclusive<usize> = 128..=16_777_216;
+
+    /// The bytes that the bodies of callers' requests may use together: a quarter of the memory.
+    pub fn bodies_maximum_bytes(&self) -> usize {
+        self.memory_megabytes * MEGABYTE / 4
+    }
+}
--- a/crates/relay/src/metrics/mod.rs
+++ b/crates/relay/src/metrics/mod.rs
@@ -40,6 +40,8 @@
 pub struct NodeState {
     /// Open requests of callers.
     pub open_requests: usize,
+    /// The bytes that the bodies of callers' requests use.
+    pub body_bytes: usize,
     /// Open connections to back ends.
     pub connections: u32,
     /// The time since the directory was last confirmed; `None` if it never was.
@@ -88,6 +90,7 @@
     directory: Gauge,
     nodes: Gauge,
     open_requests: Gauge,
+    body_bytes: Gauge,
     connections: Gauge,
     directory_age_millis: Gauge,
     repeats_left: Family<ServiceLabel, Gauge>,
@@ -142,6 +145,7 @@
             directory: Gauge::default(),
             nodes: Gauge::default(),
             open_requests: Gauge::default(),
+            body_bytes: Gauge::default(),
             connections: Gauge::default(),
             directory_age_millis: Gauge::default(),
             repeats_left: Family::default(),
@@ -225,6 +229,7 @@
         registry.register("directory_revision", "The revision of the directory", metrics.directory.clone());
         registry.register("nodes", "Nodes that share the budgets", metrics.nodes.clone());
         registry.register("open_requests", "Callers' requests that are open", metrics.open_requests.clone());
+        registry.register("body_bytes", "Bytes of the bodies of callers' requests", metrics.body_bytes.clone());
         registry.register("connections", "Connections to back ends", metrics.connections.clone());
         let age = metrics.directory_age_millis.clone();
         registry.register("directory_age_milliseconds", "Since the directory was confirmed; -1: never", age);
@@ -389,6 +394,7 @@
     /// Sets the gauges of the node's current state.
     pub fn set_state(&self, state: &NodeState) {
         self.metrics.open_requests.set(i64::try_from(state.open_requests).unwrap_or(i64::MAX));
+        self.metrics.body_bytes.set(i64::try_from(state.body_bytes).unwrap_or(i64::MAX));
         self.metrics.connections.set(i64::from(state.connections));
         let age = state.directory_age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
         self.metrics.directory_age_millis.set(age);
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -108,7 +108,8 @@
     let (part_blocks, part_keeper) = block_links(BlockScope::Parts);
     let keepers = [request_keeper, part_keeper];
     let _control = spawn(control, protocol.clone(), platform, shared.clone(), keepers)?;
-    let traffic = Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement));
+    let traffic =
+        Rc::new(Traffic::new(protocol, shared, settings.retry_budget(), settings.placement, settings.machine));
     traffic.set_revocation_limit(settings.keys.revocation());
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let mut node = RunningNode { settings, read_settings, seeds, duties, enforces_limits, traffic };
@@ -292,6 +293,7 @@
     traffic.quotas.set_metrics();
     traffic.metrics.set_state(&NodeState {
         open_requests: traffic.active.count(),
+        body_bytes: traffic.bodies.used(),
         connections: traffic.pool.open_total(),
         directory_age: confirmed_at.map(|confirmed_at| now.since(confirmed_at)),
         repeats_left: traffic.repeats_left(),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 
 use crate::control::{DutyLeaseSettings, DutySettings};
+use crate::machine::Machine;
 
 /// The settings of a relaying node, as its file has them.
 #[derive(Clone, Debug, Deserialize)]
@@ -75,6 +76,9 @@
     /// The region of each zone; empty: distance between zones is not considered.
     #[serde(default)]
     pub zone_regions: BTreeMap<ZoneName, RegionName>,
+    /// What the machine has.
+    #[serde(default)]
+    pub machine: Machine,
     /// The lowest severity that is logged.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -169,13 +173,24 @@
         parse_toml::<RelaySettings>(path, text)?.checked()
     }
 
-    fn checked(self) -> Result<Self, RelaySettingsError> {
+    /// Checks the values.
+    ///
+    /// # Errors
+    /// When a value is out of range.
+    pub fn checked(self) -> Result<Self, RelaySettingsError> {
         let mut check = ValueCheck::new();
         check.in_range("stop_grace_seconds", self.stop_grace_seconds, STOP_GRACE_SECONDS, |seconds| seconds);
         check.in_range("retry_budget.ratio", self.retry_budget.ratio, 0.0..=1.0, |ratio| ratio);
         check.in_range("retry_budget.slack", self.retry_budget.slack, 0.0..=1e6, |slack| slack);
         check
             .in_range("retry_budget.window_seconds", self.retry_budget.window_seconds, WINDOW_SECONDS, |window| window);
+        check.in_range(
+            "machine.memory_megabytes",
+            self.machine.memory_megabytes,
+            Machine::MEMORY_MEGABYTES,
+            |memory| memory,
+        );
+        check.in_range("machine.descriptors", self.machine.descriptors, Machine::DESCRIPTORS, |count| count);
         check.reachable("callers_address", self.callers_address);
         check.reachable("readiness_address", self.readiness_address);
         check.reachable("peers_address", self.peers_address);
