Callers: the number of their connections is bounded; idle ones give way

Callers: clients that hold connections, with an unfinished head or nothing sent, took all descriptors and up to 64 KiB each; then no one else could connect, and engines could not be reached.

Cause: connections were accepted until the system refused another descriptor.

Change: at most half of the descriptors, and no more than fit into a third of the memory with full buffers (1,365 by the defaults). For a new connection the one without progress for longest is closed, also one whose request is still being read, never one whose request may run. Where there is none, the new one is closed at once.

--- a/crates/relay/src/callers/caller_socket.rs
+++ b/crates/relay/src/callers/caller_socket.rs
@@ -15,9 +15,12 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::connections::Progress;
+
 /// A caller's connection.
 pub struct CallerSocket {
     stream: Rc<RefCell<TcpStream>>,
+    progress: Rc<Progress>,
 }
 
 /// Decides how a caller's connection ends. Clones refer to the same connection.
@@ -27,9 +30,16 @@
 }
 
 impl CallerSocket {
-    /// Wraps `stream`.
-    pub fn new(stream: TcpStream) -> Self {
-        CallerSocket { stream: Rc::new(RefCell::new(stream)) }
+    /// Wraps `stream`, whose progress is recorded.
+    pub fn new(stream: TcpStream, progress: Rc<Progress>) -> Self {
+        CallerSocket { stream: Rc::new(RefCell::new(stream)), progress }
+    }
+
+    fn record<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if matches!(result, Poll::Ready(Ok(_))) {
+            self.progress.record();
+        }
+        result
     }
 
     /// Decides how this connection ends.
@@ -61,13 +71,15 @@
 
 impl AsyncRead for CallerSocket {
     fn poll_read(self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer)
+        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer);
+        self.record(result)
     }
 }
 
 impl AsyncWrite for CallerSocket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, bytes)
+        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, bytes);
+        self.record(result)
     }
 
     fn poll_write_vectored(
@@ -75,7 +87,8 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(context, buffers)
+        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(context, buffers);
+        self.record(result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -19,6 +19,7 @@
 use super::body_memory::HeldBody;
 use super::body_reader::{BodyReadError, read_to_end};
 use super::caller_request::CallerRequest;
+use super::connections::ConnectionRequest;
 use super::exchange_driver::drive;
 use super::record::{RequestOutcome, RequestRecord};
 use super::resumption::find_resumed_stream;
@@ -33,9 +34,13 @@
 const ADMISSION_WAIT_DIVISOR: u32 = 4;
 
 /// Answers one request.
-pub async fn handle<P: Protocol>(traffic: Rc<Traffic<P>>, request: Request<Incoming>) -> Response<RelayBody> {
+pub async fn handle<P: Protocol>(
+    traffic: Rc<Traffic<P>>,
+    request: Request<Incoming>,
+    connection_request: &ConnectionRequest,
+) -> Response<RelayBody> {
     let mut record = RequestRecord::begin(&traffic);
-    let mut response = match accept_request(&traffic, request, &mut record).await {
+    let mut response = match accept_request(&traffic, request, connection_request, &mut record).await {
         Ok(accepted) => drive(&traffic, accepted, record).await,
         Err(answer) => {
             let outcome = if answer.retry_after.is_some() { RequestOutcome::Refused } else { RequestOutcome::Rejected };
@@ -52,6 +57,7 @@
 async fn accept_request<P: Protocol>(
     traffic: &Traffic<P>,
     request: Request<Incoming>,
+    connection_request: &ConnectionRequest,
     record: &mut RequestRecord,
 ) -> Result<CallerRequest, LocalAnswer> {
     let (mut parts, body) = request.into_parts();
@@ -68,6 +74,7 @@
     let time_limit = head.deadline.map_or(route.time_limit, |deadline| deadline.min(route.time_limit));
     let held_body = traffic.bodies.begin(Instant::now());
     let body = read_body(body, &active.configuration.limits, time_limit, &held_body).await?;
+    connection_request.runs();
     let service = traffic.with_splits(|turns| turns.next(&route).cloned());
     let service = service.ok_or_else(|| LocalAnswer::refusal(NotRunReason::NoEngine))?;
     record.service = Some(service.clone());
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -7,6 +7,7 @@
 mod caller_request;
 mod caller_socket;
 mod candidates;
+pub mod connections;
 mod exchange_driver;
 mod handler;
 mod prefill_step;
--- a/crates/relay/src/callers/server.rs
+++ b/crates/relay/src/callers/server.rs
@@ -1,11 +1,15 @@
 //! Accepts and serves callers' connections, also during a planned stop.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use hyper::body::{Body, Incoming};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
@@ -16,9 +20,11 @@
 
 use super::answer::RelayBody;
 use super::caller_socket::{CallerSocket, CloseMode};
+use super::connections::ConnectionRequest;
 use super::handler::handle;
 use super::traffic::Traffic;
 use crate::back_ends::set_liveness;
+use crate::machine::CONNECTION_BUFFER_BYTES;
 use crate::protocol::Protocol;
 
 /// The number of connections that may wait to be accepted. When many callers connect at once, a full queue delays them
@@ -28,10 +34,6 @@
 /// How long a connection may be idle, and a request head may take, while there is no configuration.
 const IDLE_TIME_LIMIT_DEFAULT: Duration = Duration::from_secs(15);
 
-/// The buffer for a request head, larger than the configuration allows: a head over the limit is answered with an error
-/// instead of a closed connection.
-const HEAD_BUFFER_BYTES: usize = 64 * 1024;
-
 /// The pause after a failed accept, most likely because no file descriptor is free: other connections may close
 /// meanwhile.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -108,19 +110,27 @@
 }
 
 fn open_connection<P: Protocol>(traffic: &Rc<Traffic<P>>, stream: TcpStream, mut phase: watch::Receiver<ServerPhase>) {
+    let Some(open) = traffic.connections.open() else {
+        log::warn!(event = "connection_refused", connections = traffic.connections.count(); "");
+        return;
+    };
     let _ = stream.set_nodelay(true);
     set_liveness(&stream, CALLER_SILENCE_TIME_LIMIT);
-    let socket = CallerSocket::new(stream);
+    let progress = open.progress();
+    let socket = CallerSocket::new(stream, open.progress());
     let close_mode = socket.close_mode();
     let service_traffic = Rc::clone(traffic);
     let service = service_fn(move |request| {
         let (traffic, close_mode) = (Rc::clone(&service_traffic), close_mode.clone());
-        async move { Ok::<_, std::convert::Infallible>(answer(traffic, request, close_mode).await) }
+        let connection_request = ConnectionRequest::begin(Rc::clone(&progress));
+        async move { Ok::<_, Infallible>(answer(traffic, request, connection_request, close_mode).await) }
     });
     let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_time_limit(traffic))
-        .max_buf_size(HEAD_BUFFER_BYTES)
+        // Larger than the configuration allows: a head over the limit is answered with an error instead of a closed
+        // connection.
+        .max_buf_size(CONNECTION_BUFFER_BYTES)
         .serve_connection(TokioIo::new(socket), service);
     tokio::task::spawn_local(async move {
         tokio::pin!(connection);
@@ -131,9 +141,13 @@
         tokio::select! {
             // Connection errors of the caller and of the back end are logged with the request.
             _ = connection.as_mut() => return,
+            () = open.closed() => return,
             () = closing => connection.as_mut().graceful_shutdown(),
         }
-        let _ = connection.await;
+        tokio::select! {
+            _ = connection => {}
+            () = open.closed() => {}
+        }
     });
 }
 
@@ -142,14 +156,41 @@
 async fn answer<P: Protocol>(
     traffic: Rc<Traffic<P>>,
     request: Request<Incoming>,
+    connection_request: ConnectionRequest,
     close_mode: CloseMode,
-) -> Response<RelayBody> {
+) -> Response<HandedOver> {
     let knows_chunks = request.version() >= Version::HTTP_11;
-    let mut response = handle(traffic, request).await;
+    let mut response = handle(traffic, request, &connection_request).await;
     if !knows_chunks && response.body().size_hint().exact().is_none() {
         response.body_mut().reset_unless_complete(close_mode);
     }
-    response
+    response.map(|body| HandedOver { body, _request: connection_request })
+}
+
+/// The body of an answer, with its request, which ends when the body is handed over.
+struct HandedOver {
+    body: RelayBody,
+    _request: ConnectionRequest,
+}
+
+impl Body for HandedOver {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 fn idle_time_limit<P>(traffic: &Traffic<P>) -> Duration {
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -16,6 +16,7 @@
 use havengate_node::clock::Clock;
 
 use super::body_memory::BodyMemory;
+use super::connections::CallerConnections;
 use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits, SharedNotices};
 use crate::broken_runs::BrokenRuns;
 use crate::control::SharedWithTraffic;
@@ -70,6 +71,8 @@
     late_prefills: RefCell<LatePrefills>,
     /// Counters and histograms.
     pub metrics: RelayMetrics,
+    /// The connections of callers.
+    pub connections: CallerConnections,
     /// The memory of the bodies of callers' requests.
     pub bodies: BodyMemory,
     /// The number of open requests.
@@ -140,6 +143,7 @@
             configuration_current_at,
             revocation_limit: Cell::default(),
             metrics,
+            connections: CallerConnections::new(machine.caller_connections_maximum()),
             bodies: BodyMemory::new(machine.bodies_maximum_bytes()),
             active: ActiveRequests::default(),
             stopping: Cell::new(false),
--- a/crates/relay/src/machine.rs
+++ b/crates/relay/src/machine.rs
@@ -35,4 +35,11 @@
     pub fn bodies_maximum_bytes(&self) -> usize {
         self.memory_megabytes * MEGABYTE / 4
     }
+
+    /// The connections of callers that may be open at once: their buffers use at most a third of the memory, and half
+    /// of the descriptors stay for back ends, peers and the store.
+    pub fn caller_connections_maximum(&self) -> usize {
+        let by_memory = self.memory_megabytes * MEGABYTE / 3 / CONNECTION_BUFFER_BYTES;
+        by_memory.min(self.descriptors / 2)
+    }
 }
--- a/crates/relay/src/metrics/mod.rs
+++ b/crates/relay/src/metrics/mod.rs
@@ -40,6 +40,8 @@
 pub struct NodeState {
     /// Open requests of callers.
     pub open_requests: usize,
+    /// Open connections of callers.
+    pub caller_connections: usize,
     /// The bytes that the bodies of callers' requests use.
     pub body_bytes: usize,
     /// Open connections to back ends.
@@ -90,6 +92,7 @@
     directory: Gauge,
     nodes: Gauge,
     open_requests: Gauge,
+    caller_connections: Gauge,
     body_bytes: Gauge,
     connections: Gauge,
     directory_age_millis: Gauge,
@@ -145,6 +148,7 @@
             directory: Gauge::default(),
             nodes: Gauge::default(),
             open_requests: Gauge::default(),
+            caller_connections: Gauge::default(),
             body_bytes: Gauge::default(),
             connections: Gauge::default(),
             directory_age_millis: Gauge::default(),
@@ -229,6 +233,7 @@
         registry.register("directory_revision", "The revision of the directory", metrics.directory.clone());
         registry.register("nodes", "Nodes that share the budgets", metrics.nodes.clone());
         registry.register("open_requests", "Callers' requests that are open", metrics.open_requests.clone());
+        registry.register("caller_connections", "Connections of callers", metrics.caller_connections.clone());
         registry.register("body_bytes", "Bytes of the bodies of callers' requests", metrics.body_bytes.clone());
         registry.register("connections", "Connections to back ends", metrics.connections.clone());
         let age = metrics.directory_age_millis.clone();
@@ -394,6 +399,7 @@
     /// Sets the gauges of the node's current state.
     pub fn set_state(&self, state: &NodeState) {
         self.metrics.open_requests.set(i64::try_from(state.open_requests).unwrap_or(i64::MAX));
+        self.metrics.caller_connections.set(i64::try_from(state.caller_connections).unwrap_or(i64::MAX));
         self.metrics.body_bytes.set(i64::try_from(state.body_bytes).unwrap_or(i64::MAX));
         self.metrics.connections.set(i64::from(state.connections));
         let age = state.directory_age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
