Answers: a large one is passed on as it arrives; buffered ones are bounded

Callers: an answer of over 1 MiB was lost after its request had run (502), on safe routes after it had run twice. Clients that don't read their answers made a node hold a megabyte each, until it ended for want of memory.

Cause: every answer but a stream was buffered whole up to a fixed size, and dropped beyond it; all buffered answers together were bounded by nothing.

The thirteen tests of answer_ends pass.

Change: where an answer exceeds 1 MiB, or buffered answers use an eighth of the memory, it goes on like a stream: what the caller doesn't take is not read from the back end, and a cut is shown as a cut. Bytes count until they are written to the caller's connection.

--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Placed, Purpose, SendOutcome};
 use havengate_core::time::Timestamp;
@@ -17,7 +18,7 @@
 use super::candidates::{backoff_remaining, choose_back_end};
 use super::record::{RequestOutcome, RequestRecord};
 use super::resumption::{SentRequest, record_origin};
-use super::send_step::{discard, outcome_of_head, read_full_answer, send_and_record};
+use super::send_step::{CompleteAnswer, ReadAnswer, discard, outcome_of_head, read_answer, send_and_record};
 use super::stream_body::StreamBody;
 use super::traffic::{LatePrefillTimer, Traffic};
 use crate::back_ends::{AnswerInProgress, SendFailure};
@@ -295,32 +296,50 @@
                 Attempt::Ended(outcome, None)
             }
             None if self.request.route.kind.is_stream() => self.stream_answer(back_end, sent, answer).await,
-            None => match self.buffer_answer(back_end, answer).await {
-                Some(response) => {
-                    self.finish(RequestOutcome::Completed, "");
-                    Attempt::Answered(response)
-                }
+            None => match self.buffer_or_stream_answer(back_end, answer).await {
+                Some(response) => Attempt::Answered(response),
                 None => Attempt::Ended(SendOutcome::Lost, None),
             },
         }
     }
 
-    /// Reads the full answer before its head is passed on, so that the caller never receives part of an interrupted
-    /// answer.
+    /// Reads the failure of a back end in full; `None` if it is interrupted or too large.
     async fn buffer_answer(&mut self, back_end: &BackEnd, answer: AnswerInProgress) -> Option<Response<RelayBody>> {
-        let answer = read_full_answer(self.traffic, back_end, answer, self.ends_at, self.record.as_mut()).await?;
-        answer.record_success(self.traffic, back_end);
-        Some(caller_response(answer.parts, RelayBody::Buffered(Full::new(answer.body))))
+        match read_answer(self.traffic, back_end, answer, self.ends_at, self.record.as_mut()).await? {
+            ReadAnswer::Complete(answer) => Some(buffered_response(answer)),
+            ReadAnswer::Beginning(..) => None,
+        }
+    }
+
+    /// Reads the full answer before its head is passed on, so that the caller receives no part of an interrupted answer;
+    /// one that can't be buffered is passed on as it arrives.
+    async fn buffer_or_stream_answer(
+        &mut self,
+        back_end: &BackEnd,
+        answer: AnswerInProgress,
+    ) -> Option<Response<RelayBody>> {
+        match read_answer(self.traffic, back_end, answer, self.ends_at, self.record.as_mut()).await? {
+            ReadAnswer::Complete(answer) => {
+                answer.record_success(self.traffic, back_end);
+                self.finish(RequestOutcome::Completed, "");
+                Some(buffered_response(answer))
+            }
+            ReadAnswer::Beginning(beginning, answer) => {
+                self.traffic.loads.succeeded(&back_end.id);
+                self.traffic.peer_notices.record_answer(&back_end.id);
+                self.pass_on(Some(beginning), *answer)
+            }
+        }
     }
 
     /// Waits for the first piece of a stream, then streams the rest to the caller.
     async fn stream_answer(&mut self, back_end: &BackEnd, sent: SentRequest, answer: AnswerInProgress) -> Attempt {
-        let AnswerInProgress { parts, mut body, lease, in_flight, run, .. } = answer;
-        let first = match timeout_at(self.ends_at.into(), body.piece()).await {
+        let mut answer = answer;
+        let first = match timeout_at(self.ends_at.into(), answer.body.piece()).await {
             Err(_) => return Attempt::TimedOut,
             Ok(Err(error)) => {
                 if error.suggests_termination() {
-                    run.record_interruption();
+                    answer.run.record_interruption();
                 }
                 self.traffic.loads.failed(&back_end.id, self.traffic.clock.now());
                 return Attempt::Ended(SendOutcome::Lost, None);
@@ -333,14 +352,21 @@
         if first.is_some() {
             record_origin(self.traffic, &self.request, &back_end.id, sent).await;
         }
-        let Some(mut record) = self.record.take() else {
-            return Attempt::Ended(SendOutcome::Lost, None);
-        };
+        match self.pass_on(first, answer) {
+            Some(response) => Attempt::Answered(response),
+            None => Attempt::Ended(SendOutcome::Lost, None),
+        }
+    }
+
+    /// Passes on an answer that begins with `first` as the rest of it arrives.
+    fn pass_on(&mut self, first: Option<Bytes>, answer: AnswerInProgress) -> Option<Response<RelayBody>> {
+        let AnswerInProgress { parts, body, lease, in_flight, run, .. } = answer;
+        let mut record = self.record.take()?;
         record.first_piece = Some(self.traffic.clock.now());
         record.in_flight = Some(in_flight);
         let time_limit = Box::pin(sleep_until(self.ends_at.into()));
         let body = StreamBody::new(first, body, lease, time_limit, record, run);
-        Attempt::Answered(caller_response(parts, RelayBody::Stream(Box::new(body))))
+        Some(caller_response(parts, RelayBody::Stream(Box::new(body))))
     }
 
     /// Records in the tenant's usage that an engine began the request at `began`.
@@ -390,6 +416,11 @@
     }
 }
 
+/// The response with an answer that was read in full.
+fn buffered_response(answer: CompleteAnswer) -> Response<RelayBody> {
+    caller_response(answer.parts, RelayBody::Buffered(Full::new(answer.body)))
+}
+
 /// The response to the caller. Its version is that of the node: after a back end's HTTP/1.0, the caller's answer would have
 /// no chunks, and would end with the connection.
 fn caller_response(mut parts: Parts, body: RelayBody) -> Response<RelayBody> {
--- a/crates/relay/src/callers/prefill_step.rs
+++ b/crates/relay/src/callers/prefill_step.rs
@@ -4,7 +4,7 @@
 use havengate_core::relay::{Placed, Prompt, Purpose, SendOutcome, Urgency};
 
 use super::exchange_driver::{Driver, PrefillPlan};
-use super::send_step::{discard, outcome_of_failure, outcome_of_head, read_full_answer, send_and_record};
+use super::send_step::{ReadAnswer, discard, outcome_of_failure, outcome_of_head, read_answer, send_and_record};
 use crate::protocol::{CacheSource, Protocol, SendStage};
 
 impl<P: Protocol> Driver<'_, P> {
@@ -114,8 +114,15 @@
             discard(answer, self.ends_at).await;
             return Err(outcome);
         }
-        let answer = read_full_answer(self.traffic, back_end, answer, self.ends_at, None).await;
-        let answer = answer.ok_or(SendOutcome::Lost)?;
+        let answer = match read_answer(self.traffic, back_end, answer, self.ends_at, None).await {
+            Some(ReadAnswer::Complete(answer)) => answer,
+            Some(ReadAnswer::Beginning(..)) => {
+                // A handle has a few bytes.
+                self.traffic.loads.failed(&back_end.id, self.traffic.clock.now());
+                return Err(SendOutcome::Lost);
+            }
+            None => return Err(SendOutcome::Lost),
+        };
         let handle = self.traffic.protocol.read_handle(&answer.body);
         match &handle {
             Some(_) => answer.record_success(self.traffic, back_end),
--- a/crates/relay/src/callers/send_step.rs
+++ b/crates/relay/src/callers/send_step.rs
@@ -15,7 +15,8 @@
 use super::caller_request::CallerRequest;
 use super::record::RequestRecord;
 use super::traffic::Traffic;
-use crate::back_ends::{AnswerInProgress, SendFailure, Sent, send};
+use crate::answer_memory::BufferedAnswer;
+use crate::back_ends::{AnswerBody, AnswerInProgress, BodyError, SendFailure, Sent, send};
 use crate::broken_runs::Run;
 use crate::protocol::{AnswerHead, EngineUrgency, Protocol, SendStage};
 
@@ -275,30 +276,60 @@
     }
 }
 
-/// Reads a full answer and keeps its connection; `None` if it is interrupted or too large. `record` is that of the
-/// request whose caller gets the answer.
-pub async fn read_full_answer<P>(
+/// What was read of an answer.
+pub enum ReadAnswer {
+    /// All of it; its connection is kept.
+    Complete(CompleteAnswer),
+    /// Its beginning: the rest is too large to be buffered.
+    Beginning(Bytes, Box<AnswerInProgress>),
+}
+
+/// Reads an answer, as far as it can be buffered; `None` if it is interrupted. `record` is that of the request whose
+/// caller gets the answer.
+pub async fn read_answer<P>(
     traffic: &Traffic<P>,
     back_end: &BackEnd,
-    answer: AnswerInProgress,
+    mut answer: AnswerInProgress,
     ends_at: Instant,
     record: Option<&mut RequestRecord>,
-) -> Option<CompleteAnswer> {
-    let AnswerInProgress { parts, mut body, judgement, lease, in_flight, run, .. } = answer;
-    let collected = timeout_at(ends_at.into(), body.read_to_end(BUFFERED_ANSWER_MAXIMUM_BYTES)).await;
+) -> Option<ReadAnswer> {
+    let read = timeout_at(ends_at.into(), buffer(&mut answer.body, traffic.answers.begin())).await;
+    if let Ok(Ok((beginning, BufferEnd::Full))) = read {
+        return Some(ReadAnswer::Beginning(beginning, Box::new(answer)));
+    }
+    let AnswerInProgress { parts, body, judgement, lease, in_flight, run, .. } = answer;
     drop(in_flight);
     if let Some(record) = record {
         record.record_end(&body);
     }
-    if matches!(&collected, Ok(Err(error)) if error.suggests_termination()) {
+    if matches!(&read, Ok(Err(error)) if error.suggests_termination()) {
         run.record_interruption();
     }
-    let Ok(Ok(collected)) = collected else {
+    let Ok(Ok((collected, _))) = read else {
         traffic.loads.failed(&back_end.id, traffic.clock.now());
         return None;
     };
     lease.give_back_after(body.framing());
-    Some(CompleteAnswer { parts, body: collected, judgement, run })
+    Some(ReadAnswer::Complete(CompleteAnswer { parts, body: collected, judgement, run }))
+}
+
+/// Why no more of an answer is buffered.
+enum BufferEnd {
+    /// It is complete.
+    Complete,
+    /// It is too large, or buffered answers use their part of the memory.
+    Full,
+}
+
+async fn buffer(body: &mut AnswerBody, mut buffered: BufferedAnswer) -> Result<(Bytes, BufferEnd), BodyError> {
+    while let Some(piece) = body.piece().await? {
+        let is_full = buffered.len() + piece.len() > BUFFERED_ANSWER_MAXIMUM_BYTES || !buffered.has_room(piece.len());
+        buffered.append(&piece);
+        if is_full {
+            return Ok((buffered.into_bytes(), BufferEnd::Full));
+        }
+    }
+    Ok((buffered.into_bytes(), BufferEnd::Complete))
 }
 
 /// Reads and drops the answer of a back end that declined, so that its connection can be reused.
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -17,6 +17,7 @@
 
 use super::body_memory::BodyMemory;
 use super::connections::CallerConnections;
+use crate::answer_memory::AnswerMemory;
 use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits, SharedNotices};
 use crate::broken_runs::BrokenRuns;
 use crate::control::SharedWithTraffic;
@@ -75,6 +76,8 @@
     pub connections: CallerConnections,
     /// The memory of the bodies of callers' requests.
     pub bodies: BodyMemory,
+    /// The memory of buffered answers.
+    pub answers: AnswerMemory,
     /// The number of open requests.
     pub active: ActiveRequests,
     /// Whether the node is in a planned stop: answers then carry `Connection: close`.
@@ -145,6 +148,7 @@
             metrics,
             connections: CallerConnections::new(machine.caller_connections_maximum()),
             bodies: BodyMemory::new(machine.bodies_maximum_bytes()),
+            answers: AnswerMemory::new(machine.answers_maximum_bytes()),
             active: ActiveRequests::default(),
             stopping: Cell::new(false),
             budgets: RefCell::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 //! made in `havengate-core`. All requests are tasks on one traffic thread. A control thread follows the store and the
 //! peers, and publishes its view as one immutable value.
 
+pub mod answer_memory;
 pub mod back_ends;
 pub mod broken_runs;
 mod cache_survey;
--- a/crates/relay/src/machine.rs
+++ b/crates/relay/src/machine.rs
@@ -36,6 +36,12 @@
         self.memory_megabytes * MEGABYTE / 4
     }
 
+    /// The bytes that buffered answers may use together before further ones are passed on as they arrive: an eighth of
+    /// the memory.
+    pub fn answers_maximum_bytes(&self) -> usize {
+        self.memory_megabytes * MEGABYTE / 8
+    }
+
     /// The connections of callers that may be open at once: their buffers use at most a third of the memory, and half
     /// of the descriptors stay for back ends, peers and the store.
     pub fn caller_connections_maximum(&self) -> usize {
--- a/crates/relay/src/metrics/mod.rs
+++ b/crates/relay/src/metrics/mod.rs
@@ -40,6 +40,8 @@
 pub struct NodeState {
     /// Open requests of callers.
     pub open_requests: usize,
+    /// The bytes of buffered answers.
+    pub answer_bytes: usize,
     /// Open connections of callers.
     pub caller_connections: usize,
     /// The bytes that the bodies of callers' requests use.
@@ -92,6 +94,7 @@
     directory: Gauge,
     nodes: Gauge,
     open_requests: Gauge,
+    answer_bytes: Gauge,
     caller_connections: Gauge,
     body_bytes: Gauge,
     connections: Gauge,
@@ -148,6 +151,7 @@
             directory: Gauge::default(),
             nodes: Gauge::default(),
             open_requests: Gauge::default(),
+            answer_bytes: Gauge::default(),
             caller_connections: Gauge::default(),
             body_bytes: Gauge::default(),
             connections: Gauge::default(),
@@ -233,6 +237,7 @@
         registry.register("directory_revision", "The revision of the directory", metrics.directory.clone());
         registry.register("nodes", "Nodes that share the budgets", metrics.nodes.clone());
         registry.register("open_requests", "Callers' requests that are open", metrics.open_requests.clone());
+        registry.register("answer_bytes", "Bytes of buffered answers", metrics.answer_bytes.clone());
         registry.register("caller_connections", "Connections of callers", metrics.caller_connections.clone());
         registry.register("body_bytes", "Bytes of the bodies of callers' requests", metrics.body_bytes.clone());
         registry.register("connections", "Connections to back ends", metrics.connections.clone());
@@ -399,6 +404,7 @@
     /// Sets the gauges of the node's current state.
     pub fn set_state(&self, state: &NodeState) {
         self.metrics.open_requests.set(i64::try_from(state.open_requests).unwrap_or(i64::MAX));
+        self.metrics.answer_bytes.set(i64::try_from(state.answer_bytes).unwrap_or(i64::MAX));
         self.metrics.caller_connections.set(i64::try_from(state.caller_connections).unwrap_or(i64::MAX));
         self.metrics.body_bytes.set(i64::try_from(state.body_bytes).unwrap_or(i64::MAX));
         self.metrics.connections.set(i64::from(state.connections));
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -293,6 +293,7 @@
     traffic.quotas.set_metrics();
     traffic.metrics.set_state(&NodeState {
         open_requests: traffic.active.count(),
+        answer_bytes: traffic.answers.used(),
         caller_connections: traffic.connections.count(),
         body_bytes: traffic.bodies.used(),
         connections: traffic.pool.open_total(),
