Planned stop: a request that is read late is refused instead of passed on

Callers: in a planned stop, requests whose body or head ended late in the grace period were passed on and ran; the process ended before their answers, and their connections closed without one. Among them were requests that may not be repeated.

Cause: from the signal on nothing but the acceptance of connections ended. A request under way on an open connection was read, and passed on, until the process ended.

Evidence: a_request_that_is_whole_only_late_in_the_grace_period_does_not_run failed before: a body that ends 6.5 s after the signal (grace 8 s) got no answer. Heads and kept connections are in the test.

Change: once the node takes no more connections (2.9 s at a grace of 8 s), every request that is not read in full is refused at once as not run; its caller may send it to another node. What was passed on before has the rest of the grace period.

Peers' tunnels: new ones were refused from the signal on already (read, not tested here).

--- a/crates/relay/src/callers/handler.rs
+++ b/crates/relay/src/callers/handler.rs
@@ -21,6 +21,7 @@
 use super::caller_request::CallerRequest;
 use super::connections::ConnectionRequest;
 use super::exchange_driver::drive;
+use super::planned_stop::StopPhase;
 use super::record::{RequestOutcome, RequestRecord};
 use super::resumption::find_resumed_stream;
 use super::traffic::Traffic;
@@ -48,7 +49,7 @@
             answer.response()
         }
     };
-    if traffic.stopping.get() {
+    if traffic.stop.has_begun(StopPhase::Draining) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -60,6 +61,9 @@
     connection_request: &ConnectionRequest,
     record: &mut RequestRecord,
 ) -> Result<CallerRequest, LocalAnswer> {
+    if traffic.stop.has_begun(StopPhase::Refusing) {
+        return Err(LocalAnswer::refusal(NotRunReason::NodeLeaving));
+    }
     let (mut parts, body) = request.into_parts();
     let knowledge = traffic.knowledge.load_full();
     let Some(active) = &knowledge.configuration else {
@@ -73,7 +77,10 @@
     record.tenant = tenant.as_ref().map(|tenant| tenant.name.clone());
     let time_limit = head.deadline.map_or(route.time_limit, |deadline| deadline.min(route.time_limit));
     let held_body = traffic.bodies.begin(Instant::now());
-    let body = read_body(body, &active.configuration.limits, time_limit, &held_body).await?;
+    let body = tokio::select! {
+        body = read_body(body, &active.configuration.limits, time_limit, &held_body) => body?,
+        () = traffic.stop.wait_for(StopPhase::Refusing) => return Err(LocalAnswer::refusal(NotRunReason::NodeLeaving)),
+    };
     connection_request.runs();
     let service = traffic.with_splits(|turns| turns.next(&route).cloned());
     let service = service.ok_or_else(|| LocalAnswer::refusal(NotRunReason::NoEngine))?;
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -10,6 +10,7 @@
 pub mod connections;
 mod exchange_driver;
 mod handler;
+pub mod planned_stop;
 mod prefill_step;
 mod record;
 mod resumption;
--- a/crates/relay/src/callers/traffic.rs
+++ b/crates/relay/src/callers/traffic.rs
@@ -17,6 +17,7 @@
 
 use super::body_memory::BodyMemory;
 use super::connections::CallerConnections;
+use super::planned_stop::PlannedStop;
 use crate::answer_memory::AnswerMemory;
 use crate::back_ends::{BackEndLoads, ConnectionPool, PoolLimits, SharedNotices};
 use crate::broken_runs::BrokenRuns;
@@ -80,8 +81,8 @@
     pub answers: AnswerMemory,
     /// The number of open requests.
     pub active: ActiveRequests,
-    /// Whether the node is in a planned stop: answers then carry `Connection: close`.
-    pub stopping: Cell<bool>,
+    /// The planned stop.
+    pub stop: PlannedStop,
     budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     budget_config: Cell<SharedRetryBudgetConfig>,
     placement: Cell<PlacementConfig>,
@@ -150,7 +151,7 @@
             bodies: BodyMemory::new(machine.bodies_maximum_bytes()),
             answers: AnswerMemory::new(machine.answers_maximum_bytes()),
             active: ActiveRequests::default(),
-            stopping: Cell::new(false),
+            stop: PlannedStop::default(),
             budgets: RefCell::default(),
             budget_config: Cell::new(budget_config),
             splits: RefCell::default(),
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -26,6 +26,7 @@
 
 use crate::back_ends::SharedNotices;
 use crate::cache_survey::survey;
+use crate::callers::planned_stop::StopPhase;
 use crate::callers::{CallerServer, LAST_CONNECTIONS_GRACE, ServerPhase, Traffic, listen};
 use crate::control::{BlockStoreLink, ControlSettings, DutySettings, Platform, SharedWithTraffic, block_links, spawn};
 use crate::demand::SharedDemand;
@@ -252,12 +253,12 @@
     traffic.quotas.log_summary();
 }
 
-/// Runs a planned stop: reports not ready at once, then stops accepting connections, then waits for all open requests
-/// and the tunnels of peers to end.
+/// Runs a planned stop: reports not ready at once, then stops accepting connections and refuses requests that are not
+/// read in full, then waits for all open requests and the tunnels of peers to end.
 async fn stop<P: 'static>(grace: Duration, traffic: &Rc<Traffic<P>>, phase: &watch::Sender<ServerPhase>) {
     let began = Instant::now();
     let deadline = began + grace.saturating_sub(STOP_RESERVE);
-    traffic.stopping.set(true);
+    traffic.stop.begin(StopPhase::Draining);
     log::info!(event = "stopping", open_requests = traffic.active.count(), tunnels = traffic.tunnels.open_for_peers(); "");
     let announcing = Rc::clone(traffic);
     tokio::task::spawn_local(async move { announcing.peer_notices.announce_tunnels_end().await });
@@ -265,6 +266,7 @@
     phase.send_replace(ServerPhase::Closing);
     // Leaves time for the first request on connections that were just accepted, before open requests are counted.
     sleep(LAST_CONNECTIONS_GRACE + 2 * STOP_POLL_INTERVAL).await;
+    traffic.stop.begin(StopPhase::Refusing);
     let is_used = || traffic.active.count() > 0 || traffic.tunnels.open_for_peers() > 0;
     while is_used() && Instant::now() < deadline {
         sleep(STOP_POLL_INTERVAL).await;
@@ -278,7 +280,7 @@
 type StatusResponse = Response<Full<Bytes>>;
 
 fn readiness<P>(traffic: &Traffic<P>) -> StatusResponse {
-    let ready = !traffic.stopping.get() && traffic.knowledge.load().is_complete();
+    let ready = !traffic.stop.has_begun(StopPhase::Draining) && traffic.knowledge.load().is_complete();
     let mut response = Response::new(Full::new(Bytes::from_static(if ready { b"ready" } else { b"not ready" })));
     if !ready {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/relay/src/tunnels/server.rs
+++ b/crates/relay/src/tunnels/server.rs
@@ -16,6 +16,7 @@
 use super::copy::{TunnelEnd, copy_both_ways};
 use crate::back_ends::set_liveness;
 use crate::callers::Traffic;
+use crate::callers::planned_stop::StopPhase;
 use crate::control::transfer::{SILENCE_TIME_LIMIT, TransferTimeouts, read_small_message, write_message};
 
 /// The most connections whose first message is awaited at the same time; further ones are closed.
@@ -118,7 +119,7 @@
     let now = traffic.clock.now();
     let grants = traffic.tunnels.shared.grants.borrow();
     let peer = grants.authorize(request.token, source, now).ok_or(TunnelAnswer::Unauthorized)?;
-    if traffic.stopping.get() || !grants.has_room() {
+    if traffic.stop.has_begun(StopPhase::Draining) || !grants.has_room() {
         return Err(TunnelAnswer::Busy);
     }
     let knowledge = traffic.knowledge.load();
