Planned stop: an answer counts as delivered when it is written

Callers: in a planned stop, a caller on a slow link, or one that reads with a pause, got a part of an answer and the end of its connection, though most of the grace period was left.

Cause: an answer counted as ended when it was handed to the HTTP library; the process ended 20 ms later, with what the system had not taken yet.

Change: a connection counts as used until the server has written all that was handed over; a stop waits for such connections, at most for its grace period.

--- a/crates/relay/src/callers/caller_socket.rs
+++ b/crates/relay/src/callers/caller_socket.rs
@@ -96,6 +96,8 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The server flushes the connection only once it has written all bytes.
+        self.progress.record_written();
         Pin::new(&mut *self.stream.borrow_mut()).poll_flush(context)
     }
 
--- a/crates/relay/src/callers/connections.rs
+++ b/crates/relay/src/callers/connections.rs
@@ -26,6 +26,8 @@
 pub struct Progress {
     /// Whether a request on it is read in full and its answer not handed over yet.
     is_running: Cell<bool>,
+    /// Whether an answer was handed over and is not written yet.
+    is_unwritten: Cell<bool>,
     /// When bytes were last received or sent, or an answer was handed over.
     last: Cell<Instant>,
     is_closed: Cell<bool>,
@@ -36,6 +38,7 @@
     fn new() -> Self {
         Progress {
             is_running: Cell::new(false),
+            is_unwritten: Cell::new(false),
             last: Cell::new(Instant::now()),
             is_closed: Cell::new(false),
             closed: Notify::new(),
@@ -47,6 +50,11 @@
         self.last.set(Instant::now());
     }
 
+    /// Records that all bytes handed over so far are written to the connection.
+    pub fn record_written(&self) {
+        self.is_unwritten.set(false);
+    }
+
     fn close(&self) {
         self.is_closed.set(true);
         self.closed.notify_one();
@@ -64,6 +72,11 @@
         self.table.borrow().connections.len()
     }
 
+    /// The number of connections with an answer that was handed over and is not written yet.
+    pub fn unwritten(&self) -> usize {
+        self.table.borrow().connections.values().filter(|progress| progress.is_unwritten.get()).count()
+    }
+
     /// Counts a new connection, for which another one may be closed. `None` if requests run on all of them.
     pub fn open(&self) -> Option<OpenConnection> {
         let mut table = self.table.borrow_mut();
@@ -141,6 +154,7 @@
 impl Drop for ConnectionRequest {
     fn drop(&mut self) {
         self.progress.is_running.set(false);
+        self.progress.is_unwritten.set(true);
         self.progress.record();
     }
 }
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -254,7 +254,7 @@
 }
 
 /// Runs a planned stop: reports not ready at once, then stops accepting connections and refuses requests that are not
-/// read in full, then waits for all open requests and the tunnels of peers to end.
+/// read in full, then waits until all answers are written to their connections, and the tunnels of peers end.
 async fn stop<P: 'static>(grace: Duration, traffic: &Rc<Traffic<P>>, phase: &watch::Sender<ServerPhase>) {
     let began = Instant::now();
     let deadline = began + grace.saturating_sub(STOP_RESERVE);
@@ -267,14 +267,16 @@
     // Leaves time for the first request on connections that were just accepted, before open requests are counted.
     sleep(LAST_CONNECTIONS_GRACE + 2 * STOP_POLL_INTERVAL).await;
     traffic.stop.begin(StopPhase::Refusing);
-    let is_used = || traffic.active.count() > 0 || traffic.tunnels.open_for_peers() > 0;
+    let has_unwritten = || traffic.connections.unwritten() > 0;
+    let is_used = || traffic.active.count() > 0 || has_unwritten() || traffic.tunnels.open_for_peers() > 0;
     while is_used() && Instant::now() < deadline {
         sleep(STOP_POLL_INTERVAL).await;
     }
     // Lets the tasks of the connections run once more to write the last bytes of the last answer.
     sleep(STOP_POLL_INTERVAL).await;
     let took_ms = whole_millis(began.elapsed());
-    log::info!(event = "stopped", open_requests = traffic.active.count(), took_ms; "");
+    let (open_requests, unwritten) = (traffic.active.count(), traffic.connections.unwritten());
+    log::info!(event = "stopped", open_requests, unwritten_answers = unwritten, took_ms; "");
 }
 
 type StatusResponse = Response<Full<Bytes>>;
