Answers: a kept connection alone proves no end of an answer

Callers: where packets were lost beside the end of an engine, a part of an answer without a length looked whole: 200, the engine's signature, and the end of a complete answer.

Cause: an idle connection that had not ended 10 ms after the answer counted as the proof that its process serves on. Its own end may be lost on the way, or come later.

Evidence: a_kept_connection_whose_end_was_lost_proves_no_end_of_an_answer failed before (200 for a part).

Change: a new connection has to be accepted in any case; the kept one only tells that it is the same process. Each answer that ends with its connection now costs one connection, which the pool keeps.

Remains: a process that is replaced at its address within that moment, while the end of a kept connection is lost.

--- a/crates/relay/src/back_ends/end_proof.rs
+++ b/crates/relay/src/back_ends/end_proof.rs
@@ -19,7 +19,8 @@
 /// Whether a back end ended an answer on purpose.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndProof {
-    /// The same process still serves: a connection from before the request was sent is open still.
+    /// A process accepts connections at the back end's address, and a connection from before the request was sent is open
+    /// still: it is the same process.
     KeptConnection,
     /// A process accepts connections at the back end's address.
     NewConnection,
--- a/crates/relay/src/back_ends/pool/liveness.rs
+++ b/crates/relay/src/back_ends/pool/liveness.rs
@@ -41,15 +41,14 @@
     }
 
     /// Like `liveness`; also whether a connection from before `served_at` is open still, which shows that the process that
-    /// served then serves on.
+    /// accepts connections is the one that served then. Alone such a connection shows nothing: its end may be lost on the
+    /// way.
     pub async fn liveness_after_close(&self, back_end: &BackEnd, served_at: Instant) -> (BackEndLiveness, bool) {
         sleep(CHECK_DELAY).await;
+        let liveness = self.check_liveness(back_end).await;
         // Lets the tasks of connections that were closed meanwhile notice it.
         tokio::task::yield_now().await;
-        if self.has_connection_from_before(back_end, served_at) {
-            return (BackEndLiveness::Alive, true);
-        }
-        (self.check_liveness(back_end).await, false)
+        (liveness, self.has_connection_from_before(back_end, served_at))
     }
 
     async fn check_liveness(&self, back_end: &BackEnd) -> BackEndLiveness {
