--- a/crates/relay/src/machine.rs
+++ b/crates/relay/src/machine.rs
@@ -1,11 +1,16 @@
 //! What the machine of a node has, and the shares that callers may use of it.
 
+use std::ops::RangeInclusive;
+
 use serde::Deserialize;
 
 /// The most that one caller's connection needs beside bodies: the buffer for a request head, or that for the part of an
 /// answer that the caller has not taken yet.
 pub const CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Callers may have this many connections on a machine of any size.
+const CALLER_CONNECTIONS_MINIMUM: usize = 16;
+
 const MEGABYTE: usize = 1024 * 1024;
 
 /// The machine of a node, as its settings have it.
@@ -26,10 +31,10 @@
 
 impl Machine {
     /// The range of `memory_megabytes`.
-    pub const MEMORY_MEGABYTES: std::ops::RangeInclusive<usize> = 32..=1_048_576;
+    pub const MEMORY_MEGABYTES: RangeInclusive<usize> = 1..=1_048_576;
 
     /// The range of `descriptors`.
-    pub const DESCRIPTORS: std::ops::RangeInclusive<usize> = 128..=16_777_216;
+    pub const DESCRIPTORS: RangeInclusive<usize> = 1..=16_777_216;
 
     /// The bytes that the bodies of callers' requests may use together: a quarter of the memory.
     pub fn bodies_maximum_bytes(&self) -> usize {
@@ -46,6 +51,6 @@
     /// of the descriptors stay for back ends, peers and the store.
     pub fn caller_connections_maximum(&self) -> usize {
         let by_memory = self.memory_megabytes * MEGABYTE / 3 / CONNECTION_BUFFER_BYTES;
-        by_memory.min(self.descriptors / 2)
+        by_memory.min(self.descriptors / 2).max(CALLER_CONNECTIONS_MINIMUM)
     }
 }
