--- a/crates/relay/src/callers/exchange_driver.rs
+++ b/crates/relay/src/callers/exchange_driver.rs
@@ -2,27 +2,22 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use havengate_core::back_ends::BackEnd;
 use havengate_core::relay::{Exchange, ExchangeRules, NextStep, Placed, Purpose, SendOutcome};
 use havengate_core::time::Timestamp;
 use havengate_core::verdict::{MayHaveRun, NotRunReason};
 use havengate_core::world::{BackEndId, ZoneName};
-use http_body_util::Full;
-use hyper::http::response::Parts;
-use hyper::{Response, Version};
-use tokio::time::{sleep_until, timeout_at};
+use hyper::Response;
 
 use super::answer::{LocalAnswer, RelayBody};
 use super::caller_request::CallerRequest;
 use super::candidates::{backoff_remaining, choose_back_end};
 use super::planned_stop::StopPhase;
 use super::record::{RequestOutcome, RequestRecord};
-use super::resumption::{SentRequest, record_origin};
-use super::send_step::{CompleteAnswer, ReadAnswer, discard, outcome_of_head, read_answer, send_and_record};
-use super::stream_body::StreamBody;
+use super::resumption::SentRequest;
+use super::send_step::{discard, outcome_of_head, send_and_record};
 use super::traffic::{LatePrefillTimer, Traffic};
-use crate::back_ends::{AnswerInProgress, SendFailure};
+use crate::back_ends::SendFailure;
 use crate::protocol::{AnswerHead, CacheSource, Protocol, SendStage};
 
 /// Sends `request`, with retries, until there is an answer for its caller.
@@ -95,7 +90,7 @@
 }
 
 /// How one send ended.
-enum Attempt {
+pub(super) enum Attempt {
     /// There is an answer for the caller.
     Answered(Response<RelayBody>),
     /// There is no answer; the back end's report of a failure may be passed on.
@@ -183,7 +178,7 @@
         wait.map_or_else(|| LocalAnswer::refusal(reason), |wait| LocalAnswer::refusal_for(reason, wait))
     }
 
-    fn finish(&mut self, outcome: RequestOutcome, cause: &'static str) {
+    pub(super) fn finish(&mut self, outcome: RequestOutcome, cause: &'static str) {
         if let Some(mut record) = self.record.take() {
             record.finish(outcome, cause);
         }
@@ -309,74 +304,8 @@
         }
     }
 
-    /// Reads the failure of a back end in full; `None` if it is interrupted or too large.
-    async fn buffer_answer(&mut self, back_end: &BackEnd, answer: AnswerInProgress) -> Option<Response<RelayBody>> {
-        match read_answer(self.traffic, back_end, answer, self.ends_at, self.record.as_mut()).await? {
-            ReadAnswer::Complete(answer) => Some(buffered_response(answer)),
-            ReadAnswer::Beginning(..) => None,
-        }
-    }
-
-    /// Reads the full answer before its head is passed on, so that the caller receives no part of an interrupted answer;
-    /// one that can't be buffered is passed on as it arrives.
-    async fn buffer_or_stream_answer(
-        &mut self,
-        back_end: &BackEnd,
-        answer: AnswerInProgress,
-    ) -> Option<Response<RelayBody>> {
-        match read_answer(self.traffic, back_end, answer, self.ends_at, self.record.as_mut()).await? {
-            ReadAnswer::Complete(answer) => {
-                answer.record_success(self.traffic, back_end);
-                self.finish(RequestOutcome::Completed, "");
-                Some(buffered_response(answer))
-            }
-            ReadAnswer::Beginning(beginning, answer) => {
-                self.traffic.loads.succeeded(&back_end.id);
-                self.traffic.peer_notices.record_answer(&back_end.id);
-                self.pass_on(Some(beginning), *answer)
-            }
-        }
-    }
-
-    /// Waits for the first piece of a stream, then streams the rest to the caller.
-    async fn stream_answer(&mut self, back_end: &BackEnd, sent: SentRequest, answer: AnswerInProgress) -> Attempt {
-        let mut answer = answer;
-        let first = match timeout_at(self.ends_at.into(), answer.body.piece()).await {
-            Err(_) => return Attempt::TimedOut,
-            Ok(Err(error)) => {
-                if error.suggests_termination() {
-                    answer.run.record_interruption();
-                }
-                self.traffic.loads.failed(&back_end.id, self.traffic.clock.now());
-                return Attempt::Ended(SendOutcome::Lost, None);
-            }
-            Ok(Ok(first)) => first,
-        };
-        self.traffic.loads.succeeded(&back_end.id);
-        self.traffic.peer_notices.record_answer(&back_end.id);
-        self.record_run(self.traffic.clock.now());
-        if first.is_some() {
-            record_origin(self.traffic, &self.request, &back_end.id, sent).await;
-        }
-        match self.pass_on(first, answer) {
-            Some(response) => Attempt::Answered(response),
-            None => Attempt::Ended(SendOutcome::Lost, None),
-        }
-    }
-
-    /// Passes on an answer that begins with `first` as the rest of it arrives.
-    fn pass_on(&mut self, first: Option<Bytes>, answer: AnswerInProgress) -> Option<Response<RelayBody>> {
-        let AnswerInProgress { parts, body, lease, in_flight, run, .. } = answer;
-        let mut record = self.record.take()?;
-        record.first_piece = Some(self.traffic.clock.now());
-        record.in_flight = Some(in_flight);
-        let time_limit = Box::pin(sleep_until(self.ends_at.into()));
-        let body = StreamBody::new(first, body, lease, time_limit, record, run);
-        Some(caller_response(parts, RelayBody::Stream(Box::new(body))))
-    }
-
     /// Records in the tenant's usage that an engine began the request at `began`.
-    fn record_run(&self, began: Timestamp) {
+    pub(super) fn record_run(&self, began: Timestamp) {
         if let Some(tenant) = &self.request.tenant {
             self.traffic.usage.record(&tenant.name, began);
         }
@@ -421,15 +350,3 @@
         )
     }
 }
-
-/// The response with an answer that was read in full.
-fn buffered_response(answer: CompleteAnswer) -> Response<RelayBody> {
-    caller_response(answer.parts, RelayBody::Buffered(Full::new(answer.body)))
-}
-
-/// The response to the caller. Its version is that of the node: after a back end's HTTP/1.0, the caller's answer would have
-/// no chunks, and would end with the connection.
-fn caller_response(mut parts: Parts, body: RelayBody) -> Response<RelayBody> {
-    parts.version = Version::HTTP_11;
-    Response::from_parts(parts, body)
-}
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! Serves callers: their connections, and each request from its head to the end of its answer.
 
 mod answer;
+mod answer_step;
 mod block_step;
 pub mod body_memory;
 mod body_reader;
