--- a/crates/relay/src/callers/body_memory.rs
+++ b/crates/relay/src/callers/body_memory.rs
@@ -1,6 +1,6 @@
 //! The memory that the bodies of callers' requests may use together.
 //!
-//! When it is used up, the largest body that is not complete yet gives way, those first whose callers have stopped
+//! When it is used up, the largest body that is not complete yet is evicted, those first whose callers have stopped
 //! sending. So a request with a small body is read while callers hold on to large ones.
 
 use std::cell::{Cell, RefCell};
@@ -30,7 +30,7 @@
     maximum: usize,
     used: usize,
     next_id: u64,
-    /// The bodies that are being read or are complete, until their requests end or they give way.
+    /// The bodies that are being read or are complete, until their requests end or they are evicted.
     bodies: BTreeMap<u64, BodyState>,
 }
 
@@ -38,7 +38,7 @@
     bytes: usize,
     is_complete: bool,
     received_at: Instant,
-    given_way: Rc<Eviction>,
+    eviction: Rc<Eviction>,
 }
 
 #[derive(Default)]
@@ -63,10 +63,10 @@
         let mut state = self.state.borrow_mut();
         let id = state.next_id;
         state.next_id += 1;
-        let given_way = Rc::<Eviction>::default();
-        let body = BodyState { bytes: 0, is_complete: false, received_at: now, given_way: Rc::clone(&given_way) };
+        let eviction = Rc::<Eviction>::default();
+        let body = BodyState { bytes: 0, is_complete: false, received_at: now, eviction: Rc::clone(&eviction) };
         state.bodies.insert(id, body);
-        HeldBody { memory: self.clone(), id, given_way }
+        HeldBody { memory: self.clone(), id, eviction }
     }
 }
 
@@ -89,7 +89,7 @@
         Ok(())
     }
 
-    /// The body that gives way to the body `id` of `bytes`: an incomplete one that has stalled, or else is larger.
+    /// The body that is evicted for the body `id` of `bytes`: an incomplete one that has stalled, or else is larger.
     fn victim(&self, id: u64, bytes: usize, now: Instant) -> Option<u64> {
         let is_stalled = |body: &BodyState| now.duration_since(body.received_at) >= STALLED_AFTER;
         let others = self.bodies.iter().filter(|(other, body)| **other != id && !body.is_complete && body.bytes > 0);
@@ -100,9 +100,9 @@
     fn evict(&mut self, id: u64) {
         if let Some(body) = self.bodies.remove(&id) {
             self.used -= body.bytes;
-            body.given_way.happened.set(true);
-            body.given_way.notify.notify_one();
-            log::warn!(event = "body_gave_way", bytes = body.bytes, used = self.used; "");
+            body.eviction.happened.set(true);
+            body.eviction.notify.notify_one();
+            log::warn!(event = "body_evicted", bytes = body.bytes, used = self.used; "");
         }
     }
 }
@@ -111,14 +111,14 @@
 pub struct HeldBody {
     memory: BodyMemory,
     id: u64,
-    given_way: Rc<Eviction>,
+    eviction: Rc<Eviction>,
 }
 
 impl HeldBody {
     /// Records that the body uses `bytes` in all from `now` on.
     ///
     /// # Errors
-    /// When the memory is used up and no other body gives way, or this one has given way.
+    /// When the memory is used up and no other body can be evicted, or this one was evicted.
     pub fn grow_to(&self, bytes: usize, now: Instant) -> Result<(), MemoryFull> {
         self.memory.state.borrow_mut().grow(self.id, bytes, now)
     }
@@ -130,10 +130,10 @@
         }
     }
 
-    /// Records that the body is complete: from now on it gives way to none, as its request may run.
+    /// Records that the body is complete: from now on it is not evicted, as its request may run.
     ///
     /// # Errors
-    /// When it has given way.
+    /// When it was evicted.
     pub fn complete(&self) -> Result<(), MemoryFull> {
         let mut state = self.memory.state.borrow_mut();
         let body = state.bodies.get_mut(&self.id).ok_or(MemoryFull)?;
@@ -141,10 +141,10 @@
         Ok(())
     }
 
-    /// Waits until the body gives way to another one.
-    pub async fn given_way(&self) {
-        while !self.given_way.happened.get() {
-            self.given_way.notify.notified().await;
+    /// Waits until the body is evicted.
+    pub async fn evicted(&self) {
+        while !self.eviction.happened.get() {
+            self.eviction.notify.notified().await;
         }
     }
 }
--- a/crates/relay/src/callers/body_reader.rs
+++ b/crates/relay/src/callers/body_reader.rs
@@ -32,7 +32,7 @@
 /// size of the pieces that it arrives in, so no piece is kept by itself.
 ///
 /// # Errors
-/// When it is too large, ends before its end, or gives way to another body.
+/// When it is too large, ends before its end, or is evicted.
 pub async fn read_to_end(mut body: Incoming, maximum: usize, held: &HeldBody) -> Result<Bytes, BodyReadError> {
     if body.size_hint().lower() > maximum as u64 {
         return Err(BodyReadError::TooLarge);
@@ -41,7 +41,7 @@
     loop {
         let frame = tokio::select! {
             biased;
-            () = held.given_way() => return Err(BodyReadError::MemoryFull),
+            () = held.evicted() => return Err(BodyReadError::MemoryFull),
             frame = body.frame() => frame,
         };
         let Some(frame) = frame else {
--- a/crates/relay/src/callers/caller_socket.rs
+++ b/crates/relay/src/callers/caller_socket.rs
@@ -15,12 +15,12 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::connections::Progress;
+use super::connections::ConnectionProgress;
 
 /// A caller's connection.
 pub struct CallerSocket {
     stream: Rc<RefCell<TcpStream>>,
-    progress: Rc<Progress>,
+    progress: Rc<ConnectionProgress>,
 }
 
 /// Decides how a caller's connection ends. Clones refer to the same connection.
@@ -31,7 +31,7 @@
 
 impl CallerSocket {
     /// Wraps `stream`, whose progress is recorded.
-    pub fn new(stream: TcpStream, progress: Rc<Progress>) -> Self {
+    pub fn new(stream: TcpStream, progress: Rc<ConnectionProgress>) -> Self {
         CallerSocket { stream: Rc::new(RefCell::new(stream)), progress }
     }
 
--- a/crates/relay/src/callers/connections.rs
+++ b/crates/relay/src/callers/connections.rs
@@ -19,11 +19,11 @@
 struct Table {
     maximum: usize,
     next_id: u64,
-    connections: BTreeMap<u64, Rc<Progress>>,
+    connections: BTreeMap<u64, Rc<ConnectionProgress>>,
 }
 
 /// What happens on a connection.
-pub struct Progress {
+pub struct ConnectionProgress {
     /// Whether a request on it is read in full and its answer not handed over yet.
     is_running: Cell<bool>,
     /// Whether an answer was handed over and is not written yet.
@@ -34,9 +34,9 @@
     closed: Notify,
 }
 
-impl Progress {
+impl ConnectionProgress {
     fn new() -> Self {
-        Progress {
+        ConnectionProgress {
             is_running: Cell::new(false),
             is_unwritten: Cell::new(false),
             last: Cell::new(Instant::now()),
@@ -85,7 +85,7 @@
         }
         let id = table.next_id;
         table.next_id += 1;
-        let progress = Rc::new(Progress::new());
+        let progress = Rc::new(ConnectionProgress::new());
         table.connections.insert(id, Rc::clone(&progress));
         Some(OpenConnection { connections: self.clone(), id, progress })
     }
@@ -100,7 +100,7 @@
         };
         if let Some(progress) = self.connections.remove(&id) {
             let idle_ms = progress.last.get().elapsed().as_millis();
-            log::warn!(event = "connection_gave_way", idle_ms, connections = self.connections.len(); "");
+            log::warn!(event = "connection_evicted", idle_ms, connections = self.connections.len(); "");
             progress.close();
         }
         true
@@ -111,12 +111,12 @@
 pub struct OpenConnection {
     connections: CallerConnections,
     id: u64,
-    progress: Rc<Progress>,
+    progress: Rc<ConnectionProgress>,
 }
 
 impl OpenConnection {
     /// The progress on this connection, for its socket.
-    pub fn progress(&self) -> Rc<Progress> {
+    pub fn progress(&self) -> Rc<ConnectionProgress> {
         Rc::clone(&self.progress)
     }
 
@@ -136,12 +136,12 @@
 
 /// A request on a connection, until its answer is handed over.
 pub struct ConnectionRequest {
-    progress: Rc<Progress>,
+    progress: Rc<ConnectionProgress>,
 }
 
 impl ConnectionRequest {
     /// Begins a request that is not read in full yet.
-    pub fn begin(progress: Rc<Progress>) -> Self {
+    pub fn begin(progress: Rc<ConnectionProgress>) -> Self {
         ConnectionRequest { progress }
     }
 
--- a/crates/relay/tests/body_memory.rs
+++ b/crates/relay/tests/body_memory.rs
@@ -22,7 +22,7 @@
 }
 
 #[test]
-fn complete_bodies_leave_room_for_small_ones_and_give_way_to_none() {
+fn complete_bodies_leave_room_for_small_ones_and_are_not_evicted() {
     let (memory, now) = (BodyMemory::new(MAXIMUM), Instant::now());
     let held: Vec<HeldBody> = (0..20).map(|_| memory.begin(now)).collect();
     let complete = held.iter().filter(|body| body.grow_to(LARGE, now).and_then(|()| body.complete()).is_ok()).count();
