--- a/crates/relay/src/callers/planned_stop.rs
+++ b/crates/relay/src/callers/planned_stop.rs
@@ -7,7 +7,7 @@
 pub enum StopPhase {
     /// There is none.
     Serving,
-    /// Callers are told to close their connections; requests are served.
+    /// Answers carry `Connection: close`; requests are served.
     Draining,
     /// Requests that are not read in full are refused: their answers might not come in time.
     Refusing,
